--- /dev/null
+++ b/src/wagtailbay/logs/__init__.py
@@ -0,0 +1,6 @@
+"""Write each event as one line of key=value pairs."""
+
+from wagtailbay.logs.events import log_event, start_logging
+from wagtailbay.logs.lines import format_line, parse_line
+
+__all__ = ["format_line", "log_event", "parse_line", "start_logging"]
--- /dev/null
+++ b/src/wagtailbay/logs/lines.py
@@ -0,0 +1,38 @@
+"""Format and parse lines of key=value pairs."""
+
+import json
+import re
+from collections.abc import Mapping
+from typing import Any
+
+BARE_VALUE = re.compile(r"[A-Za-z0-9_.:/+\-]+")
+PAIR = re.compile(r'([A-Za-z0-9_.\-]+)=("(?:[^"\\]|\\.)*"|[A-Za-z0-9_.:/+\-]+)(?: |$)')
+
+
+def format_line(values: Mapping[str, Any]) -> str:
+    """Format values as one line; a value with other than plain characters is quoted as JSON."""
+    return " ".join(f"{key}={format_value(value)}" for key, value in values.items())
+
+
+def format_value(value: Any) -> str:
+    """Format one value."""
+    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    return text if BARE_VALUE.fullmatch(text) else json.dumps(text)
+
+
+def parse_line(line: str) -> dict[str, str]:
+    """Parse a line that format_line wrote.
+
+    Raises:
+        ValueError: The line has a part that is no key=value pair.
+    """
+    pairs: dict[str, str] = {}
+    position = 0
+    while position < len(line):
+        match = PAIR.match(line, position)
+        if match is None:
+            raise ValueError(f"no key=value pair at column {position}")
+        key, value = match.groups()
+        pairs[key] = json.loads(value) if value.startswith('"') else value
+        position = match.end()
+    return pairs
--- /dev/null
+++ b/src/wagtailbay/platform/__init__.py
@@ -0,0 +1,27 @@
+"""Talk to the platform's object API and its list of VMs."""
+
+from wagtailbay.platform.client import HttpObjectStore
+from wagtailbay.platform.models import (
+    Listing,
+    ObjectStore,
+    OutcomeUnknown,
+    StoredObject,
+    StoreError,
+    StoreUnavailable,
+    VersionConflict,
+    VmList,
+    VmRecord,
+)
+
+__all__ = [
+    "HttpObjectStore",
+    "Listing",
+    "ObjectStore",
+    "OutcomeUnknown",
+    "StoreError",
+    "StoreUnavailable",
+    "StoredObject",
+    "VersionConflict",
+    "VmList",
+    "VmRecord",
+]
--- /dev/null
+++ b/src/wagtailbay/platform/client.py
@@ -0,0 +1,99 @@
+"""Call the platform's object API over HTTP."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from wagtailbay.platform.const import DEFAULT_CALL_TIMEOUT_MS, WATCH_MARGIN_MS
+from wagtailbay.platform.models import (
+    Listing,
+    OutcomeUnknown,
+    StoredObject,
+    StoreError,
+    StoreUnavailable,
+    VersionConflict,
+    VmList,
+)
+from wagtailbay.platform.wire import decode_listing, decode_object, decode_vms
+from wagtailbay.transport import Request, Response, TransportError, fetch
+
+
+@frozen
+class HttpObjectStore:
+    """Reach the object API at an address, one connection a call."""
+
+    address: str
+    call_timeout_ms: int = DEFAULT_CALL_TIMEOUT_MS
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, timeout_ms: int | None = None
+    ) -> Result[Response, TransportError]:
+        payload = b"" if body is None else json.dumps(body).encode()
+        request = Request(method=method, path=path, headers=(), body=payload)
+        return await fetch(self.address, request, timeout_ms or self.call_timeout_ms)
+
+    async def _read(
+        self, path: str, timeout_ms: int | None = None
+    ) -> Result[Response, StoreUnavailable]:
+        match await self._call("GET", path, timeout_ms=timeout_ms):
+            case Ok(response) if response.status in (200, 404):
+                return Ok(response)
+            case Ok(response):
+                return Err(StoreUnavailable(f"status {response.status}"))
+            case Err(error):
+                return Err(StoreUnavailable(str(error)))
+
+    async def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
+        """Read one object; None if it does not exist."""
+        answer = await self._read(f"/v1/objects/{quote(key)}")
+        return answer.map(lambda r: decode_object(r.body) if r.status == 200 else None)
+
+    async def list(self, prefixes: Sequence[str]) -> Result[Listing, StoreUnavailable]:
+        """Read all objects whose keys start with one of the prefixes."""
+        answer = await self._read(f"/v1/objects?{urlencode({'prefix': ','.join(prefixes)})}")
+        return answer.map(lambda r: decode_listing(r.body))
+
+    async def watch(
+        self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
+    ) -> Result[Listing, StoreUnavailable]:
+        """Wait for changes after a revision; the listing is empty when the time runs out."""
+        query = {"prefix": ",".join(prefixes), "since": since_revision, "timeout_ms": timeout_ms}
+        answer = await self._read(f"/v1/watch?{urlencode(query)}", timeout_ms + WATCH_MARGIN_MS)
+        return answer.map(lambda r: decode_listing(r.body))
+
+    async def vms(self) -> Result[VmList, StoreUnavailable]:
+        """Read the platform's list of live and leaving VMs."""
+        answer = await self._read("/v1/vms")
+        return answer.map(lambda r: decode_vms(r.body))
+
+    async def put(
+        self, key: str, value: Any, expected_version: int | None
+    ) -> Result[int, StoreError]:
+        """Write an object and return its new version."""
+        return await self._write("PUT", key, {"value": value}, expected_version)
+
+    async def delete(self, key: str, expected_version: int | None) -> Result[int, StoreError]:
+        """Delete an object and return the revision of the deletion."""
+        return await self._write("DELETE", key, None, expected_version)
+
+    async def _write(
+        self, method: str, key: str, body: Any, expected_version: int | None
+    ) -> Result[int, StoreError]:
+        query = "" if expected_version is None else f"?expected_version={expected_version}"
+        match await self._call(method, f"/v1/objects/{quote(key)}{query}", body):
+            case Ok(response) if response.status == 200:
+                return Ok(json.loads(response.body)["version"])
+            case Ok(response) if response.status == 409:
+                return Err(VersionConflict(key, json.loads(response.body)["version"]))
+            case Ok(response) if response.status == 503:
+                return Err(StoreUnavailable("the platform refused the write"))
+            case Ok(response):
+                return Err(OutcomeUnknown(key, f"status {response.status}"))
+            case Err(error) if not error.request_sent:
+                return Err(StoreUnavailable(str(error)))
+            case Err(error):
+                return Err(OutcomeUnknown(key, str(error)))
--- /dev/null
+++ b/src/wagtailbay/platform/wire.py
@@ -0,0 +1,28 @@
+"""Decode the JSON answers of the platform's API."""
+
+import json
+from typing import Any
+
+from wagtailbay.platform.models import Listing, StoredObject, VmList, VmRecord
+
+
+def stored_object(item: dict[str, Any]) -> StoredObject:
+    """Convert a decoded JSON object."""
+    return StoredObject(item["key"], item["version"], item["value"])
+
+
+def decode_object(body: bytes) -> StoredObject:
+    """Decode the answer to a read of one object."""
+    return stored_object(json.loads(body))
+
+
+def decode_listing(body: bytes) -> Listing:
+    """Decode the answer to a list or a watch."""
+    data = json.loads(body)
+    return Listing(data["revision"], tuple(stored_object(item) for item in data["objects"]))
+
+
+def decode_vms(body: bytes) -> VmList:
+    """Decode the list of VMs."""
+    data = json.loads(body)
+    return VmList(data["revision"], tuple(VmRecord(**item) for item in data["vms"]))
--- /dev/null
+++ b/src/wagtailbay/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the programs, which only wire the slices up."""
--- /dev/null
+++ b/src/wagtailbay/settings/checks.py
@@ -0,0 +1,63 @@
+"""Check and parse common kinds of setting."""
+
+import ipaddress
+from collections.abc import Callable
+
+
+def at_least(minimum: int) -> Callable[[int], str | None]:
+    """Return a check that refuses numbers below the minimum."""
+
+    def check(value: int) -> str | None:
+        return None if value >= minimum else f"must be at least {minimum}, got {value}"
+
+    return check
+
+
+def one_of(*choices: str) -> Callable[[str], str | None]:
+    """Return a check that refuses texts other than the choices."""
+
+    def check(value: str) -> str | None:
+        return None if value in choices else f"must be one of {', '.join(choices)}, got {value!r}"
+
+    return check
+
+
+def parse_address(text: str) -> str:
+    """Parse ``<ip number>:<port>`` and return it unchanged.
+
+    Raises:
+        ValueError: The host is no IP number or the port is not in 0 to 65535.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator:
+        raise ValueError(f"expected <ip number>:<port>, got {text!r}")
+    ipaddress.ip_address(host)
+    if not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"port must be 0 to 65535, got {port!r}")
+    return text
+
+
+def parse_address_list(text: str) -> tuple[str, ...]:
+    """Parse addresses separated by commas; an empty text gives none."""
+    return tuple(parse_address(part.strip()) for part in text.split(",") if part.strip())
+
+
+def parse_pairs(text: str) -> dict[str, str]:
+    """Parse ``name=value`` pairs separated by commas.
+
+    Raises:
+        ValueError: A pair has no ``=``.
+    """
+    pairs = {}
+    for part in filter(None, (item.strip() for item in text.split(","))):
+        name, separator, value = part.partition("=")
+        if not separator:
+            raise ValueError(f"expected name=value, got {part!r}")
+        pairs[name] = value
+    return pairs
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``<host>:<port>`` into its parts."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/wagtailbay/settings/loader.py
@@ -0,0 +1,87 @@
+"""Load a settings class from flags and environment variables."""
+
+import argparse
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any, TypeVar
+
+from attrs import NOTHING, Attribute, fields
+from result import Err, Ok, Result
+
+from wagtailbay import __version__
+from wagtailbay.settings.const import ENVIRONMENT_PREFIX, EXIT_STATUS_BAD_SETTING
+from wagtailbay.settings.models import SettingFault
+
+T = TypeVar("T")
+
+
+def flag_name(attribute: Attribute) -> str:
+    """Return the flag of a settings field."""
+    return "--" + attribute.name.replace("_", "-")
+
+
+def variable_name(attribute: Attribute) -> str:
+    """Return the environment variable of a settings field."""
+    return ENVIRONMENT_PREFIX + attribute.name.upper()
+
+
+def build_parser(program: str, cls: type) -> argparse.ArgumentParser:
+    """Build the argument parser for a settings class."""
+    parser = argparse.ArgumentParser(prog=program, description=(cls.__doc__ or "").split("\n")[0])
+    parser.add_argument("--version", action="version", version=f"{program} {__version__}")
+    for attribute in fields(cls):
+        default = "required" if attribute.default is NOTHING else f"default {attribute.default!r}"
+        text = f"{attribute.metadata['help']} ({variable_name(attribute)}; {default})"
+        parser.add_argument(flag_name(attribute), help=text.replace("%", "%%"), metavar="VALUE")
+    return parser
+
+
+def load_settings(
+    program: str, cls: type[T], argv: Sequence[str], environ: Mapping[str, str]
+) -> Result[T, tuple[SettingFault, ...]]:
+    """Load settings; a flag goes before its environment variable.
+
+    Returns:
+        The settings, or every fault found.
+    """
+    namespace = build_parser(program, cls).parse_args(argv)
+    values: dict[str, Any] = {}
+    faults: list[SettingFault] = []
+    for attribute in fields(cls):
+        text = getattr(namespace, attribute.name)
+        if text is None:
+            text = environ.get(variable_name(attribute))
+        if text is None:
+            if attribute.default is NOTHING:
+                faults.append(SettingFault(flag_name(attribute), "is required"))
+            continue
+        match parse_value(attribute, text):
+            case Ok(value):
+                values[attribute.name] = value
+            case Err(fault):
+                faults.append(fault)
+    if faults:
+        return Err(tuple(faults))
+    return Ok(cls(**values))
+
+
+def parse_value(attribute: Attribute, text: str) -> Result[Any, SettingFault]:
+    """Parse and check the text of one setting."""
+    name = flag_name(attribute)
+    try:
+        value = attribute.metadata["parse"](text)
+    except ValueError as error:
+        return Err(SettingFault(name, str(error)))
+    check = attribute.metadata["check"]
+    message = check(value) if check else None
+    return Err(SettingFault(name, message)) if message else Ok(value)
+
+
+def load_settings_or_exit(program: str, cls: type[T], environ: Mapping[str, str]) -> T:
+    """Load settings from the command line; print all faults on one line and exit on any."""
+    match load_settings(program, cls, sys.argv[1:], environ):
+        case Ok(settings):
+            return settings
+        case Err(faults):
+            print(f"{program}: {'; '.join(map(str, faults))}", file=sys.stderr)
+            sys.exit(EXIT_STATUS_BAD_SETTING)
--- /dev/null
+++ b/src/wagtailbay/transport/client.py
@@ -0,0 +1,188 @@
+"""Send requests to an HTTP/1.1 server, one at a time on each connection."""
+
+from typing import Any
+
+import h11
+import trio
+from attrs import define, field
+from result import Err, Ok, Result
+
+from wagtailbay.settings.checks import split_address
+from wagtailbay.transport.const import (
+    MAX_FETCHED_BODY_BYTES,
+    MAX_HEADER_BYTES,
+    RECEIVE_CHUNK_BYTES,
+)
+from wagtailbay.transport.models import (
+    FailureKind,
+    Request,
+    Response,
+    ResponseHead,
+    TransportError,
+)
+from wagtailbay.transport.wire import decode_headers, encode_request_head
+
+
+@define
+class ClientConnection:
+    """Carry one request at a time to a server.
+
+    A connection is reusable only after a complete exchange without any fault; every other one must
+    be closed, since later bytes on it could belong to an earlier request.
+    """
+
+    address: str
+    stream: trio.abc.Stream
+    h11: h11.Connection = field(
+        factory=lambda: h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+    )
+    request_sent: bool = False
+    answered: bool = False
+
+    async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
+        """Send a request and receive the head of its response."""
+        if self.has_unread_bytes():
+            return Err(self._error(FailureKind.PROTOCOL, "bytes before the request"))
+        try:
+            data = self.h11.send(encode_request_head(request, self.address)) or b""
+            if request.body:
+                data += self.h11.send(h11.Data(data=request.body)) or b""
+            data += self.h11.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError as error:
+            return Err(self._error(FailureKind.PROTOCOL, str(error)))
+        try:
+            self.request_sent = True
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+            return Err(self._error(FailureKind.CLOSED, f"while sending: {error}"))
+        return await self._receive_head()
+
+    def has_unread_bytes(self) -> bool:
+        """Tell whether bytes arrived that belong to no request on this connection."""
+        return bool(self.h11.trailing_data[0])
+
+    async def _receive_head(self) -> Result[ResponseHead, TransportError]:
+        while True:
+            match await self._next_event():
+                case Err(error):
+                    return Err(error)
+                case Ok(h11.InformationalResponse()):
+                    continue
+                case Ok(h11.Response() as event):
+                    return self._checked_head(event)
+                case Ok(event):
+                    return Err(self._error(FailureKind.CLOSED, f"got {type(event).__name__}"))
+
+    def _checked_head(self, event: h11.Response) -> Result[ResponseHead, TransportError]:
+        head = ResponseHead(event.status_code, decode_headers(event.headers))
+        names = [name.lower() for name, _ in head.headers]
+        if "content-length" in names and "transfer-encoding" in names:
+            message = "both Content-Length and Transfer-Encoding"
+            return Err(self._error(FailureKind.PROTOCOL, message))
+        return Ok(head)
+
+    async def receive_chunk(self) -> Result[bytes | None, TransportError]:
+        """Receive a part of the response's body; None marks its complete end."""
+        match await self._next_event():
+            case Err(error):
+                return Err(error)
+            case Ok(h11.Data(data=data)):
+                return Ok(bytes(data))
+            case Ok(h11.EndOfMessage()):
+                return Ok(None)
+            case Ok(event):
+                return Err(self._error(FailureKind.TRUNCATED, f"got {type(event).__name__}"))
+
+    async def _next_event(self) -> Result[Any, TransportError]:
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
+                return Err(self._error(kind, str(error)))
+            if event is not h11.NEED_DATA:
+                return Ok(event)
+            try:
+                data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+                kind = FailureKind.TRUNCATED if self.answered else FailureKind.CLOSED
+                return Err(self._error(kind, str(error)))
+            self.answered = self.answered or bool(data)
+            if not data and not self.answered:
+                return Err(self._error(FailureKind.CLOSED, "end of stream"))
+            self.h11.receive_data(data)
+
+    @staticmethod
+    def _is_cut_short(error: h11.RemoteProtocolError) -> bool:
+        return "peer closed connection" in str(error) or "peer unexpectedly closed" in str(error)
+
+    def _error(self, kind: FailureKind, message: str) -> TransportError:
+        return TransportError(kind, message, self.request_sent, self.answered)
+
+    def recycle(self) -> bool:
+        """Prepare the connection for another request; False means that it must be closed."""
+        if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+            return False
+        if self.has_unread_bytes():
+            return False
+        self.h11.start_next_cycle()
+        self.request_sent = self.answered = False
+        return True
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self.stream)
+
+
+async def open_connection(
+    address: str, timeout_ms: int
+) -> Result[ClientConnection, TransportError]:
+    """Open a connection to ``<ip number>:<port>``."""
+    host, port = split_address(address)
+    try:
+        with trio.fail_after(timeout_ms / 1000):
+            stream = await trio.open_tcp_stream(host, port)
+    except trio.TooSlowError:
+        return Err(TransportError(FailureKind.TIMEOUT, f"connect to {address}", False))
+    except OSError as error:
+        return Err(TransportError(FailureKind.CONNECT, f"{address}: {error}", False))
+    return Ok(ClientConnection(address, stream))
+
+
+async def fetch(
+    address: str, request: Request, timeout_ms: int
+) -> Result[Response, TransportError]:
+    """Carry out one complete exchange on a connection of its own."""
+    connection: ClientConnection | None = None
+    with trio.move_on_after(timeout_ms / 1000):
+        try:
+            match await open_connection(address, timeout_ms):
+                case Err(error):
+                    return Err(error)
+                case Ok(connection):
+                    return await _exchange(connection, request)
+        finally:
+            if connection is not None:
+                await connection.close()
+    sent = connection is not None and connection.request_sent
+    return Err(TransportError(FailureKind.TIMEOUT, f"{address}: {timeout_ms} ms", sent))
+
+
+async def _exchange(
+    connection: ClientConnection, request: Request
+) -> Result[Response, TransportError]:
+    head = await connection.send(request)
+    if isinstance(head, Err):
+        return head
+    body = bytearray()
+    while True:
+        match await connection.receive_chunk():
+            case Err(error):
+                return Err(error)
+            case Ok(None):
+                return Ok(Response(head.ok_value.status, head.ok_value.headers, bytes(body)))
+            case Ok(data):
+                body += data
+        if len(body) > MAX_FETCHED_BODY_BYTES:
+            message = f"more than {MAX_FETCHED_BODY_BYTES} bytes"
+            return Err(TransportError(FailureKind.TOO_LARGE, message, True, True))
--- /dev/null
+++ b/src/wagtailbay/transport/wire.py
@@ -0,0 +1,60 @@
+"""Convert between HTTP messages and h11 events."""
+
+from collections.abc import Iterable
+
+import h11
+
+from wagtailbay.transport.models import Headers, Request, ResponseHead
+
+# Fields of one connection, which must not pass from one side to the other (RFC 9110, 7.6.1).
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Decode header fields."""
+    return tuple((name.decode("ascii"), value.decode("latin-1")) for name, value in headers)
+
+
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Encode header fields."""
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Drop the fields that belong to one connection, also those that Connection names."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = HOP_BY_HOP_HEADERS | named
+    return tuple((name, value) for name, value in headers if name.lower() not in dropped)
+
+
+def encode_request_head(request: Request, host: str) -> h11.Request:
+    """Encode a request's head with Host and Content-Length."""
+    headers = [(n, v) for n, v in request.headers if n.lower() not in ("host", "content-length")]
+    headers.append(("Host", host))
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        headers.append(("Content-Length", str(len(request.body))))
+    return h11.Request(
+        method=request.method, target=request.path, headers=encode_headers(tuple(headers))
+    )
+
+
+def encode_response_head(head: ResponseHead) -> h11.Response:
+    """Encode a response's head."""
+    return h11.Response(status_code=head.status, headers=encode_headers(head.headers))
