Serve a request from end to end through separate processes

The stand-in platform, targets and three entry VMs run as processes on loopback; a request passes key check, workspace limit, choice of target and forwarding, and its answer streams back whole.

--- /dev/null
+++ b/src/wagtailbay/access/gate.py
@@ -0,0 +1,53 @@
+"""Decide whether a request may run, and for which workspace."""
+
+from collections.abc import Callable
+
+from attrs import define
+from result import Err, Ok, Result
+
+from wagtailbay.access.const import MAX_CONFIRMED_AGE_MS
+from wagtailbay.access.keys import KeyRing
+from wagtailbay.config import Route, ServiceDocument
+from wagtailbay.refusals import Refusal, not_run
+
+
+@define
+class AccessGate:
+    """Check keys and whether this VM's knowledge of them is fresh enough.
+
+    Attributes:
+        confirmed_age_ms: Returns the age of this VM's knowledge of the store, None if it has none.
+        has_quorum: Tells whether this VM has exchanged messages lately with a quorum of the fleet.
+    """
+
+    keys: KeyRing
+    confirmed_age_ms: Callable[[float], float | None]
+    has_quorum: Callable[[float], bool]
+
+    def check(
+        self, service: ServiceDocument, route: Route, authorization: str | None, now_s: float
+    ) -> Result[str | None, Refusal]:
+        """Return the workspace for which a request runs; None on a route open to all."""
+        if route.open:
+            return Ok(None)
+        scheme, _, key = (authorization or "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            message = "send the header Authorization: Bearer <key>"
+            return Err(not_run(401, "key_missing", message))
+        if not self.is_current(now_s):
+            message = "this VM cannot rule out that the key was withdrawn; use another VM"
+            return Err(not_run(503, "keys_unconfirmed", message, retry_after_ms=1_000))
+        record = self.keys.check(key.strip())
+        if record is None:
+            return Err(not_run(401, "key_unknown", "the key is unknown or withdrawn"))
+        if service.limit_for(record.workspace) is None:
+            message = f"workspace {record.workspace!r} may not call service {service.service!r}"
+            return Err(not_run(403, "workspace_not_allowed", message))
+        return Ok(record.workspace)
+
+    def is_current(self, now_s: float) -> bool:
+        """Tell whether every withdrawal in force must be known to this VM."""
+        age_ms = self.confirmed_age_ms(now_s)
+        if age_ms is not None and age_ms <= MAX_CONFIRMED_AGE_MS:
+            return True
+        return self.has_quorum(now_s)
--- /dev/null
+++ b/src/wagtailbay/access/keys.py
@@ -0,0 +1,49 @@
+"""Hold the keys' hashes."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Callable, Mapping
+
+from attrs import define, frozen
+
+from wagtailbay.access.const import KEY_BYTES, KEY_PREFIX
+from wagtailbay.platform import StoredObject
+
+
+@frozen
+class KeyRecord:
+    """Describe a granted key; the key itself is never kept."""
+
+    workspace: str
+    withdrawn: bool
+
+
+def new_key() -> str:
+    """Return a new random key."""
+    return secrets.token_urlsafe(KEY_BYTES)
+
+
+def hash_key(key: str) -> str:
+    """Return a key's SHA-256 in hexadecimal; its randomness makes a salt unnecessary."""
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+@define
+class KeyRing:
+    """Find the workspace of a key among the replicated objects."""
+
+    objects: Callable[[], Mapping[str, StoredObject]]
+
+    def check(self, key: str) -> KeyRecord | None:
+        """Return the record of a key, or None if it is unknown or withdrawn."""
+        digest = hash_key(key)
+        stored = self.objects().get(KEY_PREFIX + digest)
+        if stored is None or stored.value is None:
+            return None
+        # The lookup is by digest, whose timing tells nothing useful of the key; the comparison
+        # in constant time guards against a store key that does not match its record.
+        if not hmac.compare_digest(stored.key.removeprefix(KEY_PREFIX), digest):
+            return None
+        record = KeyRecord(stored.value["workspace"], stored.value.get("withdrawn", False))
+        return None if record.withdrawn else record
--- a/src/wagtailbay/config/models.py
+++ b/src/wagtailbay/config/models.py
@@ -139,7 +139,7 @@
     """Describe what all services share.
 
     Attributes:
-        max_vms: The most entry processes that are ever alive at once; floors and quorums rest on it.
+        max_vms: The most entry processes ever alive at once; floors and quorums rest on it.
     """
 
     max_vms: int
--- /dev/null
+++ b/src/wagtailbay/entry/handler.py
@@ -0,0 +1,103 @@
+"""Handle one request of a caller from top to bottom."""
+
+import uuid
+from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
+
+from attrs import define
+from result import Err, Ok, Result
+
+from wagtailbay.access import AccessGate
+from wagtailbay.config import ConfigView
+from wagtailbay.entry.const import LOCATE_PATH, READY_PATH, STATUS_PATH
+from wagtailbay.entry.forward import AnswerCut, Forwarder
+from wagtailbay.entry.models import RequestContext
+from wagtailbay.entry.routing import find_route, request_timeout_ms
+from wagtailbay.entry.wire import send_refusal
+from wagtailbay.limits import WorkspaceLimiter
+from wagtailbay.locate import rank_vms
+from wagtailbay.logs import log_event
+from wagtailbay.membership import Roster
+from wagtailbay.refusals import Refusal, not_run
+from wagtailbay.transport import Reply, Request
+from wagtailbay.transport.server import CallerGoneError
+
+
+@define
+class RequestHandler:
+    """Serve callers on one VM."""
+
+    view: Callable[[], ConfigView]
+    gate: AccessGate
+    limiter: WorkspaceLimiter
+    forwarder: Forwarder
+    roster: Roster
+    status: Callable[[float], dict]
+    clock: Callable[[], float]
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        if request.path.startswith("/-/"):
+            await self._handle_own(request, reply)
+            return
+        request_id = uuid.uuid4().hex
+        match self._admit(request, request_id):
+            case Err(refusal):
+                await self._refuse(reply, refusal, request_id)
+            case Ok(context):
+                await self._forward(context, reply)
+
+    def _admit(self, request: Request, request_id: str) -> Result[RequestContext, Refusal]:
+        now_s = self.clock()
+        found = find_route(request, self.view())
+        if isinstance(found, Err):
+            return found
+        service, route, path = found.ok_value
+        timeout_ms = request_timeout_ms(request, route)
+        if isinstance(timeout_ms, Err):
+            return timeout_ms
+        allowed = self.gate.check(service, route, request.header("Authorization"), now_s)
+        if isinstance(allowed, Err):
+            return allowed
+        workspace = allowed.ok_value
+        if workspace is not None:
+            admitted = self.limiter.admit(service, workspace, now_s)
+            if isinstance(admitted, Err):
+                return admitted
+        deadline_s = now_s + timeout_ms.ok_value / 1000
+        return Ok(
+            RequestContext(request_id, request, service, route, path, workspace, now_s, deadline_s)
+        )
+
+    async def _forward(self, context: RequestContext, reply: Reply) -> None:
+        match await self.forwarder.forward(context, reply):
+            case Err(Refusal() as refusal):
+                await self._refuse(reply, refusal, context.request_id)
+            case Err(AnswerCut(message=message)):
+                log_event("answer_cut", request_id=context.request_id, reason=message)
+                raise CallerGoneError
+
+    async def _refuse(self, reply: Reply, refusal: Refusal, request_id: str) -> None:
+        log_event(
+            "request_refused", request_id=request_id, code=refusal.code, run=refusal.run.value
+        )
+        await send_refusal(reply, refusal, request_id)
+
+    async def _handle_own(self, request: Request, reply: Reply) -> None:
+        parts = urlsplit(request.path)
+        view = self.view()
+        now_s = self.clock()
+        if parts.path == READY_PATH:
+            ready = view.fleet is not None
+            await reply.send_json(200 if ready else 503, {"ready": ready})
+        elif parts.path == STATUS_PATH:
+            await reply.send_json(200, self.status(now_s))
+        elif parts.path == LOCATE_PATH and view.fleet is not None:
+            query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+            zone = query.get("availability_zone", self.roster.own.availability_zone)
+            client = query.get("client", "")
+            answer = rank_vms(client, zone, self.roster, view.fleet, now_s)
+            await reply.send_json(200, answer.as_json())
+        else:
+            refusal = not_run(404, "path_unknown", f"there is nothing at {parts.path!r}")
+            await send_refusal(reply, refusal, "")
--- /dev/null
+++ b/src/wagtailbay/replica/replica.py
@@ -0,0 +1,74 @@
+"""Hold replicated objects and how fresh they are."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from wagtailbay.platform import StoredObject
+from wagtailbay.replica.signal import ChangeSignal
+
+
+@define
+class Replica:
+    """Hold the newest known version of each object.
+
+    Attributes:
+        revision: Every change up to this store revision is included.
+        objects: By key, deleted ones included with value None.
+    """
+
+    revision: int = 0
+    objects: dict[str, StoredObject] = field(factory=dict)
+    changed: ChangeSignal = field(factory=ChangeSignal)
+
+    def apply(self, objects: Iterable[StoredObject], revision: int) -> bool:
+        """Take in objects that are complete from this replica's revision up to the given one.
+
+        An object with a version that is not higher than the known one is ignored, so a lagging
+        source never reverts anything. Returns whether any object changed.
+        """
+        changed = False
+        for stored in objects:
+            known = self.objects.get(stored.key)
+            if known is None or stored.version > known.version:
+                self.objects[stored.key] = stored
+                changed = True
+        self.revision = max(self.revision, revision)
+        if changed:
+            self.changed.notify()
+        return changed
+
+    def delta_since(self, revision: int) -> tuple[StoredObject, ...]:
+        """Return the objects changed after a revision, oldest first."""
+        newer = (stored for stored in self.objects.values() if stored.version > revision)
+        return tuple(sorted(newer, key=lambda stored: stored.version))
+
+    def value(self, key: str) -> object | None:
+        """Return an object's value; None if it is unknown or deleted."""
+        stored = self.objects.get(key)
+        return None if stored is None else stored.value
+
+    def with_prefix(self, prefix: str) -> dict[str, StoredObject]:
+        """Return the objects that exist under a prefix."""
+        return {
+            key: stored
+            for key, stored in self.objects.items()
+            if key.startswith(prefix) and stored.value is not None
+        }
+
+
+@define
+class Freshness:
+    """Track when this VM's replica was last known to equal the store."""
+
+    confirmed_s: float | None = None
+
+    def confirm(self, now_s: float, age_ms: float = 0.0) -> None:
+        """Record that the replica was current age_ms before now_s."""
+        confirmed_s = now_s - age_ms / 1000
+        if self.confirmed_s is None or confirmed_s > self.confirmed_s:
+            self.confirmed_s = confirmed_s
+
+    def age_ms(self, now_s: float) -> float | None:
+        """Return the age of the last confirmation, None if there was none."""
+        return None if self.confirmed_s is None else max(0.0, (now_s - self.confirmed_s) * 1000)
--- /dev/null
+++ b/src/wagtailbay/replica/watch.py
@@ -0,0 +1,85 @@
+"""Keep a replica current from the store."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from attrs import define
+from result import Err, Ok
+
+from wagtailbay.logs import log_event
+from wagtailbay.platform import ObjectStore
+from wagtailbay.replica.const import (
+    LIST_INTERVAL_S,
+    MAX_BACKOFF_S,
+    REPLICATED_PREFIXES,
+    STALE_AFTER_S,
+    WATCH_TIMEOUT_MS,
+)
+from wagtailbay.replica.replica import Freshness, Replica
+
+
+@define
+class StoreReader:
+    """Watch the store on the VMs chosen for it, and list it on others that hear nothing.
+
+    Attributes:
+        is_watcher: Tells whether this VM is one of the watchers now.
+        reachable: Whether the last call was answered.
+    """
+
+    store: ObjectStore
+    replica: Replica
+    freshness: Freshness
+    is_watcher: Callable[[], bool]
+    clock: Callable[[], float]
+    random: random.Random
+    reachable: bool = False
+    failures: int = 0
+
+    async def run(self) -> None:
+        """Read the store for as long as the process runs."""
+        await self._list()
+        while True:
+            if not self.reachable:
+                await trio.sleep(self._backoff_s())
+                await self._list()
+            elif self.is_watcher():
+                await self._watch()
+            else:
+                await trio.sleep(LIST_INTERVAL_S * self.random.uniform(0.8, 1.2))
+                if self._is_stale():
+                    await self._list()
+
+    def _is_stale(self) -> bool:
+        age_ms = self.freshness.age_ms(self.clock())
+        return age_ms is None or age_ms > STALE_AFTER_S * 1000
+
+    def _backoff_s(self) -> float:
+        full_s = min(MAX_BACKOFF_S, 0.25 * 2 ** min(self.failures, 10))
+        return full_s * self.random.uniform(0.5, 1.0)
+
+    async def _list(self) -> None:
+        asked_s = self.clock()
+        self._take_in(await self.store.list(REPLICATED_PREFIXES), asked_s)
+
+    async def _watch(self) -> None:
+        asked_s = self.clock()
+        answer = await self.store.watch(
+            REPLICATED_PREFIXES, self.replica.revision, WATCH_TIMEOUT_MS
+        )
+        self._take_in(answer, asked_s)
+
+    def _take_in(self, answer, asked_s: float) -> None:
+        """Apply an answer; the time of the question bounds how old it can be."""
+        match answer:
+            case Ok(listing):
+                self.replica.apply(listing.objects, listing.revision)
+                self.freshness.confirm(asked_s)
+                if not self.reachable:
+                    log_event("store_reachable", revision=listing.revision)
+                self.reachable, self.failures = True, 0
+            case Err(error):
+                if self.reachable or self.failures == 0:
+                    log_event("store_unreachable", reason=error.message)
+                self.reachable, self.failures = False, self.failures + 1
--- /dev/null
+++ b/src/wagtailbay/steer/round_robin.py
@@ -0,0 +1,35 @@
+"""Choose targets in turn; the baseline for measurements."""
+
+from attrs import define
+from result import Err, Ok, Result
+
+from wagtailbay.config import FleetDocument
+from wagtailbay.refusals import Refusal, not_run
+from wagtailbay.steer.models import Assignment, AttemptReport, TargetQuery
+
+
+@define
+class RoundRobinChooser:
+    """Choose the targets of a service in turn, whatever their state."""
+
+    fleet: FleetDocument | None = None
+    turn: int = 0
+
+    async def choose(self, query: TargetQuery, now_s: float) -> Result[Assignment, Refusal]:
+        """Choose the next target that has the version and was not tried."""
+        usable = [
+            target
+            for target in query.service.targets
+            if query.version in (None, target.version) and target.target not in query.excluded
+        ]
+        if not usable:
+            return Err(not_run(503, "no_target", "no target can take the request"))
+        self.turn += 1
+        target = usable[self.turn % len(usable)]
+        region = self.fleet.region_of(target.availability_zone) if self.fleet else None
+        return Ok(Assignment(target, region or ""))
+
+    def finish(
+        self, query: TargetQuery, assignment: Assignment, report: AttemptReport, now_s: float
+    ) -> None:
+        """Ignore the outcome."""
--- a/src/wagtailbay/transport/__init__.py
+++ b/src/wagtailbay/transport/__init__.py
@@ -9,10 +9,12 @@
     ResponseHead,
     TransportError,
 )
+from wagtailbay.transport.pool import ConnectionPool
 from wagtailbay.transport.server import HttpServer, Reply
 
 __all__ = [
     "ClientConnection",
+    "ConnectionPool",
     "FailureKind",
     "Headers",
     "HttpServer",
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -33,7 +33,7 @@
 
     address: str
     stream: trio.abc.Stream
-    h11: h11.Connection = field(
+    protocol: h11.Connection = field(
         factory=lambda: h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
     )
     request_sent: bool = False
@@ -44,10 +44,10 @@
         if self.has_unread_bytes():
             return Err(self._error(FailureKind.PROTOCOL, "bytes before the request"))
         try:
-            data = self.h11.send(encode_request_head(request, self.address)) or b""
+            data = self.protocol.send(encode_request_head(request, self.address)) or b""
             if request.body:
-                data += self.h11.send(h11.Data(data=request.body)) or b""
-            data += self.h11.send(h11.EndOfMessage()) or b""
+                data += self.protocol.send(h11.Data(data=request.body)) or b""
+            data += self.protocol.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             return Err(self._error(FailureKind.PROTOCOL, str(error)))
         try:
@@ -59,7 +59,7 @@
 
     def has_unread_bytes(self) -> bool:
         """Tell whether bytes arrived that belong to no request on this connection."""
-        return bool(self.h11.trailing_data[0])
+        return bool(self.protocol.trailing_data[0])
 
     async def _receive_head(self) -> Result[ResponseHead, TransportError]:
         while True:
@@ -96,7 +96,7 @@
     async def _next_event(self) -> Result[Any, TransportError]:
         while True:
             try:
-                event = self.h11.next_event()
+                event = self.protocol.next_event()
             except h11.RemoteProtocolError as error:
                 kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
                 return Err(self._error(kind, str(error)))
@@ -110,7 +110,7 @@
             self.answered = self.answered or bool(data)
             if not data and not self.answered:
                 return Err(self._error(FailureKind.CLOSED, "end of stream"))
-            self.h11.receive_data(data)
+            self.protocol.receive_data(data)
 
     @staticmethod
     def _is_cut_short(error: h11.RemoteProtocolError) -> bool:
@@ -121,11 +121,11 @@
 
     def recycle(self) -> bool:
         """Prepare the connection for another request; False means that it must be closed."""
-        if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+        if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
         if self.has_unread_bytes():
             return False
-        self.h11.start_next_cycle()
+        self.protocol.start_next_cycle()
         self.request_sent = self.answered = False
         return True
 
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -20,7 +20,7 @@
 from wagtailbay.transport.wire import decode_headers, encode_response_head
 
 
-class CallerGone(Exception):
+class CallerGoneError(Exception):
     """Raised in a handler when the caller's connection is closed under it."""
 
 
@@ -29,7 +29,7 @@
     """Send one response to the caller, whole or in parts."""
 
     stream: trio.abc.Stream
-    h11: h11.Connection
+    protocol: h11.Connection
     closing: Callable[[], bool]
     started: bool = False
     finished: bool = False
@@ -52,9 +52,9 @@
 
     async def _send(self, event: h11.Event) -> None:
         try:
-            await self.stream.send_all(self.h11.send(event) or b"")
+            await self.stream.send_all(self.protocol.send(event) or b"")
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-            raise CallerGone from error
+            raise CallerGoneError from error
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
@@ -101,7 +101,7 @@
         try:
             while await self._serve_request(stream, connection):
                 connection.start_next_cycle()
-        except (CallerGone, trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+        except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
         finally:
             self.connections -= 1
@@ -159,9 +159,7 @@
                         return Err((408, "request_timeout", "the request did not arrive in time"))
 
     @staticmethod
-    def _built_request(
-        head: h11.Request, body: bytes
-    ) -> Result[Request, tuple[int, str, str]]:
+    def _built_request(head: h11.Request, body: bytes) -> Result[Request, tuple[int, str, str]]:
         try:
             path = head.target.decode("ascii")
         except UnicodeDecodeError:
--- /dev/null
+++ b/src/wagtailbay_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Drive real processes on loopback for demonstrations, proofs and measurements."""
--- /dev/null
+++ b/src/wagtailbay_bench/deployment.py
@@ -0,0 +1,117 @@
+"""Run one whole deployment: platform, targets and entry VMs."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import define, field
+from result import Ok
+
+from wagtailbay.access import hash_key
+from wagtailbay.platform import HttpObjectStore
+from wagtailbay.transport import Request, Response, fetch
+from wagtailbay_bench.processes import ProcessGroup, ProgramProcess, free_address
+
+TARGETS_PER_PROCESS = 14
+
+
+@define
+class Deployment:
+    """Hold the processes and addresses of a deployment.
+
+    Attributes:
+        documents: Service documents as decoded JSON; target addresses are replaced.
+        fleet: The fleet document as decoded JSON.
+        keys: The key of each workspace, granted at the start.
+        vm_zones: The availability zone of each entry VM.
+    """
+
+    group: ProcessGroup
+    documents: list[dict[str, Any]]
+    fleet: dict[str, Any]
+    keys: Mapping[str, str]
+    vm_zones: Mapping[str, str]
+    behaviour: Mapping[str, Any] = field(factory=dict)
+    platform_address: str = ""
+    vm_addresses: dict[str, str] = field(factory=dict)
+    vms: dict[str, ProgramProcess] = field(factory=dict)
+    target_addresses: dict[str, str] = field(factory=dict)
+
+    async def start(self) -> None:
+        """Start everything and wait until each VM is ready."""
+        self.platform_address = free_address("127.0.0.2")
+        platform = self.group.start(
+            "platform",
+            "wagtailbay_standins.platform",
+            [f"--listen-address={self.platform_address}"],
+        )
+        await platform.wait_for_event("listening")
+        await self._start_targets()
+        await self._write_objects()
+        for index, vm in enumerate(self.vm_zones):
+            self.vm_addresses[vm] = free_address(f"127.1.0.{index + 1}")
+        for vm in self.vm_zones:
+            self.start_vm(vm)
+        for vm in self.vms.values():
+            await vm.wait_for_event("ready")
+
+    async def _start_targets(self) -> None:
+        for number, document in enumerate(self.documents):
+            specs = []
+            for index, target in enumerate(document["targets"]):
+                target["address"] = free_address(f"127.2.{number}.{index + 1}")
+                self.target_addresses[target["target"]] = target["address"]
+                specs.append(f"{target['target']}@{target['address']}@{target['version']}")
+            process = self.group.start(
+                f"targets-{document['service']}",
+                "wagtailbay_standins.target",
+                [f"--targets={','.join(specs)}", f"--behaviour={json.dumps(self.behaviour)}"],
+            )
+            await process.wait_for_event("all_listening")
+
+    async def _write_objects(self) -> None:
+        store = HttpObjectStore(self.platform_address)
+        values: dict[str, Any] = {"documents/fleet": self.fleet}
+        for document in self.documents:
+            values[f"documents/{document['service']}"] = document
+        for workspace, key in self.keys.items():
+            values[f"keys/{hash_key(key)}"] = {"workspace": workspace}
+        for key, value in values.items():
+            written = await store.put(key, value, 0)
+            if not isinstance(written, Ok):
+                raise RuntimeError(f"{key}: {written}")
+
+    def start_vm(self, vm: str) -> ProgramProcess:
+        """Start an entry VM at its own address."""
+        arguments = [
+            f"--vm={vm}",
+            f"--availability-zone={self.vm_zones[vm]}",
+            f"--listen-address={self.vm_addresses[vm]}",
+            f"--platform-address={self.platform_address}",
+        ]
+        self.vms[vm] = self.group.start(vm, "wagtailbay.programs.entry", arguments)
+        return self.vms[vm]
+
+    async def call(
+        self,
+        vm: str,
+        path: str,
+        *,
+        method: str = "GET",
+        workspace: str | None = None,
+        headers: tuple[tuple[str, str], ...] = (),
+        body: bytes = b"",
+        timeout_ms: int = 10_000,
+    ) -> Response:
+        """Send one request to an entry VM.
+
+        Raises:
+            RuntimeError: The VM gave no whole answer.
+        """
+        if workspace is not None:
+            headers += (("Authorization", f"Bearer {self.keys[workspace]}"),)
+        request = Request(method, path, headers, body)
+        answer = await fetch(self.vm_addresses[vm], request, timeout_ms)
+        if not isinstance(answer, Ok):
+            raise RuntimeError(f"{vm} {path}: {answer.err_value}")
+        return answer.ok_value
--- /dev/null
+++ b/src/wagtailbay_bench/processes.py
@@ -0,0 +1,116 @@
+"""Start programs as processes on loopback and stop them again."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import IO
+
+import trio
+from attrs import define, field
+
+from wagtailbay.logs import parse_line
+
+START_TIMEOUT_S = 30.0
+
+
+def free_address(host: str) -> str:
+    """Return an address on a loopback host with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
+
+
+@define
+class ProgramProcess:
+    """Hold one running program and its log."""
+
+    name: str
+    process: subprocess.Popen
+    log_path: Path
+    log_file: IO[bytes]
+
+    def events(self) -> list[dict[str, str]]:
+        """Return the events that the program has logged so far."""
+        lines = self.log_path.read_text().splitlines()
+        return [parse_line(line) for line in lines if line.startswith("time=")]
+
+    async def wait_for_event(self, event: str) -> None:
+        """Wait until the program has logged an event.
+
+        Raises:
+            RuntimeError: The program ended or the event did not come in time.
+        """
+        with trio.move_on_after(START_TIMEOUT_S):
+            while not any(found["event"] == event for found in self.events()):
+                if self.process.poll() is not None:
+                    break
+                await trio.sleep(0.02)
+            else:
+                return
+        raise RuntimeError(f"{self.name}: no event {event!r}; log: {self.log_path.read_text()}")
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """Stop the process until it is thawed."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Continue a frozen process."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process for a graceful shutdown."""
+        self.process.terminate()
+
+
+@define
+class ProcessGroup:
+    """Start processes and end all of them on leaving the context."""
+
+    folder: tempfile.TemporaryDirectory = field(factory=tempfile.TemporaryDirectory)
+    processes: list[ProgramProcess] = field(factory=list)
+
+    def __enter__(self) -> "ProcessGroup":
+        """Return the group."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """End all processes; print the logs of those that had already failed."""
+        if exc_info[0] is not None:
+            time.sleep(0.5)  # A failing program needs a moment to write its traceback.
+        for item in self.processes:
+            if b"Traceback" in item.log_path.read_bytes():
+                print(f"{item.name} failed", file=sys.stderr)
+                print(item.log_path.read_text()[-4000:], file=sys.stderr)
+        for item in self.processes:
+            if item.process.poll() is None:
+                item.process.kill()
+        for item in self.processes:
+            item.process.wait()
+            item.log_file.close()
+        self.folder.cleanup()
+
+    def start(self, name: str, module: str, arguments: Sequence[str]) -> ProgramProcess:
+        """Start a program given by its module."""
+        path = Path(self.folder.name) / f"{len(self.processes)}-{name}.log"
+        log_file = path.open("wb")
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=log_file,
+            stderr=subprocess.STDOUT,
+            env=os.environ,
+        )
+        program = ProgramProcess(name, process, path, log_file)
+        self.processes.append(program)
+        return program
--- /dev/null
+++ b/src/wagtailbay_standins/target.py
@@ -0,0 +1,217 @@
+"""Stand in for targets; one process hosts many.
+
+Each target has slots, a queue, a cost for each new connection and a cold start. ``GET /health``
+and ``GET /load`` answer for it; ``PUT /standin/behaviour`` changes any field of Behaviour, and
+``GET /standin/runs`` returns how often each idempotency key and request id ran.
+"""
+
+import json
+import os
+import sys
+from collections import Counter
+from functools import partial
+from typing import Any
+
+import trio
+from attrs import define, evolve, field, frozen
+
+from wagtailbay.logs import log_event, start_logging
+from wagtailbay.settings import load_settings_or_exit, setting
+from wagtailbay.settings.checks import split_address
+from wagtailbay.transport import HttpServer, Reply, Request
+from wagtailbay.transport.server import CallerGoneError
+
+PROGRAM = "wagtailbay-standin-target"
+
+
+@frozen
+class Behaviour:
+    """Describe how a target behaves.
+
+    Attributes:
+        service_time_ms: Time in a slot for each request.
+        cold_requests: That many first requests take cold_factor times as long.
+        error_ppm: Share of requests answered with status 500.
+        slow_factor: Multiplies the service time.
+        bad_path_prefix: Errors and slowness apply only below this path.
+        bad_after_requests: Errors and slowness start after that many requests.
+        bad_above_in_flight: Errors and slowness apply only above that many running requests.
+        reported_load: Lies to readers of the load endpoint; None tells the truth.
+        frozen_answers: Takes requests and answers none.
+        truncate_ppm: Share of answers that break off in the middle.
+    """
+
+    slots: int = 6
+    queue: int = 12
+    service_time_ms: float = 5.0
+    connection_cost_ms: float = 1.0
+    probe_cost_ms: float = 0.0
+    cold_requests: int = 0
+    cold_factor: float = 4.0
+    error_ppm: int = 0
+    slow_factor: float = 1.0
+    bad_path_prefix: str = "/"
+    bad_after_requests: int = 0
+    bad_above_in_flight: int = 0
+    reported_load: float | None = None
+    healthy: bool = True
+    draining: bool = False
+    frozen_answers: bool = False
+    truncate_ppm: int = 0
+    body_bytes: int = 0
+
+
+@define
+class TargetStandin:
+    """Serve requests as one target."""
+
+    target: str
+    version: str
+    behaviour: Behaviour = field(factory=Behaviour)
+    runs: Counter = field(factory=Counter)
+    seen_headers: Counter = field(factory=Counter)
+    served: int = 0
+    in_flight: int = 0
+    shed: int = 0
+    error_debt_ppm: int = 0
+    truncate_debt_ppm: int = 0
+    capacity: trio.CapacityLimiter = field(factory=lambda: trio.CapacityLimiter(6))
+    crash: Any = None
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        path = request.path.partition("?")[0]
+        if path.startswith("/standin/"):
+            await self._handle_switch(request, path, reply)
+        elif path == "/health":
+            await trio.sleep(self.behaviour.probe_cost_ms / 1000)
+            state = "draining" if self.behaviour.draining else "ok"
+            status = 200 if self.behaviour.healthy else 503
+            await reply.send_json(status, {"state": state, "version": self.version})
+        elif path == "/load":
+            await reply.send_json(200, {"in_flight": self._load(), "slots": self.behaviour.slots})
+        elif self.in_flight >= self.behaviour.slots + self.behaviour.queue:
+            self.shed += 1
+            await reply.send_json(503, {"error": "overloaded"}, (("Wagtailbay-Run", "not-run"),))
+        else:
+            await self._run(request, path, reply)
+
+    def _load(self) -> float:
+        reported = self.behaviour.reported_load
+        return self.in_flight if reported is None else reported
+
+    async def _run(self, request: Request, path: str, reply: Reply) -> None:
+        """Run a request in a slot."""
+        self.in_flight += 1
+        self.capacity.total_tokens = self.behaviour.slots
+        try:
+            async with self.capacity:
+                await self._serve(request, path, reply)
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, request: Request, path: str, reply: Reply) -> None:
+        self.served += 1
+        self.runs[request.header("Idempotency-Key") or "-"] += 1
+        self.seen_headers.update(name.lower() for name, _ in request.headers)
+        if path.startswith("/crash") and self.crash is not None:
+            self.crash()
+            raise CallerGoneError
+        bad = self._is_bad(path)
+        behaviour = self.behaviour
+        time_ms = behaviour.service_time_ms * (behaviour.slow_factor if bad else 1.0)
+        if self.served <= behaviour.cold_requests:
+            time_ms *= behaviour.cold_factor
+        await trio.sleep(time_ms / 1000)
+        if behaviour.frozen_answers:
+            await trio.sleep_forever()
+        await self._answer(request, bad, reply)
+
+    def _is_bad(self, path: str) -> bool:
+        behaviour = self.behaviour
+        return (
+            path.startswith(behaviour.bad_path_prefix)
+            and self.served > behaviour.bad_after_requests
+            and self.in_flight > behaviour.bad_above_in_flight
+        )
+
+    async def _answer(self, request: Request, bad: bool, reply: Reply) -> None:
+        self.error_debt_ppm += self.behaviour.error_ppm if bad else 0
+        if self.error_debt_ppm >= 1_000_000:
+            self.error_debt_ppm -= 1_000_000
+            await reply.send_json(500, {"error": "internal"})
+            return
+        answer = {
+            "target": self.target,
+            "version": self.version,
+            "path": request.path,
+            "request_id": request.header("Wagtailbay-Request-Id"),
+            "workspace": request.header("Wagtailbay-Workspace"),
+            "idempotency_key": request.header("Idempotency-Key"),
+            "padding": "x" * self.behaviour.body_bytes,
+        }
+        self.truncate_debt_ppm += self.behaviour.truncate_ppm
+        if self.truncate_debt_ppm >= 1_000_000:
+            self.truncate_debt_ppm -= 1_000_000
+            body = json.dumps(answer).encode()
+            await reply.start(200, (("Content-Length", str(len(body))),))
+            await reply.send(body[: len(body) // 2])
+            raise CallerGoneError
+        await reply.send_json(200, answer)
+
+    async def _handle_switch(self, request: Request, path: str, reply: Reply) -> None:
+        if path == "/standin/behaviour":
+            self.behaviour = evolve(self.behaviour, **json.loads(request.body))
+            log_event("behaviour_set", target=self.target, changes=request.body.decode())
+        counts = {"served": self.served, "shed": self.shed, "in_flight": self.in_flight}
+        runs, headers = dict(self.runs), dict(self.seen_headers)
+        await reply.send_json(200, {**counts, "runs": runs, "seen_headers": headers})
+
+
+async def run_target(standin: TargetStandin, address: str, crash_ms: int, *, task_status) -> None:
+    """Serve one target; a crash closes its listener and connections for crash_ms."""
+    while True:
+        server = HttpServer(standin.handle)
+        async with trio.open_nursery() as nursery:
+            standin.crash = nursery.cancel_scope.cancel
+            bound = await nursery.start(server.serve, split_address(address))
+            address = f"{bound[0]}:{bound[1]}"
+            log_event("listening", target=standin.target, address=address)
+            task_status.started(address)
+            task_status = trio.TASK_STATUS_IGNORED
+        log_event("crashed", target=standin.target)
+        standin.in_flight = 0
+        await trio.sleep(crash_ms / 1000)
+
+
+@frozen
+class TargetSettings:
+    """Stand in for targets."""
+
+    targets: str = setting(help_text="name@address@version, separated by commas")
+    behaviour: str = setting(help_text="JSON object of behaviour fields", default="{}")
+    restart_after_crash_ms: int = setting(
+        help_text="time until a crashed target listens again", default=1_000, parse=int
+    )
+
+
+async def run(settings: TargetSettings) -> None:
+    """Serve all targets until the process is ended."""
+    behaviour = Behaviour(**json.loads(settings.behaviour))
+    async with trio.open_nursery() as nursery:
+        for item in settings.targets.split(","):
+            name, address, version = item.split("@")
+            standin = TargetStandin(name, version, behaviour)
+            await nursery.start(run_target, standin, address, settings.restart_after_crash_ms)
+        log_event("all_listening")
+
+
+def main() -> None:
+    """Run the program."""
+    settings = load_settings_or_exit(PROGRAM, TargetSettings, os.environ)
+    start_logging(sys.stderr, PROGRAM)
+    trio.run(partial(run, settings))
+
+
+if __name__ == "__main__":
+    main()
