--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -160,7 +160,7 @@
                 case Err(error):
                     return Err(error)
                 case Ok(connection):
-                    return await _exchange(connection, request)
+                    return await exchange(connection, request)
         finally:
             if connection is not None:
                 await connection.close()
@@ -168,9 +168,10 @@
     return Err(TransportError(FailureKind.TIMEOUT, f"{address}: {timeout_ms} ms", sent))
 
 
-async def _exchange(
+async def exchange(
     connection: ClientConnection, request: Request
 ) -> Result[Response, TransportError]:
+    """Carry out one complete exchange on a connection."""
     head = await connection.send(request)
     if isinstance(head, Err):
         return head
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -2,11 +2,12 @@
 
 import select
 
+import trio
 from attrs import define, field
-from result import Ok, Result
+from result import Err, Ok, Result
 
-from wagtailbay.transport.client import ClientConnection, open_connection
-from wagtailbay.transport.models import TransportError
+from wagtailbay.transport.client import ClientConnection, exchange, open_connection
+from wagtailbay.transport.models import FailureKind, Request, Response, TransportError
 
 
 @define
@@ -36,6 +37,25 @@
             return
         await connection.close()
 
+    async def fetch(
+        self, address: str, request: Request, timeout_ms: int
+    ) -> Result[Response, TransportError]:
+        """Carry out one complete exchange and keep the connection where it may be used again."""
+        connection: ClientConnection | None = None
+        with trio.move_on_after(timeout_ms / 1000):
+            try:
+                opened = await self.acquire(address, timeout_ms)
+                if isinstance(opened, Err):
+                    return opened
+                connection = opened.ok_value
+                return await exchange(connection, request)
+            finally:
+                if connection is not None:
+                    with trio.CancelScope(shield=True):
+                        await self.release(connection)
+        sent = connection is not None and connection.request_sent
+        return Err(TransportError(FailureKind.TIMEOUT, f"{address}: {timeout_ms} ms", sent))
+
     async def close(self) -> None:
         """Close all idle connections."""
         for waiting in self.idle.values():
--- /dev/null
+++ b/src/wagtailbay_bench/controls.py
@@ -0,0 +1,84 @@
+"""Change a running deployment and read what its targets did."""
+
+import json
+from collections import Counter
+from typing import Any
+
+from attrs import define
+from result import Ok, Result
+
+from wagtailbay.platform import HttpObjectStore, StoreError
+from wagtailbay.transport import Request, fetch
+from wagtailbay_bench.deployment import Deployment
+
+CONTROL_TIMEOUT_MS = 5_000
+
+
+@define
+class Controls:
+    """Reach the stand-ins of a deployment."""
+
+    deployment: Deployment
+
+    @property
+    def store(self) -> HttpObjectStore:
+        """Return a client of the platform stand-in."""
+        return HttpObjectStore(self.deployment.platform_address)
+
+    async def _put(self, address: str, path: str, value: Any) -> Any:
+        request = Request("PUT", path, (), json.dumps(value).encode())
+        answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+        if not isinstance(answer, Ok):
+            raise RuntimeError(f"{address}{path}: {answer.err_value}")
+        return json.loads(answer.ok_value.body)
+
+    async def set_store_faults(self, **faults: Any) -> None:
+        """Replace the faults of the platform stand-in."""
+        await self._put(self.deployment.platform_address, "/standin/faults", faults)
+
+    async def store_calls(self) -> dict[str, Any]:
+        """Return the counted calls of the platform stand-in."""
+        answer = await fetch(
+            self.deployment.platform_address, Request("GET", "/standin/calls"), CONTROL_TIMEOUT_MS
+        )
+        return json.loads(answer.unwrap().body)
+
+    async def set_behaviour(self, target: str, **changes: Any) -> None:
+        """Change how a target behaves."""
+        address = self.deployment.target_addresses[target]
+        await self._put(address, "/standin/behaviour", changes)
+
+    async def change_document(self, service: str, **changes: Any) -> Result[int, StoreError]:
+        """Write a service document with some fields replaced, on the newest version."""
+        key = f"documents/{service}"
+        stored = (await self.store.get(key)).unwrap()
+        return await self.store.put(key, stored.value | changes, stored.version)
+
+    async def history(self) -> list[dict[str, Any]]:
+        """Return all recorded runs of all targets, oldest first."""
+        runs = []
+        for address in self.deployment.target_addresses.values():
+            request = Request("GET", "/standin/runs")
+            answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+            if isinstance(answer, Ok):
+                runs.extend(json.loads(answer.ok_value.body)["history"])
+        return sorted(runs, key=lambda run: run["unix_s"])
+
+    async def idempotency_runs(self) -> Counter:
+        """Return how often each idempotency key ran on all targets together."""
+        total: Counter = Counter()
+        for address in self.deployment.target_addresses.values():
+            request = Request("GET", "/standin/runs")
+            answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+            if isinstance(answer, Ok):
+                total.update(json.loads(answer.ok_value.body)["runs"])
+        return total
+
+    async def seen_headers(self) -> set[str]:
+        """Return the names of all header fields that any target received."""
+        names: set[str] = set()
+        for address in self.deployment.target_addresses.values():
+            answer = await fetch(address, Request("GET", "/standin/counts"), CONTROL_TIMEOUT_MS)
+            if isinstance(answer, Ok):
+                names.update(json.loads(answer.ok_value.body)["seen_headers"])
+        return names
--- /dev/null
+++ b/src/wagtailbay_bench/load/__init__.py
@@ -0,0 +1,18 @@
+"""Send open-loop traffic to entry VMs and report what callers saw."""
+
+from wagtailbay_bench.load.client import LocatingClient
+from wagtailbay_bench.load.models import LoadPlan, Sample, TimedFault, TrafficClass
+from wagtailbay_bench.load.runner import run_load
+from wagtailbay_bench.load.summary import ClassSummary, LoadReport, summarize
+
+__all__ = [
+    "ClassSummary",
+    "LoadPlan",
+    "LoadReport",
+    "LocatingClient",
+    "Sample",
+    "TimedFault",
+    "TrafficClass",
+    "run_load",
+    "summarize",
+]
--- a/src/wagtailbay_standins/target.py
+++ b/src/wagtailbay_standins/target.py
@@ -2,18 +2,19 @@
 
 Each target has slots, a queue, a cost for each new connection and a cold start. ``GET /health``
 and ``GET /load`` answer for it; ``PUT /standin/behaviour`` changes any field of Behaviour, and
-``GET /standin/runs`` returns how often each idempotency key and request id ran.
+``GET /standin/runs`` returns how often each idempotency key ran and every run with its time.
 """
 
 import json
 import os
 import sys
+import time
 from collections import Counter
 from functools import partial
 from typing import Any
 
 import trio
-from attrs import define, evolve, field, frozen
+from attrs import asdict, define, evolve, field, frozen
 
 from wagtailbay.logs import log_event, start_logging
 from wagtailbay.settings import load_settings_or_exit, setting
@@ -22,6 +23,18 @@
 from wagtailbay.transport.server import CallerGoneError
 
 PROGRAM = "wagtailbay-standin-target"
+MAX_RECORDED_RUNS = 200_000
+
+
+@frozen
+class Run:
+    """Record one run; trace is the caller's ``X-Trace`` header."""
+
+    unix_s: float
+    trace: str
+    workspace: str
+    version: str
+    target: str
 
 
 @frozen
@@ -69,6 +82,7 @@
     version: str
     behaviour: Behaviour = field(factory=Behaviour)
     runs: Counter = field(factory=Counter)
+    history: list[Run] = field(factory=list)
     seen_headers: Counter = field(factory=Counter)
     served: int = 0
     in_flight: int = 0
@@ -114,6 +128,10 @@
         self.served += 1
         self.runs[request.header("Idempotency-Key") or "-"] += 1
         self.seen_headers.update(name.lower() for name, _ in request.headers)
+        if len(self.history) < MAX_RECORDED_RUNS:
+            trace = request.header("X-Trace") or ""
+            workspace = request.header("Wagtailbay-Workspace") or ""
+            self.history.append(Run(time.time(), trace, workspace, self.version, self.target))
         if path.startswith("/crash") and self.crash is not None:
             self.crash()
             raise CallerGoneError
@@ -148,6 +166,7 @@
             "request_id": request.header("Wagtailbay-Request-Id"),
             "workspace": request.header("Wagtailbay-Workspace"),
             "idempotency_key": request.header("Idempotency-Key"),
+            "trace": request.header("X-Trace"),
             "padding": "x" * self.behaviour.body_bytes,
         }
         self.truncate_debt_ppm += self.behaviour.truncate_ppm
@@ -164,8 +183,11 @@
             self.behaviour = evolve(self.behaviour, **json.loads(request.body))
             log_event("behaviour_set", target=self.target, changes=request.body.decode())
         counts = {"served": self.served, "shed": self.shed, "in_flight": self.in_flight}
-        runs, headers = dict(self.runs), dict(self.seen_headers)
-        await reply.send_json(200, {**counts, "runs": runs, "seen_headers": headers})
+        answer: dict[str, Any] = {**counts, "seen_headers": dict(self.seen_headers)}
+        if path == "/standin/runs":
+            answer["runs"] = dict(self.runs)
+            answer["history"] = [asdict(run) for run in self.history]
+        await reply.send_json(200, answer)
 
 
 async def run_target(standin: TargetStandin, address: str, crash_ms: int, *, task_status) -> None:
