Add script/prove, which checks histories of real processes under faults

Callers, faults and their times come from a seed; callers and targets record what they saw, and plain checks compare both sides for each property.

--- a/src/wagtailbay_bench/controls.py
+++ b/src/wagtailbay_bench/controls.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from attrs import define
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from wagtailbay.platform import HttpObjectStore, StoreError
 from wagtailbay.transport import Request, fetch
@@ -51,7 +51,10 @@
     async def change_document(self, service: str, **changes: Any) -> Result[int, StoreError]:
         """Write a service document with some fields replaced, on the newest version."""
         key = f"documents/{service}"
-        stored = (await self.store.get(key)).unwrap()
+        read = await self.store.get(key)
+        if isinstance(read, Err):
+            return read
+        stored = read.ok_value
         return await self.store.put(key, stored.value | changes, stored.version)
 
     async def history(self) -> list[dict[str, Any]]:
--- a/src/wagtailbay_bench/deployment.py
+++ b/src/wagtailbay_bench/deployment.py
@@ -22,7 +22,8 @@
     Attributes:
         documents: Service documents as decoded JSON; target addresses are replaced.
         fleet: The fleet document as decoded JSON.
-        keys: The key of each workspace, granted at the start.
+        keys: The keys granted at the start, each under its workspace's name or one of its own.
+        key_workspaces: The workspaces of keys under names of their own.
         vm_zones: The availability zone of each entry VM.
     """
 
@@ -32,6 +33,7 @@
     keys: Mapping[str, str]
     vm_zones: Mapping[str, str]
     behaviour: Mapping[str, Any] = field(factory=dict)
+    key_workspaces: Mapping[str, str] = field(factory=dict)
     platform_address: str = ""
     vm_addresses: dict[str, str] = field(factory=dict)
     vms: dict[str, ProgramProcess] = field(factory=dict)
@@ -74,7 +76,8 @@
         values: dict[str, Any] = {"documents/fleet": self.fleet}
         for document in self.documents:
             values[f"documents/{document['service']}"] = document
-        for workspace, key in self.keys.items():
+        for name, key in self.keys.items():
+            workspace = self.key_workspaces.get(name, name)
             values[f"keys/{hash_key(key)}"] = {"workspace": workspace}
         for key, value in values.items():
             written = await store.put(key, value, 0)
--- a/src/wagtailbay_bench/processes.py
+++ b/src/wagtailbay_bench/processes.py
@@ -17,6 +17,7 @@
 from wagtailbay.logs import parse_line
 
 START_TIMEOUT_S = 30.0
+LOG_TAIL_CHARACTERS = 1_500
 
 
 def free_address(host: str) -> str:
@@ -91,7 +92,7 @@
         for item in self.processes:
             if b"Traceback" in item.log_path.read_bytes():
                 print(f"{item.name} failed", file=sys.stderr)
-                print(item.log_path.read_text()[-4000:], file=sys.stderr)
+                print(item.log_path.read_text()[-LOG_TAIL_CHARACTERS:], file=sys.stderr)
         for item in self.processes:
             if item.process.poll() is None:
                 item.process.kill()
--- /dev/null
+++ b/src/wagtailbay_bench/prove/checks.py
@@ -0,0 +1,135 @@
+"""Check a history against a plain specification of each property."""
+
+from bisect import bisect_left
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+
+from wagtailbay_bench.prove.models import History, Violation
+
+# The stated bounds: "within seconds" for keys and drains.
+WITHDRAWN_WITHIN_S = 6.0
+DRAINED_WITHIN_S = 6.0
+# A request may wait this long between its admission and its run at a target.
+MAX_RUN_DELAY_S = 5.0
+
+
+def check_keys(history: History) -> Iterator[Violation]:
+    """Check that a request runs only for its key's workspace, and for no withdrawn key."""
+    if "authorization" in history.seen_headers:
+        yield Violation("P3", "a target received the header Authorization")
+    sent = {request.trace: request for request in history.requests}
+    withdrawn = {w.key_name: w.accepted_unix_s for w in history.withdrawals}
+    for run in history.runs:
+        request = sent.get(run["trace"])
+        if request is None:
+            continue
+        if run["workspace"] != request.workspace:
+            yield Violation("P3", "ran for another workspace", (str(run), str(request)))
+        accepted_s = withdrawn.get(request.key_name)
+        if accepted_s is not None and request.sent_unix_s > accepted_s + WITHDRAWN_WITHIN_S:
+            yield Violation("P3", "ran with a withdrawn key", (str(run), str(request)))
+
+
+def check_limits(history: History) -> Iterator[Violation]:
+    """Check that in no window a workspace ran more than its rate and burst allow."""
+    for workspace, (rate_per_s, burst) in history.limits.items():
+        times = sorted(run["unix_s"] for run in history.runs if run["workspace"] == workspace)
+        for first, start_s in enumerate(times):
+            for last in (bisect_left(times, start_s + w) - 1 for w in (0.1, 0.5, 1, 2, 5, 10, 60)):
+                window_s = times[last] - start_s
+                allowed = burst + rate_per_s * (window_s + MAX_RUN_DELAY_S)
+                if last - first + 1 > allowed + 1:
+                    message = f"{workspace}: {last - first + 1} runs in {window_s:.2f} s"
+                    yield Violation("P4", message)
+                    return
+
+
+def check_answers(history: History) -> Iterator[Violation]:
+    """Check that each answer belongs to its own request and is whole."""
+    for request in history.requests:
+        if request.status != 200:
+            continue
+        wanted, own = (
+            ("idempotency_key", request.idempotency_key)
+            if request.idempotency_key
+            else ("trace", request.trace)
+        )
+        # A repeated deposit is answered with the outcome of the first one.
+        if request.answer.get(wanted) != own:
+            yield Violation("P6", "an answer to another request", (str(request),))
+        elif not request.path.endswith(str(request.answer.get("path"))):
+            yield Violation("P6", "an answer for another path", (str(request),))
+
+
+def check_refusals(history: History) -> Iterator[Violation]:
+    """Check that no request whose answer said "not run" ran."""
+    ran = {run["trace"] for run in history.runs}
+    for request in history.requests:
+        if request.run == "not_run" and request.trace in ran:
+            yield Violation("P7", "said not_run but ran", (str(request),))
+
+
+def check_at_most_once(history: History) -> Iterator[Violation]:
+    """Check that no idempotency key ran twice, and that each answered one ran."""
+    keys = {r.trace: (r.workspace, r.idempotency_key) for r in history.requests}
+    counts = Counter(
+        keys[run["trace"]] for run in history.runs if keys.get(run["trace"], ("", ""))[1]
+    )
+    for (workspace, key), count in counts.items():
+        if count > 1:
+            yield Violation("P8", f"{workspace}/{key} ran {count} times")
+    for request in history.requests:
+        wanted = (request.workspace, request.idempotency_key)
+        if request.idempotency_key and request.status == 200 and not counts[wanted]:
+            yield Violation("P8", "answered but never ran", (str(request),))
+
+
+def check_drains(history: History) -> Iterator[Violation]:
+    """Check that a drained target ran no request sent a few seconds later."""
+    drained = {d.target: d.accepted_unix_s for d in history.drained}
+    for run in history.runs:
+        accepted_s = drained.get(run["target"])
+        if accepted_s is not None and run["unix_s"] > accepted_s + DRAINED_WITHIN_S:
+            yield Violation("P9", "ran on a drained target", (str(run),))
+
+
+def check_stops(history: History) -> Iterator[Violation]:
+    """Check that no request was cut on a VM that only ever stopped gracefully."""
+    for request in history.requests:
+        cut = request.status == 0 and request.code in ("truncated", "closed")
+        if cut and request.vm not in history.killed_vms:
+            yield Violation("P10", "a request was cut", (str(request),))
+
+
+def check_revisions(history: History) -> Iterator[Violation]:
+    """Check that no VM's configuration went back to an older revision."""
+    reads = defaultdict(list)
+    for read in history.revisions:
+        reads[read.vm].append(read)
+    for vm, items in reads.items():
+        highest = 0
+        for read in sorted(items, key=lambda item: item.read_unix_s):
+            if read.revision < highest:
+                yield Violation("P11", f"{vm} reverted from {highest} to {read.revision}")
+            highest = max(highest, read.revision)
+        for accepted_s, revision in history.in_force:
+            late = [r for r in items if r.read_unix_s > accepted_s + WITHDRAWN_WITHIN_S]
+            if any(read.revision < revision for read in late):
+                yield Violation("P11", f"{vm} lacks revision {revision} after the bound")
+
+
+CHECKS: dict[str, Callable[[History], Iterator[Violation]]] = {
+    "keys": check_keys,
+    "limits": check_limits,
+    "answers": check_answers,
+    "refusals": check_refusals,
+    "at-most-once": check_at_most_once,
+    "drains": check_drains,
+    "stops": check_stops,
+    "revisions": check_revisions,
+}
+
+
+def check_history(history: History) -> list[Violation]:
+    """Return everything that is wrong with a history."""
+    return [violation for check in CHECKS.values() for violation in check(history)]
--- /dev/null
+++ b/src/wagtailbay_bench/prove/models.py
@@ -0,0 +1,94 @@
+"""Model recorded histories and what is wrong with them."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from attrs import define, field, frozen
+
+
+@frozen
+class SentRequest:
+    """Record one request as its caller saw it.
+
+    Attributes:
+        trace: Unique; sent to the target in ``X-Trace``.
+        key_name: Which key was sent.
+        run: What the answer said: ``not_run``, ``unknown`` or empty.
+        answer: The decoded answer, empty where none came whole.
+    """
+
+    trace: str
+    vm: str
+    path: str
+    workspace: str
+    key_name: str
+    idempotency_key: str
+    sent_unix_s: float
+    ended_unix_s: float
+    status: int
+    code: str
+    run: str
+    answer: Mapping[str, Any]
+
+
+@frozen
+class Withdrawal:
+    """Record that a key was withdrawn and when the store had accepted it."""
+
+    key_name: str
+    accepted_unix_s: float
+
+
+@frozen
+class Drained:
+    """Record that a target was drained and when the store had accepted it."""
+
+    target: str
+    accepted_unix_s: float
+
+
+@frozen
+class RevisionRead:
+    """Record which version of a document a VM said was in force."""
+
+    vm: str
+    incarnation: int
+    read_unix_s: float
+    revision: int
+
+
+@define
+class History:
+    """Hold everything that one run recorded.
+
+    Attributes:
+        runs: What targets ran: unix_s, trace, workspace, version, target.
+        limits: Rate and burst of each workspace.
+        stopped_gracefully: VMs stopped by SIGTERM: name, begin and end.
+    """
+
+    seed: int
+    requests: list[SentRequest] = field(factory=list)
+    runs: list[Mapping[str, Any]] = field(factory=list)
+    seen_headers: set[str] = field(factory=set)
+    withdrawals: list[Withdrawal] = field(factory=list)
+    drained: list[Drained] = field(factory=list)
+    revisions: list[RevisionRead] = field(factory=list)
+    faults: list[str] = field(factory=list)
+    limits: Mapping[str, tuple[float, float]] = field(factory=dict)
+    killed_vms: set[str] = field(factory=set)
+    killed_targets: bool = False
+    in_force: list[tuple[float, int]] = field(factory=list)
+
+
+@frozen
+class Violation:
+    """Describe one broken property with the events that show it."""
+
+    property_id: str
+    message: str
+    events: Sequence[str] = ()
+
+    def __str__(self) -> str:
+        """Return the violation as one line."""
+        return f"{self.property_id}: {self.message} {'; '.join(self.events)}".rstrip()
--- /dev/null
+++ b/src/wagtailbay_bench/prove/program.py
@@ -0,0 +1,78 @@
+"""Run the proofs: ``script/prove --seed S --histories N --property NAME --fault NAME``."""
+
+import argparse
+import sys
+import time
+
+import trio
+
+from wagtailbay_bench.prove.checks import CHECKS, check_history
+from wagtailbay_bench.prove.faults import FAULTS
+from wagtailbay_bench.prove.models import History, Violation
+from wagtailbay_bench.prove.process_history import record_history
+
+PROPERTIES = 10
+SHORTENING_TRIES = 4
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the argument parser."""
+    parser = argparse.ArgumentParser(prog="prove", description=__doc__)
+    parser.add_argument("--seed", type=int, default=round(time.time()), help="first seed")
+    parser.add_argument("--histories", type=int, default=2, help="process histories to record")
+    parser.add_argument("--property", choices=sorted(CHECKS), help="check only this property")
+    parser.add_argument(
+        "--fault", choices=sorted(FAULTS), action="append", help="bring only this fault"
+    )
+    return parser
+
+
+def violations_of(history: History, name: str | None) -> list[Violation]:
+    """Return the violations of one property or of all."""
+    return list(CHECKS[name](history)) if name else check_history(history)
+
+
+def shorten(seed: int, faults: list[str], name: str | None) -> list[str]:
+    """Drop kinds of fault one by one while the violation stays; bounded in tries."""
+    kept = list(faults)
+    for fault in faults[:SHORTENING_TRIES]:
+        fewer = [item for item in kept if item != fault]
+        if fewer and violations_of(trio.run(record_history, seed, fewer), name):
+            kept = fewer
+    return kept
+
+
+def main() -> int:
+    """Run the proofs and return the exit status."""
+    arguments = build_parser().parse_args()
+    names = arguments.fault or list(FAULTS)
+    violations, faults, requests = 0, 0, 0
+    for seed in range(arguments.seed, arguments.seed + arguments.histories):
+        history = trio.run(record_history, seed, names)
+        found = violations_of(history, arguments.property)
+        violations += len(found)
+        faults += len(history.faults)
+        requests += len(history.requests)
+        answered = sum(request.status == 200 for request in history.requests)
+        print(
+            f"seed={seed} requests={len(history.requests)} answered={answered}"
+            f" runs={len(history.runs)} faults={len(history.faults)} violations={len(found)}",
+            flush=True,
+        )
+        for violation in found[:5]:
+            print(f"  {violation}")
+        if found:
+            print(f"  faults: {', '.join(history.faults)}")
+            used = sorted({item.split()[1] for item in history.faults})
+            kept = shorten(seed, used, arguments.property)
+            options = " ".join(f"--fault {name}" for name in kept)
+            print(f"  repeat with: script/prove --seed {seed} --histories 1 {options}")
+    print(
+        f"properties={PROPERTIES} histories={arguments.histories} faults={faults}"
+        f" violations={violations}"
+    )
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
