Add scenarios with baselines, a demonstration of both examples and deployment controls

The measurements compare the product with round robin, least connections by local count, an equal fixed split and no judgement, on the examples of both users scaled to one machine.

--- a/src/wagtailbay_bench/demo.py
+++ b/src/wagtailbay_bench/demo.py
@@ -1,59 +1,146 @@
-"""Show requests served from end to end."""
+"""Show requests of both examples served from end to end by separate processes."""
 
+import json
 import sys
+from collections.abc import Callable
 
 import trio
+from attrs import define, field
 
+from wagtailbay.transport import Response
+from wagtailbay_bench.controls import Controls
 from wagtailbay_bench.deployment import Deployment
+from wagtailbay_bench.measure.examples import load_example
 from wagtailbay_bench.processes import ProcessGroup
 
-FLEET = {
-    "schema_version": 1,
-    "max_vms": 4,
-    "availability_zones": [
-        {"availability_zone": "mx-a1", "region": "mx-a"},
-        {"availability_zone": "mx-a2", "region": "mx-a"},
-        {"availability_zone": "mx-b1", "region": "mx-b"},
-    ],
-}
-RECORDS = {
-    "schema_version": 1,
-    "service": "records",
-    "owner": "repository-team",
-    "routes": [{"name": "read", "path_prefix": "/"}],
-    "targets": [
-        {
-            "target": f"records-{zone}",
-            "address": "127.0.0.1:0",
-            "availability_zone": zone,
-            "version": "v1",
-            "slots": 6,
-        }
-        for zone in ("mx-a1", "mx-a2", "mx-b1")
-    ],
-    "workspaces": [{"workspace": "unam", "rate_per_s": 50, "burst": 100}],
-    "regions": [
-        {"region": "mx-a", "capacity_per_s": 400},
-        {"region": "mx-b", "capacity_per_s": 200},
-    ],
-}
-
-
-async def run() -> None:
-    """Start a deployment, send requests through every VM and print the answers."""
-    zones = {"vm-1": "mx-a1", "vm-2": "mx-a2", "vm-3": "mx-b1"}
+VMS_SHOWN = 3
+# New VMs hold no tokens until their share of the rate has brought some.
+WARM_UP_S = 3.0
+TEXT_COLUMNS = 160
+
+
+@define
+class Demonstration:
+    """Send requests to a deployment and print the answers.
+
+    Attributes:
+        failures: Answers that were not as expected.
+    """
+
+    deployment: Deployment
+    failures: list[str] = field(factory=list)
+
+    async def show(
+        self, label: str, vm: str, path: str, expected: Callable[[Response], bool], **options
+    ) -> Response:
+        """Send one request and print what came back."""
+        answer = await self.deployment.call(vm, path, **options)
+        headers = {name.lower(): value for name, value in answer.headers}
+        target = headers.get("wagtailbay-target", "-")
+        text = answer.body.decode().strip()[:TEXT_COLUMNS]
+        print(f"{label:<22} vm={vm} target={target} status={answer.status} {text}")
+        if not expected(answer):
+            self.failures.append(f"{label}: status {answer.status}")
+        return answer
+
+
+def has_status(status: int, code: str = "") -> Callable[[Response], bool]:
+    """Return a check of the status and, for a refusal, of its code."""
+
+    def check(answer: Response) -> bool:
+        if answer.status != status:
+            return False
+        return not code or json.loads(answer.body)["error"]["code"] == code
+
+    return check
+
+
+async def show_reads(demo: Demonstration, service: str, workspace: str) -> None:
+    """Show locate answers and idempotent reads through every VM."""
+    for vm in demo.deployment.vm_zones:
+        await demo.show("locate", vm, "/-/locate?client=203.0.113.7", has_status(200))
+        path = f"/{service}/item/1"
+        await demo.show("idempotent read", vm, path, has_status(200), workspace=workspace)
+
+
+async def show_non_idempotent(demo: Demonstration, path: str, workspace: str) -> None:
+    """Show a non-idempotent request that is sent again through another VM."""
+    first, second = list(demo.deployment.vm_zones)[:2]
+    options = {"method": "POST", "workspace": workspace, "headers": (("Idempotency-Key", "d-1"),)}
+    body = b'{"title": "Tesis"}'
+    ok = has_status(200)
+    answer = await demo.show("non-idempotent", first, path, ok, body=body, **options)
+    again = await demo.show("sent again", second, path, ok, body=body, **options)
+    if answer.body != again.body:
+        demo.failures.append("the repeated request got another answer")
+    other = has_status(422, "idempotency_key_reused")
+    await demo.show("other body", first, path, other, body=b"{}", **options)
+    del options["headers"]
+    missing = has_status(400, "idempotency_key_missing")
+    await demo.show("without a key", first, path, missing, body=body, **options)
+
+
+async def show_refusals(demo: Demonstration, service: str, workspace: str) -> None:
+    """Show the refusals of bad requests."""
+    vm = next(iter(demo.deployment.vm_zones))
+    path = f"/{service}/item/2"
+    bad_key = (("Authorization", "Bearer no-such-key"),)
+    await demo.show("no key", vm, path, has_status(401, "key_missing"))
+    await demo.show("unknown key", vm, path, has_status(401, "key_unknown"), headers=bad_key)
+    await demo.show("unknown service", vm, "/nothing/1", has_status(404, "service_unknown"))
+    late = (("Request-Timeout-Ms", "soon"),)
+    bad_timeout = has_status(400, "bad_timeout")
+    await demo.show("bad timeout", vm, path, bad_timeout, headers=late, workspace=workspace)
+    large = b"x" * 2_000_000
+    too_large = has_status(413, "body_too_large")
+    await demo.show("body too large", vm, path, too_large, method="POST", body=large)
+
+
+async def show_rate_refusal(demo: Demonstration, service: str, workspace: str) -> None:
+    """Send above a small workspace's rate until it is refused."""
+    vm = next(iter(demo.deployment.vm_zones))
+    for _ in range(400):
+        answer = await demo.deployment.call(vm, f"/{service}/item/3", workspace=workspace)
+        if answer.status == 429:
+            print(f"{'rate exceeded':<22} vm={vm} status=429 {answer.body.decode().strip()}")
+            return
+    demo.failures.append("no request above the rate was refused")
+
+
+async def show_example(name: str, once_path: str, service: str) -> list[str]:
+    """Show one example; returns what was not as expected."""
+    example = load_example(name)
+    document = next(d for d in example.documents if d["service"] == service)
+    workspaces = [limit["workspace"] for limit in document["workspaces"]]
+    zones = dict(list(example.vm_zones.items())[:VMS_SHOWN])
+    keys = {workspace: f"demo-key-{workspace}" for workspace in example.workspaces}
     with ProcessGroup() as group:
-        deployment = Deployment(group, [RECORDS], FLEET, {"unam": "demo-key"}, zones)
+        deployment = Deployment(group, example.documents, example.fleet, keys, zones)
         await deployment.start()
-        answer = await deployment.call("vm-1", "/-/locate?client=10.0.0.1")
-        print("locate", answer.status, answer.body.decode().strip())
-        await trio.sleep(0.5)  # New VMs hold no tokens until their share of the rate brings some.
+        print(f"--- {name}: {len(zones)} entry VMs, {len(deployment.target_addresses)} targets")
+        await trio.sleep(WARM_UP_S)
+        demo = Demonstration(deployment)
+        await show_reads(demo, service, workspaces[0])
+        await show_non_idempotent(demo, once_path, workspaces[0])
+        await show_refusals(demo, service, workspaces[0])
+        await show_rate_refusal(demo, service, workspaces[-1])
+        runs = await Controls(deployment).idempotency_runs()
+        print(f"{'runs of d-1':<22} {runs['d-1']}")
+        if runs["d-1"] != 1:
+            demo.failures.append(f"d-1 ran {runs['d-1']} times")
         for vm in zones:
-            answer = await deployment.call(vm, "/records/thesis/1", workspace="unam")
-            print(vm, answer.status, answer.body.decode().strip())
-        refused = await deployment.call("vm-1", "/records/thesis/1")
-        print("vm-1", refused.status, refused.body.decode().strip())
-    print("demo ok")
+            await demo.show("status", vm, "/-/status", has_status(200))
+    return [f"{name}: {failure}" for failure in demo.failures]
+
+
+async def run() -> int:
+    """Show both examples and return the exit status."""
+    failures = await show_example("acervo", "/deposits/submit/1", "records")
+    failures += await show_example("cascadia", "/payouts/pay/1", "status")
+    for failure in failures:
+        print(f"unexpected: {failure}")
+    print("demo failed" if failures else "demo ok")
+    return 1 if failures else 0
 
 
 if __name__ == "__main__":
--- a/src/wagtailbay_bench/deployment.py
+++ b/src/wagtailbay_bench/deployment.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+import trio
 from attrs import define, field
 from result import Ok
 
@@ -25,6 +26,7 @@
         keys: The keys granted at the start, each under its workspace's name or one of its own.
         key_workspaces: The workspaces of keys under names of their own.
         vm_zones: The availability zone of each entry VM.
+        vm_flags: More flags of every entry VM.
     """
 
     group: ProcessGroup
@@ -34,6 +36,7 @@
     vm_zones: Mapping[str, str]
     behaviour: Mapping[str, Any] = field(factory=dict)
     key_workspaces: Mapping[str, str] = field(factory=dict)
+    vm_flags: dict[str, str] = field(factory=dict)
     platform_address: str = ""
     vm_addresses: dict[str, str] = field(factory=dict)
     vms: dict[str, ProgramProcess] = field(factory=dict)
@@ -91,10 +94,26 @@
             f"--availability-zone={self.vm_zones[vm]}",
             f"--listen-address={self.vm_addresses[vm]}",
             f"--platform-address={self.platform_address}",
+            *(f"{flag}={value}" for flag, value in self.vm_flags.items()),
         ]
         self.vms[vm] = self.group.start(vm, "wagtailbay.programs.entry", arguments)
         return self.vms[vm]
 
+    async def replace_vms(self, at_once: int) -> None:
+        """Stop each VM gracefully and start it again under the same address."""
+        names = list(self.vm_zones)
+        for first in range(0, len(names), at_once):
+            async with trio.open_nursery() as nursery:
+                for vm in names[first : first + at_once]:
+                    nursery.start_soon(self._replace_vm, vm)
+
+    async def _replace_vm(self, vm: str) -> None:
+        process = self.vms[vm]
+        process.terminate()
+        while process.process.poll() is None:
+            await trio.sleep(0.05)
+        await self.start_vm(vm).wait_for_event("ready")
+
     async def call(
         self,
         vm: str,
--- /dev/null
+++ b/src/wagtailbay_bench/measure/examples.py
@@ -0,0 +1,78 @@
+"""Load the example documents of a user and scale them to one machine."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from attrs import frozen
+
+from wagtailbay_bench.load import TrafficClass
+from wagtailbay_bench.measure.const import RATE_SCALE
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+@frozen
+class Example:
+    """Hold a user's documents and its callers."""
+
+    name: str
+    fleet: dict[str, Any]
+    documents: list[dict[str, Any]]
+    vm_zones: dict[str, str]
+    classes: tuple[TrafficClass, ...]
+
+    @property
+    def workspaces(self) -> list[str]:
+        """Return the names of all workspaces."""
+        return sorted({w["workspace"] for d in self.documents for w in d["workspaces"]})
+
+
+def load_example(name: str) -> Example:
+    """Load an example with rates, capacities and links scaled by RATE_SCALE."""
+    folder = EXAMPLES / name
+    loaded = {path.stem: tomllib.loads(path.read_text()) for path in folder.glob("*.toml")}
+    vms = {vm["vm"]: vm["availability_zone"] for vm in loaded.pop("vms")["vms"]}
+    fleet = loaded.pop("fleet")
+    documents = [scale_document(document) for _, document in sorted(loaded.items())]
+    return Example(name, fleet, documents, vms, build_classes(documents, fleet))
+
+
+def scale_document(document: dict[str, Any]) -> dict[str, Any]:
+    """Scale rates and capacities, and leave out plans and drains, which scenarios add."""
+    scaled = {k: v for k, v in document.items() if k not in ("version_plan", "drains")}
+    scaled["targets"] = [dict(target) for target in document["targets"]]
+    scaled["workspaces"] = [
+        w | {"rate_per_s": w["rate_per_s"] * RATE_SCALE, "burst": max(1, w["burst"] * RATE_SCALE)}
+        for w in document["workspaces"]
+    ]
+    scaled["regions"] = [
+        r | {"capacity_per_s": r["capacity_per_s"] * RATE_SCALE} for r in document["regions"]
+    ]
+    return scaled
+
+
+def build_classes(
+    documents: list[dict[str, Any]], fleet: dict[str, Any]
+) -> tuple[TrafficClass, ...]:
+    """Build one class for each service and workspace, at 60% of its rate."""
+    zones = tuple(zone["availability_zone"] for zone in fleet["availability_zones"])
+    classes = []
+    for document in documents:
+        unsafe = [r for r in document["routes"] if not r.get("idempotent", True)]
+        path = (unsafe[0]["path_prefix"] + "/{n}") if unsafe else "/item/{n}"
+        for limit in document["workspaces"]:
+            classes.append(
+                TrafficClass(
+                    name=f"{document['service']}/{limit['workspace']}",
+                    service=document["service"],
+                    path=path,
+                    workspace=limit["workspace"],
+                    rate_per_s=limit["rate_per_s"] * 0.6,
+                    availability_zones=zones,
+                    method="POST" if unsafe else "GET",
+                    idempotent=not unsafe,
+                    body_bytes=200 if unsafe else 0,
+                )
+            )
+    return tuple(classes)
--- /dev/null
+++ b/src/wagtailbay_bench/measure/scenarios.py
@@ -0,0 +1,188 @@
+"""Define the scenarios: what goes wrong, and which baseline stands beside the product."""
+
+import time
+from collections.abc import Awaitable, Callable, Mapping
+
+from attrs import evolve, field, frozen
+
+from wagtailbay_bench.controls import Controls
+from wagtailbay_bench.deployment import Deployment
+from wagtailbay_bench.load import TrafficClass
+from wagtailbay_bench.measure.const import FAULT_AT_S
+
+Action = Callable[[Deployment, Controls], Awaitable[None]]
+
+
+@frozen
+class Scenario:
+    """Describe one scenario.
+
+    Attributes:
+        baseline: Flags of the entry VMs that stand beside the product; empty for none.
+        change_classes: Changes the traffic.
+        prepare: Done before the traffic starts.
+        action: Done FAULT_AT_S after the start.
+    """
+
+    name: str
+    baseline_name: str
+    baseline: Mapping[str, str]
+    prepare: Action | None = None
+    action: Action | None = None
+    change_classes: Callable[[TrafficClass], TrafficClass] = lambda traffic_class: traffic_class
+    at_s: float = field(default=FAULT_AT_S)
+
+
+def flood_first_workspace(traffic_class: TrafficClass) -> TrafficClass:
+    """Let one workspace send six times its rate."""
+    if traffic_class.workspace not in ("ipn", "pacific-carriers"):
+        return traffic_class
+    rate_per_s = traffic_class.rate_per_s / 0.6 * 6
+    return evolve(traffic_class, rate_per_s=rate_per_s, within_rate=False)
+
+
+def skew_to_one_zone(traffic_class: TrafficClass) -> TrafficClass:
+    """Send everything from the first availability zone."""
+    return evolve(traffic_class, availability_zones=traffic_class.availability_zones[:1])
+
+
+def last_region(deployment: Deployment) -> str:
+    """Return the region that scenarios lose or drain."""
+    return deployment.fleet["availability_zones"][-1]["region"]
+
+
+def zones_of(deployment: Deployment, region: str) -> list[str]:
+    """Return the availability zones of a region."""
+    zones = deployment.fleet["availability_zones"]
+    return [zone["availability_zone"] for zone in zones if zone["region"] == region]
+
+
+def targets_in(deployment: Deployment, region: str) -> list[str]:
+    """Return the targets of a region."""
+    zones = zones_of(deployment, region)
+    return [
+        target["target"]
+        for document in deployment.documents
+        for target in document["targets"]
+        if target["availability_zone"] in zones
+    ]
+
+
+async def lose_region(deployment: Deployment, controls: Controls) -> None:
+    """End every VM of a region and let its targets answer nothing."""
+    region = last_region(deployment)
+    for target in targets_in(deployment, region):
+        await controls.set_behaviour(target, frozen_answers=True, healthy=False)
+    for vm, zone in deployment.vm_zones.items():
+        if zone in zones_of(deployment, region):
+            deployment.vms[vm].kill()
+
+
+async def drain_zone(deployment: Deployment, controls: Controls) -> None:
+    """Drain an availability zone; the other targets are cold."""
+    zone = zones_of(deployment, last_region(deployment))[-1]
+    for document in deployment.documents:
+        for target in document["targets"]:
+            if target["availability_zone"] != zone:
+                await controls.set_behaviour(target["target"], cold_requests=40)
+        now_s = time.time()
+        drain = {
+            "kind": "availability_zone",
+            "name": zone,
+            "start_unix_s": now_s,
+            "deadline_unix_s": now_s + 4,
+            "max_step_ppm": 250_000,
+        }
+        await controls.change_document(document["service"], drains=[drain])
+
+
+async def stop_store(deployment: Deployment, controls: Controls) -> None:
+    """Stop the store for the rest of the run."""
+    await controls.set_store_faults(outage=True)
+
+
+async def slow_targets_that_lie(deployment: Deployment, controls: Controls) -> None:
+    """Let every fifth target be slow and report that it is idle."""
+    for name in sorted(deployment.target_addresses)[::5]:
+        await controls.set_behaviour(name, slow_factor=12.0, reported_load=0.0)
+
+
+async def send_crashing_requests(deployment: Deployment, controls: Controls) -> None:
+    """Send one request that ends its target eight times."""
+    document = deployment.documents[-1]
+    workspace = document["workspaces"][0]["workspace"]
+    for number in range(8):
+        vm = sorted(deployment.vm_addresses)[number % len(deployment.vm_addresses)]
+        path = f"/{document['service']}/crash/1"
+        try:
+            await deployment.call(vm, path, workspace=workspace, timeout_ms=2_000)
+        except RuntimeError:
+            continue
+
+
+async def start_bad_version(deployment: Deployment, controls: Controls) -> None:
+    """Start a move to a version that fails every second request."""
+    await start_version(deployment, controls, error_ppm=500_000)
+
+
+async def start_slow_version(deployment: Deployment, controls: Controls) -> None:
+    """Start a move to a version that is eight times as slow."""
+    await start_version(deployment, controls, slow_factor=8.0)
+
+
+async def start_late_version(deployment: Deployment, controls: Controls) -> None:
+    """Start a move to a version that fails after 40 requests on each target."""
+    await start_version(deployment, controls, error_ppm=500_000, bad_after_requests=40)
+
+
+async def start_good_version(deployment: Deployment, controls: Controls) -> None:
+    """Start a move to a version as good as the old one."""
+    await start_version(deployment, controls)
+
+
+async def start_version(deployment: Deployment, controls: Controls, **badness: object) -> None:
+    """Give half of a service's targets a new version and plan the move."""
+    document = deployment.documents[-1]
+    changed = [dict(target) for target in document["targets"]]
+    for target in changed[::2]:
+        target["version"] = "v2"
+        await controls.set_behaviour(target["target"], version="v2", **badness)
+    now_s = time.time()
+    plan = {
+        "old_version": "v1",
+        "new_version": "v2",
+        "start_unix_s": now_s,
+        "deadline_unix_s": now_s + 60,
+        "max_step_ppm": 200_000,
+    }
+    changes = {"targets": changed, "version_plan": plan}
+    written = await controls.change_document(document["service"], **changes)
+    written.expect("the scenario needs the version plan")
+
+
+async def replace_all_vms(deployment: Deployment, controls: Controls) -> None:
+    """Stop each VM gracefully and start it again, three at a time."""
+    await deployment.replace_vms(at_once=3)
+
+
+ROUND_ROBIN = {"--chooser": "round-robin"}
+LEAST_CONNECTIONS = {"--chooser": "least-connections"}
+EQUAL_SHARES = {"--shares": "equal"}
+NO_JUDGE = {"--judge": "off"}
+
+SCENARIOS = (
+    Scenario("steady", "round-robin", ROUND_ROBIN),
+    Scenario("steady-local", "least-connections", LEAST_CONNECTIONS),
+    Scenario("skewed", "equal-shares", EQUAL_SHARES, change_classes=skew_to_one_zone),
+    Scenario("flood", "equal-shares", EQUAL_SHARES, change_classes=flood_first_workspace),
+    Scenario("region-lost", "round-robin", ROUND_ROBIN, action=lose_region),
+    Scenario("drain-cold", "round-robin", ROUND_ROBIN, action=drain_zone),
+    Scenario("store-down", "equal-shares", EQUAL_SHARES, action=stop_store),
+    Scenario("bad-version", "no-judge", NO_JUDGE, action=start_bad_version),
+    Scenario("slow-version", "no-judge", NO_JUDGE, action=start_slow_version),
+    Scenario("late-version", "no-judge", NO_JUDGE, action=start_late_version),
+    Scenario("good-version", "no-judge", NO_JUDGE, action=start_good_version),
+    Scenario("crash", "round-robin", ROUND_ROBIN, action=send_crashing_requests),
+    Scenario("lying-load", "least-connections", LEAST_CONNECTIONS, action=slow_targets_that_lie),
+    Scenario("rolling", "", {}, action=replace_all_vms),
+)
--- a/src/wagtailbay_standins/target.py
+++ b/src/wagtailbay_standins/target.py
@@ -49,6 +49,7 @@
         bad_path_prefix: Errors and slowness apply only below this path.
         bad_after_requests: Errors and slowness start after that many requests.
         bad_above_in_flight: Errors and slowness apply only above that many running requests.
+        version: Replaces the version that the target was started with.
         reported_load: Lies to readers of the load endpoint; None tells the truth.
         frozen_answers: Takes requests and answers none.
         truncate_ppm: Share of answers that break off in the middle.
@@ -72,6 +73,7 @@
     frozen_answers: bool = False
     truncate_ppm: int = 0
     body_bytes: int = 0
+    version: str | None = None
 
 
 @define
@@ -181,6 +183,7 @@
     async def _handle_switch(self, request: Request, path: str, reply: Reply) -> None:
         if path == "/standin/behaviour":
             self.behaviour = evolve(self.behaviour, **json.loads(request.body))
+            self.version = self.behaviour.version or self.version
             log_event("behaviour_set", target=self.target, changes=request.body.decode())
         counts = {"served": self.served, "shed": self.shed, "in_flight": self.in_flight}
         answer: dict[str, Any] = {**counts, "seen_headers": dict(self.seen_headers)}
