--- a/src/wagtailbay/config/__init__.py
+++ b/src/wagtailbay/config/__init__.py
@@ -1,6 +1,13 @@
 """Define, validate and hold the documents that steer traffic."""
 
-from wagtailbay.config.documents import DocumentFault, parse_fleet, parse_service
+from wagtailbay.config.documents import (
+    DocumentFault,
+    document_name,
+    parse_fleet,
+    parse_named,
+    parse_service,
+)
+from wagtailbay.config.files import decode_json, decode_toml, read_document
 from wagtailbay.config.models import (
     AvailabilityZone,
     Drain,
@@ -13,6 +20,7 @@
     VersionPlan,
     WorkspaceLimit,
 )
+from wagtailbay.config.references import check_fleet_references, check_references
 from wagtailbay.config.view import ConfigView, build_view
 
 __all__ = [
@@ -29,6 +37,13 @@
     "VersionPlan",
     "WorkspaceLimit",
     "build_view",
+    "check_fleet_references",
+    "check_references",
+    "decode_json",
+    "decode_toml",
+    "document_name",
     "parse_fleet",
+    "parse_named",
     "parse_service",
+    "read_document",
 ]
--- a/src/wagtailbay/config/faults.py
+++ b/src/wagtailbay/config/faults.py
@@ -2,6 +2,8 @@
 
 from attrs import frozen
 
+from wagtailbay.config.const import MAX_FAULT_CHARACTERS
+
 
 @frozen
 class DocumentFault:
@@ -13,3 +15,18 @@
     def __str__(self) -> str:
         """Return the fault as one line."""
         return f"{self.path}: {self.message}"
+
+
+def extend_path(path: str, part: str | int) -> str:
+    """Append a field name or a list index to a path."""
+    if isinstance(part, int):
+        return f"{path}[{part}]"
+    name = ascii(part)[1:-1][:64]
+    return f"{path}.{name}" if path else name
+
+
+def shorten(message: str) -> str:
+    """Limit a message that quotes a value of any length."""
+    if len(message) <= MAX_FAULT_CHARACTERS:
+        return message
+    return message[: MAX_FAULT_CHARACTERS - 3] + "..."
--- /dev/null
+++ b/src/wagtailbay/config/values.py
@@ -0,0 +1,42 @@
+"""Check the plain values of a decoded document before its schema is applied."""
+
+import math
+from typing import Any
+
+from wagtailbay.config.const import MAX_DOCUMENT_DEPTH
+from wagtailbay.config.faults import DocumentFault, extend_path
+
+
+def check_values(document: Any) -> tuple[DocumentFault, ...]:
+    """Return faults for values that a JSON schema lets pass or cannot be applied to.
+
+    These are numbers that are not finite, control characters (a pattern's ``$`` accepts a final
+    line feed) and nesting deeper than any document has.
+    """
+    faults: list[DocumentFault] = []
+    waiting: list[tuple[str, Any, int]] = [("", document, 1)]
+    while waiting:
+        path, value, depth = waiting.pop()
+        if depth > MAX_DOCUMENT_DEPTH:
+            return (DocumentFault(path, f"nested deeper than {MAX_DOCUMENT_DEPTH} levels"),)
+        message = _fault_of_value(value)
+        if message:
+            faults.append(DocumentFault(path or "(document)", message))
+        waiting.extend(_children(path, value, depth + 1))
+    return tuple(sorted(faults, key=lambda fault: fault.path))
+
+
+def _fault_of_value(value: Any) -> str | None:
+    if isinstance(value, float) and not math.isfinite(value):
+        return f"must be a finite number, got {value}"
+    if isinstance(value, str) and not value.isprintable():
+        return "must not contain control characters"
+    return None
+
+
+def _children(path: str, value: Any, depth: int) -> list[tuple[str, Any, int]]:
+    if isinstance(value, dict):
+        return [(extend_path(path, str(key)), item, depth) for key, item in value.items()]
+    if isinstance(value, list):
+        return [(extend_path(path, index), item, depth) for index, item in enumerate(value)]
+    return []
--- a/src/wagtailbay/config/view.py
+++ b/src/wagtailbay/config/view.py
@@ -5,8 +5,8 @@
 from attrs import field, frozen
 from result import Err, Ok
 
-from wagtailbay.config.const import DOCUMENT_PREFIX, FLEET_DOCUMENT_KEY
-from wagtailbay.config.documents import parse_fleet, parse_service
+from wagtailbay.config.const import DOCUMENT_PREFIX
+from wagtailbay.config.documents import parse_named
 from wagtailbay.config.faults import DocumentFault
 from wagtailbay.config.models import FleetDocument, ServiceDocument
 from wagtailbay.platform import StoredObject
@@ -36,10 +36,10 @@
             continue
         if stored.value is None:
             services.pop(key.removeprefix(DOCUMENT_PREFIX), None)
+            faults.pop(key, None)
             versions[key] = stored.version
             continue
-        parse = parse_fleet if key == FLEET_DOCUMENT_KEY else parse_service
-        match parse(stored.value):
+        match parse_named(key.removeprefix(DOCUMENT_PREFIX), stored.value):
             case Err(found):
                 faults[key] = found
                 continue
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Share fakes between tests."""
