--- /dev/null
+++ b/src/wagtailbay/audit/__init__.py
@@ -0,0 +1,7 @@
+"""Record who changed what, from which version to which, why and when."""
+
+from wagtailbay.audit.models import AuditPage, AuditRecord
+from wagtailbay.audit.reader import AuditReader
+from wagtailbay.audit.writer import AuditWriter
+
+__all__ = ["AuditPage", "AuditReader", "AuditRecord", "AuditWriter"]
--- /dev/null
+++ b/src/wagtailbay/audit/reader.py
@@ -0,0 +1,54 @@
+"""Read the audit trail page by page, newest first."""
+
+from datetime import UTC, datetime
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from wagtailbay.audit.const import AUDIT_PREFIX, MAX_DAYS_PER_PAGE
+from wagtailbay.audit.models import AuditPage
+from wagtailbay.audit.wire import day_of, day_prefix, decode_record, previous_day
+from wagtailbay.platform import ObjectStore, StoreUnavailable
+
+
+@frozen
+class AuditReader:
+    """Read records by UTC day, so that a page costs no more than the days it covers."""
+
+    store: ObjectStore
+
+    async def read(
+        self, limit: int, before: str | None, now_unix_s: float
+    ) -> Result[AuditPage, StoreUnavailable | str]:
+        """Return up to limit records before a position.
+
+        Args:
+            before: The position from an earlier page, None for the newest records.
+
+        Returns:
+            The page, a failed read, or a message about a malformed position.
+        """
+        # Records of other machines may be stamped ahead of this one's clock.
+        start = day_of(before) if before else Ok(datetime.fromtimestamp(now_unix_s + 3600, UTC))
+        if isinstance(start, Err):
+            return start
+        day, found = start.ok_value, []
+        for _ in range(MAX_DAYS_PER_PAGE):
+            listing = await self.store.list([day_prefix(day)])
+            if isinstance(listing, Err):
+                return listing
+            objects = sorted(listing.ok_value.objects, key=lambda o: o.key, reverse=True)
+            for stored in objects:
+                name = stored.key.removeprefix(AUDIT_PREFIX)
+                # A day alone is the position after its last key, since ``~`` sorts after digits.
+                if before is not None and name >= (before if len(before) > 8 else before + "~"):
+                    continue
+                if len(found) == limit:
+                    return Ok(AuditPage(tuple(record for _, record in found), found[-1][0]))
+                record = decode_record(stored.value)
+                if record is not None:
+                    found.append((name, record))
+            if day.year <= 1970:
+                return Ok(AuditPage(tuple(record for _, record in found), None))
+            day = previous_day(day)
+        return Ok(AuditPage(tuple(record for _, record in found), f"{day:%Y%m%d}"))
--- a/src/wagtailbay/config/documents.py
+++ b/src/wagtailbay/config/documents.py
@@ -1,21 +1,19 @@
 """Validate documents and convert them to models."""
 
 import json
-from collections.abc import Iterator
 from functools import cache
 from importlib import resources
 from typing import Any
 
-from attrs import frozen
 from cattrs import Converter
-from jsonschema import Draft202012Validator, ValidationError
+from jsonschema import Draft202012Validator
 from result import Err, Ok, Result
 
 from wagtailbay.config.checks import check_fleet, check_service
 from wagtailbay.config.const import FLEET_NAME
-from wagtailbay.config.faults import DocumentFault, extend_path, shorten
+from wagtailbay.config.faults import DocumentFault
 from wagtailbay.config.models import FleetDocument, ServiceDocument
-from wagtailbay.config.values import check_values
+from wagtailbay.config.schema import schema_faults
 
 __all__ = ["DocumentFault", "document_name", "parse_fleet", "parse_named", "parse_service"]
 
@@ -24,47 +22,15 @@
 Faults = tuple[DocumentFault, ...]
 
 
-@frozen
-class _Schema:
-    validator: Draft202012Validator
-
-    def faults(self, document: Any) -> Faults:
-        """Return one fault for each violation, with the path of its field."""
-        errors = sorted(self.validator.iter_errors(document), key=lambda e: list(map(str, e.path)))
-        return tuple(dict.fromkeys(fault for e in errors for fault in _faults_of(e)))
-
-
-def _faults_of(error: ValidationError) -> Iterator[DocumentFault]:
-    """Convert a schema error; unknown and missing fields are named themselves, not their parent."""
-    path = _field_path(error.absolute_path)
-    if error.validator == "additionalProperties":
-        for name in sorted(map(str, set(error.instance) - set(error.schema["properties"]))):
-            yield DocumentFault(extend_path(path, name), "unknown field")
-    elif error.validator == "required":
-        for name in error.validator_value:
-            if name not in error.instance:
-                yield DocumentFault(extend_path(path, name), "is required")
-    else:
-        yield DocumentFault(path or "(document)", shorten(error.message))
-
-
-def _field_path(parts: Any) -> str:
-    """Format a path such as ``targets[2].slots``."""
-    path = ""
-    for part in parts:
-        path = extend_path(path, part)
-    return path
-
-
 @cache
-def _schema(name: str) -> _Schema:
+def _validator(name: str) -> Draft202012Validator:
     source = resources.files("wagtailbay.config").joinpath(f"{name}.schema.json").read_text()
-    return _Schema(Draft202012Validator(json.loads(source)))
+    return Draft202012Validator(json.loads(source))
 
 
 def parse_service(document: Any) -> Result[ServiceDocument, Faults]:
     """Validate a decoded service document; returns the model or every fault."""
-    faults = check_values(document) or _schema("service").faults(document)
+    faults = schema_faults(_validator("service"), document)
     if faults:
         return Err(faults)
     model = converter.structure(document, ServiceDocument)
@@ -74,7 +40,7 @@
 
 def parse_fleet(document: Any) -> Result[FleetDocument, Faults]:
     """Validate a decoded fleet document; returns the model or every fault."""
-    faults = check_values(document) or _schema("fleet").faults(document)
+    faults = schema_faults(_validator("fleet"), document)
     if faults:
         return Err(faults)
     model = converter.structure(document, FleetDocument)
--- /dev/null
+++ b/tests/audit/test_audit.py
@@ -0,0 +1,89 @@
+"""Test the audit trail."""
+
+import trio
+from attrs import evolve
+from support.store import FakeObjectStore
+
+from wagtailbay.audit import AuditReader, AuditRecord, AuditWriter
+from wagtailbay.audit.wire import decode_record, encode_record
+
+NOON_UNIX_S = 1_796_385_600.0
+RECORD = AuditRecord(
+    "0" * 8, NOON_UNIX_S, "ana", "document.submit", "documents/records", 1, 2, "why", "accepted"
+)
+
+
+def record(number: int, when_unix_s: float = NOON_UNIX_S) -> AuditRecord:
+    """Return a record that differs by its id."""
+    return evolve(RECORD, record_id=f"{number:08d}", when_unix_s=when_unix_s)
+
+
+class TestAuditWriter:
+    """No record is lost without a trace."""
+
+    async def test_outage_delays_records(self, nursery, autojump_clock) -> None:
+        """Guards against records that an outage of the store swallows."""
+        store = FakeObjectStore(down=True)
+        writer = AuditWriter(store)
+        nursery.start_soon(writer.run)
+        writer.record(record(1))
+        await trio.sleep(60)
+        assert (writer.written, len(writer.queue)) == (0, 1)
+        store.down = False
+        await writer.flush(timeout_s=20)
+        assert (writer.written, writer.lost, len(store.objects)) == (1, 0, 1)
+
+    async def test_lost_answer_writes_once(self, nursery, autojump_clock) -> None:
+        """Guards against a second record when the answer to the write was lost."""
+        store = FakeObjectStore(lose_answers=1)
+        writer = AuditWriter(store)
+        nursery.start_soon(writer.run)
+        writer.record(record(1))
+        await writer.flush()
+        assert (writer.written, len(store.objects)) == (1, 1)
+
+    async def test_full_queue_is_counted(self) -> None:
+        """Guards against a bounded queue that drops records silently."""
+        told = []
+        writer = AuditWriter(FakeObjectStore(), lambda: told.append(1), max_queued=2)
+        for number in range(3):
+            writer.record(record(number))
+        assert (writer.lost, len(told), len(writer.queue)) == (1, 1, 2)
+
+    async def test_flush_reports_what_is_left(self, nursery, autojump_clock) -> None:
+        """Guards against a stop during an outage that hides unwritten records."""
+        writer = AuditWriter(FakeObjectStore(down=True))
+        nursery.start_soon(writer.run)
+        writer.record(record(1))
+        await writer.flush(timeout_s=1)
+        assert (writer.lost, writer.queue) == (1, [])
+
+
+class TestAuditReader:
+    """Pages hold every record once, newest first."""
+
+    async def test_pages_cover_all_days(self) -> None:
+        """Guards against records that fall between two pages."""
+        store = FakeObjectStore()
+        for number in range(25):
+            stored = record(number, NOON_UNIX_S - number * 40_000)
+            writer = AuditWriter(store)
+            await writer._write(stored)
+        seen, before = [], None
+        for _ in range(20):
+            page = (await AuditReader(store).read(4, before, NOON_UNIX_S)).unwrap()
+            seen.extend(int(found.record_id) for found in page.records)
+            before = page.before
+            if len(seen) == 25 and not page.records:
+                break
+        assert seen == list(range(25))
+
+    async def test_bad_position_is_refused(self) -> None:
+        """Guards against a mistyped position that raises."""
+        answer = await AuditReader(FakeObjectStore()).read(4, "yesterday", NOON_UNIX_S)
+        assert "expected a position" in answer.err_value
+
+    def test_unknown_form_is_skipped(self) -> None:
+        """Guards against one unreadable record that hides the others."""
+        assert decode_record({"who": 3}) is None
+        assert decode_record(encode_record(RECORD) | {"later": 1}) == RECORD
