Add the administration API, status building and metrics

Operators need one place that validates documents, accepts exactly one of two racing changes, grants and withdraws keys, and shows the fleet. A write whose answer was lost is read back and repeated only under the same version. A withdrawal counts distinct VMs that name themselves in their own status, and is in force only with a quorum of fleet.max_vms.

openapi.json describes the API; a test exercises every path, method and status of it against the running server. Metrics are served to scrapes by the program's own event loop instead of the client library's polling thread.

--- /dev/null
+++ b/src/wagtailbay/admin/fleet.py
@@ -0,0 +1,152 @@
+"""Read the state of the entry VMs."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+from attrs import asdict, frozen
+from result import Err, Ok, Result
+
+from wagtailbay.admin.const import ENTRY_STATUS_PATH, MAX_CONCURRENT_STATUS_READS
+from wagtailbay.admin.models import AdminError, Answer, Call, Outcome, store_unavailable
+from wagtailbay.admin.wire import decode_entry_status
+from wagtailbay.config import FleetDocument, parse_fleet
+from wagtailbay.config.const import FLEET_DOCUMENT_KEY
+from wagtailbay.platform import ObjectStore, VmRecord
+from wagtailbay.settings.checks import parse_address
+from wagtailbay.transport import Request, fetch
+
+
+@frozen
+class VmReport:
+    """Hold what the platform lists of a VM and what the VM says of itself.
+
+    Attributes:
+        listed_state: ``live`` or ``leaving``; None for a VM that only the settings name.
+        state: The VM's own word for its state, None where it does not tell.
+        revision: Every store change up to this one is applied; None where it does not tell.
+        fault: Why there is no status; None where there is one.
+        status: The VM's whole status.
+    """
+
+    vm: str
+    address: str
+    availability_zone: str
+    listed_state: str | None
+    state: str | None = None
+    revision: int | None = None
+    confirmed_age_ms: float | None = None
+    fault: str | None = None
+    status: Mapping[str, Any] | None = None
+
+    def has_applied(self, revision: int) -> bool:
+        """Tell whether the VM counts as having applied a revision; a joining one never does."""
+        return self.state != "joining" and self.revision is not None and self.revision >= revision
+
+
+@frozen
+class FleetView:
+    """Hold the VMs and how many of them make a quorum; None without a fleet document."""
+
+    max_vms: int | None
+    vms: tuple[VmReport, ...]
+
+    @property
+    def quorum(self) -> int | None:
+        """Return more than half of max_vms."""
+        return None if self.max_vms is None else self.max_vms // 2 + 1
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the view as JSON values, without the VMs' whole statuses."""
+        vms = [asdict(report, filter=lambda a, _: a.name != "status") for report in self.vms]
+        return {"max_vms": self.max_vms, "quorum": self.quorum, "vms": vms}
+
+
+@frozen
+class FleetReader:
+    """Ask every known entry VM for its status.
+
+    Attributes:
+        addresses: VMs named by the settings, which the platform's list may lack.
+    """
+
+    store: ObjectStore
+    addresses: Mapping[str, str]
+    timeout_ms: int
+
+    async def show(self, call: Call) -> Outcome:
+        """Answer with all VMs."""
+        view = await self.read()
+        return view.map(lambda found: Answer(200, found.as_json()))
+
+    async def read(self) -> Result[FleetView, AdminError]:
+        """Return the view; a VM that does not answer is part of it, with its fault."""
+        fleet = await self.store.get(FLEET_DOCUMENT_KEY)
+        if isinstance(fleet, Err):
+            return Err(store_unavailable(fleet.err_value.message))
+        listed = await self.store.vms()
+        if isinstance(listed, Err):
+            return Err(store_unavailable(listed.err_value.message))
+        max_vms = None
+        if fleet.ok_value is not None:
+            match parse_fleet(fleet.ok_value.value):
+                case Ok(FleetDocument() as document):
+                    max_vms = document.max_vms
+        return Ok(FleetView(max_vms, await self._ask_all(self._known(listed.ok_value.vms))))
+
+    def _known(self, records: tuple[VmRecord, ...]) -> list[VmReport]:
+        known = {r.vm: VmReport(r.vm, r.address, r.availability_zone, r.state) for r in records}
+        for vm, address in self.addresses.items():
+            known.setdefault(vm, VmReport(vm, address, "", None))
+        return [known[vm] for vm in sorted(known)]
+
+    async def _ask_all(self, known: list[VmReport]) -> tuple[VmReport, ...]:
+        reports = list(known)
+        limiter = trio.CapacityLimiter(MAX_CONCURRENT_STATUS_READS)
+
+        async def ask(index: int) -> None:
+            async with limiter:
+                reports[index] = await self._ask(known[index])
+
+        async with trio.open_nursery() as nursery:
+            for index in range(len(known)):
+                nursery.start_soon(ask, index)
+        return tuple(reports)
+
+    async def _ask(self, known: VmReport) -> VmReport:
+        try:
+            parse_address(known.address)
+        except ValueError as error:
+            return _without_status(known, f"address {known.address!r}: {error}")
+        answer = await fetch(known.address, Request("GET", ENTRY_STATUS_PATH), self.timeout_ms)
+        if isinstance(answer, Err):
+            return _without_status(known, str(answer.err_value))
+        if answer.ok_value.status != 200:
+            return _without_status(known, f"status {answer.ok_value.status}")
+        status = decode_entry_status(answer.ok_value.body)
+        if isinstance(status, Err):
+            return _without_status(known, status.err_value)
+        return _with_status(known, status.ok_value)
+
+
+def _without_status(known: VmReport, fault: str) -> VmReport:
+    return VmReport(
+        known.vm, known.address, known.availability_zone, known.listed_state, fault=fault
+    )
+
+
+def _with_status(known: VmReport, status: Mapping[str, Any]) -> VmReport:
+    """Take in a status; one that another VM gave does not count for this one."""
+    if status.get("vm") != known.vm:
+        return _without_status(known, f"VM {status.get('vm')!r} answers at this address")
+    revision, age_ms = status.get("revision"), status.get("confirmed_age_ms")
+    return VmReport(
+        known.vm,
+        known.address,
+        known.availability_zone or str(status.get("availability_zone", "")),
+        known.listed_state,
+        state=status["state"] if isinstance(status.get("state"), str) else None,
+        revision=revision if type(revision) is int else None,
+        confirmed_age_ms=age_ms if isinstance(age_ms, int | float) else None,
+        status=status,
+    )
--- /dev/null
+++ b/src/wagtailbay/admin/handler.py
@@ -0,0 +1,134 @@
+"""Route, authenticate and answer the requests of operators."""
+
+from collections.abc import Awaitable, Callable, Mapping
+
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+from wagtailbay.admin.const import OPENAPI_PATH, READY_PATH
+from wagtailbay.admin.documents import DocumentDesk
+from wagtailbay.admin.fleet import FleetReader
+from wagtailbay.admin.keys import KeyDesk
+from wagtailbay.admin.models import AdminError, Answer, Call, Outcome
+from wagtailbay.admin.overview import Overview
+from wagtailbay.admin.tokens import TokenTable
+from wagtailbay.admin.wire import decode_body, decode_target, error_json, openapi
+from wagtailbay.config import DocumentFault
+from wagtailbay.transport import Reply, Request
+
+Operation = Callable[[Call], Awaitable[Outcome]]
+
+
+@frozen
+class Endpoint:
+    """Bind a method and a path template to an operation.
+
+    Attributes:
+        schema: The schema of the request body in the OpenAPI document, None for no body.
+        open: Whether no admin token is needed.
+    """
+
+    method: str
+    template: str
+    operation: Operation
+    schema: str | None = None
+    open: bool = False
+
+    def match(self, segments: tuple[str, ...]) -> dict[str, str] | None:
+        """Return the path's parameters, or None if the path is another one."""
+        parts = self.template.split("/")[1:]
+        if len(parts) != len(segments):
+            return None
+        pairs = list(zip(parts, segments, strict=True))
+        if any(part != given for part, given in pairs if not part.startswith("{")):
+            return None
+        return {part[1:-1]: given for part, given in pairs if part.startswith("{")}
+
+
+@define
+class AdminHandler:
+    """Serve operators."""
+
+    tokens: TokenTable
+    documents: DocumentDesk
+    keys: KeyDesk
+    fleet: FleetReader
+    overview: Overview
+    endpoints: tuple[Endpoint, ...] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the table of endpoints."""
+        withdrawal = "/v1/keys/{key_id}/withdrawal"
+        documents, keys = self.documents, self.keys
+        self.endpoints = (
+            Endpoint("GET", OPENAPI_PATH, _show_openapi, open=True),
+            Endpoint("GET", READY_PATH, _show_ready, open=True),
+            Endpoint("POST", "/v1/validate", documents.validate, "ValidateRequest"),
+            Endpoint("GET", "/v1/documents", documents.list),
+            Endpoint("GET", "/v1/documents/{name}", documents.read),
+            Endpoint("PUT", "/v1/documents/{name}", documents.submit, "SubmitRequest"),
+            Endpoint("DELETE", "/v1/documents/{name}", documents.delete),
+            Endpoint("GET", "/v1/keys", keys.list),
+            Endpoint("POST", "/v1/keys", keys.grant, "GrantRequest"),
+            Endpoint("POST", withdrawal, keys.withdraw, "WithdrawRequest"),
+            Endpoint("GET", withdrawal, keys.show_withdrawal),
+            Endpoint("GET", "/v1/moves", self.overview.moves),
+            Endpoint("GET", "/v1/fleet", self.fleet.show),
+            Endpoint("GET", "/v1/audit", self.overview.audit),
+            Endpoint("GET", "/v1/status", self.overview.status),
+        )
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        match await self.answer(request):
+            case Ok(Answer(status=status, value=value)):
+                await reply.send_json(status, value)
+            case Err(error):
+                await reply.send_json(error.status, error_json(error))
+
+    async def answer(self, request: Request) -> Outcome:
+        """Return the answer to one request."""
+        segments, query = decode_target(request.path)
+        found = self._find(request.method, segments)
+        if isinstance(found, Err):
+            return found
+        endpoint, parameters = found.ok_value
+        operator = ""
+        if not endpoint.open:
+            authenticated = self.tokens.operator(request.header("Authorization"))
+            if isinstance(authenticated, Err):
+                return authenticated
+            operator = authenticated.ok_value
+        body = None
+        if endpoint.schema is not None:
+            decoded = decode_body(request.body, endpoint.schema)
+            if isinstance(decoded, Err):
+                return decoded
+            body = decoded.ok_value
+        return await endpoint.operation(Call(operator, parameters, query, body))
+
+    def _find(
+        self, method: str, segments: tuple[str, ...]
+    ) -> Result[tuple[Endpoint, Mapping[str, str]], AdminError]:
+        allowed = []
+        for endpoint in self.endpoints:
+            parameters = endpoint.match(segments)
+            if parameters is None:
+                continue
+            if endpoint.method == method:
+                return Ok((endpoint, parameters))
+            allowed.append(endpoint.method)
+        if allowed:
+            message = f"{method} is not allowed here; use {', '.join(allowed)}"
+            fault = DocumentFault("(method)", message)
+            return Err(AdminError(405, "method_not_allowed", message, (fault,)))
+        message = f"there is nothing at {'/' + '/'.join(segments)!r:.200}"
+        return Err(AdminError(404, "path_unknown", message, (DocumentFault("(path)", message),)))
+
+
+async def _show_openapi(call: Call) -> Outcome:
+    return Ok(Answer(200, openapi()))
+
+
+async def _show_ready(call: Call) -> Outcome:
+    return Ok(Answer(200, {"ready": True}))
--- /dev/null
+++ b/src/wagtailbay/admin/writes.py
@@ -0,0 +1,59 @@
+"""Write objects conditionally and find out what became of lost answers."""
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from wagtailbay.admin.const import MAX_WRITE_TRIES
+from wagtailbay.admin.models import AdminError, conflict, outcome_unknown, store_unavailable
+from wagtailbay.platform import ObjectStore, OutcomeUnknown, StoreUnavailable, VersionConflict
+
+
+async def write_object(
+    store: ObjectStore, key: str, value: Any, expected_version: int
+) -> Result[int, AdminError]:
+    """Write an object, or delete it where value is None; returns the new version.
+
+    A write whose answer was lost is resolved by reading back. If the object still has the expected
+    version, the same conditional write is repeated, which cannot take effect twice.
+    """
+    reason = ""
+    for _ in range(MAX_WRITE_TRIES):
+        match await _write(store, key, value, expected_version):
+            case Ok(version):
+                return Ok(version)
+            case Err(VersionConflict(current_version=current)) if not reason:
+                return Err(conflict(key, expected_version, current))
+            case Err(StoreUnavailable(message=message)) if not reason:
+                return Err(store_unavailable(message))
+            case Err(OutcomeUnknown(message=message)) if not reason:
+                reason = message
+        found = await _read_back(store, key, value, expected_version, reason)
+        if found is not None:
+            return found
+    return Err(outcome_unknown(key, reason))
+
+
+async def _write(store: ObjectStore, key: str, value: Any, expected_version: int) -> Any:
+    if value is None:
+        return await store.delete(key, expected_version)
+    return await store.put(key, value, expected_version)
+
+
+async def _read_back(
+    store: ObjectStore, key: str, value: Any, expected_version: int, reason: str
+) -> Result[int, AdminError] | None:
+    """Return what became of a write, or None if the object is unchanged."""
+    read = await store.get(key)
+    if isinstance(read, Err):
+        return Err(outcome_unknown(key, f"{reason}; then {read.err_value.message}"))
+    stored = read.ok_value
+    current = 0 if stored is None else stored.version
+    if current == expected_version:
+        return None
+    if stored is None and value is None:
+        # The deletion has a revision that a read does not tell; the old version marks it.
+        return Ok(expected_version)
+    if stored is not None and stored.value == value:
+        return Ok(current)
+    return Err(conflict(key, expected_version, current))
--- /dev/null
+++ b/src/wagtailbay/metrics/exporter.py
@@ -0,0 +1,43 @@
+"""Set OpenTelemetry up and serve the scrape address."""
+
+from attrs import frozen
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+from wagtailbay.metrics.const import METER_NAME, SCRAPE_PATH
+from wagtailbay.metrics.instruments import Metrics
+from wagtailbay.transport import Reply, Request
+
+
+@frozen
+class Exporter:
+    """Answer scrapes of one program's metrics.
+
+    The scrape is served by the program's own event loop, so that no thread polls for it.
+    """
+
+    registry: CollectorRegistry
+    metrics: Metrics
+
+    def text(self) -> bytes:
+        """Return all series in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request to the scrape address."""
+        if request.path.partition("?")[0] != SCRAPE_PATH:
+            await reply.send_json(404, {"error": {"code": "path_unknown", "message": SCRAPE_PATH}})
+            return
+        content_type = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        await reply.send_whole(200, (content_type,), self.text())
+
+
+def build_exporter(program: str, vm: str = "") -> Exporter:
+    """Build metrics that a scrape reads."""
+    registry = CollectorRegistry()
+    reader = PrometheusMetricReader(registry=registry, scope_info_enabled=False)
+    resource = Resource({"service.name": program, "service.instance.id": vm})
+    provider = MeterProvider([reader], resource=resource, shutdown_on_exit=False)
+    return Exporter(registry, Metrics(provider.get_meter(METER_NAME)))
--- /dev/null
+++ b/src/wagtailbay/metrics/instruments.py
@@ -0,0 +1,110 @@
+"""Hold the instruments of a program."""
+
+from attrs import define, field
+from opentelemetry.metrics import Counter, Histogram, Meter, NoOpMeter
+from opentelemetry.metrics import _Gauge as Gauge
+
+from wagtailbay.metrics.const import LATENCY_BUCKETS_MS, METER_NAME
+
+
+@define
+class Metrics:
+    """Count and measure; every name, unit and meaning stands in docs/operators.md.
+
+    No label holds a key, a path or a request's id, so the number of series is bounded by the
+    documents and the fixed codes. With the default meter nothing is kept.
+    """
+
+    meter: Meter = field(factory=lambda: NoOpMeter(METER_NAME))
+    _requests: Counter = field(init=False)
+    _latency_ms: Histogram = field(init=False)
+    _refusals: Counter = field(init=False)
+    _attempts: Counter = field(init=False)
+    _store_calls: Counter = field(init=False)
+    _peer_exchanges: Counter = field(init=False)
+    _shares: Gauge = field(init=False)
+    _move_steps: Gauge = field(init=False)
+    _confirmed_age_ms: Gauge = field(init=False)
+    _audit_lost: Counter = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the instruments."""
+        meter = self.meter
+        self._requests = meter.create_counter(
+            "wagtailbay.requests", description="Requests that passed admission"
+        )
+        self._latency_ms = meter.create_histogram(
+            "wagtailbay.request.latency",
+            unit="ms",
+            description="Time from the request's arrival to the end of its answer",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
+        self._refusals = meter.create_counter(
+            "wagtailbay.refusals", description="Refused requests by code"
+        )
+        self._attempts = meter.create_counter(
+            "wagtailbay.attempts", description="Tries at targets by outcome"
+        )
+        self._create_control_instruments(meter)
+
+    def _create_control_instruments(self, meter: Meter) -> None:
+        self._store_calls = meter.create_counter(
+            "wagtailbay.store.calls", description="Calls of the object API"
+        )
+        self._peer_exchanges = meter.create_counter(
+            "wagtailbay.peer.exchanges", description="Exchanges with other entry VMs"
+        )
+        self._shares = meter.create_gauge(
+            "wagtailbay.budget.share", unit="ppm", description="This VM's share of a budget"
+        )
+        self._move_steps = meter.create_gauge(
+            "wagtailbay.move.share", unit="ppm", description="The new version's share in a move"
+        )
+        self._confirmed_age_ms = meter.create_gauge(
+            "wagtailbay.confirmed.age",
+            unit="ms",
+            description="Age of this VM's knowledge of the store",
+        )
+        self._audit_lost = meter.create_counter(
+            "wagtailbay.audit.lost", description="Audit records that did not reach the store"
+        )
+
+    def request_finished(
+        self, service: str, route: str, status: int, outcome: str, latency_ms: float
+    ) -> None:
+        """Count a request that passed admission; outcome is answered, refused or cut."""
+        labels = {"service": service, "route": route}
+        self._requests.add(1, {**labels, "status": str(status), "outcome": outcome})
+        self._latency_ms.record(latency_ms, labels)
+
+    def refused(self, code: str) -> None:
+        """Count a refusal by its code."""
+        self._refusals.add(1, {"code": code})
+
+    def attempt_finished(self, service: str, outcome: str) -> None:
+        """Count a try at a target by the value of its AttemptOutcome."""
+        self._attempts.add(1, {"service": service, "outcome": outcome})
+
+    def store_called(self, call: str, outcome: str) -> None:
+        """Count a call of the object API; outcome is ok, conflict, unavailable or unknown."""
+        self._store_calls.add(1, {"call": call, "outcome": outcome})
+
+    def peer_exchanged(self, outcome: str) -> None:
+        """Count an exchange with a peer; outcome is ok or failed."""
+        self._peer_exchanges.add(1, {"outcome": outcome})
+
+    def share_changed(self, budget: str, share_ppm: int) -> None:
+        """Set this VM's share of a budget."""
+        self._shares.set(share_ppm, {"budget": budget})
+
+    def move_stepped(self, service: str, share_ppm: int) -> None:
+        """Set the new version's share of a service as this VM applies it."""
+        self._move_steps.set(share_ppm, {"service": service})
+
+    def confirmed_age_changed(self, age_ms: float) -> None:
+        """Set the age of this VM's knowledge of the store."""
+        self._confirmed_age_ms.set(age_ms)
+
+    def audit_record_lost(self) -> None:
+        """Count an audit record that did not reach the store."""
+        self._audit_lost.add(1)
--- /dev/null
+++ b/src/wagtailbay/programs/admin.py
@@ -0,0 +1,108 @@
+"""Run the administration API."""
+
+import os
+import signal
+import sys
+from functools import partial
+
+import trio
+from attrs import frozen
+
+from wagtailbay.admin import build_handler, parse_token_digests
+from wagtailbay.audit import AuditWriter
+from wagtailbay.clock import boottime_s, unix_time_s
+from wagtailbay.logs import log_event, start_logging
+from wagtailbay.metrics import build_exporter
+from wagtailbay.platform import HttpObjectStore
+from wagtailbay.settings import load_settings_or_exit, setting
+from wagtailbay.settings.checks import (
+    at_least,
+    parse_address,
+    parse_named_addresses,
+    parse_optional_address,
+    split_address,
+)
+from wagtailbay.transport import HttpServer
+
+PROGRAM = "wagtailbay-admin"
+
+
+@frozen
+class AdminSettings:
+    """Serve operators: documents, keys, moves, fleet, audit and status."""
+
+    listen_address: str = setting(help_text="where operators connect", parse=parse_address)
+    platform_address: str = setting(help_text="address of the object API", parse=parse_address)
+    admin_tokens: dict[str, str] = setting(
+        help_text="operator=<SHA-256 of the admin token>, separated by commas",
+        parse=parse_token_digests,
+    )
+    entry_addresses: dict[str, str] = setting(
+        help_text="vm=<address>, separated by commas, for VMs that the platform's list lacks",
+        default="",
+        parse=parse_named_addresses,
+    )
+    store_timeout_ms: int = setting(
+        help_text="longest wait for the object API", default=2_000, parse=int, check=at_least(1)
+    )
+    status_timeout_ms: int = setting(
+        help_text="longest wait for an entry VM's status",
+        default=1_000,
+        parse=int,
+        check=at_least(1),
+    )
+    withdrawal_wait_ms: int = setting(
+        help_text="longest wait of a withdrawal for its quorum",
+        default=3_000,
+        parse=int,
+        check=at_least(0),
+    )
+    metrics_address: str = setting(
+        help_text="where Prometheus scrapes /metrics; empty for none",
+        default="",
+        parse=parse_optional_address,
+    )
+
+
+async def run(settings: AdminSettings) -> None:
+    """Run until SIGTERM or SIGINT; open requests are answered and audit records written."""
+    store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
+    exporter = build_exporter(PROGRAM)
+    writer = AuditWriter(store, exporter.metrics.audit_record_lost)
+    handler = build_handler(
+        store,
+        writer,
+        settings.admin_tokens,
+        settings.entry_addresses or {},
+        boottime_s,
+        unix_time_s,
+        settings.status_timeout_ms,
+        settings.withdrawal_wait_ms,
+    )
+    server = HttpServer(handler.handle)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer.run)
+        if settings.metrics_address:
+            scrape = HttpServer(exporter.handle)
+            await nursery.start(scrape.serve, split_address(settings.metrics_address))
+        bound = await nursery.start(server.serve, split_address(settings.listen_address))
+        log_event("listening", address=f"{bound[0]}:{bound[1]}")
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await anext(signals)
+        server.draining.set()
+        while server.open_requests:
+            await trio.sleep(0.05)
+        await writer.flush()
+        log_event("stopped")
+        nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run the program."""
+    settings = load_settings_or_exit(PROGRAM, AdminSettings, os.environ)
+    start_logging(sys.stderr, PROGRAM)
+    trio.run(partial(run, settings))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/wagtailbay/settings/checks.py
+++ b/src/wagtailbay/settings/checks.py
@@ -37,6 +37,16 @@
     return text
 
 
+def parse_optional_address(text: str) -> str:
+    """Parse an address; an empty text gives none."""
+    return parse_address(text) if text else ""
+
+
+def parse_named_addresses(text: str) -> dict[str, str]:
+    """Parse ``name=<ip number>:<port>`` pairs separated by commas."""
+    return {name: parse_address(value) for name, value in parse_pairs(text).items()}
+
+
 def parse_address_list(text: str) -> tuple[str, ...]:
     """Parse addresses separated by commas; an empty text gives none."""
     return tuple(parse_address(part.strip()) for part in text.split(",") if part.strip())
--- /dev/null
+++ b/src/wagtailbay/status/build.py
@@ -0,0 +1,40 @@
+"""Build the status of an entry VM."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from attrs import frozen
+
+from wagtailbay.config import ConfigView
+from wagtailbay.config.const import SCHEMA_VERSION
+from wagtailbay.status.models import StatusSource
+
+
+def build_status(
+    vm: StatusSource, sections: Mapping[str, StatusSource], now_s: float
+) -> dict[str, Any]:
+    """Return the JSON value of ``GET /-/status``.
+
+    Args:
+        vm: Gives the fields at the top: vm, state, incarnation, revision and others.
+        sections: Give one object each under their names; a top field of the same name is kept.
+    """
+    parts = {name: dict(source.status(now_s)) for name, source in sections.items()}
+    return {**parts, **vm.status(now_s)}
+
+
+@frozen
+class ConfigStatus:
+    """Tell which documents are in force and which could not be used."""
+
+    view: Callable[[], ConfigView]
+
+    def status(self, now_s: float) -> Mapping[str, Any]:
+        """Return versions and faults by document key."""
+        view = self.view()
+        faults = {key: [str(fault) for fault in found] for key, found in view.faults.items()}
+        return {
+            "schema_versions": [SCHEMA_VERSION],
+            "versions": dict(view.versions),
+            "faults": faults,
+        }
--- /dev/null
+++ b/tests/admin/test_admin_units.py
@@ -0,0 +1,143 @@
+"""Test the parts of the administration API."""
+
+import string
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+from support.admin import NOW_UNIX_S, AdminSite
+from support.documents import fleet, service
+from support.store import FakeObjectStore
+
+from wagtailbay.admin import build_handler, parse_token_digests
+from wagtailbay.admin.fleet import FleetView, VmReport
+from wagtailbay.admin.overview import fleet_problems, move_problems
+from wagtailbay.admin.tokens import TokenTable
+from wagtailbay.admin.writes import write_object
+from wagtailbay.audit import AuditWriter
+from wagtailbay.platform import VmRecord
+from wagtailbay.transport import Request
+
+PATH_TEXT = st.text(string.ascii_letters + "/%{}.?=&0123456789[]#:@", max_size=30)
+
+
+class TestWriteObject:
+    """A write is reported as what it was."""
+
+    async def test_lost_answer_is_read_back(self) -> None:
+        """Guards against an accepted write that is reported as failed."""
+        store = FakeObjectStore(lose_answers=1)
+        assert await write_object(store, "k", {"a": 1}, 0) == Ok(1)
+
+    async def test_write_without_effect_is_repeated(self) -> None:
+        """Guards against a write that is reported as accepted and never took effect."""
+        store = FakeObjectStore(lose_writes=2)
+        assert await write_object(store, "k", {"a": 1}, 0) == Ok(1)
+        assert store.objects["k"].value == {"a": 1}
+
+    async def test_lost_race_after_lost_write_is_a_conflict(self) -> None:
+        """Guards against taking another operator's value for one's own."""
+        store = FakeObjectStore()
+        await store.put("k", {"b": 1}, 0)
+        store.lose_writes = 1
+        error = (await write_object(store, "k", {"a": 1}, 0)).err_value
+        assert (error.status, error.current_version) == (409, 1)
+
+    async def test_unresolved_outcome_is_unknown(self) -> None:
+        """Guards against a claim that nothing was changed when that is not known."""
+        store = FakeObjectStore(lose_writes=9)
+        error = (await write_object(store, "k", {"a": 1}, 0)).err_value
+        assert (error.status, error.code) == (503, "outcome_unknown")
+
+    async def test_lost_answer_to_a_deletion(self) -> None:
+        """Guards against a deletion that is reported as failed."""
+        store = FakeObjectStore()
+        await store.put("k", {"a": 1}, 0)
+        store.lose_answers = 1
+        assert isinstance(await write_object(store, "k", None, 1), Ok)
+
+
+class TestTokens:
+    """Only a token with a known digest names an operator."""
+
+    @pytest.mark.parametrize(
+        "header", [None, "", "Bearer", "Basic x", "Bearer wrong", "Bearer \udcff"]
+    )
+    def test_unknown_token_is_refused(self, header: str | None) -> None:
+        """Guards against an operator without a token."""
+        table = TokenTable({"ana": "0" * 64})
+        assert table.operator(header).err_value.status == 401
+
+    @pytest.mark.parametrize("text", ["", "ana=abc", "=" + "0" * 64, "ana"])
+    def test_bad_setting_is_refused(self, text: str) -> None:
+        """Guards against a program that starts without usable tokens."""
+        with pytest.raises(ValueError, match="expected|names|name"):
+            parse_token_digests(text)
+
+
+class TestHandler:
+    """Any input gets an answer."""
+
+    @settings(max_examples=150, deadline=None)
+    @given(
+        st.sampled_from(["GET", "PUT", "POST", "DELETE", "PATCH"]),
+        st.sampled_from(
+            ["", "/v1/documents/", "/v1/keys/", "/v1/audit?before=", "/v1/audit?limit="]
+        ),
+        PATH_TEXT,
+        st.binary(max_size=20) | st.sampled_from([b"[]", b'{"document":[]}', b'{"reason":"r"}']),
+    )
+    def test_any_request_is_answered(self, method: str, start: str, rest: str, body: bytes) -> None:
+        """Guards against input that ends the process."""
+        store = FakeObjectStore()
+        digest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+        handler = build_handler(
+            store, AuditWriter(store), {"ana": digest}, {}, lambda: 0.0, lambda: NOW_UNIX_S
+        )
+        headers = (("Authorization", "Bearer test"),)
+        answer = trio.run(handler.answer, Request(method, start + rest, headers, body))
+        if isinstance(answer, Err):
+            assert all(fault.path and fault.message for fault in answer.err_value.faults)
+
+    async def test_other_method_is_refused(self, nursery) -> None:
+        """Guards against a method that falls through to another operation."""
+        site = await AdminSite().start(nursery)
+        assert (await site.call("PATCH", "/v1/documents"))[0] == 405
+
+    async def test_max_vms_below_the_fleet_is_refused(self, nursery) -> None:
+        """Guards against a quorum of which two need not share a VM."""
+        site = await AdminSite().start(nursery)
+        site.store.vm_records = tuple(VmRecord(f"vm-{n}", "", "a1", "live") for n in range(5))
+        status, value = await site.submit("fleet", fleet())
+        assert (status, value["error"]["faults"][0]["path"]) == (422, "max_vms")
+
+    async def test_service_before_fleet_is_refused(self, nursery) -> None:
+        """Guards against references that nothing can check."""
+        site = await AdminSite().start(nursery)
+        status, value = await site.submit("records", service())
+        assert (status, value["error"]["faults"][0]["path"]) == (422, "(fleet)")
+
+
+class TestProblems:
+    """Status names what needs attention."""
+
+    def test_vms_behind_or_without_status_are_named(self) -> None:
+        """Guards against a fleet that looks well while VMs lag."""
+        vms = (
+            VmReport("vm-1", "", "a1", "live", "live", 9, status={"store_reachable": False}),
+            VmReport("vm-2", "", "a1", "live", fault="timeout"),
+            VmReport(
+                "vm-3", "", "a1", "live", "live", 7, status={"config": {"faults": {"d": ["f"]}}}
+            ),
+        )
+        text = str(fleet_problems(FleetView(8, vms), newest_revision=9))
+        for part in ("2 VMs answer, a quorum is 5", "revision 7 of 9", "timeout", "cannot use d"):
+            assert part in text
+        assert "does not reach the store" in text
+
+    def test_rolled_back_move_is_named(self) -> None:
+        """Guards against a rollback that only the moves list shows."""
+        moves = [{"service": "s", "version": 1, "move": {"state": "rolled_back", "reason": "slow"}}]
+        assert move_problems(moves) == [{"subject": "move s", "message": "rolled back: slow"}]
--- /dev/null
+++ b/tests/admin/test_openapi.py
@@ -0,0 +1,127 @@
+"""Test the running administration API against its OpenAPI document."""
+
+from typing import Any
+
+import pytest
+from jsonschema import Draft202012Validator
+from support.admin import AdminSite
+from support.documents import fleet, service
+
+NO_KEY = "0" * 64
+
+
+def submission(document: Any, version: int = 0) -> dict[str, Any]:
+    """Return the body of a submission."""
+    return {"document": document, "expected_version": version, "reason": "test"}
+
+
+class Checker:
+    """Send requests, check each answer against its schema and note what was exercised."""
+
+    def __init__(self, site: AdminSite, openapi: dict[str, Any]) -> None:
+        self.site, self.openapi, self.exercised = site, openapi, set()
+
+    async def check(
+        self,
+        status: int,
+        method: str,
+        template: str,
+        body: Any = None,
+        *,
+        query: str = "",
+        who: str | None = "ana",
+        **parameters: str,
+    ) -> Any:
+        """Send a request and check status and answer."""
+        path = template.format(**parameters) + query
+        got, value = await self.site.call(method, path, body, who)
+        assert got == status, (method, path, value)
+        operation = self.openapi["paths"][template][method.lower()]
+        schema = operation["responses"][str(status)]["content"]["application/json"]["schema"]
+        whole = {**schema, "components": self.openapi["components"]}
+        Draft202012Validator(whole).validate(value)
+        self.exercised.add((template, method.lower(), str(status)))
+        return value
+
+
+@pytest.fixture
+async def checker(nursery) -> Checker:
+    """Return a checker on a site with two VMs and no documents."""
+    site = await AdminSite().start(nursery, vms=2)
+    _, openapi = await site.call("GET", "/openapi.json", who=None)
+    return Checker(site, openapi)
+
+
+async def check_documents(check: Any) -> None:
+    """Exercise the document requests."""
+    path = "/v1/documents/{name}"
+    await check(200, "PUT", path, submission(fleet()), name="fleet")
+    put = await check(200, "PUT", path, submission(service()), name="records")
+    await check(409, "PUT", path, submission(service()), name="records")
+    await check(422, "PUT", path, submission(service(colour=1)), name="records")
+    await check(200, "POST", "/v1/validate", {"document": service()})
+    await check(422, "POST", "/v1/validate", {"document": service(colour=1)})
+    await check(200, "GET", "/v1/documents")
+    await check(200, "GET", path, name="records")
+    await check(404, "GET", path, name="missing")
+    await check(404, "DELETE", path, name="missing", query="?expected_version=1")
+    await check(422, "DELETE", path, name="records", query="?expected_version=x")
+    await check(409, "DELETE", path, name="records", query="?expected_version=999")
+    delete = f"?expected_version={put['version']}&reason=test"
+    await check(200, "DELETE", path, name="records", query=delete)
+    await check(200, "PUT", path, submission(service()), name="records")
+
+
+async def check_keys(check: Any) -> None:
+    """Exercise the key requests."""
+    withdrawal = "/v1/keys/{key_id}/withdrawal"
+    granted = await check(201, "POST", "/v1/keys", {"workspace": "unam", "reason": "test"})
+    key_id = granted["key_id"]
+    await check(422, "POST", "/v1/keys", {"workspace": "nobody", "reason": "test"})
+    await check(200, "GET", "/v1/keys")
+    await check(404, "GET", withdrawal, key_id=key_id)
+    await check(422, "POST", withdrawal, {}, key_id=key_id)
+    await check(404, "POST", withdrawal, {"reason": "test"}, key_id=NO_KEY)
+    await check(200, "POST", withdrawal, {"reason": "test"}, key_id=key_id)
+    await check(200, "GET", withdrawal, key_id=key_id)
+
+
+async def check_views(check: Any) -> None:
+    """Exercise the requests that only read."""
+    for path in ("/-/ready", "/openapi.json"):
+        await check(200, "GET", path, who=None)
+    for path in ("/v1/moves", "/v1/fleet", "/v1/audit", "/v1/status"):
+        await check(200, "GET", path)
+    await check(422, "GET", "/v1/audit", query="?limit=0")
+
+
+class TestOpenApi:
+    """The document says what the program does."""
+
+    async def test_every_status_is_exercised(self, checker: Checker) -> None:
+        """Guards against an API description that differs from the program."""
+        store = checker.site.store
+        await store.put("moves/records", {"state": "running", "share_ppm": 20_000}, 0)
+        await check_documents(checker.check)
+        await check_keys(checker.check)
+        await check_views(checker.check)
+        store.down = True
+        bodies = {
+            "/v1/validate": {"document": service()},
+            "/v1/keys": {"workspace": "unam", "reason": "test"},
+            "/v1/documents/{name}": submission(service()),
+            "/v1/keys/{key_id}/withdrawal": {"reason": "test"},
+        }
+        described = set()
+        for template, operations in checker.openapi["paths"].items():
+            for method, operation in operations.items():
+                described |= {(template, method, status) for status in operation["responses"]}
+                if "503" in operation["responses"]:
+                    body = None if method == "get" else bodies[template]
+                    names = {"name": "records", "key_id": NO_KEY}
+                    query = "?expected_version=1" if method == "delete" else ""
+                    arguments = (method.upper(), template, body)
+                    await checker.check(503, *arguments, query=query, **names)
+                    for who in (None, "wrong"):
+                        await checker.check(401, *arguments, query=query, who=who, **names)
+        assert checker.exercised == described
