Add wagtailctl

Operators get one command for documents, keys, moves, fleet, audit and status, with one-line errors and an exit status for each kind of outcome, so that a script can tell a conflict from an outage or a pending withdrawal. Every flag has an environment variable that passes the same checks.

--- a/src/wagtailbay/config/values.py
+++ b/src/wagtailbay/config/values.py
@@ -1,6 +1,7 @@
 """Check the plain values of a decoded document before its schema is applied."""
 
 import math
+from datetime import date, time
 from typing import Any
 
 from wagtailbay.config.const import MAX_DOCUMENT_DEPTH
@@ -10,8 +11,8 @@
 def check_values(document: Any) -> tuple[DocumentFault, ...]:
     """Return faults for values that a JSON schema lets pass or cannot be applied to.
 
-    These are numbers that are not finite, control characters (a pattern's ``$`` accepts a final
-    line feed) and nesting deeper than any document has.
+    These are numbers that are not finite, dates of TOML, control characters (a pattern's ``$``
+    accepts a final line feed) and nesting deeper than any document has.
     """
     faults: list[DocumentFault] = []
     waiting: list[tuple[str, Any, int]] = [("", document, 1)]
@@ -29,6 +30,8 @@
 def _fault_of_value(value: Any) -> str | None:
     if isinstance(value, float) and not math.isfinite(value):
         return f"must be a finite number, got {value}"
+    if isinstance(value, date | time):
+        return "must not be a date; give a time as Unix seconds"
     if isinstance(value, str) and not value.isprintable():
         return "must not contain control characters"
     return None
--- /dev/null
+++ b/src/wagtailbay/ctl/client.py
@@ -0,0 +1,91 @@
+"""Call the administration API."""
+
+import json
+from typing import Any
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from wagtailbay.config import decode_json
+from wagtailbay.ctl.const import (
+    EXIT_CONFLICT,
+    EXIT_OUTCOME_UNKNOWN,
+    EXIT_REFUSED,
+    EXIT_UNAUTHORIZED,
+    EXIT_UNAVAILABLE,
+    EXIT_USAGE,
+)
+from wagtailbay.ctl.models import Failure
+from wagtailbay.transport import Request, Response, fetch
+
+EXIT_STATUS_OF_CODE = {
+    "version_conflict": EXIT_CONFLICT,
+    "store_unavailable": EXIT_UNAVAILABLE,
+    "unauthorized": EXIT_UNAUTHORIZED,
+    "outcome_unknown": EXIT_OUTCOME_UNKNOWN,
+}
+
+
+@frozen
+class AdminClient:
+    """Send requests with an admin token."""
+
+    address: str
+    token: str
+    timeout_ms: int
+
+    async def call(self, method: str, path: str, body: Any = None) -> Result[Any, Failure]:
+        """Return the decoded body of a successful answer."""
+        if not self.address:
+            return Err(Failure(EXIT_USAGE, "set --admin-address or WAGTAILBAY_ADMIN_ADDRESS"))
+        if not self.token or not self.token.isascii() or not self.token.isprintable():
+            message = "set --token or WAGTAILBAY_TOKEN to printable ASCII characters"
+            return Err(Failure(EXIT_USAGE, message))
+        headers = (("Authorization", f"Bearer {self.token}"),)
+        data = b"" if body is None else json.dumps(body).encode()
+        return await self._exchange(Request(method, path, headers, data))
+
+    async def _exchange(self, request: Request) -> Result[Any, Failure]:
+        match await fetch(self.address, request, self.timeout_ms):
+            case Err(error) if error.request_sent and request.method != "GET":
+                message = f"{self.address}: {error}; the change may have been carried out"
+                return Err(Failure(EXIT_OUTCOME_UNKNOWN, message))
+            case Err(error):
+                return Err(Failure(EXIT_UNAVAILABLE, f"{self.address}: {error}"))
+            case Ok(response):
+                return decode_answer(response)
+
+
+async def ask_entry(address: str, path: str, timeout_ms: int) -> Result[Any, Failure]:
+    """Return the decoded answer of an entry VM."""
+    if not address:
+        return Err(Failure(EXIT_USAGE, "set --entry-address or WAGTAILBAY_ENTRY_ADDRESS"))
+    match await fetch(address, Request("GET", path), timeout_ms):
+        case Err(error):
+            return Err(Failure(EXIT_UNAVAILABLE, f"{address}: {error}"))
+        case Ok(response):
+            return decode_answer(response)
+
+
+def decode_answer(response: Response) -> Result[Any, Failure]:
+    """Return the body of an answer, or the error that it carries."""
+    decoded = decode_json(response.body)
+    if isinstance(decoded, Err) or not isinstance(decoded.ok_value, dict):
+        message = f"status {response.status} without a JSON object; is the address right?"
+        return Err(Failure(EXIT_UNAVAILABLE, message))
+    value = decoded.ok_value
+    if 200 <= response.status < 300:
+        return Ok(value)
+    error = value.get("error")
+    if not isinstance(error, dict):
+        return Err(Failure(EXIT_REFUSED, f"status {response.status}"))
+    status = EXIT_STATUS_OF_CODE.get(str(error.get("code")), EXIT_REFUSED)
+    return Err(Failure(status, f"{error.get('code')}: {_fault_text(error)}"))
+
+
+def _fault_text(error: dict[str, Any]) -> str:
+    """Return every fault of an error in one line."""
+    faults = error.get("faults")
+    if not isinstance(faults, list) or len(faults) < 2:
+        return str(error.get("message"))
+    return "; ".join(f"{f.get('path')}: {f.get('message')}" for f in faults if isinstance(f, dict))
--- /dev/null
+++ b/src/wagtailbay/ctl/commands.py
@@ -0,0 +1,213 @@
+"""Carry out the sub-commands."""
+
+import difflib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from result import Err, Ok, Result
+
+from wagtailbay.config import check_references, document_name, parse_named, read_document
+from wagtailbay.config.const import FLEET_NAME
+from wagtailbay.config.values import check_values
+from wagtailbay.ctl.client import AdminClient, ask_entry
+from wagtailbay.ctl.const import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE
+from wagtailbay.ctl.models import Failure, View
+from wagtailbay.ctl.tables import cell, format_json, table_of
+from wagtailbay.ctl.views import (
+    audit_view,
+    documents_view,
+    fleet_view,
+    granted_view,
+    keys_view,
+    locate_view,
+    moves_view,
+    status_view,
+    withdrawal_view,
+)
+
+Outcome = Result[View, Failure]
+
+
+def _load(path: str) -> Result[tuple[str, Any], Failure]:
+    """Read a document file and return the document's name and value."""
+    read = read_document(Path(path))
+    if isinstance(read, Err):
+        return Err(Failure(EXIT_USAGE, f"{path}: {read.err_value}"))
+    # Values that JSON cannot carry must not reach the client's encoder.
+    faults = check_values(read.ok_value)
+    name = document_name(read.ok_value)
+    if faults or isinstance(name, Err):
+        text = "; ".join(map(str, faults)) or str(name.err_value)
+        return Err(Failure(EXIT_REFUSED, f"{path}: {text}"))
+    return Ok((name.ok_value, read.ok_value))
+
+
+def _load_all(paths: list[str]) -> Result[list[tuple[str, str, Any]], Failure]:
+    """Read files; the fleet document comes first, since services refer to it."""
+    loaded = []
+    for path in paths:
+        found = _load(path)
+        if isinstance(found, Err):
+            return found
+        loaded.append((path, *found.ok_value))
+    return Ok(sorted(loaded, key=lambda item: item[1] != FLEET_NAME))
+
+
+async def validate(client: AdminClient, arguments: Any) -> Outcome:
+    """Validate documents, by the administration API or alone with ``--offline``."""
+    loaded = _load_all(arguments.files)
+    if isinstance(loaded, Err):
+        return loaded
+    rows = []
+    for path, name, document in loaded.ok_value:
+        if arguments.offline:
+            checked = _check_offline(name, document, loaded.ok_value)
+        else:
+            checked = await client.call("POST", "/v1/validate", {"document": document})
+        if isinstance(checked, Err):
+            failure = checked.err_value
+            return Err(Failure(failure.exit_status, f"{path}: {failure.message}"))
+        rows.append({"file": path, "name": name, "valid": True})
+    return Ok(View({"documents": rows}, table_of(rows, ("file", "name", "valid"))))
+
+
+def _check_offline(
+    name: str, document: Any, loaded: list[tuple[str, str, Any]]
+) -> Result[None, Failure]:
+    """Check a document alone, and its references if the files hold one fleet document."""
+    parsed = parse_named(name, document)
+    if isinstance(parsed, Err):
+        return Err(Failure(EXIT_REFUSED, "; ".join(map(str, parsed.err_value))))
+    fleets = [parse_named(FLEET_NAME, value) for _, other, value in loaded if other == FLEET_NAME]
+    if name == FLEET_NAME or len(fleets) != 1 or isinstance(fleets[0], Err):
+        return Ok(None)
+    faults = check_references(parsed.ok_value, fleets[0].ok_value)
+    return Err(Failure(EXIT_REFUSED, "; ".join(map(str, faults)))) if faults else Ok(None)
+
+
+async def apply(client: AdminClient, arguments: Any) -> Outcome:
+    """Submit documents; without ``--expected-version`` the version read just before is used."""
+    if arguments.expected_version is not None and len(arguments.files) > 1:
+        return Err(Failure(EXIT_USAGE, "--expected-version goes with one file only"))
+    loaded = _load_all(arguments.files)
+    if isinstance(loaded, Err):
+        return loaded
+    rows = []
+    for path, name, document in loaded.ok_value:
+        applied = await _apply(client, arguments, name, document)
+        if isinstance(applied, Err):
+            done = f" (applied before: {', '.join(r['name'] for r in rows)})" if rows else ""
+            failure = applied.err_value
+            return Err(Failure(failure.exit_status, f"{path}: {failure.message}{done}"))
+        rows.append(applied.ok_value)
+    return Ok(View({"documents": rows}, table_of(rows, ("name", "version"))))
+
+
+async def _apply(
+    client: AdminClient, arguments: Any, name: str, document: Any
+) -> Result[Any, Failure]:
+    expected = arguments.expected_version
+    if expected is None:
+        current = await _current(client, name)
+        if isinstance(current, Err):
+            return current
+        expected = current.ok_value[0]
+    body = {"document": document, "expected_version": expected, "reason": arguments.reason}
+    return await client.call("PUT", f"/v1/documents/{quote(name, safe='')}", body)
+
+
+async def _current(client: AdminClient, name: str) -> Result[tuple[int, Any], Failure]:
+    """Return version and value of a document; 0 and None if there is none."""
+    listing = await client.call("GET", "/v1/documents")
+    if isinstance(listing, Err):
+        return listing
+    if all(item["name"] != name for item in listing.ok_value["documents"]):
+        return Ok((0, None))
+    found = await client.call("GET", f"/v1/documents/{quote(name, safe='')}")
+    return found.map(lambda value: (value["version"], value["document"]))
+
+
+async def diff(client: AdminClient, arguments: Any) -> Outcome:
+    """Compare a file with the document in force."""
+    loaded = _load(arguments.file)
+    if isinstance(loaded, Err):
+        return loaded
+    name, document = loaded.ok_value
+    current = await _current(client, name)
+    if isinstance(current, Err):
+        return current
+    version, stored = current.ok_value
+    before = format_json(stored).splitlines() if stored is not None else []
+    after = format_json(document).splitlines()
+    label = f"{name} version {version}"
+    lines = list(difflib.unified_diff(before, after, label, arguments.file, lineterm=""))
+    status = EXIT_REFUSED if lines else EXIT_DONE
+    value = {"name": name, "version": version, "different": bool(lines), "diff": lines}
+    return Ok(View(value, "\n".join(lines) or f"{label}: no difference", status))
+
+
+async def get(client: AdminClient, arguments: Any) -> Outcome:
+    """Show one document, or the names and versions of all."""
+    if arguments.name is None:
+        return (await client.call("GET", "/v1/documents")).map(documents_view)
+    found = await client.call("GET", f"/v1/documents/{quote(arguments.name, safe='')}")
+    return found.map(lambda value: View(value, format_json(value["document"])))
+
+
+async def delete(client: AdminClient, arguments: Any) -> Outcome:
+    """Delete a service's document."""
+    query = {"expected_version": arguments.expected_version, "reason": arguments.reason}
+    path = f"/v1/documents/{quote(arguments.name, safe='')}?{urlencode(query)}"
+    deleted = await client.call("DELETE", path)
+    return deleted.map(lambda value: View(value, f"{cell(value['name'])} is deleted"))
+
+
+def _show(path: str, view: Callable[[Any], View]) -> Callable[[AdminClient, Any], Any]:
+    """Return a command that shows one answer."""
+
+    async def command(client: AdminClient, arguments: Any) -> Outcome:
+        return (await client.call("GET", path)).map(view)
+
+    return command
+
+
+status = _show("/v1/status", status_view)
+moves = _show("/v1/moves", moves_view)
+fleet = _show("/v1/fleet", fleet_view)
+list_keys = _show("/v1/keys", keys_view)
+
+
+async def audit(client: AdminClient, arguments: Any) -> Outcome:
+    """Show a page of the audit trail."""
+    query = {"limit": arguments.limit}
+    if arguments.before:
+        query["before"] = arguments.before
+    return (await client.call("GET", f"/v1/audit?{urlencode(query)}")).map(audit_view)
+
+
+async def grant_key(client: AdminClient, arguments: Any) -> Outcome:
+    """Grant a key to a workspace."""
+    body = {"workspace": arguments.workspace, "reason": arguments.reason}
+    return (await client.call("POST", "/v1/keys", body)).map(granted_view)
+
+
+async def withdraw_key(client: AdminClient, arguments: Any) -> Outcome:
+    """Withdraw a key, or show with ``--show`` whether its withdrawal is in force."""
+    path = f"/v1/keys/{quote(arguments.key_id, safe='')}/withdrawal"
+    if arguments.show:
+        return (await client.call("GET", path)).map(withdrawal_view)
+    if not arguments.reason:
+        return Err(Failure(EXIT_USAGE, "--reason is required"))
+    return (await client.call("POST", path, {"reason": arguments.reason})).map(withdrawal_view)
+
+
+async def locate(client: AdminClient, arguments: Any) -> Outcome:
+    """Ask an entry VM which entry VMs a client should use."""
+    query = {"client": arguments.client}
+    if arguments.availability_zone:
+        query["availability_zone"] = arguments.availability_zone
+    path = f"/-/locate?{urlencode(query)}"
+    answer = await ask_entry(arguments.entry_address, path, arguments.timeout_ms)
+    return answer.map(locate_view)
--- /dev/null
+++ b/src/wagtailbay/ctl/views.py
@@ -0,0 +1,118 @@
+"""Turn answers of the administration API into views."""
+
+from typing import Any
+
+from wagtailbay.ctl.const import EXIT_DONE, EXIT_PENDING
+from wagtailbay.ctl.models import View
+from wagtailbay.ctl.tables import cell, format_table, format_time, table_of
+
+FLEET_COLUMNS = ("vm", "availability_zone", "address", "listed_state", "state", "revision")
+AUDIT_COLUMNS = ("time", "who", "outcome", "action", "subject", "versions", "why", "detail")
+
+
+def documents_view(value: dict[str, Any]) -> View:
+    """Show names and versions."""
+    return View(value, table_of(value["documents"], ("name", "version")))
+
+
+def keys_view(value: dict[str, Any]) -> View:
+    """Show the keys' ids."""
+    return View(value, table_of(value["keys"], ("key_id", "workspace", "withdrawn", "version")))
+
+
+def granted_view(value: dict[str, Any]) -> View:
+    """Show a new key; it cannot be shown again."""
+    text = f"key        {value['key']}\nkey id     {value['key_id']}"
+    text += f"\nworkspace  {value['workspace']}"
+    text += "\nThe key is shown only now; the store holds its SHA-256."
+    return View(value, text)
+
+
+def withdrawal_view(value: dict[str, Any]) -> View:
+    """Show whether a withdrawal is in force and which VMs lack it."""
+    quorum = cell(value["quorum"])
+    text = f"{value['state']}: {value['confirmed']} VMs have applied it, a quorum is {quorum}"
+    if value["lacking"]:
+        text += "\n" + table_of(value["lacking"], ("vm", "reason"))
+    pending = value["state"] != "in_force"
+    return View(value, text, EXIT_PENDING if pending else EXIT_DONE)
+
+
+def moves_view(value: dict[str, Any]) -> View:
+    """Show each move as its fields."""
+    return View(value, _moves_table(value["moves"]))
+
+
+def _moves_table(moves: list[dict[str, Any]]) -> str:
+    rows = [[m["service"], m["version"], _move_text(m["move"])] for m in moves]
+    return format_table(("service", "version", "move"), rows)
+
+
+def _move_text(move: Any) -> str:
+    if not isinstance(move, dict):
+        return cell(move)
+    return " ".join(f"{name}={cell(value)}" for name, value in sorted(move.items()))
+
+
+def fleet_view(value: dict[str, Any]) -> View:
+    """Show each VM with the revision that it has applied."""
+    return View(value, _fleet_text(value))
+
+
+def _fleet_text(fleet: dict[str, Any]) -> str:
+    head = f"max_vms {cell(fleet['max_vms'])}, quorum {cell(fleet['quorum'])}"
+    return f"{head}\n{table_of(fleet['vms'], (*FLEET_COLUMNS, 'confirmed_age_ms', 'fault'))}"
+
+
+def audit_view(value: dict[str, Any]) -> View:
+    """Show records, newest first."""
+    rows = [
+        [
+            format_time(r["when_unix_s"]),
+            r["who"],
+            r["outcome"],
+            r["action"],
+            _shortened(r["subject"]),
+            f"{cell(r['from_version'])} -> {cell(r['to_version'])}",
+            r["why"],
+            r["detail"],
+        ]
+        for r in value["records"]
+    ]
+    text = format_table(AUDIT_COLUMNS, rows)
+    if value["before"]:
+        text += f"\nmore: --before {cell(value['before'])}"
+    return View(value, text)
+
+
+def _shortened(subject: str) -> str:
+    return subject if len(subject) <= 32 else subject[:29] + "..."
+
+
+def status_view(value: dict[str, Any]) -> View:
+    """Show the state of the deployment, what needs attention first."""
+    keys, audit = value["keys"], value["audit"]
+    parts = [
+        f"at {format_time(value['time_unix_s'])}",
+        "problems",
+        table_of(value["problems"], ("subject", "message")),
+        "",
+        "documents",
+        table_of(value["documents"], ("name", "version")),
+        "",
+        "moves",
+        _moves_table(value["moves"]),
+        "",
+        f"keys: {keys['granted']} granted, {keys['withdrawn']} withdrawn",
+        f"audit: {audit['queued']} queued, {audit['lost']} lost",
+        "",
+        "fleet",
+        _fleet_text(value["fleet"]),
+    ]
+    return View(value, "\n".join(parts))
+
+
+def locate_view(value: dict[str, Any]) -> View:
+    """Show entry VMs, best first."""
+    table = table_of(value["vms"], ("vm", "address", "availability_zone"))
+    return View(value, f"{table}\nvalid for {cell(value['ttl_ms'])} ms")
--- /dev/null
+++ b/tests/ctl/test_ctl.py
@@ -0,0 +1,212 @@
+"""Test wagtailctl against a running administration API."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+from support.admin import TOKENS, AdminSite
+from support.documents import fleet, service
+from syrupy.assertion import SnapshotAssertion
+
+from wagtailbay.admin import keys
+from wagtailbay.ctl import run
+from wagtailbay.ctl.tables import cell, format_table
+from wagtailbay.transport import HttpServer, Reply, Request
+
+KEY_ID = "4f1a7f5f9d6e0b3d0c2f8a6b5e4d3c2b1a0f9e8d7c6b5a493827160504030201"
+
+
+class Terminal:
+    """Run commands and keep what they print, without what differs from run to run."""
+
+    def __init__(self, site: AdminSite, folder: Path) -> None:
+        self.site, self.folder, self.printed = site, folder, []
+        self.environ = {
+            "WAGTAILBAY_ADMIN_ADDRESS": site.address,
+            "WAGTAILBAY_TOKEN": TOKENS["ana"],
+        }
+
+    def write(self, name: str, document: Any) -> str:
+        """Write a document file and return its path."""
+        text = document if isinstance(document, str) else json.dumps(document)
+        (self.folder / name).write_text(text)
+        return name
+
+    async def run(self, *argv: str) -> int:
+        """Run a command and return its exit status."""
+        out: list[str] = []
+        status = await run(
+            argv, self.environ, out.append, lambda text: out.append(f"stderr: {text}")
+        )
+        # Audit records take versions of the store too; they are written before the next command.
+        await self.site.writer.flush()
+        text = "\n".join(out)
+        text = re.sub(r"127\.0\.0\.1:\d+", "127.0.0.1:PORT", text)
+        text = re.sub(r"\b[0-9a-f]{16}\b", "RANDOM", text)
+        self.printed.append(f"$ wagtailctl {' '.join(argv)}\n{text}\n[{status}]")
+        return status
+
+    @property
+    def session(self) -> str:
+        """Return the whole session."""
+        return "\n".join(self.printed)
+
+
+@pytest.fixture
+async def terminal(nursery, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Terminal:
+    """Return a terminal on a site with two VMs."""
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setattr(keys, "new_key", lambda: "the-new-key")
+    monkeypatch.setattr(keys, "hash_key", lambda key: KEY_ID)
+    return Terminal(await AdminSite().start(nursery, vms=2), tmp_path)
+
+
+async def submit_all(terminal: Terminal) -> tuple[str, str]:
+    """Apply a fleet and a service document; returns their files."""
+    files = terminal.write("records.json", service()), terminal.write("fleet.json", fleet())
+    for path in reversed(files):
+        assert await terminal.run("apply", path, "--reason", "first") == 0
+    return files
+
+
+class TestDocuments:
+    """Documents are checked, applied, compared and read."""
+
+    async def test_session(self, terminal: Terminal, snapshot: SnapshotAssertion) -> None:
+        """Guards against changed output or exit statuses that scripts rely on."""
+        records, _ = await submit_all(terminal)
+        assert await terminal.run("get") == 0
+        assert await terminal.run("diff", records) == 0
+        changed = terminal.write("records.json", service(owner="other"))
+        assert await terminal.run("diff", changed) == 1
+        assert await terminal.run("validate", changed) == 0
+        stale = ("apply", changed, "--reason", "late", "--expected-version", "1")
+        assert await terminal.run(*stale) == 3
+        bad = terminal.write("bad.json", service(colour="red", owner=3))
+        assert await terminal.run("apply", bad, "--reason", "bad") == 1
+        assert await terminal.run("validate", "--offline", bad) == 1
+        assert await terminal.run("get", "missing") == 1
+        assert await terminal.run("--output", "json", "get") == 0
+        version = str(terminal.site.store.version("documents/records"))
+        delete = ("delete", "records", "--reason", "x", "--expected-version", version)
+        assert await terminal.run(*delete) == 0
+        assert await terminal.run("audit") == 0
+        assert await terminal.run("--output", "json", "audit", "--limit", "1") == 0
+        assert terminal.session == snapshot
+
+    @pytest.mark.parametrize("text", ["x = 1\nservice = 2024-01-01", "service = nan", "x = ["])
+    async def test_values_json_cannot_carry(self, terminal: Terminal, text: str) -> None:
+        """Guards against a traceback for TOML values that JSON has not."""
+        path = terminal.write("odd.toml", text)
+        assert await terminal.run("apply", path, "--reason", "x") in (1, 2)
+        assert "stderr: wagtailctl: odd.toml" in terminal.session
+
+    async def test_offline_checks_references(self, terminal: Terminal) -> None:
+        """Guards against a pair of files that only the running system would refuse."""
+        small = fleet(availability_zones=fleet()["availability_zones"][:1], links=[])
+        files = terminal.write("s.json", service()), terminal.write("f.json", small)
+        assert await terminal.run("validate", "--offline", *files) == 1
+        assert "'b1' does not exist" in terminal.session
+
+
+class TestKeys:
+    """Keys are granted, shown once and withdrawn."""
+
+    async def test_session(self, terminal: Terminal, snapshot: SnapshotAssertion) -> None:
+        """Guards against a withdrawal whose exit status hides that it is pending."""
+        await submit_all(terminal)
+        assert await terminal.run("keys", "grant", "unam", "--reason", "new team") == 0
+        assert await terminal.run("keys") == 0
+        terminal.site.statuses["vm-1"]["revision"] = 1
+        assert await terminal.run("keys", "withdraw", KEY_ID, "--reason", "leaked") == 6
+        terminal.site.statuses["vm-1"]["revision"] = 100
+        assert await terminal.run("keys", "withdraw", KEY_ID, "--show") == 6
+        terminal.site.store.objects["documents/fleet"].value["max_vms"] = 3
+        assert await terminal.run("keys", "withdraw", KEY_ID, "--show") == 0
+        assert await terminal.run("keys", "withdraw", "wrong", "--reason", "x") == 1
+        assert await terminal.run("keys", "withdraw", KEY_ID) == 2
+        assert terminal.session == snapshot
+
+
+class TestViews:
+    """The state is readable by people and as JSON."""
+
+    async def test_session(self, terminal: Terminal, snapshot: SnapshotAssertion) -> None:
+        """Guards against a status that hides what needs attention."""
+        await submit_all(terminal)
+        move = {"state": "rolled_back", "reason": "slower than v1", "share_ppm": 0}
+        await terminal.site.store.put("moves/records", move, 0)
+        terminal.site.statuses["vm-1"]["revision"] = 1
+        for command in ("status", "moves", "fleet"):
+            assert await terminal.run(command) == 0
+        assert await terminal.run("--output", "json", "fleet") == 0
+        assert terminal.session == snapshot
+
+    async def test_watch_repeats(self, terminal: Terminal, autojump_clock) -> None:
+        """Guards against a watch that ends at the first failure."""
+        await submit_all(terminal)
+        printed: list[str] = []
+        with trio.move_on_after(5):
+            argv = ("status", "--watch", "--interval-ms", "2000")
+            await run(argv, terminal.environ, printed.append, printed.append)
+        assert len(printed) == 3
+
+    async def test_locate(self, terminal: Terminal, nursery) -> None:
+        """Guards against a locate command that needs the administration API."""
+        seen = []
+
+        async def handle(request: Request, reply: Reply) -> None:
+            seen.append(request.path)
+            vm = {"vm": "vm-1", "address": "10.0.0.1:80", "availability_zone": "a1"}
+            await reply.send_json(200, {"vms": [vm], "ttl_ms": 10_000})
+
+        _, port = await nursery.start(HttpServer(handle).serve, ("127.0.0.1", 0))
+        terminal.environ = {"WAGTAILBAY_ENTRY_ADDRESS": f"127.0.0.1:{port}"}
+        assert await terminal.run("locate", "--client", "a b", "--availability-zone", "a1") == 0
+        assert seen == ["/-/locate?client=a+b&availability_zone=a1"]
+        assert "valid for 10000 ms" in terminal.session
+
+
+class TestFailures:
+    """Every failure is one line with its exit status."""
+
+    async def test_statuses(self, terminal: Terminal) -> None:
+        """Guards against failures that scripts cannot tell apart."""
+        terminal.site.store.down = True
+        assert await terminal.run("status") == 4
+        terminal.environ["WAGTAILBAY_TOKEN"] = "wrong"
+        assert await terminal.run("status") == 5
+        terminal.environ["WAGTAILBAY_TOKEN"] = "line\nfeed"
+        assert await terminal.run("status") == 2
+        del terminal.environ["WAGTAILBAY_TOKEN"]
+        assert await terminal.run("status") == 2
+        terminal.environ |= {"WAGTAILBAY_TOKEN": "x", "WAGTAILBAY_ADMIN_ADDRESS": "127.0.0.1:1"}
+        assert await terminal.run("status") == 4
+        assert all(len(text.splitlines()) == 3 for text in terminal.printed)
+
+    @pytest.mark.parametrize(
+        ("argv", "environ"),
+        [
+            (["bogus"], {}),
+            (["apply", "f"], {}),
+            (["--admin-address", "nowhere", "status"], {}),
+            (["--output", "xml", "status"], {}),
+            (["status"], {"WAGTAILBAY_OUTPUT": "xml"}),
+            (["status"], {"WAGTAILBAY_TIMEOUT_MS": "soon"}),
+            (["audit"], {"WAGTAILBAY_LIMIT": "0"}),
+        ],
+    )
+    async def test_usage_error(self, argv: list[str], environ: dict[str, str], capsys) -> None:
+        """Guards against a bad flag or variable that is ignored."""
+        with pytest.raises(SystemExit) as raised:
+            await run(argv, environ)
+        assert raised.value.code == 2
+        assert "error: " in capsys.readouterr().err.splitlines()[-1]
+
+    def test_control_characters_are_not_printed(self) -> None:
+        """Guards against stored text that changes what a terminal shows."""
+        assert cell("a\x1b[2Jb\nc") == "a?[2Jb?c"
+        assert format_table(("x",), []) == "(none)"
--- a/tests/support/admin.py
+++ b/tests/support/admin.py
@@ -26,6 +26,12 @@
     statuses: dict[str, dict[str, Any]] = field(factory=dict)
     handler: AdminHandler | None = None
     writer: AuditWriter | None = None
+    time_unix_s: float = NOW_UNIX_S
+
+    def _unix_time_s(self) -> float:
+        """Return a later time at each call, so that audit records keep their order."""
+        self.time_unix_s += 1
+        return self.time_unix_s
 
     async def start(self, nursery: trio.Nursery, vms: int = 0) -> "AdminSite":
         """Start the server and some entry VMs that have applied everything."""
@@ -37,7 +43,7 @@
             digests,
             {},
             trio.current_time,
-            lambda: NOW_UNIX_S,
+            self._unix_time_s,
             status_timeout_ms=500,
             withdrawal_wait_ms=0,
         )
