Test settings, log lines and status; keep log lines parseable

A log field name with a space, or a value that JSON cannot carry, broke the line or raised from the logging call. Names are now reduced to plain characters and such values are written as Python shows them.

--- a/src/wagtailbay/logs/lines.py
+++ b/src/wagtailbay/logs/lines.py
@@ -5,21 +5,38 @@
 from collections.abc import Mapping
 from typing import Any
 
+JSON_TYPES = (bool, int, float, type(None), list, tuple, dict)
+OTHER_THAN_KEY = re.compile(r"[^A-Za-z0-9_.\-]")
 BARE_VALUE = re.compile(r"[A-Za-z0-9_.:/+\-]+")
 PAIR = re.compile(r'([A-Za-z0-9_.\-]+)=("(?:[^"\\]|\\.)*"|[A-Za-z0-9_.:/+\-]+)(?: |$)')
 
 
 def format_line(values: Mapping[str, Any]) -> str:
     """Format values as one line; a value with other than plain characters is quoted as JSON."""
-    return " ".join(f"{key}={format_value(value)}" for key, value in values.items())
+    return " ".join(f"{format_key(key)}={format_value(value)}" for key, value in values.items())
+
+
+def format_key(key: Any) -> str:
+    """Format a key; characters that would break the line become underscores."""
+    return OTHER_THAN_KEY.sub("_", str(key)) or "_"
 
 
 def format_value(value: Any) -> str:
     """Format one value."""
-    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    text = value if isinstance(value, str) else encode_value(value)
     return text if BARE_VALUE.fullmatch(text) else json.dumps(text)
 
 
+def encode_value(value: Any) -> str:
+    """Encode a value as JSON, or as Python shows it where JSON has no form for it."""
+    if not isinstance(value, JSON_TYPES):
+        return str(value)
+    try:
+        return json.dumps(value, default=str)
+    except (TypeError, ValueError, RecursionError):
+        return repr(value)
+
+
 def parse_line(line: str) -> dict[str, str]:
     """Parse a line that format_line wrote.
 
--- a/src/wagtailbay/programs/admin.py
+++ b/src/wagtailbay/programs/admin.py
@@ -39,7 +39,7 @@
     )
     entry_addresses: dict[str, str] = setting(
         help_text="vm=<address>, separated by commas, for VMs that the platform's list lacks",
-        default="",
+        default={},
         parse=parse_named_addresses,
     )
     store_timeout_ms: int = setting(
@@ -73,7 +73,7 @@
         store,
         writer,
         settings.admin_tokens,
-        settings.entry_addresses or {},
+        settings.entry_addresses,
         boottime_s,
         unix_time_s,
         settings.status_timeout_ms,
--- /dev/null
+++ b/tests/logs/test_lines.py
@@ -0,0 +1,56 @@
+"""Test log lines."""
+
+import io
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wagtailbay.logs import format_line, log_event, parse_line, start_logging
+
+KEYS = st.from_regex(r"[A-Za-z0-9_.\-]{1,8}", fullmatch=True)
+PLAIN = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+VALUES = PLAIN | st.lists(PLAIN, max_size=3) | st.dictionaries(st.text(), PLAIN, max_size=3)
+
+
+class TestLines:
+    """A formatted line always parses back."""
+
+    @given(st.dictionaries(KEYS, VALUES, max_size=6))
+    def test_values_parse_back(self, values: dict) -> None:
+        """Guards against a value that splits its line or loses characters."""
+        line = format_line(values)
+        expected = {k: v if isinstance(v, str) else json.dumps(v) for k, v in values.items()}
+        assert len(line.splitlines()) <= 1
+        assert parse_line(line) == expected
+
+    @given(st.dictionaries(st.text(), st.binary() | st.text(), min_size=1, max_size=3))
+    def test_any_key_parses_back(self, values: dict) -> None:
+        """Guards against a field name from outside that makes a line unreadable."""
+        assert set(parse_line(format_line(values)).values()) <= {str(v) for v in values.values()}
+
+    def test_values_without_json_form(self) -> None:
+        """Guards against an exception from logging itself."""
+        circular: list = []
+        circular.append(circular)
+        parsed = parse_line(format_line({"a": {(1, 2): 3}, "b": circular, "c": {1, 2}}))
+        assert set(parsed) == {"a", "b", "c"}
+
+
+class TestStartLogging:
+    """Events reach the stream as lines."""
+
+    def test_event_is_one_line(self) -> None:
+        """Guards against fields of the logging library in the lines."""
+        stream = io.StringIO()
+        start_logging(stream, "program", "vm-1")
+        log_event("started", reason="a b\n", count=2)
+        fields = parse_line(stream.getvalue().rstrip("\n"))
+        assert float(fields.pop("time")) > 0
+        assert fields == {
+            "event": "started",
+            "program": "program",
+            "vm": "vm-1",
+            "reason": "a b\n",
+            "count": "2",
+        }
--- /dev/null
+++ b/tests/settings/test_settings.py
@@ -0,0 +1,81 @@
+"""Test the loading of settings."""
+
+from contextlib import suppress
+
+import pytest
+from attrs import frozen
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from wagtailbay.programs.admin import AdminSettings
+from wagtailbay.programs.entry import EntrySettings
+from wagtailbay.settings import load_settings, setting
+from wagtailbay.settings.checks import (
+    at_least,
+    one_of,
+    parse_address,
+    parse_address_list,
+    parse_named_addresses,
+    parse_optional_address,
+    parse_pairs,
+)
+
+
+@frozen
+class Sample:
+    """Show a program's settings."""
+
+    address: str = setting(help_text="where", parse=parse_address)
+    count: int = setting(help_text="how many", default=1, parse=int, check=at_least(1))
+    mode: str = setting(help_text="which", default="a", check=one_of("a", "b"))
+
+
+class TestLoadSettings:
+    """Flags go before variables, and all faults come together."""
+
+    def test_flag_goes_before_variable(self) -> None:
+        """Guards against a variable that overrides the command line."""
+        environ = {"WAGTAILBAY_ADDRESS": "127.0.0.1:1", "WAGTAILBAY_COUNT": "5"}
+        loaded = load_settings("p", Sample, ["--address=127.0.0.2:2"], environ)
+        assert loaded == Ok(Sample(address="127.0.0.2:2", count=5))
+
+    def test_all_faults_come_together(self) -> None:
+        """Guards against a start that names one fault at a time."""
+        loaded = load_settings("p", Sample, ["--count=0", "--mode=c"], {})
+        assert [fault.name for fault in loaded.err_value] == ["--address", "--count", "--mode"]
+
+    @pytest.mark.parametrize("argv", [["--bogus"], ["--version"], ["--help"]])
+    def test_argparse_ends_the_program(self, argv: list[str], capsys) -> None:
+        """Guards against an unknown flag that is ignored."""
+        with pytest.raises(SystemExit) as raised:
+            load_settings("p", Sample, argv, {})
+        assert raised.value.code == (2 if argv == ["--bogus"] else 0)
+
+    @pytest.mark.parametrize("cls", [AdminSettings, EntrySettings])
+    def test_programs_report_missing_settings(self, cls: type) -> None:
+        """Guards against a program that starts without a required setting."""
+        assert isinstance(load_settings("p", cls, [], {}), Err)
+
+    def test_admin_settings(self) -> None:
+        """Guards against admin defaults that cannot be used."""
+        argv = ["--listen-address=127.0.0.1:1", "--platform-address=127.0.0.1:2"]
+        loaded = load_settings("p", AdminSettings, [*argv, f"--admin-tokens=ana={'0' * 64}"], {})
+        assert loaded.unwrap().entry_addresses == {}
+
+
+class TestChecks:
+    """Parsers raise only ValueError, which the loader reports."""
+
+    @given(st.text())
+    def test_any_text_is_parsed_or_refused(self, text: str) -> None:
+        """Guards against a setting that ends the program with a traceback."""
+        for parse in (
+            parse_address,
+            parse_address_list,
+            parse_named_addresses,
+            parse_optional_address,
+            parse_pairs,
+        ):
+            with suppress(ValueError):
+                parse(text)
--- /dev/null
+++ b/tests/status/test_build.py
@@ -0,0 +1,45 @@
+"""Test the status of an entry VM."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import frozen
+
+from wagtailbay.config import ConfigView, DocumentFault
+from wagtailbay.status import ConfigStatus, build_status
+
+
+@frozen
+class FixedSource:
+    """Tell fixed fields."""
+
+    fields: Mapping[str, Any]
+
+    def status(self, now_s: float) -> Mapping[str, Any]:
+        """Return the fields and the time."""
+        return {**self.fields, "now_s": now_s}
+
+
+class TestBuildStatus:
+    """Sections stand under their names, the VM's fields at the top."""
+
+    def test_sections_do_not_hide_the_vm(self) -> None:
+        """Guards against a section that replaces the VM's identity."""
+        sections = {"vm": FixedSource({}), "quarantine": FixedSource({"listed": 1})}
+        status = build_status(FixedSource({"vm": "vm-1", "revision": 3}), sections, 5.0)
+        assert status == {
+            "vm": "vm-1",
+            "revision": 3,
+            "now_s": 5.0,
+            "quarantine": {"listed": 1, "now_s": 5.0},
+        }
+
+    def test_config_section_names_faults(self) -> None:
+        """Guards against a VM that silently keeps an older document."""
+        fault = DocumentFault("owner", "is required")
+        view = ConfigView(versions={"documents/a": 4}, faults={"documents/a": (fault,)})
+        assert ConfigStatus(lambda: view).status(0.0) == {
+            "schema_versions": [1],
+            "versions": {"documents/a": 4},
+            "faults": {"documents/a": ["owner: is required"]},
+        }
