--- a/src/wagtailbay/metrics/const.py
+++ b/src/wagtailbay/metrics/const.py
@@ -6,5 +6,22 @@
 SCRAPE_PATH: Final = "/metrics"
 # Bounds around the users' deadlines, from a status lookup of a few ms to a 60 s list.
 LATENCY_BUCKETS_MS: Final = (
-    1, 2, 5, 10, 20, 35, 50, 75, 100, 150, 250, 500, 1_000, 2_500, 5_000, 10_000, 30_000, 60_000,
-)  # fmt: skip
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    20.0,
+    35.0,
+    50.0,
+    75.0,
+    100.0,
+    150.0,
+    250.0,
+    500.0,
+    1_000.0,
+    2_500.0,
+    5_000.0,
+    10_000.0,
+    30_000.0,
+    60_000.0,
+)
