Keep admin and store client alive on malformed input

An answer of the platform that was not JSON raised out of the store client and ended the process; it is now an unavailable store for reads and an unknown outcome for writes. HEAD requests ended the admin process, because Reply.send_json sends a body where HTTP allows none; admin and the scrape address answer them without one. Changes whose body cannot be read are now in the audit trail as refused.

--- a/src/wagtailbay/admin/build.py
+++ b/src/wagtailbay/admin/build.py
@@ -33,4 +33,5 @@
         keys=KeyDesk(store, auditor, fleet, withdrawal_wait_ms, clock),
         fleet=fleet,
         overview=Overview(store, fleet, writer, unix_clock),
+        auditor=auditor,
     )
--- a/src/wagtailbay/admin/const.py
+++ b/src/wagtailbay/admin/const.py
@@ -12,5 +12,6 @@
 DEFAULT_STATUS_TIMEOUT_MS: Final = 1_000
 # A withdrawal is in force everywhere within seconds; the answer waits this long for a quorum.
 DEFAULT_WITHDRAWAL_WAIT_MS: Final = 3_000
-WITHDRAWAL_POLL_S: Final = 0.25
+# Each poll asks every entry VM, so the pauses double.
+WITHDRAWAL_FIRST_POLL_S: Final = 0.2
 DEFAULT_AUDIT_LIMIT: Final = 50
--- a/src/wagtailbay/admin/documents.py
+++ b/src/wagtailbay/admin/documents.py
@@ -55,7 +55,7 @@
         expected = body["expected_version"]
         written = await self._submit(name, body["document"], expected)
         versions = (expected, written.ok() if isinstance(written, Ok) else None)
-        key = DOCUMENT_PREFIX + name
+        key = DOCUMENT_PREFIX + name[:64]
         self.auditor.note(call.operator, "document.submit", key, body["reason"], versions, written)
         return written.map(lambda version: Answer(200, {"name": name, "version": version}))
 
--- a/src/wagtailbay/admin/handler.py
+++ b/src/wagtailbay/admin/handler.py
@@ -5,6 +5,7 @@
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
+from wagtailbay.admin.auditing import Auditor
 from wagtailbay.admin.const import OPENAPI_PATH, READY_PATH
 from wagtailbay.admin.documents import DocumentDesk
 from wagtailbay.admin.fleet import FleetReader
@@ -14,6 +15,7 @@
 from wagtailbay.admin.tokens import TokenTable
 from wagtailbay.admin.wire import decode_body, decode_target, error_json, openapi
 from wagtailbay.config import DocumentFault
+from wagtailbay.logs import log_event
 from wagtailbay.transport import Reply, Request
 
 Operation = Callable[[Call], Awaitable[Outcome]]
@@ -26,6 +28,7 @@
     Attributes:
         schema: The schema of the request body in the OpenAPI document, None for no body.
         open: Whether no admin token is needed.
+        action: The name in the audit trail of a change, None for what changes nothing.
     """
 
     method: str
@@ -33,6 +36,7 @@
     operation: Operation
     schema: str | None = None
     open: bool = False
+    action: str | None = None
 
     def match(self, segments: tuple[str, ...]) -> dict[str, str] | None:
         """Return the path's parameters, or None if the path is another one."""
@@ -54,6 +58,7 @@
     keys: KeyDesk
     fleet: FleetReader
     overview: Overview
+    auditor: Auditor
     endpoints: tuple[Endpoint, ...] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -66,11 +71,17 @@
             Endpoint("POST", "/v1/validate", documents.validate, "ValidateRequest"),
             Endpoint("GET", "/v1/documents", documents.list),
             Endpoint("GET", "/v1/documents/{name}", documents.read),
-            Endpoint("PUT", "/v1/documents/{name}", documents.submit, "SubmitRequest"),
-            Endpoint("DELETE", "/v1/documents/{name}", documents.delete),
+            Endpoint(
+                "PUT",
+                "/v1/documents/{name}",
+                documents.submit,
+                "SubmitRequest",
+                action="document.submit",
+            ),
+            Endpoint("DELETE", "/v1/documents/{name}", documents.delete, action="document.delete"),
             Endpoint("GET", "/v1/keys", keys.list),
-            Endpoint("POST", "/v1/keys", keys.grant, "GrantRequest"),
-            Endpoint("POST", withdrawal, keys.withdraw, "WithdrawRequest"),
+            Endpoint("POST", "/v1/keys", keys.grant, "GrantRequest", action="key.grant"),
+            Endpoint("POST", withdrawal, keys.withdraw, "WithdrawRequest", action="key.withdraw"),
             Endpoint("GET", withdrawal, keys.show_withdrawal),
             Endpoint("GET", "/v1/moves", self.overview.moves),
             Endpoint("GET", "/v1/fleet", self.fleet.show),
@@ -80,6 +91,11 @@
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
+        if request.method == "HEAD":
+            # An answer to HEAD has no body, which Reply.send_json would send.
+            await reply.start(405, (("Allow", "GET, POST, PUT, DELETE"), ("Content-Length", "0")))
+            await reply.finish()
+            return
         match await self.answer(request):
             case Ok(Answer(status=status, value=value)):
                 await reply.send_json(status, value)
@@ -97,16 +113,28 @@
         if not endpoint.open:
             authenticated = self.tokens.operator(request.header("Authorization"))
             if isinstance(authenticated, Err):
+                if endpoint.action:
+                    log_event("operator_unknown", action=endpoint.action, path=request.path[:200])
                 return authenticated
             operator = authenticated.ok_value
         body = None
         if endpoint.schema is not None:
             decoded = decode_body(request.body, endpoint.schema)
             if isinstance(decoded, Err):
+                self._note_malformed(operator, endpoint, segments, decoded)
                 return decoded
             body = decoded.ok_value
         return await endpoint.operation(Call(operator, parameters, query, body))
 
+    def _note_malformed(
+        self, operator: str, endpoint: Endpoint, segments: tuple[str, ...], refused: Outcome
+    ) -> None:
+        """Record a change whose body could not be read; others are recorded where decided."""
+        if endpoint.action:
+            path = "/" + "/".join(segments)
+            subject, versions = path[:200], (None, None)
+            self.auditor.note(operator, endpoint.action, subject, "", versions, refused)
+
     def _find(
         self, method: str, segments: tuple[str, ...]
     ) -> Result[tuple[Endpoint, Mapping[str, str]], AdminError]:
--- a/src/wagtailbay/admin/keys.py
+++ b/src/wagtailbay/admin/keys.py
@@ -11,7 +11,7 @@
 from wagtailbay.access import hash_key, new_key
 from wagtailbay.access.const import KEY_PREFIX
 from wagtailbay.admin.auditing import Auditor
-from wagtailbay.admin.const import MAX_WRITE_TRIES, WITHDRAWAL_POLL_S
+from wagtailbay.admin.const import MAX_WRITE_TRIES, WITHDRAWAL_FIRST_POLL_S
 from wagtailbay.admin.fleet import FleetReader, FleetView, VmReport
 from wagtailbay.admin.models import (
     AdminError,
@@ -126,13 +126,15 @@
     async def _await_quorum(self, key_id: str, version: int) -> Outcome:
         """Answer as soon as a quorum has applied the version, at the latest after the wait."""
         deadline_s = self.clock() + self.withdrawal_wait_ms / 1000
+        poll_s = WITHDRAWAL_FIRST_POLL_S
         while True:
             view = await self.fleet.read()
             found = view.ok_value if isinstance(view, Ok) else FleetView(None, ())
             value = withdrawal_json(key_id, version, found)
             if value["state"] == "in_force" or self.clock() >= deadline_s:
                 return Ok(Answer(200, value))
-            await trio.sleep(WITHDRAWAL_POLL_S)
+            await trio.sleep(poll_s)
+            poll_s *= 2
 
 
 def key_json(stored: StoredObject) -> dict[str, Any]:
--- a/src/wagtailbay/metrics/exporter.py
+++ b/src/wagtailbay/metrics/exporter.py
@@ -27,8 +27,10 @@
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request to the scrape address."""
-        if request.path.partition("?")[0] != SCRAPE_PATH:
-            await reply.send_json(404, {"error": {"code": "path_unknown", "message": SCRAPE_PATH}})
+        if request.method != "GET" or request.path.partition("?")[0] != SCRAPE_PATH:
+            # Without a body, since the answer to HEAD may have none.
+            await reply.start(404, (("Content-Length", "0"),))
+            await reply.finish()
             return
         content_type = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
         await reply.send_whole(200, (content_type,), self.text())
--- a/src/wagtailbay/platform/client.py
+++ b/src/wagtailbay/platform/client.py
@@ -1,8 +1,8 @@
 """Call the platform's object API over HTTP."""
 
 import json
-from collections.abc import Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
 
 from attrs import frozen
@@ -21,6 +21,10 @@
 from wagtailbay.platform.wire import decode_listing, decode_object, decode_vms
 from wagtailbay.transport import Request, Response, TransportError, fetch
 
+T = TypeVar("T")
+# What decoding raises for a body that is not JSON or lacks a field.
+MALFORMED: Final = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
+
 
 @frozen
 class HttpObjectStore:
@@ -50,12 +54,14 @@
     async def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
         """Read one object; None if it does not exist."""
         answer = await self._read(f"/v1/objects/{quote(key)}")
-        return answer.map(lambda r: decode_object(r.body) if r.status == 200 else None)
+        if isinstance(answer, Ok) and answer.ok_value.status == 404:
+            return Ok(None)
+        return _decoded(answer, decode_object)
 
     async def list(self, prefixes: Sequence[str]) -> Result[Listing, StoreUnavailable]:
         """Read all objects whose keys start with one of the prefixes."""
         answer = await self._read(f"/v1/objects?{urlencode({'prefix': ','.join(prefixes)})}")
-        return answer.map(lambda r: decode_listing(r.body))
+        return _decoded(answer, decode_listing)
 
     async def watch(
         self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
@@ -63,12 +69,12 @@
         """Wait for changes after a revision; the listing is empty when the time runs out."""
         query = {"prefix": ",".join(prefixes), "since": since_revision, "timeout_ms": timeout_ms}
         answer = await self._read(f"/v1/watch?{urlencode(query)}", timeout_ms + WATCH_MARGIN_MS)
-        return answer.map(lambda r: decode_listing(r.body))
+        return _decoded(answer, decode_listing)
 
     async def vms(self) -> Result[VmList, StoreUnavailable]:
         """Read the platform's list of live and leaving VMs."""
         answer = await self._read("/v1/vms")
-        return answer.map(lambda r: decode_vms(r.body))
+        return _decoded(answer, decode_vms)
 
     async def put(
         self, key: str, value: Any, expected_version: int | None
@@ -85,10 +91,8 @@
     ) -> Result[int, StoreError]:
         query = "" if expected_version is None else f"?expected_version={expected_version}"
         match await self._call(method, f"/v1/objects/{quote(key)}{query}", body):
-            case Ok(response) if response.status == 200:
-                return Ok(json.loads(response.body)["version"])
-            case Ok(response) if response.status == 409:
-                return Err(VersionConflict(key, json.loads(response.body)["version"]))
+            case Ok(response) if response.status in (200, 409):
+                return _written(key, response)
             case Ok(response) if response.status == 503:
                 return Err(StoreUnavailable("the platform refused the write"))
             case Ok(response):
@@ -97,3 +101,24 @@
                 return Err(StoreUnavailable(str(error)))
             case Err(error):
                 return Err(OutcomeUnknown(key, str(error)))
+
+
+def _decoded(
+    answer: Result[Response, StoreUnavailable], decode: Callable[[bytes], T]
+) -> Result[T, StoreUnavailable]:
+    """Decode an answer; one that is not of the API's form counts as no answer."""
+    if isinstance(answer, Err):
+        return answer
+    try:
+        return Ok(decode(answer.ok_value.body))
+    except MALFORMED as error:
+        return Err(StoreUnavailable(f"malformed answer: {type(error).__name__}: {error}"))
+
+
+def _written(key: str, response: Response) -> Result[int, StoreError]:
+    """Decode the answer to a write, which took effect with 200 and did not with 409."""
+    try:
+        version = int(json.loads(response.body)["version"])
+    except MALFORMED as error:
+        return Err(OutcomeUnknown(key, f"malformed answer: {type(error).__name__}: {error}"))
+    return Ok(version) if response.status == 200 else Err(VersionConflict(key, version))
--- a/tests/admin/test_admin_units.py
+++ b/tests/admin/test_admin_units.py
@@ -18,7 +18,7 @@
 from wagtailbay.admin.writes import write_object
 from wagtailbay.audit import AuditWriter
 from wagtailbay.platform import VmRecord
-from wagtailbay.transport import Request
+from wagtailbay.transport import Request, fetch
 
 PATH_TEXT = st.text(string.ascii_letters + "/%{}.?=&0123456789[]#:@", max_size=30)
 
@@ -106,6 +106,22 @@
         site = await AdminSite().start(nursery)
         assert (await site.call("PATCH", "/v1/documents"))[0] == 405
 
+    async def test_head_is_answered_without_a_body(self, nursery) -> None:
+        """Guards against a body in the answer to HEAD, which ends the server's task."""
+        site = await AdminSite().start(nursery)
+        head = (await fetch(site.address, Request("HEAD", "/v1/status"), 5_000)).unwrap()
+        assert (head.status, head.body) == (405, b"")
+        assert (await site.call("GET", "/-/ready"))[0] == 200
+
+    async def test_malformed_change_is_recorded(self, nursery) -> None:
+        """Guards against refused changes that leave no audit record."""
+        site = await AdminSite().start(nursery)
+        assert (await site.call("PUT", "/v1/documents/records", {"reason": "x"}))[0] == 422
+        records = await site.audit()
+        assert [(r["who"], r["outcome"], r["subject"]) for r in records] == [
+            ("ana", "refused", "/v1/documents/records")
+        ]
+
     async def test_max_vms_below_the_fleet_is_refused(self, nursery) -> None:
         """Guards against a quorum of which two need not share a VM."""
         site = await AdminSite().start(nursery)
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,33 @@
+"""Test the client of the object API against malformed answers."""
+
+import pytest
+from result import Err
+
+from wagtailbay.platform import HttpObjectStore, OutcomeUnknown, StoreUnavailable
+from wagtailbay.transport import HttpServer, Reply, Request
+
+
+class TestMalformedAnswers:
+    """An answer that is not of the API's form is an error value."""
+
+    @pytest.mark.parametrize(
+        "body", [b"", b"<html>", b"[]", b"3", b'{"revision": 1}', b"[" * 99_999]
+    )
+    async def test_answer_is_refused(self, nursery, body: bytes) -> None:
+        """Guards against an answer of the platform that ends the process."""
+
+        async def handle(request: Request, reply: Reply) -> None:
+            await reply.send_whole(200, (), body)
+
+        _, port = await nursery.start(HttpServer(handle).serve, ("127.0.0.1", 0))
+        store = HttpObjectStore(f"127.0.0.1:{port}")
+        reads = [
+            await store.get("k"),
+            await store.list(["k"]),
+            await store.watch(["k"], 0, 10),
+            await store.vms(),
+        ]
+        assert all(isinstance(read.err_value, StoreUnavailable) for read in reads)
+        for write in (await store.put("k", 1, 0), await store.delete("k", 1)):
+            assert isinstance(write, Err)
+            assert isinstance(write.err_value, OutcomeUnknown)
