Make property tests repeatable and close two gaps in the tests

Property tests ran with new random examples each time; they now derive them from the test itself and keep no database. The watch test no longer lets a simulated clock run beside real sockets.

--- a/tests/admin/test_admin_units.py
+++ b/tests/admin/test_admin_units.py
@@ -4,11 +4,12 @@
 
 import pytest
 import trio
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
 from support.admin import NOW_UNIX_S, AdminSite
 from support.documents import fleet, service
+from support.properties import PROPERTY
 from support.store import FakeObjectStore
 
 from wagtailbay.admin import build_handler, parse_token_digests
@@ -80,7 +81,7 @@
 class TestHandler:
     """Any input gets an answer."""
 
-    @settings(max_examples=150, deadline=None)
+    @PROPERTY
     @given(
         st.sampled_from(["GET", "PUT", "POST", "DELETE", "PATCH"]),
         st.sampled_from(
@@ -136,6 +137,30 @@
         assert (status, value["error"]["faults"][0]["path"]) == (422, "(fleet)")
 
 
+class TestWithdrawal:
+    """A withdrawal waits for its quorum."""
+
+    async def test_quorum_within_the_wait_is_in_force(self, nursery) -> None:
+        """Guards against an answer of pending where the VMs follow within moments."""
+        site = await AdminSite(withdrawal_wait_ms=10_000).start(nursery, vms=3)
+        await site.submit("fleet", fleet())
+        await site.submit("records", service())
+        _, key = await site.call("POST", "/v1/keys", {"workspace": "unam", "reason": "r"})
+        for status in site.statuses.values():
+            status["revision"] = 1
+
+        async def catch_up() -> None:
+            while not site.store.objects[f"keys/{key['key_id']}"].value["withdrawn"]:
+                await trio.sleep(0.01)
+            for status in site.statuses.values():
+                status["revision"] = 1_000
+
+        nursery.start_soon(catch_up)
+        path = f"/v1/keys/{key['key_id']}/withdrawal"
+        _, answer = await site.call("POST", path, {"reason": "r"})
+        assert (answer["state"], answer["confirmed"], answer["lacking"]) == ("in_force", 3, [])
+
+
 class TestProblems:
     """Status names what needs attention."""
 
--- a/tests/audit/test_audit.py
+++ b/tests/audit/test_audit.py
@@ -78,6 +78,18 @@
                 break
         assert seen == list(range(25))
 
+    async def test_page_after_empty_days_misses_nothing(self) -> None:
+        """Guards against a search that skips the day where the page before ended."""
+        store = FakeObjectStore()
+        for number, days in enumerate((0, 31, 62)):
+            await AuditWriter(store)._write(record(number, NOON_UNIX_S - days * 86_400))
+        seen, before = [], None
+        for _ in range(3):
+            page = (await AuditReader(store).read(4, before, NOON_UNIX_S)).unwrap()
+            seen.append([int(found.record_id) for found in page.records])
+            before = page.before
+        assert seen == [[0], [1], [2]]
+
     async def test_bad_position_is_refused(self) -> None:
         """Guards against a mistyped position that raises."""
         answer = await AuditReader(FakeObjectStore()).read(4, "yesterday", NOON_UNIX_S)
--- a/tests/config/test_documents.py
+++ b/tests/config/test_documents.py
@@ -4,10 +4,11 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
 from support.documents import fleet, service
+from support.properties import PROPERTY
 
 from wagtailbay.config import (
     ConfigView,
@@ -96,7 +97,7 @@
         del document["owner"]
         assert set(faults_of(document)) == {"owner", "targets[0].slots", "targets[0].weight"}
 
-    @settings(max_examples=60, deadline=None)
+    @PROPERTY
     @given(
         st.recursive(
             st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -145,14 +145,22 @@
         assert await terminal.run("--output", "json", "fleet") == 0
         assert terminal.session == snapshot
 
-    async def test_watch_repeats(self, terminal: Terminal, autojump_clock) -> None:
+    async def test_watch_repeats(self, terminal: Terminal) -> None:
         """Guards against a watch that ends at the first failure."""
-        await submit_all(terminal)
         printed: list[str] = []
-        with trio.move_on_after(5):
-            argv = ("status", "--watch", "--interval-ms", "2000")
-            await run(argv, terminal.environ, printed.append, printed.append)
-        assert len(printed) == 3
+        terminal.site.store.down = True
+        with trio.fail_after(20), trio.CancelScope() as scope:
+
+            def write(text: str) -> None:
+                printed.append(text)
+                terminal.site.store.down = False
+                if len(printed) == 3:
+                    scope.cancel()
+
+            argv = ("status", "--watch", "--interval-ms", "1")
+            await run(argv, terminal.environ, write, write)
+        assert "store_unavailable" in printed[0]
+        assert "problems" in printed[2]
 
     async def test_locate(self, terminal: Terminal, nursery) -> None:
         """Guards against a locate command that needs the administration API."""
--- a/tests/logs/test_lines.py
+++ b/tests/logs/test_lines.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from support.properties import PROPERTY
 
 from wagtailbay.logs import format_line, log_event, parse_line, start_logging
 
@@ -16,6 +17,7 @@
 class TestLines:
     """A formatted line always parses back."""
 
+    @PROPERTY
     @given(st.dictionaries(KEYS, VALUES, max_size=6))
     def test_values_parse_back(self, values: dict) -> None:
         """Guards against a value that splits its line or loses characters."""
@@ -24,6 +26,7 @@
         assert len(line.splitlines()) <= 1
         assert parse_line(line) == expected
 
+    @PROPERTY
     @given(st.dictionaries(st.text(), st.binary() | st.text(), min_size=1, max_size=3))
     def test_any_key_parses_back(self, values: dict) -> None:
         """Guards against a field name from outside that makes a line unreadable."""
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
+from support.properties import PROPERTY
 
 from wagtailbay.programs.admin import AdminSettings
 from wagtailbay.programs.entry import EntrySettings
@@ -67,6 +68,7 @@
 class TestChecks:
     """Parsers raise only ValueError, which the loader reports."""
 
+    @PROPERTY
     @given(st.text())
     def test_any_text_is_parsed_or_refused(self, text: str) -> None:
         """Guards against a setting that ends the program with a traceback."""
--- a/tests/support/admin.py
+++ b/tests/support/admin.py
@@ -27,6 +27,7 @@
     handler: AdminHandler | None = None
     writer: AuditWriter | None = None
     time_unix_s: float = NOW_UNIX_S
+    withdrawal_wait_ms: int = 0
 
     def _unix_time_s(self) -> float:
         """Return a later time at each call, so that audit records keep their order."""
@@ -45,7 +46,7 @@
             trio.current_time,
             self._unix_time_s,
             status_timeout_ms=500,
-            withdrawal_wait_ms=0,
+            withdrawal_wait_ms=self.withdrawal_wait_ms,
         )
         self.address = await self._serve(nursery, self.handler.handle)
         nursery.start_soon(self.writer.run)
