--- a/tests/admin/test_openapi.py
+++ b/tests/admin/test_openapi.py
@@ -37,7 +37,11 @@
         got, value = await self.site.call(method, path, body, who)
         assert got == status, (method, path, value)
         operation = self.openapi["paths"][template][method.lower()]
-        schema = operation["responses"][str(status)]["content"]["application/json"]["schema"]
+        response = operation["responses"][str(status)]
+        if "$ref" in response:
+            name = response["$ref"].removeprefix("#/components/responses/")
+            response = self.openapi["components"]["responses"][name]
+        schema = response["content"]["application/json"]["schema"]
         whole = {**schema, "components": self.openapi["components"]}
         Draft202012Validator(whole).validate(value)
         self.exercised.add((template, method.lower(), str(status)))
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -46,6 +46,10 @@
             for name, _, labels in rows
         }
         assert emitted(exporter) == documented
+        for name, unit, _ in rows:
+            suffix = name.removesuffix("_total").rpartition("_")[2]
+            assert unit == {"milliseconds": "ms", "ppm": "ppm"}.get(suffix, unit)
+            assert (unit in ("ms", "ppm")) == (suffix in ("milliseconds", "ppm"))
 
     def test_values(self) -> None:
         """Guards against instruments that count something else than they name."""
