--- /dev/null
+++ b/src/wagtailbay/entry/attempt.py
@@ -0,0 +1,129 @@
+"""Try one target."""
+
+from collections.abc import Callable
+
+import trio
+from attrs import define, field
+from result import Err, Ok, Result
+
+from wagtailbay.entry.const import CONNECT_TIMEOUT_MS, RUN_HEADER
+from wagtailbay.entry.models import AnswerCut, RequestContext, Try
+from wagtailbay.entry.wire import answer_headers, target_request
+from wagtailbay.refusals import not_run, outcome_unknown
+from wagtailbay.steer import Assignment, AttemptOutcome, AttemptReport
+from wagtailbay.transport import (
+    AnswerSink,
+    ClientConnection,
+    ConnectionPool,
+    FailureKind,
+    ResponseHead,
+    TransportError,
+)
+
+
+@define
+class Attempt:
+    """Send a request to one target and pass its answer on."""
+
+    pool: ConnectionPool
+    clock: Callable[[], float]
+    vm: str
+    context: RequestContext
+    assignment: Assignment
+    sink: AnswerSink
+    started_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Note the start."""
+        self.started_s = self.clock()
+
+    async def run(self) -> Try:
+        """Try the target within the request's deadline."""
+        remaining_ms = self.context.remaining_ms(self.started_s)
+        connect_ms = max(1, min(CONNECT_TIMEOUT_MS, remaining_ms))
+        address = self.assignment.target.address
+        fresh = not self.context.route.idempotent
+        opened = await self.pool.acquire(address, connect_ms, fresh)
+        if isinstance(opened, Err):
+            refusal = not_run(502, "target_unreachable", "the target cannot be reached")
+            report = self.report(AttemptOutcome.CONNECT_FAILED)
+            return Try(Err(refusal), report, may_have_run=False)
+        connection = opened.ok_value
+        try:
+            with trio.move_on_after(self.context.remaining_ms(self.clock()) / 1000):
+                return await self._exchange(connection)
+            return self._late(connection)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self.pool.release(connection)
+
+    def _late(self, connection: ClientConnection) -> Try:
+        report = self.report(AttemptOutcome.TIMED_OUT)
+        if self.sink.started:
+            cut = AnswerCut("the deadline passed while the answer was sent")
+            return Try(Err(cut), report, may_have_run=True)
+        refuse = outcome_unknown if connection.request_sent else not_run
+        refusal = refuse(504, "deadline", "no answer before the deadline")
+        return Try(Err(refusal), report, may_have_run=connection.request_sent)
+
+    async def _exchange(self, connection: ClientConnection) -> Try:
+        request = target_request(self.context, self.clock())
+        sent: Result[ResponseHead, TransportError] | None = None
+        with trio.move_on_after(self.context.route.idle_timeout_ms / 1000):
+            sent = await connection.send(request)
+        if sent is None:
+            error = TransportError(FailureKind.TIMEOUT, "target idle", connection.request_sent)
+            return self._failed(error)
+        if isinstance(sent, Err):
+            return self._failed(sent.err_value)
+        head = sent.ok_value
+        if head.status == 503 and head.header(RUN_HEADER) == "not-run":
+            await self._discard_body(connection)
+            refusal = not_run(503, "shed", "the target is overloaded", retry_after_ms=1_000)
+            return Try(Err(refusal), self.report(AttemptOutcome.SHED, 503), may_have_run=False)
+        return await self._stream(connection, head)
+
+    @staticmethod
+    async def _discard_body(connection: ClientConnection) -> None:
+        while isinstance(chunk := await connection.receive_chunk(), Ok):
+            if chunk.ok_value is None:
+                return
+
+    def _failed(self, error: TransportError) -> Try:
+        timed_out = error.kind is FailureKind.TIMEOUT
+        report = self.report(AttemptOutcome.TIMED_OUT if timed_out else AttemptOutcome.BROKEN)
+        if self.sink.started:
+            return Try(Err(AnswerCut(str(error))), report, may_have_run=True)
+        status, code = (504, "target_timeout") if timed_out else (502, "target_failed")
+        refuse = outcome_unknown if error.request_sent else not_run
+        refusal = refuse(status, code, f"the target gave no usable answer: {error.kind.value}")
+        ended = error.kind is FailureKind.CLOSED and error.request_sent and not error.answered
+        return Try(Err(refusal), report, error.request_sent, ended_unanswered=ended)
+
+    async def _stream(self, connection: ClientConnection, head: ResponseHead) -> Try:
+        """Pass the body on as it arrives; the head waits for the first part of the body."""
+        received_bytes = 0
+        while True:
+            chunk: Result[bytes | None, TransportError] | None = None
+            with trio.move_on_after(self.context.route.idle_timeout_ms / 1000):
+                chunk = await connection.receive_chunk()
+            if chunk is None:
+                return self._failed(TransportError(FailureKind.TIMEOUT, "target idle", True, True))
+            if isinstance(chunk, Err):
+                return self._failed(chunk.err_value)
+            if not self.sink.started:
+                headers = answer_headers(self.context, self.vm, self.assignment, head)
+                await self.sink.start(head.status, headers)
+            if chunk.ok_value is None:
+                await self.sink.finish()
+                report = self.report(AttemptOutcome.ANSWERED, head.status, received_bytes)
+                return Try(Ok(head.status), report, may_have_run=True)
+            received_bytes += len(chunk.ok_value)
+            await self.sink.send(chunk.ok_value)
+
+    def report(
+        self, outcome: AttemptOutcome, status: int | None = None, response_bytes: int = 0
+    ) -> AttemptReport:
+        """Build the report of this try."""
+        latency_ms = (self.clock() - self.started_s) * 1000
+        return AttemptReport(outcome, status, latency_ms, response_bytes)
--- a/src/wagtailbay/entry/const.py
+++ b/src/wagtailbay/entry/const.py
@@ -8,8 +8,31 @@
 MAX_DEADLINE_MS: Final = 600_000
 MAX_ATTEMPTS: Final = 3
 CONNECT_TIMEOUT_MS: Final = 1_000
-# Request fields that a target must not receive from a caller.
+# Request fields that a target must not receive from a caller; "_" in a name counts as "-",
+# because some targets do not tell the two apart.
 PRIVATE_REQUEST_HEADERS: Final = frozenset(
-    {"authorization", "wagtailbay-workspace", "wagtailbay-request-id", "request-timeout-ms"}
+    {
+        "authorization",
+        "proxy-authorization",
+        "request-timeout-ms",
+        "content-length",
+        "transfer-encoding",
+        "expect",
+    }
 )
+# Two values of these fields could be read differently here and at a target.
+SINGLE_REQUEST_HEADERS: Final = (
+    "authorization",
+    "idempotency-key",
+    "request-timeout-ms",
+)
+# Fields with this prefix are set by the entry VM only, in both directions.
+OWN_HEADER_PREFIX: Final = "wagtailbay-"
 RUN_HEADER: Final = "Wagtailbay-Run"
+REPLAY_HEADER: Final = "Wagtailbay-Replayed"
+# Shorter keys would be found in ordinary text by chance.
+MIN_SEARCHED_KEY: Final = 8
+RETRY_RATIO: Final = 0.1
+RETRY_CAPACITY: Final = 20.0
+# Lets a VM that has served nothing yet retry its first failures.
+RETRY_START_TOKENS: Final = 2.0
--- a/src/wagtailbay/entry/forward.py
+++ b/src/wagtailbay/entry/forward.py
@@ -1,36 +1,45 @@
-"""Send a request to a target and its answer back to the caller."""
+"""Send a request to targets until one answers, and its answer back to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
-from attrs import define, frozen
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
-from wagtailbay.entry.const import CONNECT_TIMEOUT_MS, MAX_ATTEMPTS, RUN_HEADER
-from wagtailbay.entry.models import RequestContext
-from wagtailbay.entry.wire import target_request
-from wagtailbay.refusals import Refusal, not_run, outcome_unknown
+from wagtailbay.entry.attempt import Attempt
+from wagtailbay.entry.const import MAX_ATTEMPTS
+from wagtailbay.entry.models import ForwardResult, RequestContext, Try
+from wagtailbay.entry.retry import RetryBudget
+from wagtailbay.entry.routing import split_target
+from wagtailbay.logs import log_event
+from wagtailbay.quarantine import CrashTable, SuspectLane, refuses_connections
+from wagtailbay.refusals import Refusal, RunState, not_run
 from wagtailbay.shift import VersionPicker
 from wagtailbay.steer import Assignment, AttemptOutcome, AttemptReport, Chooser, TargetQuery
-from wagtailbay.transport import (
-    ClientConnection,
-    ConnectionPool,
-    FailureKind,
-    Reply,
-    ResponseHead,
-    TransportError,
-)
-from wagtailbay.transport.wire import end_to_end_headers
+from wagtailbay.transport import AnswerSink, CallerGoneError, ConnectionPool
 
 
-@frozen
-class AnswerCut:
-    """Report an answer that broke off after its first byte had reached the caller."""
+@define
+class Progress:
+    """Hold what earlier tries of one request leave to know."""
 
-    message: str
+    version: str | None
+    attempt: int = 0
+    excluded: frozenset[str] = frozenset()
+    may_have_run: bool = False
+    last: Refusal | None = None
 
+    def note(self, tried: Try, target: str) -> None:
+        """Take in a try that ended without an answer."""
+        self.attempt += 1
+        self.excluded |= {target}
+        self.may_have_run = self.may_have_run or tried.may_have_run
+        if isinstance(tried.result, Err) and isinstance(tried.result.err_value, Refusal):
+            self.last = tried.result.err_value
 
-ForwardResult = Result[int, Refusal | AnswerCut]
+    def truthful(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that says "not run" only if no try may have run."""
+        return evolve(refusal, run=RunState.UNKNOWN) if self.may_have_run else refusal
 
 
 @define
@@ -40,44 +49,92 @@
     chooser: Chooser
     versions: VersionPicker
     pool: ConnectionPool
+    crashes: CrashTable
     clock: Callable[[], float]
     vm: str
+    retries: RetryBudget = field(factory=RetryBudget)
+    lane: SuspectLane = field(factory=SuspectLane)
+    has_ended: Callable[[str], Awaitable[bool]] = refuses_connections
 
-    async def forward(self, context: RequestContext, reply: Reply) -> ForwardResult:
+    async def forward(self, context: RequestContext, sink: AnswerSink) -> ForwardResult:
         """Forward a request and stream its answer; returns the status sent to the caller."""
-        version = self.versions.pick(context.service, context.route, self.clock()).version
-        excluded: frozenset[str] = frozenset()
-        last: Refusal = not_run(503, "no_target", "no target can take the request")
-        for attempt in range(MAX_ATTEMPTS):
-            query = TargetQuery(
-                context.service,
-                context.route,
-                context.workspace,
-                version,
-                excluded,
-                attempt,
-                context.deadline_s,
-            )
+        picked = self.versions.pick(context.service, context.route, self.clock())
+        progress = Progress(picked.version)
+        self.retries.earn()
+        while True:
+            result = await self._next_try(context, progress, sink)
+            if result is not None:
+                return result
+
+    async def _next_try(
+        self, context: RequestContext, progress: Progress, sink: AnswerSink
+    ) -> ForwardResult | None:
+        """Try once; None if the request may be tried again."""
+        now_s = self.clock()
+        suspect = self.crashes.is_suspect(context.fingerprint, now_s)
+        async with self.lane.enter(suspect, context.deadline_s - now_s):
+            blocked = self.blocked(context)
+            if isinstance(blocked, Err):
+                return Err(progress.truthful(blocked.err_value))
+            query = self._query(context, progress)
             chosen = await self.chooser.choose(query, self.clock())
             if isinstance(chosen, Err):
-                return Err(last if attempt else chosen.err_value)
+                return Err(progress.truthful(progress.last or chosen.err_value))
             assignment = chosen.ok_value
-            result, report = await self._attempt(context, assignment, reply)
-            self._record(context, query, assignment, report)
-            match result:
-                case Err(Refusal() as refusal) if self._may_retry(context, report, reply):
-                    last = refusal
-                    excluded |= {assignment.target.target}
-                case _:
-                    return result
-        return Err(last)
-
-    def _may_retry(self, context: RequestContext, report: AttemptReport, reply: Reply) -> bool:
-        if reply.started or self.clock() >= context.deadline_s:
-            return False
-        if report.outcome in (AttemptOutcome.SHED, AttemptOutcome.CONNECT_FAILED):
-            return True
-        return context.route.idempotent
+            tried = await self._try(context, query, assignment, sink)
+            if tried.ended_unanswered:
+                await self._check_crash(context, assignment)
+        progress.note(tried, assignment.target.target)
+        if not isinstance(tried.result, Err) or not isinstance(tried.result.err_value, Refusal):
+            return tried.result
+        if self._may_retry(context, progress, tried, sink):
+            return None
+        return Err(progress.truthful(tried.result.err_value))
+
+    def blocked(self, context: RequestContext) -> Result[None, Refusal]:
+        """Refuse what must not be sent any more; nothing is sent before the first call."""
+        now_s = self.clock()
+        if now_s >= context.deadline_s:
+            return Err(not_run(504, "deadline", "no answer before the deadline"))
+        return check_quarantine(self.crashes, context.fingerprint, now_s)
+
+    @staticmethod
+    def _query(context: RequestContext, progress: Progress) -> TargetQuery:
+        return TargetQuery(
+            context.service,
+            context.route,
+            context.workspace,
+            progress.version,
+            progress.excluded,
+            progress.attempt,
+            context.deadline_s,
+        )
+
+    async def _try(
+        self,
+        context: RequestContext,
+        query: TargetQuery,
+        assignment: Assignment,
+        sink: AnswerSink,
+    ) -> Try:
+        """Try a target and record the outcome, whatever happens."""
+        attempt = Attempt(self.pool, self.clock, self.vm, context, assignment, sink)
+        report: AttemptReport | None = None
+        try:
+            tried = await attempt.run()
+            report = tried.report
+        except (trio.Cancelled, CallerGoneError):
+            log_event(
+                "try_cancelled",
+                request_id=context.request_id,
+                target=assignment.target.target,
+                answer_started=sink.started,
+            )
+            raise
+        finally:
+            cancelled = attempt.report(AttemptOutcome.CANCELLED)
+            self._record(context, query, assignment, report or cancelled)
+        return tried
 
     def _record(
         self,
@@ -90,120 +147,33 @@
         self.chooser.finish(query, assignment, report, now_s)
         version = assignment.target.version
         self.versions.record(context.service, context.route, version, report, now_s)
+        if report.outcome is AttemptOutcome.ANSWERED:
+            self.crashes.record_answer(context.fingerprint, now_s)
+
+    async def _check_crash(self, context: RequestContext, assignment: Assignment) -> None:
+        if not await self.has_ended(assignment.target.address):
+            return
+        path, _ = split_target(context.request.path)
+        description = f"{context.workspace or '-'} {context.request.method} {path}"
+        target = assignment.target.target
+        self.crashes.record_crash(context.fingerprint, target, description, self.clock())
+        log_event("target_crashed", request_id=context.request_id, target=target)
+
+    def _may_retry(
+        self, context: RequestContext, progress: Progress, tried: Try, sink: AnswerSink
+    ) -> bool:
+        if sink.started or progress.attempt >= MAX_ATTEMPTS:
+            return False
+        if self.clock() >= context.deadline_s:
+            return False
+        if tried.may_have_run and not context.route.idempotent:
+            return False
+        return self.retries.take()
 
-    async def _attempt(
-        self, context: RequestContext, assignment: Assignment, reply: Reply
-    ) -> tuple[ForwardResult, AttemptReport]:
-        """Try one target; the report is complete whatever happens."""
-        started_s = self.clock()
-        remaining_ms = context.remaining_ms(started_s)
-        connect_ms = max(1, min(CONNECT_TIMEOUT_MS, remaining_ms))
-        opened = await self.pool.acquire(assignment.target.address, connect_ms)
-        if isinstance(opened, Err):
-            refusal = not_run(502, "target_unreachable", str(opened.err_value))
-            return Err(refusal), self._report(AttemptOutcome.CONNECT_FAILED, None, started_s)
-        connection = opened.ok_value
-        try:
-            with trio.move_on_after(context.remaining_ms(self.clock()) / 1000):
-                return await self._exchange(context, connection, assignment, reply, started_s)
-            return self._late(reply, started_s)
-        finally:
-            with trio.CancelScope(shield=True):
-                await self.pool.release(connection)
-
-    def _late(self, reply: Reply, started_s: float) -> tuple[ForwardResult, AttemptReport]:
-        report = self._report(AttemptOutcome.TIMED_OUT, None, started_s)
-        if reply.started:
-            return Err(AnswerCut("the deadline passed while the answer was sent")), report
-        return Err(outcome_unknown(504, "deadline", "no answer before the deadline")), report
-
-    async def _exchange(
-        self,
-        context: RequestContext,
-        connection: ClientConnection,
-        assignment: Assignment,
-        reply: Reply,
-        started_s: float,
-    ) -> tuple[ForwardResult, AttemptReport]:
-        request = target_request(context, self.clock())
-        idle_timeout_s = context.route.idle_timeout_ms / 1000
-        sent: Result[ResponseHead, TransportError] | None = None
-        with trio.move_on_after(idle_timeout_s):
-            sent = await connection.send(request)
-        if sent is None:
-            sent = Err(TransportError(FailureKind.TIMEOUT, "target idle", True))
-        if isinstance(sent, Err):
-            return self._failed(sent.err_value, started_s)
-        head = sent.ok_value
-        if head.status == 503 and head.header(RUN_HEADER) == "not-run":
-            await self._discard_body(connection)
-            refusal = not_run(503, "shed", "the target is overloaded", retry_after_ms=1_000)
-            return Err(refusal), self._report(AttemptOutcome.SHED, 503, started_s)
-        return await self._stream(context, connection, assignment, head, reply, started_s)
-
-    @staticmethod
-    async def _discard_body(connection: ClientConnection) -> None:
-        while isinstance(chunk := await connection.receive_chunk(), Ok):
-            if chunk.ok_value is None:
-                return
-
-    def _failed(
-        self, error: TransportError, started_s: float
-    ) -> tuple[ForwardResult, AttemptReport]:
-        timed_out = error.kind is FailureKind.TIMEOUT
-        outcome = AttemptOutcome.TIMED_OUT if timed_out else AttemptOutcome.BROKEN
-        status, code = (504, "target_timeout") if timed_out else (502, "target_failed")
-        refusal = outcome_unknown(status, code, f"the target gave no usable answer: {error}")
-        return Err(refusal), self._report(outcome, None, started_s)
-
-    async def _stream(
-        self,
-        context: RequestContext,
-        connection: ClientConnection,
-        assignment: Assignment,
-        head: ResponseHead,
-        reply: Reply,
-        started_s: float,
-    ) -> tuple[ForwardResult, AttemptReport]:
-        """Pass the body on as it arrives; the head waits for the first part of the body."""
-        idle_timeout_s = context.route.idle_timeout_ms / 1000
-        received_bytes = 0
-        while True:
-            chunk: Result[bytes | None, TransportError] | None = None
-            with trio.move_on_after(idle_timeout_s):
-                chunk = await connection.receive_chunk()
-            if chunk is None:
-                chunk = Err(TransportError(FailureKind.TIMEOUT, "target idle", True, True))
-            if isinstance(chunk, Err):
-                result, report = self._failed(chunk.err_value, started_s)
-                return (Err(AnswerCut(str(chunk.err_value))) if reply.started else result), report
-            if not reply.started:
-                await reply.start(head.status, self._answer_headers(context, assignment, head))
-            if chunk.ok_value is None:
-                await reply.finish()
-                report = self._report(
-                    AttemptOutcome.ANSWERED, head.status, started_s, received_bytes
-                )
-                return Ok(head.status), report
-            received_bytes += len(chunk.ok_value)
-            await reply.send(chunk.ok_value)
-
-    def _answer_headers(
-        self, context: RequestContext, assignment: Assignment, head: ResponseHead
-    ) -> tuple[tuple[str, str], ...]:
-        return (
-            *end_to_end_headers(head.headers),
-            ("Wagtailbay-Request-Id", context.request_id),
-            ("Wagtailbay-Vm", self.vm),
-            ("Wagtailbay-Target", assignment.target.target),
-        )
 
-    def _report(
-        self,
-        outcome: AttemptOutcome,
-        status: int | None,
-        started_s: float,
-        response_bytes: int = 0,
-    ) -> AttemptReport:
-        latency_ms = (self.clock() - started_s) * 1000
-        return AttemptReport(outcome, status, latency_ms, response_bytes)
+def check_quarantine(crashes: CrashTable, fingerprint: str, now_s: float) -> Result[None, Refusal]:
+    """Refuse a request that crashed targets."""
+    if not crashes.is_refused(fingerprint, now_s):
+        return Ok(None)
+    message = "this submission was not sent: earlier ones of the same request crashed targets"
+    return Err(not_run(422, "crashes_targets", message))
--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -2,7 +2,7 @@
 
 import uuid
 from collections.abc import Callable
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 from attrs import define
 from result import Err, Ok, Result
@@ -10,17 +10,24 @@
 from wagtailbay.access import AccessGate
 from wagtailbay.config import ConfigView
 from wagtailbay.entry.const import LOCATE_PATH, READY_PATH, STATUS_PATH
-from wagtailbay.entry.forward import AnswerCut, Forwarder
-from wagtailbay.entry.models import RequestContext
-from wagtailbay.entry.routing import find_route, request_timeout_ms
+from wagtailbay.entry.deposit import DepositForwarder
+from wagtailbay.entry.forward import Forwarder, check_quarantine
+from wagtailbay.entry.models import AnswerCut, RequestContext
+from wagtailbay.entry.routing import (
+    check_form,
+    check_key_is_hidden,
+    find_route,
+    request_timeout_ms,
+    split_target,
+)
 from wagtailbay.entry.wire import send_refusal
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.locate import rank_vms
 from wagtailbay.logs import log_event
 from wagtailbay.membership import Roster
+from wagtailbay.quarantine import request_fingerprint
 from wagtailbay.refusals import Refusal, not_run
-from wagtailbay.transport import Reply, Request
-from wagtailbay.transport.server import CallerGoneError
+from wagtailbay.transport import CallerGoneError, Reply, Request
 
 
 @define
@@ -31,6 +38,7 @@
     gate: AccessGate
     limiter: WorkspaceLimiter
     forwarder: Forwarder
+    deposits: DepositForwarder
     roster: Roster
     status: Callable[[float], dict]
     clock: Callable[[], float]
@@ -41,14 +49,29 @@
             await self._handle_own(request, reply)
             return
         request_id = uuid.uuid4().hex
-        match self._admit(request, request_id):
+        match await self._admit(request, request_id):
             case Err(refusal):
                 await self._refuse(reply, refusal, request_id)
             case Ok(context):
                 await self._forward(context, reply)
 
-    def _admit(self, request: Request, request_id: str) -> Result[RequestContext, Refusal]:
+    async def _admit(self, request: Request, request_id: str) -> Result[RequestContext, Refusal]:
+        """Decide whether a request may be sent; nothing is sent here."""
         now_s = self.clock()
+        accepted = self._accept(request, request_id, now_s)
+        if isinstance(accepted, Err) or accepted.ok_value.workspace is None:
+            return accepted
+        context = accepted.ok_value
+        admitted = self.limiter.admit(context.service, context.workspace, now_s)
+        return admitted if isinstance(admitted, Err) else accepted
+
+    def _accept(
+        self, request: Request, request_id: str, now_s: float
+    ) -> Result[RequestContext, Refusal]:
+        """Check everything but the workspace's limit."""
+        formed = check_form(request)
+        if isinstance(formed, Err):
+            return formed
         found = find_route(request, self.view())
         if isinstance(found, Err):
             return found
@@ -59,18 +82,24 @@
         allowed = self.gate.check(service, route, request.header("Authorization"), now_s)
         if isinstance(allowed, Err):
             return allowed
+        hidden = check_key_is_hidden(request)
+        if isinstance(hidden, Err):
+            return hidden
         workspace = allowed.ok_value
-        if workspace is not None:
-            admitted = self.limiter.admit(service, workspace, now_s)
-            if isinstance(admitted, Err):
-                return admitted
+        mark = request_fingerprint(workspace, request.method, request.path, request.body)
+        free = check_quarantine(self.forwarder.crashes, mark, now_s)
+        if isinstance(free, Err):
+            return free
         deadline_s = now_s + timeout_ms.ok_value / 1000
         return Ok(
-            RequestContext(request_id, request, service, route, path, workspace, now_s, deadline_s)
+            RequestContext(
+                request_id, request, service, route, path, workspace, mark, now_s, deadline_s
+            )
         )
 
     async def _forward(self, context: RequestContext, reply: Reply) -> None:
-        match await self.forwarder.forward(context, reply):
+        path = self.forwarder if context.route.idempotent else self.deposits
+        match await path.forward(context, reply):
             case Err(Refusal() as refusal):
                 await self._refuse(reply, refusal, context.request_id)
             case Err(AnswerCut(message=message)):
@@ -84,20 +113,20 @@
         await send_refusal(reply, refusal, request_id)
 
     async def _handle_own(self, request: Request, reply: Reply) -> None:
-        parts = urlsplit(request.path)
+        path, query_text = split_target(request.path)
         view = self.view()
         now_s = self.clock()
-        if parts.path == READY_PATH:
+        if path == READY_PATH:
             ready = view.fleet is not None
             await reply.send_json(200 if ready else 503, {"ready": ready})
-        elif parts.path == STATUS_PATH:
+        elif path == STATUS_PATH:
             await reply.send_json(200, self.status(now_s))
-        elif parts.path == LOCATE_PATH and view.fleet is not None:
-            query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        elif path == LOCATE_PATH and view.fleet is not None:
+            query = {name: values[0] for name, values in parse_qs(query_text).items()}
             zone = query.get("availability_zone", self.roster.own.availability_zone)
             client = query.get("client", "")
             answer = rank_vms(client, zone, self.roster, view.fleet, now_s)
             await reply.send_json(200, answer.as_json())
         else:
-            refusal = not_run(404, "path_unknown", f"there is nothing at {parts.path!r}")
+            refusal = not_run(404, "path_unknown", f"there is nothing at {path!r}")
             await send_refusal(reply, refusal, "")
--- a/src/wagtailbay/entry/routing.py
+++ b/src/wagtailbay/entry/routing.py
@@ -1,21 +1,51 @@
-"""Find the service, the route and the deadline of a request."""
+"""Find the service, the route, the deadline and the key of a request."""
 
-from urllib.parse import urlsplit
+import re
+from urllib.parse import unquote
 
 from result import Err, Ok, Result
 
 from wagtailbay.config import ConfigView, Route, ServiceDocument
-from wagtailbay.entry.const import MAX_DEADLINE_MS
+from wagtailbay.entry.const import MAX_DEADLINE_MS, MIN_SEARCHED_KEY, SINGLE_REQUEST_HEADERS
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.transport import Request
 
+BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
+
+
+def split_target(target: str) -> tuple[str, str]:
+    """Split a request target into path and query."""
+    path, _, query = target.partition("?")
+    return path, query
+
+
+def check_form(request: Request) -> Result[None, Refusal]:
+    """Refuse targets and headers that two readers could understand differently."""
+    path, _ = split_target(request.path)
+    decoded = unquote(path, errors="replace")
+    message = None
+    if not path.startswith("/") or path.startswith("//"):
+        message = "the request target must be an absolute path"
+    elif "#" in request.path:
+        message = "the request target must not have a fragment"
+    elif BAD_ESCAPE.search(request.path):
+        message = "the request target has an incomplete percent escape"
+    elif any(ord(char) < 0x20 or ord(char) == 0x7F for char in decoded):
+        message = "the path must not have control characters"
+    elif {".", ".."} & set(re.split(r"[/\\]", decoded.replace(";", "/"))):
+        message = "the path must not have . or .. segments"
+    for name in SINGLE_REQUEST_HEADERS:
+        if sum(1 for key, _ in request.headers if key.lower() == name) > 1:
+            message = f"the header {name} must not be repeated"
+    return Ok(None) if message is None else Err(not_run(400, "malformed_request", message))
+
 
 def find_route(
     request: Request, view: ConfigView
 ) -> Result[tuple[ServiceDocument, Route, str], Refusal]:
     """Return service, route and the path at the target for ``/<service>/<path>``."""
-    parts = urlsplit(request.path)
-    name, _, rest = parts.path.removeprefix("/").partition("/")
+    path, query = split_target(request.path)
+    name, _, rest = path.removeprefix("/").partition("/")
     service = view.services.get(name)
     if service is None:
         return Err(not_run(404, "service_unknown", f"there is no service {name!r}"))
@@ -23,7 +53,16 @@
     route = service.route_for(path)
     if route is None:
         return Err(not_run(404, "route_unknown", f"service {name!r} has no route for {path!r}"))
-    return Ok((service, route, f"{path}?{parts.query}" if parts.query else path))
+    if any(service.route_for(reading) != route for reading in other_readings(path)):
+        message = "the path is on different routes in its encoded and its plain form"
+        return Err(not_run(400, "malformed_request", message))
+    return Ok((service, route, f"{path}?{query}" if query else path))
+
+
+def other_readings(path: str) -> tuple[str, ...]:
+    """Return the forms in which a target could read a path."""
+    decoded = unquote(path, errors="replace")
+    return decoded, re.sub(r"[/\\]+", "/", path), re.sub(r"[/\\]+", "/", decoded)
 
 
 def request_timeout_ms(request: Request, route: Route) -> Result[int, Refusal]:
@@ -31,7 +70,25 @@
     text = request.header("Request-Timeout-Ms")
     if text is None:
         return Ok(route.deadline_ms)
-    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_DEADLINE_MS:
-        message = f"Request-Timeout-Ms must be 1 to {MAX_DEADLINE_MS}, got {text!r}"
+    plain = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_DEADLINE_MS))
+    if not plain or not 1 <= int(text) <= MAX_DEADLINE_MS:
+        message = f"Request-Timeout-Ms must be 1 to {MAX_DEADLINE_MS}, got {text[:20]!r}"
         return Err(not_run(400, "bad_timeout", message))
     return Ok(min(int(text), route.deadline_ms))
+
+
+def check_key_is_hidden(request: Request) -> Result[None, Refusal]:
+    """Refuse a request that would show the caller's key to a target outside Authorization."""
+    _, _, key = (request.header("Authorization") or "").partition(" ")
+    key = key.strip()
+    if len(key) < MIN_SEARCHED_KEY:
+        return Ok(None)
+    texts = [request.path, unquote(request.path, "latin-1"), unquote(request.path)]
+    for name, value in request.headers:
+        if name.lower() != "authorization":
+            texts += [name, value, unquote(value, "latin-1")]
+    shown = any(key.lower() in text.lower() for text in texts)
+    if shown or key.encode("latin-1") in request.body:
+        message = "send the key in the header Authorization only"
+        return Err(not_run(400, "key_exposed", message))
+    return Ok(None)
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -14,12 +14,15 @@
 from wagtailbay.clock import boottime_s, unix_time_s
 from wagtailbay.config import ConfigView, build_view
 from wagtailbay.entry import RequestHandler
+from wagtailbay.entry.deposit import DepositForwarder
 from wagtailbay.entry.forward import Forwarder
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.locate.const import ANSWER_TTL_MS, LEAVING_MARGIN_MS
 from wagtailbay.logs import log_event, start_logging
-from wagtailbay.membership import Roster, VmIdentity, VmState
+from wagtailbay.membership import FactTable, Roster, VmIdentity, VmState
+from wagtailbay.once import OnceGate, OutcomeWriter, StoreCalls
 from wagtailbay.platform import HttpObjectStore
+from wagtailbay.quarantine import CrashTable
 from wagtailbay.replica import Freshness, Replica, StoreReader
 from wagtailbay.settings import load_settings_or_exit, setting
 from wagtailbay.settings.checks import at_least, parse_address, split_address
@@ -59,13 +62,19 @@
     view = [ConfigView()]
     chooser = RoundRobinChooser()
     pool = ConnectionPool()
-    forwarder = Forwarder(chooser, AnyVersionPicker(), pool, boottime_s, settings.vm)
+    facts = FactTable(settings.vm, identity.incarnation)
+    crashes = CrashTable(facts)
+    forwarder = Forwarder(chooser, AnyVersionPicker(), pool, crashes, boottime_s, settings.vm)
+    calls = StoreCalls(store)
+    writer = OutcomeWriter(calls)
+    once = OnceGate(calls, writer, settings.vm, identity.incarnation, boottime_s, unix_time_s)
     shares = EqualShares(lambda: view[0].fleet.max_vms if view[0].fleet else 1)
     handler = RequestHandler(
         view=lambda: view[0],
         gate=AccessGate(KeyRing(lambda: replica.objects), freshness.age_ms, lambda now_s: False),
         limiter=WorkspaceLimiter(shares, boottime_s()),
         forwarder=forwarder,
+        deposits=DepositForwarder(once, forwarder),
         roster=roster,
         status=lambda now_s: {"vm": settings.vm, "revision": replica.revision},
         clock=boottime_s,
@@ -87,6 +96,7 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(reader.run)
+        nursery.start_soon(writer.run)
         nursery.start_soon(follow_config)
         bound = await nursery.start(server.serve, split_address(settings.listen_address))
         log_event("listening", address=f"{bound[0]}:{bound[1]}")
--- /dev/null
+++ b/src/wagtailbay/quarantine/probe.py
@@ -0,0 +1,20 @@
+"""Tell whether a target that broke a connection has ended."""
+
+import trio
+from result import Err
+
+from wagtailbay.quarantine.const import REFUSAL_CHECKS_S, REFUSAL_TIMEOUT_MS
+from wagtailbay.transport import FailureKind, open_connection
+
+
+async def refuses_connections(address: str) -> bool:
+    """Connect a few times and tell whether the target refuses one of the connections."""
+    for wait_s in REFUSAL_CHECKS_S:
+        await trio.sleep(wait_s)
+        opened = await open_connection(address, REFUSAL_TIMEOUT_MS)
+        if isinstance(opened, Err):
+            if opened.err_value.kind is FailureKind.CONNECT:
+                return True
+            continue
+        await opened.ok_value.close()
+    return False
--- a/src/wagtailbay/transport/__init__.py
+++ b/src/wagtailbay/transport/__init__.py
@@ -10,9 +10,12 @@
     TransportError,
 )
 from wagtailbay.transport.pool import ConnectionPool
-from wagtailbay.transport.server import HttpServer, Reply
+from wagtailbay.transport.reply import AnswerSink, CallerGoneError, Reply
+from wagtailbay.transport.server import HttpServer
 
 __all__ = [
+    "AnswerSink",
+    "CallerGoneError",
     "ClientConnection",
     "ConnectionPool",
     "FailureKind",
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -1,5 +1,6 @@
 """Send requests to an HTTP/1.1 server, one at a time on each connection."""
 
+import select
 from typing import Any
 
 import h11
@@ -11,6 +12,7 @@
 from wagtailbay.transport.const import (
     MAX_FETCHED_BODY_BYTES,
     MAX_HEADER_BYTES,
+    MAX_INFORMATIONAL_RESPONSES,
     RECEIVE_CHUNK_BYTES,
 )
 from wagtailbay.transport.models import (
@@ -38,11 +40,13 @@
     )
     request_sent: bool = False
     answered: bool = False
+    method: str = ""
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of its response."""
         if self.has_unread_bytes():
             return Err(self._error(FailureKind.PROTOCOL, "bytes before the request"))
+        self.method = request.method
         try:
             data = self.protocol.send(encode_request_head(request, self.address)) or b""
             if request.body:
@@ -58,11 +62,17 @@
         return await self._receive_head()
 
     def has_unread_bytes(self) -> bool:
-        """Tell whether bytes arrived that belong to no request on this connection."""
-        return bool(self.protocol.trailing_data[0])
+        """Tell whether bytes or the end arrived that belong to no request on this connection."""
+        if self.protocol.trailing_data[0]:
+            return True
+        if not isinstance(self.stream, trio.SocketStream):
+            return False
+        poller = select.poll()
+        poller.register(self.stream.socket.fileno(), select.POLLIN | select.POLLHUP)
+        return bool(poller.poll(0))
 
     async def _receive_head(self) -> Result[ResponseHead, TransportError]:
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
             match await self._next_event():
                 case Err(error):
                     return Err(error)
@@ -72,6 +82,7 @@
                     return self._checked_head(event)
                 case Ok(event):
                     return Err(self._error(FailureKind.CLOSED, f"got {type(event).__name__}"))
+        return Err(self._error(FailureKind.PROTOCOL, "too many informational responses"))
 
     def _checked_head(self, event: h11.Response) -> Result[ResponseHead, TransportError]:
         head = ResponseHead(event.status_code, decode_headers(event.headers))
@@ -79,6 +90,10 @@
         if "content-length" in names and "transfer-encoding" in names:
             message = "both Content-Length and Transfer-Encoding"
             return Err(self._error(FailureKind.PROTOCOL, message))
+        bodiless = self.method == "HEAD" or head.status in (204, 304)
+        if not bodiless and not {"content-length", "transfer-encoding"} & set(names):
+            # Its end could not be told from a broken connection.
+            return Err(self._error(FailureKind.PROTOCOL, "a response without a length"))
         return Ok(head)
 
     async def receive_chunk(self) -> Result[bytes | None, TransportError]:
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -9,3 +9,10 @@
 # A caller that sends part of a request must send the rest within this time.
 REQUEST_RECEIVE_TIMEOUT_S: Final = 30.0
 IDLE_CONNECTION_TIMEOUT_S: Final = 75.0
+MAX_HEADER_FIELDS: Final = 100
+MAX_INFORMATIONAL_RESPONSES: Final = 16
+# After a refusal the rest of the caller's bytes is read for this long, so that it gets the answer.
+LINGER_S: Final = 1.0
+LINGER_BYTES: Final = 4 * 1_048_576
+# A caller that takes no bytes for this long is treated as gone.
+SEND_TIMEOUT_S: Final = 60.0
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -1,7 +1,5 @@
 """Keep idle connections to targets for later requests."""
 
-import select
-
 from attrs import define, field
 from result import Ok, Result
 
@@ -17,13 +15,13 @@
     idle: dict[str, list[ClientConnection]] = field(factory=dict)
 
     async def acquire(
-        self, address: str, timeout_ms: int
+        self, address: str, timeout_ms: int, fresh: bool = False
     ) -> Result[ClientConnection, TransportError]:
-        """Take an idle connection or open one."""
-        waiting = self.idle.get(address, [])
+        """Take an idle connection or open one; a fresh one cannot be closed as idle meanwhile."""
+        waiting = [] if fresh else self.idle.get(address, [])
         while waiting:
             connection = waiting.pop()
-            if not _is_readable(connection):
+            if not connection.has_unread_bytes():
                 return Ok(connection)
             await connection.close()
         return await open_connection(address, timeout_ms)
@@ -41,10 +39,3 @@
         for waiting in self.idle.values():
             while waiting:
                 await waiting.pop().close()
-
-
-def _is_readable(connection: ClientConnection) -> bool:
-    """Tell whether an idle connection was closed by its peer or holds bytes of no request."""
-    poller = select.poll()
-    poller.register(connection.stream.socket.fileno(), select.POLLIN | select.POLLHUP)
-    return bool(poller.poll(0))
--- /dev/null
+++ b/src/wagtailbay/transport/receive.py
@@ -0,0 +1,132 @@
+"""Receive requests and refuse those whose meaning could differ between two readers."""
+
+from collections.abc import Callable
+
+import h11
+import trio
+from attrs import define, frozen
+from result import Err, Ok, Result
+
+from wagtailbay.transport.const import (
+    IDLE_CONNECTION_TIMEOUT_S,
+    MAX_HEADER_FIELDS,
+    RECEIVE_CHUNK_BYTES,
+    REQUEST_RECEIVE_TIMEOUT_S,
+)
+from wagtailbay.transport.models import Request
+from wagtailbay.transport.wire import decode_headers
+
+
+@frozen
+class BadRequest:
+    """Describe a request that is refused before any handler sees it."""
+
+    status: int
+    code: str
+    message: str
+
+
+@define
+class RequestReceiver:
+    """Receive one request after another from a caller's connection.
+
+    Attributes:
+        idle_scopes: Cancel scopes of connections that wait for the first byte of a request.
+    """
+
+    stream: trio.abc.Stream
+    protocol: h11.Connection
+    max_body_bytes: int
+    idle_scopes: set[trio.CancelScope]
+
+    async def receive(self) -> Result[Request, BadRequest] | None:
+        """Receive a whole request; None when the caller closed or stayed idle."""
+        head: h11.Request | None = None
+        body = bytearray()
+        deadline_s = trio.current_time() + IDLE_CONNECTION_TIMEOUT_S
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                return Err(BadRequest(error.error_status_hint, "malformed_request", str(error)))
+            match event:
+                case h11.Request():
+                    head = event
+                    deadline_s = trio.current_time() + REQUEST_RECEIVE_TIMEOUT_S
+                    fault = find_fault(event)
+                    if fault is not None:
+                        return Err(fault)
+                case h11.Data():
+                    body += event.data
+                    if len(body) > self.max_body_bytes:
+                        message = f"the body exceeds {self.max_body_bytes} bytes"
+                        return Err(BadRequest(413, "body_too_large", message))
+                case h11.EndOfMessage() if head is not None:
+                    return Ok(build_request(head, bytes(body)))
+                case h11.ConnectionClosed() | h11.PAUSED:
+                    return None
+                case h11.NEED_DATA:
+                    if not await self._receive_bytes(deadline_s, head is None):
+                        if head is None:
+                            return None
+                        message = "the request did not arrive in time"
+                        return Err(BadRequest(408, "request_timeout", message))
+
+    async def _receive_bytes(self, deadline_s: float, idle: bool) -> bool:
+        """Feed received bytes to h11; False when the wait ended without any."""
+        if self.protocol.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await self.stream.send_all(self.protocol.send(go_ahead) or b"")
+        data: bytes | None = None
+        with trio.CancelScope(deadline=deadline_s) as scope:
+            if idle:
+                self.idle_scopes.add(scope)
+            try:
+                data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
+            finally:
+                self.idle_scopes.discard(scope)
+        if data is None:
+            return False
+        self.protocol.receive_data(data)
+        return True
+
+    async def watch(self, gone: Callable[[], None], max_bytes: int) -> None:
+        """Call gone when the caller closes; keep what it pipelines, up to a limit."""
+        kept_bytes = 0
+        while kept_bytes < max_bytes:
+            try:
+                data = await self.stream.receive_some(max_bytes - kept_bytes)
+            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+                data = b""
+            if not data:
+                gone()
+                return
+            kept_bytes += len(data)
+            self.protocol.receive_data(data)
+
+
+def find_fault(head: h11.Request) -> BadRequest | None:
+    """Return why a request's head is refused, or None.
+
+    h11 has already refused differing Content-Length fields, other codings than chunked, and
+    invalid characters in names and values.
+    """
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        message = "both Content-Length and Transfer-Encoding"
+    elif head.method == b"CONNECT":
+        message = "CONNECT is not supported"
+    elif len(names) > MAX_HEADER_FIELDS:
+        return BadRequest(431, "malformed_request", f"more than {MAX_HEADER_FIELDS} header fields")
+    elif head.http_version != b"1.1":
+        # HTTP/1.0 marks the end of an answer of unknown length only by closing.
+        return BadRequest(505, "malformed_request", "only HTTP/1.1 is supported")
+    else:
+        return None
+    return BadRequest(400, "malformed_request", message)
+
+
+def build_request(head: h11.Request, body: bytes) -> Request:
+    """Build a request; h11 admits only visible ASCII in method and target."""
+    method, path = head.method.decode("ascii"), head.target.decode("ascii")
+    return Request(method, path, decode_headers(head.headers), body)
--- /dev/null
+++ b/src/wagtailbay/transport/reply.py
@@ -0,0 +1,95 @@
+"""Send responses to a caller."""
+
+import json
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import h11
+import trio
+from attrs import define
+
+from wagtailbay.transport.const import SEND_TIMEOUT_S
+from wagtailbay.transport.models import Headers, ResponseHead
+from wagtailbay.transport.wire import encode_response_head
+
+
+class CallerGoneError(Exception):
+    """Raised in a handler when the caller's connection is closed under it."""
+
+
+class AnswerSink(Protocol):
+    """Take one answer, in parts; started tells whether its head was taken."""
+
+    started: bool
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Take the head."""
+
+    async def send(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    async def finish(self) -> None:
+        """Take the proper end of the body."""
+
+
+@define
+class Reply:
+    """Send one response to the caller, whole or in parts.
+
+    Attributes:
+        closing: Tells whether the connection must end after this response.
+        bodiless: Whether the request was HEAD, whose answer has no body.
+    """
+
+    stream: trio.abc.Stream
+    protocol: h11.Connection
+    closing: Callable[[], bool]
+    bodiless: bool = False
+    started: bool = False
+    finished: bool = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the response."""
+        if self.closing():
+            headers = (*headers, ("Connection", "close"))
+        self.started = True
+        self.bodiless = self.bodiless or status in (204, 304)
+        await self._send(encode_response_head(ResponseHead(status, headers)))
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not self.bodiless:
+            await self._send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """Send the end of the body."""
+        await self._send(h11.EndOfMessage())
+        self.finished = True
+
+    async def _send(self, event: h11.Event) -> None:
+        try:
+            with trio.fail_after(SEND_TIMEOUT_S):
+                await self.stream.send_all(self.protocol.send(event) or b"")
+        except trio.TooSlowError as error:
+            raise CallerGoneError from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+            raise CallerGoneError from error
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response."""
+        length = () if status in (204, 304) else (("Content-Length", str(len(body))),)
+        await self.start(status, (*headers, *length))
+        await self.send(body)
+        await self.finish()
+
+    async def send_json(self, status: int, value: Any, headers: Headers = ()) -> None:
+        """Send a complete JSON response."""
+        content_type = ("Content-Type", "application/json")
+        await self.send_whole(status, (content_type, *headers), json.dumps(value).encode() + b"\n")
+
+
+async def send_error(reply: Reply, status: int, code: str, message: str, run: str) -> None:
+    """Send the refusal with which the connection ends; run is ``not_run`` or ``unknown``."""
+    error = {"code": code, "message": message, "run": run}
+    headers = (("Wagtailbay-Run", run.replace("_", "-")), ("Connection", "close"))
+    await reply.send_json(status, {"error": error}, headers)
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -1,72 +1,26 @@
 """Serve HTTP/1.1, one task for each connection."""
 
-import json
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import h11
 import trio
 from attrs import define, field
-from result import Err, Ok, Result
+from result import Err, Ok
 
+from wagtailbay.invariants import BrokenInvariantError
+from wagtailbay.logs import log_event
 from wagtailbay.transport.const import (
-    IDLE_CONNECTION_TIMEOUT_S,
+    LINGER_BYTES,
+    LINGER_S,
     MAX_HEADER_BYTES,
     MAX_REQUEST_BODY_BYTES,
     RECEIVE_CHUNK_BYTES,
-    REQUEST_RECEIVE_TIMEOUT_S,
 )
-from wagtailbay.transport.models import Headers, Request, ResponseHead
-from wagtailbay.transport.wire import decode_headers, encode_response_head
-
-
-class CallerGoneError(Exception):
-    """Raised in a handler when the caller's connection is closed under it."""
-
-
-@define
-class Reply:
-    """Send one response to the caller, whole or in parts."""
-
-    stream: trio.abc.Stream
-    protocol: h11.Connection
-    closing: Callable[[], bool]
-    started: bool = False
-    finished: bool = False
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of the response."""
-        if self.closing():
-            headers = (*headers, ("Connection", "close"))
-        self.started = True
-        await self._send(encode_response_head(ResponseHead(status, headers)))
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-        await self._send(h11.Data(data=data))
-
-    async def finish(self) -> None:
-        """Send the end of the body."""
-        await self._send(h11.EndOfMessage())
-        self.finished = True
-
-    async def _send(self, event: h11.Event) -> None:
-        try:
-            await self.stream.send_all(self.protocol.send(event) or b"")
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-            raise CallerGoneError from error
-
-    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response."""
-        await self.start(status, (*headers, ("Content-Length", str(len(body)))))
-        await self.send(body)
-        await self.finish()
-
-    async def send_json(self, status: int, value: Any, headers: Headers = ()) -> None:
-        """Send a complete JSON response."""
-        content_type = ("Content-Type", "application/json")
-        await self.send_whole(status, (content_type, *headers), json.dumps(value).encode() + b"\n")
-
+from wagtailbay.transport.models import Request
+from wagtailbay.transport.receive import BadRequest, RequestReceiver
+from wagtailbay.transport.reply import CallerGoneError, Reply, send_error
 
 Handler = Callable[[Request, Reply], Awaitable[None]]
 
@@ -76,9 +30,11 @@
     """Accept connections and pass each request to the handler.
 
     Attributes:
-        handler: Called for each request; it must finish the reply.
+        handler: Called for each request; it must finish the reply. It is cancelled when the
+            caller closes its connection.
         draining: Set when the server stops; each connection ends after its current request.
         open_requests: Requests received and not yet answered.
+        callers_gone: Requests whose caller closed the connection before the answer's end.
     """
 
     handler: Handler
@@ -86,6 +42,7 @@
     draining: trio.Event = field(factory=trio.Event)
     open_requests: int = 0
     connections: int = 0
+    callers_gone: int = 0
     idle_scopes: set[trio.CancelScope] = field(factory=set)
 
     async def serve(self, address: tuple[str, int], *, task_status: Any) -> None:
@@ -96,95 +53,84 @@
         await trio.serve_listeners(self._serve_connection, listeners)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        receiver = RequestReceiver(stream, protocol, self.max_body_bytes, self.idle_scopes)
         self.connections += 1
         try:
-            while await self._serve_request(stream, connection):
-                connection.start_next_cycle()
+            while await self._serve_request(receiver):
+                protocol.start_next_cycle()
         except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
+        except h11.LocalProtocolError as error:
+            log_event("connection_failed", reason=str(error))
         finally:
             self.connections -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _serve_request(self, stream: trio.SocketStream, connection: h11.Connection) -> bool:
+    async def _serve_request(self, receiver: RequestReceiver) -> bool:
         """Serve one request; True if the connection may carry another."""
-        reply = Reply(stream, connection, self.draining.is_set)
-        received = await self._receive_request(stream, connection)
+        stream, protocol = receiver.stream, receiver.protocol
+        reply = Reply(stream, protocol, self.draining.is_set)
+        received = await receiver.receive()
         if received is None:
             return False
         match received:
-            case Err((status, code, message)):
-                await send_error(reply, status, code, message)
-                await stream.send_eof()
+            case Err(BadRequest(status=status, code=code, message=message)):
+                await send_error(reply, status, code, message, "not_run")
+                await linger(stream)
                 return False
             case Ok(request):
+                reply.bodiless = request.method == "HEAD"
                 self.open_requests += 1
                 try:
-                    await self.handler(request, reply)
+                    await self._handle(request, reply, receiver)
                 finally:
                     self.open_requests -= 1
-        reusable = connection.our_state is h11.DONE and connection.their_state is h11.DONE
+        reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         return reply.finished and reusable and not self.draining.is_set()
 
-    async def _receive_request(
-        self, stream: trio.SocketStream, connection: h11.Connection
-    ) -> Result[Request, tuple[int, str, str]] | None:
-        """Receive a whole request; None when the caller closed or stayed idle."""
-        head: h11.Request | None = None
-        body = bytearray()
-        deadline_s = trio.current_time() + IDLE_CONNECTION_TIMEOUT_S
-        while True:
+    async def _handle(self, request: Request, reply: Reply, receiver: RequestReceiver) -> None:
+        """Run the handler until it ends or the caller is gone.
+
+        Raises:
+            CallerGoneError: The connection must be closed at once.
+        """
+        ended: list[Exception] = []
+        gone = False
+
+        def leave() -> None:
+            nonlocal gone
+            gone = True
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(receiver.watch, leave, MAX_HEADER_BYTES)
             try:
-                event = connection.next_event()
-            except h11.RemoteProtocolError as error:
-                return Err((error.error_status_hint, "malformed_request", str(error)))
-            match event:
-                case h11.Request():
-                    head = event
-                    deadline_s = trio.current_time() + REQUEST_RECEIVE_TIMEOUT_S
-                case h11.Data():
-                    body += event.data
-                    if len(body) > self.max_body_bytes:
-                        message = f"the body exceeds {self.max_body_bytes} bytes"
-                        return Err((413, "body_too_large", message))
-                case h11.EndOfMessage() if head is not None:
-                    return self._built_request(head, bytes(body))
-                case h11.ConnectionClosed() | h11.PAUSED:
-                    return None
-                case h11.NEED_DATA:
-                    if not await self._receive(stream, connection, deadline_s, head is None):
-                        if head is None:
-                            return None
-                        return Err((408, "request_timeout", "the request did not arrive in time"))
+                await self.handler(request, reply)
+            except Exception as error:  # An error in one request must not end other connections.
+                ended.append(error)
+            nursery.cancel_scope.cancel()
+        if gone and not reply.finished:
+            self.callers_gone += 1
+            raise CallerGoneError
+        for error in ended:
+            await self._end_failed(error, reply)
 
     @staticmethod
-    def _built_request(head: h11.Request, body: bytes) -> Result[Request, tuple[int, str, str]]:
-        try:
-            path = head.target.decode("ascii")
-        except UnicodeDecodeError:
-            return Err((400, "malformed_request", "the request target is not ASCII"))
-        return Ok(Request(head.method.decode("ascii"), path, decode_headers(head.headers), body))
-
-    async def _receive(
-        self, stream: trio.SocketStream, connection: h11.Connection, deadline_s: float, idle: bool
-    ) -> bool:
-        """Feed received bytes to h11; False when the wait ended without any."""
-        if connection.they_are_waiting_for_100_continue:
-            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
-            await stream.send_all(connection.send(go_ahead) or b"")
-        data: bytes | None = None
-        with trio.CancelScope(deadline=deadline_s) as scope:
-            if idle:
-                self.idle_scopes.add(scope)
-            try:
-                data = await stream.receive_some(RECEIVE_CHUNK_BYTES)
-            finally:
-                self.idle_scopes.discard(scope)
-        if data is None:
-            return False
-        connection.receive_data(data)
-        return True
+    async def _end_failed(error: Exception, reply: Reply) -> None:
+        if isinstance(error, CallerGoneError | BrokenInvariantError):
+            raise error
+        log_event(
+            "request_failed",
+            error=f"{type(error).__name__}: {error}",
+            trace="".join(traceback.format_exception(error)),
+        )
+        if reply.started:
+            raise CallerGoneError
+        message = "the request failed inside the system and may have run"
+        await send_error(reply, 500, "internal_error", message, "unknown")
+        await linger(reply.stream)
+        raise CallerGoneError
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
@@ -192,8 +138,13 @@
             scope.cancel()
 
 
-async def send_error(reply: Reply, status: int, code: str, message: str) -> None:
-    """Send a refusal of a request that was not run."""
-    error = {"code": code, "message": message, "run": "not_run"}
-    headers = (("Wagtailbay-Run", "not-run"), ("Connection", "close"))
-    await reply.send_json(status, {"error": error}, headers)
+async def linger(stream: trio.abc.HalfCloseableStream) -> None:
+    """Let the caller read the last answer; closing with unread bytes would reset it."""
+    await stream.send_eof()
+    received_bytes = 0
+    with trio.move_on_after(LINGER_S):
+        while received_bytes < LINGER_BYTES:
+            data = await stream.receive_some(RECEIVE_CHUNK_BYTES)
+            if not data:
+                return
+            received_bytes += len(data)
