Check histories of claims by several VMs against a faulty store

Change: a fake store refuses, loses, drops and delays writes under a clock that skips waits; VMs die and callers send again.

--- /dev/null
+++ b/tests/once/test_once_history.py
@@ -0,0 +1,48 @@
+"""Check histories of several VMs' gates against one faulty store."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from once_fleet import OnceFleet, random_fleet
+
+from wagtailbay.refusals import Refusal, RunState
+
+
+class TestOnceHistory:
+    """P7 and P8 hold for all keys under lost answers, outages, deaths and resends."""
+
+    @settings(derandomize=True, max_examples=200, deadline=None, database=None)
+    @given(st.integers(0, 2**32))
+    def test_no_key_runs_twice(self, seed: int) -> None:
+        """Guards against two runs of a key, false "not run" and a mixed-up outcome."""
+        assert random_fleet(seed).run().violations() == []
+
+    def test_check_fails_without_claims(self) -> None:
+        """Guards against a history check that cannot see a missing claim."""
+        assert any(random_fleet(seed, skip_claim=True).run().violations() for seed in range(20))
+
+    def test_check_fails_when_lost_answers_count_as_success(self) -> None:
+        """Guards against a history check that never meets a lost answer that matters."""
+        fleets = (random_fleet(seed, trust_lost_answers=True) for seed in range(200))
+        assert any(fleet.run().violations() for fleet in fleets)
+
+    def test_histories_reach_every_kind_of_answer(self) -> None:
+        """Guards against histories that are too tame to prove anything."""
+        results = [a.result for seed in range(60) for a in random_fleet(seed).run().answers]
+        refusals = {(r.code, r.run) for r in results if isinstance(r, Refusal)}
+        assert len(results) > sum(isinstance(r, Refusal) for r in results)
+        assert {
+            ("outcome_unknown", RunState.UNKNOWN),
+            ("claim_unavailable", RunState.NOT_RUN),
+            ("idempotency_key_reused", RunState.NOT_RUN),
+        } <= refusals
+
+    def test_history_is_repeatable(self) -> None:
+        """Guards against a seed that gives another history each time."""
+        first, second = (
+            [
+                (a.submission, a.result)
+                for a in OnceFleet(f.steps, f.faults, f.outages).run().answers
+            ]
+            for f in (random_fleet(7), random_fleet(7))
+        )
+        assert first == second
