--- a/tests/once/once_fleet.py
+++ b/tests/once/once_fleet.py
@@ -53,15 +53,18 @@
         return self.faults.pop(0) if self.faults else ""
 
     async def get(self, key):
+        """Read an object."""
         if await self._next_fault("get") in ("refuse", "drop", "lose"):
             return Err(StoreUnavailable("fault"))
         return Ok(self.objects.get(key))
 
     async def list(self, prefixes):
+        """List objects."""
         found = tuple(o for k, o in sorted(self.objects.items()) if k.startswith(tuple(prefixes)))
         return Ok(Listing(self.revision, found))
 
     async def watch(self, prefixes, since_revision, timeout_ms):
+        """Wait for a change."""
         with trio.move_on_after(timeout_ms / 1000):
             while not any(
                 o.version > since_revision for o in (await self.list(prefixes)).ok().objects
@@ -79,6 +82,7 @@
         return Ok(self.revision)
 
     async def put(self, key, value, expected_version):
+        """Write an object."""
         fault = await self._next_fault("put")
         if fault == "refuse":
             return Err(StoreUnavailable("fault"))
@@ -94,6 +98,7 @@
         self._apply(key, value, expected_version)
 
     async def delete(self, key, expected_version):
+        """Delete an object."""
         if self.objects[key].version != expected_version:
             return Err(VersionConflict(key, self.objects[key].version))
         del self.objects[key]
