--- a/src/wagtailbay/quarantine/const.py
+++ b/src/wagtailbay/quarantine/const.py
@@ -11,8 +11,9 @@
 TIE_HOLD_S: Final = 5.0
 # Longest wait of a suspect for another one that runs on this VM.
 SUSPECT_WAIT_S: Final = 1.0
-# The facts of other VMs are counted again after this time.
-COUNT_INTERVAL_S: Final = 0.1
+# The facts of other VMs are counted again after this time; 0.1 s let a third target crash by a
+# resend to another VM right after the second crash.
+COUNT_INTERVAL_S: Final = 0.02
 MAX_OWN_SUSPECTS: Final = 1_000
 # A dying process may close its connections shortly before its listener.
 REFUSAL_CHECKS_S: Final = (0.0, 0.03, 0.1)
--- /dev/null
+++ b/tests/entry/entry_rig.py
@@ -0,0 +1,167 @@
+"""Run entry VMs and targets in one process on loopback, through the real classes."""
+
+from collections.abc import Callable
+
+import trio
+from attrs import define, evolve, field
+from once.once_fleet import FakeStore, make_gate
+
+from wagtailbay.access import AccessGate, KeyRing, hash_key
+from wagtailbay.allotment import EqualShares
+from wagtailbay.config import ConfigView, Route, ServiceDocument, Target, WorkspaceLimit
+from wagtailbay.entry import RequestHandler
+from wagtailbay.entry.deposit import DepositForwarder
+from wagtailbay.entry.forward import Forwarder
+from wagtailbay.entry.retry import RetryBudget
+from wagtailbay.limits import WorkspaceLimiter
+from wagtailbay.membership import FactTable, Roster, VmIdentity
+from wagtailbay.platform import StoredObject
+from wagtailbay.quarantine import CrashTable
+from wagtailbay.settings.checks import split_address
+from wagtailbay.shift import AnyVersionPicker
+from wagtailbay.steer import RoundRobinChooser
+from wagtailbay.transport import ConnectionPool, HttpServer
+from wagtailbay_standins.target import Behaviour, TargetStandin, run_target
+
+KEY = "unam-key-0123456789"
+AUTH = f"Authorization: Bearer {KEY}\r\n"
+
+
+@define
+class RecordingChooser(RoundRobinChooser):
+    """Choose in turn and keep the reports."""
+
+    reports: list = field(factory=list)
+
+    def finish(self, query, assignment, report, now_s) -> None:
+        """Keep the report."""
+        self.reports.append((assignment.target.target, report.outcome))
+
+
+@define
+class RigVm:
+    """Hold one entry VM."""
+
+    forwarder: Forwarder
+    deposits: DepositForwarder
+    server: HttpServer
+    facts: FactTable
+    address: str
+
+    async def connect(self) -> trio.SocketStream:
+        """Open a caller's connection."""
+        return await trio.open_tcp_stream(*split_address(self.address))
+
+    async def session(self, data: bytes, wait_s: float = 5.0) -> bytes:
+        """Send bytes on one connection and return all that come back until it closes."""
+        stream = await self.connect()
+        received = bytearray()
+        try:
+            with trio.move_on_after(wait_s):
+                await stream.send_all(data)
+                async for part in stream:
+                    received += part
+        except trio.BrokenResourceError:
+            received += b"<reset>"
+        finally:
+            await trio.aclose_forcefully(stream)
+        return bytes(received)
+
+
+@define
+class Rig:
+    """Start targets and VMs in a nursery."""
+
+    nursery: trio.Nursery
+    targets: dict[str, Target] = field(factory=dict)
+    standins: dict[str, TargetStandin] = field(factory=dict)
+    store: FakeStore = field(factory=lambda: FakeStore(latency_s=0.0))
+    idle_timeout_ms: int = 1_000
+    deadline_ms: int = 2_000
+
+    async def add_target(self, name: str, behaviour: Behaviour | None = None) -> TargetStandin:
+        """Start a stand-in target; a crash ends it for a minute."""
+        behaviour = behaviour or Behaviour(service_time_ms=1, connection_cost_ms=0)
+        standin = TargetStandin(name, "v1", behaviour)
+        address = await self.nursery.start(run_target, standin, "127.0.0.1:0", 60_000)
+        self.standins[name] = standin
+        self.add_address(name, address)
+        return standin
+
+    def add_address(self, name: str, address: str) -> None:
+        """Enter a target that runs elsewhere."""
+        self.targets[name] = Target(name, address, "mx-a1", "v1", 6)
+
+    async def add_raw_target(self, name: str, serve: Callable) -> None:
+        """Start a target that serves each connection by a function of its stream."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.nursery.start_soon(trio.serve_listeners, serve, listeners)
+        host, port = listeners[0].socket.getsockname()
+        self.add_address(name, f"{host}:{port}")
+
+    def _document(self) -> ServiceDocument:
+        timeouts = {"deadline_ms": self.deadline_ms, "idle_timeout_ms": self.idle_timeout_ms}
+        routes = (
+            Route("read", "/", **timeouts),
+            Route("open", "/open/", open=True, **timeouts),
+            Route("deposit", "/deposits/", idempotent=False, **timeouts),
+            Route("crash", "/crash-deposits/", idempotent=False, **timeouts),
+        )
+        limits = (WorkspaceLimit("unam", 1e6, 1e6),)
+        return ServiceDocument("records", "team", routes, tuple(self.targets.values()), limits, ())
+
+    async def add_vm(self, vm: str = "vm-1") -> RigVm:
+        """Start an entry VM that knows the targets entered so far."""
+        clock = trio.current_time
+        facts = FactTable(vm, 1)
+        chooser, pool = RecordingChooser(), ConnectionPool()
+        forwarder = Forwarder(chooser, AnyVersionPicker(), pool, CrashTable(facts), clock, vm)
+        forwarder.retries = RetryBudget(tokens=20.0)
+        deposits = DepositForwarder(make_gate(self.store, vm), forwarder)
+        self.nursery.start_soon(deposits.gate.writer.run)
+        key = StoredObject(f"keys/{hash_key(KEY)}", 1, {"workspace": "unam"})
+        document = self._document()
+        handler = RequestHandler(
+            view=lambda: ConfigView(services={"records": document}),
+            gate=AccessGate(
+                KeyRing(lambda: {key.key: key}), lambda now_s: 0.0, lambda now_s: False
+            ),
+            limiter=WorkspaceLimiter(EqualShares(lambda: 1), -1e6),
+            forwarder=forwarder,
+            deposits=deposits,
+            roster=Roster(VmIdentity(vm, 1, "127.0.0.1:1", "", "mx-a1")),
+            status=lambda now_s: {},
+            clock=clock,
+        )
+        server = HttpServer(handler.handle)
+        bound = await self.nursery.start(server.serve, ("127.0.0.1", 0))
+        return RigVm(forwarder, deposits, server, facts, f"{bound[0]}:{bound[1]}")
+
+    def behave(self, name: str, **changes) -> None:
+        """Change a stand-in's behaviour."""
+        standin = self.standins[name]
+        standin.behaviour = evolve(standin.behaviour, **changes)
+
+
+async def spread_facts(vms: list[RigVm]) -> None:
+    """Give each VM the facts of the others at once."""
+    while True:
+        for vm in vms:
+            for other in vms:
+                vm.facts.merge(other.facts.own(trio.current_time()))
+        await trio.sleep(0.01)
+
+
+def get(path: str, headers: str = AUTH, close: bool = True) -> bytes:
+    """Build the bytes of a GET request."""
+    last = "Connection: close\r\n" if close else ""
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\n{headers}{last}\r\n".encode()
+
+
+def post(path: str, key: str, body: bytes = b"thesis", headers: str = AUTH) -> bytes:
+    """Build the bytes of a deposit."""
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: x\r\n{headers}Idempotency-Key: {key}\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/tests/quarantine/test_crash_run.py
@@ -0,0 +1,115 @@
+"""Test requests that crash real targets in flight with others."""
+
+from collections import Counter
+
+import pytest
+import trio
+from entry.entry_rig import AUTH, Rig, get, post, spread_facts
+
+from wagtailbay.quarantine import request_fingerprint
+from wagtailbay_standins.target import Behaviour
+
+
+def crashed(rig: Rig) -> int:
+    """Return how many targets ran a crashing request."""
+    return sum(standin.seen_headers["x-crash"] > 0 for standin in rig.standins.values())
+
+
+class TestCrashingRequest:
+    """A crashing request ends two targets at most, and its neighbours are answered."""
+
+    async def _run(self, rig: Rig, vms, neighbours: int) -> tuple[list[bytes], list[bytes]]:
+        """Send slow neighbours to every VM, then a crashing request, and return the answers."""
+        answers: list[bytes] = []
+        guilty: list[bytes] = []
+
+        async def call(vm, data: bytes, into: list[bytes]) -> None:
+            into.append(await vm.session(data))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(neighbours):
+                data = get(f"/records/thesis/{number}")
+                nursery.start_soon(call, vms[number % len(vms)], data, answers)
+            await trio.sleep(0.05)
+            crash = get("/records/crash", "X-Crash: 1\r\n" + AUTH)
+            nursery.start_soon(call, vms[0], crash, guilty)
+        await trio.sleep(0.08)  # The facts of the second crash must reach the other VM.
+        for vm in vms:
+            guilty.append(await vm.session(crash))
+        return answers, guilty
+
+    async def test_guilty_is_found_among_neighbours(self, nursery) -> None:
+        """Guards against a third crash, refused neighbours and a false "not run"."""
+        rig = Rig(nursery)
+        for number in range(6):
+            behaviour = Behaviour(service_time_ms=150, connection_cost_ms=0)
+            await rig.add_target(f"t{number}", behaviour)
+        vms = [await rig.add_vm(f"vm-{number}") for number in (1, 2)]
+        nursery.start_soon(spread_facts, vms)
+        answers, guilty = await self._run(rig, vms, neighbours=18)
+        assert Counter(a[9:12] for a in answers) == {b"200": 18}
+        assert crashed(rig) == 2
+        assert [a[9:12] for a in guilty] == [b"422"] * 3
+        runs = [b"unknown" if b'"run": "unknown"' in a else b"not_run" for a in guilty]
+        assert runs == [b"unknown", b"not_run", b"not_run"]
+        now_s = trio.current_time()
+        assert [len(vm.forwarder.crashes.quarantined(now_s)) for vm in vms] == [1, 1]
+
+    async def test_check_fails_without_counting(self, nursery) -> None:
+        """Guards against the test above passing without quarantine: more targets end."""
+        rig = Rig(nursery)
+        for number in range(6):
+            await rig.add_target(f"t{number}")
+        vm = await rig.add_vm()
+        vm.forwarder.has_ended = never
+        await self._run(rig, [vm], neighbours=0)
+        assert crashed(rig) > 2
+
+    async def test_crashing_deposit_is_not_retried(self, nursery) -> None:
+        """Guards against a non-idempotent request that takes a second target with it."""
+        rig = Rig(nursery)
+        for number in range(3):
+            await rig.add_target(f"t{number}")
+        vm = await rig.add_vm()
+        found = []
+        for key in ("key-1", "key-1", "key-2", "key-3"):
+            headers = "X-Crash: 1\r\n" + AUTH
+            answer = await vm.session(post("/records/crash-deposits/1", key, headers=headers))
+            found.append((answer[9:12], b'"run": "unknown"' in answer, crashed(rig)))
+        assert found == [
+            (b"502", True, 1),
+            (b"409", True, 1),
+            (b"502", True, 2),
+            (b"422", False, 2),
+        ]
+
+    @pytest.mark.parametrize("enabled", [True, False])
+    async def test_suspects_run_one_after_another(self, nursery, enabled: bool) -> None:
+        """Guards against a second crash with several suspects in flight on the target."""
+        rig = Rig(nursery)
+        await rig.add_target("t0", Behaviour(service_time_ms=30, connection_cost_ms=0))
+        vm = await rig.add_vm()
+        vm.forwarder.lane.enabled = enabled
+        most = 0
+
+        async def watch() -> None:
+            nonlocal most
+            while True:
+                most = max(most, rig.standins["t0"].in_flight)
+                await trio.sleep(0.005)
+
+        for number in range(4):
+            mark = request_fingerprint("unam", "GET", f"/records/thesis/{number}", b"")
+            vm.forwarder.crashes.record_crash(mark, f"t{number}", "", trio.current_time())
+        async with trio.open_nursery() as calls:
+            calls.start_soon(watch)
+            async with trio.open_nursery() as inner:
+                for number in range(4):
+                    inner.start_soon(vm.session, get(f"/records/thesis/{number}"))
+            calls.cancel_scope.cancel()
+        assert (most == 1) is enabled
+
+
+async def never(address: str) -> bool:
+    """Stand in for a check that finds no ended target."""
+    return False
