--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -22,7 +22,7 @@
     ResponseHead,
     TransportError,
 )
-from wagtailbay.transport.wire import decode_headers, encode_request_head
+from wagtailbay.transport.wire import decode_headers, encode_request_head, is_small
 
 
 @define
@@ -85,6 +85,8 @@
         return Err(self._error(FailureKind.PROTOCOL, "too many informational responses"))
 
     def _checked_head(self, event: h11.Response) -> Result[ResponseHead, TransportError]:
+        if not is_small(event.headers):
+            return Err(self._error(FailureKind.PROTOCOL, "header fields too large"))
         head = ResponseHead(event.status_code, decode_headers(event.headers))
         names = [name.lower() for name, _ in head.headers]
         if "content-length" in names and "transfer-encoding" in names:
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -9,12 +9,13 @@
 
 from wagtailbay.transport.const import (
     IDLE_CONNECTION_TIMEOUT_S,
+    MAX_HEADER_BYTES,
     MAX_HEADER_FIELDS,
     RECEIVE_CHUNK_BYTES,
     REQUEST_RECEIVE_TIMEOUT_S,
 )
 from wagtailbay.transport.models import Request
-from wagtailbay.transport.wire import decode_headers
+from wagtailbay.transport.wire import decode_headers, is_small
 
 
 @frozen
@@ -48,7 +49,9 @@
             try:
                 event = self.protocol.next_event()
             except h11.RemoteProtocolError as error:
-                return Err(BadRequest(error.error_status_hint, "malformed_request", str(error)))
+                return Err(
+                    BadRequest(error.error_status_hint, "malformed_request", str(error)[:200])
+                )
             match event:
                 case h11.Request():
                     head = event
@@ -116,8 +119,9 @@
         message = "both Content-Length and Transfer-Encoding"
     elif head.method == b"CONNECT":
         message = "CONNECT is not supported"
-    elif len(names) > MAX_HEADER_FIELDS:
-        return BadRequest(431, "malformed_request", f"more than {MAX_HEADER_FIELDS} header fields")
+    elif not is_small(head.headers):
+        message = f"more than {MAX_HEADER_FIELDS} header fields or {MAX_HEADER_BYTES} bytes of them"
+        return BadRequest(431, "malformed_request", message)
     elif head.http_version != b"1.1":
         # HTTP/1.0 marks the end of an answer of unknown length only by closing.
         return BadRequest(505, "malformed_request", "only HTTP/1.1 is supported")
--- a/src/wagtailbay/transport/wire.py
+++ b/src/wagtailbay/transport/wire.py
@@ -1,9 +1,10 @@
 """Convert between HTTP messages and h11 events."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import h11
 
+from wagtailbay.transport.const import MAX_HEADER_BYTES, MAX_HEADER_FIELDS
 from wagtailbay.transport.models import Headers, Request, ResponseHead
 
 # Fields of one connection, which must not pass from one side to the other (RFC 9110, 7.6.1).
@@ -27,6 +28,12 @@
     return tuple((name.decode("ascii"), value.decode("latin-1")) for name, value in headers)
 
 
+def is_small(headers: Sequence[tuple[bytes, bytes]]) -> bool:
+    """Tell whether header fields keep to the limits; h11 limits only what arrives in parts."""
+    size_bytes = sum(len(name) + len(value) for name, value in headers)
+    return len(headers) <= MAX_HEADER_FIELDS and size_bytes <= MAX_HEADER_BYTES
+
+
 def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Encode header fields."""
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
