--- a/tests/entry/entry_rig.py
+++ b/tests/entry/entry_rig.py
@@ -29,9 +29,15 @@
 
 @define
 class RecordingChooser(RoundRobinChooser):
-    """Choose in turn and keep the reports."""
+    """Choose in turn, or the first that is left, and keep the reports."""
 
     reports: list = field(factory=list)
+    in_order: bool = False
+
+    async def choose(self, query, now_s):
+        """Choose a target."""
+        self.turn = -1 if self.in_order else self.turn
+        return await RoundRobinChooser.choose(self, query, now_s)
 
     def finish(self, query, assignment, report, now_s) -> None:
         """Keep the report."""
--- /dev/null
+++ b/tests/entry/test_forward.py
@@ -0,0 +1,219 @@
+"""Test tries, retries and what refusals say, through real connections."""
+
+import json
+from functools import partial
+
+import pytest
+import trio
+from entry.entry_rig import KEY, Rig, get, post
+
+from wagtailbay.entry.retry import RetryBudget
+from wagtailbay.once.const import MAX_RECORDED_BODY_BYTES
+from wagtailbay.steer import AttemptOutcome
+from wagtailbay_standins.target import Behaviour
+
+SHED = b"HTTP/1.1 503 x\r\nWagtailbay-Run: not-run\r\nContent-Length: 0\r\n\r\n"
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+HELD = Behaviour(service_time_ms=150, connection_cost_ms=0)
+
+
+async def answer_with(data: bytes, stream: trio.SocketStream) -> None:
+    """Take a request, send bytes and close."""
+    await stream.receive_some(65_536)
+    if data:
+        await stream.send_all(data)
+    await stream.aclose()
+
+
+async def add(rig: Rig, kind: str, name: str) -> None:
+    """Add a target of a kind."""
+    answers = {"breaks": b"", "sheds": SHED, "cuts": CUT}
+    if kind == "serves":
+        await rig.add_target(name)
+    elif kind == "refuses":
+        rig.add_address(name, "127.0.0.1:1")
+    else:
+        await rig.add_raw_target(name, partial(answer_with, answers[kind]))
+
+
+def run_of(answer: bytes) -> str:
+    """Return what a refusal says about the run; the header must agree."""
+    run = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]["run"]
+    assert f"Wagtailbay-Run: {run.replace('_', '-')}".encode() in answer
+    return run
+
+
+class TestRefusals:
+    """A refusal says "not run" only if no try may have run."""
+
+    @pytest.mark.parametrize(
+        ("kinds", "path", "status", "run"),
+        [
+            (["refuses"], "read", 502, "not_run"),
+            (["sheds"], "read", 503, "not_run"),
+            (["refuses", "sheds"], "read", 503, "not_run"),
+            (["breaks"], "read", 502, "unknown"),
+            (["breaks", "sheds"], "read", 503, "unknown"),
+            (["breaks", "refuses"], "read", 502, "unknown"),
+            (["breaks", "sheds", "refuses"], "read", 502, "unknown"),
+            (["breaks", "refuses", "sheds", "sheds"], "read", 503, "unknown"),
+            (["breaks", "serves"], "read", 200, None),
+            (["sheds", "serves"], "deposit", 200, None),
+            (["refuses", "serves"], "deposit", 200, None),
+            (["breaks", "serves"], "deposit", 502, "unknown"),
+            (["cuts", "serves"], "deposit", 502, "unknown"),
+            (["sheds"], "deposit", 503, "not_run"),
+        ],
+    )
+    async def test_run_is_true(self, nursery, kinds, path: str, status: int, run) -> None:
+        """Guards against "not run" after a try that may have run, and against unsafe retries."""
+        rig = Rig(nursery)
+        for number, kind in enumerate(kinds):
+            await add(rig, kind, f"t{number}")
+        vm = await rig.add_vm()
+        vm.forwarder.chooser.in_order = True
+        data = get("/records/x") if path == "read" else post("/records/deposits/1", "key-1")
+        answer = await vm.session(data)
+        assert int(answer[9:12]) == status
+        if run is not None:
+            assert run_of(answer) == run
+
+    async def test_cut_answer_ends_without_proper_end(self, nursery) -> None:
+        """Guards against a truncated answer that the caller takes for a complete one."""
+        rig = Rig(nursery)
+        await add(rig, "cuts", "t0")
+        answer = await (await rig.add_vm()).session(get("/records/x"))
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"content-length: 9" in answer
+        assert answer.endswith(b"half") or answer.endswith(b"<reset>")
+
+    async def test_deadline_before_sending_is_not_run(self, nursery) -> None:
+        """Guards against a deposit sent by a VM that was frozen until after the deadline."""
+        rig = Rig(nursery)
+        await rig.add_target("t0")
+        vm = await rig.add_vm()
+        vm.forwarder.clock = lambda: trio.current_time() + 60
+        answer = await vm.session(post("/records/deposits/1", "key-1"))
+        assert (answer[9:12], run_of(answer)) == (b"504", "not_run")
+        assert rig.standins["t0"].served == 0
+
+
+class TestRetryBudget:
+    """Retries stay within a tenth of first tries."""
+
+    async def test_retries_are_bounded(self, nursery) -> None:
+        """Guards against retries that triple the load when all targets fail."""
+        counts = {}
+        for enabled in (True, False):
+            rig = Rig(nursery)
+            for number in range(3):
+                await add(rig, "breaks", f"t{number}")
+            vm = await rig.add_vm()
+            vm.forwarder.retries = RetryBudget(enabled=enabled)
+            vm.forwarder.has_ended = ended_never
+            for number in range(60):
+                await vm.session(get(f"/records/{number}"))
+            counts[enabled] = len(vm.forwarder.chooser.reports)
+        assert counts[True] <= 60 * 1.1 + 2
+        assert counts[False] > 60 * 1.1 + 2, "the check must fail without the budget"
+
+
+async def ended_never(address: str) -> bool:
+    """Stand in for the check for crashes."""
+    return False
+
+
+class TestFrozenTarget:
+    """A target that takes requests and answers none costs one idle timeout."""
+
+    @pytest.mark.parametrize(("idle_timeout_ms", "in_time"), [(100, True), (1_000, False)])
+    async def test_fail_over(self, nursery, idle_timeout_ms: int, in_time: bool) -> None:
+        """Guards against readers that wait for their deadline at a frozen target."""
+        rig = Rig(nursery, idle_timeout_ms=idle_timeout_ms, deadline_ms=1_000)
+        await rig.add_target("frozen", Behaviour(frozen_answers=True))
+        await rig.add_target("good")
+        vm = await rig.add_vm()
+        vm.forwarder.chooser.in_order = True
+        started_s = trio.current_time()
+        answer = await vm.session(get("/records/x"))
+        assert (answer[9:12] == b"200") is in_time
+        assert (trio.current_time() - started_s < 0.5) is in_time
+
+
+class TestCallerThatLeaves:
+    """Reads end with their caller; deposits end with their outcome."""
+
+    async def test_read_is_cancelled_at_the_target(self, nursery) -> None:
+        """Guards against slots that work for callers who are gone."""
+        rig = Rig(nursery)
+        await rig.add_target("t0", Behaviour(service_time_ms=60_000, connection_cost_ms=0))
+        vm = await rig.add_vm()
+        await vm.session(get("/records/x"), wait_s=0.05)
+        with trio.fail_after(2):
+            while rig.standins["t0"].in_flight or vm.server.open_requests:
+                await trio.sleep(0.005)
+        assert vm.forwarder.chooser.reports == [("t0", AttemptOutcome.CANCELLED)]
+
+    async def test_deposit_is_recorded_and_resent_answer_matches(self, nursery) -> None:
+        """Guards against a second run, or a lost outcome, after a caller's timeout."""
+        rig = Rig(nursery)
+        await rig.add_target("t0", HELD)
+        first, second = await rig.add_vm("vm-1"), await rig.add_vm("vm-2")
+        data = post("/records/deposits/1", "key-1")
+        assert await first.session(data, wait_s=0.05) == b""
+        answers = [await vm.session(data) for vm in (second, first)]
+        assert [a[9:12] for a in answers] == [b"200", b"200"]
+        assert answers[0] == answers[1]
+        assert rig.standins["t0"].runs["key-1"] == 1
+
+    async def test_skipped_claim_runs_twice(self, nursery) -> None:
+        """Guards against the test above passing without the claim."""
+        rig = Rig(nursery)
+        await rig.add_target("t0", HELD)
+        vm = await rig.add_vm()
+        vm.deposits.gate.skip_claim = True
+        for _ in range(2):
+            await vm.session(post("/records/deposits/1", "key-1"))
+        assert rig.standins["t0"].runs["key-1"] == 2
+
+
+class TestDeposit:
+    """Deposits need a key and give the same answer again."""
+
+    @pytest.mark.parametrize("key", ["", "a b", "x" * 300])
+    async def test_unusable_key_is_refused(self, nursery, key: str) -> None:
+        """Guards against a deposit that could not be told from another."""
+        rig = Rig(nursery)
+        await rig.add_target("t0")
+        answer = await (await rig.add_vm()).session(post("/records/deposits/1", key))
+        assert (answer[9:12], run_of(answer)) == (b"400", "not_run")
+
+    async def test_large_answer_passes_and_is_replayed_as_digest(self, nursery) -> None:
+        """Guards against answers held in memory or stored without bound."""
+        rig = Rig(nursery)
+        behaviour = Behaviour(service_time_ms=1, body_bytes=2 * MAX_RECORDED_BODY_BYTES)
+        await rig.add_target("t0", behaviour)
+        vm = await rig.add_vm()
+        data = post("/records/deposits/1", "key-1")
+        first, again = await vm.session(data), await vm.session(data)
+        assert len(first) > 2 * MAX_RECORDED_BODY_BYTES
+        assert b"Wagtailbay-Replayed: digest" in again
+        size = json.loads(again.partition(b"\r\n\r\n")[2])["outcome"]["body_bytes"]
+        assert size == len(first.partition(b"\r\n\r\n")[2])
+
+    async def test_no_target_sees_the_key(self, nursery) -> None:
+        """Guards against a key that reaches a target on any route."""
+        rig = Rig(nursery)
+        seen: list[bytes] = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            seen.append(await stream.receive_some(65_536))
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        await rig.add_raw_target("t0", serve)
+        vm = await rig.add_vm()
+        for path in ("/records/x", "/records/open/x"):
+            assert (await vm.session(get(path)))[9:12] == b"200"
+        await vm.session(post("/records/deposits/1", "key-1"))
+        assert len(seen) == 3
+        assert KEY.encode() not in b"".join(seen)
