Send the head with the first bytes; drain outcome writes before a VM ends

Cause: an answer took three socket calls; a deposit that outlasted the idle timeout ended as "unknown" although no retry could follow; a stopping VM lost outcome writes that waited for the store.

Change: hold the head for the first part of the body; only the deadline ends a deposit's try; send nothing once the deadline has passed; wait up to 10 s for outcome writes at the end of a planned stop.

--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -1,5 +1,6 @@
 """Try one target."""
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -50,8 +51,10 @@
             return Try(Err(refusal), report, may_have_run=False)
         connection = opened.ok_value
         try:
-            with trio.move_on_after(self.context.remaining_ms(self.clock()) / 1000):
-                return await self._exchange(connection)
+            left_ms = self.context.remaining_ms(self.clock())
+            if left_ms > 0:
+                with trio.move_on_after(left_ms / 1000):
+                    return await self._exchange(connection)
             return self._late(connection)
         finally:
             with trio.CancelScope(shield=True):
@@ -69,7 +72,7 @@
     async def _exchange(self, connection: ClientConnection) -> Try:
         request = target_request(self.context, self.clock())
         sent: Result[ResponseHead, TransportError] | None = None
-        with trio.move_on_after(self.context.route.idle_timeout_ms / 1000):
+        with trio.move_on_after(self._idle_timeout_s()):
             sent = await connection.send(request)
         if sent is None:
             error = TransportError(FailureKind.TIMEOUT, "target idle", connection.request_sent)
@@ -83,6 +86,11 @@
             return Try(Err(refusal), self.report(AttemptOutcome.SHED, 503), may_have_run=False)
         return await self._stream(connection, head)
 
+    def _idle_timeout_s(self) -> float:
+        """Return the longest wait for bytes; without a retry only the deadline ends a try."""
+        route = self.context.route
+        return route.idle_timeout_ms / 1000 if route.idempotent else math.inf
+
     @staticmethod
     async def _discard_body(connection: ClientConnection) -> None:
         while isinstance(chunk := await connection.receive_chunk(), Ok):
@@ -105,7 +113,7 @@
         received_bytes = 0
         while True:
             chunk: Result[bytes | None, TransportError] | None = None
-            with trio.move_on_after(self.context.route.idle_timeout_ms / 1000):
+            with trio.move_on_after(self._idle_timeout_s()):
                 chunk = await connection.receive_chunk()
             if chunk is None:
                 return self._failed(TransportError(FailureKind.TIMEOUT, "target idle", True, True))
--- a/src/wagtailbay/once/const.py
+++ b/src/wagtailbay/once/const.py
@@ -20,6 +20,8 @@
 LAST_RETRY_S: Final = 1.0
 # The caller's answer waits at most this long for its outcome to be recorded.
 OUTCOME_WRITE_WAIT_S: Final = 0.5
+# A stopping VM waits this long for outcomes that the store does not have yet.
+DRAIN_TIMEOUT_S: Final = 10.0
 MAX_PENDING_WRITES: Final = 256
 MAX_PENDING_BYTES: Final = 8 * 1_048_576
 # Callers are promised 24 h; the margin covers clocks that differ between VMs.
--- a/src/wagtailbay/once/writer.py
+++ b/src/wagtailbay/once/writer.py
@@ -47,6 +47,7 @@
     max_pending_bytes: int = MAX_PENDING_BYTES
     pending: dict[str, PendingWrite] = field(factory=dict)
     added: ChangeSignal = field(factory=ChangeSignal)
+    removed: ChangeSignal = field(factory=ChangeSignal)
     dropped: int = 0
 
     async def write(self, object_key: str, record: ClaimRecord, version: int) -> None:
@@ -88,9 +89,17 @@
             wait_s = FIRST_RETRY_S if progress else min(LAST_RETRY_S, wait_s * 2)
             await trio.sleep(wait_s)
 
+    async def drain(self, timeout_s: float) -> bool:
+        """Wait until nothing is left to write; False if the time ran out."""
+        with trio.move_on_after(timeout_s):
+            while self.pending:
+                await self.removed.wait()
+        return not self.pending
+
     def _remove(self, write: PendingWrite) -> None:
         if self.pending.get(write.object_key) is write:
             del self.pending[write.object_key]
+            self.removed.notify()
 
     async def _try(self, write: PendingWrite) -> bool:
         """Try one write; True when nothing is left to do."""
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -21,6 +21,7 @@
 from wagtailbay.logs import log_event, start_logging
 from wagtailbay.membership import FactTable, Roster, VmIdentity, VmState
 from wagtailbay.once import OnceGate, OutcomeWriter, StoreCalls
+from wagtailbay.once.const import DRAIN_TIMEOUT_S
 from wagtailbay.platform import HttpObjectStore
 from wagtailbay.quarantine import CrashTable
 from wagtailbay.replica import Freshness, Replica, StoreReader
@@ -104,6 +105,8 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await anext(signals)
         await stop_gracefully(roster, server)
+        if not await writer.drain(DRAIN_TIMEOUT_S):
+            log_event("outcomes_lost", count=len(writer.pending))
         await pool.close()
         nursery.cancel_scope.cancel()
 
--- a/src/wagtailbay/transport/reply.py
+++ b/src/wagtailbay/transport/reply.py
@@ -39,6 +39,7 @@
     Attributes:
         closing: Tells whether the connection must end after this response.
         bodiless: Whether the request was HEAD, whose answer has no body.
+        held: The encoded head, sent together with the first part of the body.
     """
 
     stream: trio.abc.Stream
@@ -47,14 +48,15 @@
     bodiless: bool = False
     started: bool = False
     finished: bool = False
+    held: bytes = b""
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of the response."""
+        """Take the head of the response."""
         if self.closing():
             headers = (*headers, ("Connection", "close"))
         self.started = True
         self.bodiless = self.bodiless or status in (204, 304)
-        await self._send(encode_response_head(ResponseHead(status, headers)))
+        self.held = self.protocol.send(encode_response_head(ResponseHead(status, headers))) or b""
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -67,9 +69,14 @@
         self.finished = True
 
     async def _send(self, event: h11.Event) -> None:
+        data = self.held + (self.protocol.send(event) or b"")
+        self.held = b""
+        if not data:
+            await trio.lowlevel.checkpoint()
+            return
         try:
             with trio.fail_after(SEND_TIMEOUT_S):
-                await self.stream.send_all(self.protocol.send(event) or b"")
+                await self.stream.send_all(data)
         except trio.TooSlowError as error:
             raise CallerGoneError from error
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
--- a/tests/once/test_once_gate.py
+++ b/tests/once/test_once_gate.py
@@ -184,11 +184,10 @@
         assert await claim(gate) == Ok(OUTCOME), "this VM knows the outcome without the store"
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gate.writer.run)
-            await trio.sleep(10)
+            assert not await gate.writer.drain(10)
             store.outage = False
-            await trio.sleep(3)
+            assert await gate.writer.drain(3)
             nursery.cancel_scope.cancel()
-        assert gate.writer.pending == {}
         assert await claim(make_gate(store, "vm-2")) == Ok(OUTCOME)
 
     async def test_queue_is_bounded(self, autojump_clock) -> None:
--- a/tests/transport/test_server_input.py
+++ b/tests/transport/test_server_input.py
@@ -20,6 +20,7 @@
         raise KeyError("a fault of the program")
     if request.path == "/raise-late":
         await reply.start(200, (("Content-Length", "5"),))
+        await reply.send(b"ab")
         raise KeyError("a fault of the program")
     if request.path == "/invariant":
         raise BrokenInvariantError("state contradicts itself")
@@ -160,7 +161,7 @@
         assert answer.startswith(b"HTTP/1.1 500")
         assert b"Wagtailbay-Run: unknown" in answer
         cut = await session(address, request("GET /raise-late HTTP/1.1"))
-        assert cut.endswith(b"\r\n\r\n"), "the announced body must be missing"
+        assert cut.endswith(b"\r\n\r\nab"), "the rest of the body must be missing"
         assert (await session(address, GOOD)).startswith(b"HTTP/1.1 200")
 
     async def test_broken_invariant_stops_the_server(self) -> None:
