--- a/tests/once/once_fleet.py
+++ b/src/wagtailbay_bench/once_history.py
@@ -2,12 +2,14 @@
 
 import random
 from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
+from typing import Any
 
 import trio
 import trio.testing
 from attrs import define, field, frozen
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from wagtailbay.once import (
     Claim,
@@ -20,8 +22,10 @@
 )
 from wagtailbay.platform import (
     Listing,
+    ObjectStore,
     OutcomeUnknown,
     StoredObject,
+    StoreError,
     StoreUnavailable,
     VersionConflict,
 )
@@ -45,25 +49,27 @@
     changed: ChangeSignal = field(factory=ChangeSignal)
     calls: Counter = field(factory=Counter)
 
-    async def _next_fault(self, kind):
+    async def _next_fault(self, kind: str) -> str:
         self.calls[kind] += 1
         await trio.sleep(self.latency_s)
         if self.outage:
             return "refuse"
         return self.faults.pop(0) if self.faults else ""
 
-    async def get(self, key):
+    async def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
         """Read an object."""
         if await self._next_fault("get") in ("refuse", "drop", "lose"):
             return Err(StoreUnavailable("fault"))
         return Ok(self.objects.get(key))
 
-    async def list(self, prefixes):
+    async def list(self, prefixes: Sequence[str]) -> Result[Listing, StoreUnavailable]:
         """List objects."""
         found = tuple(o for k, o in sorted(self.objects.items()) if k.startswith(tuple(prefixes)))
         return Ok(Listing(self.revision, found))
 
-    async def watch(self, prefixes, since_revision, timeout_ms):
+    async def watch(
+        self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
+    ) -> Result[Listing, StoreUnavailable]:
         """Wait for a change."""
         with trio.move_on_after(timeout_ms / 1000):
             while not any(
@@ -72,7 +78,10 @@
                 await self.changed.wait()
         return await self.list(prefixes)
 
-    def _apply(self, key, value, expected_version):
+    def apply(
+        self, key: str, value: Any, expected_version: int | None
+    ) -> Result[int, VersionConflict]:
+        """Write at once, without faults."""
         current = self.objects[key].version if key in self.objects else 0
         if expected_version is not None and current != expected_version:
             return Err(VersionConflict(key, current))
@@ -81,7 +90,9 @@
         self.changed.notify()
         return Ok(self.revision)
 
-    async def put(self, key, value, expected_version):
+    async def put(
+        self, key: str, value: Any, expected_version: int | None
+    ) -> Result[int, StoreError]:
         """Write an object."""
         fault = await self._next_fault("put")
         if fault == "refuse":
@@ -90,14 +101,14 @@
             trio.lowlevel.spawn_system_task(self._put_late, key, value, expected_version)
         if fault in ("drop", "late"):
             return Err(OutcomeUnknown(key, "fault"))
-        written = self._apply(key, value, expected_version)
+        written = self.apply(key, value, expected_version)
         return Err(OutcomeUnknown(key, "fault")) if fault == "lose" else written
 
-    async def _put_late(self, key, value, expected_version):
+    async def _put_late(self, key: str, value: Any, expected_version: int | None) -> None:
         await trio.sleep(0.05)
-        self._apply(key, value, expected_version)
+        self.apply(key, value, expected_version)
 
-    async def delete(self, key, expected_version):
+    async def delete(self, key: str, expected_version: int | None) -> Result[int, StoreError]:
         """Delete an object."""
         if self.objects[key].version != expected_version:
             return Err(VersionConflict(key, self.objects[key].version))
@@ -105,13 +116,16 @@
         return Ok(self.revision)
 
 
-def make_gate(store, vm="vm-1", **switches) -> OnceGate:
+def make_gate(store: ObjectStore, vm: str = "vm-1", **switches: bool) -> OnceGate:
     """Build a gate whose clocks are the clock of the run."""
     calls = StoreCalls(store)
     now = trio.current_time
     return OnceGate(calls, OutcomeWriter(calls), vm, 1, now, now, **switches)
 
 
+Gates = dict[int, OnceGate]
+
+
 @frozen
 class Step:
     """Submit a key at a VM; target_s is how long the target takes, ending as target_end says."""
@@ -172,13 +186,15 @@
             await trio.sleep(20.0)
             nursery.cancel_scope.cancel()
 
-    def _start_vm(self, vm, gates, store, nursery) -> None:
+    def _start_vm(self, vm: int, gates: Gates, store: FakeStore, nursery: trio.Nursery) -> None:
         gates[vm] = make_gate(store, f"vm-{vm}", **self.switches)
         scope = trio.CancelScope()
         self.scopes[vm] = [scope]
         nursery.start_soon(self._within, scope, gates[vm].writer.run)
 
-    async def _kill(self, at_s, vm, gates, store, nursery) -> None:
+    async def _kill(
+        self, at_s: float, vm: int, gates: Gates, store: FakeStore, nursery: trio.Nursery
+    ) -> None:
         await trio.sleep(at_s)
         for scope in self.scopes[vm]:
             scope.cancel()
@@ -186,24 +202,24 @@
         self._start_vm(vm, gates, store, nursery)
 
     @staticmethod
-    async def _within(scope, run) -> None:
+    async def _within(scope: trio.CancelScope, run: Callable[[], Awaitable[None]]) -> None:
         with scope:
             await run()
 
     @staticmethod
-    async def _cut_off(from_s, until_s, store) -> None:
+    async def _cut_off(from_s: float, until_s: float, store: FakeStore) -> None:
         await trio.sleep(from_s)
         store.outage = True
         await trio.sleep(until_s - from_s)
         store.outage = False
 
-    async def _submit(self, number, step, gates) -> None:
+    async def _submit(self, number: int, step: Step, gates: Gates) -> None:
         await trio.sleep(step.at_s)
         scope = trio.CancelScope()
         self.scopes[step.vm].append(scope)
         await self._within(scope, partial(self._serve, number, step, gates[step.vm]))
 
-    async def _serve(self, number, step, gate) -> None:
+    async def _serve(self, number: int, step: Step, gate: OnceGate) -> None:
         deadline_s = trio.current_time() + step.deadline_s
         submission = Submission("unam", step.key, "POST", "/deposits/", step.body)
         claimed = await gate.claim(submission, deadline_s)
@@ -212,7 +228,9 @@
             result = await self._send(number, step, gate, result)
         self.answers.append(Answer(step, number, result))
 
-    async def _send(self, number, step, gate, claim):
+    async def _send(
+        self, number: int, step: Step, gate: OnceGate, claim: Claim
+    ) -> Outcome | Refusal:
         if step.target_end == "no_target":
             await gate.finish(claim, ClaimState.NOT_SENT)
             return Refusal(503, "no_target", "", RunState.NOT_RUN)
@@ -241,7 +259,7 @@
         return found
 
 
-def random_fleet(seed: int, **switches) -> OnceFleet:
+def random_fleet(seed: int, **switches: bool) -> OnceFleet:
     """Build a fleet with resends at several VMs, faults, outages and deaths."""
     source = random.Random(seed)
     kinds = ["", "", "", "", "refuse", "lose", "drop", "late"]
--- a/tests/entry/entry_rig.py
+++ b/src/wagtailbay_bench/rig.py
@@ -1,10 +1,11 @@
 """Run entry VMs and targets in one process on loopback, through the real classes."""
 
 from collections.abc import Callable
+from typing import Any
 
 import trio
 from attrs import define, evolve, field
-from once.once_fleet import FakeStore, make_gate
+from result import Result
 
 from wagtailbay.access import AccessGate, KeyRing, hash_key
 from wagtailbay.allotment import EqualShares
@@ -17,10 +18,12 @@
 from wagtailbay.membership import FactTable, Roster, VmIdentity
 from wagtailbay.platform import StoredObject
 from wagtailbay.quarantine import CrashTable
+from wagtailbay.refusals import Refusal
 from wagtailbay.settings.checks import split_address
 from wagtailbay.shift import AnyVersionPicker
-from wagtailbay.steer import RoundRobinChooser
+from wagtailbay.steer import Assignment, AttemptReport, RoundRobinChooser, TargetQuery
 from wagtailbay.transport import ConnectionPool, HttpServer
+from wagtailbay_bench.once_history import FakeStore, make_gate
 from wagtailbay_standins.target import Behaviour, TargetStandin, run_target
 
 KEY = "unam-key-0123456789"
@@ -34,12 +37,14 @@
     reports: list = field(factory=list)
     in_order: bool = False
 
-    async def choose(self, query, now_s):
+    async def choose(self, query: TargetQuery, now_s: float) -> Result[Assignment, Refusal]:
         """Choose a target."""
         self.turn = -1 if self.in_order else self.turn
         return await RoundRobinChooser.choose(self, query, now_s)
 
-    def finish(self, query, assignment, report, now_s) -> None:
+    def finish(
+        self, query: TargetQuery, assignment: Assignment, report: AttemptReport, now_s: float
+    ) -> None:
         """Keep the report."""
         self.reports.append((assignment.target.target, report.outcome))
 
@@ -143,7 +148,7 @@
         bound = await self.nursery.start(server.serve, ("127.0.0.1", 0))
         return RigVm(forwarder, deposits, server, facts, f"{bound[0]}:{bound[1]}")
 
-    def behave(self, name: str, **changes) -> None:
+    def behave(self, name: str, **changes: Any) -> None:
         """Change a stand-in's behaviour."""
         standin = self.standins[name]
         standin.behaviour = evolve(standin.behaviour, **changes)
--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -5,11 +5,11 @@
 
 import pytest
 import trio
-from entry.entry_rig import KEY, Rig, get, post
 
 from wagtailbay.entry.retry import RetryBudget
 from wagtailbay.once.const import MAX_RECORDED_BODY_BYTES
 from wagtailbay.steer import AttemptOutcome
+from wagtailbay_bench.rig import KEY, Rig, get, post
 from wagtailbay_standins.target import Behaviour
 
 SHED = b"HTTP/1.1 503 x\r\nWagtailbay-Run: not-run\r\nContent-Length: 0\r\n\r\n"
--- a/tests/entry/test_request_form.py
+++ b/tests/entry/test_request_form.py
@@ -1,7 +1,6 @@
 """Test how requests are read and what of them a target sees."""
 
 import pytest
-from entry.entry_rig import KEY
 
 from wagtailbay.config import ConfigView, Route, ServiceDocument
 from wagtailbay.entry import RequestContext
@@ -13,6 +12,7 @@
 )
 from wagtailbay.entry.wire import target_request
 from wagtailbay.transport import Request
+from wagtailbay_bench.rig import KEY
 
 OPEN = Route("open", "/open/", open=True)
 READ = Route("read", "/")
--- a/tests/entry/test_sessions.py
+++ b/tests/entry/test_sessions.py
@@ -5,12 +5,12 @@
 
 import pytest
 import trio
-from entry.entry_rig import AUTH, Rig, get, post
-from entry.test_forward import CUT, SHED, answer_with
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from test_forward import CUT, SHED, answer_with
 
 from wagtailbay.quarantine import request_fingerprint
+from wagtailbay_bench.rig import AUTH, Rig, get, post
 
 VARIABLE = [
     (rb"[0-9a-f]{32}", b"<id>"),
--- a/tests/once/test_once_gate.py
+++ b/tests/once/test_once_gate.py
@@ -3,13 +3,13 @@
 import pytest
 import trio
 import trio.testing
-from once_fleet import FakeStore, make_gate
 from result import Err, Ok
 
 from wagtailbay.once import Claim, ClaimState, Outcome, Submission
 from wagtailbay.once.calls import HeldMemory, StoreCalls
 from wagtailbay.once.const import MAX_RECORDED_BODY_BYTES
 from wagtailbay.refusals import RunState
+from wagtailbay_bench.once_history import FakeStore, make_gate
 
 OUTCOME = Outcome.of(201, (("X-Run", "1"),), b"accepted")
 
--- a/tests/once/test_once_history.py
+++ b/tests/once/test_once_history.py
@@ -2,9 +2,9 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from once_fleet import OnceFleet, random_fleet
 
 from wagtailbay.refusals import Refusal, RunState
+from wagtailbay_bench.once_history import OnceFleet, random_fleet
 
 
 class TestOnceHistory:
--- a/tests/once/test_once_objects.py
+++ b/tests/once/test_once_objects.py
@@ -5,11 +5,11 @@
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from once_fleet import FakeStore
 from result import Err, Ok
 
 from wagtailbay.once import ClaimRecord, ClaimState, ExpirySweep, Outcome
 from wagtailbay.once.wire import decode_record, encode_record
+from wagtailbay_bench.once_history import FakeStore
 
 HEX = st.text("0123456789abcdef", min_size=1, max_size=64)
 OUTCOMES = st.builds(
@@ -61,8 +61,8 @@
         store = FakeStore(latency_s=0.0)
         for number, age_h in enumerate([1, 23, 24, 26, 100]):
             record = ClaimRecord("d", "vm-1", 1, "m", 1e9 - age_h * 3600)
-            store._apply(f"once/unam/{number:02x}aa", encode_record(record), 0)
-        store._apply("once/unam/07aa", {"foreign": True}, 0)
+            store.apply(f"once/unam/{number:02x}aa", encode_record(record), 0)
+        store.apply("once/unam/07aa", {"foreign": True}, 0)
         sweep = ExpirySweep(store, lambda: ("unam",), lambda: 1e9)
         removed = [await sweep.step(1e9) for _ in range(256)]
         assert (sum(removed), max(removed)) == (2, 1)
@@ -72,9 +72,9 @@
         """Guards against removing a claim that was made anew after the listing."""
         store = FakeStore(latency_s=0.0)
         old = encode_record(ClaimRecord("d", "vm-1", 1, "m", 0.0, ClaimState.NOT_SENT))
-        store._apply("once/unam/00aa", old, 0)
+        store.apply("once/unam/00aa", old, 0)
         listed = await store.list(("once/",))
-        store._apply("once/unam/00aa", old, listed.ok_value.objects[0].version)
+        store.apply("once/unam/00aa", old, listed.ok_value.objects[0].version)
         sweep = ExpirySweep(store, lambda: (), lambda: 1e9)
         await sweep._delete(list(listed.ok_value.objects), [0])
         await trio.lowlevel.checkpoint()
--- a/tests/quarantine/test_crash_run.py
+++ b/tests/quarantine/test_crash_run.py
@@ -4,9 +4,9 @@
 
 import pytest
 import trio
-from entry.entry_rig import AUTH, Rig, get, post, spread_facts
 
 from wagtailbay.quarantine import request_fingerprint
+from wagtailbay_bench.rig import AUTH, Rig, get, post, spread_facts
 from wagtailbay_standins.target import Behaviour
 
 
