Send nothing after a freeze between choice and sending; guard late writes

Cause: a VM that was frozen after the choice of a target still tried to connect within 1 ms and then reported either the deadline or an unreachable target.

--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -41,7 +41,9 @@
     async def run(self) -> Try:
         """Try the target within the request's deadline."""
         remaining_ms = self.context.remaining_ms(self.started_s)
-        connect_ms = max(1, min(CONNECT_TIMEOUT_MS, remaining_ms))
+        if remaining_ms <= 0:
+            return self._late(request_sent=False)
+        connect_ms = min(CONNECT_TIMEOUT_MS, remaining_ms)
         address = self.assignment.target.address
         fresh = not self.context.route.idempotent
         opened = await self.pool.acquire(address, connect_ms, fresh)
@@ -55,19 +57,19 @@
             if left_ms > 0:
                 with trio.move_on_after(left_ms / 1000):
                     return await self._exchange(connection)
-            return self._late(connection)
+            return self._late(connection.request_sent)
         finally:
             with trio.CancelScope(shield=True):
                 await self.pool.release(connection)
 
-    def _late(self, connection: ClientConnection) -> Try:
+    def _late(self, request_sent: bool) -> Try:
         report = self.report(AttemptOutcome.TIMED_OUT)
         if self.sink.started:
             cut = AnswerCut("the deadline passed while the answer was sent")
             return Try(Err(cut), report, may_have_run=True)
-        refuse = outcome_unknown if connection.request_sent else not_run
+        refuse = outcome_unknown if request_sent else not_run
         refusal = refuse(504, "deadline", "no answer before the deadline")
-        return Try(Err(refusal), report, may_have_run=connection.request_sent)
+        return Try(Err(refusal), report, may_have_run=request_sent)
 
     async def _exchange(self, connection: ClientConnection) -> Try:
         request = target_request(self.context, self.clock())
--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -87,12 +87,14 @@
         assert b"content-length: 9" in answer
         assert answer.endswith(b"half") or answer.endswith(b"<reset>")
 
-    async def test_deadline_before_sending_is_not_run(self, nursery) -> None:
+    @pytest.mark.parametrize("chosen", [False, True])
+    async def test_deadline_before_sending_is_not_run(self, nursery, chosen: bool) -> None:
         """Guards against a deposit sent by a VM that was frozen until after the deadline."""
         rig = Rig(nursery)
         await rig.add_target("t0")
         vm = await rig.add_vm()
-        vm.forwarder.clock = lambda: trio.current_time() + 60
+        chooser = vm.forwarder.chooser
+        vm.forwarder.clock = lambda: trio.current_time() + (60 if chooser.turn or not chosen else 0)
         answer = await vm.session(post("/records/deposits/1", "key-1"))
         assert (answer[9:12], run_of(answer)) == (b"504", "not_run")
         assert rig.standins["t0"].served == 0
--- a/tests/once/test_once_gate.py
+++ b/tests/once/test_once_gate.py
@@ -190,6 +190,22 @@
             nursery.cancel_scope.cancel()
         assert await claim(make_gate(store, "vm-2")) == Ok(OUTCOME)
 
+    async def test_repeated_write_spares_a_later_claim(self, autojump_clock) -> None:
+        """Guards against a late ``not_sent`` that frees a key which another VM has run."""
+        store = FakeStore()
+        first, second = make_gate(store), make_gate(store, "vm-2")
+        claimed = (await claim(first)).ok_value
+        store.faults = ["lose", "refuse"]
+        await first.finish(claimed, ClaimState.NOT_SENT)
+        assert first.writer.pending
+        again = (await claim(second)).ok_value
+        await second.finish(again, ClaimState.ANSWERED, OUTCOME)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first.writer.run)
+            assert await first.writer.drain(5)
+            nursery.cancel_scope.cancel()
+        assert await claim(make_gate(store, "vm-3")) == Ok(OUTCOME)
+
     async def test_queue_is_bounded(self, autojump_clock) -> None:
         """Guards against a long outage that fills the VM's memory with outcomes."""
         store = FakeStore()
