Probe targets and combine the reports of several probers

The chooser needs the state and load of targets from more than this VM's own counts. Two VMs of the target's region probe each target; others probe one that nobody reported for 3 s. Not yet wired or tested.

--- /dev/null
+++ b/src/wagtailbay/health/assign.py
@@ -0,0 +1,31 @@
+"""Decide which VMs probe which targets."""
+
+from collections.abc import Iterable
+
+from xxhash import xxh64_intdigest
+
+from wagtailbay.config import FleetDocument, ServiceDocument, Target
+from wagtailbay.health.const import PROBERS_PER_TARGET
+from wagtailbay.membership import Member
+
+
+def choose_probers(
+    service: ServiceDocument,
+    target: Target,
+    live: Iterable[Member],
+    fleet: FleetDocument,
+) -> tuple[str, ...]:
+    """Return the VMs that probe a target, by rendezvous hashing.
+
+    They lie in the target's region; VMs of all regions are used if none of it is live.
+    """
+    members = tuple(live)
+    region = fleet.region_of(target.availability_zone)
+    near = [m for m in members if fleet.region_of(m.identity.availability_zone) == region]
+
+    def weight(member: Member) -> int:
+        text = f"{service.service}\0{target.target}\0{member.identity.vm}"
+        return xxh64_intdigest(text.encode())
+
+    ranked = sorted(near or members, key=weight)
+    return tuple(member.identity.vm for member in ranked[:PROBERS_PER_TARGET])
--- /dev/null
+++ b/src/wagtailbay/health/const.py
@@ -0,0 +1,35 @@
+"""Constants of the health slice."""
+
+from typing import Final
+
+TARGET_REPORT_KIND: Final = "target_report"
+PROBE_INTERVAL_S: Final = 1.0
+# Spreads the probes of different VMs; the mean interval stays the same.
+PROBE_JITTER: Final = 0.2
+PROBE_TIMEOUT_MS: Final = 500
+PROBERS_PER_TARGET: Final = 2
+UNCOVERED_AFTER_S: Final = 3.0
+ASSIGN_INTERVAL_S: Final = 0.5
+# A report is published again after half of this, so it outlives one lost message.
+REPORT_TTL_MS: Final = 4_000
+# One lost probe answer is no reason to take a target out.
+FAILED_AFTER_PROBES: Final = 2
+# A change of load by less than this part of the slots changes no reader's choice.
+LOAD_CHANGE: Final = 0.25
+# Reported load loses half of its weight in this time, about one probe interval.
+LOAD_HALF_LIFE_S: Final = 1.0
+# Readers rebuild their index of reports at most this often.
+INDEX_INTERVAL_S: Final = 0.2
+MAX_REPORTED: Final = 1_000_000
+MAX_PROBE_BODY_BYTES: Final = 16_384
+MAX_VERSION_LENGTH: Final = 64
+
+EJECT_AFTER_CONNECT_FAILURES: Final = 3
+EJECT_AFTER_TIMEOUTS: Final = 3
+EJECT_AFTER_SHEDS: Final = 5
+FIRST_EJECTION_S: Final = 5.0
+MAX_EJECTION_S: Final = 60.0
+# A target that stayed in for this long after an ejection starts again with the first term.
+FORGIVE_AFTER_S: Final = 120.0
+# Sheds can mean that the whole service is overloaded, so they take out at most this part of it.
+MAX_SHED_EJECTED: Final = 0.5
