--- /dev/null
+++ b/src/wagtailbay/steer/const.py
@@ -0,0 +1,21 @@
+"""Constants of the steer slice."""
+
+from typing import Final
+
+PPM: Final = 1_000_000
+# Longest wait for a free target or for budget.
+MAX_WAIT_S: Final = 0.2
+# Budgets refill without an event, so waiting requests look again after this time.
+WAIT_TICK_S: Final = 0.02
+SLOW_START_FROM: Final = 0.1
+SLOW_START_PER_S: Final = 0.1
+SPILL_ENDS_BELOW_LOAD: Final = 0.8
+SPILL_ENDS_AFTER_S: Final = 5.0
+# Estimated load counts this VM's requests twice, so a full target may show twice its slots.
+BUSY_LOAD: Final = 2.0
+# A shed that contradicts the report counts as this many times the slots, most after four in a row.
+SHED_LOAD: Final = 1.0
+MAX_SHED_LOADS: Final = 4
+SHED_HALF_LIFE_S: Final = 1.0
+# An answer this recent outweighs probers that call the target failed.
+ANSWER_COUNTS_S: Final = 2.0
--- a/src/wagtailbay/steer/models.py
+++ b/src/wagtailbay/steer/models.py
@@ -8,6 +8,7 @@
 
 from wagtailbay.config import Route, ServiceDocument, Target
 from wagtailbay.refusals import Refusal
+from wagtailbay.steer.const import BUSY_LOAD
 
 
 @frozen
@@ -77,3 +78,65 @@
         self, query: TargetQuery, assignment: Assignment, report: AttemptReport, now_s: float
     ) -> None:
         """Record what came of a try; must be called once for each assignment."""
+
+
+class BudgetSource(Protocol):
+    """Hold requests to the capacity of regions and links over the whole fleet."""
+
+    def take_region(
+        self,
+        service: ServiceDocument,
+        region: str,
+        now_s: float,
+        healthy_fraction: float = 1.0,
+    ) -> bool:
+        """Take the budget of one request to a region; False if there is none.
+
+        Args:
+            healthy_fraction: Usable slots through all slots of the service in the region; the
+                effective capacity is the documented one times this.
+        """
+
+    def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
+        """Tell whether the link that carries responses may take one more."""
+
+    def charge_link(
+        self, from_region: str, to_region: str, response_bytes: int, now_s: float
+    ) -> None:
+        """Charge what a response used of a link; responses go from the target's region."""
+
+
+class WeightSource(Protocol):
+    """Tell how far planned drains have lowered the share of targets."""
+
+    def weight_ppm(self, service: ServiceDocument, target: Target, now_s: float) -> int:
+        """Return the weight of a target, 1,000,000 where it is not drained, 0 for no new work."""
+
+
+@frozen
+class Candidate:
+    """Hold what counts in the choice of one target.
+
+    Attributes:
+        own_in_flight: This VM's requests.
+        load: Own requests and reported load.
+        slots: Slots, less while the target starts slowly; above 0.
+        weight_ppm: Its weight by planned drains, above 0.
+    """
+
+    target: Target
+    region: str
+    own_in_flight: int
+    load: float
+    slots: float
+    weight_ppm: int
+
+    @property
+    def score(self) -> float:
+        """Return the load through the slots; less is better."""
+        return self.load / self.slots
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether the target seems to have no free slot."""
+        return self.own_in_flight >= self.slots or self.load >= BUSY_LOAD * self.slots
--- /dev/null
+++ b/src/wagtailbay/steer/slow_start.py
@@ -0,0 +1,41 @@
+"""Raise the share of a recovered target slowly."""
+
+from attrs import define, field
+
+from wagtailbay.steer.const import SLOW_START_FROM, SLOW_START_PER_S
+
+
+@define
+class SlowStart:
+    """Track since when each target is usable.
+
+    Targets known when a service is first seen count as warm; those that recover or are added
+    later start from 10% and gain 10 points each second.
+
+    Attributes:
+        enabled: Test-only switch; False gives a recovered target its full share at once.
+    """
+
+    enabled: bool = True
+    usable_since_s: dict[str, dict[str, float | None]] = field(factory=dict)
+
+    def observe(self, service: str, usable: dict[str, bool], now_s: float) -> None:
+        """Record which of a service's targets are usable now."""
+        known = self.usable_since_s.get(service)
+        since: dict[str, float | None] = {}
+        for target, is_usable in usable.items():
+            if not is_usable:
+                since[target] = None
+            elif known is None:
+                since[target] = float("-inf")
+            else:
+                before_s = known.get(target)
+                since[target] = now_s if before_s is None else before_s
+        self.usable_since_s[service] = since
+
+    def factor(self, service: str, target: str, now_s: float) -> float:
+        """Return the part of its share that a usable target gets, from 0.1 to 1."""
+        since_s = self.usable_since_s.get(service, {}).get(target)
+        if since_s is None or not self.enabled:
+            return 1.0
+        return min(1.0, SLOW_START_FROM + SLOW_START_PER_S * max(0.0, now_s - since_s))
--- /dev/null
+++ b/src/wagtailbay/steer/unlimited.py
@@ -0,0 +1,39 @@
+"""Steer without budgets and without drains."""
+
+from attrs import define
+
+from wagtailbay.config import ServiceDocument, Target
+from wagtailbay.steer.const import PPM
+
+
+@define
+class UnlimitedBudgets:
+    """Allow everything; the baseline without budgets."""
+
+    def take_region(
+        self,
+        service: ServiceDocument,
+        region: str,
+        now_s: float,
+        healthy_fraction: float = 1.0,
+    ) -> bool:
+        """Allow the request."""
+        return True
+
+    def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
+        """Allow the response."""
+        return True
+
+    def charge_link(
+        self, from_region: str, to_region: str, response_bytes: int, now_s: float
+    ) -> None:
+        """Ignore the response."""
+
+
+@define
+class FullWeights:
+    """Drain nothing."""
+
+    def weight_ppm(self, service: ServiceDocument, target: Target, now_s: float) -> int:
+        """Return the full weight."""
+        return PPM
