Move traffic between versions in judged steps, and drain by weights

A plan in a document had no effect. Steps are planned backwards from the deadline, written by the lease holder and applied by error diffusion on each VM; a betting test compares both versions in the same period. Not yet wired or tested.

--- a/src/wagtailbay/health/state.py
+++ b/src/wagtailbay/health/state.py
@@ -11,7 +11,7 @@
     REPORT_TTL_MS,
     TARGET_REPORT_KIND,
 )
-from wagtailbay.health.models import TargetReport, TargetState, TargetView
+from wagtailbay.health.models import LoadAnswer, TargetReport, TargetState, TargetView
 from wagtailbay.membership import FactTable
 
 # A report, when it was made on this VM's clock, and the VM that made it.
@@ -82,4 +82,8 @@
 
 
 def _is_report(value: Any) -> bool:
-    return isinstance(value, TargetReport) and isinstance(value.state, TargetState)
+    if not isinstance(value, TargetReport) or not isinstance(value.state, TargetState):
+        return False
+    if not isinstance(value.service, str) or not isinstance(value.target, str):
+        return False
+    return value.load is None or isinstance(value.load, LoadAnswer)
--- a/src/wagtailbay/shift/__init__.py
+++ b/src/wagtailbay/shift/__init__.py
@@ -1,6 +1,41 @@
 """Move traffic between versions and away from what is drained."""
 
-from wagtailbay.shift.fixed import AnyVersionPicker
-from wagtailbay.shift.models import VersionChoice, VersionPicker
+from wagtailbay.shift.caps import SharedVersionCaps, UncappedVersions
+from wagtailbay.shift.controller import ShiftController, build_shift_controller
+from wagtailbay.shift.drains import DrainWeights
+from wagtailbay.shift.fixed import AnyVersionPicker, LatestContact, SoleHolder
+from wagtailbay.shift.models import (
+    Contact,
+    Evidence,
+    Lease,
+    MovePhase,
+    MovePlan,
+    MoveState,
+    Stop,
+    VersionBudget,
+    VersionChoice,
+    VersionPicker,
+)
+from wagtailbay.shift.picker import MoveVersionPicker
 
-__all__ = ["AnyVersionPicker", "VersionChoice", "VersionPicker"]
+__all__ = [
+    "AnyVersionPicker",
+    "Contact",
+    "DrainWeights",
+    "Evidence",
+    "LatestContact",
+    "Lease",
+    "MovePhase",
+    "MovePlan",
+    "MoveState",
+    "MoveVersionPicker",
+    "SharedVersionCaps",
+    "ShiftController",
+    "SoleHolder",
+    "Stop",
+    "UncappedVersions",
+    "VersionBudget",
+    "VersionChoice",
+    "VersionPicker",
+    "build_shift_controller",
+]
--- /dev/null
+++ b/src/wagtailbay/shift/advance.py
@@ -0,0 +1,67 @@
+"""Decide what a move does next."""
+
+from attrs import evolve, frozen
+
+from wagtailbay.shift.const import MIN_STEP_REQUESTS, MIN_STEP_S, WATCH_S
+from wagtailbay.shift.models import MovePhase, MoveState
+
+WAITING = "waiting for evidence of the new version"
+
+
+@frozen
+class StepEvidence:
+    """Hold what decides on a move.
+
+    Attributes:
+        new_requests: The new version's requests since the step was taken.
+        bad: Why the new version is bad, None while nothing shows it.
+    """
+
+    new_requests: int
+    bad: str | None = None
+
+
+def advance(state: MoveState, evidence: StepEvidence, now_unix_s: float) -> MoveState:
+    """Return the next state of a move, or the same one where nothing changes.
+
+    A step is taken when its time has come, the previous one has lasted 5 s and has shown enough
+    requests. A move that has not reached its last step by the deadline is rolled back.
+    """
+    if state.ended:
+        return state
+    if evidence.bad is not None:
+        return _rolled_back(state, evidence.bad, now_unix_s)
+    if state.phase is MovePhase.WATCHING:
+        return _watched(state, evidence, now_unix_s)
+    if now_unix_s >= state.plan.deadline_unix_s:
+        reason = state.reason or "not at its last step"
+        share = f"{state.share_ppm / 10_000:g}%"
+        return _rolled_back(state, f"deadline passed at {share}: {reason}", now_unix_s)
+    return _stepped(state, evidence, now_unix_s)
+
+
+def _rolled_back(state: MoveState, reason: str, now_unix_s: float) -> MoveState:
+    return evolve(state, phase=MovePhase.ROLLED_BACK, step_unix_s=now_unix_s, reason=reason)
+
+
+def _watched(state: MoveState, evidence: StepEvidence, now_unix_s: float) -> MoveState:
+    if now_unix_s < state.step_unix_s + WATCH_S:
+        return state
+    if evidence.new_requests >= MIN_STEP_REQUESTS:
+        return evolve(state, phase=MovePhase.FINISHED, step_unix_s=now_unix_s, reason="")
+    if now_unix_s >= state.plan.deadline_unix_s:
+        return _rolled_back(state, "no evidence of the new version by the deadline", now_unix_s)
+    return state
+
+
+def _stepped(state: MoveState, evidence: StepEvidence, now_unix_s: float) -> MoveState:
+    following = state.plan.steps[state.step + 1]
+    if now_unix_s < following.at_unix_s:
+        return state
+    if state.step >= 0 and now_unix_s < state.step_unix_s + MIN_STEP_S:
+        return state
+    if state.step >= 0 and evidence.new_requests < MIN_STEP_REQUESTS:
+        return evolve(state, reason=WAITING)
+    last = state.step + 1 == len(state.plan.steps) - 1
+    phase = MovePhase.WATCHING if last else MovePhase.RUNNING
+    return evolve(state, phase=phase, step=state.step + 1, step_unix_s=now_unix_s, reason="")
--- /dev/null
+++ b/src/wagtailbay/shift/drains.py
@@ -0,0 +1,59 @@
+"""Lower the share of what is drained, step by step until its deadline."""
+
+import math
+from collections.abc import Callable
+
+from attrs import define
+
+from wagtailbay.config import Drain, FleetDocument, ServiceDocument, Target
+from wagtailbay.shift.const import PPM
+
+
+def drain_weight_ppm(drain: Drain, now_unix_s: float) -> int:
+    """Return the weight that a drain leaves at a time.
+
+    The first step is at the start; the last one leaves the length of a step before the deadline
+    for the requests that still run. A drain whose start is its deadline stops work at once.
+    """
+    if now_unix_s < drain.start_unix_s:
+        return PPM
+    if now_unix_s >= drain.deadline_unix_s:
+        return 0
+    steps = math.ceil(PPM / drain.max_step_ppm)
+    distance_s = (drain.deadline_unix_s - drain.start_unix_s) / steps
+    taken = min(steps, math.floor((now_unix_s - drain.start_unix_s) / distance_s) + 1)
+    return max(0, PPM - taken * drain.max_step_ppm)
+
+
+@define
+class DrainWeights:
+    """Tell the weight of targets from the drains of their service's document.
+
+    Every VM computes the same weight from the document and the wall clock, so a drain needs
+    neither the store nor a lease holder once the document is known.
+
+    Attributes:
+        enabled: Test-only switch; False drains nothing.
+    """
+
+    fleet: Callable[[], FleetDocument | None]
+    unix_clock: Callable[[], float]
+    enabled: bool = True
+
+    def weight_ppm(self, service: ServiceDocument, target: Target, now_s: float) -> int:
+        """Return the least weight of all drains that name the target or its place."""
+        if not service.drains or not self.enabled:
+            return PPM
+        now_unix_s = self.unix_clock()
+        fleet = self.fleet()
+        places = {
+            "target": target.target,
+            "availability_zone": target.availability_zone,
+            "region": fleet.region_of(target.availability_zone) if fleet else None,
+        }
+        weights = (
+            drain_weight_ppm(drain, now_unix_s)
+            for drain in service.drains
+            if places.get(drain.kind) == drain.name
+        )
+        return min(weights, default=PPM)
--- /dev/null
+++ b/src/wagtailbay/shift/keeper.py
@@ -0,0 +1,198 @@
+"""Write the steps of moves while this VM performs control duties."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from attrs import define, evolve, field
+from result import Err, Ok
+
+from wagtailbay.config import ConfigView, ServiceDocument
+from wagtailbay.logs import log_event
+from wagtailbay.membership import FactTable
+from wagtailbay.platform import ObjectStore, StoreUnavailable
+from wagtailbay.shift.advance import StepEvidence, advance
+from wagtailbay.shift.const import MOVE_PREFIX, TICK_S
+from wagtailbay.shift.evidence import FleetEvidence
+from wagtailbay.shift.judge import Judgement, fleet_error_rate, judge
+from wagtailbay.shift.models import Lease, MovePhase, MoveState, Stop
+from wagtailbay.shift.plan import begin_move, move_id
+from wagtailbay.shift.stops import StopBoard
+from wagtailbay.shift.wire import decode_move, encode_move
+
+Audit = Callable[[str, dict], None]
+
+
+@define
+class _Watch:
+    """Hold the lease holder's evidence of one move."""
+
+    evidence: FleetEvidence
+    judgement: Judgement
+    state: MoveState
+    new_requests: int = 0
+    bad: str | None = None
+
+
+@define
+class MoveKeeper:
+    """Advance every planned move by conditional updates of ``moves/<service>``.
+
+    All state that must last is in the object, so another lease holder goes on from there.
+
+    Attributes:
+        holder: This VM and its incarnation.
+        audit: Called after each change of a move that took effect.
+        judges: Test-only switch; False never finds a version bad by the fleet's evidence.
+    """
+
+    holder: str
+    store: ObjectStore
+    view: Callable[[], ConfigView]
+    facts: FactTable
+    stops: StopBoard
+    lease: Lease
+    audit: Audit
+    clock: Callable[[], float]
+    unix_clock: Callable[[], float]
+    random: random.Random
+    judges: bool = True
+    watches: dict[tuple[str, int], _Watch] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Look at all moves about once a second while the lease is held."""
+        while True:
+            if self.lease.is_holder(self.clock()):
+                await self.tick()
+            else:
+                self.watches.clear()
+            await trio.sleep(TICK_S * self.random.uniform(0.8, 1.2))
+
+    async def tick(self) -> None:
+        """Advance each planned move once."""
+        services = [s for s in self.view().services.values() if s.version_plan is not None]
+        moves = {move_id(s.version_plan) for s in services}
+        for key in [key for key in self.watches if key[0] not in moves]:
+            del self.watches[key]
+        for service in services:
+            await self._advance(service)
+
+    async def _advance(self, service: ServiceDocument) -> None:
+        key = MOVE_PREFIX + service.service
+        read = await self.store.get(key)
+        if isinstance(read, Err):
+            self._judge_offline(service)
+            return
+        version = read.ok_value.version if read.ok_value else 0
+        value = read.ok_value.value if read.ok_value else None
+        before = self._stored(service, value)
+        after = self._next(service, before)
+        if after is None or after == before:
+            return
+        after = evolve(after, holder=self.holder, mark=f"{self.random.getrandbits(64):016x}")
+        if await self._write(key, after, version):
+            self._report(service.service, before, after)
+
+    def _stored(self, service: ServiceDocument, value: object) -> MoveState | None:
+        """Return the planned move's state; another plan's or an unusable one counts as none."""
+        if value is None:
+            return None
+        match decode_move(value):
+            case Err(fault):
+                log_event("move_unusable", service=service.service, reason=fault.message)
+            case Ok(state) if state.plan.move == move_id(service.version_plan):
+                return state
+        return None
+
+    def _next(self, service: ServiceDocument, before: MoveState | None) -> MoveState | None:
+        now_unix_s = self.unix_clock()
+        if before is None:
+            if now_unix_s < service.version_plan.start_unix_s:
+                return None
+            started = begin_move(service.version_plan, now_unix_s)
+            return advance(started, StepEvidence(0), now_unix_s)
+        if before.ended:
+            return before
+        if before.holder != self.holder:
+            # Takes the move over; the next tick decides with evidence of its own.
+            before = evolve(before, generation=before.generation + 1, holder=self.holder)
+            self._watch(service, before)
+            return before
+        return advance(before, self._evidence(service, before), now_unix_s)
+
+    def _watch(self, service: ServiceDocument, state: MoveState) -> _Watch:
+        key = (state.plan.move, state.generation)
+        if key not in self.watches:
+            evidence = FleetEvidence(self.facts, service.service, state.plan.move)
+            rate = fleet_error_rate(state.generation)
+            watch = _Watch(evidence, Judgement(rate, len(service.routes)), state)
+            # What VMs counted before is no evidence of the present step.
+            evidence.period(self.clock())
+            self.watches[key] = watch
+        return self.watches[key]
+
+    def _evidence(self, service: ServiceDocument, state: MoveState) -> StepEvidence:
+        watch = self._watch(service, state)
+        now_s = self.clock()
+        period = watch.evidence.period(now_s)
+        if watch.state.step != state.step:
+            watch.new_requests = 0
+        watch.state = state
+        watch.new_requests += sum(pair.new.requests for pair in period.values())
+        verdict = judge(watch.judgement, period, now_s) if self.judges else None
+        if verdict is not None and watch.bad is None:
+            watch.bad = str(verdict)
+            version = state.plan.new_version
+            self.stops.stop(Stop(service.service, state.plan.move, version, watch.bad), now_s)
+        stop = self.stops.find(state.plan.move, now_s)
+        return StepEvidence(watch.new_requests, stop.reason if stop else watch.bad)
+
+    def _judge_offline(self, service: ServiceDocument) -> None:
+        """Judge without the store; a stop reaches all VMs, the rollback is written later."""
+        move = move_id(service.version_plan)
+        newest = max((g for m, g in self.watches if m == move), default=None)
+        if newest is not None:
+            self._evidence(service, self.watches[(move, newest)].state)
+
+    async def _write(self, key: str, state: MoveState, version: int) -> bool:
+        """Write a state; False if it certainly or possibly did not take effect.
+
+        After a lost answer or a conflict the object is read back; its mark tells whose write won.
+        """
+        if not self.lease.is_holder(self.clock()):
+            return False
+        match await self.store.put(key, encode_move(state), version):
+            case Ok(_):
+                return True
+            case Err(StoreUnavailable()):
+                return False
+        read = await self.store.get(key)
+        if isinstance(read, Err) or read.ok_value is None or read.ok_value.value is None:
+            return False
+        return decode_move(read.ok_value.value).unwrap_or(None) == state
+
+    def _report(self, service: str, before: MoveState | None, after: MoveState) -> None:
+        event = _event(before, after)
+        details = {
+            "service": service,
+            "move": after.plan.move,
+            "old_version": after.plan.old_version,
+            "new_version": after.plan.new_version,
+            "phase": after.phase.value,
+            "share_ppm": after.share_ppm,
+            "reason": after.reason,
+        }
+        log_event(event, **details)
+        self.audit(event, details)
+
+
+def _event(before: MoveState | None, after: MoveState) -> str:
+    if after.phase is MovePhase.ROLLED_BACK:
+        return "move_rolled_back"
+    if after.phase is MovePhase.FINISHED:
+        return "move_finished"
+    if before is None or before.step < after.step:
+        return "move_step"
+    if before.generation < after.generation:
+        return "move_taken_over"
+    return "move_waiting"
--- /dev/null
+++ b/src/wagtailbay/shift/picker.py
@@ -0,0 +1,130 @@
+"""Pick the version of each request so that no share exceeds its step."""
+
+from attrs import define, field
+
+from wagtailbay.config import Route, ServiceDocument, VersionPlan
+from wagtailbay.shift.const import MOVE_PREFIX, PPM, STEP_TERM_S
+from wagtailbay.shift.evidence import EvidenceBook
+from wagtailbay.shift.models import (
+    Contact,
+    MovePhase,
+    MoveState,
+    ValueLookup,
+    VersionBudget,
+    VersionChoice,
+)
+from wagtailbay.shift.plan import move_id
+from wagtailbay.shift.stops import StopBoard
+from wagtailbay.shift.wire import decode_move
+from wagtailbay.steer import AttemptReport
+
+
+@define
+class MoveReader:
+    """Read moves from the replica, decoding each object once."""
+
+    lookup: ValueLookup
+    decoded: dict[str, tuple[object, MoveState | None]] = field(factory=dict)
+
+    def state(self, service: ServiceDocument) -> MoveState | None:
+        """Return the state of the move that the document plans, None if there is none."""
+        plan = service.version_plan
+        value = self.lookup.value(MOVE_PREFIX + service.service)
+        if plan is None or value is None:
+            return None
+        known = self.decoded.get(service.service)
+        if known is None or known[0] is not value:
+            known = (value, decode_move(value).unwrap_or(None))
+            self.decoded[service.service] = known
+        state = known[1]
+        return state if state is not None and state.plan.move == move_id(plan) else None
+
+
+@define
+class MoveVersionPicker:
+    """Pick versions by error diffusion and count how they serve.
+
+    Each route of a service has its own counter that starts anew with each step. A request goes to
+    the new version only if the new version's count then is at most share x total, so no sum over
+    routes and VMs exceeds the step. Credit that a cap or a term leaves unused is not made up for.
+
+    Attributes:
+        contact: Tells when a peer or the store was last heard; beyond the term of 10 s every
+            request goes to the old version.
+        round_down: Test-only switch; False sends the first request of each step to the new version.
+        keep_term: Test-only switch; False goes on with an old step without contact.
+    """
+
+    moves: MoveReader
+    stops: StopBoard
+    contact: Contact
+    budget: VersionBudget
+    round_down: bool = True
+    keep_term: bool = True
+    books: dict[str, EvidenceBook] = field(factory=dict)
+    credit_ppm: dict[tuple[str, str], tuple[tuple[str, int], int]] = field(factory=dict)
+
+    def pick(self, service: ServiceDocument, route: Route, now_s: float) -> VersionChoice:
+        """Pick the version for a new request; None where the document plans no move."""
+        plan = service.version_plan
+        if plan is None:
+            return VersionChoice(None)
+        state = self.moves.state(service)
+        if state is None or state.phase is MovePhase.ROLLED_BACK:
+            return VersionChoice(plan.old_version)
+        if state.phase is MovePhase.FINISHED:
+            return VersionChoice(plan.new_version)
+        if not self._in_term(now_s) or self.stops.find(state.plan.move, now_s) is not None:
+            return VersionChoice(plan.old_version)
+        if self._is_due(service.service, route.name, state) and self._has_budget(
+            service, plan, now_s
+        ):
+            return VersionChoice(plan.new_version)
+        return VersionChoice(plan.old_version)
+
+    def _in_term(self, now_s: float) -> bool:
+        if not self.keep_term:
+            return True
+        heard_s = self.contact.last_contact_s()
+        return heard_s is not None and now_s - heard_s <= STEP_TERM_S
+
+    def _is_due(self, service: str, route: str, state: MoveState) -> bool:
+        """Add the share of one request; tell whether a whole request has come together."""
+        step = (state.plan.move, state.step)
+        known_step, credit_ppm = self.credit_ppm.get((service, route), (None, 0))
+        if known_step != step:
+            credit_ppm = 0 if self.round_down else PPM
+        credit_ppm += state.share_ppm
+        self.credit_ppm[(service, route)] = (step, credit_ppm % PPM)
+        return credit_ppm >= PPM
+
+    def _has_budget(self, service: ServiceDocument, plan: VersionPlan, now_s: float) -> bool:
+        if plan.cap_per_s is None:
+            return True
+        return self.budget.take_version(service, plan.new_version, plan.cap_per_s, now_s)
+
+    def record(
+        self,
+        service: ServiceDocument,
+        route: Route,
+        version: str,
+        report: AttemptReport,
+        now_s: float,
+    ) -> None:
+        """Count one try for the move that the document plans."""
+        book = self.book(service)
+        if book is not None:
+            book.record(route.name, version, report)
+
+    def book(self, service: ServiceDocument) -> EvidenceBook | None:
+        """Return the counts of the planned move, new ones for a changed plan."""
+        plan = service.version_plan
+        if plan is None:
+            self.books.pop(service.service, None)
+            return None
+        move = move_id(plan)
+        book = self.books.get(service.service)
+        if book is None or book.move != move:
+            book = EvidenceBook(service.service, move, plan.old_version, plan.new_version)
+            self.books[service.service] = book
+        return book
--- /dev/null
+++ b/src/wagtailbay/shift/stops.py
@@ -0,0 +1,60 @@
+"""Hold which new versions are known to be bad."""
+
+from attrs import define, field
+
+from wagtailbay.logs import log_event
+from wagtailbay.membership import FactTable
+from wagtailbay.shift.const import STOP_INDEX_INTERVAL_S, STOP_KIND, STOP_TTL_MS
+from wagtailbay.shift.models import Stop
+
+
+@define
+class StopBoard:
+    """Remember every stop heard of and keep this VM's own ones alive.
+
+    Attributes:
+        obey: Test-only switch; False ignores stops, also this VM's own.
+    """
+
+    facts: FactTable
+    obey: bool = True
+    known: dict[str, Stop] = field(factory=dict)
+    own: dict[str, tuple[Stop, float]] = field(factory=dict)
+    read_s: float | None = None
+
+    def find(self, move: str, now_s: float) -> Stop | None:
+        """Return why a move must stop, None if nothing is known against it."""
+        if not self.obey:
+            return None
+        if move not in self.known:
+            self._read(now_s)
+        return self.known.get(move)
+
+    def _read(self, now_s: float) -> None:
+        if self.read_s is not None and 0 <= now_s - self.read_s < STOP_INDEX_INTERVAL_S:
+            return
+        self.read_s = now_s
+        for fact in self.facts.of_kind(STOP_KIND, now_s):
+            if isinstance(fact.value, Stop) and isinstance(fact.value.move, str):
+                self.known.setdefault(fact.value.move, fact.value)
+
+    def stop(self, stop: Stop, now_s: float) -> None:
+        """Stop a move here at once and tell all VMs."""
+        if stop.move in self.own:
+            return
+        self.known[stop.move] = stop
+        log_event("move_stopped", service=stop.service, version=stop.version, reason=stop.reason)
+        self._publish(stop, now_s, urgent=True)
+
+    def refresh(self, active_moves: set[str], now_s: float) -> None:
+        """Publish own stops again in time, and forget those of moves that are over."""
+        for move, (stop, published_s) in tuple(self.own.items()):
+            if move not in active_moves:
+                del self.own[move]
+            elif now_s - published_s >= STOP_TTL_MS / 2000:
+                self._publish(stop, now_s, urgent=False)
+
+    def _publish(self, stop: Stop, now_s: float, urgent: bool) -> None:
+        key = f"{stop.service}/{stop.move}"
+        self.facts.publish(STOP_KIND, key, stop, ttl_ms=STOP_TTL_MS, now_s=now_s, urgent=urgent)
+        self.own[stop.move] = (stop, now_s)
--- /dev/null
+++ b/src/wagtailbay/shift/wire.py
@@ -0,0 +1,141 @@
+"""Encode and decode moves and facts as JSON values.
+
+Every decoder accepts any input and returns an error value for what it cannot use.
+"""
+
+import math
+from typing import Any
+
+from attrs import asdict
+from cattrs import Converter
+from result import Err, Ok, Result
+
+from wagtailbay.shift.const import LATENCY_BUCKETS, MAX_COUNT, PPM
+from wagtailbay.shift.models import (
+    Counts,
+    Evidence,
+    MoveFault,
+    MoveState,
+    Pair,
+    Stop,
+)
+
+converter = Converter(forbid_extra_keys=True)
+
+
+def encode_move(state: MoveState) -> dict[str, Any]:
+    """Return the JSON form of a move."""
+    return converter.unstructure(state)
+
+
+def decode_move(value: Any) -> Result[MoveState, MoveFault]:
+    """Decode a move and check that it cannot lead to a wrong share."""
+    if not isinstance(value, dict):
+        return Err(MoveFault("a move must be an object"))
+    try:
+        state = converter.structure(value, MoveState)
+    except Exception as error:  # cattrs raises groups of any error of the fields.
+        return Err(MoveFault(f"not a move: {type(error).__name__}"))
+    fault = _fault(state)
+    return Err(MoveFault(fault)) if fault else Ok(state)
+
+
+def _fault(state: MoveState) -> str | None:
+    plan = state.plan
+    numbers = (state.step_unix_s, plan.start_unix_s, plan.deadline_unix_s)
+    if not all(map(math.isfinite, numbers)):
+        return "times must be finite"
+    if not -1 <= state.step < max(1, len(plan.steps)) or state.generation < 1:
+        return "step or generation out of range"
+    if not plan.steps and not state.ended:
+        return "a running move needs steps"
+    previous_ppm = 0
+    for step in plan.steps:
+        rise_ppm = step.share_ppm - previous_ppm
+        if not math.isfinite(step.at_unix_s) or not 0 < rise_ppm <= plan.max_step_ppm:
+            return "a step rises by more than max_step_ppm or not at all"
+        previous_ppm = step.share_ppm
+    if previous_ppm > PPM:
+        return "a share is above the whole"
+    return None
+
+
+def encode_evidence(evidence: Evidence) -> list[Any]:
+    """Return a compact JSON form; latencies as pairs of bucket and count."""
+    pair = evidence.counts
+    return [
+        evidence.service,
+        evidence.move,
+        evidence.route,
+        *(_encode_counts(counts) for counts in (pair.old, pair.new)),
+    ]
+
+
+def _encode_counts(counts: Counts) -> list[Any]:
+    used = [[bucket, count] for bucket, count in enumerate(counts.latencies) if count]
+    return [counts.requests, counts.failures, used]
+
+
+def decode_evidence(value: Any) -> Result[Evidence, MoveFault]:
+    """Decode what encode_evidence returned."""
+    match value:
+        case [str(service), str(move), str(route), old, new]:
+            match _decode_counts(old), _decode_counts(new):
+                case Counts() as old_counts, Counts() as new_counts:
+                    return Ok(Evidence(service, move, route, Pair(old_counts, new_counts)))
+    return Err(MoveFault("not evidence"))
+
+
+def _decode_counts(value: Any) -> Counts | None:
+    match value:
+        case [requests, failures, list(used)] if _is_count(requests) and _is_count(failures):
+            latencies = [0] * LATENCY_BUCKETS
+            for item in used:
+                match item:
+                    case [bucket, count] if _is_count(bucket) and _is_count(count):
+                        if bucket >= LATENCY_BUCKETS:
+                            return None
+                        latencies[bucket] = count
+                    case _:
+                        return None
+            return Counts(requests, failures, tuple(latencies))
+    return None
+
+
+def _is_count(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= MAX_COUNT
+
+
+def is_evidence(value: Any) -> bool:
+    """Tell whether a fact's value is evidence that can be added up."""
+    if not isinstance(value, Evidence) or not isinstance(value.counts, Pair):
+        return False
+    if not isinstance(value.route, str):
+        return False
+    return all(_is_usable(counts) for counts in (value.counts.old, value.counts.new))
+
+
+def _is_usable(counts: Any) -> bool:
+    if not isinstance(counts, Counts) or not isinstance(counts.latencies, tuple):
+        return False
+    if len(counts.latencies) != LATENCY_BUCKETS:
+        return False
+    return all(map(_is_count, (counts.requests, counts.failures, *counts.latencies)))
+
+
+def encode_stop(stop: Stop) -> dict[str, str]:
+    """Return the JSON form of a stop."""
+    return asdict(stop)
+
+
+def decode_stop(value: Any) -> Result[Stop, MoveFault]:
+    """Decode what encode_stop returned."""
+    match value:
+        case {
+            "service": str(service),
+            "move": str(move),
+            "version": str(version),
+            "reason": str(reason),
+        }:
+            return Ok(Stop(service, move, version, reason))
+    return Err(MoveFault("not a stop"))
