--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -15,16 +15,23 @@
 from wagtailbay.config import ConfigView, build_view
 from wagtailbay.entry import RequestHandler
 from wagtailbay.entry.forward import Forwarder
+from wagtailbay.health import HealthMonitor, TargetHealth
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.locate.const import ANSWER_TTL_MS, LEAVING_MARGIN_MS
 from wagtailbay.logs import log_event, start_logging
-from wagtailbay.membership import Roster, VmIdentity, VmState
+from wagtailbay.membership import FactTable, Roster, VmIdentity, VmState
 from wagtailbay.platform import HttpObjectStore
 from wagtailbay.replica import Freshness, Replica, StoreReader
 from wagtailbay.settings import load_settings_or_exit, setting
 from wagtailbay.settings.checks import at_least, parse_address, split_address
-from wagtailbay.shift import AnyVersionPicker
-from wagtailbay.steer import RoundRobinChooser
+from wagtailbay.shift import (
+    DrainWeights,
+    LatestContact,
+    SharedVersionCaps,
+    SoleHolder,
+    build_shift_controller,
+)
+from wagtailbay.steer import UnlimitedBudgets, build_chooser
 from wagtailbay.transport import ConnectionPool, HttpServer
 
 PROGRAM = "wagtailbay-entry"
@@ -57,10 +64,37 @@
     store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
     reader = StoreReader(store, replica, freshness, lambda: True, boottime_s, random.Random())
     view = [ConfigView()]
-    chooser = RoundRobinChooser()
-    pool = ConnectionPool()
-    forwarder = Forwarder(chooser, AnyVersionPicker(), pool, boottime_s, settings.vm)
     shares = EqualShares(lambda: view[0].fleet.max_vms if view[0].fleet else 1)
+    facts = FactTable(identity.vm, identity.incarnation)
+    health = TargetHealth(facts)
+    monitor = HealthMonitor(
+        identity.vm, lambda: view[0], roster, facts, health, boottime_s, random.Random()
+    )
+    weights = DrainWeights(lambda: view[0].fleet, unix_time_s)
+    chooser = build_chooser(
+        identity.availability_zone,
+        health,
+        UnlimitedBudgets(),
+        weights,
+        boottime_s,
+        random.Random(),
+    )
+    shift = build_shift_controller(
+        f"{identity.vm}/{identity.incarnation}",
+        store,
+        replica,
+        facts,
+        lambda: view[0],
+        SoleHolder(),
+        LatestContact((lambda: freshness.confirmed_s,)),
+        SharedVersionCaps(shares),
+        lambda event, details: None,
+        boottime_s,
+        unix_time_s,
+        random.Random(),
+    )
+    pool = ConnectionPool()
+    forwarder = Forwarder(chooser, shift.picker, pool, boottime_s, settings.vm)
     handler = RequestHandler(
         view=lambda: view[0],
         gate=AccessGate(KeyRing(lambda: replica.objects), freshness.age_ms, lambda now_s: False),
@@ -88,6 +122,8 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(reader.run)
         nursery.start_soon(follow_config)
+        nursery.start_soon(monitor.run)
+        nursery.start_soon(shift.run)
         bound = await nursery.start(server.serve, split_address(settings.listen_address))
         log_event("listening", address=f"{bound[0]}:{bound[1]}")
         nursery.start_soon(announce_when_ready)
