--- /dev/null
+++ b/tests/health/test_health_monitor.py
@@ -0,0 +1,92 @@
+"""Test which VM probes which targets."""
+
+import random
+from collections import Counter
+from typing import Any
+
+import pytest
+import trio
+from result import Ok
+from steering_fakes import FLEET, FakeMembers, service, target
+
+from wagtailbay.config import ConfigView
+from wagtailbay.health import HealthMonitor, TargetHealth, TargetReport, TargetState
+from wagtailbay.health.const import REPORT_TTL_MS, TARGET_REPORT_KIND
+from wagtailbay.membership import Fact, FactTable
+from wagtailbay.transport import Request, Response
+
+VMS = {"vm-1": "a1", "vm-2": "a2", "vm-3": "a1", "vm-4": "b1", "vm-5": "b2"}
+TARGETS = tuple(target(f"t{n}", zone) for n, zone in enumerate(("a1", "a2", "b1", "b2") * 3))
+
+
+def monitor(vm: str, **fields: Any) -> HealthMonitor:
+    """Build the monitor of a VM."""
+    facts = FactTable(vm, 1)
+    view = ConfigView(FLEET, {"records": service(TARGETS)})
+    return HealthMonitor(
+        vm,
+        lambda: view,
+        FakeMembers(VMS),
+        facts,
+        TargetHealth(facts),
+        trio.current_time,
+        random.Random(1),
+        **fields,
+    )
+
+
+class TestHealthMonitor:
+    """Two VMs of the region probe each target, any VM one that nobody covers."""
+
+    def test_two_vms_of_the_region_probe_each_target(self) -> None:
+        """Guards against targets that spend their slots on probes of the whole fleet."""
+        probes = Counter()
+        for vm in VMS:
+            for _, name, _ in monitor(vm).wanted(0.0):
+                region = next(t for t in TARGETS if t.target == name).availability_zone[0]
+                assert region == VMS[vm][0]
+                probes[name] += 1
+        assert probes == {t.target: 2 for t in TARGETS}
+
+    @pytest.mark.parametrize("probe_uncovered", [True, False])
+    def test_uncovered_target_is_probed(self, probe_uncovered: bool) -> None:
+        """Guards against targets of a lost region that nobody probes."""
+        mine = monitor("vm-1", probe_uncovered=probe_uncovered)
+        assigned = mine.wanted(0.0)
+        assert mine.wanted(2.9) == assigned
+        everything = len(mine.wanted(3.1)) == len(TARGETS)
+        assert everything is probe_uncovered
+
+    def test_covered_target_is_left_to_its_probers(self) -> None:
+        """Guards against all VMs probing a target at once for good."""
+        mine = monitor("vm-1")
+        mine.wanted(0.0)
+        prober = {"vm-4": "vm-4", "vm-5": "vm-5"}
+        for name in (t.target for t in TARGETS if t.availability_zone[0] == "b"):
+            for vm in prober:
+                value = TargetReport("records", name, TargetState.OK)
+                expires_s = 3.0 + REPORT_TTL_MS / 1000
+                key = f"records/{name}"
+                mine.facts.merge([Fact(vm, 1, TARGET_REPORT_KIND, key, 1, value, expires_s)])
+        zones = {t.target: t.availability_zone for t in TARGETS}
+        assert {zones[name][0] for _, name, _ in mine.wanted(3.5)} == {"a"}
+
+    async def test_tasks_follow_the_document(self, autojump_clock: Any) -> None:
+        """Guards against probes of targets that are gone."""
+        probed = Counter()
+
+        async def answer(address: str, request: Request, timeout_ms: int) -> Any:
+            probed[address] += 1
+            return Ok(Response(200, (), b'{"state": "ok"}'))
+
+        mine = monitor("vm-1", fetch=answer)
+        assigned = {address for _, _, address in mine.wanted(0.0)}
+        with trio.move_on_after(4.8):
+            await mine.run()
+        assert assigned
+        # Two fetches for each probe, about one probe a second.
+        assert all(6 <= probed[address] <= 14 for address in assigned)
+        mine.view = lambda: ConfigView(FLEET, {})
+        with trio.move_on_after(2):
+            await mine.run()
+        assert not mine.tasks
--- /dev/null
+++ b/tests/health/test_probe_loop.py
@@ -0,0 +1,89 @@
+"""Test the probes of one target."""
+
+import random
+from typing import Any
+
+from attrs import define, field
+from result import Err, Ok
+
+from wagtailbay.health import ProbeLoop, TargetState
+from wagtailbay.health.const import TARGET_REPORT_KIND
+from wagtailbay.membership import FactTable
+from wagtailbay.transport import FailureKind, Request, Response, TransportError
+
+DOWN = Err(TransportError(FailureKind.CONNECT, "refused", False))
+
+
+@define
+class FakeEndpoint:
+    """Answer probes as a test sets."""
+
+    health: Any = field(factory=lambda: Ok(Response(200, (), b'{"state": "ok"}')))
+    load: Any = field(factory=lambda: Ok(Response(200, (), b'{"in_flight": 1, "slots": 4}')))
+
+    async def __call__(self, address: str, request: Request, timeout_ms: int) -> Any:
+        """Answer one request."""
+        return self.health if request.path == "/health" else self.load
+
+
+@define
+class Probe:
+    """Hold a probe loop with its fakes."""
+
+    endpoint: FakeEndpoint = field(factory=FakeEndpoint)
+    facts: FactTable = field(factory=lambda: FactTable("vm-1", 1))
+    now_s: float = 10.0
+    loop: ProbeLoop = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.loop = ProbeLoop(
+            "records", "t1", "", self.facts, lambda: self.now_s, random.Random(1), self.endpoint
+        )
+
+    async def probe(self) -> Any:
+        """Probe once, a second later; returns the published report."""
+        self.now_s += 1.0
+        await self.loop.probe()
+        found = list(self.facts.of_kind(TARGET_REPORT_KIND, self.now_s))
+        return found[0].value if found else None
+
+
+class TestProbeLoop:
+    """Probes find the state and publish what readers would notice."""
+
+    async def test_one_lost_answer_is_no_failure(self) -> None:
+        """Guards against targets taken out by a single lost message."""
+        probe = Probe()
+        await probe.probe()
+        probe.endpoint.health = DOWN
+        assert (await probe.probe()).state is TargetState.OK
+        assert (await probe.probe()).state is TargetState.FAILED
+
+    async def test_refusal_counts_at_once(self) -> None:
+        """Guards against work for a target that itself says it is ill."""
+        probe = Probe()
+        probe.endpoint.health = Ok(Response(503, (), b"{}"))
+        assert (await probe.probe()).state is TargetState.FAILED
+
+    async def test_malformed_load_leaves_the_state(self) -> None:
+        """Guards against a broken load endpoint that takes its target out."""
+        probe = Probe()
+        probe.endpoint.load = Ok(Response(200, (), b"\xff"))
+        report = await probe.probe()
+        assert (report.state, report.load) == (TargetState.OK, None)
+
+    async def test_unchanged_report_is_published_every_second_time(self) -> None:
+        """Guards against messages that tell readers nothing new."""
+        probe = Probe()
+        for _ in range(10):
+            await probe.probe()
+        assert probe.facts.sequence == 5
+
+    async def test_draining_is_urgent(self) -> None:
+        """Guards against drains that wait for the next exchange."""
+        probe = Probe()
+        await probe.probe()
+        event = probe.facts.changed._event
+        probe.endpoint.health = Ok(Response(200, (), b'{"state": "draining"}'))
+        assert (await probe.probe()).state is TargetState.DRAINING
+        assert event.is_set()
--- /dev/null
+++ b/tests/steering_fakes.py
@@ -0,0 +1,141 @@
+"""Build documents and fakes for the tests of targets, choosers and moves."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from wagtailbay.config import (
+    AvailabilityZone,
+    FleetDocument,
+    RegionCapacity,
+    Route,
+    ServiceDocument,
+    Target,
+    VersionPlan,
+)
+from wagtailbay.health import TargetView
+from wagtailbay.membership import Member, VmIdentity, VmState
+from wagtailbay.platform import OutcomeUnknown, StoredObject, StoreUnavailable, VersionConflict
+from wagtailbay.steer import AttemptOutcome, AttemptReport, TargetQuery
+
+FLEET = FleetDocument(4, tuple(AvailabilityZone(z, z[:1]) for z in ("a1", "a2", "b1", "b2")))
+READ = Route("read", "/")
+OK_REPORT = AttemptReport(AttemptOutcome.ANSWERED, 200, 5.0)
+FAILED_REPORT = AttemptReport(AttemptOutcome.ANSWERED, 500, 5.0)
+PLAN = VersionPlan("v1", "v2", 1000.0, 1600.0, 200_000)
+
+
+def target(name: str, zone: str = "a1", version: str = "v1", slots: int = 4) -> Target:
+    """Build a target."""
+    return Target(name, f"127.0.0.1:{9000 + sum(map(ord, name))}", zone, version, slots)
+
+
+def service(
+    targets: Sequence[Target] = (), name: str = "records", **fields: Any
+) -> ServiceDocument:
+    """Build a service document."""
+    regions = (RegionCapacity("a", 100.0), RegionCapacity("b", 100.0))
+    routes = fields.pop("routes", (READ,))
+    targets = tuple(targets) or (target("t1"), target("t2"))
+    return ServiceDocument(name, "team", routes, targets, (), regions, **fields)
+
+
+def query(document: ServiceDocument, workspace: str = "unam", **fields: Any) -> TargetQuery:
+    """Build the query of a first try."""
+    values = {"version": None, "excluded": frozenset(), "attempt": 0, "deadline_s": 1e9} | fields
+    return TargetQuery(document, READ, workspace, **values)
+
+
+@define
+class FakeStates:
+    """Tell the views that a test sets."""
+
+    views: dict[str, TargetView] = field(factory=dict)
+
+    def view(self, service: str, target: str, now_s: float) -> TargetView:
+        """Return the view set for the target."""
+        return self.views.get(target, TargetView())
+
+
+@define
+class FakeMembers:
+    """Hold live VMs as pairs of name and availability zone."""
+
+    live: Mapping[str, str]
+
+    def with_state(self, *states: VmState) -> Sequence[Member]:
+        """Return the live VMs."""
+        return [
+            Member(VmIdentity(vm, 1, "", "", zone), VmState.LIVE, 1)
+            for vm, zone in self.live.items()
+        ]
+
+
+@define
+class FakeStore:
+    """Hold objects in memory; a test sets the next outcome of a write.
+
+    Attributes:
+        lose_answers: Writes take effect, but their answer is lost.
+        down: Every call fails.
+        before_put: Runs once before the next write, to let another writer win.
+    """
+
+    objects: dict[str, StoredObject] = field(factory=dict)
+    revision: int = 0
+    lose_answers: bool = False
+    down: bool = False
+    before_put: Callable[[], None] | None = None
+
+    async def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
+        """Read one object."""
+        return Err(StoreUnavailable("down")) if self.down else Ok(self.objects.get(key))
+
+    async def put(self, key: str, value: Any, expected_version: int | None) -> Any:
+        """Write an object if its version is the expected one."""
+        if self.down:
+            return Err(StoreUnavailable("down"))
+        if self.before_put is not None:
+            run, self.before_put = self.before_put, None
+            run()
+        current = self.objects[key].version if key in self.objects else 0
+        if expected_version is not None and current != expected_version:
+            return Err(VersionConflict(key, current))
+        self.set(key, value)
+        return Err(OutcomeUnknown(key, "lost")) if self.lose_answers else Ok(self.revision)
+
+    def set(self, key: str, value: Any) -> None:
+        """Write an object without a check."""
+        self.revision += 1
+        self.objects[key] = StoredObject(key, self.revision, value)
+
+    def value(self, key: str) -> object | None:
+        """Look a value up as a replica does."""
+        return self.objects[key].value if key in self.objects else None
+
+
+@define
+class FakeControl:
+    """Hold time, lease and contact as a test sets them."""
+
+    now_s: float = 0.0
+    holds_lease: bool = True
+    contact_s: float | None = 0.0
+
+    def clock(self) -> float:
+        """Return the time."""
+        return self.now_s
+
+    def unix_clock(self) -> float:
+        """Return the wall-clock time, 1000 s ahead."""
+        return self.now_s + 1000.0
+
+    def is_holder(self, now_s: float) -> bool:
+        """Tell whether the lease is held."""
+        return self.holds_lease
+
+    def last_contact_s(self) -> float | None:
+        """Return the last contact."""
+        return self.contact_s
