--- a/src/wagtailbay/shift/models.py
+++ b/src/wagtailbay/shift/models.py
@@ -1,6 +1,7 @@
 """Model moves between versions, their evidence and the choice for a request."""
 
 from enum import Enum
+from operator import add, sub
 from typing import Protocol
 
 from attrs import frozen
@@ -153,11 +154,13 @@
     latencies: tuple[int, ...] = (0,) * LATENCY_BUCKETS
 
     def __add__(self, other: "Counts") -> "Counts":
-        latencies = tuple(a + b for a, b in zip(self.latencies, other.latencies, strict=True))
+        if not other.requests:
+            return self
+        latencies = tuple(map(add, self.latencies, other.latencies))
         return Counts(self.requests + other.requests, self.failures + other.failures, latencies)
 
     def __sub__(self, other: "Counts") -> "Counts":
-        latencies = tuple(a - b for a, b in zip(self.latencies, other.latencies, strict=True))
+        latencies = tuple(map(sub, self.latencies, other.latencies))
         return Counts(self.requests - other.requests, self.failures - other.failures, latencies)
 
     @property
--- a/src/wagtailbay_bench/move_trial.py
+++ b/src/wagtailbay_bench/move_trial.py
@@ -1,4 +1,4 @@
-"""Simulate moves second by second with the real plan, steps and judgement."""
+"""Simulate moves period by period with the real plan, steps and judgement."""
 
 import math
 import random
@@ -17,6 +17,9 @@
 ROUTES = ("read", "search")
 # Part of the answers in each latency bucket; bucket 5 ends at 5.7 ms.
 LATENCY_PARTS = ((5, 0.60), (6, 0.25), (7, 0.11), (8, 0.03), (10, 0.01))
+BUCKETS, PARTS = zip(*LATENCY_PARTS, strict=True)
+# Up to this many answers are drawn one by one, which is faster.
+SMALL_DRAW = 200
 
 
 @frozen
@@ -135,8 +138,14 @@
 
 def draw_counts(n: int, failure_rate: float, slower: int, source: random.Random) -> Counts:
     """Draw the outcomes of n requests."""
+    if n == 0:
+        return Counts()
     failures = binomial(n, failure_rate, source)
     left, part_left, latencies = n - failures, 1.0, [0] * LATENCY_BUCKETS
+    if left <= SMALL_DRAW:
+        for bucket in source.choices(BUCKETS, PARTS, k=left):
+            latencies[bucket + slower] += 1
+        return Counts(n, failures, tuple(latencies))
     for bucket, part in LATENCY_PARTS:
         drawn = binomial(left, min(1.0, part / part_left), source) if part_left > 1e-9 else left
         latencies[bucket + slower] += drawn
@@ -146,12 +155,17 @@
 
 @define
 class MoveTrial:
-    """Run one move of a service with a constant rate of requests."""
+    """Run one move of a service with a constant rate of requests.
+
+    Attributes:
+        tick_s: Length of the periods in which evidence arrives.
+    """
 
     kind: Kind
     rate_per_s: float
     source: random.Random
     length_s: float = 600.0
+    tick_s: float = 1.0
     base_failure_rate: float = 0.002
     credit: dict[str, float] = field(factory=dict)
 
@@ -162,12 +176,13 @@
         total = new_total = bad_s = bad_requests = 0
         now_s = 0.0
         while not state.ended and now_s < self.length_s + 120:
-            period, bad = self._second(state.share_ppm, now_s)
-            now_s += 1
+            period, bad = self._draw(state.share_ppm, now_s)
+            now_s += self.tick_s
             new = sum(pair.new.requests for pair in period.values())
             total += sum(pair.old.requests for pair in period.values()) + new
             new_total, bad_requests = new_total + new, bad_requests + bad
-            bad_s += 1 if self._is_bad(state.share_ppm, now_s) and state.share_ppm else 0
+            showing = state.share_ppm and self._is_bad(state.share_ppm, now_s)
+            bad_s += self.tick_s if showing else 0
             requests = requests + new if step == state.step else new
             step = state.step
             evidence = StepEvidence(requests, decider.period(period, now_s))
@@ -180,14 +195,14 @@
         kind = self.kind
         return kind.bad and now_s >= kind.from_s and share_ppm >= kind.from_share_ppm
 
-    def _second(self, share_ppm: int, now_s: float) -> tuple[dict[str, Pair], int]:
-        """Draw one second; also returns how many requests the new version's faults hit."""
+    def _draw(self, share_ppm: int, now_s: float) -> tuple[dict[str, Pair], int]:
+        """Draw one period; also returns how many requests the new version's faults hit."""
         trouble = self.kind.trouble and now_s % 120 >= 90
         base = 0.2 if trouble else self.base_failure_rate
         slower = 2 if trouble else 0
         period, hit = {}, 0
         for route in ROUTES:
-            count = self._even(route, self.rate_per_s / len(ROUTES))
+            count = self._even(route, self.rate_per_s * self.tick_s / len(ROUTES))
             new = self._even(f"{route}/new", count * share_ppm / PPM)
             bad = self._is_bad(share_ppm, now_s) and route in self.kind.routes
             failing = base + (self.kind.failure_rate if bad else 0.0)
--- /dev/null
+++ b/tests/shift/test_move_plan.py
@@ -0,0 +1,110 @@
+"""Test the planning and advance of moves."""
+
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+from steering_fakes import PLAN
+
+from wagtailbay.shift.advance import StepEvidence, advance
+from wagtailbay.shift.models import MovePhase, MoveState
+from wagtailbay.shift.plan import begin_move, plan_steps
+
+ENOUGH = StepEvidence(1_000)
+
+
+class TestPlanSteps:
+    """Steps reach the whole traffic before the deadline and never rise too far."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.floats(0, 2e9), st.floats(0, 1e6), st.integers(1, 1_000_000))
+    def test_plan_ends_in_time_or_is_refused(
+        self, start_s: float, length_s: float, max_step_ppm: int
+    ) -> None:
+        """Guards against steps over the maximum and against plans that end too late."""
+        match plan_steps(start_s, start_s + length_s, max_step_ppm):
+            case Ok(steps):
+                shares = [0, *(step.share_ppm for step in steps)]
+                rises = [b - a for a, b in zip(shares, shares[1:], strict=False)]
+                assert all(0 < rise <= max_step_ppm for rise in rises)
+                assert steps[0].share_ppm <= 20_000
+                assert shares[-1] == 1_000_000
+                assert steps[-1].at_unix_s <= start_s + length_s - 4.9
+
+    def test_watch_fits_before_the_deadline(self) -> None:
+        """Guards against a move that is still watched at its deadline."""
+        steps = plan_steps(0.0, 600.0, 200_000).ok_value
+        assert [s.share_ppm for s in steps] == [20000, 216000, 412000, 608000, 804000, 1000000]
+        assert steps[-1].at_unix_s == 530.0
+
+    def test_no_room_is_refused(self) -> None:
+        """Guards against steps that no evidence can follow, and against endless plans."""
+        assert isinstance(plan_steps(0.0, 29.0, 200_000), Err)
+        assert isinstance(plan_steps(0.0, 1e9, 1), Err)
+        state = begin_move(evolve(PLAN, deadline_unix_s=1029.0), 1000.0)
+        assert state.phase is MovePhase.ROLLED_BACK
+        assert "6 steps need 30 s" in state.reason
+
+
+def run(state: MoveState, events: list[tuple[float, int, bool]]) -> list[MoveState]:
+    """Advance through pauses with evidence, then to the deadline and past the watch."""
+    now_s, states = state.plan.start_unix_s, [state]
+    for pause_s, requests, bad in events:
+        now_s += pause_s
+        evidence = StepEvidence(requests, "bad" if bad else None)
+        states.append(advance(states[-1], evidence, now_s))
+    for late_s in (0.0, 61.0):
+        now_s = max(now_s, state.plan.deadline_unix_s) + late_s
+        states.append(advance(states[-1], StepEvidence(0), now_s))
+    return states
+
+
+class TestAdvance:
+    """Moves step, wait, finish or roll back."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.floats(0, 200), st.integers(0, 30), st.sampled_from([False] * 9 + [True])),
+            max_size=60,
+        )
+    )
+    def test_every_move_ends_and_no_step_is_too_high(self, events: list) -> None:
+        """Guards against moves that hang, skip a step or go on after a roll-back."""
+        states = run(begin_move(PLAN, 1000.0), events)
+        for before, after in zip(states, states[1:], strict=False):
+            assert after.share_ppm - before.share_ppm <= PLAN.max_step_ppm
+            assert not before.ended or after == before
+        assert states[-1].ended
+        if states[-1].phase is MovePhase.FINISHED:
+            # The whole traffic had moved when the deadline came.
+            assert all(s.share_ppm == 1_000_000 for s in states[-2:])
+
+    def test_step_waits_for_evidence(self) -> None:
+        """Guards against steps taken while measurements have stopped."""
+        state = advance(begin_move(PLAN, 1000.0), StepEvidence(0), 1000.0)
+        held = advance(state, StepEvidence(9), 1500.0)
+        assert (held.step, held.reason) == (0, "waiting for evidence of the new version")
+        assert advance(held, ENOUGH, 1500.0).step == 1
+
+    def test_late_steps_keep_their_distance(self) -> None:
+        """Guards against a burst of steps after a pause."""
+        state = begin_move(PLAN, 1000.0)
+        state = advance(advance(state, ENOUGH, 1400.0), ENOUGH, 1401.0)
+        assert state.step == 0
+        assert advance(state, ENOUGH, 1405.0).step == 1
+
+    def test_move_finishes_before_its_deadline(self) -> None:
+        """Guards against plans whose watch ends too late."""
+        state, now_s = begin_move(PLAN, 1000.0), 1000.0
+        while not state.ended:
+            state, now_s = advance(state, ENOUGH, now_s), now_s + 1.0
+        assert state.phase is MovePhase.FINISHED
+        assert now_s <= PLAN.deadline_unix_s
+
+    def test_late_fault_rolls_back_in_the_watch(self) -> None:
+        """Guards against a fault that shows only under the whole traffic."""
+        state = begin_move(PLAN, 1000.0)
+        last = evolve(state, phase=MovePhase.WATCHING, step=5, step_unix_s=1500.0)
+        assert advance(last, StepEvidence(50, "slow"), 1530.0).phase is MovePhase.ROLLED_BACK
+        assert advance(last, StepEvidence(0), 1601.0).phase is MovePhase.ROLLED_BACK
--- /dev/null
+++ b/tests/shift/test_version_picker.py
@@ -0,0 +1,171 @@
+"""Test the picks between versions."""
+
+from collections import defaultdict
+from typing import Any
+
+import pytest
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from steering_fakes import OK_REPORT, PLAN, FakeControl, FakeStore, service
+
+from wagtailbay.config import Route
+from wagtailbay.membership import FactTable
+from wagtailbay.shift import MoveVersionPicker, SharedVersionCaps, UncappedVersions
+from wagtailbay.shift.models import MovePhase, MoveState, Stop
+from wagtailbay.shift.picker import MoveReader
+from wagtailbay.shift.plan import begin_move
+from wagtailbay.shift.stops import StopBoard
+from wagtailbay.shift.wire import encode_move
+
+ROUTES = (Route("read", "/"), Route("search", "/search"))
+SERVICE = service(version_plan=PLAN, routes=ROUTES)
+STATE = begin_move(PLAN, 1000.0)
+
+
+def at_step(step: int) -> MoveState:
+    """Return the move at a step."""
+    return evolve(STATE, step=step, step_unix_s=1000.0)
+
+
+def picker(state: Any = None, budget: Any = None, **fields: Any) -> MoveVersionPicker:
+    """Build a picker whose replica holds a move."""
+    store = FakeStore()
+    if state is not None:
+        store.set("moves/records", encode_move(state) if isinstance(state, MoveState) else state)
+    stops = StopBoard(FactTable("vm-1", 1))
+    budget = budget or UncappedVersions()
+    return MoveVersionPicker(MoveReader(store), stops, FakeControl(), budget, **fields)
+
+
+def new_count(mine: MoveVersionPicker, count: int = 1000, now_s: float = 0.0) -> int:
+    """Pick for requests at one time; counts those for the new version."""
+    picks = (mine.pick(SERVICE, ROUTES[0], now_s).version for _ in range(count))
+    return sum(version == "v2" for version in picks)
+
+
+OPERATIONS = st.lists(
+    st.tuples(st.integers(0, 3), st.integers(0, 1)) | st.tuples(st.integers(0, 3), st.just("step")),
+    max_size=400,
+)
+
+
+def assert_share_kept(operations: list, round_down: bool = True) -> None:
+    """Let VMs pick and take steps at different times; check every window and the whole."""
+    vms = [picker(at_step(0), round_down=round_down) for _ in range(4)]
+    steps, counts = [0] * 4, defaultdict(lambda: [0, 0])
+    new_total = 0
+    allowed_ppm = 0
+    for vm, what in operations:
+        if what == "step":
+            steps[vm] = min(5, steps[vm] + 1)
+            vms[vm].moves.lookup.set("moves/records", encode_move(at_step(steps[vm])))
+            continue
+        new = vms[vm].pick(SERVICE, ROUTES[what], 0.0).version == "v2"
+        share_ppm = STATE.plan.steps[steps[vm]].share_ppm
+        window = counts[(vm, what, steps[vm])]
+        window[0], window[1] = window[0] + 1, window[1] + new
+        new_total, allowed_ppm = new_total + new, allowed_ppm + share_ppm
+        assert window[1] * 1_000_000 <= share_ppm * window[0]
+        assert new_total * 1_000_000 <= allowed_ppm
+
+
+class TestMoveVersionPicker:
+    """The new version's share never exceeds the step."""
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(OPERATIONS)
+    def test_share_never_exceeds_the_step(self, operations: list) -> None:
+        """Guards against any sequence of picks and steps that sends too much."""
+        assert_share_kept(operations)
+
+    def test_share_is_exceeded_without_rounding_down(self) -> None:
+        """Shows that the check above depends on rounding down."""
+        assert_share_kept([(0, 0), (1, 0)])
+        with pytest.raises(AssertionError):
+            assert_share_kept([(0, 0), (1, 0)], round_down=False)
+
+    def test_share_is_reached(self) -> None:
+        """Guards against a step that has no effect."""
+        assert [new_count(picker(at_step(n))) for n in range(3)] == [20, 216, 412]
+
+    def test_term_without_contact_ends_the_step(self) -> None:
+        """Guards against a cut-off VM that misses a roll-back; fails without the term."""
+
+        def check(keep_term: bool) -> None:
+            mine = picker(at_step(1), keep_term=keep_term)
+            mine.contact.contact_s = 100.0
+            assert new_count(mine, now_s=109.9) == 216
+            assert new_count(mine, now_s=110.1) == 0
+            mine.contact.contact_s = None
+            assert new_count(mine, now_s=110.1) == 0
+
+        check(keep_term=True)
+        with pytest.raises(AssertionError):
+            check(keep_term=False)
+
+    def test_stop_is_obeyed_at_once(self) -> None:
+        """Guards against a bad version that goes on; fails if stops are ignored."""
+
+        def check(obey: bool) -> None:
+            mine, other = picker(at_step(2)), FactTable("vm-2", 1)
+            mine.stops.obey = obey
+            assert new_count(mine) > 0
+            stop = Stop("records", STATE.plan.move, "v2", "fails")
+            StopBoard(other).stop(stop, 0.0)
+            mine.stops.facts.merge(other.own(0.0))
+            assert new_count(mine, now_s=0.03) == 0
+            # The fact may expire; what is known stays.
+            assert new_count(mine, now_s=5000.0 if obey else 0.04) == 0
+
+        check(obey=True)
+        with pytest.raises(AssertionError):
+            check(obey=False)
+
+    @pytest.mark.parametrize(
+        ("state", "expected"),
+        [
+            (None, 0),
+            ({"plan": 3}, 0),
+            ("x", 0),
+            (evolve(STATE, phase=MovePhase.ROLLED_BACK, step=3), 0),
+            (evolve(STATE, phase=MovePhase.FINISHED, step=5), 100),
+            (evolve(at_step(3), plan=evolve(STATE.plan, move="another")), 0),
+        ],
+    )
+    def test_states(self, state: Any, expected: int) -> None:
+        """Guards against a new version that gets traffic outside its move."""
+        assert new_count(picker(state), 100) == expected
+
+    def test_cap_holds_over_the_fleet(self) -> None:
+        """Guards against more than cap_per_s; fails without the budget."""
+
+        class Quarter:
+            def share(self, budget: str, now_s: float) -> float:
+                return 0.25
+
+            def record_demand(self, budget: str, amount: float, now_s: float) -> None:
+                pass
+
+        def check(budget: Any) -> None:
+            capped = evolve(SERVICE, version_plan=evolve(PLAN, cap_per_s=20.0))
+            state = evolve(begin_move(capped.version_plan, 1000.0), step=5)
+            vms = [picker(state, budget()) for _ in range(4)]
+            new = 0
+            for tick in range(1000):
+                for mine in vms:
+                    mine.contact.contact_s = tick / 100
+                    new += mine.pick(capped, ROUTES[0], tick / 100).version == "v2"
+            assert 180 <= new <= 204
+
+        check(lambda: SharedVersionCaps(Quarter()))
+        with pytest.raises(AssertionError):
+            check(UncappedVersions)
+
+    def test_changed_plan_counts_anew(self) -> None:
+        """Guards against evidence of an earlier move that judges a new one."""
+        mine = picker(at_step(0))
+        mine.record(SERVICE, ROUTES[0], "v2", OK_REPORT, 0.0)
+        assert mine.book(SERVICE).pairs()["read"].new.requests == 1
+        changed = evolve(SERVICE, version_plan=evolve(PLAN, new_version="v3"))
+        assert mine.book(changed).pairs() == {}
