--- a/tests/health/test_probe_answers.py
+++ b/tests/health/test_probe_answers.py
@@ -22,7 +22,7 @@
 class TestProbeAnswers:
     """Malformed and lying endpoints give error values."""
 
-    @settings(derandomize=True, max_examples=200, deadline=None)
+    @settings(derandomize=True, max_examples=100, deadline=None)
     @given(st.binary(max_size=64) | (JSON | FIELDS).map(lambda v: json.dumps(v).encode()))
     def test_any_body_gives_a_result(self, body: bytes) -> None:
         """Guards against an answer that ends the process."""
--- /dev/null
+++ b/tests/shift/test_drains.py
@@ -0,0 +1,75 @@
+"""Test planned drains."""
+
+import random
+from typing import Any
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+from steering_fakes import FLEET, FakeStates, query, service, target
+
+from wagtailbay.config import Drain
+from wagtailbay.shift import DrainWeights
+from wagtailbay.shift.drains import drain_weight_ppm
+from wagtailbay.steer import UnlimitedBudgets, build_chooser
+
+TARGETS = tuple(target(f"{zone}-{n}", zone) for zone in ("a1", "a2", "b1") for n in range(2))
+PLACES = [("target", "a1-0"), ("availability_zone", "a1"), ("region", "a")]
+
+
+def drained(kind: str, name: str, **fields: Any) -> Any:
+    """Build a service with one drain from 100 s to 200 s."""
+    return service(TARGETS, drains=(Drain(kind, name, 100.0, 200.0, **fields),))
+
+
+def is_drained(kind: str, name: str, found: Any) -> bool:
+    """Tell whether a target belongs to what is drained."""
+    zone = found.availability_zone
+    return name == {"target": found.target, "availability_zone": zone, "region": zone[0]}[kind]
+
+
+class TestDrainWeights:
+    """Weights fall in steps and are 0 before the deadline."""
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.integers(1, 1_000_000), st.floats(0, 1e5), st.floats(1, 1e5))
+    def test_no_step_is_too_large(self, max_step_ppm: int, start_s: float, length_s: float) -> None:
+        """Guards against drains that shift more at once than the document allows."""
+        drain = Drain("target", "t", start_s, start_s + length_s, max_step_ppm)
+        steps = -(-1_000_000 // max_step_ppm)
+        times = [start_s + length_s * n / 40 for n in range(-1, 41)]
+        weights = [drain_weight_ppm(drain, now_s) for now_s in times]
+        assert weights[0] == 1_000_000
+        assert weights[-1] == 0
+        if steps <= 20:
+            # The times are closer than the steps, so no two steps lie between them.
+            falls = [a - b for a, b in zip(weights, weights[1:], strict=False)]
+            assert all(0 <= fall <= max_step_ppm for fall in falls)
+        assert weights == sorted(weights, reverse=True)
+
+    @pytest.mark.parametrize("place", PLACES)
+    def test_drained_place_gets_no_work(self, place: tuple[str, str]) -> None:
+        """Guards against work for what is drained; fails without drains."""
+
+        def check(enabled: bool) -> None:
+            document = drained(*place, max_step_ppm=250_000)
+            now = [0.0]
+            weights = DrainWeights(lambda: FLEET, lambda: now[0], enabled)
+            budgets, source = UnlimitedBudgets(), random.Random(3)
+            chooser = build_chooser("a1", FakeStates(), budgets, weights, trio.current_time, source)
+            chooser.fleet = FLEET
+            parts = []
+            for now[0] in (50.0, 100.0, 130.0, 160.0, 180.0, 300.0):
+                found = [chooser.try_now(query(document), now[0]) for _ in range(200)]
+                assert all(isinstance(one, Ok) for one in found)
+                hits = sum(is_drained(*place, one.ok_value.target) for one in found)
+                parts.append(hits / 200)
+            assert parts[0] > 0.3
+            assert parts[-2:] == [0.0, 0.0]
+            assert all(b <= a + 0.1 for a, b in zip(parts, parts[1:], strict=False))
+
+        check(enabled=True)
+        with pytest.raises(AssertionError):
+            check(enabled=False)
--- /dev/null
+++ b/tests/shift/test_move_keeper.py
@@ -0,0 +1,200 @@
+"""Test moves over several VMs, lease holders and a store that fails."""
+
+import random
+from typing import Any
+
+import pytest
+import trio
+from attrs import define, evolve, field
+from steering_fakes import (
+    FAILED_REPORT,
+    FLEET,
+    OK_REPORT,
+    PLAN,
+    READ,
+    FakeControl,
+    FakeStore,
+    service,
+)
+
+from wagtailbay.config import ConfigView
+from wagtailbay.membership import FactTable
+from wagtailbay.shift import MovePhase, ShiftController, UncappedVersions, build_shift_controller
+from wagtailbay.shift.wire import decode_move
+from wagtailbay.steer import AttemptReport
+
+SERVICE = service(version_plan=PLAN)
+
+
+@define
+class Fleet:
+    """Run the controllers of several VMs in steps of one second."""
+
+    store: FakeStore = field(factory=FakeStore)
+    vms: list[ShiftController] = field(factory=list)
+    controls: list[FakeControl] = field(factory=list)
+    audit: list[tuple[str, dict]] = field(factory=list)
+    now_s: float = 0.0
+    new_count: int = 0
+    total: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        for number in range(3):
+            control = FakeControl(holds_lease=number == 0)
+            view = ConfigView(FLEET, {"records": SERVICE})
+            controller = build_shift_controller(
+                f"vm-{number}/1",
+                self.store,
+                self.store,
+                FactTable(f"vm-{number}", 1),
+                lambda view=view: view,
+                control,
+                control,
+                UncappedVersions(),
+                lambda event, details: self.audit.append((event, details)),
+                control.clock,
+                control.unix_clock,
+                random.Random(number),
+            )
+            self.vms.append(controller)
+            self.controls.append(control)
+
+    @property
+    def state(self) -> Any:
+        """Return the move in the store."""
+        return decode_move(self.store.value("moves/records")).ok_value
+
+    def holder(self, number: int) -> None:
+        """Give the lease to another VM."""
+        for index, control in enumerate(self.controls):
+            control.holds_lease = index == number
+
+    async def second(self, requests: int = 20, new: AttemptReport = OK_REPORT) -> None:
+        """Serve requests on each VM, exchange facts and let the controllers act."""
+        self.now_s += 1.0
+        for controller, control in zip(self.vms, self.controls, strict=True):
+            control.now_s = control.contact_s = self.now_s
+            for _ in range(requests):
+                version = controller.picker.pick(SERVICE, READ, self.now_s).version
+                report = new if version == "v2" else OK_REPORT
+                controller.picker.record(SERVICE, READ, version, report, self.now_s)
+                self.total, self.new_count = self.total + 1, self.new_count + (version == "v2")
+            controller.tick(self.now_s)
+        for controller in self.vms:
+            for other in self.vms:
+                controller.stops.facts.merge(other.stops.facts.own(self.now_s))
+        for controller, control in zip(self.vms, self.controls, strict=True):
+            if control.holds_lease:
+                await controller.keeper.tick()
+
+    async def run(self, seconds: int, **arguments: Any) -> None:
+        """Run for a time."""
+        for _ in range(seconds):
+            await self.second(**arguments)
+
+
+class TestMoveKeeper:
+    """The lease holder takes a move to its end, whatever happens to it or to the store."""
+
+    async def test_good_move_finishes_and_is_audited(self) -> None:
+        """Guards against moves that miss their deadline or end unseen."""
+        fleet = Fleet()
+        await fleet.run(598)
+        assert fleet.state.phase is MovePhase.FINISHED
+        events = [event for event, _ in fleet.audit]
+        assert events == ["move_step"] * 6 + ["move_finished"]
+        assert fleet.vms[2].picker.pick(SERVICE, READ, 598.0).version == "v2"
+
+    async def test_another_holder_continues(self) -> None:
+        """Guards against moves that start again when the lease passes on."""
+        fleet = Fleet()
+        await fleet.run(250)
+        assert fleet.state.step == 2
+        fleet.holder(1)
+        await fleet.run(3)
+        assert (fleet.state.step, fleet.state.generation) == (2, 2)
+        assert fleet.audit[-1][0] == "move_taken_over"
+        await fleet.run(344)
+        assert fleet.state.phase is MovePhase.FINISHED
+
+    async def test_lost_answers_are_read_back(self) -> None:
+        """Guards against steps that are missing in the audit or taken twice."""
+        fleet = Fleet(FakeStore(lose_answers=True))
+        await fleet.run(250)
+        assert fleet.state.step == 2
+        assert [event for event, _ in fleet.audit] == ["move_step"] * 3
+
+    async def test_race_is_lost_without_harm(self) -> None:
+        """Guards against a paused holder that overwrites a roll-back."""
+        fleet = Fleet()
+        await fleet.run(100)
+        ended = evolve(fleet.state, phase=MovePhase.ROLLED_BACK, mark="other")
+        encoded = fleet.store.value("moves/records") | {"phase": "rolled_back", "mark": "other"}
+        fleet.store.before_put = lambda: fleet.store.set("moves/records", encoded)
+        await fleet.run(60)
+        assert fleet.state == ended
+        assert len(fleet.audit) == 1
+
+    async def test_no_evidence_rolls_back_at_the_deadline(self) -> None:
+        """Guards against moves that hang when measurements stop."""
+        fleet = Fleet()
+        await fleet.run(602, requests=0)
+        assert fleet.state.phase is MovePhase.ROLLED_BACK
+        assert fleet.state.reason == (
+            "deadline passed at 2%: waiting for evidence of the new version"
+        )
+        assert [e for e, _ in fleet.audit] == ["move_step", "move_waiting", "move_rolled_back"]
+
+    async def test_bad_version_is_rolled_back(self) -> None:
+        """Guards against a bad version that keeps traffic; fails without any judge."""
+
+        async def check(judges: bool) -> None:
+            fleet = Fleet()
+            for controller in fleet.vms:
+                controller.judges = controller.keeper.judges = judges
+            await fleet.run(30, new=FAILED_REPORT)
+            assert fleet.state.phase is MovePhase.ROLLED_BACK
+            assert fleet.state.reason.startswith("the new version fails on")
+            assert fleet.new_count <= 0.02 * fleet.total
+
+        await check(judges=True)
+        with pytest.raises(AssertionError):
+            await check(judges=False)
+
+    async def test_store_outage_does_not_hold_a_stop_up(self) -> None:
+        """Guards against a bad version that keeps traffic while the store is down."""
+        fleet = Fleet()
+        await fleet.run(5)
+        fleet.store.down = True
+        await fleet.run(30, new=FAILED_REPORT)
+        before = fleet.new_count
+        await fleet.run(30)
+        assert fleet.new_count == before
+        assert fleet.state.phase is MovePhase.RUNNING
+        fleet.store.down = False
+        await fleet.run(2)
+        assert fleet.state.phase is MovePhase.ROLLED_BACK
+
+    async def test_cut_off_vm_stops_on_its_own_evidence(self) -> None:
+        """Guards against a VM that waits for others to see what it sees itself."""
+        fleet = Fleet()
+        await fleet.run(120)
+        alone = fleet.vms[2]
+        fleet.vms, fleet.controls = [alone], [fleet.controls[2]]
+        await fleet.run(10, new=FAILED_REPORT)
+        assert alone.stops.find(fleet.state.plan.move, fleet.now_s) is not None
+        assert alone.picker.pick(SERVICE, READ, fleet.now_s).version == "v1"
+
+    async def test_malformed_object_is_replaced(self) -> None:
+        """Guards against an unusable object that blocks a move for good."""
+        fleet = Fleet()
+        fleet.store.set("moves/records", {"plan": []})
+        await fleet.run(2)
+        assert fleet.state.step == 0
+
+    async def test_tasks_run(self, autojump_clock: Any) -> None:
+        """Guards against tasks that end or spin."""
+        fleet = Fleet()
+        with trio.move_on_after(10):
+            await fleet.vms[0].run()
+        assert fleet.state.step == 0
--- /dev/null
+++ b/tests/shift/test_move_objects.py
@@ -0,0 +1,75 @@
+"""Test the JSON form of moves and facts."""
+
+import json
+
+import pytest
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+from steering_fakes import PLAN
+
+from wagtailbay.shift.models import Counts, Evidence, Pair, Stop
+from wagtailbay.shift.plan import begin_move
+from wagtailbay.shift.wire import (
+    decode_evidence,
+    decode_move,
+    decode_stop,
+    encode_evidence,
+    encode_move,
+    encode_stop,
+    is_evidence,
+)
+
+STATE = evolve(begin_move(PLAN, 1000.0), step=2, holder="vm-1/5", mark="ab", reason="x")
+FORM = json.dumps(encode_move(STATE))
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=5) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=10,
+)
+
+
+class TestMoveObjects:
+    """Objects and facts come back, and malformed ones give error values."""
+
+    def test_move_comes_back(self) -> None:
+        """Guards against a move that another lease holder reads differently."""
+        assert decode_move(json.loads(FORM)) == Ok(STATE)
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.sampled_from(sorted(json.loads(FORM))), JSON)
+    def test_any_field_gives_a_result(self, name: str, value: object) -> None:
+        """Guards against a malformed object that ends the process."""
+        assert isinstance(decode_move(json.loads(FORM) | {name: value}), Ok | Err)
+        for decode in (decode_move, decode_evidence, decode_stop):
+            assert isinstance(decode(value), Ok | Err)
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"step": 6},
+            {"step": -2},
+            {"generation": 0},
+            {"step_unix_s": float("nan")},
+            {"plan": json.loads(FORM)["plan"] | {"max_step_ppm": 1000}},
+            {"plan": json.loads(FORM)["plan"] | {"steps": []}},
+        ],
+    )
+    def test_impossible_move_is_an_error(self, changes: dict) -> None:
+        """Guards against an object that makes a share exceed its step."""
+        assert isinstance(decode_move(json.loads(FORM) | changes), Err)
+
+    def test_facts_come_back(self) -> None:
+        """Guards against counts that get lost between VMs."""
+        counts = Counts(5, 1, (0, 3, *(0,) * 29, 1))
+        evidence = Evidence("records", "m", "read", Pair(counts, Counts()))
+        assert decode_evidence(json.loads(json.dumps(encode_evidence(evidence)))) == Ok(evidence)
+        stop = Stop("records", "m", "v2", "fails")
+        assert decode_stop(json.loads(json.dumps(encode_stop(stop)))) == Ok(stop)
+
+    def test_unusable_evidence_is_told(self) -> None:
+        """Guards against a fact of a wrong type that ends the judgement."""
+        for counts in (None, Counts(1, 0, ()), Counts("1", 0), Counts(-1, 0), Counts(2**60, 0)):
+            assert not is_evidence(Evidence("records", "m", "read", Pair(Counts(), counts)))
+        assert not is_evidence(Evidence("records", "m", [], Pair()))
