--- /dev/null
+++ b/src/wagtailbay_bench/steering_trial.py
@@ -0,0 +1,106 @@
+"""Measure choosers and judges; prints one line of key=value pairs for each scenario."""
+
+import argparse
+import random
+import sys
+import time
+from functools import partial
+
+import trio
+from trio.testing import MockClock
+
+from wagtailbay.logs import format_line
+from wagtailbay.shift.models import MovePhase
+from wagtailbay_bench.move_trial import (
+    KINDS,
+    FixedCountDecider,
+    JudgeDecider,
+    Kind,
+    MoveTrial,
+    NoDecider,
+)
+from wagtailbay_bench.target_trial import SCENARIOS, Scenario, TargetTrial, TrialFigures
+
+CHOOSERS = ("round-robin", "least-connections", "two-choice")
+DECIDERS = {"none": NoDecider, "fixed-count": FixedCountDecider, "judge": JudgeDecider}
+RATES_PER_S = (2.0, 30.0, 500.0)
+
+
+async def run_targets(scenario: Scenario, chooser: str, seed: int, requests: int) -> TrialFigures:
+    """Run one scenario in virtual time."""
+    return await TargetTrial(scenario, chooser, seed, requests).run()
+
+
+def print_targets(seed: int, requests: int) -> None:
+    """Print latency, sheds and refusals for each scenario and chooser."""
+    for scenario in SCENARIOS:
+        for chooser in CHOOSERS:
+            run = partial(run_targets, scenario, chooser, seed, requests)
+            figures = trio.run(run, clock=MockClock(autojump_threshold=0))
+            values = {
+                "trial": "targets",
+                "scenario": scenario.name,
+                "chooser": chooser,
+                "seed": seed,
+                "requests": requests,
+                "p50_ms": round(figures.quantile_ms(0.5), 1),
+                "p99_ms": round(figures.quantile_ms(0.99), 1),
+                "sheds": figures.sheds,
+                "refused": figures.refused,
+                "late": figures.late,
+            }
+            print(format_line(values), flush=True)
+
+
+def print_moves(seed: int, moves: int) -> None:
+    """Print how moves of good and bad versions end with each way of judging."""
+    for kind in KINDS:
+        for rate_per_s in RATES_PER_S:
+            for name in DECIDERS:
+                print(format_line(move_values(kind, rate_per_s, name, seed, moves)), flush=True)
+
+
+def move_values(
+    kind: Kind, rate_per_s: float, decider: str, seed: int, moves: int
+) -> dict[str, object]:
+    """Run the moves of one line."""
+    outcomes = [
+        MoveTrial(kind, rate_per_s, random.Random(seed + number)).run(DECIDERS[decider]())
+        for number in range(moves)
+    ]
+    finished = sum(o.phase is MovePhase.FINISHED for o in outcomes)
+    right = moves - finished if kind.bad else finished
+    return {
+        "trial": "moves",
+        "kind": kind.name,
+        "rate_per_s": rate_per_s,
+        "decider": decider,
+        "seed": seed,
+        "moves": moves,
+        "right": right,
+        "finished": finished,
+        "rolled_back": moves - finished,
+        "new_part_max": round(max(o.new_part for o in outcomes), 4),
+        "bad_s_max": max(o.bad_s for o in outcomes),
+        "bad_requests_max": max(o.bad_requests for o in outcomes),
+    }
+
+
+def main() -> None:
+    """Run the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--requests", type=int, default=12_000, help="for each target line")
+    parser.add_argument("--moves", type=int, default=20, help="for each move line")
+    parser.add_argument("--only", choices=("targets", "moves"))
+    arguments = parser.parse_args()
+    started_s = time.monotonic()
+    if arguments.only != "moves":
+        print_targets(arguments.seed, arguments.requests)
+    if arguments.only != "targets":
+        print_moves(arguments.seed, arguments.moves)
+    print(f"elapsed_s={time.monotonic() - started_s:.1f}", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wagtailbay_bench/target_trial.py
@@ -0,0 +1,304 @@
+"""Serve requests at in-process targets in virtual time, through real choosers and probes."""
+
+import json
+import math
+import random
+from typing import Any
+
+import trio
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+from wagtailbay.config import (
+    AvailabilityZone,
+    ConfigView,
+    FleetDocument,
+    RegionCapacity,
+    Route,
+    ServiceDocument,
+    Target,
+)
+from wagtailbay.health import HealthMonitor, TargetHealth
+from wagtailbay.membership import FactTable, Member, VmIdentity, VmState
+from wagtailbay.steer import (
+    AttemptOutcome,
+    AttemptReport,
+    Chooser,
+    FullWeights,
+    LeastConnectionsChooser,
+    RoundRobinChooser,
+    TargetQuery,
+    UnlimitedBudgets,
+    build_chooser,
+)
+from wagtailbay.transport import Request, Response, TransportError
+
+ZONES = ("a1", "a2")
+FLEET = FleetDocument(10, tuple(AvailabilityZone(zone, "a") for zone in ZONES))
+ROUTE = Route("read", "/")
+SLOTS = (3, 4, 6, 9)
+QUEUE = 12
+DEADLINE_S = 2.0
+MAX_ATTEMPTS = 3
+# One-way latency between availability zones.
+ZONE_LATENCY_S = 0.001
+EXCHANGE_S = 1.0
+
+
+@frozen
+class Scenario:
+    """Describe the targets and the traffic.
+
+    Attributes:
+        utilisation: Offered work through the work that all slots can do.
+        slow_target: Makes the first target that many times slower.
+        lying_target: Lets the first target report no load, and have a third of its slots.
+        stale_s: Delay of reports between VMs and at load endpoints.
+        cold_targets: Lets that many targets join later, whose first 60 answers take 4 times as
+            long.
+    """
+
+    name: str
+    utilisation: float = 0.7
+    slow_target: float = 1.0
+    lying_target: bool = False
+    stale_s: float = 0.0
+    cold_targets: int = 0
+
+
+SCENARIOS = (
+    Scenario("even"),
+    Scenario("even-high", utilisation=0.9),
+    Scenario("slow-target", slow_target=5.0, utilisation=0.6),
+    Scenario("lying-load", lying_target=True),
+    Scenario("stale-reports", stale_s=3.0),
+    Scenario("cold-start", cold_targets=3, utilisation=0.6),
+)
+
+
+@define
+class SimTarget:
+    """Queue and serve requests in virtual time."""
+
+    target: Target
+    slots: int
+    source: random.Random
+    mean_s: float = 0.02
+    lies: bool = False
+    stale_s: float = 0.0
+    cold_left: int = 0
+    in_flight: int = 0
+    shed: int = 0
+    loads: list[tuple[float, int]] = field(factory=lambda: [(0.0, 0)])
+    capacity: trio.CapacityLimiter = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the slots."""
+        self.capacity = trio.CapacityLimiter(self.slots)
+
+    async def serve(self) -> AttemptOutcome:
+        """Serve one request or shed it."""
+        if self.in_flight >= self.slots + QUEUE:
+            self.shed += 1
+            return AttemptOutcome.SHED
+        self._count(1)
+        try:
+            async with self.capacity:
+                factor = 4.0 if self.cold_left > 0 else 1.0
+                self.cold_left -= 1
+                await trio.sleep(self.source.expovariate(1 / self.mean_s) * factor)
+        finally:
+            self._count(-1)
+        return AttemptOutcome.ANSWERED
+
+    def _count(self, change: int) -> None:
+        self.in_flight += change
+        now_s = trio.current_time()
+        self.loads.append((now_s, self.in_flight))
+        while len(self.loads) > 1 and self.loads[1][0] <= now_s - self.stale_s:
+            self.loads.pop(0)
+
+    def answer(self, path: str) -> Response:
+        """Answer a probe."""
+        if path == "/health":
+            return Response(200, (), b'{"state": "ok"}')
+        in_flight = 0 if self.lies else self.loads[0][1]
+        body = {"in_flight": in_flight, "slots": self.target.slots}
+        return Response(200, (), json.dumps(body).encode())
+
+
+@define
+class SimMembers:
+    """Tell the VMs of the trial."""
+
+    vms: dict[str, str]
+
+    def with_state(self, *states: VmState) -> list[Member]:
+        """Return all VMs as live."""
+        return [
+            Member(VmIdentity(vm, 1, "", "", zone), VmState.LIVE, 1)
+            for vm, zone in self.vms.items()
+        ]
+
+
+@define
+class TrialFigures:
+    """Hold what callers and targets saw."""
+
+    latencies_ms: list[float] = field(factory=list)
+    refused: int = 0
+    late: int = 0
+    sheds: int = 0
+
+    def quantile_ms(self, part: float) -> float:
+        """Return a quantile of the latency of answered requests."""
+        ordered = sorted(self.latencies_ms) or [math.nan]
+        return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+@define
+class TargetTrial:
+    """Run one scenario with one kind of chooser on ten VMs."""
+
+    scenario: Scenario
+    chooser: str
+    seed: int
+    requests: int
+    targets: list[SimTarget] = field(factory=list)
+    choosers: list[Chooser] = field(factory=list)
+    monitors: list[HealthMonitor] = field(factory=list)
+    tables: list[FactTable] = field(factory=list)
+    figures: TrialFigures = field(factory=TrialFigures)
+    service: ServiceDocument = field(init=False)
+    vms: dict[str, str] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build targets and VMs."""
+        self.vms = {f"vm-{number}": ZONES[number % 2] for number in range(10)}
+        self._build_targets()
+        late = self.scenario.cold_targets
+        self._set_targets(self.targets[: len(self.targets) - late])
+        for number in range(len(self.vms)):
+            self._build_vm(number)
+
+    def _build_targets(self) -> None:
+        scenario = self.scenario
+        for number in range(12):
+            target = Target(
+                f"t{number}", f"t{number}", ZONES[number % 2], "v1", SLOTS[number // 2 % 4]
+            )
+            first = number == 0
+            lies = scenario.lying_target and first
+            cold = 60 if number >= 12 - scenario.cold_targets else 0
+            self.targets.append(
+                SimTarget(
+                    target,
+                    max(1, target.slots // 3) if lies else target.slots,
+                    random.Random(f"{self.seed}/{number}"),
+                    0.02 * (scenario.slow_target if first else 1.0),
+                    lies,
+                    scenario.stale_s,
+                    cold,
+                )
+            )
+
+    def _set_targets(self, targets: list[SimTarget]) -> None:
+        capacities = (RegionCapacity("a", 1e6),)
+        documents = tuple(t.target for t in targets)
+        self.service = ServiceDocument("trial", "team", (ROUTE,), documents, (), capacities)
+
+    def _build_vm(self, number: int) -> None:
+        vm = f"vm-{number}"
+        facts, source = FactTable(vm, 1), random.Random(f"{self.seed}/{vm}")
+        self.tables.append(facts)
+        if self.chooser == "round-robin":
+            self.choosers.append(RoundRobinChooser(FLEET, number))
+        elif self.chooser == "least-connections":
+            self.choosers.append(LeastConnectionsChooser(source, FLEET))
+        else:
+            self._build_two_choice(vm, facts, source)
+
+    def _build_two_choice(self, vm: str, facts: FactTable, source: random.Random) -> None:
+        health = TargetHealth(facts)
+        budgets, weights = UnlimitedBudgets(), FullWeights()
+        chooser = build_chooser(self.vms[vm], health, budgets, weights, trio.current_time, source)
+        chooser.fleet = FLEET
+        self.choosers.append(chooser)
+        members, clock = SimMembers(self.vms), trio.current_time
+        self.monitors.append(
+            HealthMonitor(vm, self._view, members, facts, health, clock, source, self._probe)
+        )
+
+    def _view(self) -> ConfigView:
+        return ConfigView(FLEET, {"trial": self.service})
+
+    async def _probe(
+        self, address: str, request: Request, timeout_ms: int
+    ) -> Result[Response, TransportError]:
+        await trio.sleep(ZONE_LATENCY_S)
+        return Ok(next(t for t in self.targets if t.target.target == address).answer(request.path))
+
+    async def run(self) -> TrialFigures:
+        """Send all requests and wait for their ends."""
+        async with trio.open_nursery() as background:
+            for monitor in self.monitors:
+                background.start_soon(monitor.run)
+            background.start_soon(self._exchange)
+            await trio.sleep(2.0)
+            async with trio.open_nursery() as callers:
+                await self._send_all(callers)
+            background.cancel_scope.cancel()
+        self.figures.sheds = sum(target.shed for target in self.targets)
+        return self.figures
+
+    async def _exchange(self) -> None:
+        """Copy facts between all VMs once a second."""
+        while True:
+            own = [table.own(trio.current_time()) for table in self.tables]
+            await trio.sleep(EXCHANGE_S)
+            for table in self.tables:
+                for facts in own:
+                    table.merge(facts)
+
+    async def _send_all(self, callers: trio.Nursery) -> None:
+        source = random.Random(self.seed)
+        warm = self.targets[: 12 - self.scenario.cold_targets]
+        rate_per_s = self.scenario.utilisation * sum(t.slots / t.mean_s for t in warm)
+        for number in range(self.requests):
+            if number == self.requests // 3:
+                self._set_targets(self.targets)
+            await trio.sleep(source.expovariate(rate_per_s))
+            callers.start_soon(self._request, source.randrange(len(self.vms)))
+
+    async def _request(self, vm: int) -> None:
+        """Send one request, trying again after a shed as the request path does."""
+        start_s, excluded, chooser = trio.current_time(), frozenset(), self.choosers[vm]
+        for attempt in range(MAX_ATTEMPTS):
+            query = TargetQuery(
+                self.service, ROUTE, "w", None, excluded, attempt, start_s + DEADLINE_S
+            )
+            chosen = await chooser.choose(query, trio.current_time())
+            if isinstance(chosen, Err):
+                break
+            target = chosen.ok_value.target
+            outcome, latency_s = await self._attempt(vm, target, start_s)
+            report = AttemptReport(outcome, None, latency_s * 1000)
+            chooser.finish(query, chosen.ok_value, report, trio.current_time())
+            if outcome is AttemptOutcome.ANSWERED:
+                self.figures.latencies_ms.append((trio.current_time() - start_s) * 1000)
+                return
+            if outcome is AttemptOutcome.TIMED_OUT:
+                self.figures.late += 1
+                return
+            excluded |= {target.target}
+        self.figures.refused += 1
+
+    async def _attempt(self, vm: int, target: Target, start_s: float) -> tuple[Any, float]:
+        began_s = trio.current_time()
+        served = next(t for t in self.targets if t.target is target)
+        far = target.availability_zone != self.vms[f"vm-{vm}"]
+        outcome = AttemptOutcome.TIMED_OUT
+        with trio.move_on_at(start_s + DEADLINE_S):
+            await trio.sleep(2 * ZONE_LATENCY_S if far else 0.0)
+            outcome = await served.serve()
+        return outcome, trio.current_time() - began_s
