--- a/src/wagtailbay/health/state.py
+++ b/src/wagtailbay/health/state.py
@@ -16,6 +16,8 @@
 
 # A report, when it was made on this VM's clock, and the VM that made it.
 Heard = tuple[TargetReport, float, str]
+# The state by all reports, and the newest load with the time of its report.
+Combined = tuple[TargetState, LoadAnswer | None, float]
 
 
 @define
@@ -32,23 +34,19 @@
     facts: FactTable
     decay: bool = True
     reports: dict[tuple[str, str], list[Heard]] = field(factory=dict)
+    combined: dict[tuple[str, str], Combined] = field(factory=dict)
     indexed_s: float | None = None
     indexed_sequence: int = -1
 
     def view(self, service: str, target: str, now_s: float) -> TargetView:
         """Return what is known of a target."""
-        fresh = list(self._fresh(service, target, now_s))
-        if not fresh:
+        self._index(now_s)
+        combined = self.combined.get((service, target))
+        if combined is None:
             return TargetView()
-        states = {report.state for report, _, _ in fresh}
-        if TargetState.DRAINING in states:
-            state = TargetState.DRAINING
-        else:
-            state = TargetState.OK if TargetState.OK in states else TargetState.FAILED
-        loads = [(made_s, report.load) for report, made_s, _ in fresh if report.load is not None]
-        if not loads:
+        state, load, made_s = combined
+        if load is None:
             return TargetView(state)
-        made_s, load = max(loads, key=lambda item: item[0])
         age_s = max(0.0, now_s - made_s) if self.decay else 0.0
         decayed = load.in_flight * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
         return TargetView(state, decayed, load.slots, load.in_flight)
@@ -78,9 +76,21 @@
                 key = (fact.value.service, fact.value.target)
                 reports.setdefault(key, []).append((fact.value, made_s, fact.vm))
         self.reports, self.indexed_s = reports, now_s
+        self.combined = {key: _combine(heard) for key, heard in reports.items()}
         self.indexed_sequence = self.facts.sequence
 
 
+def _combine(heard: list[Heard]) -> Combined:
+    states = {report.state for report, _, _ in heard}
+    if TargetState.DRAINING in states:
+        state = TargetState.DRAINING
+    else:
+        state = TargetState.OK if TargetState.OK in states else TargetState.FAILED
+    loads = [(made_s, report.load) for report, made_s, _ in heard if report.load is not None]
+    made_s, load = max(loads, key=lambda item: item[0], default=(0.0, None))
+    return state, load, made_s
+
+
 def _is_report(value: Any) -> bool:
     if not isinstance(value, TargetReport) or not isinstance(value.state, TargetState):
         return False
--- a/src/wagtailbay/steer/candidates.py
+++ b/src/wagtailbay/steer/candidates.py
@@ -31,6 +31,16 @@
         return tuple(c for c in self.for_query if c.region == region)
 
 
+@frozen
+class _Places:
+    """Hold the region of each target and the slots of each region under two documents."""
+
+    service: ServiceDocument
+    fleet: FleetDocument | None
+    region: dict[str, str]
+    slots: dict[str, float]
+
+
 @define
 class CandidateFinder:
     """Combine probes, ejections, drains, own counts and slow start.
@@ -47,6 +57,7 @@
     slow_start: SlowStart = field(factory=SlowStart)
     eject: bool = True
     drain: bool = True
+    places: dict[str, _Places] = field(factory=dict)
 
     def find(self, query: TargetQuery, fleet: FleetDocument | None, now_s: float) -> Candidates:
         """Return the targets that can take a request.
@@ -55,6 +66,7 @@
         wrong, and a refused connection tells quickly. Draining ones are never returned.
         """
         service = query.service
+        self._place(service, fleet)
         views = {
             t.target: self.states.view(service.service, t.target, now_s) for t in service.targets
         }
@@ -74,13 +86,13 @@
 
         def build(pairs: Sequence[tuple[Target, int]]) -> tuple[Candidate, ...]:
             return tuple(
-                self._candidate(service, target, weight, views[target.target], fleet, now_s)
+                self._candidate(service, target, weight, views[target.target], now_s)
                 for target, weight in pairs
             )
 
         usable = build(fit)
         matching = _matching(usable, query) or _matching(build(open_targets), query)
-        return Candidates(matching, usable, _fractions(service, usable, fleet))
+        return Candidates(matching, usable, self._fractions(service.service, usable))
 
     def _weight_ppm(
         self, service: ServiceDocument, target: Target, view: TargetView, now_s: float
@@ -104,20 +116,38 @@
         target: Target,
         weight_ppm: int,
         view: TargetView,
-        fleet: FleetDocument | None,
         now_s: float,
     ) -> Candidate:
         name = service.service
         slots = min(target.slots, view.slots or target.slots)
         return Candidate(
             target,
-            region_of(target, fleet),
+            self.places[service.service].region[target.target],
             self.beliefs.in_flight(name, target.target),
             self.beliefs.load(name, target.target, view, slots, now_s),
             slots * self.slow_start.factor(name, target.target, now_s),
             weight_ppm,
         )
 
+    def _fractions(self, service: str, usable: Sequence[Candidate]) -> dict[str, float]:
+        slots = self.places[service].slots
+        healthy = dict.fromkeys(slots, 0.0)
+        for c in usable:
+            healthy[c.region] += c.slots * c.weight_ppm / PPM
+        return {region: healthy[region] / slots[region] for region in slots}
+
+    def _place(self, service: ServiceDocument, fleet: FleetDocument | None) -> None:
+        """Find the regions of a service's targets again when a document has changed."""
+        known = self.places.get(service.service)
+        if known is not None and known.service is service and known.fleet is fleet:
+            return
+        region = {t.target: region_of(t, fleet) for t in service.targets}
+        slots: dict[str, float] = {}
+        for target in service.targets:
+            name = region[target.target]
+            slots[name] = slots.get(name, 0.0) + target.slots
+        self.places[service.service] = _Places(service, fleet, region, slots)
+
 
 def region_of(target: Target, fleet: FleetDocument | None) -> str:
     """Return a target's region, empty where the fleet document does not tell."""
@@ -132,19 +162,6 @@
     )
 
 
-def _fractions(
-    service: ServiceDocument, usable: Sequence[Candidate], fleet: FleetDocument | None
-) -> dict[str, float]:
-    total: dict[str, float] = {}
-    for target in service.targets:
-        region = region_of(target, fleet)
-        total[region] = total.get(region, 0.0) + target.slots
-    healthy = dict.fromkeys(total, 0.0)
-    for c in usable:
-        healthy[c.region] += c.slots * c.weight_ppm / PPM
-    return {region: healthy[region] / total[region] for region in total}
-
-
 def pick_of_two(candidates: Sequence[Candidate], source: random.Random) -> Candidate:
     """Return the one with less load of two random candidates.
 
--- a/tests/health/test_target_health.py
+++ b/tests/health/test_target_health.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtailbay.health import LoadAnswer, TargetHealth, TargetReport, TargetState
-from wagtailbay.health.const import REPORT_TTL_MS, TARGET_REPORT_KIND
+from wagtailbay.health.const import LOAD_HALF_LIFE_S, REPORT_TTL_MS, TARGET_REPORT_KIND
 from wagtailbay.membership import Fact, FactTable
 
 OK, DRAINING, FAILED = TargetState.OK, TargetState.DRAINING, TargetState.FAILED
@@ -51,9 +51,10 @@
 
     def test_load_fades(self) -> None:
         """Guards against old load that outweighs own counts; fails without the decay."""
+        made_later_s = 100.0 + 2 * LOAD_HALF_LIFE_S
 
         def check(decay: bool) -> None:
-            view = health_of((100.0, report(OK)), decay=decay).view("records", "t1", 102.0)
+            view = health_of((100.0, report(OK)), decay=decay).view("records", "t1", made_later_s)
             assert view.in_flight == pytest.approx(1.0)
 
         check(decay=True)
