--- a/src/wagtailbay/health/monitor.py
+++ b/src/wagtailbay/health/monitor.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 import trio
 from attrs import define, field
@@ -26,6 +27,7 @@
 
     Attributes:
         view: The documents in force.
+        basis: The documents and VMs from which the probers were chosen.
         probe_uncovered: Test-only switch; False leaves targets without reports alone.
     """
 
@@ -40,6 +42,8 @@
     probe_uncovered: bool = True
     tasks: dict[ProbeKey, trio.CancelScope] = field(factory=dict)
     first_seen_s: dict[ProbeKey, float] = field(factory=dict)
+    basis: tuple[Any, ...] = ()
+    probers: dict[tuple[str, str], tuple[str, ...]] = field(factory=dict)
 
     async def run(self) -> None:
         """Start and stop probe tasks as documents, VMs and reports change."""
@@ -68,18 +72,32 @@
         view = self.view()
         if view.fleet is None:
             return set()
-        live = self.members.with_state(VmState.LIVE)
+        self._assign_probers(view)
         wanted, known = set(), {}
         for service in view.services.values():
             for target in service.targets:
                 key = (service.service, target.target, target.address)
                 known[key] = self.first_seen_s.get(key, now_s)
-                probers = choose_probers(service, target, live, view.fleet)
+                probers = self.probers[(service.service, target.target)]
                 if self.vm in probers or self._is_uncovered(key, probers, known[key], now_s):
                     wanted.add(key)
         self.first_seen_s = known
         return wanted
 
+    def _assign_probers(self, view: ConfigView) -> None:
+        """Choose the probers of all targets again if documents or live VMs have changed."""
+        live = self.members.with_state(VmState.LIVE)
+        places = tuple((m.identity.vm, m.identity.availability_zone) for m in live)
+        basis = (view.fleet, dict(view.services), places)
+        if basis == self.basis:
+            return
+        self.basis = basis
+        self.probers = {
+            (service.service, target.target): choose_probers(service, target, live, view.fleet)
+            for service in view.services.values()
+            for target in service.targets
+        }
+
     def _is_uncovered(
         self, key: ProbeKey, probers: tuple[str, ...], first_seen_s: float, now_s: float
     ) -> bool:
--- a/src/wagtailbay/health/probe.py
+++ b/src/wagtailbay/health/probe.py
@@ -35,7 +35,11 @@
 
 @define
 class ProbeLoop:
-    """Probe one target about once a second and publish what readers would notice."""
+    """Probe one target about once a second and publish what readers would notice.
+
+    Attributes:
+        noticeable_only: Test-only switch; False publishes every report.
+    """
 
     service: str
     target: str
@@ -44,6 +48,7 @@
     clock: Callable[[], float]
     random: random.Random
     fetch: Fetch = fetch
+    noticeable_only: bool = True
     failures: int = 0
     found: TargetReport | None = None
     published: TargetReport | None = None
@@ -84,7 +89,7 @@
         return evolve(self.found, load=None) if self.found is not None else None
 
     def _publish(self, report: TargetReport, now_s: float) -> None:
-        due = now_s - self.published_s >= REPORT_TTL_MS / 2000
+        due = now_s - self.published_s >= REPORT_TTL_MS / 2000 or not self.noticeable_only
         if self.published is not None and not due and not is_noticeable(self.published, report):
             return
         urgent = self.published is not None and self.published.state is not report.state
--- a/src/wagtailbay/shift/keeper.py
+++ b/src/wagtailbay/shift/keeper.py
@@ -44,6 +44,7 @@
         holder: This VM and its incarnation.
         audit: Called after each change of a move that took effect.
         judges: Test-only switch; False never finds a version bad by the fleet's evidence.
+        reads_back: Test-only switch; False takes every write without an answer for lost.
     """
 
     holder: str
@@ -57,6 +58,7 @@
     unix_clock: Callable[[], float]
     random: random.Random
     judges: bool = True
+    reads_back: bool = True
     watches: dict[tuple[str, int], _Watch] = field(factory=dict)
 
     async def run(self) -> None:
@@ -166,6 +168,8 @@
                 return True
             case Err(StoreUnavailable()):
                 return False
+        if not self.reads_back:
+            return False
         read = await self.store.get(key)
         if isinstance(read, Err) or read.ok_value is None or read.ok_value.value is None:
             return False
