Divide budgets by ledger, floor and loans

The equal split refuses requests inside the rate whenever load is uneven.

Limits gain a fair queue in which a request waits at most 200 ms for a token. Regions and links use the same accounts.

--- /dev/null
+++ b/src/wagtailbay/allotment/assembly.py
@@ -0,0 +1,92 @@
+"""Assemble the allotment slice for one VM."""
+
+from collections.abc import Callable, Mapping
+
+import trio
+from attrs import define, field
+
+from wagtailbay.allotment.const import TICK_S
+from wagtailbay.allotment.holding import Holding
+from wagtailbay.allotment.keeper import LedgerKeeper
+from wagtailbay.allotment.loans import LoanBook
+from wagtailbay.allotment.models import Holder, LoanGrant, LoanRequest, Safeguards
+from wagtailbay.allotment.ports import Fleet, Lender
+from wagtailbay.limits import BudgetLimit
+from wagtailbay.membership import FactTable
+from wagtailbay.platform import ObjectStore
+from wagtailbay.replica import Replica
+
+
+@define
+class Allotment:
+    """Build this VM's part of the divisible budgets and run its tasks.
+
+    Attributes:
+        limits: Returns the limit of every budget in the documents, see ``budgets_of``.
+        max_vms: Returns the most VMs ever alive at once, None while it is unknown.
+        started_s: When this VM began to count; it holds no tokens from before.
+        loans_enabled: Whether this VM borrows; switched off to measure what loans bring.
+    """
+
+    fleet: Fleet
+    lender: Lender
+    store: ObjectStore
+    replica: Replica
+    facts: FactTable
+    limits: Callable[[], Mapping[str, BudgetLimit]]
+    max_vms: Callable[[], int | None]
+    clock: Callable[[], float]
+    started_s: float
+    safeguards: Safeguards = field(factory=Safeguards)
+    loans_enabled: bool = True
+    holding: Holding = field(init=False)
+    loans: LoanBook = field(init=False)
+    keeper: LedgerKeeper = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Connect the parts."""
+        own = Holder(self.facts.vm, self.facts.incarnation)
+        self.holding = Holding(
+            own,
+            self.fleet,
+            self.replica,
+            self.facts,
+            self.limits,
+            self.max_vms,
+            self.started_s,
+            self.safeguards,
+        )
+        self.loans = LoanBook(self.holding, self.fleet, self.lender, self.clock)
+        if self.loans_enabled:
+            self.holding.on_short = self.loans.on_short
+        self.keeper = LedgerKeeper(
+            self.fleet,
+            self.store,
+            self.facts,
+            self.limits,
+            self.holding.floor_ppm,
+            self.clock,
+            self.safeguards,
+        )
+
+    def lend(self, request: LoanRequest, now_s: float) -> LoanGrant:
+        """Answer a loan request of another VM."""
+        return self.loans.lend(request, now_s)
+
+    async def run(self) -> None:
+        """Run all tasks for as long as the process runs."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._follow_ledgers)
+            nursery.start_soon(self.loans.run)
+            nursery.start_soon(self.keeper.run)
+
+    async def _tick(self) -> None:
+        while True:
+            self.holding.tick(self.clock())
+            await trio.sleep(TICK_S)
+
+    async def _follow_ledgers(self) -> None:
+        while True:
+            self.holding.catch_up(self.clock())
+            await self.replica.changed.wait()
--- /dev/null
+++ b/src/wagtailbay/allotment/catalogue.py
@@ -0,0 +1,45 @@
+"""List the budgets that the documents define."""
+
+from wagtailbay.config import ConfigView, FleetDocument, ServiceDocument
+from wagtailbay.limits import (
+    BudgetLimit,
+    link_budget,
+    region_budget,
+    version_budget,
+    workspace_budget,
+)
+from wagtailbay.limits.rates import link_limit, region_limit
+
+
+def budgets_of(view: ConfigView) -> dict[str, BudgetLimit]:
+    """Return the limit of every budget, by name."""
+    budgets: dict[str, BudgetLimit] = {}
+    for document in view.services.values():
+        budgets |= _service_budgets(document)
+    if view.fleet is not None:
+        budgets |= _link_budgets(view.fleet)
+    return budgets
+
+
+def _service_budgets(document: ServiceDocument) -> dict[str, BudgetLimit]:
+    service = document.service
+    budgets = {
+        workspace_budget(service, w.workspace): BudgetLimit(w.rate_per_s, w.burst)
+        for w in document.workspaces
+    }
+    for region in document.regions:
+        budgets[region_budget(service, region.region)] = region_limit(region.capacity_per_s)
+    plan = document.version_plan
+    if plan is not None and plan.cap_per_s is not None:
+        budgets[version_budget(service, plan.new_version)] = region_limit(plan.cap_per_s)
+    return budgets
+
+
+def _link_budgets(fleet: FleetDocument) -> dict[str, BudgetLimit]:
+    return {link_budget(link.from_region, link.to_region): link_limit(link) for link in fleet.links}
+
+
+def group_of(budget: str) -> str:
+    """Return the group whose ledger object holds a budget: one for each service, one for links."""
+    kind, _, rest = budget.partition(":")
+    return "links" if kind == "link" else f"services/{rest.partition('/')[0]}"
--- /dev/null
+++ b/src/wagtailbay/allotment/const.py
@@ -0,0 +1,61 @@
+"""Constants of the allotment slice."""
+
+from typing import Final
+
+WHOLE_PPM: Final = 1_000_000
+# Split equally among the fleet's possible VMs, so a new VM needs no message to serve a little.
+FLOOR_RESERVE_PPM: Final = 100_000
+LEDGER_PPM: Final = WHOLE_PPM - FLOOR_RESERVE_PPM
+LEDGER_PREFIX: Final = "ledgers/"
+
+PLAN_INTERVAL_S: Final = 5.0
+# A share that a VM has been told to give up serves nobody until the next plan, so that one is soon.
+FOLLOW_UP_INTERVAL_S: Final = 1.5
+# The weight of the newest demand in a plan; low, because loans follow short changes.
+PLAN_SMOOTHING: Final = 0.3
+# A VM from which nothing came for this long keeps what it has, and plans give it no more.
+SILENT_AFTER_S: Final = 10.0
+# A plan that moves less of a budget than this is not written.
+MIN_STEP_PPM: Final = 20_000
+# Part of the ledger that is divided equally, so that a VM with no demand yet can serve some.
+EQUAL_PART: Final = 0.1
+# A budget whose equal parts would hold fewer tokens than this is given to fewer VMs.
+TOKENS_PER_HOLDER: Final = 4.0
+MIN_HOLDERS: Final = 2
+# Keeps a planned share with its VM unless another VM has clearly more demand.
+HOLDER_PREFERENCE: Final = 3.0
+
+# Longer than the longest loan as the lender counts it, with 1% between clocks (2 s x 1.1 x 1.01).
+RECLAIM_ENDED_S: Final = 3.0
+RECLAIM_ABSENT_S: Final = 30.0
+
+LOAN_TERM_MS: Final = 2_000
+# A loan of whole tokens of a small budget is used at once; a short term frees the share soon.
+TOKEN_LOAN_TERM_MS: Final = 400
+MAX_LOAN_TERM_MS: Final = 2_000
+# The lender waits this much longer than the borrower, which covers clocks that differ by 1%.
+LOAN_MARGIN: Final = 0.1
+BORROW_TIMEOUT_MS: Final = 400
+BORROW_BACKOFF_S: Final = 0.25
+MAX_BORROW_BACKOFF_S: Final = 2.0
+AVOID_LENDER_S: Final = 1.0
+MIN_LOAN_PPM: Final = 20_000
+MAX_LENDERS: Final = 2
+# A lender keeps its own demand and this much more; a borrower asks for as much more.
+DEMAND_HEADROOM: Final = 1.2
+# A renewal is asked for when this part of the term is left.
+RENEW_BEFORE_S: Final = 0.5
+
+DEMAND_SMOOTHING_S: Final = 1.5
+DEMAND_PUBLISH_INTERVAL_S: Final = 1.0
+DEMAND_REFRESH_S: Final = 10.0
+DEMAND_TTL_MS: Final = 30_000
+NOTICEABLE_CHANGE: Final = 0.1
+DEMAND_KIND: Final = "demand"
+APPLIED_KIND: Final = "ledger_applied"
+APPLIED_TTL_MS: Final = 30_000
+APPLIED_REFRESH_S: Final = 10.0
+
+TICK_S: Final = 1.0
+# After a longer stop of this VM's own loop, it uses the floor only.
+MAX_LOOP_GAP_S: Final = 5.0
--- /dev/null
+++ b/src/wagtailbay/allotment/demand.py
@@ -0,0 +1,91 @@
+"""Measure and publish the demand at this VM."""
+
+from math import exp, floor, log10
+
+from attrs import define, field
+
+from wagtailbay.allotment.const import (
+    DEMAND_KIND,
+    DEMAND_PUBLISH_INTERVAL_S,
+    DEMAND_REFRESH_S,
+    DEMAND_SMOOTHING_S,
+    DEMAND_TTL_MS,
+    NOTICEABLE_CHANGE,
+)
+from wagtailbay.allotment.models import Demand
+from wagtailbay.membership import FactTable
+
+
+@define
+class DemandMeter:
+    """Hold an exponentially weighted rate of what was asked for."""
+
+    per_s: float = 0.0
+    updated_s: float = 0.0
+
+    def record(self, amount: float, now_s: float) -> None:
+        """Count an amount."""
+        self.per_s = self.rate(now_s) + amount / DEMAND_SMOOTHING_S
+        self.updated_s = max(self.updated_s, now_s)
+
+    def rate(self, now_s: float) -> float:
+        """Return the amount a second."""
+        return self.per_s * exp(-max(0.0, now_s - self.updated_s) / DEMAND_SMOOTHING_S)
+
+
+@define
+class DemandBoard:
+    """Meter every budget and publish one fact for all of them when it changes noticeably."""
+
+    facts: FactTable
+    meters: dict[str, DemandMeter] = field(factory=dict)
+    published: dict[str, float] = field(factory=dict)
+    published_s: float | None = None
+
+    def record(self, budget: str, amount: float, now_s: float) -> None:
+        """Count an amount asked of a budget."""
+        meter = self.meters.get(budget)
+        if meter is None:
+            meter = self.meters[budget] = DemandMeter(updated_s=now_s)
+        meter.record(amount, now_s)
+
+    def rate(self, budget: str, now_s: float) -> float:
+        """Return the amount a second asked of a budget."""
+        meter = self.meters.get(budget)
+        return 0.0 if meter is None else meter.rate(now_s)
+
+    def publish(self, now_s: float) -> bool:
+        """Publish where something changed or the fact would expire; returns whether it did."""
+        since_s = float("inf") if self.published_s is None else now_s - self.published_s
+        if since_s < DEMAND_PUBLISH_INTERVAL_S * 0.9:
+            return False
+        rates = {budget: round_to_digits(m.rate(now_s)) for budget, m in self.meters.items()}
+        rates = {budget: rate for budget, rate in rates.items() if rate > 0}
+        if since_s < DEMAND_REFRESH_S and not self._changed(rates):
+            return False
+        self.published, self.published_s = rates, now_s
+        self.facts.publish(DEMAND_KIND, "", Demand(rates), ttl_ms=DEMAND_TTL_MS, now_s=now_s)
+        return True
+
+    def _changed(self, rates: dict[str, float]) -> bool:
+        return any(
+            abs(rates.get(budget, 0.0) - self.published.get(budget, 0.0))
+            > NOTICEABLE_CHANGE * max(rates.get(budget, 0.0), self.published.get(budget, 0.0))
+            for budget in rates.keys() | self.published.keys()
+        )
+
+
+def round_to_digits(rate: float) -> float:
+    """Round to two significant digits, and what is below 0.01 a second to nothing."""
+    if rate < 0.01:
+        return 0.0
+    return round(rate, 1 - floor(log10(rate)))
+
+
+def known_demand(facts: FactTable, now_s: float) -> dict[tuple[str, int], Demand]:
+    """Return the demand facts that have not expired, by VM and incarnation."""
+    return {
+        (fact.vm, fact.incarnation): fact.value
+        for fact in facts.of_kind(DEMAND_KIND, now_s)
+        if isinstance(fact.value, Demand)
+    }
--- /dev/null
+++ b/src/wagtailbay/allotment/holding.py
@@ -0,0 +1,201 @@
+"""Hold this VM's usable shares of all budgets."""
+
+from collections.abc import Callable, Mapping
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from wagtailbay.allotment.account import Account
+from wagtailbay.allotment.catalogue import group_of
+from wagtailbay.allotment.const import (
+    APPLIED_KIND,
+    APPLIED_REFRESH_S,
+    APPLIED_TTL_MS,
+    FLOOR_RESERVE_PPM,
+    LEDGER_PREFIX,
+    MAX_LOOP_GAP_S,
+    WHOLE_PPM,
+)
+from wagtailbay.allotment.demand import DemandBoard
+from wagtailbay.allotment.models import Holder, Ledger, LedgerApplied, LedgerFault, Safeguards
+from wagtailbay.allotment.ports import Fleet
+from wagtailbay.allotment.wire import decode_ledger
+from wagtailbay.limits import BudgetLimit
+from wagtailbay.logs import log_event
+from wagtailbay.membership import FactTable
+from wagtailbay.replica import Replica
+
+
+@define
+class AppliedLedger:
+    """Hold a ledger that this VM applied.
+
+    Attributes:
+        confirmed_s: When its version was last published as kept to, None if not yet.
+    """
+
+    version: int
+    ledger: Ledger
+    confirmed_s: float | None = None
+
+
+@define
+class Holding:
+    """Apply ledgers, floor and isolation to this VM's accounts.
+
+    Attributes:
+        limits: Returns the limit of every budget in the documents.
+        max_vms: Returns the most VMs ever alive at once, None while it is unknown.
+        on_short: Called when an account runs low; tells whether a loan may come.
+        ticked_s: When this VM's own loop last ran.
+    """
+
+    own: Holder
+    fleet: Fleet
+    replica: Replica
+    facts: FactTable
+    limits: Callable[[], Mapping[str, BudgetLimit]]
+    max_vms: Callable[[], int | None]
+    started_s: float
+    safeguards: Safeguards = field(factory=Safeguards)
+    on_short: Callable[[str, float], bool] = lambda budget, now_s: False
+    accounts: dict[str, Account] = field(factory=dict)
+    ledgers: dict[str, AppliedLedger] = field(factory=dict)
+    refused: dict[str, int] = field(factory=dict)
+    demand: DemandBoard = field(init=False)
+    ticked_s: float = field(init=False)
+    _known_limits: dict[str, BudgetLimit] = field(factory=dict)
+    _seen_revision: int = -1
+
+    def __attrs_post_init__(self) -> None:
+        """Start the meters and the watch on the own loop."""
+        self.demand = DemandBoard(self.facts)
+        self.ticked_s = self.started_s
+
+    def share(self, budget: str, now_s: float) -> float:
+        """Return this VM's share of a budget, from 0 to 1."""
+        account = self.accounts.get(budget)
+        if account is None:
+            return self.floor_ppm() / WHOLE_PPM
+        account.settle(now_s)
+        return account.usable_ppm(now_s) / WHOLE_PPM
+
+    def record_demand(self, budget: str, amount: float, now_s: float) -> None:
+        """Record that an amount was asked for, whether it was admitted or not."""
+        self.demand.record(budget, amount, now_s)
+
+    def account(self, budget: str, limit: BudgetLimit, now_s: float) -> Account:
+        """Return this VM's account of a budget, with the limit that is in force now."""
+        account = self.accounts.get(budget)
+        if account is not None:
+            account.set_limit(limit, now_s)
+            return account
+        account = Account(
+            budget,
+            limit,
+            self.started_s,
+            self.floor_ppm(),
+            is_confined=self.is_confined,
+            on_short=lambda name, at_s: self.on_short(name, at_s),
+        )
+        self.accounts[budget] = account
+        account.set_share(self._granted_ppm(budget), self.floor_ppm(), now_s)
+        return account
+
+    def floor_ppm(self) -> int:
+        """Return one VM's part of the floor reserve."""
+        max_vms = self.max_vms()
+        if not max_vms:
+            return 0
+        return FLOOR_RESERVE_PPM // max_vms if self.safeguards.limit_floor else FLOOR_RESERVE_PPM
+
+    def is_confined(self, now_s: float) -> bool:
+        """Tell whether only the floor may be used, after applying what the replica holds.
+
+        The ledger is applied first, because an exchange that ends the isolation may have brought
+        a decrease that no task has handled yet.
+        """
+        if self.replica.revision != self._seen_revision:
+            self.catch_up(now_s)
+        if not self.safeguards.confine_isolated:
+            return False
+        return now_s - self.ticked_s > MAX_LOOP_GAP_S or self.fleet.is_isolated(now_s)
+
+    def catch_up(self, now_s: float) -> None:
+        """Apply every ledger that the replica holds in a higher version."""
+        self._seen_revision = self.replica.revision
+        for key, stored in self.replica.with_prefix(LEDGER_PREFIX).items():
+            if self.refused.get(key) == stored.version:
+                continue
+            match self.apply(key, stored.version, stored.value, now_s):
+                case Err(fault):
+                    self.refused[key] = stored.version
+                    log_event(
+                        "ledger_refused", key=key, version=stored.version, reason=fault.message
+                    )
+
+    def apply(
+        self, key: str, version: int, value: object, now_s: float
+    ) -> Result[bool, LedgerFault]:
+        """Apply a ledger object; False if it is not newer. A faulty one changes nothing."""
+        group = key.removeprefix(LEDGER_PREFIX)
+        known = self.ledgers.get(group)
+        if known is not None and known.version >= version:
+            return Ok(False)
+        decoded = decode_ledger(value)
+        if isinstance(decoded, Err):
+            return decoded
+        self.ledgers[group] = AppliedLedger(version, decoded.ok_value)
+        self._set_shares(now_s)
+        self._confirm(now_s)
+        return Ok(True)
+
+    def tick(self, now_s: float) -> None:
+        """Keep accounts, limits and facts current; must run at least every few seconds."""
+        limits = self.limits()
+        for budget, limit in limits.items():
+            # A user of the account may have set a lower limit since, such as one for lost slots.
+            if budget not in self.accounts or limit != self._known_limits.get(budget):
+                self.account(budget, limit, now_s)
+        self._known_limits = dict(limits)
+        for budget, account in tuple(self.accounts.items()):
+            if budget not in limits and not account.lent and not account.borrowed:
+                del self.accounts[budget]
+        self._set_shares(now_s)
+        self.ticked_s = now_s
+        self.demand.publish(now_s)
+        self._confirm(now_s)
+
+    def granted_to_others(self, budget: str) -> dict[str, int]:
+        """Return the ledger shares of the other VMs."""
+        applied = self.ledgers.get(group_of(budget))
+        division = applied.ledger.budgets.get(budget, {}) if applied else {}
+        return {h.vm: g.granted_ppm for h, g in division.items() if h.vm != self.own.vm}
+
+    def _granted_ppm(self, budget: str) -> int:
+        applied = self.ledgers.get(group_of(budget))
+        return applied.ledger.grant(budget, self.own).granted_ppm if applied else 0
+
+    def _set_shares(self, now_s: float) -> None:
+        floor_ppm = self.floor_ppm()
+        for budget, account in self.accounts.items():
+            account.set_share(self._granted_ppm(budget), floor_ppm, now_s)
+
+    def _confirm(self, now_s: float) -> None:
+        """Publish the versions to which this VM keeps, its loans included."""
+        for group, applied in self.ledgers.items():
+            due = applied.confirmed_s is None or now_s - applied.confirmed_s >= APPLIED_REFRESH_S
+            if not due or not self._loans_fit(group, now_s):
+                continue
+            applied.confirmed_s = now_s
+            value = LedgerApplied(applied.version)
+            self.facts.publish(APPLIED_KIND, group, value, ttl_ms=APPLIED_TTL_MS, now_s=now_s)
+
+    def _loans_fit(self, group: str, now_s: float) -> bool:
+        if not self.safeguards.check_applied_loans:
+            return True
+        return all(
+            account.lent_ppm(now_s) <= account.ledger_ppm
+            for budget, account in self.accounts.items()
+            if group_of(budget) == group
+        )
--- a/src/wagtailbay/allotment/models.py
+++ b/src/wagtailbay/allotment/models.py
@@ -1,6 +1,8 @@
-"""Model loans of shares between VMs."""
+"""Model ledgers, loans and the facts that plans rest on."""
 
-from attrs import frozen
+from collections.abc import Mapping
+
+from attrs import define, field, frozen
 
 
 @frozen
@@ -31,3 +33,109 @@
 
     share_ppm: int
     tokens: float
+
+
+@frozen
+class Loan:
+    """Hold a lent share as one side counts it."""
+
+    share_ppm: int
+    until_s: float
+
+
+@frozen
+class Holder:
+    """Identify one run of an entry process."""
+
+    vm: str
+    incarnation: int
+
+
+@frozen
+class Grant:
+    """Hold one VM's part of a budget.
+
+    Attributes:
+        granted_ppm: What the VM may use once it has applied the ledger.
+        held_ppm: The most that it may still be using.
+    """
+
+    granted_ppm: int
+    held_ppm: int
+
+
+Division = Mapping[Holder, Grant]
+
+
+@frozen
+class Ledger:
+    """Divide the budgets of one group among the VMs."""
+
+    budgets: Mapping[str, Division] = field(factory=dict)
+
+    def grant(self, budget: str, holder: Holder) -> Grant:
+        """Return a VM's part of a budget, nothing where it has none."""
+        return self.budgets.get(budget, {}).get(holder, Grant(0, 0))
+
+    def budgets_of(self, holder: Holder) -> dict[str, int]:
+        """Return what is granted to a VM, by budget."""
+        return {
+            budget: division[holder].granted_ppm
+            for budget, division in self.budgets.items()
+            if holder in division
+        }
+
+
+@frozen
+class Demand:
+    """Publish how much of each budget is asked for at a VM.
+
+    Attributes:
+        per_s: Amounts a second by budget; budgets without demand are left out.
+    """
+
+    per_s: Mapping[str, float]
+
+
+@frozen
+class LedgerApplied:
+    """Publish that a VM, with the shares it has lent, keeps to a version of a ledger object."""
+
+    version: int
+
+
+@frozen
+class LedgerFault:
+    """Describe why a ledger object cannot be used."""
+
+    message: str
+
+
+@frozen
+class BorrowFailed:
+    """Report that a VM gave no answer to a loan request."""
+
+    message: str
+
+
+@define
+class Safeguards:
+    """Name the mechanisms that tests switch off to show that a check fails without them.
+
+    Attributes:
+        await_applied: Lower a held share only after its VM has confirmed the decrease.
+        loan_margin: The part of a term by which the lender waits longer than the borrower.
+        confine_isolated: Use the floor only while isolated or after a stop of the own loop.
+        limit_floor: Give each VM its part of the floor reserve, not the whole reserve.
+        await_ended_loans: Wait for the loans of an ended VM before its share is granted again.
+        move_tokens: Take the tokens that move with a loan from the lender.
+        check_applied_loans: Confirm a ledger version only when lent shares allow it.
+    """
+
+    await_applied: bool = True
+    loan_margin: float = 0.1
+    confine_isolated: bool = True
+    limit_floor: bool = True
+    await_ended_loans: bool = True
+    move_tokens: bool = True
+    check_applied_loans: bool = True
--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -41,13 +41,13 @@
             await self._handle_own(request, reply)
             return
         request_id = uuid.uuid4().hex
-        match self._admit(request, request_id):
+        match await self._admit(request, request_id):
             case Err(refusal):
                 await self._refuse(reply, refusal, request_id)
             case Ok(context):
                 await self._forward(context, reply)
 
-    def _admit(self, request: Request, request_id: str) -> Result[RequestContext, Refusal]:
+    async def _admit(self, request: Request, request_id: str) -> Result[RequestContext, Refusal]:
         now_s = self.clock()
         found = find_route(request, self.view())
         if isinstance(found, Err):
@@ -61,7 +61,7 @@
             return allowed
         workspace = allowed.ok_value
         if workspace is not None:
-            admitted = self.limiter.admit(service, workspace, now_s)
+            admitted = await self.limiter.admit(service, workspace, now_s)
             if isinstance(admitted, Err):
                 return admitted
         deadline_s = now_s + timeout_ms.ok_value / 1000
--- a/src/wagtailbay/limits/bucket.py
+++ b/src/wagtailbay/limits/bucket.py
@@ -1,7 +1,11 @@
 """Count tokens."""
 
+from math import inf
+
 from attrs import define
 
+from wagtailbay.limits.const import ROUNDING
+
 
 @define
 class TokenBucket:
@@ -10,7 +14,7 @@
     Attributes:
         rate_per_s: Tokens gained each second.
         capacity: The most tokens it holds.
-        level: Tokens held at updated_s.
+        level: Tokens held at updated_s; negative after a charge for what was already spent.
     """
 
     rate_per_s: float
@@ -27,11 +31,28 @@
     def take(self, tokens: float, now_s: float) -> bool:
         """Take tokens if there are enough."""
         self.refill(now_s)
-        if self.level < tokens:
+        if self.level < tokens - ROUNDING:
             return False
         self.level -= tokens
         return True
 
+    def charge(self, tokens: float, now_s: float) -> None:
+        """Take tokens that are already spent."""
+        self.refill(now_s)
+        self.level -= tokens
+
+    def give(self, tokens: float) -> None:
+        """Add tokens that another bucket gave up, as far as they fit."""
+        self.level = min(self.capacity, self.level + tokens)
+
+    def wait_s(self, tokens: float) -> float:
+        """Return the time from updated_s until there are enough tokens, infinity if never."""
+        if self.level >= tokens - ROUNDING:
+            return 0.0
+        if self.capacity < tokens - ROUNDING or self.rate_per_s <= 0:
+            return inf
+        return (tokens - self.level) / self.rate_per_s
+
     def resize(self, rate_per_s: float, capacity: float, now_s: float) -> None:
         """Change rate and capacity; a higher capacity brings no tokens, a lower one cuts them."""
         self.refill(now_s)
--- a/src/wagtailbay/limits/limiter.py
+++ b/src/wagtailbay/limits/limiter.py
@@ -1,24 +1,18 @@
 """Admit requests within the workspaces' limits."""
 
-from typing import Protocol
+from collections.abc import Callable
+from math import isfinite
 
 from attrs import define, field
 from result import Err, Ok, Result
 
-from wagtailbay.config import ServiceDocument, WorkspaceLimit
-from wagtailbay.limits.bucket import TokenBucket
-from wagtailbay.limits.const import BUDGET_PREFIX
+from wagtailbay.config import ServiceDocument
+from wagtailbay.limits.models import BudgetLimit, ShareSource, TokenAccount, workspace_budget
+from wagtailbay.limits.queue import FairQueue
 from wagtailbay.refusals import Refusal, not_run
 
-
-class ShareSource(Protocol):
-    """Tell which part of a budget this VM may use."""
-
-    def share(self, budget: str, now_s: float) -> float:
-        """Return this VM's share of a budget, from 0 to 1."""
-
-    def record_demand(self, budget: str, amount: float, now_s: float) -> None:
-        """Record that an amount was asked for, whether it was admitted or not."""
+# Given as the time to retry when this VM's own rate will never bring a whole token.
+FALLBACK_RETRY_MS = 1_000
 
 
 @define
@@ -26,36 +20,31 @@
     """Admit requests while this VM's share of the workspace's tokens lasts.
 
     Attributes:
-        started_s: When this VM began to count; a new bucket holds what it would have gained since.
+        clock: Reads the time again after a wait.
     """
 
     shares: ShareSource
-    started_s: float
-    buckets: dict[str, TokenBucket] = field(factory=dict)
+    clock: Callable[[], float]
+    queues: dict[str, FairQueue] = field(factory=dict)
 
-    def admit(
+    async def admit(
         self, service: ServiceDocument, workspace: str, now_s: float
     ) -> Result[None, Refusal]:
-        """Take one token of a workspace for a service."""
+        """Take one token of a workspace for a service, waiting for it at most 200 ms."""
         limit = service.limit_for(workspace)
         if limit is None:
             return Err(not_run(403, "workspace_not_allowed", f"unknown workspace {workspace!r}"))
-        budget = f"{BUDGET_PREFIX}{service.service}/{workspace}"
+        budget = workspace_budget(service.service, workspace)
         self.shares.record_demand(budget, 1.0, now_s)
-        bucket = self._bucket(budget, limit, now_s)
-        if bucket.take(1.0, now_s):
+        account = self.shares.account(budget, BudgetLimit(limit.rate_per_s, limit.burst), now_s)
+        queue = self.queues.setdefault(budget, FairQueue(self.clock))
+        if await queue.take(account, workspace):
             return Ok(None)
-        wait_ms = round(1000 * (1.0 - bucket.level) / max(bucket.rate_per_s, 1e-3))
         message = f"workspace {workspace!r} is above its rate of {limit.rate_per_s:g}/s"
-        return Err(not_run(429, "rate_exceeded", message, retry_after_ms=wait_ms))
-
-    def _bucket(self, budget: str, limit: WorkspaceLimit, now_s: float) -> TokenBucket:
-        share = self.shares.share(budget, now_s)
-        rate_per_s, capacity = limit.rate_per_s * share, limit.burst * share
-        bucket = self.buckets.get(budget)
-        if bucket is None:
-            bucket = TokenBucket(rate_per_s, capacity, level=0.0, updated_s=self.started_s)
-            self.buckets[budget] = bucket
-        if (bucket.rate_per_s, bucket.capacity) != (rate_per_s, capacity):
-            bucket.resize(rate_per_s, capacity, now_s)
-        return bucket
+        return Err(
+            not_run(429, "rate_exceeded", message, retry_after_ms=self._retry_after_ms(account))
+        )
+
+    def _retry_after_ms(self, account: TokenAccount) -> int:
+        wait_s = account.wait_s(1.0, self.clock())
+        return max(1, round(1000 * wait_s)) if isfinite(wait_s) else FALLBACK_RETRY_MS
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -60,11 +60,13 @@
     chooser = RoundRobinChooser()
     pool = ConnectionPool()
     forwarder = Forwarder(chooser, AnyVersionPicker(), pool, boottime_s, settings.vm)
-    shares = EqualShares(lambda: view[0].fleet.max_vms if view[0].fleet else 1)
+    shares = EqualShares(
+        lambda: view[0].fleet.max_vms if view[0].fleet else 1, started_s=boottime_s()
+    )
     handler = RequestHandler(
         view=lambda: view[0],
         gate=AccessGate(KeyRing(lambda: replica.objects), freshness.age_ms, lambda now_s: False),
-        limiter=WorkspaceLimiter(shares, boottime_s()),
+        limiter=WorkspaceLimiter(shares, boottime_s),
         forwarder=forwarder,
         roster=roster,
         status=lambda now_s: {"vm": settings.vm, "revision": replica.revision},
