--- a/src/wagtailbay/allotment/account.py
+++ b/src/wagtailbay/allotment/account.py
@@ -30,6 +30,7 @@
             other: the largest counts, not the sum.
         borrowed: Loans of each lender, counted in the same way.
         is_confined: Tells whether only the floor may be used now.
+        refresh: Applies newer ledgers, which may set this account's share, before tokens are used.
         on_short: Called when tokens run low.
     """
 
@@ -39,6 +40,7 @@
     floor_ppm: int = 0
     ledger_ppm: int = 0
     is_confined: Callable[[float], bool] = never
+    refresh: Callable[[float], None] = lambda now_s: None
     on_short: Callable[[str, float], bool] = lambda budget, now_s: False
     lent: dict[Holder, list[Loan]] = field(factory=dict)
     borrowed: dict[str, list[Loan]] = field(factory=dict)
@@ -104,6 +106,11 @@
         return rate_per_s, self.capacity(usable_ppm)
 
     def settle(self, now_s: float) -> None:
+        """Apply what has changed and count the tokens gained so far."""
+        self.refresh(now_s)
+        self._settle(now_s)
+
+    def _settle(self, now_s: float) -> None:
         """Count the tokens gained so far, at the rate of each part of the time."""
         now_s = max(now_s, self.bucket.updated_s)
         was_confined, self.confined = self.confined, self.is_confined(now_s)
@@ -126,19 +133,19 @@
 
     def set_share(self, ledger_ppm: int, floor_ppm: int, now_s: float) -> None:
         """Apply what the ledger and the fleet's size give."""
-        self.settle(now_s)
+        self._settle(now_s)
         grown = ledger_ppm > self.ledger_ppm
         self.ledger_ppm, self.floor_ppm = ledger_ppm, floor_ppm
-        self.settle(now_s)
+        self._settle(now_s)
         if grown:
             self.changed.notify()
 
     def set_limit(self, limit: BudgetLimit, now_s: float) -> None:
         """Apply the budget's limit."""
         if limit != self.limit:
-            self.settle(now_s)
+            self._settle(now_s)
             self.limit = limit
-            self.settle(now_s)
+            self._settle(now_s)
 
     def take(self, amount: float, now_s: float) -> bool:
         """Take tokens if there are enough."""
@@ -185,7 +192,7 @@
         if move:
             self.bucket.level -= tokens
         loans.append(loan)
-        self.settle(now_s)
+        self._settle(now_s)
         return tokens
 
     def receive(self, lender: str, loan: Loan, tokens: float, now_s: float) -> bool:
@@ -194,7 +201,7 @@
         if loan.until_s <= now_s or self.confined:
             return False
         self.borrowed.setdefault(lender, []).append(loan)
-        self.settle(now_s)
+        self._settle(now_s)
         self.bucket.give(min(tokens, self.capacity(loan.share_ppm)))
         self.changed.notify()
         return True
--- a/src/wagtailbay/allotment/holding.py
+++ b/src/wagtailbay/allotment/holding.py
@@ -96,6 +96,7 @@
             self.started_s,
             self.floor_ppm(),
             is_confined=self.is_confined,
+            refresh=self.refresh,
             on_short=lambda name, at_s: self.on_short(name, at_s),
         )
         self.accounts[budget] = account
@@ -110,16 +111,19 @@
         return FLOOR_RESERVE_PPM // max_vms if self.safeguards.limit_floor else FLOOR_RESERVE_PPM
 
     def is_confined(self, now_s: float) -> bool:
-        """Tell whether only the floor may be used, after applying what the replica holds.
+        """Tell whether only the floor may be used."""
+        if not self.safeguards.confine_isolated:
+            return False
+        return now_s - self.ticked_s > MAX_LOOP_GAP_S or self.fleet.is_isolated(now_s)
+
+    def refresh(self, now_s: float) -> None:
+        """Apply what the replica holds before tokens are used.
 
-        The ledger is applied first, because an exchange that ends the isolation may have brought
-        a decrease that no task has handled yet.
+        An exchange that ends the isolation may have brought a decrease that no task has handled
+        yet.
         """
         if self.replica.revision != self._seen_revision:
             self.catch_up(now_s)
-        if not self.safeguards.confine_isolated:
-            return False
-        return now_s - self.ticked_s > MAX_LOOP_GAP_S or self.fleet.is_isolated(now_s)
 
     def catch_up(self, now_s: float) -> None:
         """Apply every ledger that the replica holds in a higher version."""
@@ -152,6 +156,7 @@
 
     def tick(self, now_s: float) -> None:
         """Keep accounts, limits and facts current; must run at least every few seconds."""
+        self.refresh(now_s)
         limits = self.limits()
         for budget, limit in limits.items():
             # A user of the account may have set a lower limit since, such as one for lost slots.
--- /dev/null
+++ b/src/wagtailbay_bench/budget_fleet.py
@@ -0,0 +1,205 @@
+"""Run the budgets of several VMs in one process on virtual time."""
+
+import random
+from collections.abc import Callable, Sequence
+
+import trio
+from attrs import define, evolve, field
+from result import Err, Ok, Result
+
+from wagtailbay.allotment import (
+    Allotment,
+    BorrowFailed,
+    EqualShares,
+    LoanGrant,
+    LoanRequest,
+)
+from wagtailbay.config import ServiceDocument, WorkspaceLimit
+from wagtailbay.limits import BudgetLimit, WorkspaceLimiter, workspace_budget
+from wagtailbay.membership import FactTable, Member, VmIdentity, VmState
+from wagtailbay.replica import Replica
+from wagtailbay_bench.memory_store import MemoryStore
+
+SERVICE = "records"
+REGIONS = 3
+NEAR_S, FAR_S = 0.001, 0.035
+EXCHANGE_INTERVAL_S = 1.0
+
+
+async def store_travel() -> None:
+    """Take the time of one way to the store."""
+    await trio.sleep(FAR_S)
+
+
+@define(eq=False)
+class TrialVm:
+    """Hold one VM; its heartbeat copies members, facts and replica entries."""
+
+    fleet: "TrialFleet"
+    name: str
+    region: int
+    limiter: WorkspaceLimiter = field(init=False)
+    allotment: Allotment | None = None
+    replica: Replica = field(factory=Replica)
+    facts: FactTable = field(init=False)
+    roster: dict[str, Member] = field(factory=dict)
+    heard_s: dict[str, float] = field(factory=dict)
+    contact_s: float = float("-inf")
+
+    def __attrs_post_init__(self) -> None:
+        """Assemble the VM as the program does."""
+        self.facts = FactTable(self.name, 1)
+        self.roster[self.name] = Member(VmIdentity(self.name, 1, "", "", ""), VmState.LIVE, 1)
+        if self.fleet.kind == "equal":
+            shares = EqualShares(lambda: self.fleet.max_vms, trio.current_time())
+        else:
+            self.allotment = Allotment(
+                fleet=self,
+                lender=self,
+                store=self.fleet.store,
+                replica=self.replica,
+                facts=self.facts,
+                limits=lambda: self.fleet.limits,
+                max_vms=lambda: self.fleet.max_vms,
+                clock=trio.current_time,
+                started_s=trio.current_time(),
+                loans_enabled=self.fleet.kind == "design",
+            )
+            shares = self.allotment.holding
+        self.limiter = WorkspaceLimiter(shares, trio.current_time)
+
+    def is_holder(self, now_s: float) -> bool:
+        """Tell whether this is the first VM."""
+        return self is self.fleet.vms[0]
+
+    def is_isolated(self, now_s: float) -> bool:
+        """Tell whether the last answered exchange is too old."""
+        return now_s - self.contact_s > 20.0
+
+    def members(self) -> Sequence[Member]:
+        """Return all known VMs."""
+        return tuple(self.roster.values())
+
+    def last_heard_s(self, vm: str) -> float | None:
+        """Return when something new of a VM arrived."""
+        return self.heard_s.get(vm)
+
+    def neighbours(self) -> Sequence[str]:
+        """Return the other VMs, those of the same region first."""
+        others = [vm for vm in self.fleet.vms if vm is not self]
+        return [vm.name for vm in sorted(others, key=lambda vm: vm.region != self.region)]
+
+    async def borrow(
+        self, vm: str, request: LoanRequest, timeout_ms: int
+    ) -> Result[LoanGrant, BorrowFailed]:
+        """Carry a loan request over the network and back."""
+        lender = next(other for other in self.fleet.vms if other.name == vm)
+        if lender.allotment is None:
+            return Err(BorrowFailed("no allotment"))
+        self.fleet.loan_requests += 1
+        await trio.sleep(self.distance_s(lender))
+        grant = lender.allotment.lend(request, trio.current_time())
+        await trio.sleep(self.distance_s(lender))
+        return Ok(grant)
+
+    def distance_s(self, other: "TrialVm") -> float:
+        """Return the time of one way to another VM."""
+        return NEAR_S if other.region == self.region else FAR_S
+
+    def take_in(self, other: "TrialVm") -> None:
+        """Apply what another VM answered to an exchange."""
+        now_s = trio.current_time()
+        for vm, member in other.roster.items():
+            self.roster.setdefault(vm, evolve(member))
+        fresh = self.facts.merge(other.facts.own(now_s))
+        self.heard_s |= dict.fromkeys((other.name, *(fact.vm for fact in fresh)), now_s)
+        newer = other.replica.delta_since(self.replica.revision)
+        self.replica.apply(newer, other.replica.revision)
+        self.contact_s = now_s
+
+    async def beat(self) -> None:
+        """Exchange with every other VM once a second; the first VM reads the store."""
+        await trio.sleep(self.fleet.random.uniform(0, EXCHANGE_INTERVAL_S))
+        while True:
+            store = self.fleet.store
+            if self is self.fleet.vms[0] and not store.outage:
+                self.replica.apply(tuple(store.objects.values()), store.revision)
+            for other in self.fleet.vms:
+                if other is not self:
+                    self.take_in(other)
+            await trio.sleep(EXCHANGE_INTERVAL_S)
+
+
+@define
+class Tally:
+    """Count the requests of one workspace."""
+
+    sent: int = 0
+    refused: int = 0
+    waited_ms: list[float] = field(factory=list)
+
+
+@define
+class TrialFleet:
+    """Hold the VMs and send them requests.
+
+    Attributes:
+        kind: ``design``, ``equal`` (fixed equal split) or ``no_loans``.
+    """
+
+    kind: str
+    workspaces: dict[str, BudgetLimit]
+    vm_count: int
+    max_vms: int
+    random: random.Random
+    store: MemoryStore = field(factory=lambda: MemoryStore(travel=store_travel))
+    vms: list[TrialVm] = field(factory=list)
+    tallies: dict[str, Tally] = field(factory=dict)
+    loan_requests: int = 0
+    document: ServiceDocument = field(init=False)
+    limits: dict[str, BudgetLimit] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Define the budgets."""
+        workspaces = tuple(
+            WorkspaceLimit(name, limit.rate_per_s, limit.burst)
+            for name, limit in self.workspaces.items()
+        )
+        self.document = ServiceDocument(SERVICE, "", (), (), workspaces, ())
+        self.limits = {workspace_budget(SERVICE, w): limit for w, limit in self.workspaces.items()}
+        self.tallies = {name: Tally() for name in self.workspaces}
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start all VMs."""
+        for number in range(self.vm_count):
+            self.vms.append(TrialVm(self, f"vm-{number}", number % REGIONS))
+        self.store.vm_names = [vm.name for vm in self.vms]
+        for vm in self.vms:
+            nursery.start_soon(vm.beat)
+            if vm.allotment is not None:
+                nursery.start_soon(vm.allotment.run)
+
+    async def send(
+        self,
+        workspace: str,
+        per_s: float,
+        until_s: float,
+        choose: Callable[[float], int],
+        count_from_s: float,
+    ) -> None:
+        """Send requests with exponential gaps, each to the VM that is chosen for the time."""
+        async with trio.open_nursery() as nursery:
+            while (now_s := trio.current_time()) < until_s:
+                vm = self.vms[choose(now_s)]
+                nursery.start_soon(self._request, vm, workspace, now_s >= count_from_s)
+                await trio.sleep(self.random.expovariate(per_s))
+
+    async def _request(self, vm: TrialVm, workspace: str, counted: bool) -> None:
+        sent_s = trio.current_time()
+        admitted = await vm.limiter.admit(self.document, workspace, sent_s)
+        if not counted:
+            return
+        tally = self.tallies[workspace]
+        tally.sent += 1
+        tally.refused += isinstance(admitted, Err)
+        tally.waited_ms.append((trio.current_time() - sent_s) * 1000)
--- /dev/null
+++ b/tests/allotment/test_state_machine.py
@@ -0,0 +1,171 @@
+"""Test that no order of events and faults exceeds a budget."""
+
+import hypothesis.strategies as st
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from support.world import World, settled_world
+
+from wagtailbay.limits import BudgetLimit
+from wagtailbay.membership import VmState
+
+LARGE = BudgetLimit(rate_per_s=20.0, burst=60.0)
+SMALL = BudgetLimit(rate_per_s=2.0, burst=4.0)
+MAX_VMS = 5
+NAMES = [f"vm-{number}" for number in range(MAX_VMS)]
+pick = st.integers(min_value=0, max_value=30)
+
+# derandomize makes hypothesis derive its seed from the test itself, so each run is the same.
+FIXED = settings(
+    derandomize=True,
+    max_examples=100,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    phases=(Phase.generate, Phase.shrink),
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Send requests to VMs while messages, the store and processes fail."""
+
+    world: World
+
+    @initialize(limit=st.sampled_from([LARGE, SMALL]), vms=st.integers(2, 4))
+    def start(self, limit: BudgetLimit, vms: int) -> None:
+        self.world = settled_world(vms, limit=limit, max_vms=MAX_VMS)
+
+    def _vm(self, number: int):
+        running = self.world.running()
+        return running[number % len(running)] if running else None
+
+    @rule(number=pick, amount=st.sampled_from([1, 3, 100]))
+    def ask(self, number: int, amount: int) -> None:
+        if vm := self._vm(number):
+            self.world.ask(vm, amount)
+
+    @rule(seconds=st.sampled_from([0.1, 0.4, 1.0, 2.0, 6.0, 33.0]), beat=st.booleans())
+    def advance(self, seconds: float, beat: bool) -> None:
+        self.world.advance(seconds, beat)
+
+    @rule()
+    def ask_everywhere(self) -> None:
+        for vm in self.world.running():
+            self.world.ask(vm, 100)
+
+    @rule(number=pick)
+    def borrow(self, number: int) -> None:
+        if vm := self._vm(number):
+            self.world.ask(vm, 100)
+            self.world.borrow(vm)
+
+    @rule(number=pick)
+    def borrow_at_once(self, number: int) -> None:
+        if vm := self._vm(number):
+            self.world.ask(vm, 100)
+            self.world.borrow(vm)
+            self.world.deliver_all()
+            self.world.ask(vm, 100)
+
+    @rule(number=pick)
+    def plan_at_once(self, number: int) -> None:
+        if vm := self._vm(number):
+            self.world.plan_through(vm)
+
+    @rule(number=pick)
+    def read_store(self, number: int) -> None:
+        if vm := self._vm(number):
+            vm.read_store()
+
+    @rule(number=pick, times=st.integers(1, 4))
+    def plan_for_a_while(self, number: int, times: int) -> None:
+        for _ in range(times):
+            self.plan_at_once(number)
+            self.world.advance(12.0)
+
+    @rule(number=pick)
+    def plan(self, number: int) -> None:
+        if vm := self._vm(number):
+            self.world.plan(vm)
+
+    @rule(number=pick)
+    def deliver(self, number: int) -> None:
+        if self.world.under_way:
+            self.world.deliver(self.world.under_way[number % len(self.world.under_way)])
+
+    @rule()
+    def deliver_all(self) -> None:
+        self.world.deliver_all()
+
+    @rule(number=pick, other=pick, answered=st.booleans())
+    def exchange(self, number: int, other: int, answered: bool) -> None:
+        one, two = self._vm(number), self._vm(other)
+        if one is not two and self.world.is_linked(one.name, two.name):
+            one.exchange(two, answered)
+
+    @rule(number=pick)
+    def pause(self, number: int) -> None:
+        if vm := self._vm(number):
+            vm.paused = True
+
+    @rule()
+    def resume(self) -> None:
+        for vm in self.world.vms.values():
+            vm.paused = False
+
+    @rule(name=st.sampled_from(NAMES))
+    def end_process(self, name: str) -> None:
+        if name in self.world.vms:
+            self.world.kill(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def start_process(self, name: str) -> None:
+        if name in self.world.vms:
+            self.world.kill(name)
+        self.world.start(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def leave(self, name: str) -> None:
+        if name in self.world.vms and not self.world.vms[name].paused:
+            self.world.leave(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def drop_from_list(self, name: str) -> None:
+        vm = self.world.vms.get(name)
+        if (vm is None or vm.paused) and name in self.world.store.vm_names:
+            self.world.store.vm_names.remove(name)
+
+    @rule(outage=st.booleans(), lost=st.integers(0, 1))
+    def break_store(self, outage: bool, lost: int) -> None:
+        self.world.store.outage, self.world.store.lost_answers = outage, lost
+
+    @rule(one=st.sampled_from(NAMES), other=st.sampled_from([*NAMES, "store"]))
+    def cut(self, one: str, other: str) -> None:
+        if one != other:
+            self.world.cut.add(frozenset((one, other)))
+
+    @rule()
+    @precondition(lambda self: self.world.cut)
+    def heal(self) -> None:
+        self.world.cut.clear()
+
+    @invariant()
+    def keeps_to_the_budget(self) -> None:
+        if hasattr(self, "world"):
+            self.world.check()
+
+
+class TestAnyOrderOfEvents:
+    """No order of requests, plans, loans and faults exceeds the budget."""
+
+    def test_keeps_to_the_budget(self) -> None:
+        """Guards against any interleaving in which two VMs use the same share or tokens."""
+        print("hypothesis settings:", FIXED)
+        run_state_machine_as_test(BudgetMachine, settings=FIXED)
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes shared by tests."""
--- /dev/null
+++ b/tests/support/steps.py
@@ -0,0 +1,32 @@
+"""Run coroutines step by step without an event loop."""
+
+from collections.abc import Coroutine, Generator
+from typing import Any
+
+from attrs import define
+
+
+class _Pause:
+    def __await__(self) -> Generator[None, None, None]:
+        yield
+
+
+async def pause() -> None:
+    """Suspend until the test resumes the coroutine."""
+    await _Pause()
+
+
+@define(eq=False)
+class Running:
+    """Hold a suspended coroutine of a VM."""
+
+    owner: Any
+    coroutine: Coroutine[Any, Any, None]
+
+    def resume(self) -> bool:
+        """Run to the next pause; False when it has ended."""
+        try:
+            self.coroutine.send(None)
+        except StopIteration:
+            return False
+        return True
--- /dev/null
+++ b/tests/support/world.py
@@ -0,0 +1,309 @@
+"""Drive the allotment classes of several VMs under faults, on a clock of the test's own.
+
+Only clocks, messages, the platform and the membership are fakes; accounts, ledgers, loans and
+plans are the product's own classes. A reference bucket that knows nothing of shares checks every
+admitted request against the rate and burst of the whole budget.
+"""
+
+from collections.abc import Sequence
+
+from attrs import define, evolve, field
+from result import Err, Ok, Result
+from support.steps import Running, pause
+
+from wagtailbay.allotment import (
+    Allotment,
+    BorrowFailed,
+    LoanGrant,
+    LoanRequest,
+    Safeguards,
+    group_of,
+)
+from wagtailbay.limits import BudgetLimit
+from wagtailbay.membership import FactTable, Member, VmIdentity, VmState
+from wagtailbay.replica import Replica
+from wagtailbay_bench.memory_store import MemoryStore
+
+BUDGET = "workspace:records/unam"
+GROUP = group_of(BUDGET)
+CLOCK_ERROR = 0.01
+WHOLE_PPM = 1_000_000
+
+
+@define(eq=False)
+class FakeVm:
+    """Hold one run of an entry process and what it knows of the others."""
+
+    world: "World"
+    name: str
+    incarnation: int
+    clock_offset_s: float
+    clock_rate: float
+    allotment: Allotment = field(init=False)
+    replica: Replica = field(factory=Replica)
+    facts: FactTable = field(init=False)
+    roster: dict[str, Member] = field(factory=dict)
+    heard_s: dict[str, float] = field(factory=dict)
+    contact_s: float | None = None
+    loop_s: float = 0.0
+    stopped: bool = False
+    paused: bool = False
+    lenders: tuple[str, ...] | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.facts = FactTable(self.name, self.incarnation)
+        self.loop_s = self.clock()
+        identity = VmIdentity(self.name, self.incarnation, "", "", "")
+        self.roster[self.name] = Member(identity, VmState.LIVE, 1)
+        self.allotment = Allotment(
+            fleet=self,
+            lender=self,
+            store=self.world.store,
+            replica=self.replica,
+            facts=self.facts,
+            limits=lambda: {BUDGET: self.world.limit},
+            max_vms=lambda: self.world.max_vms,
+            clock=self.clock,
+            started_s=self.clock(),
+            safeguards=self.world.safeguards,
+        )
+
+    def clock(self) -> float:
+        """Read this VM's clock, which starts and runs differently from the true time."""
+        return self.clock_offset_s + self.world.now_s * self.clock_rate
+
+    def is_holder(self, now_s: float) -> bool:
+        return True
+
+    def is_isolated(self, now_s: float) -> bool:
+        self.stopped |= now_s - self.loop_s > 5.0
+        return self.stopped or self.contact_s is None or now_s - self.contact_s > 20.0
+
+    def members(self) -> Sequence[Member]:
+        return tuple(self.roster.values())
+
+    def last_heard_s(self, vm: str) -> float | None:
+        return self.heard_s.get(vm)
+
+    def neighbours(self) -> Sequence[str]:
+        others = tuple(vm for vm in self.roster if vm != self.name)
+        return others if self.lenders is None else self.lenders
+
+    async def borrow(
+        self, vm: str, request: LoanRequest, timeout_ms: int
+    ) -> Result[LoanGrant, BorrowFailed]:
+        await pause()
+        lender = self.world.vms.get(vm)
+        if lender is None or lender.paused or not self.world.is_linked(self.name, vm):
+            return Err(BorrowFailed("unreachable"))
+        grant = lender.allotment.lend(request, lender.clock())
+        await pause()
+        return Ok(grant)
+
+    def tick(self) -> None:
+        """Run the own loop."""
+        self.is_isolated(self.clock())
+        self.loop_s = self.clock()
+        self.allotment.holding.tick(self.clock())
+
+    def hear(self, other: "FakeVm") -> None:
+        """Take in the other's members and facts."""
+        for vm, member in other.roster.items():
+            known = self.roster.get(vm)
+            if known is None or _age(member) > _age(known):
+                self.roster[vm] = member
+        heard = {other.name}
+        lag_s = other.clock()
+        facts = [
+            evolve(fact, expires_s=self.clock() + fact.expires_s - lag_s)
+            for fact in other.facts.facts.values()
+        ]
+        heard |= {fact.vm for fact in self.facts.merge(facts)}
+        self.heard_s |= dict.fromkeys(heard, self.clock())
+
+    def exchange(self, other: "FakeVm", answered: bool = True) -> None:
+        """Call another VM; without an answer only the other learns something."""
+        self.is_isolated(self.clock())
+        other.hear(self)
+        if answered:
+            self.hear(other)
+            self.replica.apply(
+                other.replica.delta_since(self.replica.revision), other.replica.revision
+            )
+            self.contact_s, self.stopped = self.clock(), False
+
+    def read_store(self) -> None:
+        """List the replicated objects."""
+        if not self.world.store.outage and self.world.is_linked(self.name, "store"):
+            self.is_isolated(self.clock())
+            store = self.world.store
+            self.replica.apply(tuple(store.objects.values()), store.revision)
+            self.contact_s, self.stopped = self.clock(), False
+
+    @property
+    def account(self):
+        return self.allotment.holding.account(BUDGET, self.world.limit, self.clock())
+
+
+def _age(member: Member) -> tuple[int, int]:
+    return member.identity.incarnation, member.sequence
+
+
+@define
+class World:
+    """Hold the true time, the VMs, the store and everything under way."""
+
+    limit: BudgetLimit = BudgetLimit(rate_per_s=20.0, burst=60.0)
+    max_vms: int = 5
+    safeguards: Safeguards = field(factory=Safeguards)
+    skewed: bool = True
+    store: MemoryStore = field(factory=lambda: MemoryStore(travel=pause))
+    vms: dict[str, FakeVm] = field(factory=dict)
+    under_way: list[Running] = field(factory=list)
+    cut: set[frozenset[str]] = field(factory=set)
+    starts: int = 0
+    now_s: float = 1000.0
+    admitted: int = 0
+    reference_level: float = field(init=False)
+    reference_s: float = 1000.0
+
+    def __attrs_post_init__(self) -> None:
+        self.reference_level = self.limit.burst
+
+    def start(self, name: str) -> FakeVm:
+        """Start a process; the clocks of successive ones run 1% slow, true and 1% fast."""
+        self.starts += 1
+        rate = 1.0 + CLOCK_ERROR * ((self.starts % 3) - 1) if self.skewed else 1.0
+        vm = FakeVm(self, name, self.starts, clock_offset_s=7.0 * self.starts, clock_rate=rate)
+        self.vms[name] = vm
+        if name not in self.store.vm_names:
+            self.store.vm_names.append(name)
+        vm.tick()
+        return vm
+
+    def kill(self, name: str) -> None:
+        """End a process at once, with all that it had under way."""
+        vm = self.vms.pop(name)
+        for running in [r for r in self.under_way if r.owner is vm]:
+            running.coroutine.close()
+            self.under_way.remove(running)
+
+    def leave(self, name: str) -> None:
+        """End a process in the planned way: it announces that it left, then ends."""
+        vm = self.vms[name]
+        member = vm.roster[name]
+        vm.roster[name] = evolve(member, state=VmState.LEFT, sequence=member.sequence + 1)
+        for other in self.running():
+            if other is not vm and self.is_linked(name, other.name):
+                other.hear(vm)
+        self.kill(name)
+        if name in self.store.vm_names:
+            self.store.vm_names.remove(name)
+
+    def is_linked(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) not in self.cut
+
+    def running(self) -> list[FakeVm]:
+        return [vm for vm in self.vms.values() if not vm.paused]
+
+    def advance(self, seconds: float, beat: bool = True) -> None:
+        """Let time pass; VMs tick and exchange every second as far as the faults allow."""
+        left_s = seconds
+        while left_s > 0:
+            step_s = min(1.0, left_s)
+            left_s -= step_s
+            self.now_s += step_s
+            for vm in self.running():
+                vm.tick()
+            if beat:
+                self.beat()
+
+    def beat(self) -> None:
+        """Exchange between all VMs that can reach each other, and read the store."""
+        for vm in self.running():
+            vm.read_store()
+            for other in self.running():
+                if other is not vm and self.is_linked(vm.name, other.name):
+                    vm.exchange(other)
+
+    def begin(self, owner: FakeVm, coroutine) -> Running | None:
+        """Start a coroutine of a VM and keep it while it waits."""
+        running = Running(owner, coroutine)
+        if running.resume():
+            self.under_way.append(running)
+            return running
+        return None
+
+    def plan(self, vm: FakeVm) -> Running | None:
+        return self.begin(vm, vm.allotment.keeper.round())
+
+    def plan_through(self, vm: FakeVm) -> None:
+        """Plan without delays; the planning VM reads the result."""
+        vm.tick()
+        self.plan(vm)
+        self.deliver_all()
+        vm.read_store()
+
+    def borrow(self, vm: FakeVm) -> None:
+        """Ask for the loans that the VM's own book decides on."""
+        loans = vm.allotment.loans
+        for lender, request in loans.begin(BUDGET, vm.clock()):
+            self.begin(vm, loans.fetch(lender, request))
+
+    def deliver(self, running: Running) -> None:
+        """Let one message or store call arrive."""
+        if not running.owner.paused and not running.resume():
+            self.under_way.remove(running)
+
+    def deliver_all(self) -> None:
+        while any(not running.owner.paused for running in self.under_way):
+            for running in tuple(self.under_way):
+                self.deliver(running)
+
+    def ask(self, vm: FakeVm, amount: int = 1) -> int:
+        """Send requests to a VM; returns how many were admitted."""
+        admitted = 0
+        for _ in range(amount):
+            vm.allotment.holding.record_demand(BUDGET, 1.0, vm.clock())
+            admitted += vm.account.take(1.0, vm.clock())
+        self._count(admitted)
+        return admitted
+
+    def spend(self, vm: FakeVm) -> None:
+        """Spend all tokens of a VM without showing demand."""
+        admitted = 0
+        while vm.account.take(1.0, vm.clock()):
+            admitted += 1
+        self._count(admitted)
+
+    def _count(self, admitted: int) -> None:
+        self.admitted += admitted
+        error = CLOCK_ERROR if self.skewed else 0.0
+        gained = (self.now_s - self.reference_s) * self.limit.rate_per_s * (1 + error)
+        self.reference_level = min(self.limit.burst, self.reference_level + gained) - admitted
+        self.reference_s = self.now_s
+
+    def check(self) -> None:
+        """Compare with the specification of the whole budget."""
+        assert self.reference_level >= -1e-6, "more requests ran than rate x time + burst"
+        now = [(vm.account, vm.clock()) for vm in self.running()]
+        for account, clock_s in now:
+            account.settle(clock_s)
+        shares_ppm = sum(account.usable_ppm(clock_s) for account, clock_s in now)
+        assert shares_ppm <= WHOLE_PPM, f"the usable shares sum to {shares_ppm} ppm"
+        tokens = sum(account.bucket.level for account, _ in now)
+        assert tokens <= self.limit.burst + 1e-6, f"the VMs hold {tokens} tokens"
+
+
+def settled_world(vms: int = 3, rounds: int = 4, **options) -> World:
+    """Return a world whose ledger is divided among its VMs."""
+    world = World(**options)
+    for number in range(vms):
+        world.start(f"vm-{number}")
+    world.advance(1.0)
+    keeper = next(iter(world.vms.values()))
+    for _ in range(rounds):
+        world.plan(keeper)
+        world.deliver_all()
+        world.advance(2.0)
+    return world
