--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -62,7 +62,7 @@
         if isinstance(accepted, Err) or accepted.ok_value.workspace is None:
             return accepted
         context = accepted.ok_value
-        admitted = self.limiter.admit(context.service, context.workspace, now_s)
+        admitted = await self.limiter.admit(context.service, context.workspace, now_s)
         return admitted if isinstance(admitted, Err) else accepted
 
     def _accept(
