--- a/src/wagtailbay/access/const.py
+++ b/src/wagtailbay/access/const.py
@@ -6,5 +6,3 @@
 KEY_BYTES: Final = 32
 # Knowledge of the store older than this cannot rule out a withdrawal in force elsewhere.
 MAX_CONFIRMED_AGE_MS: Final = 5_000.0
-# A peer counts towards the quorum while its last exchange is not older than this.
-QUORUM_HEARD_S: Final = 3.0
--- a/src/wagtailbay/access/keys.py
+++ b/src/wagtailbay/access/keys.py
@@ -45,5 +45,12 @@
         # in constant time guards against a store key that does not match its record.
         if not hmac.compare_digest(stored.key.removeprefix(KEY_PREFIX), digest):
             return None
-        record = KeyRecord(stored.value["workspace"], stored.value.get("withdrawn", False))
-        return None if record.withdrawn else record
+        record = _read_record(stored.value)
+        return None if record is None or record.withdrawn else record
+
+
+def _read_record(value: object) -> KeyRecord | None:
+    """Return the record of a stored value; None if it holds no valid one."""
+    if not isinstance(value, dict) or not isinstance(value.get("workspace"), str):
+        return None
+    return KeyRecord(value["workspace"], value.get("withdrawn", False) is not False)
--- /dev/null
+++ b/src/wagtailbay/lease/keeper.py
@@ -0,0 +1,192 @@
+"""Keep, take and give up the lease on the control duties."""
+
+import uuid
+from collections.abc import Callable
+
+import trio
+from attrs import define, evolve
+from result import Err, Ok
+
+from wagtailbay.lease.const import (
+    CONTENDER_STEP_S,
+    CONTENDERS,
+    HOLD_S,
+    LEASE_KEY,
+    MAX_TICK_S,
+    REACHABLE_AGE_MS,
+    RENEW_INTERVAL_S,
+    TAKE_AFTER_S,
+    TICK_INTERVAL_S,
+)
+from wagtailbay.lease.models import LeaseRecord, read_record
+from wagtailbay.logs import log_event
+from wagtailbay.membership import VmIdentity
+from wagtailbay.platform import (
+    ObjectStore,
+    OutcomeUnknown,
+    StoredObject,
+    StoreUnavailable,
+    VersionConflict,
+)
+
+
+@define
+class LeaseKeeper:
+    """Hold the lease on this VM while no other VM may.
+
+    The lease only avoids duplicate work: every write that the duties make is conditional.
+
+    Attributes:
+        stored: Returns this VM's replica of the lease object.
+        confirmed_age_ms: Returns the age of the replica, None if it is unknown.
+        rank: Returns this VM's place among the contenders from 0, None if it may not contend.
+        new_mark: Returns a mark that no other write has.
+        held_until_s: Until when this VM holds the lease, counted from its last write.
+        version: Of this VM's last write.
+        record: This VM's last write.
+        seen_version: The last version seen in the replica.
+        unchanged_s: How long it was seen unchanged while the store was reachable.
+    """
+
+    store: ObjectStore
+    identity: VmIdentity
+    stored: Callable[[], StoredObject | None]
+    confirmed_age_ms: Callable[[float], float | None]
+    rank: Callable[[float], int | None]
+    clock: Callable[[], float]
+    new_mark: Callable[[], str] = lambda: uuid.uuid4().hex
+    held_until_s: float = float("-inf")
+    version: int = 0
+    record: LeaseRecord | None = None
+    seen_version: int = 0
+    unchanged_s: float = 0.0
+    last_tick_s: float | None = None
+    renew_at_s: float = 0.0
+    leaving: bool = False
+
+    def is_holder(self, now_s: float) -> bool:
+        """Tell whether this VM holds the lease; ask again after every wait."""
+        return not self.leaving and now_s < self.held_until_s
+
+    @property
+    def term(self) -> int:
+        """Return the term of this VM's last hold, 0 if it never held the lease."""
+        return self.record.term if self.record else 0
+
+    def holder(self) -> str | None:
+        """Return the VM that the replica names as holder, None if there is none."""
+        stored = self.stored()
+        record = read_record(stored.value) if stored else None
+        return None if record is None or record.released else record.vm
+
+    async def run(self) -> None:
+        """Keep or contend for the lease until cancelled."""
+        while True:
+            await self.tick()
+            await trio.sleep(TICK_INTERVAL_S)
+
+    async def tick(self) -> None:
+        """Renew the lease when it is due, or take it when it may be taken."""
+        now_s = self.clock()
+        self._observe(now_s)
+        if self.leaving:
+            return
+        if self.is_holder(now_s):
+            if now_s >= self.renew_at_s:
+                self.renew_at_s = now_s + RENEW_INTERVAL_S
+                await self._write(evolve(self.record, mark=self.new_mark()), self.version)
+            return
+        if self._may_take(now_s):
+            await self._take()
+
+    def _observe(self, now_s: float) -> None:
+        """Count for how long the lease was seen unchanged."""
+        passed_s = 0.0 if self.last_tick_s is None else now_s - self.last_tick_s
+        self.last_tick_s = now_s
+        stored = self.stored()
+        version = stored.version if stored else 0
+        if version != self.seen_version:
+            self.seen_version, self.unchanged_s = version, 0.0
+            return
+        age_ms = self.confirmed_age_ms(now_s)
+        if age_ms is not None and age_ms <= REACHABLE_AGE_MS:
+            self.unchanged_s += min(passed_s, MAX_TICK_S)
+
+    def _may_take(self, now_s: float) -> bool:
+        rank = self.rank(now_s)
+        if rank is None or rank >= CONTENDERS:
+            return False
+        stored = self.stored()
+        record = read_record(stored.value) if stored else None
+        free = stored is None or stored.value is None or (record is not None and record.released)
+        needed_s = (0.0 if free else TAKE_AFTER_S) + CONTENDER_STEP_S * rank
+        age_ms = self.confirmed_age_ms(now_s)
+        reachable = age_ms is not None and age_ms <= REACHABLE_AGE_MS
+        return reachable and self.unchanged_s >= needed_s
+
+    async def _take(self) -> None:
+        stored = self.stored()
+        found = read_record(stored.value) if stored else None
+        exists = stored is not None and stored.value is not None
+        term = max(found.term if found else 0, self.term) + 1
+        identity = self.identity
+        record = LeaseRecord(identity.vm, identity.incarnation, term, self.new_mark())
+        if await self._write(record, stored.version if exists else 0):
+            log_event("lease_taken", term=term)
+        self.unchanged_s = 0.0
+
+    async def _write(self, record: LeaseRecord, expected_version: int) -> bool:
+        """Write the record; True if this VM holds the lease afterwards."""
+        asked_s = self.clock()
+        match await self.store.put(LEASE_KEY, record.as_json(), expected_version):
+            case Ok(version):
+                return self._hold(record, version, asked_s)
+            case Err(StoreUnavailable() as error):
+                self.renew_at_s = self.clock() + TICK_INTERVAL_S
+                log_event("lease_not_written", reason=error.message)
+                return False
+            case Err(VersionConflict() | OutcomeUnknown()):
+                return await self._read_back(record, asked_s)
+
+    async def _read_back(self, record: LeaseRecord, asked_s: float) -> bool:
+        """Find out what a write did whose answer was lost or which met another version.
+
+        The hold counts from when the write was sent, because the others count from when it took
+        effect, which may have been long before this answer.
+        """
+        match await self.store.get(LEASE_KEY):
+            case Ok(stored):
+                found = read_record(stored.value) if stored else None
+            case Err(_):
+                self.renew_at_s = self.clock() + TICK_INTERVAL_S
+                return False
+        if found is not None and found == record:
+            return self._hold(record, stored.version, asked_s)
+        self._follow_other(found, stored)
+        return False
+
+    def _hold(self, record: LeaseRecord, version: int, asked_s: float) -> bool:
+        self.record, self.version = record, version
+        self.held_until_s = asked_s + HOLD_S
+        self.renew_at_s = asked_s + RENEW_INTERVAL_S
+        return True
+
+    def _follow_other(self, found: LeaseRecord | None, stored: StoredObject | None) -> None:
+        """Adopt an earlier write of this run, or give way to another VM's."""
+        run = (self.identity.vm, self.identity.incarnation)
+        if found is not None and (found.vm, found.incarnation) == run and not found.released:
+            self.record, self.version = found, stored.version
+            self.renew_at_s = self.clock()
+            return
+        if self.is_holder(self.clock()):
+            log_event("lease_lost", holder=found.vm if found else "")
+        self.held_until_s = float("-inf")
+
+    async def release(self) -> None:
+        """Stop holding the lease and tell the others that they need not wait."""
+        held = self.is_holder(self.clock())
+        self.leaving = True
+        if held:
+            record = evolve(self.record, mark=self.new_mark(), released=True)
+            written = await self.store.put(LEASE_KEY, record.as_json(), self.version)
+            log_event("lease_released", confirmed=isinstance(written, Ok))
--- a/src/wagtailbay/membership/__init__.py
+++ b/src/wagtailbay/membership/__init__.py
@@ -1,7 +1,38 @@
 """Know the fleet's VMs and exchange messages with them."""
 
+from wagtailbay.membership.choice import choose_neighbours, choose_watchers, live_members
+from wagtailbay.membership.client import PeerClient
+from wagtailbay.membership.codec import FactCodec, register_fact
+from wagtailbay.membership.exchange import Exchanger
 from wagtailbay.membership.facts import Fact, FactTable
+from wagtailbay.membership.isolation import IsolationCheck
+from wagtailbay.membership.messages import PeerError, PeerFailure
 from wagtailbay.membership.models import Member, VmIdentity, VmState
+from wagtailbay.membership.peers import PeerLoop, PeerSet
+from wagtailbay.membership.quorum import Quorum
 from wagtailbay.membership.roster import Roster
+from wagtailbay.membership.server import Lender, PeerServer
 
-__all__ = ["Fact", "FactTable", "Member", "Roster", "VmIdentity", "VmState"]
+__all__ = [
+    "Exchanger",
+    "Fact",
+    "FactCodec",
+    "FactTable",
+    "IsolationCheck",
+    "Lender",
+    "Member",
+    "PeerClient",
+    "PeerError",
+    "PeerFailure",
+    "PeerLoop",
+    "PeerServer",
+    "PeerSet",
+    "Quorum",
+    "Roster",
+    "VmIdentity",
+    "VmState",
+    "choose_neighbours",
+    "choose_watchers",
+    "live_members",
+    "register_fact",
+]
--- /dev/null
+++ b/src/wagtailbay/membership/choice.py
@@ -0,0 +1,71 @@
+"""Choose which VMs exchange messages and which read the store."""
+
+from collections.abc import Callable, Iterable
+
+from xxhash import xxh64_intdigest
+
+from wagtailbay.membership.const import (
+    FULL_MESH_VMS,
+    NEIGHBOURS_OTHER_ZONES,
+    NEIGHBOURS_SAME_ZONE,
+    UNHEARD_AFTER_S,
+    WATCHERS_PER_REGION,
+)
+from wagtailbay.membership.models import Member, VmState
+from wagtailbay.membership.roster import Roster
+
+
+def rendezvous_order(subject: str, vms: Iterable[str]) -> list[str]:
+    """Order VMs by a hash with the subject; a VM that comes or goes moves no other."""
+    return sorted(vms, key=lambda vm: (xxh64_intdigest(f"{subject}\0{vm}".encode()), vm))
+
+
+def live_members(roster: Roster, now_s: float) -> tuple[Member, ...]:
+    """Return the live VMs that were heard lately, and this VM in any state before leaving."""
+    own = roster.own_member
+    live = [
+        member
+        for member in roster.with_state(VmState.LIVE)
+        if member.identity.vm != roster.own.vm
+        and member.contact_s is not None
+        and now_s - member.contact_s < UNHEARD_AFTER_S
+    ]
+    if own.state in (VmState.JOINING, VmState.LIVE):
+        live.append(own)
+    return tuple(live)
+
+
+def choose_watchers(
+    members: Iterable[Member], region_of: Callable[[str], str | None]
+) -> frozenset[str]:
+    """Return the names of the VMs that watch the store, two for each region.
+
+    An availability zone without a known region counts as a region of its own.
+    """
+    by_region: dict[str, list[str]] = {}
+    for member in members:
+        zone = member.identity.availability_zone
+        by_region.setdefault(region_of(zone) or zone, []).append(member.identity.vm)
+    return frozenset(
+        vm
+        for region, vms in by_region.items()
+        for vm in rendezvous_order(f"watch\0{region}", vms)[:WATCHERS_PER_REGION]
+    )
+
+
+def choose_neighbours(own_vm: str, own_zone: str, zones: dict[str, str | None]) -> frozenset[str]:
+    """Return the names of the VMs that this VM calls.
+
+    Args:
+        zones: The availability zone of each other VM by its name, None where it is unknown.
+    """
+    others = [vm for vm in zones if vm != own_vm]
+    if len(others) < FULL_MESH_VMS:
+        return frozenset(others)
+    same = [vm for vm in others if zones[vm] == own_zone]
+    outside = [vm for vm in others if zones[vm] != own_zone]
+    subject = f"neighbour\0{own_vm}"
+    return frozenset(
+        rendezvous_order(subject, same)[:NEIGHBOURS_SAME_ZONE]
+        + rendezvous_order(subject, outside)[:NEIGHBOURS_OTHER_ZONES]
+    )
--- /dev/null
+++ b/src/wagtailbay/membership/client.py
@@ -0,0 +1,192 @@
+"""Call peers over gRPC from trio."""
+
+from collections.abc import Callable, Mapping
+from functools import partial
+
+import grpc
+import trio
+from attrs import define, field
+from result import Err, Ok, Result
+
+from wagtailbay.allotment.models import LoanGrant, LoanRequest
+from wagtailbay.membership.const import (
+    BORROW_METHOD,
+    BORROW_THREADS,
+    CERTIFICATE_NAME,
+    EXCHANGE_METHOD,
+    EXCHANGE_THREADS,
+    EXCHANGE_TIMEOUT_MS,
+    MAX_MESSAGE_BYTES,
+    RECONNECT_AFTER_FAILURES,
+    SERVICE_NAME,
+)
+from wagtailbay.membership.credentials import (
+    CertificateSource,
+    PeerCertificates,
+    channel_credentials,
+)
+from wagtailbay.membership.messages import PeerError, PeerFailure
+from wagtailbay.membership.wire import decode_grant, encode_loan
+
+CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.enable_retries", 0),
+    ("grpc.service_config_disable_resolution", 1),
+    # A channel that is opened again must open a new connection.
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 500),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+)
+
+
+def bracketed(address: str) -> str:
+    """Return ``<ip number>:<port>`` with an IPv6 number in brackets, as gRPC wants it."""
+    host, _, port = address.rpartition(":")
+    return f"[{host}]:{port}" if ":" in host else address
+
+
+def grpc_target(address: str) -> str:
+    """Return gRPC's form of an address to call, which asks no name service."""
+    target = bracketed(address)
+    return f"ipv6:{target}" if target.startswith("[") else f"ipv4:{target}"
+
+
+@define
+class PeerChannel:
+    """Hold the connection to one peer's address.
+
+    Attributes:
+        certificates: Those in use; a channel is opened again when they were replaced.
+    """
+
+    vm: str
+    address: str
+    certificates: PeerCertificates | None
+    channel: grpc.Channel = field(init=False)
+    failures: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Open the channel; it connects with the first call."""
+        self.channel = self._open()
+
+    def _open(self) -> grpc.Channel:
+        target = grpc_target(self.address)
+        if self.certificates is None:
+            return grpc.insecure_channel(target, CHANNEL_OPTIONS)
+        options = (*CHANNEL_OPTIONS, ("grpc.ssl_target_name_override", CERTIFICATE_NAME))
+        return grpc.secure_channel(target, channel_credentials(self.certificates), options)
+
+    def call(self, method: str, data: bytes, timeout_ms: float) -> Result[bytes, PeerError]:
+        """Carry out one call; blocks the thread for at most timeout_ms."""
+        send = self.channel.unary_unary(f"/{SERVICE_NAME}/{method}")
+        try:
+            return Ok(send(data, timeout=timeout_ms / 1000))
+        except grpc.RpcError as error:
+            return Err(_peer_error(self.vm, error))
+        except ValueError as error:  # The channel was closed under the call.
+            return Err(PeerError(self.vm, PeerFailure.UNREACHABLE, str(error)))
+
+    def note(self, succeeded: bool) -> None:
+        """Count failures; open the channel again after several in a row."""
+        self.failures = 0 if succeeded else self.failures + 1
+        if self.failures >= RECONNECT_AFTER_FAILURES:
+            self.channel.close()
+            self.channel, self.failures = self._open(), 0
+
+
+def _peer_error(vm: str, error: grpc.RpcError) -> PeerError:
+    code = error.code() if isinstance(error, grpc.Call) else None
+    details = (error.details() if isinstance(error, grpc.Call) else str(error)) or ""
+    kinds = {
+        grpc.StatusCode.DEADLINE_EXCEEDED: PeerFailure.TIMEOUT,
+        grpc.StatusCode.FAILED_PRECONDITION: PeerFailure.REFUSED,
+        grpc.StatusCode.INVALID_ARGUMENT: PeerFailure.REFUSED,
+        grpc.StatusCode.RESOURCE_EXHAUSTED: PeerFailure.REFUSED,
+    }
+    return PeerError(vm, kinds.get(code, PeerFailure.UNREACHABLE), details[:300])
+
+
+@define
+class PeerClient:
+    """Call peers by name.
+
+    Attributes:
+        address_of: Returns where a VM is called, None if it is unknown.
+        source: The certificates; None calls without TLS.
+        routes: Addresses to call in place of some VMs' own.
+    """
+
+    address_of: Callable[[str], str | None]
+    source: CertificateSource | None
+    routes: Mapping[str, str] = field(factory=dict)
+    channels: dict[str, PeerChannel] = field(factory=dict)
+    exchange_limiter: trio.CapacityLimiter = field(
+        factory=lambda: trio.CapacityLimiter(EXCHANGE_THREADS)
+    )
+    borrow_limiter: trio.CapacityLimiter = field(
+        factory=lambda: trio.CapacityLimiter(BORROW_THREADS)
+    )
+
+    async def exchange(self, vm: str, data: bytes) -> Result[bytes, PeerError]:
+        """Send one side of an exchange and receive the other."""
+        return await self._call(
+            vm, EXCHANGE_METHOD, data, EXCHANGE_TIMEOUT_MS, self.exchange_limiter
+        )
+
+    async def borrow(
+        self, vm: str, request: LoanRequest, timeout_ms: int
+    ) -> Result[LoanGrant, PeerError]:
+        """Ask a peer for a loan; after an error other than a refusal it may have been made."""
+        data = encode_loan(request)
+        with trio.move_on_after(timeout_ms / 1000):
+            answer = await self._call(vm, BORROW_METHOD, data, timeout_ms, self.borrow_limiter)
+            if isinstance(answer, Err):
+                return answer
+            return decode_grant(answer.ok_value).map_err(
+                lambda reason: PeerError(vm, PeerFailure.MALFORMED, reason)
+            )
+        return Err(PeerError(vm, PeerFailure.TIMEOUT, f"{timeout_ms} ms"))
+
+    async def _call(
+        self, vm: str, method: str, data: bytes, timeout_ms: int, limiter: trio.CapacityLimiter
+    ) -> Result[bytes, PeerError]:
+        channel = self._channel_to(vm)
+        if isinstance(channel, Err):
+            return channel
+        call = partial(channel.ok_value.call, method, data, timeout_ms)
+        answer = await trio.to_thread.run_sync(call, abandon_on_cancel=True, limiter=limiter)
+        if self.channels.get(vm) is channel.ok_value:
+            refused = isinstance(answer, Err) and answer.err_value.kind is PeerFailure.REFUSED
+            channel.ok_value.note(isinstance(answer, Ok) or refused)
+        return answer
+
+    def _channel_to(self, vm: str) -> Result[PeerChannel, PeerError]:
+        address = self.routes.get(vm) or self.address_of(vm)
+        if not address:
+            return Err(PeerError(vm, PeerFailure.UNKNOWN_VM, "no peer address"))
+        certificates = None
+        if self.source is not None:
+            match self.source.load():
+                case Ok(certificates):
+                    pass
+                case Err(reason):
+                    return Err(PeerError(vm, PeerFailure.UNREACHABLE, reason))
+        channel = self.channels.get(vm)
+        if channel is None or (channel.address, channel.certificates) != (address, certificates):
+            self.close(vm)
+            channel = self.channels[vm] = PeerChannel(vm, address, certificates)
+        return Ok(channel)
+
+    def close(self, vm: str) -> None:
+        """Close the connection to a peer."""
+        channel = self.channels.pop(vm, None)
+        if channel is not None:
+            channel.channel.close()
+
+    def close_all(self) -> None:
+        """Close all connections."""
+        for vm in tuple(self.channels):
+            self.close(vm)
--- /dev/null
+++ b/src/wagtailbay/membership/const.py
@@ -0,0 +1,66 @@
+"""Constants of the membership slice."""
+
+from typing import Final
+
+# A full mesh up to this many VMs; above it each VM has a fixed number of neighbours.
+FULL_MESH_VMS: Final = 16
+NEIGHBOURS_SAME_ZONE: Final = 4
+NEIGHBOURS_OTHER_ZONES: Final = 4
+WATCHERS_PER_REGION: Final = 2
+
+HEARTBEAT_S: Final = 1.0
+# At most 10 calls a second to one peer, however often something changes.
+MIN_CALL_INTERVAL_S: Final = 0.1
+EXCHANGE_TIMEOUT_MS: Final = 1_000
+# A connection whose packets were lost for minutes resumes only after TCP's doubled pauses.
+RECONNECT_AFTER_FAILURES: Final = 3
+
+SERVER_THREADS: Final = 4
+EXCHANGE_THREADS: Final = 16
+BORROW_THREADS: Final = 4
+# Calls that wait for a server thread; more are refused at once.
+MAX_WAITING_CALLS: Final = 64
+
+MAX_MESSAGE_BYTES: Final = 8_000_000
+# Entries in one message; an object holds up to 1 MB, and at least one must fit.
+MAX_DELTA_BYTES: Final = 1_500_000
+MAX_WHOLE_BYTES: Final = 6_000_000
+MAX_FACT_BYTES: Final = 65_536
+MAX_FACTS_BYTES: Final = 1_500_000
+MAX_FACT_TTL_MS: Final = 7 * 86_400_000
+MAX_FACTS_PER_MESSAGE: Final = 500
+MAX_FACTS: Final = 20_000
+MAX_MEMBERS: Final = 2_000
+
+# These facts concern every VM and also pass through VMs that are neighbours of both.
+RELAYED_KINDS: Final = frozenset({"stop", "crash", "vm_list"})
+VM_LIST_KIND: Final = "vm_list"
+
+# Replicas of these prefixes may lag by a heartbeat; the lease is rewritten every 2 s.
+UNHURRIED_PREFIXES: Final = ("leases/",)
+
+# A VM answers for the fleet while its last contact is not older than this.
+UNHEARD_AFTER_S: Final = 4.0
+# Contacts of the VMs that a VM hears itself are repeated to each peer this often.
+CONTACTS_INTERVAL_S: Final = 5.0
+# A VM that nobody has heard for this long is dropped from the roster.
+FORGET_AFTER_S: Final = 600.0
+FORGET_INTERVAL_S: Final = 5.0
+
+# A peer counts towards the quorum while its last exchange is not older than this.
+QUORUM_HEARD_S: Final = 3.0
+# Isolation limits of design 5.1; shares may be reclaimed 30 s after the last exchange.
+ISOLATED_AFTER_S: Final = 20.0
+STOPPED_AFTER_S: Final = 5.0
+HOUSEKEEPING_INTERVAL_S: Final = 0.5
+
+VM_LIST_INTERVAL_S: Final = 10.0
+VM_LIST_TTL_MS: Final = 3_600_000
+# An unchanged list is published again well before the fact expires.
+VM_LIST_REPEAT_S: Final = 900.0
+
+# Every VM's certificate holds this DNS name; the VMs' addresses change too often for it.
+CERTIFICATE_NAME: Final = "wagtailbay-peer"
+SERVICE_NAME: Final = "wagtailbay.Peer"
+EXCHANGE_METHOD: Final = "Exchange"
+BORROW_METHOD: Final = "Borrow"
--- /dev/null
+++ b/src/wagtailbay/membership/listing.py
@@ -0,0 +1,74 @@
+"""Pass on the platform's list of VMs from the few VMs that read the store."""
+
+from collections.abc import Callable
+
+import trio
+from attrs import define
+from result import Err, Ok
+
+from wagtailbay.logs import log_event
+from wagtailbay.membership.codec import VmListEntry, VmListFact
+from wagtailbay.membership.const import (
+    VM_LIST_INTERVAL_S,
+    VM_LIST_KIND,
+    VM_LIST_REPEAT_S,
+    VM_LIST_TTL_MS,
+)
+from wagtailbay.membership.facts import Fact, FactTable
+from wagtailbay.platform import ObjectStore, VmList, VmRecord
+
+
+@define
+class VmListReader:
+    """Read the list on the store watchers and publish it as a fact when it has changed.
+
+    Attributes:
+        is_watcher: Tells whether this VM is one of the watchers now.
+    """
+
+    store: ObjectStore
+    facts: FactTable
+    is_watcher: Callable[[], bool]
+    clock: Callable[[], float]
+
+    async def run(self) -> None:
+        """Read the list now and then until cancelled."""
+        while True:
+            if self.is_watcher():
+                await self.read()
+            await trio.sleep(VM_LIST_INTERVAL_S)
+
+    async def read(self) -> None:
+        """Read the list once."""
+        match await self.store.vms():
+            case Ok(listed):
+                self.publish(listed, self.clock())
+            case Err(error):
+                log_event("vm_list_unread", reason=error.message)
+
+    def publish(self, listed: VmList, now_s: float) -> None:
+        """Publish a list that is newer than every known one, or repeat one before it expires."""
+        newest = self._newest(now_s)
+        if newest is not None:
+            left_s = newest.expires_s - now_s
+            repeat = left_s < VM_LIST_TTL_MS / 1000 - VM_LIST_REPEAT_S
+            if listed.revision < newest.value.revision or (
+                listed.revision == newest.value.revision and not repeat
+            ):
+                return
+        entries = (VmListEntry(r.vm, r.address, r.availability_zone, r.state) for r in listed.vms)
+        value = VmListFact(listed.revision, tuple(entries))
+        self.facts.publish(VM_LIST_KIND, "platform", value, ttl_ms=VM_LIST_TTL_MS, now_s=now_s)
+
+    def listed(self) -> VmList | None:
+        """Return the newest list that any VM has read, None if there is none."""
+        newest = self._newest(self.clock())
+        if newest is None:
+            return None
+        vms = newest.value.vms
+        records = (VmRecord(v.vm, v.address, v.availability_zone, v.state) for v in vms)
+        return VmList(newest.value.revision, tuple(records))
+
+    def _newest(self, now_s: float) -> Fact | None:
+        known = self.facts.of_kind(VM_LIST_KIND, now_s)
+        return max(known, key=lambda fact: (fact.value.revision, fact.expires_s), default=None)
--- /dev/null
+++ b/src/wagtailbay/membership/peers.py
@@ -0,0 +1,175 @@
+"""Exchange messages with each neighbour, one task for each."""
+
+from collections.abc import Callable, Mapping
+
+import trio
+from attrs import define, field
+from result import Err, Ok
+
+from wagtailbay.logs import log_event
+from wagtailbay.membership.choice import choose_neighbours
+from wagtailbay.membership.client import PeerClient
+from wagtailbay.membership.codec import FactCodec
+from wagtailbay.membership.const import (
+    HEARTBEAT_S,
+    HOUSEKEEPING_INTERVAL_S,
+    MIN_CALL_INTERVAL_S,
+)
+from wagtailbay.membership.exchange import Exchanger
+from wagtailbay.membership.messages import PeerError, PeerFailure
+from wagtailbay.membership.models import VmState
+from wagtailbay.membership.wire import decode_exchange, encode_exchange
+from wagtailbay.platform import VmList
+from wagtailbay.replica import ChangeSignal
+
+
+@define
+class PeerLoop:
+    """Exchange messages with one peer, once a second and at once after an urgent change.
+
+    Attributes:
+        urgent: Set when something must reach the peer at once.
+        error: Why the last call failed, None after a good one.
+    """
+
+    vm: str
+    exchanger: Exchanger
+    client: PeerClient
+    codec: FactCodec
+    clock: Callable[[], float]
+    urgent: trio.Event = field(factory=trio.Event)
+    error: PeerError | None = None
+
+    async def run(self) -> None:
+        """Exchange messages until cancelled."""
+        while True:
+            self.urgent = trio.Event()
+            started_s = trio.current_time()
+            await self.exchange()
+            with trio.move_on_at(started_s + HEARTBEAT_S):
+                await self.urgent.wait()
+            await trio.sleep_until(started_s + MIN_CALL_INTERVAL_S)
+
+    async def exchange(self) -> None:
+        """Carry out one exchange."""
+        asked_s = self.clock()
+        message = self.exchanger.build(self.vm, asked_s)
+        answer = await self.client.exchange(self.vm, encode_exchange(message, self.codec, asked_s))
+        match answer:
+            case Ok(data):
+                self._note(self._take_in(data, asked_s))
+            case Err(error):
+                self.exchanger.note_lost(self.vm)
+                self._note(error)
+
+    def _take_in(self, data: bytes, asked_s: float) -> PeerError | None:
+        now_s = self.clock()
+        match decode_exchange(data, self.codec, now_s):
+            case Err(reason):
+                return PeerError(self.vm, PeerFailure.MALFORMED, reason)
+            case Ok(message) if message.sender.identity.vm != self.vm:
+                reason = f"{message.sender.identity.vm} answers at its address"
+                return PeerError(self.vm, PeerFailure.MALFORMED, reason)
+            case Ok(message):
+                taken = self.exchanger.take_in(message, now_s, asked_s)
+        if isinstance(taken, Err):
+            return PeerError(self.vm, PeerFailure.REFUSED, taken.err_value)
+        return None
+
+    def _note(self, error: PeerError | None) -> None:
+        """Log when the peer starts or stops to answer."""
+        if error is not None and (self.error is None or self.error.kind is not error.kind):
+            log_event("peer_unreachable", peer=self.vm, reason=str(error))
+        elif error is None and self.error is not None:
+            log_event("peer_reachable", peer=self.vm)
+        self.error = error
+
+
+@define
+class PeerSet:
+    """Run a PeerLoop for each neighbour as the fleet changes.
+
+    Attributes:
+        configured: Peer addresses from the settings, by VM.
+        listed: Returns the platform's list of VMs as last read by any VM, None if unknown.
+    """
+
+    exchanger: Exchanger
+    client: PeerClient
+    codec: FactCodec
+    clock: Callable[[], float]
+    configured: Mapping[str, str]
+    listed: Callable[[], VmList | None]
+    loops: dict[str, PeerLoop] = field(factory=dict)
+    scopes: dict[str, trio.CancelScope] = field(factory=dict)
+
+    def zones(self) -> dict[str, str | None]:
+        """Return the availability zone of each VM that may be called, by its name."""
+        zones: dict[str, str | None] = dict.fromkeys(self.configured)
+        listed = self.listed()
+        zones.update({r.vm: r.availability_zone for r in (listed.vms if listed else ())})
+        members = self.exchanger.roster.members
+        zones.update({vm: m.identity.availability_zone for vm, m in members.items()})
+        zones.pop(self.exchanger.roster.own.vm, None)
+        return {
+            vm: zone
+            for vm, zone in zones.items()
+            if vm not in members or members[vm].state is not VmState.LEFT
+        }
+
+    def address_of(self, vm: str) -> str | None:
+        """Return a VM's peer address: as it announced, as the platform lists it, or as set."""
+        member = self.exchanger.roster.members.get(vm)
+        if member is not None and member.identity.peer_address:
+            return member.identity.peer_address
+        if vm in self.configured:
+            return self.configured[vm]
+        listed = self.listed()
+        records = listed.vms if listed else ()
+        return next((record.address for record in records if record.vm == vm), None)
+
+    async def run(self) -> None:
+        """Start and stop loops until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for signal in (
+                self.exchanger.facts.changed,
+                self.exchanger.replica.changed,
+                self.exchanger.roster.announced,
+            ):
+                nursery.start_soon(self._follow, signal)
+            while True:
+                self._adjust(nursery)
+                await trio.sleep(HOUSEKEEPING_INTERVAL_S)
+
+    def _adjust(self, nursery: trio.Nursery) -> None:
+        own = self.exchanger.roster.own
+        wanted = choose_neighbours(own.vm, own.availability_zone, self.zones())
+        for vm in self.loops.keys() - wanted:
+            self.scopes.pop(vm).cancel()
+            del self.loops[vm]
+            self.client.close(vm)
+        for vm in sorted(wanted - self.loops.keys()):
+            loop = PeerLoop(vm, self.exchanger, self.client, self.codec, self.clock)
+            self.loops[vm], self.scopes[vm] = loop, trio.CancelScope()
+            nursery.start_soon(self._run_loop, loop, self.scopes[vm])
+
+    @staticmethod
+    async def _run_loop(loop: PeerLoop, scope: trio.CancelScope) -> None:
+        with scope:
+            await loop.run()
+
+    async def _follow(self, signal: ChangeSignal) -> None:
+        """Wake the loops when facts, entries or this VM's state change."""
+        entries = signal is self.exchanger.replica.changed
+        while True:
+            await signal.wait()
+            for vm, loop in self.loops.items():
+                if not entries or self.exchanger.has_urgent(vm):
+                    loop.urgent.set()
+
+    async def exchange_with_all(self, timeout_ms: int) -> None:
+        """Carry out one exchange with each neighbour, for a last announcement."""
+        with trio.move_on_after(timeout_ms / 1000):
+            async with trio.open_nursery() as nursery:
+                for loop in self.loops.values():
+                    nursery.start_soon(loop.exchange)
--- a/src/wagtailbay/membership/roster.py
+++ b/src/wagtailbay/membership/roster.py
@@ -4,44 +4,88 @@
 
 from attrs import define, evolve, field
 
+from wagtailbay.membership.const import FORGET_AFTER_S, MAX_MEMBERS
 from wagtailbay.membership.models import Member, VmIdentity, VmState
+from wagtailbay.replica import ChangeSignal
 
 
 @define
 class Roster:
-    """Hold the newest known state of each VM, this one included."""
+    """Hold the newest known state of each VM, this one included.
+
+    Attributes:
+        announced: Notified when this VM changes its own state.
+        superseded: Whether another process runs under this VM's name since a later start.
+    """
 
     own: VmIdentity
     members: dict[str, Member] = field(factory=dict)
+    announced: ChangeSignal = field(factory=ChangeSignal)
+    superseded: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Enter this VM as joining."""
         self.members[self.own.vm] = Member(self.own, VmState.JOINING, 1)
 
+    @property
+    def own_member(self) -> Member:
+        """Return this VM's own entry."""
+        return self.members[self.own.vm]
+
     def announce(self, state: VmState) -> None:
         """Change this VM's own state."""
         member = self.members[self.own.vm]
         self.members[self.own.vm] = evolve(member, state=state, sequence=member.sequence + 1)
+        self.announced.notify()
 
     def merge(self, members: Iterable[Member]) -> bool:
         """Take in what others know; returns whether anything changed."""
         changed = False
         for member in members:
             known = self.members.get(member.identity.vm)
-            if member.identity.vm == self.own.vm or (known and not _is_newer(member, known)):
+            if member.identity.vm == self.own.vm:
+                self._note_namesake(member)
+                continue
+            if known is None and len(self.members) >= MAX_MEMBERS:
                 continue
-            heard_s = known.heard_s if known else None
-            self.members[member.identity.vm] = evolve(member, heard_s=heard_s)
+            if known and not _is_newer(member, known):
+                self._merge_contact(known, member)
+                continue
+            same_run = known and known.identity.incarnation == member.identity.incarnation
+            self.members[member.identity.vm] = evolve(
+                member,
+                heard_s=known.heard_s if same_run else None,
+                contact_s=_latest(known.contact_s if same_run else None, member.contact_s),
+            )
             changed = True
         return changed
 
+    def _note_namesake(self, member: Member) -> None:
+        if member.identity.incarnation > self.own.incarnation:
+            self.superseded = True
+
+    def _merge_contact(self, known: Member, member: Member) -> None:
+        if known.identity.incarnation == member.identity.incarnation:
+            contact_s = _latest(known.contact_s, member.contact_s)
+            self.members[known.identity.vm] = evolve(known, contact_s=contact_s)
+
     def hear(self, member: Member, now_s: float) -> bool:
         """Take in a VM's own message; False if it comes from an older incarnation."""
+        if member.identity.vm == self.own.vm:
+            self._note_namesake(member)
+            return False
         known = self.members.get(member.identity.vm)
         if known and member.identity.incarnation < known.identity.incarnation:
             return False
+        if known is None and len(self.members) >= MAX_MEMBERS:
+            return False
         newest = known if known and not _is_newer(member, known) else member
-        self.members[member.identity.vm] = evolve(newest, heard_s=now_s)
+        same_run = known and known.identity.incarnation == member.identity.incarnation
+        self.members[member.identity.vm] = evolve(
+            newest,
+            heard_s=_latest(known.heard_s if same_run else None, now_s),
+            contact_s=_latest(known.contact_s if same_run else None, now_s),
+        )
         return True
 
     def with_state(self, *states: VmState) -> tuple[Member, ...]:
@@ -49,7 +93,20 @@
         wanted = (m for m in self.members.values() if m.state in states)
         return tuple(sorted(wanted, key=lambda member: member.identity.vm))
 
+    def forget(self, now_s: float) -> None:
+        """Drop VMs that nobody has heard for long."""
+        self.members = {
+            vm: member
+            for vm, member in self.members.items()
+            if vm == self.own.vm
+            or (member.contact_s is not None and now_s - member.contact_s < FORGET_AFTER_S)
+        }
+
 
 def _is_newer(member: Member, known: Member) -> bool:
     key = (member.identity.incarnation, member.sequence)
     return key > (known.identity.incarnation, known.sequence)
+
+
+def _latest(*times_s: float | None) -> float | None:
+    return max((time_s for time_s in times_s if time_s is not None), default=None)
--- /dev/null
+++ b/src/wagtailbay/membership/server.py
@@ -0,0 +1,148 @@
+"""Serve peers' calls over gRPC and decide on them in trio."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import grpc
+import trio
+from attrs import define, field
+from result import Err, Ok, Result
+
+from wagtailbay.allotment.models import LoanGrant, LoanRequest
+from wagtailbay.logs import log_event
+from wagtailbay.membership.client import bracketed
+from wagtailbay.membership.codec import FactCodec
+from wagtailbay.membership.const import (
+    BORROW_METHOD,
+    EXCHANGE_METHOD,
+    MAX_MESSAGE_BYTES,
+    MAX_WAITING_CALLS,
+    SERVER_THREADS,
+    SERVICE_NAME,
+)
+from wagtailbay.membership.credentials import CertificateSource, server_credentials
+from wagtailbay.membership.exchange import Exchanger
+from wagtailbay.membership.wire import (
+    decode_exchange,
+    decode_loan,
+    encode_exchange,
+    encode_grant,
+)
+
+Answer = Result[bytes, tuple[grpc.StatusCode, str]]
+Lender = Callable[[LoanRequest, float], LoanGrant]
+
+SERVER_OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    # Two processes on one address would each get some of the calls.
+    ("grpc.so_reuseport", 0),
+)
+
+
+def lend_nothing(request: LoanRequest, now_s: float) -> LoanGrant:
+    """Refuse a loan."""
+    return LoanGrant(0, 0.0)
+
+
+@define
+class PeerServer:
+    """Answer peers' calls.
+
+    Attributes:
+        source: The certificates; None serves without TLS, for loopback only.
+        lender: Decides on loans, in trio.
+    """
+
+    exchanger: Exchanger
+    codec: FactCodec
+    clock: Callable[[], float]
+    source: CertificateSource | None
+    lender: Lender = lend_nothing
+    _token: Any = field(default=None, init=False)
+
+    async def serve(self, address: str, *, task_status: Any) -> None:
+        """Serve until cancelled.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        self._token = trio.lowlevel.current_trio_token()
+        pool = ThreadPoolExecutor(SERVER_THREADS, thread_name_prefix="peer-server")
+        server = grpc.server(
+            pool, options=SERVER_OPTIONS, maximum_concurrent_rpcs=MAX_WAITING_CALLS
+        )
+        server.add_generic_rpc_handlers((self._handlers(),))
+        try:
+            self._bind(server, address)
+            server.start()
+            task_status.started()
+            await trio.sleep_forever()
+        finally:
+            server.stop(grace=None)
+            pool.shutdown(wait=False, cancel_futures=True)
+
+    def _bind(self, server: grpc.Server, address: str) -> None:
+        target = bracketed(address)
+        try:
+            if self.source is None:
+                server.add_insecure_port(target)
+            else:
+                server.add_secure_port(target, server_credentials(self.source))
+        except RuntimeError as error:
+            raise OSError(f"cannot listen for peers on {address}: {error}") from error
+
+    def _handlers(self) -> grpc.GenericRpcHandler:
+        methods = {EXCHANGE_METHOD: self.answer_exchange, BORROW_METHOD: self.answer_loan}
+        return grpc.method_handlers_generic_handler(
+            SERVICE_NAME,
+            {
+                name: grpc.unary_unary_rpc_method_handler(self._in_trio(decide))
+                for name, decide in methods.items()
+            },
+        )
+
+    def _in_trio(
+        self, decide: Callable[[bytes], Answer]
+    ) -> Callable[[bytes, grpc.ServicerContext], bytes]:
+        """Return a gRPC handler that lets the trio thread decide."""
+
+        def handle(data: bytes, context: grpc.ServicerContext) -> bytes:
+            try:
+                answer = trio.from_thread.run_sync(decide, data, trio_token=self._token)
+            except trio.RunFinishedError:
+                answer = Err((grpc.StatusCode.UNAVAILABLE, "the VM is ending"))
+            if isinstance(answer, Err):
+                context.abort(*answer.err_value)
+            return answer.ok_value
+
+        return handle
+
+    def answer_exchange(self, data: bytes) -> Answer:
+        """Take in a peer's side of an exchange and return this VM's."""
+        now_s = self.clock()
+        match decode_exchange(data, self.codec, now_s):
+            case Err(reason):
+                log_event("peer_message_malformed", reason=reason[:200], body_bytes=len(data))
+                return Err((grpc.StatusCode.INVALID_ARGUMENT, reason))
+            case Ok(message):
+                vm = message.sender.identity.vm
+                taken = self.exchanger.take_in(message, now_s)
+        if isinstance(taken, Err):
+            log_event("peer_message_dropped", peer=vm, reason=taken.err_value)
+            return Err((grpc.StatusCode.FAILED_PRECONDITION, taken.err_value))
+        return Ok(encode_exchange(self.exchanger.build(vm, now_s), self.codec, now_s))
+
+    def answer_loan(self, data: bytes) -> Answer:
+        """Decide on a loan."""
+        match decode_loan(data):
+            case Err(reason):
+                log_event("peer_message_malformed", reason=reason[:200], body_bytes=len(data))
+                return Err((grpc.StatusCode.INVALID_ARGUMENT, reason))
+            case Ok(request):
+                known = self.exchanger.roster.members.get(request.borrower)
+                if known is None or known.identity.incarnation != request.incarnation:
+                    reason = f"{request.borrower} is not a known run"
+                    return Err((grpc.StatusCode.FAILED_PRECONDITION, reason))
+                return Ok(encode_grant(self.lender(request, self.clock())))
--- /dev/null
+++ b/src/wagtailbay/membership/settings.py
@@ -0,0 +1,72 @@
+"""Declare the settings of the exchange between entry VMs."""
+
+import ipaddress
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from wagtailbay.membership.credentials import CertificateSource
+from wagtailbay.settings import SettingFault, setting
+from wagtailbay.settings.checks import (
+    parse_address,
+    parse_named_addresses,
+    parse_switch,
+    split_address,
+)
+
+
+@frozen
+class PeerSettings:
+    """Exchange messages with other entry VMs."""
+
+    peer_listen_address: str = setting(
+        help_text="where other VMs connect; empty runs alone",
+        default="",
+        parse=lambda text: parse_address(text) if text else "",
+    )
+    peers: dict[str, str] = setting(
+        help_text="other VMs' peer addresses as vm=ip:port,...",
+        default={},
+        parse=parse_named_addresses,
+    )
+    peer_routes: dict[str, str] = setting(
+        help_text="addresses to call in place of some VMs' own, as vm=ip:port,...",
+        default={},
+        parse=parse_named_addresses,
+    )
+    peer_certificate: str = setting(help_text="certificate chain, PEM or its path", default="")
+    peer_key: str = setting(help_text="private key, PEM or its path", default="")
+    peer_authority: str = setting(help_text="authority's certificate, PEM or path", default="")
+    peer_insecure: bool = setting(
+        help_text="on: no TLS between VMs, on loopback only", default=False, parse=parse_switch
+    )
+
+
+def certificate_source(
+    settings: PeerSettings,
+) -> Result[CertificateSource | None, tuple[SettingFault, ...]]:
+    """Return the certificates, None without TLS, or what is wrong with the settings."""
+    if not settings.peer_listen_address:
+        return Ok(None)
+    if settings.peer_insecure:
+        addresses = (
+            settings.peer_listen_address,
+            *settings.peers.values(),
+            *settings.peer_routes.values(),
+        )
+        if all(ipaddress.ip_address(split_address(a)[0]).is_loopback for a in addresses):
+            return Ok(None)
+        return Err((SettingFault("--peer-insecure", "is allowed on loopback addresses only"),))
+    texts = {
+        "--peer-certificate": settings.peer_certificate,
+        "--peer-key": settings.peer_key,
+        "--peer-authority": settings.peer_authority,
+    }
+    faults = tuple(SettingFault(name, "is required") for name, text in texts.items() if not text)
+    if faults:
+        return Err(faults)
+    source = CertificateSource(*texts.values())
+    match source.load():
+        case Err(reason):
+            return Err((SettingFault("--peer-certificate", reason),))
+    return Ok(source)
--- /dev/null
+++ b/src/wagtailbay/membership/wire.py
@@ -0,0 +1,231 @@
+"""Encode and decode the messages between entry VMs; nothing else knows protobuf."""
+
+import json
+from typing import Any
+
+from google.protobuf.message import DecodeError
+from result import Err, Ok, Result
+
+from wagtailbay.allotment.models import LoanGrant, LoanRequest
+from wagtailbay.logs import log_event
+from wagtailbay.membership.codec import FactCodec
+from wagtailbay.membership.const import (
+    MAX_DELTA_BYTES,
+    MAX_FACT_BYTES,
+    MAX_FACT_TTL_MS,
+    MAX_FACTS_BYTES,
+    MAX_FACTS_PER_MESSAGE,
+    MAX_MEMBERS,
+    MAX_WHOLE_BYTES,
+)
+from wagtailbay.membership.facts import Fact, FactBatch
+from wagtailbay.membership.generated import peer_pb2
+from wagtailbay.membership.messages import EntryBatch, ExchangeMessage
+from wagtailbay.membership.models import Member, VmIdentity, VmState
+from wagtailbay.platform import StoredObject
+
+
+def encode_exchange(message: ExchangeMessage, codec: FactCodec, now_s: float) -> bytes:
+    """Encode one side of an exchange; a batch too large for one message is cut short."""
+    encoded = peer_pb2.ExchangeMessage(
+        sender=_encode_member(message.sender, now_s),
+        replica_revision=message.replica_revision,
+        store_reachable=message.store_reachable,
+        batch=_encode_batch(message.batch),
+        facts_from=message.facts.from_position,
+        facts_seen=message.facts_seen,
+        facts_seen_incarnation=message.facts_seen_incarnation,
+        members=(_encode_member(member, now_s) for member in message.members),
+    )
+    encoded.facts_through = _add_facts(encoded, message.facts, codec, now_s)
+    if message.confirmed_age_ms is not None:
+        # Rounded up, so that knowledge never counts as fresher than it is.
+        encoded.confirmed_age_ms = int(message.confirmed_age_ms) + 1
+    return encoded.SerializeToString()
+
+
+def decode_exchange(data: bytes, codec: FactCodec, now_s: float) -> Result[ExchangeMessage, str]:
+    """Decode one side of an exchange; facts that cannot be decoded are dropped."""
+    encoded = peer_pb2.ExchangeMessage()
+    try:
+        encoded.ParseFromString(data)
+        return Ok(_exchange(encoded, codec, now_s))
+    except DecodeError as error:
+        return Err(str(error))
+    except (ValueError, RecursionError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+
+
+def _exchange(encoded: Any, codec: FactCodec, now_s: float) -> ExchangeMessage:
+    if len(encoded.facts) > MAX_FACTS_PER_MESSAGE or len(encoded.members) > MAX_MEMBERS:
+        raise ValueError("too many facts or members")
+    age_ms = encoded.confirmed_age_ms if encoded.HasField("confirmed_age_ms") else None
+    facts = (_decode_fact(fact, codec, now_s) for fact in encoded.facts)
+    return ExchangeMessage(
+        sender=_decode_member(encoded.sender, now_s),
+        replica_revision=encoded.replica_revision,
+        confirmed_age_ms=None if age_ms is None else float(age_ms),
+        store_reachable=encoded.store_reachable,
+        batch=_decode_batch(encoded.batch),
+        facts=FactBatch(
+            tuple(fact for fact in facts if fact is not None),
+            encoded.facts_from,
+            encoded.facts_through,
+        ),
+        facts_seen=encoded.facts_seen,
+        facts_seen_incarnation=encoded.facts_seen_incarnation,
+        members=tuple(_decode_member(member, now_s) for member in encoded.members),
+    )
+
+
+def _encode_member(member: Member, now_s: float) -> Any:
+    identity = member.identity
+    contact_s = now_s if member.contact_s is None else member.contact_s
+    return peer_pb2.VmMessage(
+        vm=identity.vm,
+        incarnation=identity.incarnation,
+        address=identity.address,
+        peer_address=identity.peer_address,
+        availability_zone=identity.availability_zone,
+        state=member.state.value,
+        sequence=member.sequence,
+        contact_age_ms=max(0, int((now_s - contact_s) * 1000)),
+    )
+
+
+def _decode_member(encoded: Any, now_s: float) -> Member:
+    if not encoded.vm or not encoded.incarnation:
+        raise ValueError("a VM without name or incarnation")
+    identity = VmIdentity(
+        encoded.vm,
+        encoded.incarnation,
+        encoded.address,
+        encoded.peer_address,
+        encoded.availability_zone,
+    )
+    contact_s = now_s - encoded.contact_age_ms / 1000
+    return Member(identity, VmState(encoded.state), encoded.sequence, contact_s=contact_s)
+
+
+def _encode_batch(batch: EntryBatch) -> Any:
+    encoded = peer_pb2.EntryBatch(
+        since_revision=batch.since_revision, revision=batch.revision, whole=batch.whole
+    )
+    size, limit = 0, MAX_WHOLE_BYTES if batch.whole else MAX_DELTA_BYTES
+    for stored in batch.objects:
+        value = b""
+        if stored.value is not None:
+            value = json.dumps(stored.value, separators=(",", ":"), ensure_ascii=False).encode()
+        size += len(stored.key) + len(value)
+        if size > limit and batch.whole:
+            # Part of a whole batch would delete the rest at the receiver, which lists the store.
+            log_event("replica_too_large", objects=len(batch.objects), max_bytes=limit)
+            return peer_pb2.EntryBatch()
+        if size > limit and encoded.entries:
+            encoded.revision = encoded.entries[-1].version
+            break
+        encoded.entries.add(key=stored.key, version=stored.version, value=value)
+    return encoded
+
+
+def _decode_batch(encoded: Any) -> EntryBatch:
+    objects = tuple(
+        StoredObject(entry.key, entry.version, json.loads(entry.value) if entry.value else None)
+        for entry in encoded.entries
+    )
+    if any(stored.version > encoded.revision for stored in objects):
+        raise ValueError("an entry is newer than its batch")
+    return EntryBatch(encoded.since_revision, encoded.revision, encoded.whole, objects)
+
+
+def _add_facts(encoded: Any, batch: FactBatch, codec: FactCodec, now_s: float) -> int:
+    """Add facts up to the limit on bytes; returns the position up to which they are complete."""
+    size, through = 0, batch.from_position
+    for fact, position in zip(batch.facts, batch.positions, strict=True):
+        match codec.encode(fact.kind, fact.value):
+            case Ok(value) if len(value) <= MAX_FACT_BYTES:
+                size += len(value)
+                if size > MAX_FACTS_BYTES:
+                    return through
+                ttl_ms = max(0, int((fact.expires_s - now_s) * 1000))
+                encoded.facts.add(
+                    vm=fact.vm,
+                    incarnation=fact.incarnation,
+                    kind=fact.kind,
+                    key=fact.key,
+                    sequence=fact.sequence,
+                    ttl_ms=ttl_ms,
+                    value=value,
+                )
+            case Ok(value):
+                _log_dropped(fact.kind, fact.vm, f"{len(value)} bytes")
+            case Err(reason):
+                _log_dropped(fact.kind, fact.vm, reason)
+        through = position
+    return batch.through_position
+
+
+def _decode_fact(encoded: Any, codec: FactCodec, now_s: float) -> Fact | None:
+    if len(encoded.value) > MAX_FACT_BYTES:
+        _log_dropped(encoded.kind, encoded.vm, f"{len(encoded.value)} bytes")
+        return None
+    match codec.decode(encoded.kind, encoded.value):
+        case Ok(value):
+            return Fact(
+                encoded.vm,
+                encoded.incarnation,
+                encoded.kind,
+                encoded.key,
+                encoded.sequence,
+                value,
+                now_s + min(encoded.ttl_ms, MAX_FACT_TTL_MS) / 1000,
+            )
+        case Err(reason):
+            _log_dropped(encoded.kind, encoded.vm, reason)
+            return None
+
+
+def _log_dropped(kind: str, owner: str, reason: str) -> None:
+    log_event("fact_dropped", kind=kind, owner=owner, reason=reason[:200])
+
+
+def encode_loan(request: LoanRequest) -> bytes:
+    """Encode a request for a loan."""
+    return peer_pb2.Loan(
+        borrower=request.borrower,
+        incarnation=request.incarnation,
+        budget=request.budget,
+        share_ppm=max(0, request.share_ppm),
+        term_ms=max(0, request.term_ms),
+    ).SerializeToString()
+
+
+def decode_loan(data: bytes) -> Result[LoanRequest, str]:
+    """Decode a request for a loan."""
+    loan = peer_pb2.Loan()
+    try:
+        loan.ParseFromString(data)
+    except DecodeError as error:
+        return Err(str(error))
+    if not loan.borrower or not loan.budget or not 0 < loan.share_ppm <= 1_000_000:
+        return Err("a loan needs a borrower, a budget and a share of 1 to 1,000,000 ppm")
+    return Ok(
+        LoanRequest(loan.borrower, loan.incarnation, loan.budget, loan.share_ppm, loan.term_ms)
+    )
+
+
+def encode_grant(grant: LoanGrant) -> bytes:
+    """Encode the answer to a request for a loan."""
+    return peer_pb2.Grant(share_ppm=grant.share_ppm, tokens=grant.tokens).SerializeToString()
+
+
+def decode_grant(data: bytes) -> Result[LoanGrant, str]:
+    """Decode the answer to a request for a loan."""
+    grant = peer_pb2.Grant()
+    try:
+        grant.ParseFromString(data)
+    except DecodeError as error:
+        return Err(str(error))
+    if grant.share_ppm > 1_000_000 or not 0 <= grant.tokens < float("inf"):
+        return Err("a grant has a share of at most 1,000,000 ppm and finite tokens")
+    return Ok(LoanGrant(grant.share_ppm, grant.tokens))
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -1,13 +1,13 @@
 """Run one entry VM."""
 
 import os
-import random
 import signal
 import sys
 from functools import partial
 
 import trio
 from attrs import frozen
+from result import Err, Ok
 
 from wagtailbay.access import AccessGate, KeyRing
 from wagtailbay.allotment import EqualShares
@@ -18,10 +18,12 @@
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.locate.const import ANSWER_TTL_MS, LEAVING_MARGIN_MS
 from wagtailbay.logs import log_event, start_logging
-from wagtailbay.membership import Roster, VmIdentity, VmState
+from wagtailbay.membership import VmIdentity
+from wagtailbay.membership.credentials import CertificateSource
+from wagtailbay.membership.settings import PeerSettings, certificate_source
 from wagtailbay.platform import HttpObjectStore
-from wagtailbay.replica import Freshness, Replica, StoreReader
-from wagtailbay.settings import load_settings_or_exit, setting
+from wagtailbay.programs.fleet import Fleet, build_fleet
+from wagtailbay.settings import exit_with_faults, load_settings_or_exit, setting
 from wagtailbay.settings.checks import at_least, parse_address, split_address
 from wagtailbay.shift import AnyVersionPicker
 from wagtailbay.steer import RoundRobinChooser
@@ -31,7 +33,7 @@
 
 
 @frozen
-class EntrySettings:
+class EntrySettings(PeerSettings):
     """Serve callers on one entry VM."""
 
     vm: str = setting(help_text="name of this VM")
@@ -43,31 +45,32 @@
     )
 
 
-async def run(settings: EntrySettings) -> None:
+async def run(settings: EntrySettings, certificates: CertificateSource | None = None) -> None:
     """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
     identity = VmIdentity(
         settings.vm,
         round(unix_time_s() * 1000),
         settings.listen_address,
-        "",
+        settings.peer_listen_address,
         settings.availability_zone,
     )
-    roster = Roster(identity)
-    replica, freshness = Replica(), Freshness()
     store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
-    reader = StoreReader(store, replica, freshness, lambda: True, boottime_s, random.Random())
     view = [ConfigView()]
+    fleet = build_fleet(settings, identity, store, certificates, lambda: view[0].fleet, boottime_s)
+    replica = fleet.replica
     chooser = RoundRobinChooser()
     pool = ConnectionPool()
     forwarder = Forwarder(chooser, AnyVersionPicker(), pool, boottime_s, settings.vm)
     shares = EqualShares(lambda: view[0].fleet.max_vms if view[0].fleet else 1)
     handler = RequestHandler(
         view=lambda: view[0],
-        gate=AccessGate(KeyRing(lambda: replica.objects), freshness.age_ms, lambda now_s: False),
+        gate=AccessGate(
+            KeyRing(lambda: replica.objects), fleet.freshness.age_ms, fleet.quorum.has_quorum
+        ),
         limiter=WorkspaceLimiter(shares, boottime_s()),
         forwarder=forwarder,
-        roster=roster,
-        status=lambda now_s: {"vm": settings.vm, "revision": replica.revision},
+        roster=fleet.roster,
+        status=fleet.status,
         clock=boottime_s,
     )
     server = HttpServer(handler.handle)
@@ -78,44 +81,40 @@
             chooser.fleet = view[0].fleet
             await replica.changed.wait()
 
-    async def announce_when_ready() -> None:
-        while view[0].fleet is None:
-            await replica.changed.wait()
-            await trio.lowlevel.checkpoint()
-        roster.announce(VmState.LIVE)
-        log_event("ready", revision=replica.revision)
-
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(reader.run)
         nursery.start_soon(follow_config)
+        await nursery.start(fleet.run, settings.peer_listen_address)
         bound = await nursery.start(server.serve, split_address(settings.listen_address))
         log_event("listening", address=f"{bound[0]}:{bound[1]}")
-        nursery.start_soon(announce_when_ready)
+        nursery.start_soon(fleet.become_live)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await anext(signals)
-        await stop_gracefully(roster, server)
+        await stop_gracefully(fleet, server)
         await pool.close()
         nursery.cancel_scope.cancel()
 
 
-async def stop_gracefully(roster: Roster, server: HttpServer) -> None:
+async def stop_gracefully(fleet: Fleet, server: HttpServer) -> None:
     """Leave the locate answers, serve what they still send, then end all connections."""
-    roster.announce(VmState.LEAVING)
-    log_event("leaving")
-    await trio.sleep((ANSWER_TTL_MS + LEAVING_MARGIN_MS) / 1000)
+    with trio.move_on_after((ANSWER_TTL_MS + LEAVING_MARGIN_MS) / 1000):
+        await fleet.announce_leaving()
+        await trio.sleep_forever()
     server.draining.set()
     while server.open_requests:
         await trio.sleep(0.05)
     server.close_idle()
-    roster.announce(VmState.LEFT)
-    log_event("left")
+    await fleet.announce_left()
 
 
 def main() -> None:
     """Run the program."""
     settings = load_settings_or_exit(PROGRAM, EntrySettings, os.environ)
-    start_logging(sys.stderr, PROGRAM, settings.vm)
-    trio.run(partial(run, settings))
+    match certificate_source(settings):
+        case Ok(certificates):
+            start_logging(sys.stderr, PROGRAM, settings.vm)
+            trio.run(partial(run, settings, certificates))
+        case Err(faults):
+            exit_with_faults(PROGRAM, faults)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/wagtailbay/programs/fleet.py
@@ -0,0 +1,225 @@
+"""Assemble the parts that make a VM one of a fleet."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from attrs import define, evolve
+
+from wagtailbay.access.const import MAX_CONFIRMED_AGE_MS
+from wagtailbay.config import FleetDocument
+from wagtailbay.lease import LeaseKeeper
+from wagtailbay.lease.const import LEASE_KEY
+from wagtailbay.logs import log_event
+from wagtailbay.membership import (
+    Exchanger,
+    FactTable,
+    IsolationCheck,
+    Lender,
+    PeerClient,
+    PeerServer,
+    PeerSet,
+    Quorum,
+    Roster,
+    VmIdentity,
+    VmState,
+    choose_watchers,
+    live_members,
+)
+from wagtailbay.membership.choice import rendezvous_order
+from wagtailbay.membership.codec import DEFAULT_CODEC
+from wagtailbay.membership.const import (
+    EXCHANGE_TIMEOUT_MS,
+    FORGET_INTERVAL_S,
+    HOUSEKEEPING_INTERVAL_S,
+)
+from wagtailbay.membership.credentials import CertificateSource
+from wagtailbay.membership.listing import VmListReader
+from wagtailbay.membership.settings import PeerSettings
+from wagtailbay.platform import ObjectStore
+from wagtailbay.replica import Freshness, Replica, StoreReader
+
+Clock = Callable[[], float]
+
+
+@define
+class Fleet:
+    """Hold the parts of one VM that know the fleet.
+
+    Attributes:
+        document: Returns the fleet document in force, None while there is none.
+    """
+
+    roster: Roster
+    replica: Replica
+    freshness: Freshness
+    facts: FactTable
+    reader: StoreReader
+    quorum: Quorum
+    isolation: IsolationCheck
+    exchanger: Exchanger
+    lists: VmListReader
+    peers: PeerSet
+    client: PeerClient
+    server: PeerServer
+    lease: LeaseKeeper
+    document: Callable[[], FleetDocument | None]
+    clock: Clock
+
+    async def run(self, listen_address: str, *, task_status: trio.TaskStatus) -> None:
+        """Run all tasks until cancelled; reports when peers can connect."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.reader.run)
+            nursery.start_soon(self._housekeeping)
+            nursery.start_soon(self.lease.run)
+            nursery.start_soon(self.lists.run)
+            if listen_address:
+                await nursery.start(self.server.serve, listen_address)
+                nursery.start_soon(self.peers.run)
+            task_status.started()
+
+    async def _housekeeping(self) -> None:
+        """Note that the loop runs, when the store answered, and drop what has expired."""
+        forget_s = 0.0
+        while True:
+            now_s = self.clock()
+            self.isolation.tick(now_s)
+            if self.reader.answered_s is not None:
+                self.isolation.record_store_answer(self.reader.answered_s, now_s)
+            if now_s >= forget_s:
+                self.exchanger.forget(now_s)
+                forget_s = now_s + FORGET_INTERVAL_S
+            await trio.sleep(HOUSEKEEPING_INTERVAL_S)
+
+    def can_become_ready(self, now_s: float) -> bool:
+        """Tell whether this VM, started lately, holds every change in force."""
+        age_ms = self.freshness.age_ms(now_s)
+        confirmed = age_ms is not None and age_ms <= MAX_CONFIRMED_AGE_MS
+        known = self.document() is not None
+        return known and (confirmed or self.quorum.can_become_ready(now_s))
+
+    async def become_live(self) -> None:
+        """Announce this VM once it is ready."""
+        while not self.can_become_ready(self.clock()):
+            with trio.move_on_after(HOUSEKEEPING_INTERVAL_S):
+                await self.replica.changed.wait()
+        if self.roster.own_member.state is VmState.JOINING:
+            self.roster.announce(VmState.LIVE)
+            log_event("ready", revision=self.replica.revision)
+
+    async def announce_leaving(self) -> None:
+        """Spread that this VM leaves, and give up the control duties."""
+        self.roster.announce(VmState.LEAVING)
+        log_event("leaving")
+        await self.lease.release()
+
+    async def announce_left(self) -> None:
+        """Spread that this VM has left; returns when the neighbours know or did not answer."""
+        self.roster.announce(VmState.LEFT)
+        log_event("left")
+        await self.peers.exchange_with_all(2 * EXCHANGE_TIMEOUT_MS)
+        self.client.close_all()
+
+    def status(self, now_s: float) -> dict:
+        """Return what this VM knows of itself and the fleet as JSON values."""
+        own = self.roster.own_member
+        return {
+            "vm": own.identity.vm,
+            "state": own.state.value,
+            "incarnation": own.identity.incarnation,
+            "availability_zone": own.identity.availability_zone,
+            "superseded": self.roster.superseded,
+            "revision": self.replica.revision,
+            "confirmed_age_ms": self.freshness.age_ms(now_s),
+            "store_reachable": self.reader.reachable,
+            "store_watcher": self.reader.is_watcher(),
+            "lease_holder": self.lease.holder(),
+            "holds_lease": self.lease.is_holder(now_s),
+            "quorum": self.quorum.has_quorum(now_s),
+            "isolated": self.isolation.is_isolated(now_s),
+            "peers": [self._peer_status(vm, now_s) for vm in sorted(self._known_peers())],
+        }
+
+    def _known_peers(self) -> set[str]:
+        return (set(self.roster.members) | set(self.peers.loops)) - {self.roster.own.vm}
+
+    def _peer_status(self, vm: str, now_s: float) -> dict:
+        member = self.roster.members.get(vm)
+        record, loop = self.exchanger.records.get(vm), self.peers.loops.get(vm)
+        heard_s = member.heard_s if member else None
+        return {
+            "vm": vm,
+            "state": member.state.value if member else "unknown",
+            "incarnation": member.identity.incarnation if member else None,
+            "heard_age_ms": None if heard_s is None else max(0.0, (now_s - heard_s) * 1000),
+            "revision": record.revision if record else 0,
+            "store_reachable": record.store_reachable if record else None,
+            "error": str(loop.error) if loop and loop.error else None,
+        }
+
+
+def build_fleet(
+    settings: PeerSettings,
+    identity: VmIdentity,
+    store: ObjectStore,
+    certificates: CertificateSource | None,
+    document: Callable[[], FleetDocument | None],
+    clock: Clock,
+    lender: Lender | None = None,
+) -> Fleet:
+    """Build the parts of one VM that know the fleet; starts nothing."""
+    roster = Roster(identity)
+    facts = FactTable(identity.vm, identity.incarnation)
+    replica, freshness = Replica(), Freshness()
+
+    def is_watcher() -> bool:
+        fleet = document()
+        region_of = fleet.region_of if fleet else lambda zone: None
+        return identity.vm in choose_watchers(live_members(roster, clock()), region_of)
+
+    reader = StoreReader(store, replica, freshness, is_watcher, clock, random.Random())
+    quorum = Quorum(roster, lambda: fleet.max_vms if (fleet := document()) else None)
+    isolation = IsolationCheck.starting(clock())
+    exchanger = Exchanger(roster, facts, replica, freshness, reader, quorum, isolation)
+    lists = VmListReader(store, facts, is_watcher, clock)
+    client = PeerClient(lambda vm: peers.address_of(vm), certificates, settings.peer_routes)
+    peers = PeerSet(exchanger, client, DEFAULT_CODEC, clock, settings.peers, lists.listed)
+    # The server has a copy of its own, because gRPC reads it from its threads.
+    copied = None if certificates is None else evolve(certificates)
+    server = PeerServer(exchanger, DEFAULT_CODEC, clock, copied)
+    if lender is not None:
+        server.lender = lender
+    lease = build_lease(store, roster, replica, freshness, clock)
+    return Fleet(
+        roster,
+        replica,
+        freshness,
+        facts,
+        reader,
+        quorum,
+        isolation,
+        exchanger,
+        lists,
+        peers,
+        client,
+        server,
+        lease,
+        document,
+        clock,
+    )
+
+
+def build_lease(
+    store: ObjectStore, roster: Roster, replica: Replica, freshness: Freshness, clock: Clock
+) -> LeaseKeeper:
+    """Build the keeper of the lease; the live VMs contend in the order of a hash."""
+
+    def rank(now_s: float) -> int | None:
+        if roster.own_member.state is not VmState.LIVE:
+            return None
+        names = (member.identity.vm for member in live_members(roster, now_s))
+        return rendezvous_order(LEASE_KEY, names).index(roster.own.vm)
+
+    return LeaseKeeper(
+        store, roster.own, lambda: replica.objects.get(LEASE_KEY), freshness.age_ms, rank, clock
+    )
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -15,9 +15,11 @@
     Attributes:
         revision: Every change up to this store revision is included.
         objects: By key, deleted ones included with value None.
+        deletions_since: Every deletion after this revision is included in objects.
     """
 
     revision: int = 0
+    deletions_since: int = 0
     objects: dict[str, StoredObject] = field(factory=dict)
     changed: ChangeSignal = field(factory=ChangeSignal)
 
@@ -38,6 +40,31 @@
             self.changed.notify()
         return changed
 
+    def replace(self, objects: Iterable[StoredObject], revision: int) -> bool:
+        """Take in a complete listing of the objects that existed at a revision.
+
+        A listing names no deleted objects, so a known object that it lacks was deleted by then.
+        Objects created and deleted since this replica's revision stay unknown, so the deletions
+        are complete only from the listing's revision on. Returns whether any object changed.
+        """
+        listed = tuple(objects)
+        if revision < self.revision:
+            return self.apply(listed, revision)
+        if revision > self.revision:
+            self.deletions_since = revision
+        keys = {stored.key for stored in listed}
+        deleted = (
+            StoredObject(key, revision, None)
+            for key, stored in self.objects.items()
+            if key not in keys and stored.value is not None and stored.version < revision
+        )
+        return self.apply((*listed, *deleted), revision)
+
+    def existing(self) -> tuple[StoredObject, ...]:
+        """Return all objects that are not deleted, oldest first."""
+        existing = (stored for stored in self.objects.values() if stored.value is not None)
+        return tuple(sorted(existing, key=lambda stored: stored.version))
+
     def delta_since(self, revision: int) -> tuple[StoredObject, ...]:
         """Return the objects changed after a revision, oldest first."""
         newer = (stored for stored in self.objects.values() if stored.version > revision)
--- a/src/wagtailbay/replica/watch.py
+++ b/src/wagtailbay/replica/watch.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from wagtailbay.logs import log_event
-from wagtailbay.platform import ObjectStore
+from wagtailbay.platform import ObjectStore, StoreUnavailable
 from wagtailbay.replica.const import (
     LIST_INTERVAL_S,
     MAX_BACKOFF_S,
@@ -26,6 +26,7 @@
     Attributes:
         is_watcher: Tells whether this VM is one of the watchers now.
         reachable: Whether the last call was answered.
+        answered_s: When the last answered call was sent, None if none was answered.
     """
 
     store: ObjectStore
@@ -36,6 +37,7 @@
     random: random.Random
     reachable: bool = False
     failures: int = 0
+    answered_s: float | None = None
 
     async def run(self) -> None:
         """Read the store for as long as the process runs."""
@@ -43,7 +45,8 @@
         while True:
             if not self.reachable:
                 await trio.sleep(self._backoff_s())
-                await self._list()
+                if self.is_watcher() or self._is_stale():
+                    await self._list()
             elif self.is_watcher():
                 await self._watch()
             else:
@@ -61,25 +64,30 @@
 
     async def _list(self) -> None:
         asked_s = self.clock()
-        self._take_in(await self.store.list(REPLICATED_PREFIXES), asked_s)
+        match await self.store.list(REPLICATED_PREFIXES):
+            case Ok(listing):
+                self.replica.replace(listing.objects, listing.revision)
+                self._note_answer(listing.revision, asked_s)
+            case Err(error):
+                self._note_failure(error)
 
     async def _watch(self) -> None:
         asked_s = self.clock()
-        answer = await self.store.watch(
-            REPLICATED_PREFIXES, self.replica.revision, WATCH_TIMEOUT_MS
-        )
-        self._take_in(answer, asked_s)
-
-    def _take_in(self, answer, asked_s: float) -> None:
-        """Apply an answer; the time of the question bounds how old it can be."""
-        match answer:
+        match await self.store.watch(REPLICATED_PREFIXES, self.replica.revision, WATCH_TIMEOUT_MS):
             case Ok(listing):
                 self.replica.apply(listing.objects, listing.revision)
-                self.freshness.confirm(asked_s)
-                if not self.reachable:
-                    log_event("store_reachable", revision=listing.revision)
-                self.reachable, self.failures = True, 0
+                self._note_answer(listing.revision, asked_s)
             case Err(error):
-                if self.reachable or self.failures == 0:
-                    log_event("store_unreachable", reason=error.message)
-                self.reachable, self.failures = False, self.failures + 1
+                self._note_failure(error)
+
+    def _note_answer(self, revision: int, asked_s: float) -> None:
+        """Record an answer; the time of the question bounds how old it can be."""
+        self.freshness.confirm(asked_s)
+        if not self.reachable:
+            log_event("store_reachable", revision=revision)
+        self.reachable, self.failures, self.answered_s = True, 0, asked_s
+
+    def _note_failure(self, error: StoreUnavailable) -> None:
+        if self.reachable or self.failures == 0:
+            log_event("store_unreachable", reason=error.message)
+        self.reachable, self.failures = False, self.failures + 1
--- a/src/wagtailbay/settings/checks.py
+++ b/src/wagtailbay/settings/checks.py
@@ -57,6 +57,22 @@
     return pairs
 
 
+def parse_named_addresses(text: str) -> dict[str, str]:
+    """Parse ``name=<ip number>:<port>`` pairs separated by commas."""
+    return {name: parse_address(address) for name, address in parse_pairs(text).items()}
+
+
+def parse_switch(text: str) -> bool:
+    """Parse ``on`` or ``off``.
+
+    Raises:
+        ValueError: The text is neither.
+    """
+    if text not in ("on", "off"):
+        raise ValueError(f"expected on or off, got {text!r}")
+    return text == "on"
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``<host>:<port>`` into its parts."""
     host, _, port = address.rpartition(":")
--- a/src/wagtailbay/settings/loader.py
+++ b/src/wagtailbay/settings/loader.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 from collections.abc import Mapping, Sequence
-from typing import Any, TypeVar
+from typing import Any, NoReturn, TypeVar
 
 from attrs import NOTHING, Attribute, fields
 from result import Err, Ok, Result
@@ -79,9 +79,13 @@
 
 def load_settings_or_exit(program: str, cls: type[T], environ: Mapping[str, str]) -> T:
     """Load settings from the command line; print all faults on one line and exit on any."""
-    match load_settings(program, cls, sys.argv[1:], environ):
-        case Ok(settings):
-            return settings
-        case Err(faults):
-            print(f"{program}: {'; '.join(map(str, faults))}", file=sys.stderr)
-            sys.exit(EXIT_STATUS_BAD_SETTING)
+    loaded = load_settings(program, cls, sys.argv[1:], environ)
+    if isinstance(loaded, Err):
+        exit_with_faults(program, loaded.err_value)
+    return loaded.ok_value
+
+
+def exit_with_faults(program: str, faults: Sequence[SettingFault]) -> NoReturn:
+    """Print all faults on one line and exit."""
+    print(f"{program}: {'; '.join(map(str, faults))}", file=sys.stderr)
+    sys.exit(EXIT_STATUS_BAD_SETTING)
--- a/src/wagtailbay_bench/deployment.py
+++ b/src/wagtailbay_bench/deployment.py
@@ -34,6 +34,7 @@
     behaviour: Mapping[str, Any] = field(factory=dict)
     platform_address: str = ""
     vm_addresses: dict[str, str] = field(factory=dict)
+    peer_addresses: dict[str, str] = field(factory=dict)
     vms: dict[str, ProgramProcess] = field(factory=dict)
     target_addresses: dict[str, str] = field(factory=dict)
 
@@ -50,6 +51,7 @@
         await self._write_objects()
         for index, vm in enumerate(self.vm_zones):
             self.vm_addresses[vm] = free_address(f"127.1.0.{index + 1}")
+            self.peer_addresses[vm] = free_address(f"127.1.0.{index + 1}")
         for vm in self.vm_zones:
             self.start_vm(vm)
         for vm in self.vms.values():
@@ -81,13 +83,29 @@
             if not isinstance(written, Ok):
                 raise RuntimeError(f"{key}: {written}")
 
-    def start_vm(self, vm: str) -> ProgramProcess:
-        """Start an entry VM at its own address."""
+    def start_vm(
+        self,
+        vm: str,
+        *,
+        platform_address: str | None = None,
+        peer_routes: Mapping[str, str] | None = None,
+    ) -> ProgramProcess:
+        """Start an entry VM at its own address.
+
+        Args:
+            platform_address: Where this VM reaches the platform, for a link stand-in before it.
+            peer_routes: Addresses to call in place of other VMs' own, for link stand-ins.
+        """
+        peers = {name: a for name, a in self.peer_addresses.items() if name != vm}
         arguments = [
             f"--vm={vm}",
             f"--availability-zone={self.vm_zones[vm]}",
             f"--listen-address={self.vm_addresses[vm]}",
-            f"--platform-address={self.platform_address}",
+            f"--platform-address={platform_address or self.platform_address}",
+            f"--peer-listen-address={self.peer_addresses[vm]}",
+            f"--peers={_format_pairs(peers)}",
+            f"--peer-routes={_format_pairs(peer_routes or {})}",
+            "--peer-insecure=on",
         ]
         self.vms[vm] = self.group.start(vm, "wagtailbay.programs.entry", arguments)
         return self.vms[vm]
@@ -115,3 +133,7 @@
         if not isinstance(answer, Ok):
             raise RuntimeError(f"{vm} {path}: {answer.err_value}")
         return answer.ok_value
+
+
+def _format_pairs(pairs: Mapping[str, str]) -> str:
+    return ",".join(f"{name}={value}" for name, value in pairs.items())
