Test the fleet parts and make a VM ready only with a quorum

A VM that was never ready counted for the quorum once it left, a lagging peer brought deleted objects back, and a malformed answer of the platform ended the process.

A joining VM stays joining when it stops; Replica.apply ignores unknown objects from before its revision; HttpObjectStore returns malformed answers as errors. The deployment gives each VM its peers.

--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -17,7 +17,7 @@
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.locate import rank_vms
 from wagtailbay.logs import log_event
-from wagtailbay.membership import Roster
+from wagtailbay.membership import Roster, VmState
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.transport import Reply, Request
 from wagtailbay.transport.server import CallerGoneError
@@ -88,7 +88,7 @@
         view = self.view()
         now_s = self.clock()
         if parts.path == READY_PATH:
-            ready = view.fleet is not None
+            ready = self.roster.own_member.state is VmState.LIVE
             await reply.send_json(200 if ready else 503, {"ready": ready})
         elif parts.path == STATUS_PATH:
             await reply.send_json(200, self.status(now_s))
--- a/src/wagtailbay/platform/client.py
+++ b/src/wagtailbay/platform/client.py
@@ -1,8 +1,8 @@
 """Call the platform's object API over HTTP."""
 
 import json
-from collections.abc import Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 from attrs import frozen
@@ -18,9 +18,23 @@
     VersionConflict,
     VmList,
 )
-from wagtailbay.platform.wire import decode_listing, decode_object, decode_vms
+from wagtailbay.platform.wire import (
+    decode_listing,
+    decode_object,
+    decode_version,
+    decode_vms,
+)
 from wagtailbay.transport import Request, Response, TransportError, fetch
 
+T = TypeVar("T")
+
+
+def _decoded(response: Response, decode: Callable[[bytes], T]) -> Result[T, StoreUnavailable]:
+    try:
+        return Ok(decode(response.body))
+    except (ValueError, TypeError, LookupError, RecursionError) as error:
+        return Err(StoreUnavailable(f"malformed answer: {type(error).__name__}: {error}"))
+
 
 @frozen
 class HttpObjectStore:
@@ -50,12 +64,14 @@
     async def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
         """Read one object; None if it does not exist."""
         answer = await self._read(f"/v1/objects/{quote(key)}")
-        return answer.map(lambda r: decode_object(r.body) if r.status == 200 else None)
+        return answer.and_then(
+            lambda r: _decoded(r, decode_object) if r.status == 200 else Ok(None)
+        )
 
     async def list(self, prefixes: Sequence[str]) -> Result[Listing, StoreUnavailable]:
         """Read all objects whose keys start with one of the prefixes."""
         answer = await self._read(f"/v1/objects?{urlencode({'prefix': ','.join(prefixes)})}")
-        return answer.map(lambda r: decode_listing(r.body))
+        return answer.and_then(lambda r: _decoded(r, decode_listing))
 
     async def watch(
         self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
@@ -63,12 +79,12 @@
         """Wait for changes after a revision; the listing is empty when the time runs out."""
         query = {"prefix": ",".join(prefixes), "since": since_revision, "timeout_ms": timeout_ms}
         answer = await self._read(f"/v1/watch?{urlencode(query)}", timeout_ms + WATCH_MARGIN_MS)
-        return answer.map(lambda r: decode_listing(r.body))
+        return answer.and_then(lambda r: _decoded(r, decode_listing))
 
     async def vms(self) -> Result[VmList, StoreUnavailable]:
         """Read the platform's list of live and leaving VMs."""
         answer = await self._read("/v1/vms")
-        return answer.map(lambda r: decode_vms(r.body))
+        return answer.and_then(lambda r: _decoded(r, decode_vms))
 
     async def put(
         self, key: str, value: Any, expected_version: int | None
@@ -86,9 +102,13 @@
         query = "" if expected_version is None else f"?expected_version={expected_version}"
         match await self._call(method, f"/v1/objects/{quote(key)}{query}", body):
             case Ok(response) if response.status == 200:
-                return Ok(json.loads(response.body)["version"])
+                # The write took effect, but its version is needed to go on.
+                return _decoded(response, decode_version).map_err(
+                    lambda error: OutcomeUnknown(key, error.message)
+                )
             case Ok(response) if response.status == 409:
-                return Err(VersionConflict(key, json.loads(response.body)["version"]))
+                conflict = _decoded(response, decode_version)
+                return conflict.and_then(lambda version: Err(VersionConflict(key, version)))
             case Ok(response) if response.status == 503:
                 return Err(StoreUnavailable("the platform refused the write"))
             case Ok(response):
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -86,9 +86,11 @@
         await nursery.start(fleet.run, settings.peer_listen_address)
         bound = await nursery.start(server.serve, split_address(settings.listen_address))
         log_event("listening", address=f"{bound[0]}:{bound[1]}")
-        nursery.start_soon(fleet.become_live)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await anext(signals)
+            async with trio.open_nursery() as until_signal:
+                until_signal.start_soon(fleet.become_live)
+                await anext(signals)
+                until_signal.cancel_scope.cancel()
         await stop_gracefully(fleet, server)
         await pool.close()
         nursery.cancel_scope.cancel()
@@ -108,6 +110,8 @@
 
 def main() -> None:
     """Run the program."""
+    # gRPC would write its own lines, which have another form, between this program's.
+    os.environ.setdefault("GRPC_VERBOSITY", "NONE")
     settings = load_settings_or_exit(PROGRAM, EntrySettings, os.environ)
     match certificate_source(settings):
         case Ok(certificates):
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -103,13 +103,17 @@
         while not self.can_become_ready(self.clock()):
             with trio.move_on_after(HOUSEKEEPING_INTERVAL_S):
                 await self.replica.changed.wait()
-        if self.roster.own_member.state is VmState.JOINING:
-            self.roster.announce(VmState.LIVE)
-            log_event("ready", revision=self.replica.revision)
+                await trio.lowlevel.checkpoint()  # The documents are read by another task.
+        self.roster.announce(VmState.LIVE)
+        log_event("ready", revision=self.replica.revision)
 
     async def announce_leaving(self) -> None:
-        """Spread that this VM leaves, and give up the control duties."""
-        self.roster.announce(VmState.LEAVING)
+        """Spread that this VM leaves, and give up the control duties.
+
+        A VM that never was ready stays joining, because one that leaves counts for a quorum.
+        """
+        if self.roster.own_member.state is VmState.LIVE:
+            self.roster.announce(VmState.LEAVING)
         log_event("leaving")
         await self.lease.release()
 
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -26,13 +26,14 @@
     def apply(self, objects: Iterable[StoredObject], revision: int) -> bool:
         """Take in objects that are complete from this replica's revision up to the given one.
 
-        An object with a version that is not higher than the known one is ignored, so a lagging
-        source never reverts anything. Returns whether any object changed.
+        An object with a version that is not higher than the known one is ignored, and so is an
+        unknown one from before this replica's revision, which must have been deleted since. A
+        lagging source therefore never reverts anything. Returns whether any object changed.
         """
         changed = False
         for stored in objects:
             known = self.objects.get(stored.key)
-            if known is None or stored.version > known.version:
+            if stored.version > (self.revision if known is None else known.version):
                 self.objects[stored.key] = stored
                 changed = True
         self.revision = max(self.revision, revision)
--- a/src/wagtailbay_bench/deployment.py
+++ b/src/wagtailbay_bench/deployment.py
@@ -24,17 +24,19 @@
         fleet: The fleet document as decoded JSON.
         keys: The key of each workspace, granted at the start.
         vm_zones: The availability zone of each entry VM.
+        platform_routes: Where some VMs reach the platform in place of its own address.
     """
 
     group: ProcessGroup
     documents: list[dict[str, Any]]
     fleet: dict[str, Any]
     keys: Mapping[str, str]
-    vm_zones: Mapping[str, str]
+    vm_zones: dict[str, str]
     behaviour: Mapping[str, Any] = field(factory=dict)
     platform_address: str = ""
     vm_addresses: dict[str, str] = field(factory=dict)
     peer_addresses: dict[str, str] = field(factory=dict)
+    platform_routes: Mapping[str, str] = field(factory=dict)
     vms: dict[str, ProgramProcess] = field(factory=dict)
     target_addresses: dict[str, str] = field(factory=dict)
 
@@ -49,9 +51,8 @@
         await platform.wait_for_event("listening")
         await self._start_targets()
         await self._write_objects()
-        for index, vm in enumerate(self.vm_zones):
-            self.vm_addresses[vm] = free_address(f"127.1.0.{index + 1}")
-            self.peer_addresses[vm] = free_address(f"127.1.0.{index + 1}")
+        for vm, zone in self.vm_zones.items():
+            self.place_vm(vm, zone)
         for vm in self.vm_zones:
             self.start_vm(vm)
         for vm in self.vms.values():
@@ -83,17 +84,17 @@
             if not isinstance(written, Ok):
                 raise RuntimeError(f"{key}: {written}")
 
-    def start_vm(
-        self,
-        vm: str,
-        *,
-        platform_address: str | None = None,
-        peer_routes: Mapping[str, str] | None = None,
-    ) -> ProgramProcess:
+    def place_vm(self, vm: str, availability_zone: str) -> None:
+        """Give a VM its addresses; VMs started earlier learn of it when it calls them."""
+        host = f"127.1.0.{len(self.vm_addresses) + 1}"
+        self.vm_zones[vm] = availability_zone
+        self.vm_addresses[vm] = free_address(host)
+        self.peer_addresses[vm] = free_address(host)
+
+    def start_vm(self, vm: str, *, peer_routes: Mapping[str, str] | None = None) -> ProgramProcess:
         """Start an entry VM at its own address.
 
         Args:
-            platform_address: Where this VM reaches the platform, for a link stand-in before it.
             peer_routes: Addresses to call in place of other VMs' own, for link stand-ins.
         """
         peers = {name: a for name, a in self.peer_addresses.items() if name != vm}
@@ -101,7 +102,7 @@
             f"--vm={vm}",
             f"--availability-zone={self.vm_zones[vm]}",
             f"--listen-address={self.vm_addresses[vm]}",
-            f"--platform-address={platform_address or self.platform_address}",
+            f"--platform-address={self.platform_routes.get(vm, self.platform_address)}",
             f"--peer-listen-address={self.peer_addresses[vm]}",
             f"--peers={_format_pairs(peers)}",
             f"--peer-routes={_format_pairs(peer_routes or {})}",
--- /dev/null
+++ b/tests/access/test_freshness_of_keys.py
@@ -0,0 +1,54 @@
+"""Test when a VM may rely on the keys that it knows."""
+
+from membership.fleet_parts import exchanger, member
+from result import Ok
+
+from wagtailbay.access import AccessGate, KeyRing, hash_key
+from wagtailbay.config import Route, ServiceDocument, WorkspaceLimit
+from wagtailbay.membership import Exchanger
+from wagtailbay.platform import StoredObject
+
+SERVICE = ServiceDocument("records", "t", (), (), (WorkspaceLimit("unam", 1, 1),), ())
+KEYED, OPEN = Route("read", "/"), Route("open", "/open", open=True)
+
+
+class TestAccessGate:
+    """A key is accepted while no withdrawal in force can be unknown."""
+
+    @staticmethod
+    def check(vm: Exchanger, now_s: float, route: Route = KEYED) -> object:
+        """Return the workspace, or the refusal's status."""
+        ring = KeyRing(lambda: vm.replica.objects)
+        gate = AccessGate(ring, vm.freshness.age_ms, vm.quorum.has_quorum)
+        checked = gate.check(SERVICE, route, "Bearer k", now_s)
+        return checked.ok_value if isinstance(checked, Ok) else checked.err_value.status
+
+    @staticmethod
+    def vm() -> Exchanger:
+        """Return one of three VMs, whose knowledge was confirmed at 0 s."""
+        vm = exchanger("a", max_vms=3)
+        key = StoredObject(f"keys/{hash_key('k')}", 1, {"workspace": "unam"})
+        vm.replica.apply([key], 1)
+        vm.freshness.confirm(0.0)
+        return vm
+
+    def test_confirmed_knowledge_is_enough_for_5_s(self) -> None:
+        """Guards against a key that works on a VM cut off from everyone."""
+        assert self.check(self.vm(), 4.9) == "unam"
+        assert self.check(self.vm(), 5.1) == 503
+        assert self.check(self.vm(), 5.1, OPEN) is None
+
+    def test_a_quorum_serves_through_an_outage_of_the_store(self) -> None:
+        """Guards against an outage of the store that refuses every caller."""
+        vm = self.vm()
+        vm.roster.hear(member("b"), 60.0)
+        vm.quorum.record("b", 1, 60.0)
+        assert self.check(vm, 61.0) == "unam"
+        assert self.check(vm, 63.5) == 503
+
+    def test_a_malformed_key_object_admits_nobody(self) -> None:
+        """Guards against an exception or a free pass from a damaged object."""
+        vm = self.vm()
+        for version, value in enumerate(({}, [], "unam", {"workspace": 3}), start=2):
+            vm.replica.apply([StoredObject(f"keys/{hash_key('k')}", version, value)], version)
+            assert self.check(vm, 1.0) == 401
--- /dev/null
+++ b/tests/membership/test_exchange.py
@@ -0,0 +1,193 @@
+"""Test what two VMs know after they exchanged messages."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from membership.fleet_parts import CODEC, VALUE, call, exchanger
+from result import Err
+
+from wagtailbay.membership import VmState
+from wagtailbay.membership.wire import decode_exchange, encode_exchange
+from wagtailbay.platform import StoredObject
+
+
+class TestEntries:
+    """Entries travel to the side that lacks them, and knowledge is never overstated."""
+
+    def test_entries_reach_both_sides_of_a_call(self) -> None:
+        """Guards against entries that travel in one direction only."""
+        a, b = exchanger("a"), exchanger("b")
+        a.replica.apply([StoredObject("keys/1", 3, {"workspace": "w"})], 5)
+        call(b, a, 1.0)
+        assert (b.replica.revision, b.replica.value("keys/1")) == (5, {"workspace": "w"})
+        a.replica.apply([StoredObject("keys/1", 6, None)], 6)
+        call(a, b, 2.0)
+        assert b.replica.value("keys/1") is None
+
+    def test_a_restarted_peer_gets_everything_again(self) -> None:
+        """Guards against a delta from the revision that the peer's earlier run had."""
+        a, b = exchanger("a"), exchanger("b")
+        a.replica.apply([StoredObject("documents/fleet", 1, {}), StoredObject("keys/1", 2, {})], 2)
+        call(a, b, 1.0)
+        again = exchanger("b", incarnation=2)
+        call(a, again, 2.0)
+        call(a, again, 3.0)
+        assert set(again.replica.objects) == {"documents/fleet", "keys/1"}
+
+    def test_a_deletion_older_than_a_peers_listing_is_learnt(self) -> None:
+        """Guards against a deleted key that works on a VM whose peers only listed the store."""
+        lagging, listed = exchanger("a"), exchanger("b")
+        lagging.replica.apply([StoredObject("keys/1", 1, {"workspace": "w"})], 1)
+        listed.replica.replace([StoredObject("documents/fleet", 2, {})], 4)
+        call(lagging, listed, 1.0)
+        assert lagging.replica.value("keys/1") is None
+        assert lagging.replica.revision == 4
+
+    def test_a_lagging_peer_reverts_nothing(self) -> None:
+        """Guards against an old object that replaces a newer one or returns after a deletion."""
+        new, old = exchanger("a"), exchanger("b")
+        new.replica.apply([StoredObject("documents/fleet", 9, {"n": 9})], 9)
+        old.replica.apply([StoredObject("documents/fleet", 2, {"n": 2})], 2)
+        old.replica.apply([StoredObject("keys/deleted", 3, {"workspace": "w"})], 3)
+        call(old, new, 1.0)
+        assert new.replica.value("documents/fleet") == old.replica.value("documents/fleet")
+        assert new.replica.value("documents/fleet") == {"n": 9}
+        assert new.replica.value("keys/deleted") is None
+
+    def test_a_delta_with_a_gap_does_not_advance_the_revision(self) -> None:
+        """Guards against a replica that claims changes which it never received."""
+        a, b = exchanger("a"), exchanger("b")
+        a.replica.apply([StoredObject("keys/1", 1, {}), StoredObject("keys/2", 8, {})], 8)
+        a.build("b", 1.0)
+        a.records["b"].revision = 5
+        b.take_in(a.build("b", 1.0), 1.0)
+        assert (b.replica.revision, set(b.replica.objects)) == (0, {"keys/2"})
+
+    def test_a_large_replica_arrives_in_parts(self) -> None:
+        """Guards against a message above the size limit, and parts that claim to be all."""
+        a, b = exchanger("a"), exchanger("b")
+        for version in range(1, 6):
+            a.replica.apply([StoredObject(f"documents/{version}", version, "x" * 900_000)], version)
+        call(a, b, 1.0)
+        assert b.replica.revision < 5
+        for now_s in range(2, 8):
+            call(a, b, float(now_s))
+        assert (b.replica.revision, len(b.replica.objects)) == (5, 5)
+
+
+class TestConfirmedAge:
+    """Only an answer to an own call confirms knowledge."""
+
+    def test_an_answer_confirms_the_age_that_the_peer_states(self) -> None:
+        """Guards against knowledge that counts as fresher than its source."""
+        a, b = exchanger("a"), exchanger("b")
+        a.freshness.confirm(8.0)
+        call(b, a, 10.0)
+        assert 2_000 <= b.freshness.age_ms(10.0) <= 2_010
+
+    def test_a_call_from_a_peer_confirms_nothing(self) -> None:
+        """Guards against a call that waited while this process was stopped."""
+        a, b = exchanger("a"), exchanger("b")
+        a.freshness.confirm(10.0)
+        b.take_in(a.build("b", 10.0), 70.0)
+        assert b.freshness.age_ms(70.0) is None
+        assert not b.quorum.answered(70.0)
+        assert b.isolation.is_isolated(70.0)
+
+    def test_an_answer_that_leaves_a_gap_confirms_nothing(self) -> None:
+        """Guards against a VM that is behind its peer and counts it for the quorum."""
+        a, b = exchanger("a"), exchanger("b")
+        a.freshness.confirm(10.0)
+        a.replica.apply([StoredObject("keys/1", 1, "x" * 900_000)], 1)
+        a.replica.apply([StoredObject("keys/2", 2, "x" * 900_000)], 2)
+        call(b, a, 10.0)
+        assert b.replica.revision == 1
+        assert b.freshness.age_ms(10.0) is None
+        assert not b.quorum.answered(10.0)
+
+
+class TestFactsAndMembers:
+    """Facts and members travel once, and older runs are refused."""
+
+    def test_only_new_facts_travel(self) -> None:
+        """Guards against messages that grow with all facts ever published."""
+        a, b = exchanger("a"), exchanger("b")
+        a.facts.publish("demand", "x", VALUE, ttl_ms=60_000, now_s=0.0)
+        call(a, b, 1.0)
+        assert [fact.key for fact in b.facts.of_kind("demand", 1.0)] == ["x"]
+        assert not a.build("b", 2.0).facts.facts
+        a.facts.publish("demand", "y", VALUE, ttl_ms=60_000, now_s=2.0)
+        assert [fact.key for fact in a.build("b", 2.0).facts.facts] == ["y"]
+
+    def test_facts_of_a_lost_answer_are_sent_again(self) -> None:
+        """Guards against a stop that is lost with one message."""
+        a, b = exchanger("a"), exchanger("b")
+        b.facts.publish("stop", "v2", VALUE, ttl_ms=60_000, now_s=0.0)
+        call(a, b, 1.0, lose_answer=True)
+        call(a, b, 2.0)
+        assert [fact.vm for fact in a.facts.of_kind("stop", 2.0)] == ["b"]
+
+    def test_stops_are_relayed_and_demand_is_not(self) -> None:
+        """Guards against a stop that ends at the first neighbour."""
+        a, b, c = exchanger("a"), exchanger("b"), exchanger("c")
+        for kind in ("stop", "demand"):
+            a.facts.publish(kind, "x", VALUE, ttl_ms=60_000, now_s=0.0)
+        call(a, b, 1.0)
+        call(b, c, 2.0)
+        assert [fact.kind for fact in c.facts.facts.values()] == ["stop"]
+
+    def test_a_restarted_vm_obeys_the_stop_of_its_earlier_run(self) -> None:
+        """Guards against a bad version that gets traffic again from the VM that stopped it."""
+        a, b = exchanger("a"), exchanger("b")
+        a.facts.publish("stop", "v2", VALUE, ttl_ms=60_000, now_s=0.0)
+        call(a, b, 1.0)
+        again = exchanger("a", incarnation=2)
+        call(again, b, 2.0)
+        assert [fact.key for fact in again.facts.of_kind("stop", 2.0)] == ["v2"]
+
+    def test_an_older_run_is_refused(self) -> None:
+        """Guards against a process that was thought dead and speaks for its successor."""
+        old, new, b = exchanger("a"), exchanger("a", incarnation=2), exchanger("b")
+        assert call(new, b, 1.0)
+        assert not call(old, b, 2.0)
+        assert b.roster.members["a"].identity.incarnation == 2
+
+    def test_a_state_reaches_vms_that_do_not_talk_to_its_owner(self) -> None:
+        """Guards against a leaving VM that a third one still names."""
+        a, b, c = exchanger("a"), exchanger("b"), exchanger("c")
+        call(a, b, 1.0)
+        call(b, c, 1.0)
+        a.roster.announce(VmState.LEAVING)
+        call(a, b, 2.0)
+        call(b, c, 2.0)
+        assert c.roster.members["a"].state is VmState.LEAVING
+
+
+class TestMalformedMessages:
+    """Bytes from the network never raise."""
+
+    @given(st.binary(max_size=200), st.integers(0, 500), st.integers(0, 255))
+    def test_damaged_bytes_give_an_error_value(self, noise: bytes, place: int, byte: int) -> None:
+        """Guards against a message that ends the process."""
+        a = exchanger("a")
+        a.facts.publish("stop", "v2", VALUE, ttl_ms=60_000, now_s=0.0)
+        a.replica.apply([StoredObject("keys/1", 1, {"workspace": "w"})], 1)
+        good = bytearray(encode_exchange(a.build("b", 1.0), CODEC, 1.0))
+        good[place % len(good)] = byte
+        for data in (noise, bytes(good)):
+            decoded = decode_exchange(data, CODEC, 1.0)
+            if not isinstance(decoded, Err):
+                exchanger("b").take_in(decoded.ok_value, 1.0)
+
+    def test_an_unknown_or_malformed_fact_is_dropped_alone(self) -> None:
+        """Guards against a newer release's fact that blocks the whole message."""
+        a, b = exchanger("a"), exchanger("b")
+        a.facts.publish("new_kind", "x", VALUE, ttl_ms=60_000, now_s=0.0)
+        a.facts.publish("stop", "v2", VALUE, ttl_ms=60_000, now_s=0.0)
+        CODEC.classes["new_kind"] = type(VALUE)
+        data = encode_exchange(a.build("b", 1.0), CODEC, 1.0)
+        del CODEC.classes["new_kind"]
+        message = decode_exchange(data, CODEC, 1.0).ok_value
+        b.take_in(message, 1.0)
+        assert [fact.kind for fact in b.facts.facts.values()] == ["stop"]
+        for malformed in (b'{"revision":{}}', b"[]", b"NaN", b"\xff", b"[" * 100_000):
+            assert CODEC.decode("stop", malformed).is_err()
--- /dev/null
+++ b/tests/membership/test_fleet_knowledge.py
@@ -0,0 +1,169 @@
+"""Test the roster, the choice of neighbours and watchers, quorum, isolation and the VM list."""
+
+from membership.fleet_parts import identity, member
+
+from wagtailbay.membership import (
+    FactTable,
+    IsolationCheck,
+    Quorum,
+    Roster,
+    VmState,
+    choose_neighbours,
+    choose_watchers,
+    live_members,
+)
+from wagtailbay.membership.listing import VmListReader
+from wagtailbay.platform import VmList, VmRecord
+
+
+class TestRoster:
+    """Newer runs win, and old knowledge ends."""
+
+    def test_a_message_of_an_older_run_is_refused(self) -> None:
+        """Guards against a returning VM that is overruled by its earlier run."""
+        roster = Roster(identity("a"))
+        assert roster.hear(member("b", incarnation=2), 1.0)
+        assert not roster.hear(member("b", incarnation=1, sequence=9), 2.0)
+        assert not roster.merge([member("b", incarnation=1, sequence=9, contact_s=2.0)])
+
+    def test_a_new_run_does_not_inherit_contacts(self) -> None:
+        """Guards against a VM that counts as heard because its earlier run was."""
+        roster = Roster(identity("a"))
+        roster.hear(member("b"), 5.0)
+        roster.merge([member("b", incarnation=2, contact_s=4.0)])
+        assert roster.members["b"].heard_s is None
+        assert roster.members["b"].contact_s == 4.0
+
+    def test_a_vm_that_nobody_hears_is_forgotten(self) -> None:
+        """Guards against a roster that grows with every VM ever replaced."""
+        roster = Roster(identity("a"))
+        roster.hear(member("b"), 0.0)
+        roster.merge([member("b", contact_s=50.0)])
+        roster.forget(649.0)
+        assert "b" in roster.members
+        roster.forget(651.0)
+        assert set(roster.members) == {"a"}
+
+    def test_a_namesake_with_a_later_start_is_noticed(self) -> None:
+        """Guards against two processes under one name that nobody reports."""
+        roster = Roster(identity("a"))
+        assert not roster.hear(member("a", incarnation=2), 1.0)
+        assert roster.superseded
+
+
+class TestChoice:
+    """Few VMs read the store and messages stay bounded in a large fleet."""
+
+    def test_two_watchers_for_each_region_at_any_size(self) -> None:
+        """Guards against store calls that grow with the fleet."""
+        regions = {"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
+        zones = list(regions)
+        for count in (12, 520):
+            fleet = [member(f"vm-{i}", zone=zones[i % 4]) for i in range(count)]
+            assert len(choose_watchers(fleet, regions.get)) == 6
+
+    def test_a_lost_watcher_is_replaced(self) -> None:
+        """Guards against a region without watchers after its two have died."""
+        roster = Roster(identity("a"))
+        for vm in ("b", "c", "d"):
+            roster.hear(member(vm), 10.0)
+        first = choose_watchers(live_members(roster, 12.0), lambda zone: "r")
+        assert len(first) == 2
+        assert choose_watchers(live_members(roster, 15.0), lambda zone: "r") == {"a"}
+
+    def test_neighbours_of_small_and_large_fleets(self) -> None:
+        """Guards against a mesh that is not full today or full at 520 VMs."""
+        small = {f"vm-{i}": "z1" for i in range(15)}
+        assert choose_neighbours("own", "z1", small) == set(small)
+        large = {f"vm-{i}": f"z{i % 10}" for i in range(520)}
+        chosen = choose_neighbours("own", "z1", large)
+        assert len(chosen) == 8
+        assert sum(large[vm] == "z1" for vm in chosen) == 4
+
+
+class TestQuorum:
+    """More than half of max_vms must have answered lately."""
+
+    @staticmethod
+    def quorum(max_vms: int, *peers: str, state: VmState = VmState.LIVE) -> Quorum:
+        """Return the quorum of a live VM whose peers answered calls sent at 10 s."""
+        roster = Roster(identity("a"))
+        roster.announce(VmState.LIVE)
+        quorum = Quorum(roster, lambda: max_vms)
+        for vm in peers:
+            roster.hear(member(vm, state), 10.0)
+            quorum.record(vm, 1, 10.0)
+        return quorum
+
+    def test_half_of_the_fleet_is_no_quorum(self) -> None:
+        """Guards against two halves that both serve without knowing of each other."""
+        assert not self.quorum(6, "b", "c").has_quorum(10.0)
+        assert self.quorum(6, "b", "c", "d").has_quorum(10.0)
+
+    def test_old_answers_and_unready_peers_do_not_count(self) -> None:
+        """Guards against a quorum of VMs that were cut off or know nothing."""
+        assert not self.quorum(3, "b").has_quorum(13.1)
+        for state in (VmState.JOINING, VmState.LEFT):
+            assert not self.quorum(3, "b", state=state).has_quorum(10.0)
+        restarted = self.quorum(3, "b")
+        restarted.roster.hear(member("b", incarnation=2), 10.5)
+        assert not restarted.has_quorum(10.5)
+
+    def test_a_starting_vm_does_not_count_itself(self) -> None:
+        """Guards against a quorum that shares only this VM's lost memory with another one."""
+        for max_vms, needed in ((10, 5), (11, 6), (4, 2), (3, 2)):
+            peers = [f"p{i}" for i in range(needed)]
+            assert self.quorum(max_vms, *peers).can_become_ready(10.0)
+            assert not self.quorum(max_vms, *peers[1:]).can_become_ready(10.0)
+
+
+class TestIsolationCheck:
+    """A VM that may have lost its shares says so until it has had an exchange."""
+
+    def test_isolated_after_20_s_until_an_exchange(self) -> None:
+        """Guards against a VM that uses a share which others were given."""
+        check = IsolationCheck.starting(0.0)
+        assert check.is_isolated(0.0)
+        check.record_exchange(1.0, 1.1)
+        for now_s in range(2, 22):
+            assert not check.is_isolated(float(now_s))
+        assert check.is_isolated(21.5)
+        check.record_store_answer(22.0, 22.0)
+        assert check.is_isolated(22.0)
+        check.record_exchange(23.0, 23.1)
+        assert not check.is_isolated(23.1)
+
+    def test_a_stopped_loop_isolates_until_a_call_sent_later_is_answered(self) -> None:
+        """Guards against a resumed process that trusts an answer from before its pause."""
+        check = IsolationCheck.starting(0.0)
+        check.record_exchange(1.0, 1.0)
+        check.tick(2.0)
+        assert check.is_isolated(7.5)
+        check.record_exchange(2.0, 7.6)
+        assert check.is_isolated(7.6)
+        check.record_exchange(7.7, 7.8)
+        assert not check.is_isolated(7.8)
+
+    def test_store_answers_keep_a_vm_without_peers_from_isolation(self) -> None:
+        """Guards against a floor that is used while the store answers."""
+        check = IsolationCheck.starting(0.0)
+        check.record_exchange(0.5, 0.5)
+        for now_s in range(1, 60):
+            check.record_store_answer(float(now_s), float(now_s))
+            assert not check.is_isolated(float(now_s))
+
+
+class TestVmList:
+    """The platform's list travels only when it changed."""
+
+    def test_an_unchanged_list_is_published_once(self) -> None:
+        """Guards against watchers that each send the same list every 10 s."""
+        facts = FactTable("a", 1)
+        reader = VmListReader(None, facts, lambda: True, lambda: 0.0)
+        listed = VmList(4, (VmRecord("b", "127.0.0.1:1", "z1", "live"),))
+        reader.publish(listed, 0.0)
+        reader.publish(listed, 10.0)
+        reader.publish(VmList(3, ()), 10.0)
+        assert (facts.sequence, reader.listed()) == (1, listed)
+        reader.publish(listed, 901.0)
+        assert facts.sequence == 2
--- /dev/null
+++ b/tests/membership/test_peer_calls.py
@@ -0,0 +1,168 @@
+"""Test calls between two VMs over real gRPC connections on loopback."""
+
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+import trio
+import trustme
+from attrs import evolve
+from membership.fleet_parts import CODEC, exchanger
+from result import Err, Ok
+
+from wagtailbay.allotment.models import LoanGrant, LoanRequest
+from wagtailbay.clock import boottime_s
+from wagtailbay.membership import Exchanger, PeerClient, PeerFailure, PeerLoop, PeerServer
+from wagtailbay.membership.const import CERTIFICATE_NAME
+from wagtailbay.membership.credentials import CertificateSource
+from wagtailbay.membership.settings import PeerSettings, certificate_source
+from wagtailbay_bench.processes import free_address
+
+LOAN = LoanRequest("a", 1, "workspace:records/unam", 10_000, 2_000)
+
+
+def write_certificates(authority: trustme.CA, folder: Path) -> CertificateSource:
+    """Write a VM's files as an operator would replace them."""
+    issued = authority.issue_cert(CERTIFICATE_NAME)
+    paths = [folder / name for name in ("certificate", "key", "authority")]
+    for path, blob in zip(
+        paths, (issued.cert_chain_pems[0], issued.private_key_pem, authority.cert_pem), strict=True
+    ):
+        path.with_suffix(".new").write_bytes(blob.bytes())
+        os.replace(path.with_suffix(".new"), path)
+    return CertificateSource(*map(str, paths))
+
+
+@asynccontextmanager
+async def serving(
+    source: CertificateSource | None = None, **values: object
+) -> AsyncIterator[tuple[Exchanger, str]]:
+    """Serve VM b and give its exchanger and address."""
+    address, callee = free_address("127.0.0.9"), exchanger("b")
+    server = PeerServer(callee, CODEC, boottime_s, source, **values)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve, address)
+        yield callee, address
+        nursery.cancel_scope.cancel()
+
+
+def loop_to(address: str, source: CertificateSource | None = None) -> PeerLoop:
+    """Return VM a's loop to VM b."""
+    client = PeerClient(lambda vm: address, source)
+    return PeerLoop("b", exchanger("a"), client, CODEC, boottime_s)
+
+
+class TestPeerLoop:
+    """Peers exchange messages at once after an urgent change and once a second otherwise."""
+
+    async def test_an_urgent_change_does_not_wait_for_the_heartbeat(self) -> None:
+        """Guards against a stop that reaches the peers only after a second."""
+        async with serving() as (callee, address), trio.open_nursery() as nursery:
+            loop = loop_to(address)
+            nursery.start_soon(loop.run)
+            with trio.fail_after(5):
+                while "a" not in callee.roster.members:
+                    await trio.sleep(0.01)
+            before_s, calls = trio.current_time(), 0
+            while trio.current_time() < before_s + 0.5:
+                loop.urgent.set()
+                heard_s = callee.roster.members["a"].heard_s
+                await trio.sleep(0.01)
+                calls += callee.roster.members["a"].heard_s != heard_s
+            assert 2 <= calls <= 6
+            nursery.cancel_scope.cancel()
+
+    async def test_malformed_calls_are_refused_and_later_ones_served(self) -> None:
+        """Guards against a peer message that ends the process or blocks the server."""
+        async with serving() as (callee, address):
+            loop = loop_to(address)
+            for data in (b"", b"\xff" * 50, os.urandom(10_000)):
+                answer = await loop.client.exchange("b", data)
+                assert answer.err_value.kind is PeerFailure.REFUSED
+            await loop.exchange()
+            assert loop.error is None
+            assert "a" in callee.roster.members
+
+    async def test_a_peer_at_a_wrong_address_is_not_taken_for_another(self) -> None:
+        """Guards against an address reused by another VM."""
+        async with serving() as (_, address):
+            loop = evolve(loop_to(address), vm="c")
+            await loop.exchange()
+            assert loop.error.kind is PeerFailure.MALFORMED
+            assert "b" not in loop.exchanger.roster.members
+
+
+class TestBorrow:
+    """A loan is decided in trio by the callable that the budgets give."""
+
+    async def test_a_known_run_gets_the_grant(self) -> None:
+        """Guards against a loan to a run that has ended."""
+        asked: list[LoanRequest] = []
+
+        def lend(request: LoanRequest, now_s: float) -> LoanGrant:
+            asked.append(request)
+            return LoanGrant(5_000, 2.5)
+
+        async with serving(lender=lend) as (_, address):
+            loop = loop_to(address)
+            refused = await loop.client.borrow("b", LOAN, 1_000)
+            assert refused.err_value.kind is PeerFailure.REFUSED
+            await loop.exchange()
+            assert await loop.client.borrow("b", LOAN, 1_000) == Ok(LoanGrant(5_000, 2.5))
+            assert asked == [LOAN]
+
+    async def test_a_silent_peer_costs_the_timeout_only(self) -> None:
+        """Guards against a request that waits for a frozen lender."""
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.9"))[0]
+        port = listener.socket.getsockname()[1]
+        client = PeerClient(lambda vm: f"127.0.0.9:{port}", None)
+        started_s = trio.current_time()
+        answer = await client.borrow("b", LOAN, 200)
+        assert answer.err_value.kind is PeerFailure.TIMEOUT
+        assert trio.current_time() - started_s < 1.0
+        client.close_all()
+
+
+class TestMutualTls:
+    """Only holders of a certificate of the authority are peers."""
+
+    async def test_strangers_are_refused_and_replaced_files_are_used(self, tmp_path: Path) -> None:
+        """Guards against an unknown process as a peer, and a restart to replace certificates."""
+        folders = [tmp_path / name for name in ("own", "peer", "stranger")]
+        for folder in folders:
+            folder.mkdir()
+        old, new = trustme.CA(), trustme.CA()
+        own, peer = (write_certificates(old, folder) for folder in folders[:2])
+        stranger = write_certificates(new, folders[2])
+        async with serving(peer) as (_, address):
+            loops = [loop_to(address, source) for source in (own, stranger, None)]
+            for loop in loops:
+                await loop.exchange()
+            assert [loop.error is None for loop in loops] == [True, False, False]
+            write_certificates(new, folders[1])
+            loops[1].client.close_all()
+            with trio.fail_after(5):
+                while loops[1].error is not None:
+                    await loops[1].exchange()
+            write_certificates(new, folders[0])
+            with trio.fail_after(5):
+                await loops[0].exchange()
+            assert loops[0].error is None
+
+    @pytest.mark.parametrize("address", ["10.0.0.1:1", "127.0.0.1:1"])
+    def test_no_tls_is_for_loopback_only(self, address: str) -> None:
+        """Guards against peer messages in clear between machines."""
+        settings = PeerSettings(peer_listen_address=address, peer_insecure=True)
+        assert isinstance(certificate_source(settings), Ok if "127" in address else Err)
+        assert len(certificate_source(PeerSettings(peer_listen_address=address)).err_value) == 3
+
+    def test_pem_text_is_taken_from_the_settings(self) -> None:
+        """Guards against VMs without a disk that cannot hold a certificate."""
+        authority = trustme.CA()
+        issued = authority.issue_cert(CERTIFICATE_NAME)
+        blobs = (issued.cert_chain_pems[0], issued.private_key_pem, authority.cert_pem)
+        texts = [blob.bytes().decode() for blob in blobs]
+        assert CertificateSource(*texts).load().ok_value.key == texts[1].encode()
+        assert CertificateSource("/nowhere", *texts[1:]).load().is_err()
--- /dev/null
+++ b/tests/replica/test_fleet_configuration.py
@@ -0,0 +1,129 @@
+"""Test with real processes that configuration and keys reach every VM, through outages too."""
+
+import copy
+import json
+
+import trio
+
+from wagtailbay.access import hash_key
+from wagtailbay.platform import HttpObjectStore
+from wagtailbay.transport import Request, fetch
+from wagtailbay_bench.demo import FLEET, RECORDS
+from wagtailbay_bench.deployment import Deployment
+from wagtailbay_bench.processes import ProcessGroup, free_address
+
+ZONES = ("mx-a1", "mx-a2", "mx-b1")
+
+
+def deployment(group: ProcessGroup, *vms: str, zones: tuple[str, ...] = ZONES) -> Deployment:
+    """Return a deployment whose VMs lie in the zones in turn."""
+    placed = {vm: zones[index % len(zones)] for index, vm in enumerate(vms)}
+    return Deployment(group, [copy.deepcopy(RECORDS)], FLEET, {"unam": "key"}, placed)
+
+
+async def set_outage(fleet: Deployment, outage: bool) -> None:
+    """Let the store answer nothing, or answer again."""
+    body = json.dumps({"outage": outage}).encode()
+    await fetch(fleet.platform_address, Request("PUT", "/standin/faults", (), body), 1_000)
+
+
+async def status_of(fleet: Deployment, vm: str, path: str = "/records/x") -> int:
+    """Return the status of a request with the workspace's key."""
+    return (await fleet.call(vm, path, workspace="unam")).status
+
+
+class TestWithdrawal:
+    """A key withdrawn in the store stops working everywhere within 5 s."""
+
+    async def test_on_every_vm_and_on_one_cut_off_from_the_store(self) -> None:
+        """Guards against a key that works on a VM which does not read the store itself."""
+        with ProcessGroup() as group:
+            fleet = deployment(group, "vm-1", "vm-2", "vm-3", "vm-4")
+            fleet.platform_routes = {"vm-4": free_address("127.0.0.3")}
+            await fleet.start()
+            await trio.sleep(1)  # The share of the rate must bring the first tokens.
+            assert [await status_of(fleet, vm) for vm in fleet.vms] == [200] * 4
+            store = HttpObjectStore(fleet.platform_address)
+            await store.delete(f"keys/{hash_key('key')}", None)
+            with trio.fail_after(5):
+                for vm in fleet.vms:
+                    while await status_of(fleet, vm) != 401:
+                        await trio.sleep(0.05)
+            answer = await fleet.call("vm-4", "/-/status")
+            assert json.loads(answer.body)["store_reachable"] is False
+
+
+class TestRestartInAnOutage:
+    """A VM that starts while the store is down gets everything from a quorum of its peers."""
+
+    async def test_it_serves_the_newest_configuration(self) -> None:
+        """Guards against a restart that reverts an accepted document or waits for the store."""
+        with ProcessGroup() as group:
+            fleet = deployment(group, "vm-1", "vm-2", "vm-3")
+            await fleet.start()
+            newer = copy.deepcopy(fleet.documents[0])
+            newer["routes"] = [{"name": "new", "path_prefix": "/new"}]
+            written = await HttpObjectStore(fleet.platform_address).put(
+                "documents/records", newer, None
+            )
+            for vm in fleet.vms:
+                with trio.fail_after(9):
+                    while await status_of(fleet, vm, "/records/old") != 404:
+                        await trio.sleep(0.05)
+            await set_outage(fleet, True)
+            fleet.vms["vm-3"].kill()
+            await trio.sleep(1)
+            await fleet.start_vm("vm-3").wait_for_event("ready")
+            known = json.loads((await fleet.call("vm-3", "/-/status")).body)
+            assert known["revision"] >= written.ok_value
+            assert known["quorum"]
+            await trio.sleep(1)
+            assert await status_of(fleet, "vm-3", "/records/old") == 404
+            assert await status_of(fleet, "vm-3", "/records/new") == 200
+
+    async def test_it_is_not_ready_without_a_quorum(self) -> None:
+        """Guards against a VM that starts on the word of one peer."""
+        with ProcessGroup() as group:
+            fleet = deployment(group, "vm-1", "vm-2")
+            await fleet.start()
+            await set_outage(fleet, True)
+            fleet.vms["vm-2"].kill()
+            # Knowledge confirmed by the store up to 5 s ago makes a VM ready as well.
+            await trio.sleep(6)
+            fleet.start_vm("vm-2")
+            await fleet.vms["vm-2"].wait_for_event("listening")
+            await trio.sleep(1)
+            assert (await fleet.call("vm-2", "/-/ready")).status == 503
+            assert await status_of(fleet, "vm-2") == 503
+
+
+class TestStoreCalls:
+    """Store calls grow with the regions and not with the VMs."""
+
+    async def test_vms_that_do_not_watch_add_no_calls(self) -> None:
+        """Guards against 520 waiting watches, which the store does not allow."""
+        with ProcessGroup() as group:
+            fleet = deployment(group, "vm-1", "vm-2", zones=("mx-a1",))
+            await fleet.start()
+            few = await self.calls_in(4, fleet)
+            for number in range(3, 8):
+                fleet.place_vm(f"vm-{number}", "mx-a1")
+            for vm in list(fleet.vm_zones)[2:]:
+                fleet.start_vm(vm)
+            for vm in fleet.vms.values():
+                await vm.wait_for_event("ready")
+            await trio.sleep(2)
+            many = await self.calls_in(4, fleet)
+            # One watch each may fall on either side of the interval.
+            assert many <= few + 2
+
+    @staticmethod
+    async def calls_in(seconds: float, fleet: Deployment) -> int:
+        """Return the calls that the store counted in a time."""
+        counts = []
+        for _ in range(2):
+            request = Request("GET", "/standin/calls")
+            answer = await fetch(fleet.platform_address, request, 1_000)
+            counts.append(sum(json.loads(answer.ok_value.body)["calls"].values()))
+            await trio.sleep(0 if len(counts) == 2 else seconds)
+        return counts[1] - counts[0]
--- /dev/null
+++ b/tests/replica/test_store_reader.py
@@ -0,0 +1,100 @@
+"""Test the replica's rules and who reads the store how often."""
+
+import random
+from collections import Counter
+from collections.abc import Sequence
+
+import trio
+from attrs import define, field
+from result import Err, Ok, Result
+from trio.testing import MockClock
+
+from wagtailbay.platform import Listing, StoredObject, StoreUnavailable
+from wagtailbay.replica import Freshness, Replica, StoreReader
+
+
+@define
+class CountingStore:
+    """Count the calls; nothing ever changes."""
+
+    up: bool = True
+    calls: Counter = field(factory=Counter)
+
+    async def list(self, prefixes: Sequence[str]) -> Result:
+        """Answer at once."""
+        self.calls["list"] += 1
+        return Ok(Listing(1, ())) if self.up else Err(StoreUnavailable("down"))
+
+    async def watch(self, prefixes: Sequence[str], since_revision: int, timeout_ms: int) -> Result:
+        """Answer when the time has run out."""
+        self.calls["watch"] += 1
+        await trio.sleep(timeout_ms / 1000)
+        return Ok(Listing(1, ())) if self.up else Err(StoreUnavailable("down"))
+
+
+async def calls_in(
+    seconds: float, store: CountingStore, *, watcher: bool, told_by_peers: bool
+) -> Counter:
+    """Run a reader on trio's mock clock and return the store's calls."""
+    freshness = Freshness()
+    reader = StoreReader(
+        store, Replica(), freshness, lambda: watcher, trio.current_time, random.Random(1)
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reader.run)
+        for _ in range(round(seconds / 0.5)):
+            await trio.sleep(0.5)
+            if told_by_peers:
+                freshness.confirm(trio.current_time())
+        nursery.cancel_scope.cancel()
+    return store.calls
+
+
+class TestStoreReader:
+    """Only watchers call the store while peers bring its changes."""
+
+    async def test_a_vm_that_peers_keep_current_lists_once(self, autojump_clock: MockClock) -> None:
+        """Guards against store calls that grow with the fleet."""
+        calls = await calls_in(60, CountingStore(), watcher=False, told_by_peers=True)
+        assert calls == {"list": 1}
+
+    async def test_a_vm_that_hears_nothing_lists_at_most_once_a_second(
+        self, autojump_clock: MockClock
+    ) -> None:
+        """Guards against a VM without peers that stays blind or floods the store."""
+        calls = await calls_in(60, CountingStore(), watcher=False, told_by_peers=False)
+        assert 10 <= calls["list"] <= 60
+
+    async def test_an_outage_is_met_with_longer_pauses(self, autojump_clock: MockClock) -> None:
+        """Guards against a fleet that calls a store which is down at full rate."""
+        store = CountingStore(up=False)
+        calls = await calls_in(120, store, watcher=True, told_by_peers=False)
+        assert calls.total() <= 30
+
+    async def test_a_restarted_vm_in_an_outage_leaves_the_store_to_the_watchers(
+        self, autojump_clock: MockClock
+    ) -> None:
+        """Guards against every VM of the fleet calling a store that comes back."""
+        store = CountingStore(up=False)
+        calls = await calls_in(60, store, watcher=False, told_by_peers=True)
+        assert calls.total() <= 2
+
+
+class TestReplica:
+    """Versions only grow, also by listings."""
+
+    def test_a_listing_deletes_what_it_lacks(self) -> None:
+        """Guards against a deleted key that works on a VM which missed the deletion."""
+        replica = Replica()
+        replica.apply([StoredObject("keys/1", 1, {}), StoredObject("keys/2", 2, {})], 2)
+        assert replica.replace([StoredObject("keys/2", 2, {})], 5)
+        assert replica.value("keys/1") is None
+        assert replica.delta_since(2)[0].key == "keys/1"
+
+    def test_an_older_listing_changes_nothing(self) -> None:
+        """Guards against a delayed answer that deletes or reverts newer objects."""
+        replica = Replica()
+        replica.apply([StoredObject("keys/1", 6, {"n": 6}), StoredObject("keys/2", 7, {})], 7)
+        assert not replica.replace([StoredObject("keys/1", 3, {"n": 3})], 5)
+        assert replica.value("keys/1") == {"n": 6}
+        assert replica.value("keys/2") == {}
