--- a/src/wagtailbay/allotment/__init__.py
+++ b/src/wagtailbay/allotment/__init__.py
@@ -3,6 +3,7 @@
 from wagtailbay.allotment.account import Account
 from wagtailbay.allotment.assembly import Allotment
 from wagtailbay.allotment.catalogue import budgets_of, group_of
+from wagtailbay.allotment.const import APPLIED_KIND, DEMAND_KIND
 from wagtailbay.allotment.equal import EqualShares
 from wagtailbay.allotment.holding import Holding
 from wagtailbay.allotment.keeper import LedgerKeeper
@@ -16,11 +17,10 @@
     Ledger,
     LedgerApplied,
     LedgerFault,
-    LoanGrant,
-    LoanRequest,
     Safeguards,
 )
 from wagtailbay.allotment.ports import Fleet, Lender
+from wagtailbay.membership import register_fact
 
 __all__ = [
     "Account",
@@ -39,10 +39,11 @@
     "LedgerKeeper",
     "Lender",
     "LoanBook",
-    "LoanGrant",
-    "LoanRequest",
     "Safeguards",
     "budgets_of",
     "group_of",
     "plan_ledger",
 ]
+
+register_fact(DEMAND_KIND, Demand)
+register_fact(APPLIED_KIND, LedgerApplied)
--- a/src/wagtailbay/allotment/assembly.py
+++ b/src/wagtailbay/allotment/assembly.py
@@ -9,10 +9,10 @@
 from wagtailbay.allotment.holding import Holding
 from wagtailbay.allotment.keeper import LedgerKeeper
 from wagtailbay.allotment.loans import LoanBook
-from wagtailbay.allotment.models import Holder, LoanGrant, LoanRequest, Safeguards
+from wagtailbay.allotment.models import Holder, Safeguards
 from wagtailbay.allotment.ports import Fleet, Lender
 from wagtailbay.limits import BudgetLimit
-from wagtailbay.membership import FactTable
+from wagtailbay.membership import FactTable, LoanGrant, LoanRequest
 from wagtailbay.platform import ObjectStore
 from wagtailbay.replica import Replica
 
--- a/src/wagtailbay/allotment/loans.py
+++ b/src/wagtailbay/allotment/loans.py
@@ -24,8 +24,9 @@
 )
 from wagtailbay.allotment.demand import known_demand
 from wagtailbay.allotment.holding import Holding
-from wagtailbay.allotment.models import Holder, Loan, LoanGrant, LoanRequest
+from wagtailbay.allotment.models import Holder, Loan
 from wagtailbay.allotment.ports import Fleet, Lender
+from wagtailbay.membership import LoanGrant, LoanRequest
 from wagtailbay.replica import ChangeSignal
 
 NOTHING_LENT = LoanGrant(0, 0.0)
--- a/src/wagtailbay/allotment/ports.py
+++ b/src/wagtailbay/allotment/ports.py
@@ -5,8 +5,8 @@
 
 from result import Result
 
-from wagtailbay.allotment.models import BorrowFailed, LoanGrant, LoanRequest
-from wagtailbay.membership import Member
+from wagtailbay.allotment.models import BorrowFailed
+from wagtailbay.membership import LoanGrant, LoanRequest, Member
 
 
 class Fleet(Protocol):
--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -24,7 +24,7 @@
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.locate import rank_vms
 from wagtailbay.logs import log_event
-from wagtailbay.membership import Roster
+from wagtailbay.membership import Roster, VmState
 from wagtailbay.quarantine import request_fingerprint
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.transport import CallerGoneError, Reply, Request
@@ -117,7 +117,7 @@
         view = self.view()
         now_s = self.clock()
         if path == READY_PATH:
-            ready = view.fleet is not None
+            ready = self.roster.own_member.state is VmState.LIVE
             await reply.send_json(200 if ready else 503, {"ready": ready})
         elif path == STATUS_PATH:
             await reply.send_json(200, self.status(now_s))
--- a/src/wagtailbay/health/__init__.py
+++ b/src/wagtailbay/health/__init__.py
@@ -1,5 +1,6 @@
 """Probe targets and combine what is known about their state."""
 
+from wagtailbay.health.const import TARGET_REPORT_KIND
 from wagtailbay.health.models import (
     FailureSign,
     LoadAnswer,
@@ -12,6 +13,7 @@
 from wagtailbay.health.outlier import OutlierDetector
 from wagtailbay.health.probe import ProbeLoop
 from wagtailbay.health.state import TargetHealth
+from wagtailbay.membership import register_fact
 
 __all__ = [
     "FailureSign",
@@ -25,3 +27,5 @@
     "TargetStates",
     "TargetView",
 ]
+
+register_fact(TARGET_REPORT_KIND, TargetReport)
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -1,169 +1,80 @@
 """Run one entry VM."""
 
 import os
-import random
 import signal
 import sys
 from functools import partial
 
 import trio
-from attrs import frozen
+from result import Err, Ok
 
-from wagtailbay.access import AccessGate, KeyRing
-from wagtailbay.allotment import EqualShares
-from wagtailbay.clock import boottime_s, unix_time_s
-from wagtailbay.config import ConfigView, build_view
-from wagtailbay.entry import RequestHandler
-from wagtailbay.entry.deposit import DepositForwarder
-from wagtailbay.entry.forward import Forwarder
-from wagtailbay.health import HealthMonitor, TargetHealth
-from wagtailbay.limits import WorkspaceLimiter
+from wagtailbay.clock import unix_time_s
 from wagtailbay.locate.const import ANSWER_TTL_MS, LEAVING_MARGIN_MS
 from wagtailbay.logs import log_event, start_logging
-from wagtailbay.membership import FactTable, Roster, VmIdentity, VmState
-from wagtailbay.once import OnceGate, OutcomeWriter, StoreCalls
+from wagtailbay.membership import VmIdentity
+from wagtailbay.membership.credentials import CertificateSource
+from wagtailbay.membership.settings import certificate_source
 from wagtailbay.once.const import DRAIN_TIMEOUT_S
-from wagtailbay.platform import HttpObjectStore
-from wagtailbay.quarantine import CrashTable
-from wagtailbay.replica import Freshness, Replica, StoreReader
-from wagtailbay.settings import load_settings_or_exit, setting
-from wagtailbay.settings.checks import at_least, parse_address, split_address
-from wagtailbay.shift import (
-    DrainWeights,
-    LatestContact,
-    SharedVersionCaps,
-    SoleHolder,
-    build_shift_controller,
-)
-from wagtailbay.steer import UnlimitedBudgets, build_chooser
-from wagtailbay.transport import ConnectionPool, HttpServer
+from wagtailbay.programs.entry_settings import EntrySettings
+from wagtailbay.programs.node import PROGRAM, Node, build_node
+from wagtailbay.settings import exit_with_faults, load_settings_or_exit
+from wagtailbay.settings.checks import split_address
+from wagtailbay.transport import HttpServer
 
-PROGRAM = "wagtailbay-entry"
 
-
-@frozen
-class EntrySettings:
-    """Serve callers on one entry VM."""
-
-    vm: str = setting(help_text="name of this VM")
-    availability_zone: str = setting(help_text="availability zone of this VM")
-    listen_address: str = setting(help_text="where callers connect", parse=parse_address)
-    platform_address: str = setting(help_text="address of the object API", parse=parse_address)
-    store_timeout_ms: int = setting(
-        help_text="longest wait for the object API", default=2_000, parse=int, check=at_least(1)
-    )
-
-
-async def run(settings: EntrySettings) -> None:
+async def run(settings: EntrySettings, certificates: CertificateSource | None = None) -> None:
     """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
     identity = VmIdentity(
         settings.vm,
         round(unix_time_s() * 1000),
         settings.listen_address,
-        "",
+        settings.peer_listen_address,
         settings.availability_zone,
     )
-    roster = Roster(identity)
-    replica, freshness = Replica(), Freshness()
-    store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
-    reader = StoreReader(store, replica, freshness, lambda: True, boottime_s, random.Random())
-    view = [ConfigView()]
-    calls = StoreCalls(store)
-    writer = OutcomeWriter(calls)
-    once = OnceGate(calls, writer, settings.vm, identity.incarnation, boottime_s, unix_time_s)
-    shares = EqualShares(lambda: view[0].fleet.max_vms if view[0].fleet else 1)
-    facts = FactTable(identity.vm, identity.incarnation)
-    health = TargetHealth(facts)
-    monitor = HealthMonitor(
-        identity.vm, lambda: view[0], roster, facts, health, boottime_s, random.Random()
-    )
-    weights = DrainWeights(lambda: view[0].fleet, unix_time_s)
-    chooser = build_chooser(
-        identity.availability_zone,
-        health,
-        UnlimitedBudgets(),
-        weights,
-        boottime_s,
-        random.Random(),
-    )
-    shift = build_shift_controller(
-        f"{identity.vm}/{identity.incarnation}",
-        store,
-        replica,
-        facts,
-        lambda: view[0],
-        SoleHolder(),
-        LatestContact((lambda: freshness.confirmed_s,)),
-        SharedVersionCaps(shares),
-        lambda event, details: None,
-        boottime_s,
-        unix_time_s,
-        random.Random(),
-    )
-    pool = ConnectionPool()
-    crashes = CrashTable(facts)
-    forwarder = Forwarder(chooser, shift.picker, pool, crashes, boottime_s, settings.vm)
-    handler = RequestHandler(
-        view=lambda: view[0],
-        gate=AccessGate(KeyRing(lambda: replica.objects), freshness.age_ms, lambda now_s: False),
-        limiter=WorkspaceLimiter(shares, boottime_s()),
-        forwarder=forwarder,
-        deposits=DepositForwarder(once, forwarder),
-        roster=roster,
-        status=lambda now_s: {"vm": settings.vm, "revision": replica.revision},
-        clock=boottime_s,
-    )
-    server = HttpServer(handler.handle)
-
-    async def follow_config() -> None:
-        while True:
-            view[0] = build_view(view[0], replica.objects)
-            chooser.fleet = view[0].fleet
-            await replica.changed.wait()
-
-    async def announce_when_ready() -> None:
-        while view[0].fleet is None:
-            await replica.changed.wait()
-            await trio.lowlevel.checkpoint()
-        roster.announce(VmState.LIVE)
-        log_event("ready", revision=replica.revision)
-
+    node = build_node(settings, identity, certificates)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(reader.run)
-        nursery.start_soon(writer.run)
-        nursery.start_soon(follow_config)
-        nursery.start_soon(monitor.run)
-        nursery.start_soon(shift.run)
-        bound = await nursery.start(server.serve, split_address(settings.listen_address))
+        await node.run_tasks(nursery)
+        await nursery.start(node.fleet.run, settings.peer_listen_address)
+        if settings.metrics_address:
+            scrape = HttpServer(node.exporter.handle)
+            await nursery.start(scrape.serve, split_address(settings.metrics_address))
+        bound = await nursery.start(node.server.serve, split_address(settings.listen_address))
         log_event("listening", address=f"{bound[0]}:{bound[1]}")
-        nursery.start_soon(announce_when_ready)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await anext(signals)
-        await stop_gracefully(roster, server)
-        if not await writer.drain(DRAIN_TIMEOUT_S):
-            log_event("outcomes_lost", count=len(writer.pending))
-        await pool.close()
+            async with trio.open_nursery() as until_signal:
+                until_signal.start_soon(node.fleet.become_live)
+                await anext(signals)
+                until_signal.cancel_scope.cancel()
+        await stop_gracefully(node)
         nursery.cancel_scope.cancel()
 
 
-async def stop_gracefully(roster: Roster, server: HttpServer) -> None:
+async def stop_gracefully(node: Node) -> None:
     """Leave the locate answers, serve what they still send, then end all connections."""
-    roster.announce(VmState.LEAVING)
-    log_event("leaving")
-    await trio.sleep((ANSWER_TTL_MS + LEAVING_MARGIN_MS) / 1000)
-    server.draining.set()
-    while server.open_requests:
+    with trio.move_on_after((ANSWER_TTL_MS + LEAVING_MARGIN_MS) / 1000):
+        await node.fleet.announce_leaving()
+        await trio.sleep_forever()
+    node.server.draining.set()
+    while node.server.open_requests:
         await trio.sleep(0.05)
-    server.close_idle()
-    roster.announce(VmState.LEFT)
-    log_event("left")
+    node.server.close_idle()
+    if not await node.writer.drain(DRAIN_TIMEOUT_S):
+        log_event("outcomes_lost", count=len(node.writer.pending))
+    await node.fleet.announce_left()
+    await node.pool.close()
 
 
 def main() -> None:
     """Run the program."""
+    # gRPC would write its own lines, which have another form, between this program's.
+    os.environ.setdefault("GRPC_VERBOSITY", "NONE")
     settings = load_settings_or_exit(PROGRAM, EntrySettings, os.environ)
-    start_logging(sys.stderr, PROGRAM, settings.vm)
-    trio.run(partial(run, settings))
+    match certificate_source(settings):
+        case Ok(certificates):
+            start_logging(sys.stderr, PROGRAM, settings.vm)
+            trio.run(partial(run, settings, certificates))
+        case Err(faults):
+            exit_with_faults(PROGRAM, faults)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/wagtailbay/programs/entry_settings.py
@@ -0,0 +1,52 @@
+"""Declare the settings of an entry VM."""
+
+from attrs import frozen
+
+from wagtailbay.membership.settings import PeerSettings
+from wagtailbay.settings import setting
+from wagtailbay.settings.checks import (
+    at_least,
+    one_of,
+    parse_address,
+    parse_optional_address,
+)
+
+CHOOSERS = ("two-choice", "round-robin", "least-connections")
+
+
+@frozen
+class EntrySettings(PeerSettings):
+    """Serve callers on one entry VM."""
+
+    vm: str = setting(help_text="name of this VM")
+    availability_zone: str = setting(help_text="availability zone of this VM")
+    listen_address: str = setting(help_text="where callers connect", parse=parse_address)
+    platform_address: str = setting(help_text="address of the object API", parse=parse_address)
+    store_timeout_ms: int = setting(
+        help_text="longest wait for the object API", default=2_000, parse=int, check=at_least(1)
+    )
+    metrics_address: str = setting(
+        help_text="where Prometheus scrapes /metrics; empty for none",
+        default="",
+        parse=parse_optional_address,
+    )
+    chooser: str = setting(
+        help_text="choice of target; all but the default are baselines for measurements",
+        default="two-choice",
+        check=one_of(*CHOOSERS),
+    )
+    shares: str = setting(
+        help_text="division of budgets; equal is a baseline for measurements",
+        default="ledger",
+        check=one_of("ledger", "equal"),
+    )
+    judge: str = setting(
+        help_text="judgement of new versions; off is a baseline for measurements",
+        default="on",
+        check=one_of("on", "off"),
+    )
+    once: str = setting(
+        help_text="claims of non-idempotent requests; off is for tests only",
+        default="on",
+        check=one_of("on", "off"),
+    )
--- a/src/wagtailbay/shift/__init__.py
+++ b/src/wagtailbay/shift/__init__.py
@@ -1,6 +1,8 @@
 """Move traffic between versions and away from what is drained."""
 
+from wagtailbay.membership import register_fact
 from wagtailbay.shift.caps import SharedVersionCaps, UncappedVersions
+from wagtailbay.shift.const import EVIDENCE_KIND, STOP_KIND
 from wagtailbay.shift.controller import ShiftController, build_shift_controller
 from wagtailbay.shift.drains import DrainWeights
 from wagtailbay.shift.fixed import AnyVersionPicker, LatestContact, SoleHolder
@@ -39,3 +41,6 @@
     "VersionPicker",
     "build_shift_controller",
 ]
+
+register_fact(EVIDENCE_KIND, Evidence)
+register_fact(STOP_KIND, Stop)
--- a/src/wagtailbay/steer/budgets.py
+++ b/src/wagtailbay/steer/budgets.py
@@ -15,7 +15,7 @@
 )
 from wagtailbay.limits.rates import link_limit, region_limit
 
-__all__ = ["FairQueue", "LinkBudget", "RegionBudget"]
+__all__ = ["FairQueue", "LinkBudget", "RegionBudget", "SharedBudgets"]
 
 
 @define
@@ -105,3 +105,39 @@
             if (link.from_region, link.to_region) == (from_region, to_region):
                 return link_limit(link)
         return None
+
+
+@define
+class SharedBudgets:
+    """Supply the chooser with this VM's part of region and link budgets."""
+
+    regions: RegionBudget
+    links: LinkBudget
+    healthy: dict[tuple[str, str], float] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Let the capacity of a region follow its healthy part."""
+        self.regions.capacity_factor = lambda service, region: self.healthy.get(
+            (service, region), 1.0
+        )
+
+    def take_region(
+        self,
+        service: ServiceDocument,
+        region: str,
+        now_s: float,
+        healthy_fraction: float = 1.0,
+    ) -> bool:
+        """Take the budget of one request to a region; False if there is none."""
+        self.healthy[(service.service, region)] = healthy_fraction
+        return self.regions.take(service.service, region, now_s)
+
+    def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
+        """Tell whether the link that carries responses may take one more."""
+        return self.links.has_room(from_region, to_region, now_s)
+
+    def charge_link(
+        self, from_region: str, to_region: str, response_bytes: int, now_s: float
+    ) -> None:
+        """Charge what a response used of a link."""
+        self.links.charge(from_region, to_region, response_bytes, now_s)
--- a/src/wagtailbay_bench/budget_fleet.py
+++ b/src/wagtailbay_bench/budget_fleet.py
@@ -7,16 +7,10 @@
 from attrs import define, evolve, field
 from result import Err, Ok, Result
 
-from wagtailbay.allotment import (
-    Allotment,
-    BorrowFailed,
-    EqualShares,
-    LoanGrant,
-    LoanRequest,
-)
+from wagtailbay.allotment import Allotment, BorrowFailed, EqualShares
 from wagtailbay.config import ServiceDocument, WorkspaceLimit
 from wagtailbay.limits import BudgetLimit, WorkspaceLimiter, workspace_budget
-from wagtailbay.membership import FactTable, Member, VmIdentity, VmState
+from wagtailbay.membership import FactTable, LoanGrant, LoanRequest, Member, VmIdentity, VmState
 from wagtailbay.replica import Replica
 from wagtailbay_bench.memory_store import MemoryStore
 
--- a/tests/allotment/test_state_machine.py
+++ b/tests/allotment/test_state_machine.py
@@ -13,7 +13,6 @@
 from support.world import World, settled_world
 
 from wagtailbay.limits import BudgetLimit
-from wagtailbay.membership import VmState
 
 LARGE = BudgetLimit(rate_per_s=20.0, burst=60.0)
 SMALL = BudgetLimit(rate_per_s=2.0, burst=4.0)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -9,18 +9,11 @@
 
 from attrs import define, evolve, field
 from result import Err, Ok, Result
-from support.steps import Running, pause
 
-from wagtailbay.allotment import (
-    Allotment,
-    BorrowFailed,
-    LoanGrant,
-    LoanRequest,
-    Safeguards,
-    group_of,
-)
+from support.steps import Running, pause
+from wagtailbay.allotment import Allotment, BorrowFailed, Safeguards, group_of
 from wagtailbay.limits import BudgetLimit
-from wagtailbay.membership import FactTable, Member, VmIdentity, VmState
+from wagtailbay.membership import FactTable, LoanGrant, LoanRequest, Member, VmIdentity, VmState
 from wagtailbay.replica import Replica
 from wagtailbay_bench.memory_store import MemoryStore
 
