Keep a tenth of the traffic on the old version during the watch

Trouble that both versions shared after the last step looked like a fault of the new one, because nothing was left to compare: 67 of 240 simulated good moves with trouble in the watch were rolled back.

--- a/src/wagtailbay/shift/const.py
+++ b/src/wagtailbay/shift/const.py
@@ -8,6 +8,9 @@
 # Shorter steps would end before the evidence of all VMs has reached the lease holder.
 MIN_STEP_S: Final = 5.0
 WATCH_S: Final = 60.0
+# The old version keeps this share, at most one step, while the new one is watched. Without it, a
+# trouble that both share in the watch rolled good versions back (67 of 240 simulated moves).
+CONTROL_PPM: Final = 100_000
 # Time between the planned end of the watch and the deadline, for late ticks and a lease change.
 END_MARGIN_S: Final = 10.0
 # More steps would not fit into an object of the store.
@@ -40,7 +43,7 @@
 BLOCK_MAX_S: Final = 30.0
 RESTART_BLOCKS: Final = 10
 # Without old requests, the new version is held to bounds taken from the old one's past.
-REFERENCE_AFTER_S: Final = 10.0
+REFERENCE_AFTER_S: Final = 60.0
 REFERENCE_FACTOR: Final = 3.0
 MIN_REFERENCE_FAILURES: Final = 0.05
 MIN_REFERENCE_SLOW: Final = 0.25
--- a/src/wagtailbay/shift/models.py
+++ b/src/wagtailbay/shift/models.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from wagtailbay.config import Route, ServiceDocument
-from wagtailbay.shift.const import LATENCY_BUCKETS, PPM
+from wagtailbay.shift.const import CONTROL_PPM, LATENCY_BUCKETS, PPM
 from wagtailbay.steer import AttemptReport
 
 
@@ -137,9 +137,11 @@
 
     @property
     def share_ppm(self) -> int:
-        """Return the new version's share."""
+        """Return the new version's share; the watch keeps a part for the old one to compare."""
         if self.phase is MovePhase.FINISHED:
             return PPM
+        if self.phase is MovePhase.WATCHING:
+            return PPM - min(CONTROL_PPM, self.plan.max_step_ppm)
         if self.phase is MovePhase.ROLLED_BACK or self.step < 0:
             return 0
         return self.plan.steps[self.step].share_ppm
--- a/src/wagtailbay/shift/series.py
+++ b/src/wagtailbay/shift/series.py
@@ -23,7 +23,8 @@
 
 def _log_sum(terms: list[float]) -> float:
     top = max(terms)
-    return top + log(sum(exp(term - top) for term in terms))
+    # Terms below e^-40 of the largest do not change the sum.
+    return top + log(sum([exp(term - top) for term in terms if term > top - 40]))
 
 
 def compared_gains(
