Confirm decreases against the version they rest on; move tokens without rate

A ledger written every 1.5 s was never confirmed at its newest version, so shares stayed held for over 20 s. Each grant now names the version on which its last decrease rests. Loans of up to 200 ms move tokens and room only.

--- a/src/wagtailbay/allotment/account.py
+++ b/src/wagtailbay/allotment/account.py
@@ -61,26 +61,35 @@
         return self.limit.burst * self.floor_ppm < WHOLE_PPM
 
     def usable_ppm(self, now_s: float) -> int:
-        """Return the share that this VM may use."""
+        """Return the share whose rate this VM may use."""
         if self.confined:
             return self.floor_ppm
+        own_ppm = max(0, self.ledger_ppm - self.lent_ppm(now_s, rate_only=True))
+        return own_ppm + self.floor_ppm + self.borrowed_ppm(now_s, rate_only=True)
+
+    def room_ppm(self, now_s: float) -> int:
+        """Return the share whose burst this VM may hold."""
+        floor_ppm = 0 if self._floor_holds_none else self.floor_ppm
+        if self.confined:
+            return floor_ppm
         own_ppm = max(0, self.ledger_ppm - self.lent_ppm(now_s))
-        return own_ppm + self.floor_ppm + self.borrowed_ppm(now_s)
+        return own_ppm + floor_ppm + self.borrowed_ppm(now_s)
 
-    def lent_ppm(self, now_s: float, but: Holder | None = None) -> int:
+    def lent_ppm(self, now_s: float, but: Holder | None = None, rate_only: bool = False) -> int:
         """Return the share lent to all borrowers but one."""
         return sum(
-            _largest(loans, now_s) for borrower, loans in self.lent.items() if borrower != but
+            _largest(loans, now_s, rate_only)
+            for borrower, loans in self.lent.items()
+            if borrower != but
         )
 
-    def borrowed_ppm(self, now_s: float) -> int:
+    def borrowed_ppm(self, now_s: float, rate_only: bool = False) -> int:
         """Return the share borrowed from all lenders."""
-        return sum(_largest(loans, now_s) for loans in self.borrowed.values())
+        return sum(_largest(loans, now_s, rate_only) for loans in self.borrowed.values())
 
-    def loans_end_s(self, now_s: float) -> float:
-        """Return when the last borrowed share ends, now_s if there is none."""
-        ends = (loan.until_s for loans in self.borrowed.values() for loan in loans)
-        return max((now_s, *ends))
+    def borrowed_from(self, lender: str, now_s: float) -> int:
+        """Return the share borrowed from one lender."""
+        return _largest(self.borrowed.get(lender, []), now_s)
 
     def capacity(self, share_ppm: float) -> float:
         """Return the tokens that a ledger share may hold."""
@@ -99,11 +108,8 @@
         return self.floor_ppm > 0 and self.is_small
 
     def _measures(self, at_s: float) -> tuple[float, float]:
-        usable_ppm = self.usable_ppm(at_s)
-        rate_per_s = self.limit.rate_per_s * usable_ppm / WHOLE_PPM
-        if self._floor_holds_none:
-            usable_ppm -= self.floor_ppm
-        return rate_per_s, self.capacity(usable_ppm)
+        rate_per_s = self.limit.rate_per_s * self.usable_ppm(at_s) / WHOLE_PPM
+        return rate_per_s, self.capacity(self.room_ppm(at_s))
 
     def settle(self, now_s: float) -> None:
         """Apply what has changed and count the tokens gained so far."""
@@ -207,8 +213,15 @@
         return True
 
 
-def _largest(loans: list[Loan], now_s: float) -> int:
-    return max((loan.share_ppm for loan in loans if loan.until_s > now_s), default=0)
+def _largest(loans: list[Loan], now_s: float, rate_only: bool = False) -> int:
+    return max(
+        (
+            loan.share_ppm
+            for loan in loans
+            if loan.until_s > now_s and (loan.with_rate or not rate_only)
+        ),
+        default=0,
+    )
 
 
 def _unended(loans: dict, now_s: float) -> dict:
--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -11,8 +11,8 @@
 PLAN_INTERVAL_S: Final = 5.0
 # A share that a VM has been told to give up serves nobody until the next plan, so that one is soon.
 FOLLOW_UP_INTERVAL_S: Final = 1.5
-# The weight of the newest demand in a plan; low, because loans follow short changes.
-PLAN_SMOOTHING: Final = 0.3
+# Time over which plans smooth demand; loans follow shorter changes.
+PLAN_SMOOTHING_S: Final = 12.0
 # A VM from which nothing came for this long keeps what it has, and plans give it no more.
 SILENT_AFTER_S: Final = 10.0
 # A plan that moves less of a budget than this is not written.
@@ -20,31 +20,35 @@
 # Part of the ledger that is divided equally, so that a VM with no demand yet can serve some.
 EQUAL_PART: Final = 0.1
 # A budget whose equal parts would hold fewer tokens than this is given to fewer VMs.
-TOKENS_PER_HOLDER: Final = 4.0
+TOKENS_PER_HOLDER: Final = 3.0
 MIN_HOLDERS: Final = 2
-# Keeps a planned share with its VM unless another VM has clearly more demand.
-HOLDER_PREFERENCE: Final = 3.0
+# A small budget stays with its holders unless another VM has this part of the rate more demand.
+HOLDER_PREFERENCE: Final = 0.3
 
 # Longer than the longest loan as the lender counts it, with 1% between clocks (2 s x 1.1 x 1.01).
 RECLAIM_ENDED_S: Final = 3.0
 RECLAIM_ABSENT_S: Final = 30.0
 
-LOAN_TERM_MS: Final = 2_000
-# A loan of whole tokens of a small budget is used at once; a short term frees the share soon.
-TOKEN_LOAN_TERM_MS: Final = 400
+# A loan that the borrower needs no longer serves nobody until its term ends.
+LOAN_TERM_MS: Final = 1_000
+# Tokens without their rate are used at once; a short term frees the room for them soon.
+TOKEN_LOAN_TERM_MS: Final = 200
+# Demand below this many tokens in a term borrows tokens; the rate for it would be left unused.
+FEW_TOKENS: Final = 16.0
 MAX_LOAN_TERM_MS: Final = 2_000
 # The lender waits this much longer than the borrower, which covers clocks that differ by 1%.
 LOAN_MARGIN: Final = 0.1
 BORROW_TIMEOUT_MS: Final = 400
 BORROW_BACKOFF_S: Final = 0.25
 MAX_BORROW_BACKOFF_S: Final = 2.0
-AVOID_LENDER_S: Final = 1.0
-MIN_LOAN_PPM: Final = 20_000
+AVOID_LENDER_S: Final = 0.5
+BORROW_INTERVAL_S: Final = 0.02
+FAILURES_BEFORE_BACKOFF: Final = 3
 MAX_LENDERS: Final = 2
 # A lender keeps its own demand and this much more; a borrower asks for as much more.
 DEMAND_HEADROOM: Final = 1.2
 # A renewal is asked for when this part of the term is left.
-RENEW_BEFORE_S: Final = 0.5
+RENEW_BEFORE_S: Final = 0.3
 
 DEMAND_SMOOTHING_S: Final = 1.5
 DEMAND_PUBLISH_INTERVAL_S: Final = 1.0
--- a/src/wagtailbay/allotment/keeper.py
+++ b/src/wagtailbay/allotment/keeper.py
@@ -1,6 +1,7 @@
 """Plan the ledgers on the VM that holds the lease."""
 
 from collections.abc import Callable, Iterator, Mapping
+from math import exp, inf
 from typing import Any
 
 import trio
@@ -13,7 +14,7 @@
     FOLLOW_UP_INTERVAL_S,
     LEDGER_PREFIX,
     PLAN_INTERVAL_S,
-    PLAN_SMOOTHING,
+    PLAN_SMOOTHING_S,
     SILENT_AFTER_S,
 )
 from wagtailbay.allotment.demand import known_demand
@@ -52,6 +53,7 @@
     safeguards: Safeguards = field(factory=Safeguards)
     reclaim: ReclaimWatch = field(init=False)
     smoothed: dict[str, dict[Holder, float]] = field(factory=dict)
+    smoothed_s: float | None = None
     pending: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -193,6 +195,8 @@
     def _smooth(self, sightings: Sightings, now_s: float) -> None:
         """Blend the newest demand into what plans rest on; VMs not known any more drop out."""
         known = known_demand(self.facts, now_s)
+        elapsed_s = inf if self.smoothed_s is None else now_s - self.smoothed_s
+        weight, self.smoothed_s = 1.0 - exp(-max(0.0, elapsed_s) / PLAN_SMOOTHING_S), now_s
         smoothed: dict[str, dict[Holder, float]] = {}
         for budget in self.limits():
             before = self.smoothed.get(budget, {})
@@ -201,6 +205,6 @@
                 fact = known.get((vm, holder.incarnation))
                 newest = fact.per_s.get(budget, 0.0) if fact else 0.0
                 former = before.get(holder, newest)
-                per_s = former + PLAN_SMOOTHING * (newest - former)
+                per_s = former + weight * (newest - former)
                 smoothed.setdefault(budget, {})[holder] = per_s
         self.smoothed = smoothed
--- a/src/wagtailbay/allotment/ledger.py
+++ b/src/wagtailbay/allotment/ledger.py
@@ -45,23 +45,22 @@
     """
     budgets: dict[str, Division] = {}
     for budget in sorted(evidence.limits.keys() | ledger.budgets.keys()):
-        division = _released(ledger.budgets.get(budget, {}), version, evidence, now_s)
+        division = _released(ledger.budgets.get(budget, {}), evidence, now_s)
         targets = _targets(budget, division, evidence)
-        division = _grown(_decreased(division, targets, evidence.safeguards), targets)
+        division = _decreased(division, targets, version, evidence.safeguards)
+        division = _grown(division, targets)
         if division:
             budgets[budget] = division
     return Ledger(budgets)
 
 
-def _released(
-    division: Division, version: int, evidence: Evidence, now_s: float
-) -> dict[Holder, Grant]:
+def _released(division: Division, evidence: Evidence, now_s: float) -> dict[Holder, Grant]:
     """Lower what is held to what is granted where that is certain to be safe."""
     kept: dict[Holder, Grant] = {}
     for holder, grant in division.items():
         if evidence.release_at_s.get(holder, float("inf")) <= now_s:
             continue
-        if evidence.applied.get(holder, -1) >= version:
+        if evidence.applied.get(holder, -1) > grant.lowered_after:
             grant = evolve(grant, held_ppm=grant.granted_ppm)
         if grant.held_ppm > 0:
             kept[holder] = grant
@@ -98,14 +97,16 @@
 
 
 def _decreased(
-    division: Division, targets: Mapping[Holder, int], safeguards: Safeguards
+    division: Division, targets: Mapping[Holder, int], version: int, safeguards: Safeguards
 ) -> dict[Holder, Grant]:
     """Lower what is granted; what is held stays until the VM confirms."""
     lowered = {}
     for holder, grant in division.items():
         granted_ppm = min(grant.granted_ppm, targets.get(holder, 0))
         held_ppm = grant.held_ppm if safeguards.await_applied else granted_ppm
-        lowered[holder] = Grant(granted_ppm, held_ppm)
+        is_lower = granted_ppm < grant.granted_ppm
+        lowered_after = version if is_lower else grant.lowered_after
+        lowered[holder] = Grant(granted_ppm, held_ppm, lowered_after)
     return lowered
 
 
@@ -123,5 +124,6 @@
     for holder, ppm in missing.items():
         added_ppm = ppm if total_ppm <= free_ppm else ppm * max(0, free_ppm) // total_ppm
         granted_ppm = grown[holder].granted_ppm + added_ppm
-        grown[holder] = Grant(granted_ppm, max(grown[holder].held_ppm, granted_ppm))
+        held_ppm = max(grown[holder].held_ppm, granted_ppm)
+        grown[holder] = evolve(grown[holder], granted_ppm=granted_ppm, held_ppm=held_ppm)
     return {h: g for h, g in grown.items() if g.held_ppm > 0}
--- a/src/wagtailbay/allotment/loans.py
+++ b/src/wagtailbay/allotment/loans.py
@@ -11,13 +11,15 @@
 from wagtailbay.allotment.const import (
     AVOID_LENDER_S,
     BORROW_BACKOFF_S,
+    BORROW_INTERVAL_S,
     BORROW_TIMEOUT_MS,
     DEMAND_HEADROOM,
+    FAILURES_BEFORE_BACKOFF,
+    FEW_TOKENS,
     LOAN_TERM_MS,
     MAX_BORROW_BACKOFF_S,
     MAX_LENDERS,
     MAX_LOAN_TERM_MS,
-    MIN_LOAN_PPM,
     RENEW_BEFORE_S,
     TOKEN_LOAN_TERM_MS,
     WHOLE_PPM,
@@ -38,10 +40,12 @@
     Attributes:
         pending: Requests that have no answer yet.
         next_s: Before this time no further request is sent.
-        backoff_s: The pause after the next request that brings nothing.
+        failures: Successive requests that brought nothing.
+        backoff_s: The pause after a few of them.
     """
 
     pending: int = 0
+    failures: int = 0
     next_s: float = 0.0
     backoff_s: float = BORROW_BACKOFF_S
 
@@ -49,8 +53,11 @@
         """Count an answer."""
         self.pending -= 1
         if lent:
-            self.backoff_s = BORROW_BACKOFF_S
-            self.next_s = now_s
+            self.backoff_s, self.failures = BORROW_BACKOFF_S, 0
+            self.next_s = now_s + BORROW_INTERVAL_S
+            return
+        self.failures += 1
+        if self.failures < FAILURES_BEFORE_BACKOFF:
             return
         self.next_s = now_s + self.backoff_s
         self.backoff_s = min(MAX_BORROW_BACKOFF_S, 2 * self.backoff_s)
@@ -86,19 +93,21 @@
         account.settle(now_s)
         if account.confined:
             return NOTHING_LENT
-        borrower = Holder(request.borrower, request.incarnation)
         demand_per_s = self.holding.demand.rate(request.budget, now_s)
+        # The lender keeps the tokens of half a second of its own demand.
+        keep_tokens = 0.5 * demand_per_s
+        borrower = Holder(request.borrower, request.incarnation)
         spare_ppm = account.ledger_ppm - account.lent_ppm(now_s, but=borrower)
-        spare_ppm -= max(0, _needed_ppm(account, demand_per_s) - account.floor_ppm)
+        if request.with_rate:
+            spare_ppm -= max(0, _needed_ppm(account, demand_per_s) - account.floor_ppm)
+        elif account.bucket.level - keep_tokens < 1.0:
+            return NOTHING_LENT
         share_ppm = min(request.share_ppm, spare_ppm)
         if share_ppm <= 0:
             return NOTHING_LENT
-        # The lender keeps the tokens of half a second of its own demand.
-        keep_tokens = 0.5 * demand_per_s
-        if account.is_small and account.bucket.level - keep_tokens < 1.0:
-            return NOTHING_LENT
         margin = 1 + self.holding.safeguards.loan_margin
-        loan = Loan(share_ppm, now_s + request.term_ms / 1000 * margin)
+        until_s = now_s + request.term_ms / 1000 * margin
+        loan = Loan(share_ppm, until_s, request.with_rate)
         move = self.holding.safeguards.move_tokens
         return LoanGrant(share_ppm, account.lend(borrower, loan, keep_tokens, now_s, move))
 
@@ -124,13 +133,16 @@
         account = self.holding.accounts.get(budget)
         if account is None or missing_ppm <= 0:
             return ()
-        term_ms = TOKEN_LOAN_TERM_MS if account.is_small else LOAN_TERM_MS
+        with_rate = self._lacks_rate(account, now_s)
+        term_ms = LOAN_TERM_MS if with_rate else TOKEN_LOAN_TERM_MS
         own = self.holding.own
         requests = []
-        for vm, spare_ppm in self._lenders(account, missing_ppm, now_s):
+        for vm, spare_ppm in self._lenders(account, missing_ppm, with_rate, now_s):
             share_ppm = min(missing_ppm, spare_ppm)
-            requests.append((vm, LoanRequest(own.vm, own.incarnation, budget, share_ppm, term_ms)))
             missing_ppm -= share_ppm
+            # Loans of one lender replace each other, so the former one is asked for again.
+            share_ppm += account.borrowed_from(vm, now_s + RENEW_BEFORE_S)
+            requests.append((vm, LoanRequest(own.vm, own.incarnation, budget, share_ppm, term_ms)))
             if missing_ppm <= 0:
                 break
         return tuple(requests)
@@ -143,6 +155,7 @@
         state.pending += len(requests)
         if not requests:
             state.pending += 1
+            state.failures = FAILURES_BEFORE_BACKOFF
             state.settle(False, now_s)
         return requests
 
@@ -153,14 +166,20 @@
         now_s = self.clock()
         match answer:
             case Ok(LoanGrant() as grant) if _is_usable(grant, request):
-                loan = Loan(grant.share_ppm, sent_s + request.term_ms / 1000)
+                until_s = sent_s + request.term_ms / 1000
+                loan = Loan(grant.share_ppm, until_s, request.with_rate)
                 account = self.holding.accounts.get(request.budget)
                 lent = account is not None and account.receive(vm, loan, grant.tokens, now_s)
             case Ok(_) | Err(_):
                 lent = False
-        if not lent:
+        if not lent or grant.share_ppm < request.share_ppm / 2:
             self.avoided[(request.budget, vm)] = now_s + AVOID_LENDER_S
+        elif not request.with_rate:
+            # Until the lender counts the loan as ended, another one would replace it.
+            self.avoided[(request.budget, vm)] = now_s + 1.2 * request.term_ms / 1000
         self.states[request.budget].settle(lent, now_s)
+        if not lent:
+            self.on_short(request.budget, now_s)
 
     async def run(self) -> None:
         """Borrow whenever a budget is short."""
@@ -172,36 +191,43 @@
                     for vm, request in self.begin(budget, self.clock()):
                         nursery.start_soon(self.fetch, vm, request)
 
+    def _lacks_rate(self, account: Account, now_s: float) -> bool:
+        """Tell whether the demand here is more than the own rate, by more than a few tokens."""
+        demand_per_s = self.holding.demand.rate(account.budget, now_s)
+        if account.is_small and demand_per_s * LOAN_TERM_MS / 1000 < FEW_TOKENS:
+            return False
+        return _needed_ppm(account, demand_per_s) > account.usable_ppm(now_s + RENEW_BEFORE_S)
+
     def _missing_ppm(self, budget: str, now_s: float) -> int:
-        """Return the share to borrow: for the demand, and for at least one token where none is."""
+        """Return the share to borrow: for the demand, or for tokens where none is left."""
         account = self.holding.accounts.get(budget)
         if account is None or account.confined:
             return 0
         soon_s = now_s + RENEW_BEFORE_S
         demand_per_s = self.holding.demand.rate(budget, now_s)
-        if account.is_small:
-            missing_ppm = 0
-        else:
+        missing_ppm = 0
+        if self._lacks_rate(account, now_s):
             missing_ppm = _needed_ppm(account, demand_per_s) - account.usable_ppm(soon_s)
         if account.bucket.level < 1.0:
-            least_ppm = account.share_for(1.0)
-            missing_ppm = max(missing_ppm, least_ppm, 0 if account.is_small else MIN_LOAN_PPM)
-        # Loans of one lender replace each other, so a renewal asks for the former share as well.
-        if missing_ppm > 0 and not account.is_small:
-            missing_ppm += account.borrowed_ppm(soon_s)
+            tokens = 1.0 + demand_per_s * TOKEN_LOAN_TERM_MS / 1000
+            missing_ppm = max(missing_ppm, account.share_for(tokens))
         return max(0, missing_ppm)
 
     def _lenders(
-        self, account: Account, missing_ppm: int, now_s: float
+        self, account: Account, missing_ppm: int, with_rate: bool, now_s: float
     ) -> tuple[tuple[str, int], ...]:
         """Return the neighbours with most to spare; one that can lend all comes first if near."""
         granted = self.holding.granted_to_others(account.budget)
         demand = {vm: d.per_s for (vm, _), d in known_demand(self.holding.facts, now_s).items()}
         spare = []
         for vm in self.fleet.neighbours():
-            demand_per_s = demand.get(vm, {}).get(account.budget, 0.0)
-            spare_ppm = granted.get(vm, 0) - _needed_ppm(account, demand_per_s)
-            if spare_ppm > 0 and self.avoided.get((account.budget, vm), now_s) <= now_s:
+            if self.avoided.get((account.budget, vm), now_s) > now_s:
+                continue
+            spare_ppm = granted.get(vm, 0) - account.borrowed_from(vm, now_s + RENEW_BEFORE_S)
+            if with_rate:
+                demand_per_s = demand.get(vm, {}).get(account.budget, 0.0)
+                spare_ppm -= _needed_ppm(account, demand_per_s)
+            if spare_ppm > 0:
                 spare.append((vm, spare_ppm))
         enough = next((entry for entry in spare if entry[1] >= missing_ppm), None)
         if enough is not None:
--- a/src/wagtailbay/allotment/targets.py
+++ b/src/wagtailbay/allotment/targets.py
@@ -48,7 +48,7 @@
 
     def preference(holder: Holder) -> tuple[float, int, str]:
         granted_ppm = division[holder].granted_ppm if holder in division else 0
-        weight = asked[holder] * (HOLDER_PREFERENCE if granted_ppm else 1.0)
+        weight = asked[holder] + (HOLDER_PREFERENCE * limit.rate_per_s if granted_ppm else 0.0)
         return -weight, -granted_ppm, holder.vm
 
     return sorted(present, key=preference)[:count]
--- a/src/wagtailbay/allotment/wire.py
+++ b/src/wagtailbay/allotment/wire.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from attrs import astuple
 from result import Err, Ok, Result
 
 from wagtailbay.allotment.const import LEDGER_PPM
@@ -11,12 +12,12 @@
 
 
 def encode_ledger(ledger: Ledger) -> dict[str, Any]:
-    """Encode a ledger; each grant is a list of vm, incarnation, granted_ppm and held_ppm."""
+    """Encode a ledger; each grant is a list of the fields of its holder and its own."""
     return {
         "schema_version": SCHEMA_VERSION,
         "budgets": {
             budget: [
-                [holder.vm, holder.incarnation, grant.granted_ppm, grant.held_ppm]
+                [holder.vm, holder.incarnation, *astuple(grant)]
                 for holder, grant in sorted(division.items(), key=lambda item: _order(item[0]))
             ]
             for budget, division in sorted(ledger.budgets.items())
@@ -50,17 +51,19 @@
         holder = Holder(row[0], row[1])
         if holder in division:
             return Err(LedgerFault(f"budget {budget!r} names {row[0]!r} twice"))
-        division[holder] = Grant(row[2], row[3])
+        division[holder] = Grant(row[2], row[3], row[4])
     if sum(grant.held_ppm for grant in division.values()) > LEDGER_PPM:
         return Err(LedgerFault(f"budget {budget!r} gives away more than {LEDGER_PPM} ppm"))
     return Ok(division)
 
 
 def _is_row(row: Any) -> bool:
-    if not isinstance(row, list) or len(row) != 4 or not isinstance(row[0], str):
+    if not isinstance(row, list) or len(row) != 5 or not isinstance(row[0], str):
         return False
     # A JSON true is an int in Python, hence the comparison of types.
-    return all(type(number) is int for number in row[1:]) and 0 <= row[2] <= row[3] <= LEDGER_PPM
+    if not all(type(number) is int for number in row[1:]):
+        return False
+    return 0 <= row[2] <= row[3] <= LEDGER_PPM and row[4] >= 0
 
 
 def _order(holder: Holder) -> tuple[str, int]:
