Do not lower a share again before the last decrease is confirmed

A lender whose loans were renewed between successive decreases never confirmed one; in a trial with jumping load 395,000 of 900,000 ppm were granted.

--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -17,6 +17,8 @@
 SILENT_AFTER_S: Final = 10.0
 # A plan that moves less of a budget than this is not written.
 MIN_STEP_PPM: Final = 20_000
+# A VM's grant is not lowered by a smaller part of itself; each decrease idles until confirmed.
+MIN_DECREASE: Final = 0.1
 # Part of the ledger that is divided equally, so that a VM with no demand yet can serve some.
 EQUAL_PART: Final = 0.1
 # A budget whose equal parts would hold fewer tokens than this is given to fewer VMs.
@@ -50,7 +52,8 @@
 # A renewal is asked for when this part of the term is left.
 RENEW_BEFORE_S: Final = 0.3
 
-DEMAND_SMOOTHING_S: Final = 1.5
+# A jump of demand must show within one loan term.
+DEMAND_SMOOTHING_S: Final = 1.0
 DEMAND_PUBLISH_INTERVAL_S: Final = 1.0
 DEMAND_REFRESH_S: Final = 10.0
 DEMAND_TTL_MS: Final = 30_000
--- a/src/wagtailbay/allotment/ledger.py
+++ b/src/wagtailbay/allotment/ledger.py
@@ -4,7 +4,7 @@
 
 from attrs import evolve, field, frozen
 
-from wagtailbay.allotment.const import LEDGER_PPM, MIN_STEP_PPM
+from wagtailbay.allotment.const import LEDGER_PPM, MIN_DECREASE, MIN_STEP_PPM
 from wagtailbay.allotment.models import Division, Grant, Holder, Ledger, Safeguards
 from wagtailbay.allotment.targets import target_shares
 from wagtailbay.limits import BudgetLimit
@@ -102,7 +102,13 @@
     """Lower what is granted; what is held stays until the VM confirms."""
     lowered = {}
     for holder, grant in division.items():
-        granted_ppm = min(grant.granted_ppm, targets.get(holder, 0))
+        target_ppm = targets.get(holder, 0)
+        pending = grant.held_ppm > grant.granted_ppm
+        small = grant.granted_ppm - target_ppm < MIN_DECREASE * grant.granted_ppm
+        # A further decrease before the last one is confirmed would put off the confirmation.
+        if target_ppm > 0 and (pending or small):
+            target_ppm = grant.granted_ppm
+        granted_ppm = min(grant.granted_ppm, target_ppm)
         held_ppm = grant.held_ppm if safeguards.await_applied else granted_ppm
         is_lower = granted_ppm < grant.granted_ppm
         lowered_after = version if is_lower else grant.lowered_after
