Lend whole tokens, keep a small budget with few VMs, shorten loans to 500 ms

Parts of a token were lost at the end of each loan, and a loan that the former VM needed no longer kept the share from the next one for its whole term.

--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -23,16 +23,15 @@
 EQUAL_PART: Final = 0.1
 # A budget whose equal parts would hold fewer tokens than this is given to fewer VMs.
 TOKENS_PER_HOLDER: Final = 3.0
-MIN_HOLDERS: Final = 2
 # A small budget stays with its holders unless another VM has this part of the rate more demand.
-HOLDER_PREFERENCE: Final = 0.3
+HOLDER_PREFERENCE: Final = 0.75
 
 # Longer than the longest loan as the lender counts it, with 1% between clocks (2 s x 1.1 x 1.01).
 RECLAIM_ENDED_S: Final = 3.0
 RECLAIM_ABSENT_S: Final = 30.0
 
 # A loan that the borrower needs no longer serves nobody until its term ends.
-LOAN_TERM_MS: Final = 1_000
+LOAN_TERM_MS: Final = 500
 # Tokens without their rate are used at once; a short term frees the room for them soon.
 TOKEN_LOAN_TERM_MS: Final = 200
 # Demand below this many tokens in a term borrows tokens; the rate for it would be left unused.
@@ -50,7 +49,7 @@
 # A lender keeps its own demand and this much more; a borrower asks for as much more.
 DEMAND_HEADROOM: Final = 1.2
 # A renewal is asked for when this part of the term is left.
-RENEW_BEFORE_S: Final = 0.3
+RENEW_BEFORE_S: Final = 0.2
 
 # A jump of demand must show within one loan term.
 DEMAND_SMOOTHING_S: Final = 1.0
--- a/src/wagtailbay/allotment/loans.py
+++ b/src/wagtailbay/allotment/loans.py
@@ -1,7 +1,7 @@
 """Lend shares to other VMs and borrow from them."""
 
 from collections.abc import Callable
-from math import ceil, isfinite
+from math import ceil, floor, isfinite
 
 import trio
 from attrs import define, field
@@ -28,6 +28,7 @@
 from wagtailbay.allotment.holding import Holding
 from wagtailbay.allotment.models import Holder, Loan, LoanGrant, LoanRequest
 from wagtailbay.allotment.ports import Fleet, Lender
+from wagtailbay.limits.const import ROUNDING
 from wagtailbay.replica import ChangeSignal
 
 NOTHING_LENT = LoanGrant(0, 0.0)
@@ -94,13 +95,13 @@
         if account.confined:
             return NOTHING_LENT
         demand_per_s = self.holding.demand.rate(request.budget, now_s)
-        # The lender keeps the tokens of half a second of its own demand.
-        keep_tokens = 0.5 * demand_per_s
+        # The lender keeps the tokens that it needs itself before the loan ends.
+        keep_tokens = demand_per_s * request.term_ms / 1000
         borrower = Holder(request.borrower, request.incarnation)
         spare_ppm = account.ledger_ppm - account.lent_ppm(now_s, but=borrower)
         if request.with_rate:
             spare_ppm -= max(0, _needed_ppm(account, demand_per_s) - account.floor_ppm)
-        elif account.bucket.level - keep_tokens < 1.0:
+        elif account.bucket.level - keep_tokens < 1.0 - ROUNDING:
             return NOTHING_LENT
         share_ppm = min(request.share_ppm, spare_ppm)
         if share_ppm <= 0:
@@ -209,7 +210,8 @@
         if self._lacks_rate(account, now_s):
             missing_ppm = _needed_ppm(account, demand_per_s) - account.usable_ppm(soon_s)
         if account.bucket.level < 1.0:
-            tokens = 1.0 + demand_per_s * TOKEN_LOAN_TERM_MS / 1000
+            # Parts of a token would be lost at the end of the loan.
+            tokens = 1.0 + floor(demand_per_s * TOKEN_LOAN_TERM_MS / 1000)
             missing_ppm = max(missing_ppm, account.share_for(tokens))
         return max(0, missing_ppm)
 
--- a/src/wagtailbay/allotment/targets.py
+++ b/src/wagtailbay/allotment/targets.py
@@ -6,7 +6,6 @@
 from wagtailbay.allotment.const import (
     EQUAL_PART,
     HOLDER_PREFERENCE,
-    MIN_HOLDERS,
     TOKENS_PER_HOLDER,
     WHOLE_PPM,
 )
@@ -41,8 +40,7 @@
     asked: Mapping[Holder, float],
     division: Division,
 ) -> Sequence[Holder]:
-    least = min(MIN_HOLDERS, floor(limit.burst))
-    count = max(1, least, floor(limit.burst / TOKENS_PER_HOLDER))
+    count = max(1, floor(limit.burst / TOKENS_PER_HOLDER))
     if count >= len(present):
         return present
 
