--- a/tests/limits/test_bucket.py
+++ b/tests/limits/test_bucket.py
@@ -19,3 +19,8 @@
         bucket.refill(now_s=2.0)
         bucket.refill(now_s=4.0)
         assert bucket.level == 4.0
+
+    def test_rounding_does_not_hold_back_a_whole_token(self) -> None:
+        """Guards against a budget with a burst of one that never admits a request."""
+        bucket = TokenBucket(rate_per_s=1.0, capacity=1.0, level=1.0 - 1e-12, updated_s=0.0)
+        assert bucket.take(1.0, now_s=0.0)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -9,8 +9,8 @@
 
 from attrs import define, evolve, field
 from result import Err, Ok, Result
-from support.steps import Running, pause
 
+from support.steps import Running, pause
 from wagtailbay.allotment import (
     Allotment,
     BorrowFailed,
@@ -73,25 +73,31 @@
         return self.clock_offset_s + self.world.now_s * self.clock_rate
 
     def is_holder(self, now_s: float) -> bool:
+        """Let every VM plan, as several lease holders at once do."""
         return True
 
     def is_isolated(self, now_s: float) -> bool:
+        """Apply the rule of the design."""
         self.stopped |= now_s - self.loop_s > 5.0
         return self.stopped or self.contact_s is None or now_s - self.contact_s > 20.0
 
     def members(self) -> Sequence[Member]:
+        """Return all known VMs."""
         return tuple(self.roster.values())
 
     def last_heard_s(self, vm: str) -> float | None:
+        """Return when something of a VM arrived."""
         return self.heard_s.get(vm)
 
     def neighbours(self) -> Sequence[str]:
+        """Return the VMs to borrow from."""
         others = tuple(vm for vm in self.roster if vm != self.name)
         return others if self.lenders is None else self.lenders
 
     async def borrow(
         self, vm: str, request: LoanRequest, timeout_ms: int
     ) -> Result[LoanGrant, BorrowFailed]:
+        """Carry a request and its answer, each as slowly as the test likes."""
         await pause()
         lender = self.world.vms.get(vm)
         if lender is None or lender.paused or not self.world.is_linked(self.name, vm):
@@ -142,6 +148,7 @@
 
     @property
     def account(self):
+        """Return the account of the one budget."""
         return self.allotment.holding.account(BUDGET, self.world.limit, self.clock())
 
 
@@ -201,9 +208,11 @@
             self.store.vm_names.remove(name)
 
     def is_linked(self, one: str, other: str) -> bool:
+        """Tell whether two VMs, or a VM and the store, reach each other."""
         return frozenset((one, other)) not in self.cut
 
     def running(self) -> list[FakeVm]:
+        """Return the processes that are not stopped."""
         return [vm for vm in self.vms.values() if not vm.paused]
 
     def advance(self, seconds: float, beat: bool = True) -> None:
@@ -235,6 +244,7 @@
         return None
 
     def plan(self, vm: FakeVm) -> Running | None:
+        """Start a plan whose store calls take time."""
         return self.begin(vm, vm.allotment.keeper.round())
 
     def plan_through(self, vm: FakeVm) -> None:
@@ -256,6 +266,7 @@
             self.under_way.remove(running)
 
     def deliver_all(self) -> None:
+        """Let all messages arrive."""
         while any(not running.owner.paused for running in self.under_way):
             for running in tuple(self.under_way):
                 self.deliver(running)
