--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -12,13 +12,13 @@
 # A share that a VM has been told to give up serves nobody until the next plan, so that one is soon.
 FOLLOW_UP_INTERVAL_S: Final = 1.5
 # Time over which plans smooth demand; loans follow shorter changes.
-PLAN_SMOOTHING_S: Final = 12.0
+PLAN_SMOOTHING_S: Final = 30.0
 # A VM from which nothing came for this long keeps what it has, and plans give it no more.
 SILENT_AFTER_S: Final = 10.0
 # A plan that moves less of a budget than this is not written.
 MIN_STEP_PPM: Final = 20_000
 # A VM's grant is not lowered by a smaller part of itself; each decrease idles until confirmed.
-MIN_DECREASE: Final = 0.1
+MIN_DECREASE: Final = 0.2
 # Part of the ledger that is divided equally, so that a VM with no demand yet can serve some.
 EQUAL_PART: Final = 0.1
 # A budget whose equal parts would hold fewer tokens than this is given to fewer VMs.
