--- a/src/wagtailbay/allotment/models.py
+++ b/src/wagtailbay/allotment/models.py
@@ -4,13 +4,20 @@
 
 from attrs import define, field, frozen
 
+from wagtailbay.allotment.const import LOAN_MARGIN
+
 
 @frozen
 class Loan:
-    """Hold a lent share as one side counts it."""
+    """Hold a lent share as one side counts it.
+
+    Attributes:
+        with_rate: Whether the share's rate moves; otherwise only room for tokens does.
+    """
 
     share_ppm: int
     until_s: float
+    with_rate: bool = True
 
 
 @frozen
@@ -28,10 +35,13 @@
     Attributes:
         granted_ppm: What the VM may use once it has applied the ledger.
         held_ppm: The most that it may still be using.
+        lowered_after: The version on which the last write that lowered granted_ppm rests. A VM
+            that keeps to any later version uses no more than granted_ppm.
     """
 
     granted_ppm: int
     held_ppm: int
+    lowered_after: int = 0
 
 
 Division = Mapping[Holder, Grant]
@@ -103,7 +113,7 @@
     """
 
     await_applied: bool = True
-    loan_margin: float = 0.1
+    loan_margin: float = LOAN_MARGIN
     confine_isolated: bool = True
     limit_floor: bool = True
     await_ended_loans: bool = True
--- a/src/wagtailbay/allotment/targets.py
+++ b/src/wagtailbay/allotment/targets.py
@@ -6,7 +6,6 @@
 from wagtailbay.allotment.const import (
     EQUAL_PART,
     HOLDER_PREFERENCE,
-    MIN_HOLDERS,
     TOKENS_PER_HOLDER,
     WHOLE_PPM,
 )
@@ -41,14 +40,13 @@
     asked: Mapping[Holder, float],
     division: Division,
 ) -> Sequence[Holder]:
-    least = min(MIN_HOLDERS, floor(limit.burst))
-    count = max(1, least, floor(limit.burst / TOKENS_PER_HOLDER))
+    count = max(1, floor(limit.burst / TOKENS_PER_HOLDER))
     if count >= len(present):
         return present
 
     def preference(holder: Holder) -> tuple[float, int, str]:
         granted_ppm = division[holder].granted_ppm if holder in division else 0
-        weight = asked[holder] * (HOLDER_PREFERENCE if granted_ppm else 1.0)
+        weight = asked[holder] + (HOLDER_PREFERENCE * limit.rate_per_s if granted_ppm else 0.0)
         return -weight, -granted_ppm, holder.vm
 
     return sorted(present, key=preference)[:count]
--- a/src/wagtailbay/membership/loans.py
+++ b/src/wagtailbay/membership/loans.py
@@ -1,7 +1,12 @@
 """Model loans of shares between VMs."""
 
+from typing import Final
+
 from attrs import frozen
 
+# Tokens without their rate are used at once; a short term frees the room for them soon.
+TOKEN_LOAN_TERM_MS: Final = 200
+
 
 @frozen
 class LoanRequest:
@@ -11,7 +16,8 @@
         borrower: The VM that asks.
         budget: For example ``workspace:records/unam``.
         share_ppm: The wanted part of the whole budget, in parts per million.
-        term_ms: How long the borrower will use it, from when it sent the request.
+        term_ms: How long the borrower will use it, from when it sent the request. A loan for at
+            most 200 ms moves tokens and the room for them, while the rate stays with the lender.
     """
 
     borrower: str
@@ -20,6 +26,11 @@
     share_ppm: int
     term_ms: int
 
+    @property
+    def with_rate(self) -> bool:
+        """Tell whether the share's rate is asked for."""
+        return self.term_ms > TOKEN_LOAN_TERM_MS
+
 
 @frozen
 class LoanGrant:
--- a/src/wagtailbay_bench/rig.py
+++ b/src/wagtailbay_bench/rig.py
@@ -137,7 +137,7 @@
             gate=AccessGate(
                 KeyRing(lambda: {key.key: key}), lambda now_s: 0.0, lambda now_s: False
             ),
-            limiter=WorkspaceLimiter(EqualShares(lambda: 1), -1e6),
+            limiter=WorkspaceLimiter(EqualShares(lambda: 1, -1e6), clock),
             forwarder=forwarder,
             deposits=deposits,
             roster=Roster(VmIdentity(vm, 1, "127.0.0.1:1", "", "mx-a1")),
