--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -45,18 +45,24 @@
     )
 
 
-async def run(settings: EntrySettings, certificates: CertificateSource | None = None) -> None:
-    """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
-    identity = VmIdentity(
+def own_identity(settings: EntrySettings) -> VmIdentity:
+    """Return the identity of this run of the process."""
+    return VmIdentity(
         settings.vm,
         round(unix_time_s() * 1000),
         settings.listen_address,
         settings.peer_listen_address,
         settings.availability_zone,
     )
+
+
+async def run(settings: EntrySettings, certificates: CertificateSource | None = None) -> None:
+    """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
     store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
     view = [ConfigView()]
-    fleet = build_fleet(settings, identity, store, certificates, lambda: view[0].fleet, boottime_s)
+    fleet = build_fleet(
+        settings, own_identity(settings), store, certificates, lambda: view[0].fleet, boottime_s
+    )
     replica = fleet.replica
     chooser = RoundRobinChooser()
     pool = ConnectionPool()
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -35,6 +35,7 @@
 )
 from wagtailbay.membership.credentials import CertificateSource
 from wagtailbay.membership.listing import VmListReader
+from wagtailbay.membership.server import lend_nothing
 from wagtailbay.membership.settings import PeerSettings
 from wagtailbay.platform import ObjectStore
 from wagtailbay.replica import Freshness, Replica, StoreReader
@@ -50,13 +51,6 @@
         document: Returns the fleet document in force, None while there is none.
     """
 
-    roster: Roster
-    replica: Replica
-    freshness: Freshness
-    facts: FactTable
-    reader: StoreReader
-    quorum: Quorum
-    isolation: IsolationCheck
     exchanger: Exchanger
     lists: VmListReader
     peers: PeerSet
@@ -66,6 +60,41 @@
     document: Callable[[], FleetDocument | None]
     clock: Clock
 
+    @property
+    def roster(self) -> Roster:
+        """Return what is known of the fleet's VMs."""
+        return self.exchanger.roster
+
+    @property
+    def facts(self) -> FactTable:
+        """Return this VM's and its peers' facts."""
+        return self.exchanger.facts
+
+    @property
+    def replica(self) -> Replica:
+        """Return this VM's copy of the store's objects."""
+        return self.exchanger.replica
+
+    @property
+    def freshness(self) -> Freshness:
+        """Return when the replica was last confirmed."""
+        return self.exchanger.freshness
+
+    @property
+    def reader(self) -> StoreReader:
+        """Return the reader of the store."""
+        return self.exchanger.reader
+
+    @property
+    def quorum(self) -> Quorum:
+        """Return the count of peers that answered lately."""
+        return self.exchanger.quorum
+
+    @property
+    def isolation(self) -> IsolationCheck:
+        """Return whether this VM may have lost its shares without knowing."""
+        return self.exchanger.isolation
+
     async def run(self, listen_address: str, *, task_status: trio.TaskStatus) -> None:
         """Run all tasks until cancelled; reports when peers can connect."""
         async with trio.open_nursery() as nursery:
@@ -169,54 +198,49 @@
     certificates: CertificateSource | None,
     document: Callable[[], FleetDocument | None],
     clock: Clock,
-    lender: Lender | None = None,
+    lender: Lender = lend_nothing,
 ) -> Fleet:
     """Build the parts of one VM that know the fleet; starts nothing."""
+    exchanger = build_exchanger(identity, store, document, clock)
+    lists = VmListReader(store, exchanger.facts, exchanger.reader.is_watcher, clock)
+    client = PeerClient(lambda vm: peers.address_of(vm), certificates, settings.peer_routes)
+    peers = PeerSet(exchanger, client, DEFAULT_CODEC, clock, settings.peers, lists.listed)
+    # The server has a copy of its own, because gRPC reads it from its threads.
+    copied = None if certificates is None else evolve(certificates)
+    server = PeerServer(exchanger, DEFAULT_CODEC, clock, copied, lender)
+    lease = build_lease(store, exchanger, clock)
+    return Fleet(exchanger, lists, peers, client, server, lease, document, clock)
+
+
+def build_exchanger(
+    identity: VmIdentity,
+    store: ObjectStore,
+    document: Callable[[], FleetDocument | None],
+    clock: Clock,
+) -> Exchanger:
+    """Build the state that a VM shares with its peers."""
     roster = Roster(identity)
-    facts = FactTable(identity.vm, identity.incarnation)
-    replica, freshness = Replica(), Freshness()
 
     def is_watcher() -> bool:
         fleet = document()
         region_of = fleet.region_of if fleet else lambda zone: None
         return identity.vm in choose_watchers(live_members(roster, clock()), region_of)
 
-    reader = StoreReader(store, replica, freshness, is_watcher, clock, random.Random())
-    quorum = Quorum(roster, lambda: fleet.max_vms if (fleet := document()) else None)
-    isolation = IsolationCheck.starting(clock())
-    exchanger = Exchanger(roster, facts, replica, freshness, reader, quorum, isolation)
-    lists = VmListReader(store, facts, is_watcher, clock)
-    client = PeerClient(lambda vm: peers.address_of(vm), certificates, settings.peer_routes)
-    peers = PeerSet(exchanger, client, DEFAULT_CODEC, clock, settings.peers, lists.listed)
-    # The server has a copy of its own, because gRPC reads it from its threads.
-    copied = None if certificates is None else evolve(certificates)
-    server = PeerServer(exchanger, DEFAULT_CODEC, clock, copied)
-    if lender is not None:
-        server.lender = lender
-    lease = build_lease(store, roster, replica, freshness, clock)
-    return Fleet(
+    replica, freshness = Replica(), Freshness()
+    return Exchanger(
         roster,
+        FactTable(identity.vm, identity.incarnation),
         replica,
         freshness,
-        facts,
-        reader,
-        quorum,
-        isolation,
-        exchanger,
-        lists,
-        peers,
-        client,
-        server,
-        lease,
-        document,
-        clock,
+        StoreReader(store, replica, freshness, is_watcher, clock, random.Random()),
+        Quorum(roster, lambda: fleet.max_vms if (fleet := document()) else None),
+        IsolationCheck.starting(clock()),
     )
 
 
-def build_lease(
-    store: ObjectStore, roster: Roster, replica: Replica, freshness: Freshness, clock: Clock
-) -> LeaseKeeper:
+def build_lease(store: ObjectStore, exchanger: Exchanger, clock: Clock) -> LeaseKeeper:
     """Build the keeper of the lease; the live VMs contend in the order of a hash."""
+    roster, replica = exchanger.roster, exchanger.replica
 
     def rank(now_s: float) -> int | None:
         if roster.own_member.state is not VmState.LIVE:
@@ -225,5 +249,10 @@
         return rendezvous_order(LEASE_KEY, names).index(roster.own.vm)
 
     return LeaseKeeper(
-        store, roster.own, lambda: replica.objects.get(LEASE_KEY), freshness.age_ms, rank, clock
+        store,
+        roster.own,
+        lambda: replica.objects.get(LEASE_KEY),
+        exchanger.freshness.age_ms,
+        rank,
+        clock,
     )
