--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -22,16 +22,20 @@
 from wagtailbay.transport import HttpServer
 
 
-async def run(settings: EntrySettings, certificates: CertificateSource | None = None) -> None:
-    """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
-    identity = VmIdentity(
+def own_identity(settings: EntrySettings) -> VmIdentity:
+    """Return the identity of this run of the process."""
+    return VmIdentity(
         settings.vm,
         round(unix_time_s() * 1000),
         settings.listen_address,
         settings.peer_listen_address,
         settings.availability_zone,
     )
-    node = build_node(settings, identity, certificates)
+
+
+async def run(settings: EntrySettings, certificates: CertificateSource | None = None) -> None:
+    """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
+    node = build_node(settings, own_identity(settings), certificates)
     async with trio.open_nursery() as nursery:
         await node.run_tasks(nursery)
         await nursery.start(node.fleet.run, settings.peer_listen_address)
--- a/tests/allotment/test_loans.py
+++ b/tests/allotment/test_loans.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 from support.world import BUDGET, settled_world
 
-from wagtailbay.allotment import LoanRequest
+from wagtailbay.membership import LoanRequest
 
 GOOD = LoanRequest("vm-0", 1, BUDGET, 100_000, 500)
 
