--- a/src/wagtailbay/allotment/account.py
+++ b/src/wagtailbay/allotment/account.py
@@ -126,6 +126,13 @@
             self.bucket.rate_per_s = min(self.bucket.rate_per_s, floor_rate_per_s)
         elif self.lent or self.borrowed:
             self._settle_ended_loans(now_s)
+        else:
+            # Nothing that the bucket's measures depend on has changed since the last call.
+            self.bucket.refill(now_s)
+            return
+        self._measure(now_s)
+
+    def _measure(self, now_s: float) -> None:
         self.bucket.resize(*self._measures(now_s), now_s)
 
     def _settle_ended_loans(self, now_s: float) -> None:
@@ -142,7 +149,7 @@
         self._settle(now_s)
         grown = ledger_ppm > self.ledger_ppm
         self.ledger_ppm, self.floor_ppm = ledger_ppm, floor_ppm
-        self._settle(now_s)
+        self._measure(now_s)
         if grown:
             self.changed.notify()
 
@@ -151,7 +158,7 @@
         if limit != self.limit:
             self._settle(now_s)
             self.limit = limit
-            self._settle(now_s)
+            self._measure(now_s)
 
     def take(self, amount: float, now_s: float) -> bool:
         """Take tokens if there are enough."""
