Count quorums from named VMs and emit the entry VM's metrics

Cause: with max_vms above the VMs that run, so that replacements have a floor, a quorum of max_vms cannot be met once a region is lost: 9 of 16 with 10 VMs. The fleet document may now name the VMs that count; the administration API lets the list change by one name at a time, so that old and new quorums meet.

The request path now counts requests, refusals, tries, shares and steps; the status shows budgets and quarantined requests.

--- a/src/wagtailbay/admin/documents.py
+++ b/src/wagtailbay/admin/documents.py
@@ -82,6 +82,7 @@
                 services = [m for m in models.values() if isinstance(m, ServiceDocument)]
                 faults = check_fleet_references(fleet, services)
                 faults += await self._check_max_vms(fleet)
+                faults += _check_quorum_change(models.get(FLEET_NAME), fleet)
             case service:
                 fleet = models.get(FLEET_NAME)
                 if not isinstance(fleet, FleetDocument):
@@ -164,3 +165,16 @@
         if isinstance(parsed, Ok):
             models[name] = parsed.ok_value
     return models
+
+
+def _check_quorum_change(
+    before: ServiceDocument | FleetDocument | None, after: FleetDocument
+) -> tuple[DocumentFault, ...]:
+    """Refuse a change of more than one name, since an old and a new quorum might not meet."""
+    if not isinstance(before, FleetDocument):
+        return ()
+    changed = set(before.quorum_vms) ^ set(after.quorum_vms)
+    if len(changed) <= 1 or not before.quorum_vms:
+        return ()
+    message = f"may change by one name at a time, not by {', '.join(sorted(changed))}"
+    return (DocumentFault("quorum_vms", message),)
--- a/src/wagtailbay/admin/fleet.py
+++ b/src/wagtailbay/admin/fleet.py
@@ -46,15 +46,24 @@
 
 @frozen
 class FleetView:
-    """Hold the VMs and how many of them make a quorum; None without a fleet document."""
+    """Hold the VMs and the fleet document; None without a usable one."""
 
-    max_vms: int | None
+    document: FleetDocument | None
     vms: tuple[VmReport, ...]
 
+    @property
+    def max_vms(self) -> int | None:
+        """Return the most entry processes ever alive at once."""
+        return None if self.document is None else self.document.max_vms
+
     @property
     def quorum(self) -> int | None:
-        """Return more than half of max_vms."""
-        return None if self.max_vms is None else self.max_vms // 2 + 1
+        """Return how many VMs are more than half of those that count."""
+        return None if self.document is None else self.document.votes // 2 + 1
+
+    def has_vote(self, vm: str) -> bool:
+        """Tell whether a VM counts for quorums."""
+        return self.document is not None and self.document.has_vote(vm)
 
     def as_json(self) -> dict[str, Any]:
         """Return the view as JSON values, without the VMs' whole statuses."""
@@ -87,12 +96,12 @@
         listed = await self.store.vms()
         if isinstance(listed, Err):
             return Err(store_unavailable(listed.err_value.message))
-        max_vms = None
+        found: FleetDocument | None = None
         if fleet.ok_value is not None:
             match parse_fleet(fleet.ok_value.value):
                 case Ok(FleetDocument() as document):
-                    max_vms = document.max_vms
-        return Ok(FleetView(max_vms, await self._ask_all(self._known(listed.ok_value.vms))))
+                    found = document
+        return Ok(FleetView(found, await self._ask_all(self._known(listed.ok_value.vms))))
 
     def _known(self, records: tuple[VmRecord, ...]) -> list[VmReport]:
         known = {r.vm: VmReport(r.vm, r.address, r.availability_zone, r.state) for r in records}
--- a/src/wagtailbay/admin/keys.py
+++ b/src/wagtailbay/admin/keys.py
@@ -150,7 +150,7 @@
 def withdrawal_json(key_id: str, version: int, view: FleetView) -> dict[str, Any]:
     """Return whether a quorum has applied the withdrawal, and which VMs lack it."""
     lacking = [report for report in view.vms if not report.has_applied(version)]
-    confirmed = len(view.vms) - len(lacking)
+    confirmed = sum(r.has_applied(version) and view.has_vote(r.vm) for r in view.vms)
     in_force = view.quorum is not None and confirmed >= view.quorum
     return {
         "key_id": key_id,
--- a/src/wagtailbay/config/checks.py
+++ b/src/wagtailbay/config/checks.py
@@ -91,6 +91,9 @@
     zones = document.availability_zones
     regions = {zone.region for zone in zones}
     faults = list(check_unique("availability_zones", (z.availability_zone for z in zones)))
+    faults.extend(check_unique("quorum_vms", document.quorum_vms))
+    if len(document.quorum_vms) > document.max_vms:
+        faults.append(DocumentFault("quorum_vms", f"has more than max_vms {document.max_vms}"))
     pairs = (f"{link.from_region} to {link.to_region}" for link in document.links)
     faults.extend(check_unique("links", pairs))
     for index, link in enumerate(document.links):
--- a/src/wagtailbay/config/models.py
+++ b/src/wagtailbay/config/models.py
@@ -139,13 +139,25 @@
     """Describe what all services share.
 
     Attributes:
-        max_vms: The most entry processes ever alive at once; floors and quorums rest on it.
+        max_vms: The most entry processes ever alive at once; floors rest on it.
+        quorum_vms: The names of the VMs that count for quorums; without names any VM counts, and
+            a quorum is more than half of max_vms.
     """
 
     max_vms: int
     availability_zones: tuple[AvailabilityZone, ...]
     links: tuple[Link, ...] = ()
     schema_version: int = SCHEMA_VERSION
+    quorum_vms: tuple[str, ...] = ()
+
+    @property
+    def votes(self) -> int:
+        """Return of how many VMs a quorum is more than half."""
+        return len(self.quorum_vms) or self.max_vms
+
+    def has_vote(self, vm: str) -> bool:
+        """Tell whether a VM counts for quorums."""
+        return not self.quorum_vms or vm in self.quorum_vms
 
     def region_of(self, availability_zone: str) -> str | None:
         """Return the region of an availability zone, or None if it is unknown."""
--- a/src/wagtailbay/entry/forward.py
+++ b/src/wagtailbay/entry/forward.py
@@ -12,6 +12,7 @@
 from wagtailbay.entry.retry import RetryBudget
 from wagtailbay.entry.routing import split_target
 from wagtailbay.logs import log_event
+from wagtailbay.metrics import Metrics
 from wagtailbay.quarantine import CrashTable, SuspectLane, refuses_connections
 from wagtailbay.refusals import Refusal, RunState, not_run
 from wagtailbay.shift import VersionPicker
@@ -55,6 +56,7 @@
     retries: RetryBudget = field(factory=RetryBudget)
     lane: SuspectLane = field(factory=SuspectLane)
     has_ended: Callable[[str], Awaitable[bool]] = refuses_connections
+    metrics: Metrics = field(factory=Metrics)
 
     async def forward(self, context: RequestContext, sink: AnswerSink) -> ForwardResult:
         """Forward a request and stream its answer; returns the status sent to the caller."""
@@ -147,6 +149,7 @@
         self.chooser.finish(query, assignment, report, now_s)
         version = assignment.target.version
         self.versions.record(context.service, context.route, version, report, now_s)
+        self.metrics.attempt_finished(context.service.service, report.outcome.value)
         if report.outcome is AttemptOutcome.ANSWERED:
             self.crashes.record_answer(context.fingerprint, now_s)
 
--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
-from attrs import define
+from attrs import define, field
 from result import Err, Ok, Result
 
 from wagtailbay.access import AccessGate
@@ -25,6 +25,7 @@
 from wagtailbay.locate import rank_vms
 from wagtailbay.logs import log_event
 from wagtailbay.membership import Roster, VmState
+from wagtailbay.metrics import Metrics
 from wagtailbay.quarantine import request_fingerprint
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.transport import CallerGoneError, Reply, Request
@@ -42,6 +43,7 @@
     roster: Roster
     status: Callable[[float], dict]
     clock: Callable[[], float]
+    metrics: Metrics = field(factory=Metrics)
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
@@ -100,13 +102,23 @@
     async def _forward(self, context: RequestContext, reply: Reply) -> None:
         path = self.forwarder if context.route.idempotent else self.deposits
         match await path.forward(context, reply):
+            case Ok(status):
+                self._count(context, status, "answered")
             case Err(Refusal() as refusal):
+                self._count(context, refusal.status, "refused")
                 await self._refuse(reply, refusal, context.request_id)
             case Err(AnswerCut(message=message)):
+                self._count(context, 0, "cut")
                 log_event("answer_cut", request_id=context.request_id, reason=message)
                 raise CallerGoneError
 
+    def _count(self, context: RequestContext, status: int, outcome: str) -> None:
+        latency_ms = (self.clock() - context.received_s) * 1000
+        service, route = context.service.service, context.route.name
+        self.metrics.request_finished(service, route, status, outcome, latency_ms)
+
     async def _refuse(self, reply: Reply, refusal: Refusal, request_id: str) -> None:
+        self.metrics.refused(refusal.code)
         log_event(
             "request_refused", request_id=request_id, code=refusal.code, run=refusal.run.value
         )
--- a/src/wagtailbay/membership/quorum.py
+++ b/src/wagtailbay/membership/quorum.py
@@ -16,13 +16,15 @@
     """Count the ready peers whose replica this VM has caught up with.
 
     Attributes:
-        max_vms: Returns the most entry processes ever alive, None while it is unknown.
+        votes: Returns of how many VMs a quorum is more than half, None while it is unknown.
+        has_vote: Tells whether a VM counts.
         caught_up: By peer, the incarnation and when the call was sent whose answer brought this
             VM's replica up to the peer's.
     """
 
     roster: Roster
-    max_vms: Callable[[], int | None]
+    votes: Callable[[], int | None]
+    has_vote: Callable[[str], bool] = lambda vm: True
     caught_up: dict[str, tuple[int, float]] = field(factory=dict)
 
     def record(self, vm: str, incarnation: int, asked_s: float) -> None:
@@ -39,24 +41,26 @@
             vm
             for vm, (incarnation, asked_s) in self.caught_up.items()
             if now_s - asked_s <= QUORUM_HEARD_S
+            and self.has_vote(vm)
             and (member := self.roster.members.get(vm)) is not None
             and member.identity.incarnation == incarnation
             and member.state in READY_STATES
         )
 
     def has_quorum(self, now_s: float) -> bool:
-        """Tell whether more than half of max_vms, this VM counted, have exchanged lately."""
-        max_vms = self.max_vms()
-        if max_vms is None or self.roster.own_member.state not in READY_STATES:
+        """Tell whether more than half of the votes, this VM's included, have exchanged lately."""
+        votes = self.votes()
+        if votes is None or self.roster.own_member.state not in READY_STATES:
             return False
-        return len(self.answered(now_s)) + 1 > max_vms / 2
+        own = 1 if self.has_vote(self.roster.own.vm) else 0
+        return len(self.answered(now_s)) + own > votes / 2
 
     def can_become_ready(self, now_s: float) -> bool:
         """Tell whether the peers' answers hold everything in force, for a VM that just started.
 
         This VM's earlier run may have been one of the quorum that applied a change, so it does
-        not count itself: of max_vms - 1 others, a quorum without this VM has at least
-        max_vms // 2, and every set of (max_vms + 1) // 2 others shares a VM with it.
+        not count itself: of votes - 1 others, a quorum without this VM has at least
+        votes // 2, and every set of (votes + 1) // 2 others shares a VM with it.
         """
-        max_vms = self.max_vms()
-        return max_vms is not None and len(self.answered(now_s)) >= (max_vms + 1) // 2
+        votes = self.votes()
+        return votes is not None and len(self.answered(now_s)) >= (votes + 1) // 2
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -233,7 +233,11 @@
         replica,
         freshness,
         StoreReader(store, replica, freshness, is_watcher, clock, random.Random()),
-        Quorum(roster, lambda: fleet.max_vms if (fleet := document()) else None),
+        Quorum(
+            roster,
+            lambda: fleet.votes if (fleet := document()) else None,
+            lambda vm: bool((fleet := document()) and fleet.has_vote(vm)),
+        ),
         IsolationCheck.starting(clock()),
     )
 
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -87,9 +87,18 @@
 
     async def _measure(self) -> None:
         while True:
-            age_ms = self.fleet.freshness.age_ms(boottime_s())
+            now_s = boottime_s()
+            metrics = self.exporter.metrics
+            age_ms = self.fleet.freshness.age_ms(now_s)
             if age_ms is not None:
-                self.exporter.metrics.confirmed_age_changed(age_ms)
+                metrics.confirmed_age_changed(age_ms)
+            for service in self.config.view.services.values():
+                state = self.shift.picker.moves.state(service)
+                if state is not None:
+                    metrics.move_stepped(service.service, state.share_ppm)
+            if self.allotment is not None:
+                for budget, account in self.allotment.holding.accounts.items():
+                    metrics.share_changed(budget, account.usable_ppm(now_s))
             await trio.sleep(METRICS_INTERVAL_S)
 
 
@@ -152,7 +161,8 @@
     pool = ConnectionPool()
     crashes = CrashTable(fleet.facts)
     forwarder = Forwarder(chooser, shift.picker, pool, crashes, boottime_s, settings.vm)
-    sections = {"config": ConfigStatus(lambda: config.view)}
+    forwarder.metrics = exporter.metrics
+    sections = {"config": ConfigStatus(lambda: config.view), "quarantine": crashes}
     if allotment is not None:
         sections["budgets"] = allotment
     handler = RequestHandler(
@@ -168,6 +178,7 @@
         roster=fleet.roster,
         status=lambda now_s: build_status(fleet, sections, now_s),
         clock=boottime_s,
+        metrics=exporter.metrics,
     )
     sweep = ExpirySweep(store, config.services_workspaces, unix_time_s)
     server = HttpServer(handler.handle)
--- a/src/wagtailbay/quarantine/table.py
+++ b/src/wagtailbay/quarantine/table.py
@@ -116,6 +116,17 @@
             if (left_s := self._left_s(fingerprint, now_s)) > 0
         )
 
+    def status(self, now_s: float) -> dict:
+        """Return the refused requests as JSON values, by fingerprint."""
+        return {
+            item.fingerprint: {
+                "description": item.description,
+                "crashes": item.crashes,
+                "left_s": round(item.left_s, 1),
+            }
+            for item in self.quarantined(now_s)
+        }
+
     def _count(self, now_s: float) -> None:
         """Count over the fleet; two VMs that report one target saw the same crashes of it."""
         if now_s - self.counted_s < COUNT_INTERVAL_S:
--- a/tests/admin/test_admin_units.py
+++ b/tests/admin/test_admin_units.py
@@ -18,6 +18,7 @@
 from wagtailbay.admin.tokens import TokenTable
 from wagtailbay.admin.writes import write_object
 from wagtailbay.audit import AuditWriter
+from wagtailbay.config import FleetDocument
 from wagtailbay.platform import VmRecord
 from wagtailbay.transport import Request, fetch
 
@@ -130,6 +131,15 @@
         status, value = await site.submit("fleet", fleet())
         assert (status, value["error"]["faults"][0]["path"]) == (422, "max_vms")
 
+    async def test_quorum_changes_by_one_name(self, nursery) -> None:
+        """Guards against an old and a new quorum that share no VM."""
+        site = await AdminSite().start(nursery)
+        names = ["vm-1", "vm-2", "vm-3"]
+        assert (await site.submit("fleet", fleet() | {"quorum_vms": names}))[0] == 200
+        names = ["vm-1", "vm-4", "vm-5"]
+        status, value = await site.submit("fleet", fleet() | {"quorum_vms": names})
+        assert (status, value["error"]["faults"][0]["path"]) == (422, "quorum_vms")
+
     async def test_service_before_fleet_is_refused(self, nursery) -> None:
         """Guards against references that nothing can check."""
         site = await AdminSite().start(nursery)
@@ -173,7 +183,7 @@
                 "vm-3", "", "a1", "live", "live", 7, status={"config": {"faults": {"d": ["f"]}}}
             ),
         )
-        text = str(fleet_problems(FleetView(8, vms), newest_revision=9))
+        text = str(fleet_problems(FleetView(FleetDocument(8, ()), vms), newest_revision=9))
         for part in ("2 VMs answer, a quorum is 5", "revision 7 of 9", "timeout", "cannot use d"):
             assert part in text
         assert "does not reach the store" in text
--- a/tests/membership/test_fleet_knowledge.py
+++ b/tests/membership/test_fleet_knowledge.py
@@ -109,6 +109,14 @@
         restarted.roster.hear(member("b", incarnation=2), 10.5)
         assert not restarted.has_quorum(10.5)
 
+    def test_only_named_vms_count(self) -> None:
+        """Guards against VMs beyond the named ones that make a second quorum."""
+        quorum = self.quorum(3, "b", "x", "y")
+        quorum.has_vote = lambda vm: vm in ("a", "b", "c")
+        assert quorum.has_quorum(10.0)
+        quorum.has_vote = lambda vm: vm in ("b", "c", "d")
+        assert not quorum.has_quorum(10.0)
+
     def test_a_starting_vm_does_not_count_itself(self) -> None:
         """Guards against a quorum that shares only this VM's lost memory with another one."""
         for max_vms, needed in ((10, 5), (11, 6), (4, 2), (3, 2)):
