--- a/src/wagtailbay_bench/measure/scenarios.py
+++ b/src/wagtailbay_bench/measure/scenarios.py
@@ -22,6 +22,7 @@
         change_classes: Changes the traffic.
         prepare: Done before the traffic starts.
         action: Done FAULT_AT_S after the start.
+        quick: Whether short runs include it.
     """
 
     name: str
@@ -31,6 +32,7 @@
     action: Action | None = None
     change_classes: Callable[[TrafficClass], TrafficClass] = lambda traffic_class: traffic_class
     at_s: float = field(default=FAULT_AT_S)
+    quick: bool = True
 
 
 def flood_first_workspace(traffic_class: TrafficClass) -> TrafficClass:
@@ -172,15 +174,15 @@
 
 SCENARIOS = (
     Scenario("steady", "round-robin", ROUND_ROBIN),
-    Scenario("steady-local", "least-connections", LEAST_CONNECTIONS),
+    Scenario("steady-local", "least-connections", LEAST_CONNECTIONS, quick=False),
     Scenario("skewed", "equal-shares", EQUAL_SHARES, change_classes=skew_to_one_zone),
     Scenario("flood", "equal-shares", EQUAL_SHARES, change_classes=flood_first_workspace),
     Scenario("region-lost", "round-robin", ROUND_ROBIN, action=lose_region),
     Scenario("drain-cold", "round-robin", ROUND_ROBIN, action=drain_zone),
     Scenario("store-down", "equal-shares", EQUAL_SHARES, action=stop_store),
     Scenario("bad-version", "no-judge", NO_JUDGE, action=start_bad_version),
-    Scenario("slow-version", "no-judge", NO_JUDGE, action=start_slow_version),
-    Scenario("late-version", "no-judge", NO_JUDGE, action=start_late_version),
+    Scenario("slow-version", "no-judge", NO_JUDGE, action=start_slow_version, quick=False),
+    Scenario("late-version", "no-judge", NO_JUDGE, action=start_late_version, quick=False),
     Scenario("good-version", "no-judge", NO_JUDGE, action=start_good_version),
     Scenario("crash", "round-robin", ROUND_ROBIN, action=send_crashing_requests),
     Scenario("lying-load", "least-connections", LEAST_CONNECTIONS, action=slow_targets_that_lie),
