Show moves by their phase

Cause: the status and wagtailctl read a field "state" of the move objects, while the lease holder writes "phase", so a rolled back move was not named among the problems. The golden output and two tests used the wrong field as well; the golden test now writes the object with the real codec. wagtailctl shows phase, versions, step and reason instead of all fields.

--- a/src/wagtailbay/admin/overview.py
+++ b/src/wagtailbay/admin/overview.py
@@ -133,7 +133,7 @@
     problems = []
     for item in moves:
         move = item["move"]
-        if isinstance(move, dict) and move.get("state") == "rolled_back":
+        if isinstance(move, dict) and move.get("phase") == "rolled_back":
             message = f"rolled back: {move.get('reason', 'no reason recorded')}"
             problems.append({"subject": f"move {item['service']}", "message": message})
     return problems
--- a/src/wagtailbay/ctl/views.py
+++ b/src/wagtailbay/ctl/views.py
@@ -8,6 +8,7 @@
 
 FLEET_COLUMNS = ("vm", "availability_zone", "address", "listed_state", "state", "revision")
 AUDIT_COLUMNS = ("time", "who", "outcome", "action", "subject", "versions", "why", "detail")
+MOVE_COLUMNS = ("service", "phase", "versions", "step", "reason")
 
 
 def documents_view(value: dict[str, Any]) -> View:
@@ -39,19 +40,23 @@
 
 
 def moves_view(value: dict[str, Any]) -> View:
-    """Show each move as its fields."""
+    """Show how far each move is."""
     return View(value, _moves_table(value["moves"]))
 
 
 def _moves_table(moves: list[dict[str, Any]]) -> str:
-    rows = [[m["service"], m["version"], _move_text(m["move"])] for m in moves]
-    return format_table(("service", "version", "move"), rows)
-
-
-def _move_text(move: Any) -> str:
-    if not isinstance(move, dict):
-        return cell(move)
-    return " ".join(f"{name}={cell(value)}" for name, value in sorted(move.items()))
+    return format_table(MOVE_COLUMNS, [_move_row(item["service"], item["move"]) for item in moves])
+
+
+def _move_row(service: str, move: Any) -> list[str]:
+    """Return the row of one move; a malformed object is shown as it is."""
+    plan = move.get("plan") if isinstance(move, dict) else None
+    if not isinstance(plan, dict):
+        return [service, "unreadable", "", "", cell(move)]
+    steps = plan.get("steps") or ()
+    versions = f"{cell(plan.get('old_version'))} to {cell(plan.get('new_version'))}"
+    step = f"{cell(move.get('step', -1) + 1)} of {len(steps)}"
+    return [service, cell(move.get("phase")), versions, step, cell(move.get("reason"))]
 
 
 def fleet_view(value: dict[str, Any]) -> View:
--- a/tests/admin/test_admin_units.py
+++ b/tests/admin/test_admin_units.py
@@ -190,5 +190,5 @@
 
     def test_rolled_back_move_is_named(self) -> None:
         """Guards against a rollback that only the moves list shows."""
-        moves = [{"service": "s", "version": 1, "move": {"state": "rolled_back", "reason": "slow"}}]
+        moves = [{"service": "s", "version": 1, "move": {"phase": "rolled_back", "reason": "slow"}}]
         assert move_problems(moves) == [{"subject": "move s", "message": "rolled back: slow"}]
--- a/tests/admin/test_openapi.py
+++ b/tests/admin/test_openapi.py
@@ -105,7 +105,7 @@
     async def test_every_status_is_exercised(self, checker: Checker) -> None:
         """Guards against an API description that differs from the program."""
         store = checker.site.store
-        await store.put("moves/records", {"state": "running", "share_ppm": 20_000}, 0)
+        await store.put("moves/records", {"phase": "running", "step": 0}, 0)
         await check_documents(checker.check)
         await check_keys(checker.check)
         await check_views(checker.check)
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -14,6 +14,8 @@
 from wagtailbay.admin import keys
 from wagtailbay.ctl import run
 from wagtailbay.ctl.tables import cell, format_table
+from wagtailbay.shift.models import MovePhase, MovePlan, MoveState, Step
+from wagtailbay.shift.wire import encode_move
 from wagtailbay.transport import HttpServer, Reply, Request
 
 KEY_ID = "4f1a7f5f9d6e0b3d0c2f8a6b5e4d3c2b1a0f9e8d7c6b5a493827160504030201"
@@ -137,8 +139,9 @@
     async def test_session(self, terminal: Terminal, snapshot: SnapshotAssertion) -> None:
         """Guards against a status that hides what needs attention."""
         await submit_all(terminal)
-        move = {"state": "rolled_back", "reason": "slower than v1", "share_ppm": 0}
-        await terminal.site.store.put("moves/records", move, 0)
+        plan = MovePlan("m", "v1", "v2", 0.0, 600.0, 200_000, None, (Step(20_000, 0.0),))
+        state = MoveState(plan, MovePhase.ROLLED_BACK, 0, 5.0, reason="slower than v1")
+        await terminal.site.store.put("moves/records", encode_move(state), 0)
         terminal.site.statuses["vm-1"]["revision"] = 1
         for command in ("status", "moves", "fleet"):
             assert await terminal.run(command) == 0
