--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -16,7 +16,7 @@
 from wagtailbay.membership.settings import certificate_source
 from wagtailbay.once.const import DRAIN_TIMEOUT_S
 from wagtailbay.programs.entry_settings import EntrySettings
-from wagtailbay.programs.node import PROGRAM, Node, build_node
+from wagtailbay.programs.node import PROGRAM, Node, NodeBuilder
 from wagtailbay.settings import exit_with_faults, load_settings_or_exit
 from wagtailbay.settings.checks import split_address
 from wagtailbay.transport import HttpServer
@@ -35,7 +35,7 @@
 
 async def run(settings: EntrySettings, certificates: CertificateSource | None = None) -> None:
     """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
-    node = build_node(settings, own_identity(settings), certificates)
+    node = NodeBuilder(settings, own_identity(settings), certificates).build()
     async with trio.open_nursery() as nursery:
         await node.run_tasks(nursery)
         await nursery.start(node.fleet.run, settings.peer_listen_address)
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import trio
-from attrs import define
+from attrs import define, field
 
 from wagtailbay.access import AccessGate, KeyRing
 from wagtailbay.allotment import Allotment, EqualShares, budgets_of
@@ -114,142 +114,170 @@
         return tuple(sorted({w.workspace for s in services for w in s.workspaces}))
 
 
-def build_node(
-    settings: EntrySettings, identity: VmIdentity, certificates: CertificateSource | None
-) -> Node:
-    """Build all parts of one entry VM; starts nothing."""
-    started_s = boottime_s()
-    config = LiveConfig(ConfigView())
-    store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
-    exporter = build_exporter(PROGRAM, settings.vm)
-    fleet = build_fleet(
-        settings, identity, store, certificates, lambda: config.view.fleet, boottime_s
-    )
-    view = FleetView(fleet)
-    shares, allotment = _build_shares(settings, config, fleet, view, store, started_s)
-    audit = AuditWriter(store, exporter.metrics.audit_record_lost)
-    health = TargetHealth(fleet.facts)
-    monitor = HealthMonitor(
-        identity.vm,
-        lambda: config.view,
-        fleet.roster,
-        fleet.facts,
-        health,
-        boottime_s,
-        random.Random(),
-    )
-    chooser = _build_chooser(settings, config, health, shares)
-    shift = build_shift_controller(
-        f"{identity.vm}/{identity.incarnation}",
-        store,
-        fleet.replica,
-        fleet.facts,
-        lambda: config.view,
-        view,
-        view,
-        SharedVersionCaps(shares),
-        lambda event, details: audit.record(_move_record(identity.vm, event, details)),
-        boottime_s,
-        unix_time_s,
-        random.Random(),
-    )
-    shift.judges = shift.keeper.judges = settings.judge == "on"
-    calls = StoreCalls(store)
-    writer = OutcomeWriter(calls)
-    once = OnceGate(calls, writer, identity.vm, identity.incarnation, boottime_s, unix_time_s)
-    once.skip_claim = settings.once == "off"
-    pool = ConnectionPool()
-    crashes = CrashTable(fleet.facts)
-    forwarder = Forwarder(chooser, shift.picker, pool, crashes, boottime_s, settings.vm)
-    forwarder.metrics = exporter.metrics
-    sections = {"config": ConfigStatus(lambda: config.view), "quarantine": crashes}
-    if allotment is not None:
-        sections["budgets"] = allotment
-    handler = RequestHandler(
-        view=lambda: config.view,
-        gate=AccessGate(
-            KeyRing(lambda: fleet.replica.objects),
-            fleet.freshness.age_ms,
-            fleet.quorum.has_quorum,
-        ),
-        limiter=WorkspaceLimiter(shares, boottime_s),
-        forwarder=forwarder,
-        deposits=DepositForwarder(once, forwarder),
-        roster=fleet.roster,
-        status=lambda now_s: build_status(fleet, sections, now_s),
-        clock=boottime_s,
-        metrics=exporter.metrics,
-    )
-    sweep = ExpirySweep(store, config.services_workspaces, unix_time_s)
-    server = HttpServer(handler.handle)
-    return Node(
-        fleet,
-        allotment,
-        monitor,
-        shift,
-        writer,
-        sweep,
-        audit,
-        exporter,
-        pool,
-        server,
-        chooser,
-        config,
-    )
-
-
-def _build_shares(
-    settings: EntrySettings,
-    config: LiveConfig,
-    fleet: Fleet,
-    view: FleetView,
-    store: HttpObjectStore,
-    started_s: float,
-) -> tuple[ShareSource, Allotment | None]:
-    if settings.shares == "equal":
-        max_vms = lambda: config.view.fleet.max_vms if config.view.fleet else 1  # noqa: E731
-        return EqualShares(max_vms, started_s), None
-    allotment = Allotment(
-        view,
-        view,
-        store,
-        fleet.replica,
-        fleet.facts,
-        lambda: budgets_of(config.view),
-        lambda: config.view.fleet.max_vms if config.view.fleet else None,
-        boottime_s,
-        started_s,
-    )
-    fleet.server.lender = allotment.lend
-    return allotment.holding, allotment
-
-
-def _build_chooser(
-    settings: EntrySettings, config: LiveConfig, health: TargetHealth, shares: ShareSource
-) -> Chooser:
-    if settings.chooser == "round-robin":
-        return RoundRobinChooser()
-    if settings.chooser == "least-connections":
-        return LeastConnectionsChooser(random.Random())
-    regions = RegionBudget(shares, lambda name: config.view.services.get(name), boottime_s)
-    budgets = SharedBudgets(regions, LinkBudget(shares, lambda: config.view.fleet))
-    weights = DrainWeights(lambda: config.view.fleet, unix_time_s)
-    return build_chooser(
-        settings.availability_zone, health, budgets, weights, boottime_s, random.Random()
-    )
-
-
-def _move_record(vm: str, event: str, details: dict) -> AuditRecord:
-    """Build the audit record of a step, an end or a rollback of a move."""
-    return AuditRecord(
-        record_id=uuid.uuid4().hex,
-        when_unix_s=unix_time_s(),
-        who=vm,
-        action=event.replace("move_", "move."),
-        subject=f"moves/{details.get('service', '')}",
-        from_version=details.get("from_version"),
-        to_version=details.get("to_version"),
-        why=str(details.get("reason", "")),
-        outcome="accepted",
-        detail=format_line(details),
-    )
+@define
+class NodeBuilder:
+    """Build the parts of one entry VM; starts nothing."""
+
+    settings: EntrySettings
+    identity: VmIdentity
+    certificates: CertificateSource | None
+    config: LiveConfig = field(factory=lambda: LiveConfig(ConfigView()))
+    source: random.Random = field(factory=random.Random)
+    started_s: float = field(factory=boottime_s)
+    store: HttpObjectStore = field(init=False)
+    exporter: Exporter = field(init=False)
+    fleet: Fleet = field(init=False)
+    audit: AuditWriter = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build what all other parts use."""
+        settings = self.settings
+        self.store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
+        self.exporter = build_exporter(PROGRAM, settings.vm)
+        self.fleet = build_fleet(
+            settings,
+            self.identity,
+            self.store,
+            self.certificates,
+            lambda: self.config.view.fleet,
+            boottime_s,
+        )
+        self.audit = AuditWriter(self.store, self.exporter.metrics.audit_record_lost)
+
+    def build(self) -> Node:
+        """Build all parts."""
+        fleet, config = self.fleet, self.config
+        view = FleetView(fleet)
+        shares, allotment = self._build_shares(view)
+        health = TargetHealth(fleet.facts)
+        chooser = self._build_chooser(health, shares)
+        shift = self._build_shift(view, shares)
+        writer = OutcomeWriter(StoreCalls(self.store))
+        pool = ConnectionPool()
+        forwarder = Forwarder(
+            chooser, shift.picker, pool, CrashTable(fleet.facts), boottime_s, self.settings.vm
+        )
+        forwarder.metrics = self.exporter.metrics
+        handler = self._build_handler(forwarder, self._build_once(writer), shares, allotment)
+        return Node(
+            fleet=fleet,
+            allotment=allotment,
+            monitor=HealthMonitor(
+                self.identity.vm,
+                lambda: config.view,
+                fleet.roster,
+                fleet.facts,
+                health,
+                boottime_s,
+                self.source,
+            ),
+            shift=shift,
+            writer=writer,
+            sweep=ExpirySweep(self.store, config.services_workspaces, unix_time_s),
+            audit=self.audit,
+            exporter=self.exporter,
+            pool=pool,
+            server=HttpServer(handler.handle),
+            chooser=chooser,
+            config=config,
+        )
+
+    def _build_once(self, writer: OutcomeWriter) -> OnceGate:
+        vm, incarnation = self.identity.vm, self.identity.incarnation
+        once = OnceGate(writer.calls, writer, vm, incarnation, boottime_s, unix_time_s)
+        once.skip_claim = self.settings.once == "off"
+        return once
+
+    def _build_handler(
+        self,
+        forwarder: Forwarder,
+        once: OnceGate,
+        shares: ShareSource,
+        allotment: Allotment | None,
+    ) -> RequestHandler:
+        fleet, config = self.fleet, self.config
+        sections = {"config": ConfigStatus(lambda: config.view), "quarantine": forwarder.crashes}
+        if allotment is not None:
+            sections["budgets"] = allotment
+        return RequestHandler(
+            view=lambda: config.view,
+            gate=AccessGate(
+                KeyRing(lambda: fleet.replica.objects),
+                fleet.freshness.age_ms,
+                fleet.quorum.has_quorum,
+            ),
+            limiter=WorkspaceLimiter(shares, boottime_s),
+            forwarder=forwarder,
+            deposits=DepositForwarder(once, forwarder),
+            roster=fleet.roster,
+            status=lambda now_s: build_status(fleet, sections, now_s),
+            clock=boottime_s,
+            metrics=self.exporter.metrics,
+        )
+
+    def _build_shares(self, view: FleetView) -> tuple[ShareSource, Allotment | None]:
+        if self.settings.shares == "equal":
+            return EqualShares(lambda: self._max_vms() or 1, self.started_s), None
+        allotment = Allotment(
+            view,
+            view,
+            self.store,
+            self.fleet.replica,
+            self.fleet.facts,
+            lambda: budgets_of(self.config.view),
+            self._max_vms,
+            boottime_s,
+            self.started_s,
+        )
+        self.fleet.server.lender = allotment.lend
+        return allotment.holding, allotment
+
+    def _max_vms(self) -> int | None:
+        document = self.config.view.fleet
+        return document.max_vms if document else None
+
+    def _build_chooser(self, health: TargetHealth, shares: ShareSource) -> Chooser:
+        if self.settings.chooser == "round-robin":
+            return RoundRobinChooser()
+        if self.settings.chooser == "least-connections":
+            return LeastConnectionsChooser(self.source)
+        config = self.config
+        regions = RegionBudget(shares, lambda name: config.view.services.get(name), boottime_s)
+        budgets = SharedBudgets(regions, LinkBudget(shares, lambda: config.view.fleet))
+        weights = DrainWeights(lambda: config.view.fleet, unix_time_s)
+        zone = self.settings.availability_zone
+        return build_chooser(zone, health, budgets, weights, boottime_s, self.source)
+
+    def _build_shift(self, view: FleetView, shares: ShareSource) -> ShiftController:
+        shift = build_shift_controller(
+            f"{self.identity.vm}/{self.identity.incarnation}",
+            self.store,
+            self.fleet.replica,
+            self.fleet.facts,
+            lambda: self.config.view,
+            view,
+            view,
+            SharedVersionCaps(shares),
+            self._record_move,
+            boottime_s,
+            unix_time_s,
+            self.source,
+        )
+        shift.judges = shift.keeper.judges = self.settings.judge == "on"
+        return shift
+
+    def _record_move(self, event: str, details: dict) -> None:
+        """Record a step, an end or a rollback of a move in the audit trail."""
+        record = AuditRecord(
+            record_id=uuid.uuid4().hex,
+            when_unix_s=unix_time_s(),
+            who=self.identity.vm,
+            action=event.replace("move_", "move."),
+            subject=f"moves/{details['service']}",
+            from_version=None,
+            to_version=None,
+            why=details["reason"],
+            outcome="accepted",
+            detail=format_line(details),
+        )
+        self.audit.record(record)
