--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -170,6 +170,7 @@
                 health,
                 boottime_s,
                 self.source,
+                fetch=ConnectionPool(max_idle_per_address=1).fetch,
             ),
             shift=shift,
             writer=writer,
--- a/src/wagtailbay_bench/prove/process_history.py
+++ b/src/wagtailbay_bench/prove/process_history.py
@@ -3,7 +3,7 @@
 import json
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import trio
 
@@ -31,7 +31,9 @@
 )
 
 
-async def record_history(seed: int, fault_names: Sequence[str]) -> History:
+async def record_history(
+    seed: int, fault_names: Sequence[str], vm_flags: Mapping[str, str]
+) -> History:
     """Run a deployment under load and faults; returns what callers and targets saw."""
     history = History(seed, limits=WORKSPACES)
     generator = random.Random(f"{seed}/faults")
@@ -41,6 +43,7 @@
             group, [service_document()], fleet_document(), keys, VM_ZONES, BEHAVIOUR
         )
         deployment.key_workspaces = {f"{name}-2": name for name in SPARE_KEYS}
+        deployment.vm_flags = dict(vm_flags)
         await deployment.start()
         controls = Controls(deployment)
         context = FaultContext(deployment, controls, history, generator)
--- a/src/wagtailbay_bench/prove/program.py
+++ b/src/wagtailbay_bench/prove/program.py
@@ -3,6 +3,7 @@
 import argparse
 import sys
 import time
+from collections.abc import Mapping
 
 import trio
 
@@ -13,6 +14,8 @@
 
 PROPERTIES = 10
 SHORTENING_TRIES = 4
+# Mechanisms that the entry VMs can run without, to see that the checks then fail.
+SWITCHES = {"once": {"--once": "off"}}
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -24,6 +27,9 @@
     parser.add_argument(
         "--fault", choices=sorted(FAULTS), action="append", help="bring only this fault"
     )
+    parser.add_argument(
+        "--without", choices=sorted(SWITCHES), help="switch a mechanism off; its check must fail"
+    )
     return parser
 
 
@@ -32,12 +38,14 @@
     return list(CHECKS[name](history)) if name else check_history(history)
 
 
-def shorten(seed: int, faults: list[str], name: str | None) -> list[str]:
+def shorten(
+    seed: int, faults: list[str], name: str | None, vm_flags: Mapping[str, str]
+) -> list[str]:
     """Drop kinds of fault one by one while the violation stays; bounded in tries."""
     kept = list(faults)
     for fault in faults[:SHORTENING_TRIES]:
         fewer = [item for item in kept if item != fault]
-        if fewer and violations_of(trio.run(record_history, seed, fewer), name):
+        if fewer and violations_of(trio.run(record_history, seed, fewer, vm_flags), name):
             kept = fewer
     return kept
 
@@ -46,9 +54,10 @@
     """Run the proofs and return the exit status."""
     arguments = build_parser().parse_args()
     names = arguments.fault or list(FAULTS)
+    vm_flags = SWITCHES.get(arguments.without, {})
     violations, faults, requests = 0, 0, 0
     for seed in range(arguments.seed, arguments.seed + arguments.histories):
-        history = trio.run(record_history, seed, names)
+        history = trio.run(record_history, seed, names, vm_flags)
         found = violations_of(history, arguments.property)
         violations += len(found)
         faults += len(history.faults)
@@ -64,7 +73,7 @@
         if found:
             print(f"  faults: {', '.join(history.faults)}")
             used = sorted({item.split()[1] for item in history.faults})
-            kept = shorten(seed, used, arguments.property)
+            kept = shorten(seed, used, arguments.property, vm_flags)
             options = " ".join(f"--fault {name}" for name in kept)
             print(f"  repeat with: script/prove --seed {seed} --histories 1 {options}")
     print(
