--- /dev/null
+++ b/src/wagtailbay_bench/load/program.py
@@ -0,0 +1,94 @@
+"""Send a planned load to running entry VMs and report what callers saw."""
+
+import json
+import os
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import trio
+from attrs import frozen
+from cattrs import Converter
+from cattrs.errors import BaseValidationError
+from result import Err, Ok, Result
+
+from wagtailbay.settings import load_settings_or_exit, setting
+from wagtailbay.settings.checks import parse_switch
+from wagtailbay_bench.load.models import LoadPlan, TrafficClass
+from wagtailbay_bench.load.report import format_page, format_text
+from wagtailbay_bench.load.runner import run_load
+from wagtailbay_bench.load.summary import summarize
+
+PROGRAM = "wagtailbay-load"
+MAX_DURATION_S = 3_600.0
+EXIT_BAD_PLAN = 2
+
+
+@frozen
+class LoadSettings:
+    """Send a planned load to entry VMs; bounded in requests and seconds."""
+
+    plan: Path = setting(help_text="TOML file with the plan", parse=Path)
+    report: str = setting(help_text="folder for the page and the JSON report", default="")
+    progress: bool = setting(help_text="on: show progress", default=True, parse=parse_switch)
+
+
+@frozen
+class LoadFile:
+    """Hold a plan file.
+
+    Attributes:
+        keys: The key of each workspace.
+        seeds: For each availability zone the entry VM addresses that a new client asks first.
+    """
+
+    duration_s: float
+    seed: int
+    keys: dict[str, str]
+    seeds: dict[str, tuple[str, ...]]
+    classes: tuple[TrafficClass, ...]
+
+
+def read_plan(path: Path) -> Result[LoadFile, str]:
+    """Read a plan file, or say what is wrong with it."""
+    try:
+        data: dict[str, Any] = tomllib.loads(path.read_text())
+        plan = Converter(forbid_extra_keys=True).structure(data, LoadFile)
+    except (OSError, ValueError, BaseValidationError) as error:
+        return Err(f"{path}: {type(error).__name__}: {error}")
+    if not 0 < plan.duration_s <= MAX_DURATION_S:
+        return Err(f"{path}: duration_s must be above 0 and at most {MAX_DURATION_S:g}")
+    for item in plan.classes:
+        if item.workspace not in plan.keys:
+            return Err(f"{path}: class {item.name!r}: no key for workspace {item.workspace!r}")
+        missing = [zone for zone in item.availability_zones if zone not in plan.seeds]
+        if missing or not item.availability_zones:
+            return Err(f"{path}: class {item.name!r}: no seeds for zones {missing}")
+        if item.rate_per_s <= 0:
+            return Err(f"{path}: class {item.name!r}: rate_per_s must be above 0")
+    return Ok(plan)
+
+
+def main() -> None:
+    """Run the program."""
+    settings = load_settings_or_exit(PROGRAM, LoadSettings, os.environ)
+    match read_plan(settings.plan):
+        case Err(message):
+            print(f"{PROGRAM}: {message}", file=sys.stderr)
+            sys.exit(EXIT_BAD_PLAN)
+        case Ok(file):
+            plan = LoadPlan(file.classes, file.duration_s, file.seed)
+    samples = trio.run(run_load, plan, file.keys, file.seeds, settings.progress)
+    report = summarize(plan, samples, {})
+    print(f"\nseed={plan.seed} sent={report.sent} answered={report.answered}")
+    print(format_text(report))
+    if settings.report:
+        folder = Path(settings.report)
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "load.html").write_text(format_page("load", report, samples, {}, {}))
+        (folder / "load.json").write_text(json.dumps(report.as_json(), indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,72 @@
+"""Test the load tool."""
+
+from pathlib import Path
+
+from result import Err, Ok
+
+from wagtailbay.transport import Response
+from wagtailbay_bench.load import LoadPlan, TrafficClass, summarize
+from wagtailbay_bench.load.client import CallResult
+from wagtailbay_bench.load.program import read_plan
+from wagtailbay_bench.load.runner import build_arrivals, build_sample
+
+READERS = TrafficClass("readers", "records", "/item/{n}", "unam", 50.0, ("a1",))
+FILE = """
+duration_s = 2
+seed = 7
+keys = {unam = "key"}
+seeds = {a1 = ["127.0.0.1:1"]}
+[[classes]]
+name = "readers"
+service = "records"
+path = "/item/{n}"
+workspace = "WORKSPACE"
+rate_per_s = 5
+availability_zones = ["a1"]
+"""
+
+
+class TestArrivals:
+    """A seed gives one schedule, bounded in time and number."""
+
+    def test_same_seed_gives_the_same_times(self) -> None:
+        """Guards against runs that cannot be repeated."""
+        plan = LoadPlan((READERS,), 4.0, seed=7)
+        assert build_arrivals(plan) == build_arrivals(plan)
+        assert all(due_s < 4.0 for due_s, _ in build_arrivals(plan))
+
+    def test_number_is_bounded(self) -> None:
+        """Guards against a plan that never ends."""
+        assert len(build_arrivals(LoadPlan((READERS,), 1e3, seed=7, max_requests=10))) == 10
+
+
+class TestSummary:
+    """Refusals and answers are counted by class."""
+
+    def test_refusal_within_rate_is_counted(self) -> None:
+        """Guards against refusals that the figures hide."""
+        body = b'{"error": {"code": "rate_exceeded", "run": "not_run"}}'
+        refused = CallResult(Ok(Response(429, (), body)), 1)
+        answered = CallResult(Ok(Response(200, (), b'{"version": "v1"}')), 1)
+        samples = [
+            build_sample(READERS, 0.1, 5.0, "", refused),
+            build_sample(READERS, 0.2, 7.0, "", answered),
+        ]
+        report = summarize(LoadPlan((READERS,), 1.0, 7), samples, {})
+        assert (report.refused_within_rate, report.answered) == (1, 1)
+        assert report.worst_workspace_answered == 0.5
+        assert report.classes[0].refused_by_code == {"rate_exceeded": 1}
+
+
+class TestPlanFile:
+    """A bad plan is refused with its fault."""
+
+    def test_workspace_without_key_is_named(self, tmp_path: Path) -> None:
+        """Guards against a run that sends without a key."""
+        path = tmp_path / "plan.toml"
+        path.write_text(FILE.replace("WORKSPACE", "unam"))
+        assert isinstance(read_plan(path), Ok)
+        path.write_text(FILE.replace("WORKSPACE", "ipn"))
+        assert "no key for workspace 'ipn'" in read_plan(path).unwrap_err()
+        path.write_text("seed = [")
+        assert isinstance(read_plan(path), Err)
