Let locate answers start with the zone of the client's block

Cause: the map from client blocks to availability zones was measured but not used; /-/locate ranked from the zone of the VM asked. The fleet document may now list blocks, checked with their fields' paths, and the look-up uses the longest block that holds the client. transport.fetch is now the pool's fetch without kept connections, in place of a second copy of the same code.

--- a/src/wagtailbay/config/__init__.py
+++ b/src/wagtailbay/config/__init__.py
@@ -10,6 +10,7 @@
 from wagtailbay.config.files import decode_json, decode_toml, read_document
 from wagtailbay.config.models import (
     AvailabilityZone,
+    ClientBlock,
     Drain,
     FleetDocument,
     Link,
@@ -25,6 +26,7 @@
 
 __all__ = [
     "AvailabilityZone",
+    "ClientBlock",
     "ConfigView",
     "DocumentFault",
     "Drain",
--- a/src/wagtailbay/config/checks.py
+++ b/src/wagtailbay/config/checks.py
@@ -1,6 +1,7 @@
 """Check what a JSON schema cannot express."""
 
 from collections.abc import Iterable
+from ipaddress import ip_network
 
 from wagtailbay.config.const import FLEET_NAME
 from wagtailbay.config.faults import DocumentFault
@@ -86,11 +87,26 @@
     return tuple(faults)
 
 
+def _check_client_blocks(document: FleetDocument) -> tuple[DocumentFault, ...]:
+    known = {zone.availability_zone for zone in document.availability_zones}
+    faults = list(check_unique("client_blocks", (item.block for item in document.client_blocks)))
+    for index, item in enumerate(document.client_blocks):
+        try:
+            ip_network(item.block)
+        except ValueError as error:
+            faults.append(DocumentFault(f"client_blocks[{index}].block", str(error)))
+        if item.availability_zone not in known:
+            path = f"client_blocks[{index}].availability_zone"
+            faults.append(DocumentFault(path, "is not among availability_zones"))
+    return tuple(faults)
+
+
 def check_fleet(document: FleetDocument) -> tuple[DocumentFault, ...]:
     """Return the faults between the fields of the fleet document."""
     zones = document.availability_zones
     regions = {zone.region for zone in zones}
     faults = list(check_unique("availability_zones", (z.availability_zone for z in zones)))
+    faults.extend(_check_client_blocks(document))
     faults.extend(check_unique("quorum_vms", document.quorum_vms))
     if len(document.quorum_vms) > document.max_vms:
         faults.append(DocumentFault("quorum_vms", f"has more than max_vms {document.max_vms}"))
--- a/src/wagtailbay/config/models.py
+++ b/src/wagtailbay/config/models.py
@@ -125,6 +125,14 @@
     region: str
 
 
+@frozen
+class ClientBlock:
+    """Assign a block of client addresses, such as ``203.0.113.0/24``, to a near zone."""
+
+    block: str
+    availability_zone: str
+
+
 @frozen
 class Link:
     """Limit what passes from one region to another, shared by all services."""
@@ -142,6 +150,7 @@
         max_vms: The most entry processes ever alive at once; floors rest on it.
         quorum_vms: The names of the VMs that count for quorums; without names any VM counts, and
             a quorum is more than half of max_vms.
+        client_blocks: Where clients are; locate answers start with the VMs of their zone.
     """
 
     max_vms: int
@@ -149,6 +158,7 @@
     links: tuple[Link, ...] = ()
     schema_version: int = SCHEMA_VERSION
     quorum_vms: tuple[str, ...] = ()
+    client_blocks: tuple[ClientBlock, ...] = ()
 
     @property
     def votes(self) -> int:
--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -140,8 +140,8 @@
             await reply.send_json(200, self.status(now_s))
         elif path == LOCATE_PATH and view.fleet is not None:
             query = {name: values[0] for name, values in parse_qs(query_text).items()}
-            zone = query.get("availability_zone", self.roster.own.availability_zone)
             client = query.get("client", "")
+            zone = query.get("availability_zone")
             answer = self.ranker.rank(client, zone, view.fleet, now_s)
             await reply.send_json(200, answer.as_json())
         else:
--- a/src/wagtailbay/locate/blocks.py
+++ b/src/wagtailbay/locate/blocks.py
@@ -3,23 +3,17 @@
 from array import array
 from bisect import bisect_right
 from collections.abc import Iterable
-from ipaddress import IPv4Address, IPv4Network, IPv6Address, IPv6Network, ip_address
+from ipaddress import IPv4Address, IPv6Address, ip_address, ip_network
 
-from attrs import define, field, frozen
+from attrs import define, field
+
+from wagtailbay.config import ClientBlock
 
 UNMAPPED = 0xFFFF
 # IPv6 blocks are kept by their upper 64 bits; longer prefixes are not routed between networks.
 IPV6_SHIFT = 64
 
 
-@frozen
-class ClientBlock:
-    """Assign one block of client addresses to an availability zone."""
-
-    block: IPv4Network | IPv6Network
-    availability_zone: str
-
-
 @define
 class _Ranges:
     """Hold disjoint ranges; each begins at a start and ends before the next one."""
@@ -82,9 +76,9 @@
     ranges6: list[tuple[int, int, int]] = []
     for item in blocks:
         zone = numbers.setdefault(item.availability_zone, len(numbers))
-        first = int(item.block.network_address)
-        last = int(item.block.broadcast_address)
-        if item.block.version == 4:
+        block = ip_network(item.block)
+        first, last = int(block.network_address), int(block.broadcast_address)
+        if block.version == 4:
             ranges4.append((first, last, zone))
         else:
             ranges6.append((first >> IPV6_SHIFT, last >> IPV6_SHIFT, zone))
--- a/src/wagtailbay/locate/rank.py
+++ b/src/wagtailbay/locate/rank.py
@@ -4,6 +4,7 @@
 from xxhash import xxh64_intdigest
 
 from wagtailbay.config import FleetDocument
+from wagtailbay.locate.blocks import BlockMap, build_block_map
 from wagtailbay.locate.const import (
     ANSWER_TTL_MS,
     GROUPS_TTL_S,
@@ -60,11 +61,24 @@
 
     roster: Roster
     groups: dict[str, tuple[float, Groups]] = field(factory=dict)
+    blocks: BlockMap = field(factory=BlockMap)
+    mapped: FleetDocument | None = None
+
+    def zone_of(self, client: str, fleet: FleetDocument) -> str:
+        """Return the zone of the client's block, or this VM's own."""
+        if fleet is not self.mapped:
+            self.blocks, self.mapped = build_block_map(fleet.client_blocks), fleet
+        return self.blocks.find(client) or self.roster.own.availability_zone
 
     def rank(
-        self, client: str, availability_zone: str, fleet: FleetDocument, now_s: float
+        self, client: str, availability_zone: str | None, fleet: FleetDocument, now_s: float
     ) -> LocateAnswer:
-        """Rank live VMs as rank_vms does, from groups of up to GROUPS_TTL_S ago."""
+        """Rank live VMs as rank_vms does, from groups of up to GROUPS_TTL_S ago.
+
+        Args:
+            availability_zone: The client's, where it says so; otherwise its block decides.
+        """
+        availability_zone = availability_zone or self.zone_of(client, fleet)
         built_s, groups = self.groups.get(availability_zone, (float("-inf"), ([], [], [])))
         if now_s - built_s > GROUPS_TTL_S:
             if len(self.groups) >= MAX_CACHED_ZONES:
--- a/src/wagtailbay/transport/__init__.py
+++ b/src/wagtailbay/transport/__init__.py
@@ -1,6 +1,6 @@
 """Carry HTTP/1.1 messages over trio streams by means of h11."""
 
-from wagtailbay.transport.client import ClientConnection, fetch, open_connection
+from wagtailbay.transport.client import ClientConnection, open_connection
 from wagtailbay.transport.models import (
     FailureKind,
     Headers,
@@ -9,7 +9,7 @@
     ResponseHead,
     TransportError,
 )
-from wagtailbay.transport.pool import ConnectionPool
+from wagtailbay.transport.pool import ConnectionPool, fetch
 from wagtailbay.transport.reply import AnswerSink, CallerGoneError, Reply
 from wagtailbay.transport.server import HttpServer
 
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -166,25 +166,6 @@
     return Ok(ClientConnection(address, stream))
 
 
-async def fetch(
-    address: str, request: Request, timeout_ms: int
-) -> Result[Response, TransportError]:
-    """Carry out one complete exchange on a connection of its own."""
-    connection: ClientConnection | None = None
-    with trio.move_on_after(timeout_ms / 1000):
-        try:
-            match await open_connection(address, timeout_ms):
-                case Err(error):
-                    return Err(error)
-                case Ok(connection):
-                    return await exchange(connection, request)
-        finally:
-            if connection is not None:
-                await connection.close()
-    sent = connection is not None and connection.request_sent
-    return Err(TransportError(FailureKind.TIMEOUT, f"{address}: {timeout_ms} ms", sent))
-
-
 async def exchange(
     connection: ClientConnection, request: Request
 ) -> Result[Response, TransportError]:
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -59,3 +59,10 @@
         for waiting in self.idle.values():
             while waiting:
                 await waiting.pop().close()
+
+
+async def fetch(
+    address: str, request: Request, timeout_ms: int
+) -> Result[Response, TransportError]:
+    """Carry out one complete exchange on a connection of its own."""
+    return await ConnectionPool(max_idle_per_address=0).fetch(address, request, timeout_ms)
--- a/src/wagtailbay_bench/slopes.py
+++ b/src/wagtailbay_bench/slopes.py
@@ -11,10 +11,10 @@
 
 from wagtailbay.allotment import Evidence, Holder, Ledger, plan_ledger
 from wagtailbay.allotment.wire import encode_ledger
-from wagtailbay.config import AvailabilityZone, FleetDocument
+from wagtailbay.config import AvailabilityZone, ClientBlock, FleetDocument
 from wagtailbay.limits import BudgetLimit
 from wagtailbay.locate import VmRanker
-from wagtailbay.locate.blocks import ClientBlock, build_block_map
+from wagtailbay.locate.blocks import build_block_map
 from wagtailbay.membership import (
     Exchanger,
     FactTable,
@@ -62,7 +62,7 @@
     generator = random.Random(seed)
     chosen = generator.sample(range(1 << 24), count)
     return [
-        ClientBlock(IPv4Network((number << 8, 24)), f"zone-{generator.randrange(zones)}")
+        ClientBlock(str(IPv4Network((number << 8, 24))), f"zone-{generator.randrange(zones)}")
         for number in chosen
     ]
 
@@ -75,7 +75,7 @@
         started_s = time.process_time()
         block_map = build_block_map(blocks)
         build_s = time.process_time() - started_s
-        addresses = [block.block.network_address + 7 for block in blocks[:LOOKUPS]]
+        addresses = [IPv4Network(b.block).network_address + 7 for b in blocks[:LOOKUPS]]
         del blocks
         gc.collect()
         size = sum(len(a) * a.itemsize for a in (block_map.ipv4.starts, block_map.ipv4.zones))
