--- a/src/wagtailbay_bench/prove/program.py
+++ b/src/wagtailbay_bench/prove/program.py
@@ -12,7 +12,6 @@
 from wagtailbay_bench.prove.models import History, Violation
 from wagtailbay_bench.prove.process_history import record_history
 
-PROPERTIES = 10
 SHORTENING_TRIES = 4
 # Mechanisms that the entry VMs can run without, to see that the checks then fail.
 SWITCHES = {"once": {"--once": "off"}}
@@ -77,8 +76,8 @@
             options = " ".join(f"--fault {name}" for name in kept)
             print(f"  repeat with: script/prove --seed {seed} --histories 1 {options}")
     print(
-        f"properties={PROPERTIES} histories={arguments.histories} faults={faults}"
-        f" violations={violations}"
+        f"properties={1 if arguments.property else len(CHECKS)}"
+        f" histories={arguments.histories} faults={faults} violations={violations}"
     )
     return 1 if violations else 0
 
