Remove code without a caller and one filter written twice

Cause: since the entry program uses the real lease and contacts, their single-VM stand-ins had no caller, nor had decode_version after a merge.

--- a/src/wagtailbay/platform/wire.py
+++ b/src/wagtailbay/platform/wire.py
@@ -22,11 +22,6 @@
     return Listing(data["revision"], tuple(stored_object(item) for item in data["objects"]))
 
 
-def decode_version(body: bytes) -> int:
-    """Decode the version in the answer to a write."""
-    return int(json.loads(body)["version"])
-
-
 def decode_vms(body: bytes) -> VmList:
     """Decode the list of VMs."""
     data = json.loads(body)
--- a/src/wagtailbay/shift/__init__.py
+++ b/src/wagtailbay/shift/__init__.py
@@ -5,7 +5,7 @@
 from wagtailbay.shift.const import EVIDENCE_KIND, STOP_KIND
 from wagtailbay.shift.controller import ShiftController, build_shift_controller
 from wagtailbay.shift.drains import DrainWeights
-from wagtailbay.shift.fixed import AnyVersionPicker, LatestContact, SoleHolder
+from wagtailbay.shift.fixed import AnyVersionPicker
 from wagtailbay.shift.models import (
     Contact,
     Evidence,
@@ -25,7 +25,6 @@
     "Contact",
     "DrainWeights",
     "Evidence",
-    "LatestContact",
     "Lease",
     "MovePhase",
     "MovePlan",
@@ -33,7 +32,6 @@
     "MoveVersionPicker",
     "SharedVersionCaps",
     "ShiftController",
-    "SoleHolder",
     "Stop",
     "UncappedVersions",
     "VersionBudget",
--- a/src/wagtailbay/steer/least_connections.py
+++ b/src/wagtailbay/steer/least_connections.py
@@ -21,11 +21,7 @@
 
     async def choose(self, query: TargetQuery, now_s: float) -> Result[Assignment, Refusal]:
         """Choose the target with the fewest requests for each slot."""
-        usable = [
-            target
-            for target in query.service.targets
-            if query.version in (None, target.version) and target.target not in query.excluded
-        ]
+        usable = query.untried_targets()
         if not usable:
             return Err(not_run(503, "no_target", "no target can take the request"))
         self.random.shuffle(usable)
--- a/src/wagtailbay/steer/models.py
+++ b/src/wagtailbay/steer/models.py
@@ -30,6 +30,14 @@
     attempt: int
     deadline_s: float
 
+    def untried_targets(self) -> list[Target]:
+        """Return the targets that have the version and were not tried, whatever their state."""
+        return [
+            target
+            for target in self.service.targets
+            if self.version in (None, target.version) and target.target not in self.excluded
+        ]
+
 
 @frozen
 class Assignment:
