--- a/src/wagtailbay/shift/fixed.py
+++ b/src/wagtailbay/shift/fixed.py
@@ -1,6 +1,5 @@
 """Stand in for moves, the lease and peers where there are none."""
 
-
 from attrs import define
 
 from wagtailbay.config import Route, ServiceDocument
