--- a/src/wagtailbay/audit/__init__.py
+++ b/src/wagtailbay/audit/__init__.py
@@ -2,6 +2,7 @@
 
 from wagtailbay.audit.models import AuditPage, AuditRecord
 from wagtailbay.audit.reader import AuditReader
+from wagtailbay.audit.retention import RetentionSweep
 from wagtailbay.audit.writer import AuditWriter
 
-__all__ = ["AuditPage", "AuditReader", "AuditRecord", "AuditWriter"]
+__all__ = ["AuditPage", "AuditReader", "AuditRecord", "AuditWriter", "RetentionSweep"]
--- a/src/wagtailbay/audit/const.py
+++ b/src/wagtailbay/audit/const.py
@@ -11,3 +11,10 @@
 MAX_PAGE_RECORDS: Final = 200
 # Each day searched costs one list call of the store.
 MAX_DAYS_PER_PAGE: Final = 31
+RETENTION_ACTOR: Final = "wagtailbay-admin"
+# Longer than a year, so that a yearly review sees the whole of it.
+DEFAULT_RETENTION_DAYS: Final = 400
+# One list call of the store in ten minutes; a round of 120 days takes 20 hours.
+RETENTION_INTERVAL_S: Final = 600.0
+RETENTION_DAYS_SEARCHED: Final = 120
+DELETES_PER_STEP: Final = 500
--- a/src/wagtailbay/programs/admin.py
+++ b/src/wagtailbay/programs/admin.py
@@ -9,7 +9,8 @@
 from attrs import frozen
 
 from wagtailbay.admin import build_handler, parse_token_digests
-from wagtailbay.audit import AuditWriter
+from wagtailbay.audit import AuditWriter, RetentionSweep
+from wagtailbay.audit.const import DEFAULT_RETENTION_DAYS
 from wagtailbay.clock import boottime_s, unix_time_s
 from wagtailbay.logs import log_event, start_logging
 from wagtailbay.metrics import build_exporter
@@ -57,6 +58,12 @@
         parse=int,
         check=at_least(0),
     )
+    audit_retention_days: int = setting(
+        help_text="audit records older than this many days are removed; 0 keeps all",
+        default=DEFAULT_RETENTION_DAYS,
+        parse=int,
+        check=at_least(0),
+    )
     metrics_address: str = setting(
         help_text="where Prometheus scrapes /metrics; empty for none",
         default="",
@@ -69,6 +76,7 @@
     store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
     exporter = build_exporter(PROGRAM)
     writer = AuditWriter(store, exporter.metrics.audit_record_lost)
+    sweep = RetentionSweep(store, writer, settings.audit_retention_days, unix_time_s)
     handler = build_handler(
         store,
         writer,
@@ -82,6 +90,7 @@
     server = HttpServer(handler.handle)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(writer.run)
+        nursery.start_soon(sweep.run)
         if settings.metrics_address:
             scrape = HttpServer(exporter.handle)
             await nursery.start(scrape.serve, split_address(settings.metrics_address))
--- /dev/null
+++ b/tests/audit/test_retention.py
@@ -0,0 +1,55 @@
+"""Test the removal of old audit records."""
+
+from attrs import evolve
+from support.store import FakeObjectStore
+
+from wagtailbay.audit import AuditRecord, AuditWriter, RetentionSweep
+from wagtailbay.audit.const import RETENTION_DAYS_SEARCHED
+from wagtailbay.audit.wire import audit_key, encode_record
+
+DAY_S = 86_400.0
+NOW_UNIX_S = 1_796_385_600.0
+RECORD = AuditRecord(
+    "0" * 8, NOW_UNIX_S, "ana", "document.submit", "documents/records", 1, 2, "why", "accepted"
+)
+
+
+async def sweep_over(*ages_days: float, retention_days: int = 30) -> tuple[list[float], list[str]]:
+    """Run one whole round; returns the ages in days that stay and the details recorded."""
+    store = FakeObjectStore()
+    keys = {}
+    for number, age_days in enumerate(ages_days):
+        when_unix_s = NOW_UNIX_S - age_days * DAY_S
+        record = evolve(RECORD, record_id=f"{number:08d}", when_unix_s=when_unix_s)
+        keys[audit_key(record)] = age_days
+        await store.put(audit_key(record), encode_record(record), 0)
+    writer = AuditWriter(store)
+    sweep = RetentionSweep(store, writer, retention_days, lambda: NOW_UNIX_S)
+    for _ in range(RETENTION_DAYS_SEARCHED):
+        await sweep.step(NOW_UNIX_S)
+    kept = [age for key, age in keys.items() if store.version(key)]
+    return kept, [record.detail for record in writer.queue]
+
+
+class TestRetentionSweep:
+    """Only records past the retention time go, and their removal is recorded."""
+
+    async def test_only_old_records_go(self) -> None:
+        """Guards against a trail that loses records that an operator still needs."""
+        kept, details = await sweep_over(0.0, 29.0, 30.4, 31.6, 31.6, 60.0)
+        assert kept == [0.0, 29.0, 30.4]
+        assert details == ["removed 2 records", "removed 1 records"]
+
+    async def test_an_outage_removes_nothing(self) -> None:
+        """Guards against a sweep that ends the program while the store is down."""
+        store = FakeObjectStore(down=True)
+        writer = AuditWriter(store)
+        sweep = RetentionSweep(store, writer, 30, lambda: NOW_UNIX_S)
+        assert await sweep.step(NOW_UNIX_S) == 0
+        assert writer.queue == []
+
+    async def test_zero_days_keep_all(self) -> None:
+        """Guards against a setting of 0 that removes every record."""
+        sweep = RetentionSweep(FakeObjectStore(), AuditWriter(FakeObjectStore()), 0, lambda: 0.0)
+        await sweep.run()
+        assert sweep.store.calls == {}
