Show the headroom of regions in the status

Change: each entry VM measures the requests/s that it sends to each region; the administration API adds them up against the usable capacity and names a region below 10% as a problem.

--- a/src/wagtailbay/admin/const.py
+++ b/src/wagtailbay/admin/const.py
@@ -14,4 +14,6 @@
 DEFAULT_WITHDRAWAL_WAIT_MS: Final = 3_000
 # Each poll asks every entry VM, so the pauses double.
 WITHDRAWAL_FIRST_POLL_S: Final = 0.2
+# Below this, the loss of a zone of the region or a jump of demand leads to spill or refusals.
+LOW_HEADROOM_PERCENT: Final = 10.0
 DEFAULT_AUDIT_LIMIT: Final = 50
--- a/src/wagtailbay/admin/overview.py
+++ b/src/wagtailbay/admin/overview.py
@@ -3,13 +3,14 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from attrs import frozen
+from attrs import asdict, frozen
 from result import Err, Ok
 
 from wagtailbay.access.const import KEY_PREFIX
 from wagtailbay.admin.const import DEFAULT_AUDIT_LIMIT, MOVE_PREFIX
 from wagtailbay.admin.documents import document_versions
 from wagtailbay.admin.fleet import FleetReader, FleetView, VmReport
+from wagtailbay.admin.headroom import headroom_problems, region_headroom
 from wagtailbay.admin.models import Answer, Call, Outcome, invalid_field, store_unavailable
 from wagtailbay.audit import AuditReader, AuditWriter
 from wagtailbay.audit.const import MAX_PAGE_RECORDS
@@ -64,7 +65,12 @@
         parts = {p: tuple(o for o in objects if o.key.startswith(p)) for p in prefixes}
         moves = moves_json(parts[MOVE_PREFIX])
         newest = max((stored.version for stored in objects), default=0)
-        problems = [*fleet_problems(view.ok_value, newest), *move_problems(moves)]
+        regions = region_headroom(view.ok_value.vms)
+        problems = [
+            *fleet_problems(view.ok_value, newest),
+            *move_problems(moves),
+            *headroom_problems(regions),
+        ]
         if self.writer.lost:
             message = f"{self.writer.lost} records did not reach the store; see the log"
             problems.append({"subject": "audit", "message": message})
@@ -73,6 +79,7 @@
             "documents": document_versions(parts[DOCUMENT_PREFIX]),
             "keys": _key_counts(parts[KEY_PREFIX]),
             "moves": moves,
+            "regions": [asdict(region) for region in regions],
             "fleet": view.ok_value.as_json(),
             "audit": {"queued": len(self.writer.queue), "lost": self.writer.lost},
             "problems": problems,
--- a/src/wagtailbay/ctl/views.py
+++ b/src/wagtailbay/ctl/views.py
@@ -8,6 +8,7 @@
 
 FLEET_COLUMNS = ("vm", "availability_zone", "address", "listed_state", "state", "revision")
 AUDIT_COLUMNS = ("time", "who", "outcome", "action", "subject", "versions", "why", "detail")
+REGION_COLUMNS = ("service", "region", "used_per_s", "usable_per_s", "headroom_percent", "vms")
 MOVE_COLUMNS = ("service", "phase", "versions", "step", "reason")
 
 
@@ -108,6 +109,9 @@
         "moves",
         _moves_table(value["moves"]),
         "",
+        "regions",
+        table_of(value["regions"], REGION_COLUMNS),
+        "",
         f"keys: {keys['granted']} granted, {keys['withdrawn']} withdrawn",
         f"audit: {audit['queued']} queued, {audit['lost']} lost",
         "",
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -38,6 +38,7 @@
     build_chooser,
 )
 from wagtailbay.steer.budgets import LinkBudget, RegionBudget, SharedBudgets
+from wagtailbay.steer.usage import RegionUsage
 from wagtailbay.transport import ConnectionPool, HttpServer
 
 PROGRAM = "wagtailbay-entry"
@@ -150,7 +151,8 @@
         view = FleetView(fleet)
         shares, allotment = self._build_shares(view)
         health = TargetHealth(fleet.facts)
-        chooser = self._build_chooser(health, shares)
+        budgets = self._build_budgets(shares)
+        chooser = self._build_chooser(health, budgets)
         shift = self._build_shift(view, shares)
         writer = OutcomeWriter(StoreCalls(self.store))
         pool = ConnectionPool()
@@ -158,7 +160,8 @@
             chooser, shift.picker, pool, CrashTable(fleet.facts), boottime_s, self.settings.vm
         )
         forwarder.metrics = self.exporter.metrics
-        handler = self._build_handler(forwarder, self._build_once(writer), shares, allotment)
+        once = self._build_once(writer)
+        handler = self._build_handler(forwarder, once, shares, allotment, budgets.usage)
         return Node(
             fleet=fleet,
             allotment=allotment,
@@ -195,9 +198,14 @@
         once: OnceGate,
         shares: ShareSource,
         allotment: Allotment | None,
+        usage: RegionUsage,
     ) -> RequestHandler:
         fleet, config = self.fleet, self.config
-        sections = {"config": ConfigStatus(lambda: config.view), "quarantine": forwarder.crashes}
+        sections = {
+            "config": ConfigStatus(lambda: config.view),
+            "quarantine": forwarder.crashes,
+            "regions": usage,
+        }
         if allotment is not None:
             sections["budgets"] = allotment
         return RequestHandler(
@@ -237,14 +245,17 @@
         document = self.config.view.fleet
         return document.max_vms if document else None
 
-    def _build_chooser(self, health: TargetHealth, shares: ShareSource) -> Chooser:
+    def _build_budgets(self, shares: ShareSource) -> SharedBudgets:
+        config = self.config
+        regions = RegionBudget(shares, lambda name: config.view.services.get(name), boottime_s)
+        return SharedBudgets(regions, LinkBudget(shares, lambda: config.view.fleet))
+
+    def _build_chooser(self, health: TargetHealth, budgets: SharedBudgets) -> Chooser:
         if self.settings.chooser == "round-robin":
             return RoundRobinChooser()
         if self.settings.chooser == "least-connections":
             return LeastConnectionsChooser(self.source)
         config = self.config
-        regions = RegionBudget(shares, lambda name: config.view.services.get(name), boottime_s)
-        budgets = SharedBudgets(regions, LinkBudget(shares, lambda: config.view.fleet))
         weights = DrainWeights(lambda: config.view.fleet, unix_time_s)
         zone = self.settings.availability_zone
         return build_chooser(zone, health, budgets, weights, boottime_s, self.source)
--- a/src/wagtailbay/steer/budgets.py
+++ b/src/wagtailbay/steer/budgets.py
@@ -14,6 +14,7 @@
     region_budget,
 )
 from wagtailbay.limits.rates import link_limit, region_limit
+from wagtailbay.steer.usage import RegionUsage
 
 __all__ = ["FairQueue", "LinkBudget", "RegionBudget", "SharedBudgets"]
 
@@ -114,9 +115,11 @@
     regions: RegionBudget
     links: LinkBudget
     healthy: dict[tuple[str, str], float] = field(factory=dict)
+    usage: RegionUsage = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Let the capacity of a region follow its healthy part."""
+        self.usage = RegionUsage(self.regions.document, self.healthy)
         self.regions.capacity_factor = lambda service, region: self.healthy.get(
             (service, region), 1.0
         )
@@ -130,7 +133,10 @@
     ) -> bool:
         """Take the budget of one request to a region; False if there is none."""
         self.healthy[(service.service, region)] = healthy_fraction
-        return self.regions.take(service.service, region, now_s)
+        if not self.regions.take(service.service, region, now_s):
+            return False
+        self.usage.record(service.service, region, now_s)
+        return True
 
     def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
         """Tell whether the link that carries responses may take one more."""
--- a/src/wagtailbay/steer/const.py
+++ b/src/wagtailbay/steer/const.py
@@ -19,5 +19,7 @@
 SHED_HALF_LIFE_S: Final = 1.0
 # An answer this recent outweighs probers that call the target failed.
 ANSWER_COUNTS_S: Final = 2.0
+# Region usage in status; long enough to smooth a Poisson stream of a few requests/s.
+USAGE_WINDOW_S: Final = 5.0
 # A request whose end is not reported stops counting this long after its deadline.
 LATE_END_S: Final = 1.0
--- /dev/null
+++ b/src/wagtailbay/steer/usage.py
@@ -0,0 +1,62 @@
+"""Measure how many requests/s this VM sends to each region."""
+
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from attrs import define, field
+
+from wagtailbay.config import ServiceDocument
+from wagtailbay.steer.const import USAGE_WINDOW_S
+
+
+@define
+class DecayingRate:
+    """Estimate events/s; what happened one window ago counts 1/e of what happens now."""
+
+    rate_per_s: float = 0.0
+    updated_s: float = 0.0
+
+    def record(self, now_s: float) -> None:
+        """Count one event."""
+        self.rate_per_s = self.at(now_s) + 1.0 / USAGE_WINDOW_S
+        self.updated_s = now_s
+
+    def at(self, now_s: float) -> float:
+        """Return the rate in events/s."""
+        age_s = max(0.0, now_s - self.updated_s)
+        return self.rate_per_s * math.exp(-age_s / USAGE_WINDOW_S)
+
+
+@define
+class RegionUsage:
+    """Count the requests that this VM sends to each region of each service.
+
+    Attributes:
+        document: Returns the document in force of a service, None if there is none.
+        healthy: Healthy part of each service's slots in a region, 0 to 1, as the chooser saw it.
+        rates: Requests/s by service and region.
+    """
+
+    document: Callable[[str], ServiceDocument | None]
+    healthy: Mapping[tuple[str, str], float]
+    rates: dict[tuple[str, str], DecayingRate] = field(factory=dict)
+
+    def record(self, service: str, region: str, now_s: float) -> None:
+        """Count one request that took budget of a region."""
+        self.rates.setdefault((service, region), DecayingRate()).record(now_s)
+
+    def status(self, now_s: float) -> Mapping[str, Any]:
+        """Return requests/s and usable capacity by ``service/region``."""
+        found = {}
+        for (service, region), rate in sorted(self.rates.items()):
+            document = self.document(service)
+            capacities = {c.region: c.capacity_per_s for c in document.regions} if document else {}
+            if region not in capacities:
+                continue
+            usable_per_s = capacities[region] * self.healthy.get((service, region), 1.0)
+            found[f"{service}/{region}"] = {
+                "used_per_s": round(rate.at(now_s), 3),
+                "usable_per_s": round(usable_per_s, 3),
+            }
+        return found
--- /dev/null
+++ b/tests/admin/test_headroom.py
@@ -0,0 +1,44 @@
+"""Test the headroom of regions in the status of the deployment."""
+
+from typing import Any
+
+from wagtailbay.admin.fleet import VmReport
+from wagtailbay.admin.headroom import RegionHeadroom, headroom_problems, region_headroom
+
+
+def report(vm: str, regions: Any) -> VmReport:
+    """Return what one VM says of its regions."""
+    return VmReport(vm, "", "a1", "live", "live", 1, status={"regions": regions})
+
+
+class TestRegionHeadroom:
+    """Headroom is counted over all VMs."""
+
+    def test_use_is_added_and_the_least_capacity_counts(self) -> None:
+        """Guards against a region that looks idle because each VM uses a little of it."""
+        part = {"used_per_s": 30.0, "usable_per_s": 100.0}
+        reports = [
+            report("vm-1", {"records/mx-a": part}),
+            report("vm-2", {"records/mx-a": part | {"usable_per_s": 80.0}}),
+        ]
+        expected = RegionHeadroom("records", "mx-a", 60.0, 80.0, 25.0, 2)
+        assert region_headroom(reports) == (expected,)
+
+    def test_a_region_without_capacity_has_no_headroom(self) -> None:
+        """Guards against a division by zero where all targets of a region are down."""
+        part = {"used_per_s": 0.0, "usable_per_s": 0.0}
+        (found,) = region_headroom([report("vm-1", {"records/mx-a": part})])
+        assert found.headroom_percent == 0.0
+
+    def test_malformed_entries_are_left_out(self) -> None:
+        """Guards against a status page that one VM's bad answer breaks."""
+        for regions in (None, [], {"x": 1}, {"records/mx-a": {"used_per_s": "a"}}):
+            assert region_headroom([report("vm-1", regions)]) == ()
+
+    def test_low_headroom_is_a_problem(self) -> None:
+        """Guards against a region near its capacity that nobody is told of."""
+        low = RegionHeadroom("records", "mx-a", 95.0, 100.0, 5.0, 2)
+        high = RegionHeadroom("records", "mx-b", 50.0, 100.0, 50.0, 2)
+        (problem,) = headroom_problems([low, high])
+        assert problem["subject"] == "region records/mx-a"
+        assert "95.0 of 100.0 requests/s" in problem["message"]
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -143,6 +143,8 @@
         state = MoveState(plan, MovePhase.ROLLED_BACK, 0, 5.0, reason="slower than v1")
         await terminal.site.store.put("moves/records", encode_move(state), 0)
         terminal.site.statuses["vm-1"]["revision"] = 1
+        region = {"used_per_s": 95.0, "usable_per_s": 100.0}
+        terminal.site.statuses["vm-1"]["regions"] = {"records/mx-a": region}
         for command in ("status", "moves", "fleet"):
             assert await terminal.run(command) == 0
         assert await terminal.run("--output", "json", "fleet") == 0
--- /dev/null
+++ b/tests/steer/test_region_usage.py
@@ -0,0 +1,44 @@
+"""Test the measured use of regions."""
+
+import pytest
+
+from wagtailbay.allotment import EqualShares
+from wagtailbay.config import FleetDocument, RegionCapacity, ServiceDocument
+from wagtailbay.steer.budgets import LinkBudget, RegionBudget, SharedBudgets
+from wagtailbay.steer.const import USAGE_WINDOW_S
+
+DOCUMENT = ServiceDocument("records", "", (), (), (), (RegionCapacity("mx-a", 100.0),))
+
+
+def shared_budgets() -> SharedBudgets:
+    """Return the budgets of one VM that has the whole share."""
+    shares = EqualShares(lambda: 1, 0.0)
+    fleet = FleetDocument(1, ())
+    regions = RegionBudget(shares, {"records": DOCUMENT}.get, lambda: 0.0)
+    return SharedBudgets(regions, LinkBudget(shares, lambda: fleet))
+
+
+class TestRegionUsage:
+    """Status tells how much of a region's capacity a VM uses."""
+
+    def test_steady_rate_is_measured(self) -> None:
+        """Guards against a headroom that does not follow the traffic."""
+        budgets = shared_budgets()
+        for tick in range(20, 820):
+            assert budgets.take_region(DOCUMENT, "mx-a", tick / 20.0, 0.5)
+        part = budgets.usage.status(819 / 20.0)["records/mx-a"]
+        assert part["used_per_s"] == pytest.approx(20.0, rel=0.05)
+        assert part["usable_per_s"] == 50.0
+
+    def test_use_fades_without_traffic(self) -> None:
+        """Guards against a region that stays near its capacity after the traffic has gone."""
+        budgets = shared_budgets()
+        budgets.take_region(DOCUMENT, "mx-a", 1.0)
+        later_s = 1.0 + 10 * USAGE_WINDOW_S
+        assert budgets.usage.status(later_s)["records/mx-a"]["used_per_s"] < 0.001
+
+    def test_refused_requests_are_not_counted(self) -> None:
+        """Guards against refusals that look like use of a region."""
+        budgets = shared_budgets()
+        assert not budgets.take_region(DOCUMENT, "mx-z", 1.0)
+        assert budgets.usage.status(1.0) == {}
