Bring about each operators' symptom in a running deployment

Cause: the symptom pages of docs/operators.md had never been tried. Change: wagtailbay_bench.symptoms starts four entry VMs and wagtailbay-admin, causes each symptom, and fails if callers or the status do not show what the page says. The status shows ages with one decimal. Its first run left a malformed document, which the status named on every VM; the program now restores the whole document.

--- a/src/wagtailbay/admin/fleet.py
+++ b/src/wagtailbay/admin/fleet.py
@@ -156,6 +156,6 @@
         known.listed_state,
         state=status["state"] if isinstance(status.get("state"), str) else None,
         revision=revision if type(revision) is int else None,
-        confirmed_age_ms=age_ms if isinstance(age_ms, int | float) else None,
+        confirmed_age_ms=round(age_ms, 1) if isinstance(age_ms, int | float) else None,
         status=status,
     )
--- a/src/wagtailbay_bench/controls.py
+++ b/src/wagtailbay_bench/controls.py
@@ -57,6 +57,10 @@
         stored = read.ok_value
         return await self.store.put(key, stored.value | changes, stored.version)
 
+    async def replace_document(self, service: str, document: Any) -> Result[int, StoreError]:
+        """Write a whole service document, whatever its version."""
+        return await self.store.put(f"documents/{service}", document, None)
+
     async def history(self) -> list[dict[str, Any]]:
         """Return all recorded runs of all targets, oldest first."""
         runs = []
--- /dev/null
+++ b/src/wagtailbay_bench/symptoms/program.py
@@ -0,0 +1,40 @@
+"""Run ``python -m wagtailbay_bench.symptoms.program [--symptom NAME]``."""
+
+import argparse
+import sys
+
+import trio
+
+from wagtailbay_bench.processes import ProcessGroup
+from wagtailbay_bench.symptoms.cases import CASES
+from wagtailbay_bench.symptoms.site import build_site
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the argument parser."""
+    parser = argparse.ArgumentParser(prog="symptoms", description=__doc__)
+    parser.add_argument("--symptom", choices=list(CASES), action="append", help="only this one")
+    return parser
+
+
+async def run(names: list[str]) -> int:
+    """Show the symptoms and return the exit status."""
+    with ProcessGroup() as group:
+        site = build_site(group, "acervo")
+        await site.start()
+        for name in names:
+            await CASES[name](site)
+        await site.ctl("status")
+    for failure in site.failures:
+        print(f"not seen: {failure}")
+    print("symptoms failed" if site.failures else f"symptoms ok: {len(names)}")
+    return 1 if site.failures else 0
+
+
+def main() -> int:
+    """Run the program."""
+    return trio.run(run, build_parser().parse_args().symptom or list(CASES))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
