Refuse a document whose schema version a running VM does not support

Cause: the design asks for it, and during a rolling upgrade an accepted document of a newer schema would have been in force on a part of the VMs only. Change: the administration API reads the VMs' schema versions before it accepts a document. VMs that give no status do not count, so that a dead VM stops no change.

--- a/src/wagtailbay/admin/build.py
+++ b/src/wagtailbay/admin/build.py
@@ -29,7 +29,7 @@
     fleet = FleetReader(store, entry_addresses, status_timeout_ms)
     return AdminHandler(
         tokens=TokenTable(token_digests),
-        documents=DocumentDesk(store, auditor),
+        documents=DocumentDesk(store, auditor, fleet),
         keys=KeyDesk(store, auditor, fleet, withdrawal_wait_ms, clock),
         fleet=fleet,
         overview=Overview(store, fleet, writer, unix_clock),
--- a/src/wagtailbay/admin/documents.py
+++ b/src/wagtailbay/admin/documents.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from wagtailbay.admin.auditing import Auditor
+from wagtailbay.admin.fleet import FleetReader
 from wagtailbay.admin.models import (
     AdminError,
     Answer,
@@ -17,6 +18,7 @@
     store_unavailable,
     unknown_object,
 )
+from wagtailbay.admin.releases import schema_version_faults
 from wagtailbay.admin.writes import write_object
 from wagtailbay.config import (
     DocumentFault,
@@ -39,6 +41,7 @@
 
     store: ObjectStore
     auditor: Auditor
+    fleet: FleetReader
 
     async def validate(self, call: Call) -> Outcome:
         """Check a document without storing it."""
@@ -89,8 +92,13 @@
                     message = "submit the fleet document first; services refer to it"
                     return Err(invalid_field("(fleet)", message))
                 faults = check_references(service, fleet)
+        faults += await self._check_releases(parsed.ok_value.schema_version)
         return Err(invalid(faults)) if faults else Ok(None)
 
+    async def _check_releases(self, schema_version: int) -> tuple[DocumentFault, ...]:
+        view = await self.fleet.read()
+        return schema_version_faults(view.ok_value.vms, schema_version) if view.is_ok() else ()
+
     async def _check_max_vms(self, fleet: FleetDocument) -> tuple[DocumentFault, ...]:
         """Refuse a max_vms below the listed VMs, since two quorums might then not meet."""
         listed = await self.store.vms()
--- a/tests/admin/test_admin_units.py
+++ b/tests/admin/test_admin_units.py
@@ -140,6 +140,22 @@
         status, value = await site.submit("fleet", fleet() | {"quorum_vms": names})
         assert (status, value["error"]["faults"][0]["path"]) == (422, "quorum_vms")
 
+    async def test_schema_version_that_a_vm_lacks_is_refused(self, nursery) -> None:
+        """Guards against a document that VMs of an older release cannot use."""
+        site = await AdminSite().start(nursery, vms=2)
+        site.statuses["vm-2"]["config"] = {"schema_versions": [0]}
+        status, value = await site.submit("fleet", fleet())
+        fault = value["error"]["faults"][0]
+        assert (status, fault["path"]) == (422, "schema_version")
+        assert "vm-2" in fault["message"]
+        assert (await site.call("GET", "/v1/documents"))[1] == {"documents": []}
+
+    async def test_vm_without_status_does_not_stop_a_change(self, nursery) -> None:
+        """Guards against one dead VM that stops every change of configuration."""
+        site = await AdminSite().start(nursery, vms=1)
+        site.store.vm_records += (VmRecord("vm-9", "127.0.0.1:1", "a1", "live"),)
+        assert (await site.submit("fleet", fleet()))[0] == 200
+
     async def test_service_before_fleet_is_refused(self, nursery) -> None:
         """Guards against references that nothing can check."""
         site = await AdminSite().start(nursery)
