--- /dev/null
+++ b/src/wagtailbay_bench/rest.py
@@ -0,0 +1,118 @@
+"""Measure what entry processes use at rest, from ``/proc``; see docs/CAPACITY.md.
+
+``python -m wagtailbay_bench.rest [--vms N] [--seconds S] [--without-targets]``
+"""
+
+import argparse
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+import trio
+from attrs import frozen
+
+from wagtailbay_bench.deployment import Deployment
+from wagtailbay_bench.measure.const import PROBE_COST_MS
+from wagtailbay_bench.measure.examples import load_example
+from wagtailbay_bench.processes import ProcessGroup
+
+# Peers have met, certificates and first replicas have travelled, and caches are warm.
+SETTLE_S = 8.0
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@frozen
+class ProcessUse:
+    """Hold what a process has used so far.
+
+    Attributes:
+        loop_s: Processor time of its first thread, which runs the event loop.
+        other_s: Processor time of all its other threads.
+    """
+
+    loop_s: float
+    other_s: float
+    resident_bytes: int
+
+
+def read_use(pid: int) -> ProcessUse:
+    """Return what a process has used; its thread times have the kernel's tick as their unit."""
+    folder = Path(f"/proc/{pid}")
+    total_s = _processor_s((folder / "stat").read_text())
+    loop_s = _processor_s((folder / f"task/{pid}/stat").read_text())
+    resident = int((folder / "statm").read_text().split()[1]) * PAGE_BYTES
+    return ProcessUse(loop_s, total_s - loop_s, resident)
+
+
+def _processor_s(stat: str) -> float:
+    # The name in parentheses may hold spaces; user and system time are fields 14 and 15.
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def read_loopback_bytes() -> int:
+    """Return the bytes that all processes of this machine have sent over loopback."""
+    lines = Path("/proc/net/dev").read_text().splitlines()
+    loopback = next(line for line in lines if line.strip().startswith("lo:"))
+    return int(loopback.partition(":")[2].split()[8])
+
+
+async def measure(vms: int, seconds: float, targets: bool) -> None:
+    """Start the example of Acervo, let it rest, and print what its entry processes use."""
+    example = load_example("acervo", vms)
+    documents = example.documents if targets else []
+    keys = {workspace: f"key-{workspace}" for workspace in example.workspaces}
+    with ProcessGroup() as group:
+        behaviour = {"probe_cost_ms": PROBE_COST_MS}
+        deployment = Deployment(group, documents, example.fleet, keys, example.vm_zones, behaviour)
+        await deployment.start()
+        await trio.sleep(SETTLE_S)
+        pids = {vm: process.process.pid for vm, process in deployment.vms.items()}
+        before, bytes_before = {
+            vm: read_use(pid) for vm, pid in pids.items()
+        }, read_loopback_bytes()
+        began_s = trio.current_time()
+        await trio.sleep(seconds)
+        after, bytes_after = {vm: read_use(pid) for vm, pid in pids.items()}, read_loopback_bytes()
+        took_s = trio.current_time() - began_s
+    report(before, after, took_s, (bytes_after - bytes_before) / took_s, deployment)
+
+
+def report(
+    before: Mapping[str, ProcessUse],
+    after: Mapping[str, ProcessUse],
+    took_s: float,
+    loopback_bytes_per_s: float,
+    deployment: Deployment,
+) -> None:
+    """Print a line for each entry process and one for all."""
+    totals = []
+    for vm, start in before.items():
+        loop_pct = (after[vm].loop_s - start.loop_s) / took_s * 100
+        other_pct = (after[vm].other_s - start.other_s) / took_s * 100
+        totals.append(loop_pct + other_pct)
+        print(
+            f"rest vm={vm} core_pct={totals[-1]:.2f} loop_pct={loop_pct:.2f}"
+            f" threads_pct={other_pct:.2f} resident_mb={after[vm].resident_bytes / 1e6:.1f}"
+        )
+    # Each byte on loopback is sent by one process of the deployment and received by another.
+    print(
+        f"rest vms={len(totals)} targets={len(deployment.target_addresses)}"
+        f" core_pct_least={min(totals):.2f} core_pct_mean={sum(totals) / len(totals):.2f}"
+        f" core_pct_most={max(totals):.2f} loopback_bytes_per_s={loopback_bytes_per_s:.0f}"
+    )
+
+
+def main() -> None:
+    """Measure as the arguments say."""
+    parser = argparse.ArgumentParser(prog="wagtailbay_bench.rest", description=__doc__)
+    parser.add_argument("--vms", type=int, default=None, help="only the first VMs of the example")
+    parser.add_argument("--seconds", type=float, default=20.0, help="length of the measurement")
+    parser.add_argument("--without-targets", action="store_true", help="no services, no probes")
+    arguments = parser.parse_args()
+    trio.run(measure, arguments.vms, arguments.seconds, not arguments.without_targets)
+
+
+if __name__ == "__main__":
+    main()
