Exchange messages by one call for each pair of VMs

Threads and messages for peers took about half of an entry process's processor time at rest.

One VM of a pair, chosen by a hash, now calls. Its call returns the receiver's clock from the last answer and the time for which it was held. The receiver dates the call by this: it cannot have been built before. Quorum, isolation and freshness count from that moment exactly as they count from the sending of an own call. The called VM calls by itself once no dated call of the last 1.5 s came. The roster numbers its changes, so that a message visits changed members only, and members of a lost answer are sent again, which did not happen before.

--- a/src/wagtailbay/membership/choice.py
+++ b/src/wagtailbay/membership/choice.py
@@ -53,6 +53,13 @@
     )
 
 
+def leads_pair(own_vm: str, other_vm: str) -> bool:
+    """Tell which of two VMs calls the other at rest; each leads about half of its pairs."""
+    low, high = sorted((own_vm, other_vm))
+    low_leads = xxh64_intdigest(f"pair\0{low}\0{high}".encode()) % 2 == 0
+    return low_leads == (own_vm == low)
+
+
 def choose_neighbours(own_vm: str, own_zone: str, zones: dict[str, str | None]) -> frozenset[str]:
     """Return the names of the VMs that this VM calls.
 
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -9,6 +9,11 @@
 WATCHERS_PER_REGION: Final = 2
 
 HEARTBEAT_S: Final = 1.0
+# A VM that a peer calls calls back itself once its proof of contact is this old. At rest it is at
+# most 1.1 s old; the quorum needs one of the last 3 s.
+CALL_BACK_AFTER_S: Final = 1.5
+# Two VMs' clocks may measure a duration differently by a tenth, as for loans.
+HELD_COUNTED: Final = 0.9
 # At most 10 calls a second to one peer, however often something changes.
 MIN_CALL_INTERVAL_S: Final = 0.1
 EXCHANGE_TIMEOUT_MS: Final = 1_000
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
+from wagtailbay.membership.choice import leads_pair
 from wagtailbay.membership.const import (
     CONTACTS_INTERVAL_S,
     FORGET_AFTER_S,
@@ -13,36 +14,19 @@
 from wagtailbay.membership.messages import EntryBatch, ExchangeMessage
 from wagtailbay.membership.models import Member
 from wagtailbay.membership.quorum import READY_STATES, Quorum
+from wagtailbay.membership.record import PeerRecord
 from wagtailbay.membership.roster import Roster
 from wagtailbay.replica import Freshness, Replica, StoreReader
 
 
 @define
-class PeerRecord:
-    """Hold what one peer has and what was received from it.
+class Exchanger:
+    """Keep this VM's state equal with its peers', message by message.
 
     Attributes:
-        incarnation: The run of the peer that the other fields belong to.
-        revision: The peer's replica is at least here.
-        facts_received: This VM holds the peer's facts up to this position.
-        facts_sent: The peer holds this VM's facts up to this position.
-        members_sent: Incarnation and sequence of each member last told to the peer.
-        contacts_s: When the contacts were last told to the peer.
+        dates_calls: Test-only switch; False takes a peer's call for as new as its arrival.
     """
 
-    incarnation: int = 0
-    revision: int = 0
-    facts_received: int = 0
-    facts_sent: int = 0
-    members_sent: dict[str, tuple[int, int]] = field(factory=dict)
-    contacts_s: float = float("-inf")
-    store_reachable: bool | None = None
-
-
-@define
-class Exchanger:
-    """Keep this VM's state equal with its peers', message by message."""
-
     roster: Roster
     facts: FactTable
     replica: Replica
@@ -51,10 +35,12 @@
     quorum: Quorum
     isolation: IsolationCheck
     records: dict[str, PeerRecord] = field(factory=dict)
+    dates_calls: bool = True
 
-    def build(self, vm: str, now_s: float) -> ExchangeMessage:
-        """Return the message for a peer, to send or to answer with."""
+    def build(self, vm: str, now_s: float, *, answers: bool = False) -> ExchangeMessage:
+        """Return the message for a peer, to call it or to answer its call."""
         record = self.records.setdefault(vm, PeerRecord())
+        members_through = self.roster.position
         return ExchangeMessage(
             sender=self.roster.own_member,
             replica_revision=self.replica.revision,
@@ -65,6 +51,9 @@
             facts_seen=record.facts_received,
             facts_seen_incarnation=record.incarnation,
             members=self._members_for(vm, record, now_s),
+            members_through=members_through,
+            mark_ms=record.give_mark(now_s, members_through) if answers else None,
+            echo=None if answers else record.echo(now_s),
         )
 
     def _batch_since(self, revision: int) -> EntryBatch:
@@ -77,25 +66,25 @@
 
     def _members_for(self, vm: str, record: PeerRecord, now_s: float) -> tuple[Member, ...]:
         """Return the members that changed, and now and then those heard directly."""
-        repeat = now_s - record.contacts_s >= CONTACTS_INTERVAL_S
-        if repeat:
+        chosen = {m.identity.vm: m for m in self.roster.changed_after(record.members_sent)}
+        if now_s - record.contacts_s >= CONTACTS_INTERVAL_S:
             record.contacts_s = now_s
-        chosen = []
-        for name, member in self.roster.members.items():
-            if name in (vm, self.roster.own.vm):
-                continue
-            version = (member.identity.incarnation, member.sequence)
-            heard = member.heard_s is not None and now_s - member.heard_s < CONTACTS_INTERVAL_S
-            if record.members_sent.get(name) != version or (repeat and heard):
-                record.members_sent[name] = version
-                chosen.append(member)
-        return tuple(chosen)
+            # Every VM heard directly has a record.
+            known = (self.roster.members.get(name) for name in self.records)
+            chosen |= {m.identity.vm: m for m in known if m and _is_heard(m, now_s)}
+        chosen.pop(vm, None)
+        return tuple(chosen.values())
+
+    def note_answered(self, vm: str, sent: ExchangeMessage) -> None:
+        """Record that a peer has answered a call and so received its message."""
+        record = self.records.setdefault(vm, PeerRecord())
+        # Before a peer's first answer its incarnation is unknown, and all members are sent.
+        if sent.facts_seen_incarnation in (0, record.incarnation):
+            record.members_sent = max(record.members_sent, sent.members_through)
 
     def note_lost(self, vm: str) -> None:
         """Record that a message to a peer may not have arrived."""
-        record = self.records.setdefault(vm, PeerRecord())
-        record.members_sent.clear()
-        record.contacts_s = float("-inf")
+        self.records.setdefault(vm, PeerRecord()).contacts_s = float("-inf")
 
     def take_in(
         self, message: ExchangeMessage, now_s: float, asked_s: float | None = None
@@ -104,8 +93,8 @@
 
         Args:
             asked_s: When the call was sent that this message answers; None for a call from the
-                peer. Only answers confirm knowledge and count as contact, because a call may have
-                waited for any time while this process was stopped.
+                peer. A call may have waited for any time while this process was stopped, so it
+                confirms knowledge and counts as contact only from the moment that its echo proves.
 
         Returns:
             An error for a message from an older run of the peer or from a namesake.
@@ -114,6 +103,7 @@
         if not self.roster.hear(message.sender, now_s if asked_s is None else asked_s):
             return Err(f"{sender.vm} incarnation {sender.incarnation} is not the newest run")
         record = self._record_for(message)
+        proved_s = asked_s if asked_s is not None else self._proof_s(record, message, now_s)
         self._apply_batch(message.batch)
         record.revision = max(record.revision, message.replica_revision)
         record.store_reachable = message.store_reachable
@@ -122,12 +112,24 @@
         self.facts.merge(message.facts.facts)
         if message.facts_seen_incarnation == self.roster.own.incarnation:
             record.facts_sent = max(record.facts_sent, message.facts_seen)
+            record.note_echo(message.echo)
         fresh = (m for m in message.members if now_s - (m.contact_s or 0.0) < FORGET_AFTER_S)
         self.roster.merge(fresh)
-        if asked_s is not None:
-            self._note_answer(message, asked_s, now_s)
+        if asked_s is not None and message.mark_ms is not None:
+            record.mark_ms, record.marked_s = message.mark_ms, now_s
+        if proved_s is not None:
+            if asked_s is None:
+                record.called_s = max(record.called_s, proved_s)
+            self._note_proof(message, proved_s, now_s)
         return Ok(None)
 
+    def _proof_s(self, record: PeerRecord, message: ExchangeMessage, now_s: float) -> float | None:
+        """Return a moment after which a peer's call was built, None if it proves none."""
+        if message.facts_seen_incarnation != self.roster.own.incarnation:
+            return None
+        proved_s = record.proof_s(message.echo, now_s)
+        return now_s if proved_s is not None and not self.dates_calls else proved_s
+
     def _record_for(self, message: ExchangeMessage) -> PeerRecord:
         """Return the sender's record, a new one if the sender has started again."""
         sender = message.sender.identity
@@ -144,7 +146,8 @@
         revision = batch.revision if complete and not batch.whole else self.replica.revision
         self.replica.apply(batch.objects, revision)
 
-    def _note_answer(self, message: ExchangeMessage, asked_s: float, now_s: float) -> None:
+    def _note_proof(self, message: ExchangeMessage, asked_s: float, now_s: float) -> None:
+        """Count a message built after asked_s, as the answer to a call sent then."""
         identity = message.sender.identity
         self.isolation.record_exchange(asked_s, now_s)
         if self.replica.revision < message.replica_revision:
@@ -168,6 +171,13 @@
             if stored.version > record.revision
         )
 
+    def rest_s(self, vm: str, now_s: float) -> float:
+        """Return how long a peer need not be called, because it calls this VM; 0 or less if not."""
+        record = self.records.get(vm)
+        if record is None or leads_pair(self.roster.own.vm, vm):
+            return 0.0
+        return record.rest_s(now_s)
+
     def forget(self, now_s: float) -> None:
         """Drop expired facts, VMs unheard for long, and the records of dropped VMs."""
         self.facts.expire(now_s)
@@ -175,3 +185,7 @@
         for vm in tuple(self.records):
             if vm not in self.roster.members:
                 del self.records[vm]
+
+
+def _is_heard(member: Member, now_s: float) -> bool:
+    return member.heard_s is not None and now_s - member.heard_s < CONTACTS_INTERVAL_S
--- a/src/wagtailbay/membership/messages.py
+++ b/src/wagtailbay/membership/messages.py
@@ -23,6 +23,19 @@
     objects: tuple[StoredObject, ...]
 
 
+@frozen
+class ClockEcho:
+    """Return a mark of the receiver's clock with a call.
+
+    Attributes:
+        mark_ms: The receiver's clock when it sent an answer that the sender has received.
+        held_ms: How long the sender had the mark when it built the message.
+    """
+
+    mark_ms: int
+    held_ms: int
+
+
 @frozen
 class ExchangeMessage:
     """Hold one side of an exchange.
@@ -34,6 +47,9 @@
         facts_seen: The receiver's position up to which the sender holds its facts.
         facts_seen_incarnation: The incarnation of the receiver that the position belongs to.
         members: Other VMs that changed since the last exchange.
+        members_through: The sender's roster position that the members reach; not sent.
+        mark_ms: The sender's clock in an answer, None in a call.
+        echo: In a call, the receiver's newest known mark.
     """
 
     sender: Member
@@ -45,6 +61,9 @@
     facts_seen: int
     facts_seen_incarnation: int
     members: tuple[Member, ...]
+    members_through: int = 0
+    mark_ms: int | None = None
+    echo: ClockEcho | None = None
 
 
 class PeerFailure(Enum):
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -16,7 +16,7 @@
     MIN_CALL_INTERVAL_S,
 )
 from wagtailbay.membership.exchange import Exchanger
-from wagtailbay.membership.messages import PeerError, PeerFailure
+from wagtailbay.membership.messages import ExchangeMessage, PeerError, PeerFailure
 from wagtailbay.membership.models import VmState
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
 from wagtailbay.platform import VmList
@@ -27,6 +27,9 @@
 class PeerLoop:
     """Exchange messages with one peer, once a second and at once after an urgent change.
 
+    Of each pair of VMs one calls at rest. The other one calls only where the peer's calls do not
+    prove contact for too long, for example because the peer has not chosen it as a neighbour.
+
     Attributes:
         urgent: Set when something must reach the peer at once.
         error: Why the last call failed, None after a good one.
@@ -48,8 +51,16 @@
             await self.exchange()
             with trio.move_on_at(started_s + HEARTBEAT_S):
                 await self.urgent.wait()
+            await self._rest()
             await trio.sleep_until(started_s + MIN_CALL_INTERVAL_S)
 
+    async def _rest(self) -> None:
+        """Wait for an urgent change while the peer's calls make one of this VM needless."""
+        while (rest_s := self.exchanger.rest_s(self.vm, self.clock())) > 0:
+            with trio.move_on_after(rest_s):
+                await self.urgent.wait()
+                return
+
     async def exchange(self) -> None:
         """Carry out one exchange."""
         asked_s = self.clock()
@@ -57,12 +68,12 @@
         answer = await self.client.exchange(self.vm, encode_exchange(message, self.codec, asked_s))
         match answer:
             case Ok(data):
-                self._note(self._take_in(data, asked_s))
+                self._note(self._take_in(data, asked_s, message))
             case Err(error):
                 self.exchanger.note_lost(self.vm)
                 self._note(error)
 
-    def _take_in(self, data: bytes, asked_s: float) -> PeerError | None:
+    def _take_in(self, data: bytes, asked_s: float, sent: ExchangeMessage) -> PeerError | None:
         now_s = self.clock()
         match decode_exchange(data, self.codec, now_s):
             case Err(reason):
@@ -74,6 +85,7 @@
                 taken = self.exchanger.take_in(message, now_s, asked_s)
         if isinstance(taken, Err):
             return PeerError(self.vm, PeerFailure.REFUSED, taken.err_value)
+        self.exchanger.note_answered(self.vm, sent)
         return None
 
     def _note(self, error: PeerError | None) -> None:
--- /dev/null
+++ b/src/wagtailbay/membership/record.py
@@ -0,0 +1,71 @@
+"""Hold what one peer has, and prove from its calls that it heard this VM."""
+
+from attrs import define
+
+from wagtailbay.membership.const import CALL_BACK_AFTER_S, HELD_COUNTED
+from wagtailbay.membership.messages import ClockEcho
+
+
+@define
+class PeerRecord:
+    """Hold what one peer has and what was received from it.
+
+    Attributes:
+        incarnation: The run of the peer that the other fields belong to.
+        revision: The peer's replica is at least here.
+        facts_received: This VM holds the peer's facts up to this position.
+        facts_sent: The peer holds this VM's facts up to this position.
+        members_sent: The peer holds this VM's roster up to this position.
+        contacts_s: When the contacts were last told to the peer.
+        mark_ms: The peer's clock in its newest answer, 0 if there was none.
+        marked_s: When that answer arrived.
+        given_mark_ms: This VM's clock in its newest answer to the peer.
+        given_members: The roster's position that this answer reached.
+        called_s: A moment after which the peer built a call to this VM, the latest one proved.
+    """
+
+    incarnation: int = 0
+    revision: int = 0
+    facts_received: int = 0
+    facts_sent: int = 0
+    members_sent: int = 0
+    contacts_s: float = float("-inf")
+    store_reachable: bool | None = None
+    mark_ms: int = 0
+    marked_s: float = 0.0
+    given_mark_ms: int = 0
+    given_members: int = 0
+    called_s: float = float("-inf")
+
+    def echo(self, now_s: float) -> ClockEcho | None:
+        """Return what a call to the peer tells it of its own clock."""
+        if not self.mark_ms:
+            return None
+        return ClockEcho(self.mark_ms, max(0, int((now_s - self.marked_s) * 1000)))
+
+    def give_mark(self, now_s: float, members_through: int) -> int:
+        """Return the mark of an answer; it is rounded down, so that it never names a later time."""
+        mark_ms = int(now_s * 1000)
+        if mark_ms != self.given_mark_ms:
+            self.given_mark_ms, self.given_members = mark_ms, members_through
+        return mark_ms
+
+    def proof_s(self, echo: ClockEcho | None, now_s: float) -> float | None:
+        """Return a moment after which a call of the peer was built, None if it proves none.
+
+        The peer had the echoed mark only after this VM gave it, and for the stated time, of which
+        a tenth may be the difference between two clocks.
+        """
+        if echo is None or echo.mark_ms > self.given_mark_ms:
+            return None
+        proved_s = (echo.mark_ms + HELD_COUNTED * echo.held_ms) / 1000
+        return proved_s if proved_s <= now_s else None
+
+    def note_echo(self, echo: ClockEcho | None) -> None:
+        """Record that the peer has received the newest answer to it, if it echoes its mark."""
+        if echo is not None and echo.mark_ms == self.given_mark_ms:
+            self.members_sent = max(self.members_sent, self.given_members)
+
+    def rest_s(self, now_s: float) -> float:
+        """Return how long the peer's own calls make one of this VM needless."""
+        return self.called_s + CALL_BACK_AFTER_S - now_s
--- a/src/wagtailbay/membership/roster.py
+++ b/src/wagtailbay/membership/roster.py
@@ -16,12 +16,16 @@
     Attributes:
         announced: Notified when this VM changes its own state.
         superseded: Whether another process runs under this VM's name since a later start.
+        position: Grows with each change of another VM's run or state.
+        positions: Of the newest change of each other VM, oldest first.
     """
 
     own: VmIdentity
     members: dict[str, Member] = field(factory=dict)
     announced: ChangeSignal = field(factory=ChangeSignal)
     superseded: bool = False
+    position: int = 0
+    positions: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Enter this VM as joining."""
@@ -38,6 +42,21 @@
         self.members[self.own.vm] = evolve(member, state=state, sequence=member.sequence + 1)
         self.announced.notify()
 
+    def _note_change(self, vm: str) -> None:
+        self.position += 1
+        # Names stay ordered by position, so that the newest changes are at the end.
+        self.positions.pop(vm, None)
+        self.positions[vm] = self.position
+
+    def changed_after(self, position: int) -> list[Member]:
+        """Return the other VMs that changed after a position, newest change first."""
+        changed = []
+        for vm in reversed(self.positions):
+            if self.positions[vm] <= position:
+                break
+            changed.append(self.members[vm])
+        return changed
+
     def merge(self, members: Iterable[Member]) -> bool:
         """Take in what others know; returns whether anything changed."""
         changed = False
@@ -57,6 +76,7 @@
                 heard_s=known.heard_s if same_run else None,
                 contact_s=_latest(known.contact_s if same_run else None, member.contact_s),
             )
+            self._note_change(member.identity.vm)
             changed = True
         return changed
 
@@ -86,6 +106,8 @@
             heard_s=_latest(known.heard_s if same_run else None, now_s),
             contact_s=_latest(known.contact_s if same_run else None, now_s),
         )
+        if newest is not known:
+            self._note_change(member.identity.vm)
         return True
 
     def with_state(self, *states: VmState) -> tuple[Member, ...]:
@@ -101,6 +123,7 @@
             if vm == self.own.vm
             or (member.contact_s is not None and now_s - member.contact_s < FORGET_AFTER_S)
         }
+        self.positions = {vm: at for vm, at in self.positions.items() if vm in self.members}
 
 
 def _is_newer(member: Member, known: Member) -> bool:
--- a/src/wagtailbay/membership/server.py
+++ b/src/wagtailbay/membership/server.py
@@ -132,7 +132,7 @@
         if isinstance(taken, Err):
             log_event("peer_message_dropped", peer=vm, reason=taken.err_value)
             return Err((grpc.StatusCode.FAILED_PRECONDITION, taken.err_value))
-        return Ok(encode_exchange(self.exchanger.build(vm, now_s), self.codec, now_s))
+        return Ok(encode_exchange(self.exchanger.build(vm, now_s, answers=True), self.codec, now_s))
 
     def answer_loan(self, data: bytes) -> Answer:
         """Decide on a loan."""
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -20,7 +20,7 @@
 from wagtailbay.membership.facts import Fact, FactBatch
 from wagtailbay.membership.generated import peer_pb2
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
-from wagtailbay.membership.messages import EntryBatch, ExchangeMessage
+from wagtailbay.membership.messages import ClockEcho, EntryBatch, ExchangeMessage
 from wagtailbay.membership.models import Member, VmIdentity, VmState
 from wagtailbay.platform import StoredObject
 
@@ -41,6 +41,11 @@
     if message.confirmed_age_ms is not None:
         # Rounded up, so that knowledge never counts as fresher than it is.
         encoded.confirmed_age_ms = int(message.confirmed_age_ms) + 1
+    if message.mark_ms is not None:
+        encoded.mark_ms = message.mark_ms
+    if message.echo is not None:
+        encoded.echo_mark_ms = message.echo.mark_ms
+        encoded.echo_held_ms = message.echo.held_ms
     return encoded.SerializeToString()
 
 
@@ -60,6 +65,7 @@
     if len(encoded.facts) > MAX_FACTS_PER_MESSAGE or len(encoded.members) > MAX_MEMBERS:
         raise ValueError("too many facts or members")
     age_ms = encoded.confirmed_age_ms if encoded.HasField("confirmed_age_ms") else None
+    echo = ClockEcho(encoded.echo_mark_ms, encoded.echo_held_ms) if encoded.echo_mark_ms else None
     facts = (_decode_fact(fact, codec, now_s) for fact in encoded.facts)
     return ExchangeMessage(
         sender=_decode_member(encoded.sender, now_s),
@@ -75,6 +81,8 @@
         facts_seen=encoded.facts_seen,
         facts_seen_incarnation=encoded.facts_seen_incarnation,
         members=tuple(_decode_member(member, now_s) for member in encoded.members),
+        mark_ms=encoded.mark_ms or None,
+        echo=echo,
     )
 
 
--- a/src/wagtailbay_bench/slopes.py
+++ b/src/wagtailbay_bench/slopes.py
@@ -140,11 +140,15 @@
 
 def exchange_once(caller: Exchanger, callee: Exchanger, now_s: float) -> int:
     """Carry out one exchange over the real encoding; returns the bytes of both messages."""
-    sent = encode_exchange(caller.build(callee.roster.own.vm, now_s), DEFAULT_CODEC, now_s)
+    call = caller.build(callee.roster.own.vm, now_s)
+    sent = encode_exchange(call, DEFAULT_CODEC, now_s)
     callee.take_in(decode_exchange(sent, DEFAULT_CODEC, now_s).ok_value, now_s)
-    answer = encode_exchange(callee.build(caller.roster.own.vm, now_s), DEFAULT_CODEC, now_s)
+    answer = encode_exchange(
+        callee.build(caller.roster.own.vm, now_s, answers=True), DEFAULT_CODEC, now_s
+    )
     message = decode_exchange(answer, DEFAULT_CODEC, now_s).ok_value
     caller.take_in(message, now_s, asked_s=now_s)
+    caller.note_answered(callee.roster.own.vm, call)
     return len(sent) + len(answer)
 
 
--- /dev/null
+++ b/tests/membership/test_pairs.py
@@ -0,0 +1,327 @@
+"""Test that one call for each pair of VMs keeps every duty of two."""
+
+from collections import Counter
+from typing import Any
+
+import pytest
+import trio
+from attrs import define, evolve, field
+from hypothesis import given
+from hypothesis import strategies as st
+from membership.fleet_parts import CODEC, VALUE, call, exchanger
+from result import Err, Ok, Result
+
+from wagtailbay.membership import Exchanger, PeerError, PeerFailure, PeerLoop, PeerServer, VmState
+from wagtailbay.membership.choice import leads_pair
+from wagtailbay.membership.const import CALL_BACK_AFTER_S, HEARTBEAT_S, QUORUM_HEARD_S
+from wagtailbay.membership.messages import ClockEcho, ExchangeMessage
+from wagtailbay.membership.record import PeerRecord
+from wagtailbay.membership.wire import decode_exchange, encode_exchange
+from wagtailbay.platform import StoredObject
+
+
+def over_the_wire(message: ExchangeMessage, now_s: float) -> ExchangeMessage:
+    """Return a message as its receiver decodes it."""
+    return decode_exchange(encode_exchange(message, CODEC, now_s), CODEC, now_s).ok_value
+
+
+def met_pair() -> tuple[Exchanger, Exchanger]:
+    """Return VM a, which has an answer of 1 s to its call, and VM b, which gave it."""
+    a, b = exchanger("a"), exchanger("b")
+    a.freshness.confirm(1.0)
+    call(a, b, 1.0)
+    return a, b
+
+
+class TestEchoedCalls:
+    """A call with an echo counts from a moment at which its sender had the mark."""
+
+    def test_a_second_call_proves_contact(self) -> None:
+        """Guards against a VM that must call a peer which calls it every second."""
+        a, b = met_pair()
+        assert b.isolation.is_isolated(1.0)
+        a.freshness.confirm(2.0)
+        call(a, b, 2.0)
+        assert b.quorum.answered(2.0) == {"a"}
+        assert not b.isolation.is_isolated(2.0)
+        # The tenth of the second for which a held the mark is the only loss.
+        assert 90 <= b.freshness.age_ms(2.0) <= 110
+
+    @pytest.mark.parametrize("dates_calls", [True, False])
+    def test_a_call_that_waited_proves_no_later_moment(self, dates_calls: bool) -> None:
+        """Guards against withdrawn keys and lost shares used after this process was stopped.
+
+        Fails if a call counts as new as its arrival.
+        """
+        a, b = met_pair()
+        b.dates_calls = dates_calls
+        a.freshness.confirm(2.0)
+        waiting = over_the_wire(a.build("b", 2.0), 2.0)
+        b.isolation.tick(2.0)
+        b.take_in(waiting, 70.0)
+        safe = (
+            not b.quorum.answered(70.0)
+            and b.isolation.is_isolated(70.0)
+            and b.freshness.age_ms(70.0) >= 68_000
+        )
+        assert safe is dates_calls
+
+    def test_a_call_from_before_an_isolation_does_not_end_it(self) -> None:
+        """Guards against a share used although others were given it during a pause."""
+        a, b = met_pair()
+        call(a, b, 2.0)
+        late = over_the_wire(a.build("b", 3.0), 3.0)
+        assert b.isolation.is_isolated(9.0)
+        b.take_in(late, 9.1)
+        assert b.isolation.is_isolated(9.1)
+        call(a, b, 9.2)
+        # It echoes the mark of the answer at 2 s, held for 7.2 s of which 0.72 s do not count.
+        assert b.isolation.is_isolated(9.3)
+        call(a, b, 10.2)
+        assert not b.isolation.is_isolated(10.2)
+
+    @pytest.mark.parametrize(
+        "echo",
+        [
+            ClockEcho(1_001, 0),
+            ClockEcho(1_000, 2_000),
+            ClockEcho(2**63, 0),
+            ClockEcho(1, 2**63),
+            None,
+        ],
+    )
+    def test_a_mark_never_given_or_held_too_long_proves_nothing(self, echo: Any) -> None:
+        """Guards against proof by a peer whose clock is wrong or that makes marks up."""
+        a, b = met_pair()
+        b.take_in(evolve(a.build("b", 2.0), echo=echo), 2.0)
+        assert not b.quorum.answered(2.0)
+
+    def test_a_mark_of_an_earlier_run_proves_nothing(self) -> None:
+        """Guards against a restarted VM that counts what its earlier run received."""
+        a, _ = met_pair()
+        again = exchanger("b", incarnation=2)
+        again.take_in(over_the_wire(a.build("b", 2.0), 2.0), 2.0)
+        again.build("a", 2.0, answers=True)
+        again.take_in(over_the_wire(a.build("b", 2.5), 2.5), 2.5)
+        assert not again.quorum.answered(2.5)
+        assert again.isolation.is_isolated(2.5)
+
+    def test_a_caller_ahead_or_not_ready_does_not_count(self) -> None:
+        """Guards against a quorum with a VM that knows of a withdrawal which this one lacks."""
+        a, b = met_pair()
+        a.replica.apply([StoredObject("keys/1", 1, "x" * 900_000)], 1)
+        a.replica.apply([StoredObject("keys/2", 2, "x" * 900_000)], 2)
+        call(a, b, 2.0)
+        assert (b.replica.revision, b.quorum.answered(2.0)) == (1, frozenset())
+        call(a, b, 3.0)
+        assert b.quorum.answered(3.0) == {"a"}
+        a, b = met_pair()
+        a.roster.announce(VmState.JOINING)
+        call(a, b, 2.0)
+        assert not b.quorum.answered(2.0)
+
+    @given(
+        st.integers(0, 5_000),
+        st.integers(0, 60_000),
+        st.integers(0, 60_000),
+        st.floats(0.9, 1.1),
+        st.integers(1_000, 10**10),
+    )
+    def test_no_proof_is_later_than_the_building_of_the_call(
+        self, there_ms: int, held_ms: int, back_ms: int, rate: float, start_ms: int
+    ) -> None:
+        """Guards against a bound on knowledge that two clocks' difference breaks."""
+        receiver, caller = PeerRecord(), PeerRecord()
+        caller.mark_ms = receiver.give_mark(start_ms / 1000, 0)
+        caller.marked_s = 500.0
+        echo = caller.echo(500.0 + held_ms * rate / 1000)
+        built_s = (start_ms + there_ms + held_ms) / 1000
+        proved_s = receiver.proof_s(echo, built_s + back_ms / 1000)
+        assert proved_s is None or proved_s <= built_s + 1e-6
+
+
+class TestMembersSent:
+    """Changed members travel until their receiver is known to have them."""
+
+    def test_members_of_a_lost_message_are_sent_again(self) -> None:
+        """Guards against a VM that leaves while one answer or call is lost."""
+        a, b, c = exchanger("a"), exchanger("b"), exchanger("c")
+        call(c, b, 1.0)
+        call(a, b, 1.0)
+        c.roster.announce(VmState.LEAVING)
+        call(c, b, 2.0)
+        call(a, b, 2.0, lose_answer=True)
+        call(a, b, 3.0)
+        assert a.roster.members["c"].state is VmState.LEAVING
+        d = exchanger("d")
+        call(d, a, 4.0)
+        assert "d" in [m.identity.vm for m in a.build("b", 4.5).members]
+        assert "d" in [m.identity.vm for m in a.build("b", 5.0).members]
+
+    def test_only_changed_members_are_visited(self) -> None:
+        """Guards against exchanges at rest that cost more with each VM of the fleet."""
+        a, b = exchanger("a"), exchanger("b")
+        for number in range(50):
+            call(exchanger(f"v{number}"), a, 1.0)
+        call(a, b, 1.0)
+        call(a, b, 1.5)
+        assert a.roster.changed_after(a.records["b"].members_sent) == []
+        call(exchanger("new"), a, 2.0)
+        changed = a.roster.changed_after(a.records["b"].members_sent)
+        assert [member.identity.vm for member in changed] == ["new"]
+
+    def test_a_restarted_peer_gets_all_members(self) -> None:
+        """Guards against a new run that never hears of VMs told to its earlier run."""
+        a, b, c = exchanger("a"), exchanger("b"), exchanger("c")
+        call(c, a, 1.0)
+        call(a, b, 1.0)
+        call(a, exchanger("b", incarnation=2), 2.0)
+        assert "c" in [member.identity.vm for member in a.build("b", 3.0).members]
+
+
+@define
+class LoopbackClient:
+    """Carry calls to servers of the same process; VMs in ``cut`` answer none."""
+
+    servers: dict[str, PeerServer]
+    caller: str
+    calls: Counter
+    cut: set[str] = field(factory=set)
+
+    async def exchange(self, vm: str, data: bytes) -> Result[bytes, PeerError]:
+        """Carry out one call."""
+        await trio.sleep(0.001)
+        self.calls[self.caller] += 1
+        if vm in self.cut or self.caller in self.cut:
+            return Err(PeerError(vm, PeerFailure.UNREACHABLE, "cut"))
+        return Ok(self.servers[vm].answer_exchange(data).ok_value)
+
+
+@define
+class Pair:
+    """Hold two VMs with a loop to each other; ``low`` calls at rest."""
+
+    calls: Counter = field(factory=Counter)
+    cut: set[str] = field(factory=set)
+    loops: dict[str, PeerLoop] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        names = ("a", "b")
+        parts = {vm: exchanger(vm, max_vms=2) for vm in names}
+        servers = {
+            vm: PeerServer(part, CODEC, trio.current_time, None) for vm, part in parts.items()
+        }
+        for vm, other in zip(names, reversed(names), strict=True):
+            client = LoopbackClient(servers, vm, self.calls, self.cut)
+            self.loops[vm] = PeerLoop(other, parts[vm], client, CODEC, trio.current_time)
+
+    @property
+    def leader(self) -> str:
+        """Return the VM that calls at rest."""
+        return "a" if leads_pair("a", "b") else "b"
+
+    @property
+    def follower(self) -> str:
+        """Return the VM that is called at rest."""
+        return "b" if self.leader == "a" else "a"
+
+    def of(self, vm: str) -> Exchanger:
+        """Return a VM's exchanger."""
+        return self.loops[vm].exchanger
+
+
+class TestPairsAtRest:
+    """One VM of a pair calls, and the other one calls back when it must."""
+
+    def test_each_vm_leads_about_half_of_its_pairs(self) -> None:
+        """Guards against pairs that nobody leads, and a VM that leads all."""
+        names = [f"vm-{n}" for n in range(40)]
+        for vm in names:
+            others = [name for name in names if name != vm]
+            assert all(leads_pair(vm, other) != leads_pair(other, vm) for other in others)
+            assert 8 <= sum(leads_pair(vm, other) for other in others) <= 31
+
+    async def test_both_know_each_other_by_one_call_a_second(self, autojump_clock: Any) -> None:
+        """Guards against two calls for each pair, and against a follower without a quorum."""
+        pair = Pair()
+        oldest_s = 0.0
+        async with trio.open_nursery() as nursery:
+            for loop in pair.loops.values():
+                nursery.start_soon(loop.run)
+            await trio.sleep(3.5)
+            pair.calls.clear()
+            for _ in range(100):
+                await trio.sleep(0.1)
+                now_s = trio.current_time()
+                for vm in pair.loops:
+                    assert pair.of(vm).quorum.has_quorum(now_s)
+                    assert not pair.of(vm).isolation.is_isolated(now_s)
+                record = pair.of(pair.follower).records[pair.leader]
+                oldest_s = max(oldest_s, now_s - record.called_s)
+            nursery.cancel_scope.cancel()
+        assert pair.calls[pair.follower] == 0
+        assert 9 <= pair.calls[pair.leader] <= 11
+        assert oldest_s < CALL_BACK_AFTER_S
+
+    async def test_the_follower_calls_when_the_leader_does_not(self, autojump_clock: Any) -> None:
+        """Guards against a quorum lost because the other VM did not choose this one."""
+        pair = Pair()
+        async with trio.open_nursery() as nursery:
+            scope = await nursery.start(self.run_in_scope, pair.loops[pair.leader])
+            nursery.start_soon(pair.loops[pair.follower].run)
+            await trio.sleep(5)
+            scope.cancel()
+            pair.calls.clear()
+            for _ in range(100):
+                await trio.sleep(0.1)
+                now_s = trio.current_time()
+                assert pair.of(pair.follower).quorum.has_quorum(now_s)
+                heard_s = pair.of(pair.leader).roster.members[pair.follower].heard_s
+                assert now_s - heard_s < QUORUM_HEARD_S
+            nursery.cancel_scope.cancel()
+        assert 8 <= pair.calls[pair.follower] <= 11
+
+    @staticmethod
+    async def run_in_scope(loop: PeerLoop, *, task_status: Any) -> None:
+        """Run a loop until the reported scope is cancelled."""
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            await loop.run()
+
+    async def test_a_change_of_the_follower_reaches_the_leader_at_once(
+        self, autojump_clock: Any
+    ) -> None:
+        """Guards against a stop or a departure that waits for the leader's next call."""
+        pair = Pair()
+        async with trio.open_nursery() as nursery:
+            for loop in pair.loops.values():
+                nursery.start_soon(loop.run)
+            await trio.sleep(5.3)
+            pair.of(pair.follower).facts.publish(
+                "stop", "v2", VALUE, ttl_ms=60_000, now_s=trio.current_time()
+            )
+            pair.loops[pair.follower].urgent.set()
+            await trio.sleep(0.15)
+            facts = pair.of(pair.leader).facts.of_kind("stop", trio.current_time())
+            assert [fact.key for fact in facts] == ["v2"]
+            nursery.cancel_scope.cancel()
+
+    async def test_a_cut_ends_the_quorum_of_both(self, autojump_clock: Any) -> None:
+        """Guards against a VM that serves on old proof while nobody reaches it."""
+        pair = Pair()
+        async with trio.open_nursery() as nursery:
+            for loop in pair.loops.values():
+                nursery.start_soon(loop.run)
+            await trio.sleep(5.3)
+            pair.cut |= set(pair.loops)
+            await trio.sleep(QUORUM_HEARD_S + 0.1)
+            now_s = trio.current_time()
+            assert not any(pair.of(vm).quorum.has_quorum(now_s) for vm in pair.loops)
+            pair.calls.clear()
+            await trio.sleep(10 * HEARTBEAT_S)
+            # Neither side calls more often than once a second while the other does not answer.
+            assert all(9 <= pair.calls[vm] <= 11 for vm in pair.loops)
+            pair.cut.clear()
+            await trio.sleep(2 * HEARTBEAT_S)
+            assert all(pair.of(vm).quorum.has_quorum(trio.current_time()) for vm in pair.loops)
+            nursery.cancel_scope.cancel()
