Let only answers to own calls end an isolation

A call whose answer is lost is dated by its echo although its sender does not count this VM as heard. Isolation has to rest on what a peer heard, because a share is reclaimed 30 s after that.

A call that echoes the newest answer now keeps this VM from isolation from the moment of the call answered then; an isolation ends by the answer to an own call only, as before pairs, and an isolated VM calls its peers itself.

--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -112,7 +112,7 @@
         self.facts.merge(message.facts.facts)
         if message.facts_seen_incarnation == self.roster.own.incarnation:
             record.facts_sent = max(record.facts_sent, message.facts_seen)
-            record.note_echo(message.echo)
+            self._note_heard(record.note_echo(message.echo), now_s)
         fresh = (m for m in message.members if now_s - (m.contact_s or 0.0) < FORGET_AFTER_S)
         self.roster.merge(fresh)
         if asked_s is not None and message.mark_ms is not None:
@@ -120,9 +120,20 @@
         if proved_s is not None:
             if asked_s is None:
                 record.called_s = max(record.called_s, proved_s)
-            self._note_proof(message, proved_s, now_s)
+            else:
+                self.isolation.record_exchange(asked_s, now_s)
+            self._note_proof(message, proved_s)
         return Ok(None)
 
+    def _note_heard(self, heard_s: float | None, now_s: float) -> None:
+        """Keep this VM from isolation while a peer that calls it receives its answers.
+
+        The moment is one from which on the peer counts this VM as heard, so that no share is
+        reclaimed from a VM that still uses it. Only the answer to an own call ends an isolation.
+        """
+        if heard_s is not None:
+            self.isolation.record_contact(heard_s, now_s)
+
     def _proof_s(self, record: PeerRecord, message: ExchangeMessage, now_s: float) -> float | None:
         """Return a moment after which a peer's call was built, None if it proves none."""
         if message.facts_seen_incarnation != self.roster.own.incarnation:
@@ -146,17 +157,16 @@
         revision = batch.revision if complete and not batch.whole else self.replica.revision
         self.replica.apply(batch.objects, revision)
 
-    def _note_proof(self, message: ExchangeMessage, asked_s: float, now_s: float) -> None:
-        """Count a message built after asked_s, as the answer to a call sent then."""
+    def _note_proof(self, message: ExchangeMessage, proved_s: float) -> None:
+        """Count a message built after a moment, as the answer to a call sent then."""
         identity = message.sender.identity
-        self.isolation.record_exchange(asked_s, now_s)
         if self.replica.revision < message.replica_revision:
             return
         # A VM that is not ready may lack what the others hold, also shortly after it becomes so.
         if message.sender.state in READY_STATES:
-            self.quorum.record(identity.vm, identity.incarnation, asked_s)
+            self.quorum.record(identity.vm, identity.incarnation, proved_s)
         if message.confirmed_age_ms is not None:
-            self.freshness.confirm(asked_s, message.confirmed_age_ms)
+            self.freshness.confirm(proved_s, message.confirmed_age_ms)
 
     def has_urgent(self, vm: str) -> bool:
         """Tell whether the peer lacks an entry that must reach it at once."""
@@ -176,6 +186,8 @@
         record = self.records.get(vm)
         if record is None or leads_pair(self.roster.own.vm, vm):
             return 0.0
+        if self.isolation.is_isolated(now_s):
+            return 0.0
         return record.rest_s(now_s)
 
     def forget(self, now_s: float) -> None:
--- a/src/wagtailbay/membership/isolation.py
+++ b/src/wagtailbay/membership/isolation.py
@@ -14,7 +14,7 @@
 
     Attributes:
         seen_s: When the loop last ran.
-        contact_s: When the last answered call was sent.
+        contact_s: When the last answered call was sent, by this VM or by a peer to it.
         isolated_since_s: When the isolation was noticed, None if there is none.
     """
 
@@ -42,10 +42,13 @@
         if self.isolated_since_s is not None and asked_s >= self.isolated_since_s:
             self.isolated_since_s = None
 
-    def record_store_answer(self, asked_s: float, now_s: float) -> None:
-        """Record a store answer, which keeps a VM from isolation but does not end one."""
+    def record_contact(self, contact_s: float, now_s: float) -> None:
+        """Record a contact that keeps a VM from isolation but does not end one.
+
+        This is a store answer to a question asked at contact_s, or a peer's receipt of an answer.
+        """
         self.tick(now_s)
-        self.contact_s = max(self.contact_s, asked_s)
+        self.contact_s = max(self.contact_s, contact_s)
 
     def is_isolated(self, now_s: float) -> bool:
         """Tell whether only the floor of each budget may be used."""
--- a/src/wagtailbay/membership/record.py
+++ b/src/wagtailbay/membership/record.py
@@ -21,6 +21,7 @@
         marked_s: When that answer arrived.
         given_mark_ms: This VM's clock in its newest answer to the peer.
         given_members: The roster's position that this answer reached.
+        answered_s: What called_s was for the call that this answer answered, None if unknown.
         called_s: A moment after which the peer built a call to this VM, the latest one proved.
     """
 
@@ -35,6 +36,7 @@
     marked_s: float = 0.0
     given_mark_ms: int = 0
     given_members: int = 0
+    answered_s: float | None = None
     called_s: float = float("-inf")
 
     def echo(self, now_s: float) -> ClockEcho | None:
@@ -48,6 +50,7 @@
         mark_ms = int(now_s * 1000)
         if mark_ms != self.given_mark_ms:
             self.given_mark_ms, self.given_members = mark_ms, members_through
+            self.answered_s = self.called_s if self.called_s > 0 else None
         return mark_ms
 
     def proof_s(self, echo: ClockEcho | None, now_s: float) -> float | None:
@@ -61,10 +64,16 @@
         proved_s = (echo.mark_ms + HELD_COUNTED * echo.held_ms) / 1000
         return proved_s if proved_s <= now_s else None
 
-    def note_echo(self, echo: ClockEcho | None) -> None:
-        """Record that the peer has received the newest answer to it, if it echoes its mark."""
-        if echo is not None and echo.mark_ms == self.given_mark_ms:
-            self.members_sent = max(self.members_sent, self.given_members)
+    def note_echo(self, echo: ClockEcho | None) -> float | None:
+        """Note which answer the peer has received if the echo is of the newest one.
+
+        Returns a moment at which the peer sent a call whose answer it has received, or None. The
+        peer counts this VM as heard from that moment on.
+        """
+        if echo is None or echo.mark_ms != self.given_mark_ms:
+            return None
+        self.members_sent = max(self.members_sent, self.given_members)
+        return self.answered_s
 
     def rest_s(self, now_s: float) -> float:
         """Return how long the peer's own calls make one of this VM needless."""
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -114,7 +114,7 @@
             now_s = self.clock()
             self.isolation.tick(now_s)
             if self.reader.answered_s is not None:
-                self.isolation.record_store_answer(self.reader.answered_s, now_s)
+                self.isolation.record_contact(self.reader.answered_s, now_s)
             if now_s >= forget_s:
                 self.exchanger.forget(now_s)
                 forget_s = now_s + FORGET_INTERVAL_S
