--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -9,6 +9,11 @@
 WATCHERS_PER_REGION: Final = 2
 
 HEARTBEAT_S: Final = 1.0
+# A VM that a peer calls calls back itself once its proof of contact is this old. At rest it is at
+# most 1.1 s old; the quorum needs one of the last 3 s.
+CALL_BACK_AFTER_S: Final = 1.5
+# Two VMs' clocks may measure a duration differently by a tenth, as for loans.
+HELD_COUNTED: Final = 0.9
 # At most 10 calls a second to one peer, however often something changes.
 MIN_CALL_INTERVAL_S: Final = 0.1
 EXCHANGE_TIMEOUT_MS: Final = 1_000
@@ -27,6 +32,9 @@
 MAX_WHOLE_BYTES: Final = 6_000_000
 MAX_FACT_BYTES: Final = 65_536
 MAX_FACTS_BYTES: Final = 1_500_000
+# Values kept with their bytes, at most about 0.5 MB in each direction.
+MAX_KEPT_FACTS: Final = 1_024
+MAX_KEPT_FACT_BYTES: Final = 512
 MAX_FACT_TTL_MS: Final = 7 * 86_400_000
 MAX_FACTS_PER_MESSAGE: Final = 500
 MAX_FACTS: Final = 20_000
