--- a/src/wagtailbay_bench/deployment.py
+++ b/src/wagtailbay_bench/deployment.py
@@ -13,8 +13,6 @@
 from wagtailbay.transport import Request, Response, fetch
 from wagtailbay_bench.processes import ProcessGroup, ProgramProcess, free_address
 
-TARGETS_PER_PROCESS = 14
-
 
 @define
 class Deployment:
@@ -27,6 +25,7 @@
         key_workspaces: The workspaces of keys under names of their own.
         vm_zones: The availability zone of each entry VM.
         vm_flags: More flags of every entry VM.
+        entry_module: The program of every entry VM.
         platform_routes: Where some VMs reach the platform in place of its own address.
     """
 
@@ -38,6 +37,7 @@
     behaviour: Mapping[str, Any] = field(factory=dict)
     key_workspaces: Mapping[str, str] = field(factory=dict)
     vm_flags: dict[str, str] = field(factory=dict)
+    entry_module: str = "wagtailbay.programs.entry"
     platform_address: str = ""
     vm_addresses: dict[str, str] = field(factory=dict)
     peer_addresses: dict[str, str] = field(factory=dict)
@@ -115,7 +115,7 @@
             "--peer-insecure=on",
             *(f"{flag}={value}" for flag, value in self.vm_flags.items()),
         ]
-        self.vms[vm] = self.group.start(vm, "wagtailbay.programs.entry", arguments)
+        self.vms[vm] = self.group.start(vm, self.entry_module, arguments)
         return self.vms[vm]
 
     async def replace_vms(self, at_once: int) -> None:
--- /dev/null
+++ b/src/wagtailbay_bench/path_cost/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what the request path costs beside a direct connection and a bare forwarder."""
--- /dev/null
+++ b/src/wagtailbay_bench/path_cost/bare.py
@@ -0,0 +1,122 @@
+"""Forward HTTP/1.1 with h11 and trio and nothing else; the yardstick for the entry process.
+
+It checks nothing, sets no deadline, does not notice a caller that leaves, and takes targets in
+turn over kept connections.
+"""
+
+import argparse
+import sys
+from functools import partial
+
+import h11
+import trio
+from attrs import define, field
+
+from wagtailbay.logs import log_event, start_logging
+from wagtailbay.settings.checks import split_address
+
+PROGRAM = "wagtailbay-bench-bare"
+CHUNK_BYTES = 65_536
+
+
+@define
+class Upstream:
+    """Hold a kept connection to a target."""
+
+    address: str
+    stream: trio.SocketStream
+    protocol: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
+
+
+@define
+class BareForwarder:
+    """Forward each request to the next target."""
+
+    targets: list[str]
+    idle: dict[str, list[Upstream]] = field(factory=dict)
+    turn: int = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one caller's connection."""
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                events = await receive_message(stream, protocol)
+                if events is None:
+                    return
+                await self._forward(events, stream, protocol)
+                protocol.start_next_cycle()
+        except trio.BrokenResourceError:
+            return
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _forward(
+        self, events: list[h11.Event], stream: trio.SocketStream, protocol: h11.Connection
+    ) -> None:
+        upstream = await self._acquire()
+        await upstream.stream.send_all(b"".join(upstream.protocol.send(e) or b"" for e in events))
+        held = b""
+        while True:
+            event = await next_event(upstream.stream, upstream.protocol)
+            data = protocol.send(event) or b""
+            if isinstance(event, h11.Response):
+                held = data
+                continue
+            if held or data:
+                await stream.send_all(held + data)
+            held = b""
+            if isinstance(event, h11.EndOfMessage):
+                break
+        upstream.protocol.start_next_cycle()
+        self.idle.setdefault(upstream.address, []).append(upstream)
+
+    async def _acquire(self) -> Upstream:
+        self.turn += 1
+        address = self.targets[self.turn % len(self.targets)]
+        waiting = self.idle.get(address)
+        if waiting:
+            return waiting.pop()
+        return Upstream(address, await trio.open_tcp_stream(*split_address(address)))
+
+
+async def next_event(stream: trio.SocketStream, protocol: h11.Connection) -> h11.Event:
+    """Receive the next event of a connection."""
+    while (event := protocol.next_event()) is h11.NEED_DATA:
+        protocol.receive_data(await stream.receive_some(CHUNK_BYTES))
+    return event
+
+
+async def receive_message(
+    stream: trio.SocketStream, protocol: h11.Connection
+) -> list[h11.Event] | None:
+    """Receive all events of one message; None when the connection ends."""
+    events: list[h11.Event] = []
+    while not events or not isinstance(events[-1], h11.EndOfMessage):
+        event = await next_event(stream, protocol)
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        events.append(event)
+    return events
+
+
+async def run(address: str, targets: list[str]) -> None:
+    """Serve until the process is ended."""
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    log_event("listening", address=address)
+    await trio.serve_listeners(BareForwarder(targets).serve, listeners)
+
+
+def main() -> None:
+    """Run the program."""
+    parser = argparse.ArgumentParser(prog=PROGRAM, description=__doc__)
+    parser.add_argument("--listen-address", required=True)
+    parser.add_argument("--targets", required=True, help="addresses, separated by commas")
+    arguments = parser.parse_args()
+    start_logging(sys.stderr, PROGRAM)
+    trio.run(partial(run, arguments.listen_address, arguments.targets.split(",")))
+
+
+if __name__ == "__main__":
+    main()
