Watch a caller's connection by one task instead of a nursery for each request

Change: one task for each connection receives the caller's bytes and cancels the connection when the caller leaves a request unanswered. A try has one scope whose deadline moves. Sends go to the socket at once; only what it does not take waits under a timeout. Requests that arrive together still let other tasks run between them.

--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -1,11 +1,12 @@
 """Try one target."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
 import trio
 from attrs import define, field
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from wagtailbay.entry.const import CONNECT_TIMEOUT_MS, RUN_HEADER
 from wagtailbay.entry.models import AnswerCut, RequestContext, Try
@@ -21,10 +22,18 @@
     TransportError,
 )
 
+Received = TypeVar("Received")
+
 
 @define
 class Attempt:
-    """Send a request to one target and pass its answer on."""
+    """Send a request to one target and pass its answer on.
+
+    Attributes:
+        scope: Ends the try at its deadline, or earlier while it waits for the target's bytes.
+        due_s: The deadline of the request on trio's clock.
+        idle: Whether the try waits for the target's bytes, at most for the idle timeout.
+    """
 
     pool: ConnectionPool
     clock: Callable[[], float]
@@ -33,6 +42,9 @@
     assignment: Assignment
     sink: AnswerSink
     started_s: float = field(init=False)
+    scope: trio.CancelScope | None = None
+    due_s: float = math.inf
+    idle: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Note the start."""
@@ -55,12 +67,17 @@
         try:
             left_ms = self.context.remaining_ms(self.clock())
             if left_ms > 0:
-                with trio.move_on_after(left_ms / 1000):
+                self.due_s = trio.current_time() + left_ms / 1000
+                with trio.CancelScope(deadline=self.due_s) as self.scope:
                     return await self._exchange(connection)
+                if self.idle:
+                    error = TransportError(
+                        FailureKind.TIMEOUT, "target idle", connection.request_sent
+                    )
+                    return self._failed(error)
             return self._late(connection.request_sent)
         finally:
-            with trio.CancelScope(shield=True):
-                await self.pool.release(connection)
+            await self.pool.release(connection)
 
     def _late(self, request_sent: bool) -> Try:
         report = self.report(AttemptOutcome.TIMED_OUT)
@@ -73,12 +90,7 @@
 
     async def _exchange(self, connection: ClientConnection) -> Try:
         request = target_request(self.context, self.clock())
-        sent: Result[ResponseHead, TransportError] | None = None
-        with trio.move_on_after(self._idle_timeout_s()):
-            sent = await connection.send(request)
-        if sent is None:
-            error = TransportError(FailureKind.TIMEOUT, "target idle", connection.request_sent)
-            return self._failed(error)
+        sent = await self._within_idle_timeout(connection.send, request)
         if isinstance(sent, Err):
             return self._failed(sent.err_value)
         head = sent.ok_value
@@ -88,6 +100,23 @@
             return Try(Err(refusal), self.report(AttemptOutcome.SHED, 503), may_have_run=False)
         return await self._stream(connection, head)
 
+    async def _within_idle_timeout(
+        self, receive: Callable[..., Awaitable[Received]], *arguments: Any
+    ) -> Received:
+        """Wait for the target's bytes; the idle timeout ends the try like the deadline does.
+
+        One scope for the whole try, whose deadline moves, costs a third of one for each wait.
+        """
+        idle_s = trio.current_time() + self._idle_timeout_s()
+        if idle_s >= self.due_s:
+            return await receive(*arguments)
+        self.scope.deadline = idle_s
+        self.idle = True
+        received = await receive(*arguments)
+        self.scope.deadline = self.due_s
+        self.idle = False
+        return received
+
     def _idle_timeout_s(self) -> float:
         """Return the longest wait for bytes; without a retry only the deadline ends a try."""
         route = self.context.route
@@ -114,11 +143,9 @@
         """Pass the body on as it arrives; the head waits for the first part of the body."""
         received_bytes = 0
         while True:
-            chunk: Result[bytes | None, TransportError] | None = None
-            with trio.move_on_after(self._idle_timeout_s()):
-                chunk = await connection.receive_chunk()
+            chunk = connection.take_chunk()
             if chunk is None:
-                return self._failed(TransportError(FailureKind.TIMEOUT, "target idle", True, True))
+                chunk = await self._within_idle_timeout(connection.receive_chunk)
             if isinstance(chunk, Err):
                 return self._failed(chunk.err_value)
             if not self.sink.started:
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -22,6 +22,7 @@
     ResponseHead,
     TransportError,
 )
+from wagtailbay.transport.sockets import receive, send_now, send_rest
 from wagtailbay.transport.wire import decode_headers, encode_request_head, is_small
 
 
@@ -31,6 +32,10 @@
 
     A connection is reusable only after a complete exchange without any fault; every other one must
     be closed, since later bytes on it could belong to an earlier request.
+
+    Attributes:
+        checked: Whether nothing has run since the connection was found without unread bytes.
+        poller: Looks for unread bytes; made at the first look.
     """
 
     address: str
@@ -40,12 +45,15 @@
     )
     request_sent: bool = False
     answered: bool = False
+    checked: bool = False
     method: str = ""
+    poller: Any = None
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of its response."""
-        if self.has_unread_bytes():
+        if not self.checked and self.has_unread_bytes():
             return Err(self._error(FailureKind.PROTOCOL, "bytes before the request"))
+        self.checked = False
         self.method = request.method
         try:
             data = self.protocol.send(encode_request_head(request, self.address)) or b""
@@ -56,7 +64,7 @@
             return Err(self._error(FailureKind.PROTOCOL, str(error)))
         try:
             self.request_sent = True
-            await self.stream.send_all(data)
+            await send_rest(self.stream, data, send_now(self.stream, data))
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             return Err(self._error(FailureKind.CLOSED, f"while sending: {error}"))
         return await self._receive_head()
@@ -67,9 +75,10 @@
             return True
         if not isinstance(self.stream, trio.SocketStream):
             return False
-        poller = select.poll()
-        poller.register(self.stream.socket.fileno(), select.POLLIN | select.POLLHUP)
-        return bool(poller.poll(0))
+        if self.poller is None:
+            self.poller = select.poll()
+            self.poller.register(self.stream.socket.fileno(), select.POLLIN | select.POLLHUP)
+        return bool(self.poller.poll(0))
 
     async def _receive_head(self) -> Result[ResponseHead, TransportError]:
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
@@ -100,27 +109,36 @@
 
     async def receive_chunk(self) -> Result[bytes | None, TransportError]:
         """Receive a part of the response's body; None marks its complete end."""
-        match await self._next_event():
+        return self._chunk_of(await self._next_event())
+
+    def take_chunk(self) -> Result[bytes | None, TransportError] | None:
+        """Return a part of the body that has arrived already, None if there is none."""
+        event = self._event_of_received()
+        return None if event is None else self._chunk_of(event)
+
+    def _chunk_of(self, event: Result[Any, TransportError]) -> Result[bytes | None, TransportError]:
+        match event:
             case Err(error):
                 return Err(error)
             case Ok(h11.Data(data=data)):
                 return Ok(bytes(data))
             case Ok(h11.EndOfMessage()):
                 return Ok(None)
-            case Ok(event):
-                return Err(self._error(FailureKind.TRUNCATED, f"got {type(event).__name__}"))
+            case Ok(other):
+                return Err(self._error(FailureKind.TRUNCATED, f"got {type(other).__name__}"))
+
+    def _event_of_received(self) -> Result[Any, TransportError] | None:
+        try:
+            event = self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
+            return Err(self._error(kind, str(error)))
+        return None if event is h11.NEED_DATA else Ok(event)
 
     async def _next_event(self) -> Result[Any, TransportError]:
-        while True:
-            try:
-                event = self.protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
-                return Err(self._error(kind, str(error)))
-            if event is not h11.NEED_DATA:
-                return Ok(event)
+        while (event := self._event_of_received()) is None:
             try:
-                data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
+                data = await receive(self.stream, RECEIVE_CHUNK_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
                 kind = FailureKind.TRUNCATED if self.answered else FailureKind.CLOSED
                 return Err(self._error(kind, str(error)))
@@ -128,6 +146,7 @@
             if not data and not self.answered:
                 return Err(self._error(FailureKind.CLOSED, "end of stream"))
             self.protocol.receive_data(data)
+        return event
 
     @staticmethod
     def _is_cut_short(error: h11.RemoteProtocolError) -> bool:
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -23,17 +23,24 @@
         while waiting:
             connection = waiting.pop()
             if not connection.has_unread_bytes():
+                connection.checked = True
                 return Ok(connection)
             await connection.close()
         return await open_connection(address, timeout_ms)
 
-    async def release(self, connection: ClientConnection) -> None:
-        """Keep a connection after a complete exchange, else close it."""
+    def keep(self, connection: ClientConnection) -> bool:
+        """Keep a connection after a complete exchange; False means that it must be closed."""
         waiting = self.idle.setdefault(connection.address, [])
-        if len(waiting) < self.max_idle_per_address and connection.recycle():
-            waiting.append(connection)
-            return
-        await connection.close()
+        if len(waiting) >= self.max_idle_per_address or not connection.recycle():
+            return False
+        waiting.append(connection)
+        return True
+
+    async def release(self, connection: ClientConnection) -> None:
+        """Keep a connection after a complete exchange, else close it, even when cancelled."""
+        if not self.keep(connection):
+            with trio.CancelScope(shield=True):
+                await connection.close()
 
     async def fetch(
         self, address: str, request: Request, timeout_ms: int
@@ -49,8 +56,7 @@
                 return await exchange(connection, request)
             finally:
                 if connection is not None:
-                    with trio.CancelScope(shield=True):
-                        await self.release(connection)
+                    await self.release(connection)
         sent = connection is not None and connection.request_sent
         return Err(TransportError(FailureKind.TIMEOUT, f"{address}: {timeout_ms} ms", sent))
 
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -1,7 +1,5 @@
 """Receive requests and refuse those whose meaning could differ between two readers."""
 
-from collections.abc import Callable
-
 import h11
 import trio
 from attrs import define, frozen
@@ -11,9 +9,9 @@
     IDLE_CONNECTION_TIMEOUT_S,
     MAX_HEADER_BYTES,
     MAX_HEADER_FIELDS,
-    RECEIVE_CHUNK_BYTES,
     REQUEST_RECEIVE_TIMEOUT_S,
 )
+from wagtailbay.transport.inbox import CallerInbox
 from wagtailbay.transport.models import Request
 from wagtailbay.transport.wire import decode_headers, is_small
 
@@ -29,22 +27,18 @@
 
 @define
 class RequestReceiver:
-    """Receive one request after another from a caller's connection.
-
-    Attributes:
-        idle_scopes: Cancel scopes of connections that wait for the first byte of a request.
-    """
+    """Receive one request after another from a caller's connection."""
 
-    stream: trio.abc.Stream
+    inbox: CallerInbox
     protocol: h11.Connection
     max_body_bytes: int
-    idle_scopes: set[trio.CancelScope]
 
     async def receive(self) -> Result[Request, BadRequest] | None:
         """Receive a whole request; None when the caller closed or stayed idle."""
         head: h11.Request | None = None
         body = bytearray()
         deadline_s = trio.current_time() + IDLE_CONNECTION_TIMEOUT_S
+        waited = False
         while True:
             try:
                 event = self.protocol.next_event()
@@ -65,10 +59,14 @@
                         message = f"the body exceeds {self.max_body_bytes} bytes"
                         return Err(BadRequest(413, "body_too_large", message))
                 case h11.EndOfMessage() if head is not None:
+                    if not waited:
+                        # Many requests sent at once must not keep other tasks from running.
+                        await trio.lowlevel.checkpoint()
                     return Ok(build_request(head, bytes(body)))
                 case h11.ConnectionClosed() | h11.PAUSED:
                     return None
                 case h11.NEED_DATA:
+                    waited = True
                     if not await self._receive_bytes(deadline_s, head is None):
                         if head is None:
                             return None
@@ -79,34 +77,13 @@
         """Feed received bytes to h11; False when the wait ended without any."""
         if self.protocol.they_are_waiting_for_100_continue:
             go_ahead = h11.InformationalResponse(status_code=100, headers=[])
-            await self.stream.send_all(self.protocol.send(go_ahead) or b"")
-        data: bytes | None = None
-        with trio.CancelScope(deadline=deadline_s) as scope:
-            if idle:
-                self.idle_scopes.add(scope)
-            try:
-                data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
-            finally:
-                self.idle_scopes.discard(scope)
+            await self.inbox.stream.send_all(self.protocol.send(go_ahead) or b"")
+        data = await self.inbox.take(deadline_s, idle)
         if data is None:
             return False
         self.protocol.receive_data(data)
         return True
 
-    async def watch(self, gone: Callable[[], None], max_bytes: int) -> None:
-        """Call gone when the caller closes; keep what it pipelines, up to a limit."""
-        kept_bytes = 0
-        while kept_bytes < max_bytes:
-            try:
-                data = await self.stream.receive_some(max_bytes - kept_bytes)
-            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-                data = b""
-            if not data:
-                gone()
-                return
-            kept_bytes += len(data)
-            self.protocol.receive_data(data)
-
 
 def find_fault(head: h11.Request) -> BadRequest | None:
     """Return why a request's head is refused, or None.
--- a/src/wagtailbay/transport/reply.py
+++ b/src/wagtailbay/transport/reply.py
@@ -10,6 +10,7 @@
 
 from wagtailbay.transport.const import SEND_TIMEOUT_S
 from wagtailbay.transport.models import Headers, ResponseHead
+from wagtailbay.transport.sockets import send_now, send_rest
 from wagtailbay.transport.wire import encode_response_head
 
 
@@ -40,6 +41,7 @@
         closing: Tells whether the connection must end after this response.
         bodiless: Whether the request was HEAD, whose answer has no body.
         held: The encoded head, sent together with the first part of the body.
+        on_finish: Called when the whole answer is sent.
     """
 
     stream: trio.abc.Stream
@@ -49,6 +51,7 @@
     started: bool = False
     finished: bool = False
     held: bytes = b""
+    on_finish: Callable[[], None] = lambda: None
 
     async def start(self, status: int, headers: Headers) -> None:
         """Take the head of the response."""
@@ -67,16 +70,18 @@
         """Send the end of the body."""
         await self._send(h11.EndOfMessage())
         self.finished = True
+        self.on_finish()
 
     async def _send(self, event: h11.Event) -> None:
         data = self.held + (self.protocol.send(event) or b"")
         self.held = b""
         if not data:
-            await trio.lowlevel.checkpoint()
             return
         try:
-            with trio.fail_after(SEND_TIMEOUT_S):
-                await self.stream.send_all(data)
+            sent_bytes = send_now(self.stream, data)
+            if sent_bytes < len(data):
+                with trio.fail_after(SEND_TIMEOUT_S):
+                    await send_rest(self.stream, data, sent_bytes)
         except trio.TooSlowError as error:
             raise CallerGoneError from error
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -16,8 +16,8 @@
     LINGER_S,
     MAX_HEADER_BYTES,
     MAX_REQUEST_BODY_BYTES,
-    RECEIVE_CHUNK_BYTES,
 )
+from wagtailbay.transport.inbox import CallerInbox
 from wagtailbay.transport.models import Request
 from wagtailbay.transport.receive import BadRequest, RequestReceiver
 from wagtailbay.transport.reply import CallerGoneError, Reply, send_error
@@ -43,7 +43,7 @@
     open_requests: int = 0
     connections: int = 0
     callers_gone: int = 0
-    idle_scopes: set[trio.CancelScope] = field(factory=set)
+    inboxes: set[CallerInbox] = field(factory=set)
 
     async def serve(self, address: tuple[str, int], *, task_status: Any) -> None:
         """Listen on an address; reports the bound (host, port) when ready."""
@@ -53,73 +53,75 @@
         await trio.serve_listeners(self._serve_connection, listeners)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
-        receiver = RequestReceiver(stream, protocol, self.max_body_bytes, self.idle_scopes)
+        """Serve a connection; its task receives nothing itself, since the inbox does."""
+        ended: list[Exception] = []
         self.connections += 1
+        async with trio.open_nursery() as nursery:
+            inbox = CallerInbox(stream, nursery.cancel_scope.cancel)
+            self.inboxes.add(inbox)
+            nursery.start_soon(inbox.run)
+            try:
+                await self._serve_requests(inbox)
+            except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+                pass
+            except Exception as error:  # Raised outside the nursery, which would wrap it.
+                ended.append(error)
+            finally:
+                self.inboxes.discard(inbox)
+                self.connections -= 1
+                nursery.cancel_scope.cancel()
+                await trio.aclose_forcefully(stream)
+        for error in ended:
+            raise error
+
+    async def _serve_requests(self, inbox: CallerInbox) -> None:
+        protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        receiver = RequestReceiver(inbox, protocol, self.max_body_bytes)
         try:
             while await self._serve_request(receiver):
                 protocol.start_next_cycle()
-        except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-            pass
         except h11.LocalProtocolError as error:
             log_event("connection_failed", reason=str(error))
-        finally:
-            self.connections -= 1
-            await trio.aclose_forcefully(stream)
 
     async def _serve_request(self, receiver: RequestReceiver) -> bool:
         """Serve one request; True if the connection may carry another."""
-        stream, protocol = receiver.stream, receiver.protocol
-        reply = Reply(stream, protocol, self.draining.is_set)
+        inbox, protocol = receiver.inbox, receiver.protocol
+        reply = Reply(inbox.stream, protocol, self.draining.is_set)
         received = await receiver.receive()
         if received is None:
             return False
         match received:
             case Err(BadRequest(status=status, code=code, message=message)):
                 await send_error(reply, status, code, message, "not_run")
-                await linger(stream)
+                await linger(inbox)
                 return False
             case Ok(request):
                 reply.bodiless = request.method == "HEAD"
-                self.open_requests += 1
-                try:
-                    await self._handle(request, reply, receiver)
-                finally:
-                    self.open_requests -= 1
+                await self._handle(request, reply, inbox)
         reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         return reply.finished and reusable and not self.draining.is_set()
 
-    async def _handle(self, request: Request, reply: Reply, receiver: RequestReceiver) -> None:
-        """Run the handler until it ends or the caller is gone.
+    async def _handle(self, request: Request, reply: Reply, inbox: CallerInbox) -> None:
+        """Run the handler until it ends or the caller is gone, which cancels the connection.
 
         Raises:
             CallerGoneError: The connection must be closed at once.
         """
-        ended: list[Exception] = []
-        gone = False
-
-        def leave() -> None:
-            nonlocal gone
-            gone = True
-            # A caller may close as soon as it has the whole answer, while its end is recorded.
-            if not reply.finished:
-                nursery.cancel_scope.cancel()
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(receiver.watch, leave, MAX_HEADER_BYTES)
-            try:
-                await self.handler(request, reply)
-            except Exception as error:  # An error in one request must not end other connections.
-                ended.append(error)
-            nursery.cancel_scope.cancel()
-        if gone and not reply.finished:
-            self.callers_gone += 1
-            raise CallerGoneError
-        for error in ended:
-            await self._end_failed(error, reply)
+        self.open_requests += 1
+        # A caller may close as soon as it has the whole answer, while its end is recorded.
+        reply.on_finish = inbox.end_serving
+        try:
+            inbox.serve()
+            await self.handler(request, reply)
+        except Exception as error:  # An error in one request must not end other connections.
+            await self._end_failed(error, reply, inbox)
+        finally:
+            self.open_requests -= 1
+            self.callers_gone += inbox.gone
+            inbox.end_serving()
 
     @staticmethod
-    async def _end_failed(error: Exception, reply: Reply) -> None:
+    async def _end_failed(error: Exception, reply: Reply, inbox: CallerInbox) -> None:
         if isinstance(error, CallerGoneError | BrokenInvariantError):
             raise error
         log_event(
@@ -131,22 +133,23 @@
             raise CallerGoneError
         message = "the request failed inside the system and may have run"
         await send_error(reply, 500, "internal_error", message, "unknown")
-        await linger(reply.stream)
+        await linger(inbox)
         raise CallerGoneError
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
-        for scope in tuple(self.idle_scopes):
-            scope.cancel()
+        for inbox in tuple(self.inboxes):
+            if inbox.idle:
+                inbox.scope.cancel()
 
 
-async def linger(stream: trio.abc.HalfCloseableStream) -> None:
+async def linger(inbox: CallerInbox) -> None:
     """Let the caller read the last answer; closing with unread bytes would reset it."""
-    await stream.send_eof()
+    await inbox.stream.send_eof()
     received_bytes = 0
-    with trio.move_on_after(LINGER_S):
-        while received_bytes < LINGER_BYTES:
-            data = await stream.receive_some(RECEIVE_CHUNK_BYTES)
-            if not data:
-                return
-            received_bytes += len(data)
+    deadline_s = trio.current_time() + LINGER_S
+    while received_bytes < LINGER_BYTES:
+        data = await inbox.take(deadline_s, idle=False)
+        if not data:
+            return
+        received_bytes += len(data)
