Judge only the targets that a choice draws

Change: which targets can take requests is kept for 100 ms while all of them are fit, undrained and at full share; a change of reports, ejections or documents ends it at once. Load is worked out for drawn targets only. The second draw of a pair is repeated until it differs, which has the same distribution as a draw without the first.

--- a/src/wagtailbay/health/models.py
+++ b/src/wagtailbay/health/models.py
@@ -86,6 +86,9 @@
     def view(self, service: str, target: str, now_s: float) -> TargetView:
         """Return what is known of a target."""
 
+    def changes(self, now_s: float) -> int:
+        """Return a number that differs whenever what is known, but for its age, has changed."""
+
 
 class Members(Protocol):
     """Tell which VMs are in a state; ``membership.Roster`` does."""
--- a/src/wagtailbay/health/outlier.py
+++ b/src/wagtailbay/health/outlier.py
@@ -36,9 +36,11 @@
 
     Attributes:
         keep_one: Test-only switch; False lets all targets of a service be ejected.
+        changes: The number of ejections so far.
     """
 
     keep_one: bool = True
+    changes: int = 0
     records: dict[str, dict[str, _Record]] = field(factory=dict)
 
     def ejected(self, service: str, target: str, now_s: float) -> bool:
@@ -76,6 +78,7 @@
         record.until_s = now_s + term_s
         record.ejections = min(record.ejections + 1, 16)
         record.sign, record.count = None, 0
+        self.changes += 1
         return True
 
     def _may_eject(
--- a/src/wagtailbay/health/state.py
+++ b/src/wagtailbay/health/state.py
@@ -37,6 +37,7 @@
     combined: dict[tuple[str, str], Combined] = field(factory=dict)
     indexed_s: float | None = None
     indexed_sequence: int = -1
+    indexes: int = 0
 
     def view(self, service: str, target: str, now_s: float) -> TargetView:
         """Return what is known of a target."""
@@ -51,6 +52,11 @@
         decayed = load.in_flight * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
         return TargetView(state, decayed, load.slots, load.in_flight)
 
+    def changes(self, now_s: float) -> int:
+        """Return the number of the index that holds now."""
+        self._index(now_s)
+        return self.indexes
+
     def last_heard_s(
         self, service: str, target: str, now_s: float, counts: Callable[[str], bool]
     ) -> float | None:
@@ -78,6 +84,7 @@
         self.reports, self.indexed_s = reports, now_s
         self.combined = {key: _combine(heard) for key, heard in reports.items()}
         self.indexed_sequence = self.facts.sequence
+        self.indexes += 1
 
 
 def _combine(heard: list[Heard]) -> Combined:
--- a/src/wagtailbay/steer/candidates.py
+++ b/src/wagtailbay/steer/candidates.py
@@ -1,44 +1,97 @@
-"""Judge which targets can take a request, and pick between them."""
+"""Judge which targets can take a request."""
 
-import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from attrs import define, field, frozen
 
 from wagtailbay.config import FleetDocument, ServiceDocument, Target
 from wagtailbay.health import OutlierDetector, TargetState, TargetStates, TargetView
 from wagtailbay.steer.belief import LoadBelief
-from wagtailbay.steer.const import PPM
+from wagtailbay.steer.const import PPM, SURVEY_S
 from wagtailbay.steer.models import Candidate, TargetQuery, WeightSource
+from wagtailbay.steer.seats import Group, Judge, Seat, build_group
 from wagtailbay.steer.slow_start import SlowStart
 
 
+@frozen
+class _Places:
+    """Hold the region of each target and the slots of each region under two documents."""
+
+    service: ServiceDocument
+    fleet: FleetDocument | None
+    region: dict[str, str]
+    slots: dict[str, float]
+
+
 @frozen
 class Candidates:
     """Hold the targets that can take a request, and the state of each region.
 
     Attributes:
-        all_usable: The usable targets of any version.
+        for_query: Those that the request may use, empty if there is none.
+        usable: The usable targets of any version.
         healthy_fraction: Usable slots through all slots of the service, by region.
+        groups: The groups asked for so far.
     """
 
-    for_query: tuple[Candidate, ...]
-    all_usable: tuple[Candidate, ...]
+    for_query: tuple[Seat, ...]
+    usable: tuple[Seat, ...]
     healthy_fraction: dict[str, float]
+    groups: dict[tuple[str, str], Group] = field(factory=dict)
 
-    def in_region(self, region: str) -> tuple[Candidate, ...]:
+    def in_region(self, region: str) -> Group:
         """Return those of a region that can take the request."""
-        return tuple(c for c in self.for_query if c.region == region)
+        return self._group("region", region, lambda seat: seat.region == region)
+
+    def in_zone(self, zone: str) -> Group:
+        """Return those of an availability zone that can take the request."""
+        return self._group("zone", zone, lambda seat: seat.target.availability_zone == zone)
+
+    def outside_zone(self, region: str, zone: str) -> Group:
+        """Return those of a region outside one of its availability zones."""
+        return self._group(
+            "outside",
+            zone,
+            lambda seat: seat.region == region and seat.target.availability_zone != zone,
+        )
 
+    def _group(self, kind: str, name: str, belongs: Callable[[Seat], bool]) -> Group:
+        found = self.groups.get((kind, name))
+        if found is None:
+            found = build_group([seat for seat in self.for_query if belongs(seat)])
+            self.groups[(kind, name)] = found
+        return found
 
-@frozen
-class _Places:
-    """Hold the region of each target and the slots of each region under two documents."""
 
-    service: ServiceDocument
-    fleet: FleetDocument | None
-    region: dict[str, str]
-    slots: dict[str, float]
+@define(eq=False)
+class _Survey:
+    """Hold which targets of a service can take requests, for a short time.
+
+    Attributes:
+        key: What it was built from; a difference ends it at once.
+        until_s: When it ends without any change.
+        open_seats: The targets that are not drained, fit or not.
+    """
+
+    key: tuple
+    until_s: float
+    usable: tuple[Seat, ...]
+    open_seats: tuple[Seat, ...]
+    healthy_fraction: dict[str, float]
+    by_version: dict[str | None, Candidates] = field(factory=dict)
+
+    def candidates(self, query: TargetQuery) -> Candidates:
+        """Return the targets for a query; those for first tries are kept."""
+        if query.excluded:
+            return self._build(query)
+        found = self.by_version.get(query.version)
+        if found is None:
+            found = self.by_version[query.version] = self._build(query)
+        return found
+
+    def _build(self, query: TargetQuery) -> Candidates:
+        matching = _matching(self.usable, query) or _matching(self.open_seats, query)
+        return Candidates(matching, self.usable, self.healthy_fraction)
 
 
 @define
@@ -48,6 +101,7 @@
     Attributes:
         eject: Test-only switch; False uses targets that probes or requests show to be unfit.
         drain: Test-only switch; False gives work to targets that report that they drain.
+        surveys: The newest survey of each service.
     """
 
     states: TargetStates
@@ -58,6 +112,7 @@
     eject: bool = True
     drain: bool = True
     places: dict[str, _Places] = field(factory=dict)
+    surveys: dict[str, _Survey] = field(factory=dict)
 
     def find(self, query: TargetQuery, fleet: FleetDocument | None, now_s: float) -> Candidates:
         """Return the targets that can take a request.
@@ -66,7 +121,34 @@
         wrong, and a refused connection tells quickly. Draining ones are never returned.
         """
         service = query.service
-        self._place(service, fleet)
+        survey = self.surveys.get(service.service)
+        key = (service, fleet, self.states.changes(now_s), self.outliers.changes)
+        key += (self.eject, self.drain)
+        if survey is None or survey.key != key or not 0 <= survey.until_s - now_s <= SURVEY_S:
+            self._place(service, fleet)
+            survey = self._survey(service, key, now_s)
+            self.surveys[service.service] = survey
+        return survey.candidates(query)
+
+    def judge_of(self, service: str, now_s: float) -> Judge:
+        """Return a function that judges the load of one target now."""
+
+        def judge(seat: Seat) -> Candidate:
+            target = seat.target
+            view = self.states.view(service, target.target, now_s)
+            slots = min(target.slots, view.slots or target.slots)
+            return Candidate(
+                target,
+                seat.region,
+                self.beliefs.in_flight(service, target.target, now_s),
+                self.beliefs.load(service, target.target, view, slots, now_s),
+                seat.slots,
+                seat.weight_ppm,
+            )
+
+        return judge
+
+    def _survey(self, service: ServiceDocument, key: tuple, now_s: float) -> _Survey:
         views = {
             t.target: self.states.view(service.service, t.target, now_s) for t in service.targets
         }
@@ -75,24 +157,25 @@
             for target in service.targets
             if (weight := self._weight_ppm(service, target, views[target.target], now_s)) > 0
         ]
-        fit = [
-            (target, weight)
-            for target, weight in open_targets
+        names = {
+            target.target
+            for target, _ in open_targets
             if self._is_fit(service.service, target, views[target.target], now_s)
-        ]
-        names = {target.target for target, _ in fit}
+        }
         usable_now = {target.target: target.target in names for target in service.targets}
         self.slow_start.observe(service.service, usable_now, now_s)
-
-        def build(pairs: Sequence[tuple[Target, int]]) -> tuple[Candidate, ...]:
-            return tuple(
-                self._candidate(service, target, weight, views[target.target], now_s)
-                for target, weight in pairs
-            )
-
-        usable = build(fit)
-        matching = _matching(usable, query) or _matching(build(open_targets), query)
-        return Candidates(matching, usable, self._fractions(service.service, usable))
+        open_seats = tuple(
+            self._seat(service, target, weight, views[target.target], now_s)
+            for target, weight in open_targets
+        )
+        usable = tuple(seat for seat in open_seats if seat.target.target in names)
+        # Time alone changes the state of drained, failed, ejected and recovering targets.
+        steady = len(names) == len(service.targets) and not service.drains
+        steady = steady and all(seat.slots >= 1 and seat.weight_ppm == PPM for seat in usable)
+        steady = steady and not self.slow_start.is_raising(service.service, now_s)
+        until_s = now_s + SURVEY_S if steady else now_s
+        fractions = self._fractions(service.service, usable)
+        return _Survey(key, until_s, usable, open_seats, fractions)
 
     def _weight_ppm(
         self, service: ServiceDocument, target: Target, view: TargetView, now_s: float
@@ -110,30 +193,24 @@
             return True
         return self.beliefs.answered_recently(service, target.target, now_s)
 
-    def _candidate(
+    def _seat(
         self,
         service: ServiceDocument,
         target: Target,
         weight_ppm: int,
         view: TargetView,
         now_s: float,
-    ) -> Candidate:
-        name = service.service
+    ) -> Seat:
         slots = min(target.slots, view.slots or target.slots)
-        return Candidate(
-            target,
-            self.places[service.service].region[target.target],
-            self.beliefs.in_flight(name, target.target, now_s),
-            self.beliefs.load(name, target.target, view, slots, now_s),
-            slots * self.slow_start.factor(name, target.target, now_s),
-            weight_ppm,
-        )
+        factor = self.slow_start.factor(service.service, target.target, now_s)
+        region = self.places[service.service].region[target.target]
+        return Seat(target, region, slots * factor, weight_ppm)
 
-    def _fractions(self, service: str, usable: Sequence[Candidate]) -> dict[str, float]:
+    def _fractions(self, service: str, usable: Sequence[Seat]) -> dict[str, float]:
         slots = self.places[service].slots
         healthy = dict.fromkeys(slots, 0.0)
-        for c in usable:
-            healthy[c.region] += c.slots * c.weight_ppm / PPM
+        for seat in usable:
+            healthy[seat.region] += seat.slots * seat.weight_ppm / PPM
         return {region: healthy[region] / slots[region] for region in slots}
 
     def _place(self, service: ServiceDocument, fleet: FleetDocument | None) -> None:
@@ -154,25 +231,9 @@
     return (fleet.region_of(target.availability_zone) if fleet else None) or ""
 
 
-def _matching(candidates: Sequence[Candidate], query: TargetQuery) -> tuple[Candidate, ...]:
+def _matching(seats: Sequence[Seat], query: TargetQuery) -> tuple[Seat, ...]:
     return tuple(
-        c
-        for c in candidates
-        if query.version in (None, c.target.version) and c.target.target not in query.excluded
+        seat
+        for seat in seats
+        if query.version in (None, seat.target.version) and seat.target.target not in query.excluded
     )
-
-
-def pick_of_two(candidates: Sequence[Candidate], source: random.Random) -> Candidate:
-    """Return the one with less load of two random candidates.
-
-    They are drawn in proportion to slots and weight. If the better one is busy, the least
-    loaded of all is returned.
-    """
-    if len(candidates) == 1:
-        return candidates[0]
-    chances = [c.slots * c.weight_ppm for c in candidates]
-    first = source.choices(range(len(candidates)), chances)[0]
-    chances[first] = 0.0
-    second = source.choices(range(len(candidates)), chances)[0]
-    better = min(candidates[first], candidates[second], key=lambda c: c.score)
-    return min(candidates, key=lambda c: c.score) if better.busy else better
--- a/src/wagtailbay/steer/const.py
+++ b/src/wagtailbay/steer/const.py
@@ -7,6 +7,11 @@
 MAX_WAIT_S: Final = 0.2
 # Budgets refill without an event, so waiting requests look again after this time.
 WAIT_TICK_S: Final = 0.02
+# While no target is failed, ejected, drained or starting slowly, the list of targets is kept for
+# this long; a change of reports, ejections or documents ends it at once.
+SURVEY_S: Final = 0.1
+# Two draws are the same target rarely, unless it has nearly all chances.
+MAX_DRAWS: Final = 16
 SLOW_START_FROM: Final = 0.1
 SLOW_START_PER_S: Final = 0.1
 SPILL_ENDS_BELOW_LOAD: Final = 0.8
--- a/src/wagtailbay/steer/slow_start.py
+++ b/src/wagtailbay/steer/slow_start.py
@@ -39,3 +39,8 @@
         if since_s is None or not self.enabled:
             return 1.0
         return min(1.0, SLOW_START_FROM + SLOW_START_PER_S * max(0.0, now_s - since_s))
+
+    def is_raising(self, service: str, now_s: float) -> bool:
+        """Tell whether the share of any usable target is still being raised."""
+        known = self.usable_since_s.get(service, {})
+        return any(s is not None and self.factor(service, t, now_s) < 1.0 for t, s in known.items())
--- a/src/wagtailbay/steer/spill.py
+++ b/src/wagtailbay/steer/spill.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from wagtailbay.steer.const import SPILL_ENDS_AFTER_S, SPILL_ENDS_BELOW_LOAD
-from wagtailbay.steer.models import Candidate
+from wagtailbay.steer.seats import Judge, Seat
 
 
 @define
@@ -27,7 +27,7 @@
     hysteresis: bool = True
     spilling: dict[str, _Spill] = field(factory=dict)
 
-    def is_away(self, service: str, home: Sequence[Candidate], now_s: float) -> bool:
+    def is_away(self, service: str, home: Sequence[Seat], judge: Judge, now_s: float) -> bool:
         """Tell whether requests go to other regions first.
 
         Args:
@@ -39,7 +39,7 @@
             return True
         if spill is None:
             return False
-        load = sum(c.load for c in home) / sum(c.slots for c in home)
+        load = load_of(home, judge)
         if load > SPILL_ENDS_BELOW_LOAD:
             spill.spare_since_s = None
         elif spill.spare_since_s is None:
@@ -50,3 +50,8 @@
             del self.spilling[service]
             return False
         return True
+
+
+def load_of(seats: Sequence[Seat], judge: Judge) -> float:
+    """Return the load of some targets through their slots."""
+    return sum(judge(seat).load for seat in seats) / sum(seat.slots for seat in seats)
--- a/src/wagtailbay/steer/two_choice.py
+++ b/src/wagtailbay/steer/two_choice.py
@@ -1,7 +1,7 @@
 """Choose the better of two random targets, near ones first."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 from attrs import define, field
@@ -10,17 +10,17 @@
 from wagtailbay.config import FleetDocument
 from wagtailbay.health import FailureSign
 from wagtailbay.refusals import Refusal, not_run
-from wagtailbay.steer.candidates import CandidateFinder, Candidates, pick_of_two
+from wagtailbay.steer.candidates import CandidateFinder, Candidates
 from wagtailbay.steer.const import MAX_WAIT_S, PPM
 from wagtailbay.steer.models import (
     Assignment,
     AttemptOutcome,
     AttemptReport,
     BudgetSource,
-    Candidate,
     TargetQuery,
 )
-from wagtailbay.steer.spill import SpillMemory
+from wagtailbay.steer.seats import Group, Judge
+from wagtailbay.steer.spill import SpillMemory, load_of
 from wagtailbay.steer.waiting import WaitingRoom
 
 SIGNS = {
@@ -95,11 +95,12 @@
         candidates = self.finder.find(query, self.fleet, now_s)
         if not candidates.for_query:
             return Err(Shortage.NO_TARGET)
+        judge = self.finder.judge_of(query.service.service, now_s)
         shortage, denied = Shortage.NO_BUDGET, set()
         passes = (False, True) if last else (False,)
         for accept_busy in passes:
-            for group in self._groups(query, candidates, now_s, last):
-                picked = pick_of_two(group, self.random)
+            for group in self._groups(query, candidates, judge, now_s, last):
+                picked = group.pick_of_two(judge, self.random)
                 if picked.region in denied:
                     continue
                 if picked.busy and not accept_busy:
@@ -112,56 +113,63 @@
         return Err(shortage)
 
     def _groups(
-        self, query: TargetQuery, candidates: Candidates, now_s: float, last: bool
-    ) -> list[tuple[Candidate, ...]]:
-        """Return the groups of targets to try, best first.
+        self,
+        query: TargetQuery,
+        candidates: Candidates,
+        judge: Judge,
+        now_s: float,
+        last: bool,
+    ) -> Iterator[Group]:
+        """Yield the groups of targets to try, best first.
 
         While a wait is possible, other regions come in only for lack of capacity or budget at
         home, not because the home region is busy.
         """
         service = query.service.service
-        home = candidates.in_region(self.region)
-        home_usable = [c for c in candidates.all_usable if c.region == self.region]
-        away = self._away(candidates)
-        spilling = self.spills.is_away(service, home_usable, now_s)
-        if not home:
-            return away
-        near = self._near_groups(service, home)
-        if away and spilling:
-            return away + near
-        if not near:
-            return [*away, home]
-        if not last and all(c.busy for c in home):
-            return near
-        return near + away
+        region = self.region
+        home = candidates.in_region(region)
+        home_usable = [seat for seat in candidates.usable if seat.region == region]
+        spilling = self.spills.is_away(service, home_usable, judge, now_s)
+        near = self._near_groups(service, region, candidates, judge) if home.seats else []
+        away: list[Group] = []
+        if spilling or not near:
+            away = self._away(candidates, region, judge)
+            yield from away
+        yield from near
+        if not near and home.seats and not (spilling and away):
+            yield home
+        waits_for_home = not last and all(judge(seat).busy for seat in home.seats)
+        if near and not spilling and not waits_for_home:
+            yield from self._away(candidates, region, judge)
 
     def _near_groups(
-        self, service: str, home: tuple[Candidate, ...]
-    ) -> list[tuple[Candidate, ...]]:
+        self, service: str, region: str, candidates: Candidates, judge: Judge
+    ) -> list[Group]:
         """Return the own availability zone and the home region, less what drains hold back."""
-        zone = tuple(c for c in home if c.target.availability_zone == self.availability_zone)
-        if not self._stays(service, f"region/{self.region}", home):
+        home = candidates.in_region(region)
+        zone = candidates.in_zone(self.availability_zone)
+        if not self._stays(service, f"region/{region}", home):
             return []
         if not self._stays(service, f"zone/{self.availability_zone}", zone):
-            rest = tuple(c for c in home if c not in zone)
-            return [rest] if rest else [home]
-        zone_has_room = any(c.load < c.slots for c in zone)
+            rest = candidates.outside_zone(region, self.availability_zone)
+            return [rest] if rest.seats else [home]
+        zone_has_room = any(c.load < c.slots for c in map(judge, zone.seats))
         return [zone, home] if zone_has_room else [home]
 
-    def _stays(self, service: str, place: str, group: Sequence[Candidate]) -> bool:
+    def _stays(self, service: str, place: str, group: Group) -> bool:
         """Spread requests evenly between a place that is being drained and others."""
-        weight_ppm = max((c.weight_ppm for c in group), default=PPM)
-        if weight_ppm >= PPM:
+        if group.weight_ppm >= PPM:
             return True
-        debt_ppm = self.drain_debt_ppm.get((service, place), 0) + weight_ppm
+        debt_ppm = self.drain_debt_ppm.get((service, place), 0) + group.weight_ppm
         self.drain_debt_ppm[(service, place)] = debt_ppm % PPM
         return debt_ppm >= PPM
 
-    def _away(self, candidates: Candidates) -> list[tuple[Candidate, ...]]:
+    @staticmethod
+    def _away(candidates: Candidates, own: str, judge: Judge) -> list[Group]:
         """Return the other regions, the least loaded first."""
-        regions = sorted({c.region for c in candidates.for_query} - {self.region})
+        regions = sorted({seat.region for seat in candidates.for_query} - {own})
         groups = [candidates.in_region(region) for region in regions]
-        return sorted(groups, key=lambda g: sum(c.load for c in g) / sum(c.slots for c in g))
+        return sorted(groups, key=lambda group: load_of(group.seats, judge))
 
     def _take(self, query: TargetQuery, region: str, candidates: Candidates, now_s: float) -> bool:
         if region != self.region and not self.budgets.link_has_room(region, self.region, now_s):
--- a/src/wagtailbay_bench/path_cost/profile.py
+++ b/src/wagtailbay_bench/path_cost/profile.py
@@ -1,30 +1,29 @@
-"""Print where the entry process spends its time: ``python -m wagtailbay_bench.path_cost.profile``.
-
-The profiler makes short functions look dearer than they are; processor times come from the
-measurement without it.
-"""
+"""Print where the entry process spends its time: ``python -m wagtailbay_bench.path_cost.profile``."""
 
 import argparse
+import json
 import os
-import pstats
 import signal
 import tempfile
+from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
 
 import trio
 
 from wagtailbay_bench.path_cost.caller import Callers, build_request, connect
-from wagtailbay_bench.path_cost.const import ANSWER_BYTES, CONNECTIONS, ROUND_S, WARM_UP_S
+from wagtailbay_bench.path_cost.const import ANSWER_BYTES, CONNECTIONS, WARM_UP_S
+from wagtailbay_bench.path_cost.proc import processor_time_s
 from wagtailbay_bench.path_cost.profiled_entry import FILE_VARIABLE
 from wagtailbay_bench.path_cost.scene import KEY, PROFILED_MODULE, SERVICE, start_deployment
 from wagtailbay_bench.processes import ProcessGroup
 
 WRITE_TIMEOUT_S = 5.0
+PROFILE_S = 5.0
 
 
-async def record(path: Path, answer_bytes: int) -> int:
-    """Record a profile of a VM at full load; returns the number of answers."""
+async def record(path: Path, answer_bytes: int) -> float:
+    """Record a profile of a VM at full load; returns its processor time a request in us."""
     os.environ[FILE_VARIABLE] = str(path)
     with ProcessGroup() as group:
         deployment = await start_deployment(group, answer_bytes, PROFILED_MODULE)
@@ -34,31 +33,37 @@
         await callers.saturate(connections, WARM_UP_S)
         process.send_signal(signal.SIGUSR1)
         callers.answered = 0
-        await callers.saturate(connections, ROUND_S)
+        before_s = processor_time_s(process.pid)
+        await callers.saturate(connections, PROFILE_S)
+        used_s = processor_time_s(process.pid) - before_s
         process.send_signal(signal.SIGUSR2)
         with trio.fail_after(WRITE_TIMEOUT_S):
-            while not path.exists() or not path.stat().st_size:
+            while not path.exists():
                 await trio.sleep(0.1)
-        await trio.sleep(0.5)
-        return callers.answered
+        return used_s / callers.answered * 1e6
+
+
+def print_counts(title: str, counts: Mapping[str, int], total: int, lines: int) -> None:
+    """Print the most frequent functions in % of all samples."""
+    print(title)
+    for name, count in sorted(counts.items(), key=lambda item: -item[1])[:lines]:
+        print(f"{100 * count / total:6.2f} %  {name}")
 
 
 def main() -> None:
     """Run the program."""
     parser = argparse.ArgumentParser(prog="profile", description=__doc__)
     parser.add_argument("--size", choices=list(ANSWER_BYTES), default="small")
-    parser.add_argument("--lines", type=int, default=45)
-    parser.add_argument("--sort", choices=("tottime", "cumtime"), default="tottime")
-    parser.add_argument("--callers", action="append", default=[], help="show who calls a function")
+    parser.add_argument("--lines", type=int, default=40)
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "profile"
-        answers = trio.run(partial(record, path, ANSWER_BYTES[arguments.size]))
-        print(f"size={arguments.size} answers={answers}")
-        stats = pstats.Stats(str(path)).sort_stats(arguments.sort)
-        stats.print_stats(arguments.lines)
-        for name in arguments.callers:
-            stats.print_callers(name)
+        path = Path(folder) / "profile.json"
+        cpu_us = trio.run(partial(record, path, ANSWER_BYTES[arguments.size]))
+        profile = json.loads(path.read_text())
+    total = sum(profile["on_top"].values())
+    print(f"size={arguments.size} samples={total} cpu_us_with_sampling={cpu_us:.0f}")
+    print_counts("running", profile["on_top"], total, arguments.lines)
+    print_counts("running or waiting for what it called", profile["in_stack"], total, 90)
 
 
 if __name__ == "__main__":
--- a/tests/steer/test_spill_memory.py
+++ b/tests/steer/test_spill_memory.py
@@ -3,12 +3,15 @@
 from steering_fakes import target
 
 from wagtailbay.steer.models import Candidate
+from wagtailbay.steer.seats import Judge, Seat
 from wagtailbay.steer.spill import SpillMemory
 
+HOME = [Seat(target("t1", slots=10), "a", 10.0, 1_000_000)]
 
-def home(load: float) -> list[Candidate]:
-    """Build a home region of one target with ten slots."""
-    return [Candidate(target("t1", slots=10), "a", 0, load, 10.0, 1_000_000)]
+
+def judge_with(load: float | None) -> Judge:
+    """Judge every target of the home region to have a load."""
+    return lambda seat: Candidate(seat.target, "a", 0, load, seat.slots, seat.weight_ppm)
 
 
 class TestSpillMemory:
@@ -19,11 +22,11 @@
         memory = SpillMemory()
         steps = [(0.0, None), (1.0, 5.0), (4.0, 9.0), (5.0, 8.0), (9.9, 8.0), (10.0, 8.0)]
         away = [
-            memory.is_away("records", [] if load is None else home(load), now_s)
+            memory.is_away("records", [] if load is None else HOME, judge_with(load), now_s)
             for now_s, load in steps
         ]
         assert away == [True, True, True, True, True, False]
 
     def test_busy_home_alone_is_no_spill(self) -> None:
         """Guards against spill without any loss of capacity."""
-        assert not SpillMemory().is_away("records", home(50.0), 1.0)
+        assert not SpillMemory().is_away("records", HOME, judge_with(50.0), 1.0)
--- a/tests/steering_fakes.py
+++ b/tests/steering_fakes.py
@@ -58,6 +58,10 @@
         """Return the view set for the target."""
         return self.views.get(target, TargetView())
 
+    def changes(self, now_s: float) -> int:
+        """Return a number that differs for other views."""
+        return hash(tuple(self.views.items()))
+
 
 @define
 class FakeMembers:
