--- a/src/wagtailbay/entry/const.py
+++ b/src/wagtailbay/entry/const.py
@@ -5,6 +5,7 @@
 LOCATE_PATH: Final = "/-/locate"
 STATUS_PATH: Final = "/-/status"
 READY_PATH: Final = "/-/ready"
+REQUEST_ID_BYTES: Final = 16
 MAX_DEADLINE_MS: Final = 600_000
 MAX_ATTEMPTS: Final = 3
 CONNECT_TIMEOUT_MS: Final = 1_000
@@ -28,6 +29,8 @@
 )
 # Fields with this prefix are set by the entry VM only, in both directions.
 OWN_HEADER_PREFIX: Final = "wagtailbay-"
+# Names whose class is kept; callers may send any number of others.
+KNOWN_NAMES: Final = 512
 RUN_HEADER: Final = "Wagtailbay-Run"
 REPLAY_HEADER: Final = "Wagtailbay-Replayed"
 # Shorter keys would be found in ordinary text by chance.
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -22,7 +22,13 @@
     ResponseHead,
     TransportError,
 )
-from wagtailbay.transport.wire import decode_headers, encode_request_head, is_small
+from wagtailbay.transport.sockets import receive, send_now, send_rest
+from wagtailbay.transport.wire import (
+    END_OF_MESSAGE,
+    decode_headers,
+    encode_request_head,
+    is_small,
+)
 
 
 @define
@@ -31,6 +37,10 @@
 
     A connection is reusable only after a complete exchange without any fault; every other one must
     be closed, since later bytes on it could belong to an earlier request.
+
+    Attributes:
+        checked: Whether nothing has run since the connection was found without unread bytes.
+        poller: Looks for unread bytes; made at the first look.
     """
 
     address: str
@@ -40,23 +50,26 @@
     )
     request_sent: bool = False
     answered: bool = False
+    checked: bool = False
     method: str = ""
+    poller: Any = None
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of its response."""
-        if self.has_unread_bytes():
+        if not self.checked and self.has_unread_bytes():
             return Err(self._error(FailureKind.PROTOCOL, "bytes before the request"))
+        self.checked = False
         self.method = request.method
         try:
             data = self.protocol.send(encode_request_head(request, self.address)) or b""
             if request.body:
                 data += self.protocol.send(h11.Data(data=request.body)) or b""
-            data += self.protocol.send(h11.EndOfMessage()) or b""
+            data += self.protocol.send(END_OF_MESSAGE) or b""
         except h11.LocalProtocolError as error:
             return Err(self._error(FailureKind.PROTOCOL, str(error)))
         try:
             self.request_sent = True
-            await self.stream.send_all(data)
+            await send_rest(self.stream, data, send_now(self.stream, data))
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             return Err(self._error(FailureKind.CLOSED, f"while sending: {error}"))
         return await self._receive_head()
@@ -67,28 +80,29 @@
             return True
         if not isinstance(self.stream, trio.SocketStream):
             return False
-        poller = select.poll()
-        poller.register(self.stream.socket.fileno(), select.POLLIN | select.POLLHUP)
-        return bool(poller.poll(0))
+        if self.poller is None:
+            self.poller = select.poll()
+            self.poller.register(self.stream.socket.fileno(), select.POLLIN | select.POLLHUP)
+        return bool(self.poller.poll(0))
 
     async def _receive_head(self) -> Result[ResponseHead, TransportError]:
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
-            match await self._next_event():
-                case Err(error):
-                    return Err(error)
-                case Ok(h11.InformationalResponse()):
-                    continue
-                case Ok(h11.Response() as event):
-                    return self._checked_head(event)
-                case Ok(event):
-                    return Err(self._error(FailureKind.CLOSED, f"got {type(event).__name__}"))
+            event = await self._next_event()
+            if isinstance(event, Err):
+                return event
+            kind = type(event.ok_value)
+            if kind is h11.Response:
+                return self._checked_head(event.ok_value)
+            if kind is not h11.InformationalResponse:
+                return Err(self._error(FailureKind.CLOSED, f"got {kind.__name__}"))
         return Err(self._error(FailureKind.PROTOCOL, "too many informational responses"))
 
     def _checked_head(self, event: h11.Response) -> Result[ResponseHead, TransportError]:
-        if not is_small(event.headers):
+        fields = list(event.headers)
+        if not is_small(fields):
             return Err(self._error(FailureKind.PROTOCOL, "header fields too large"))
-        head = ResponseHead(event.status_code, decode_headers(event.headers))
-        names = [name.lower() for name, _ in head.headers]
+        head = ResponseHead(event.status_code, decode_headers(fields))
+        names = [name for name, _ in head.headers]
         if "content-length" in names and "transfer-encoding" in names:
             message = "both Content-Length and Transfer-Encoding"
             return Err(self._error(FailureKind.PROTOCOL, message))
@@ -100,27 +114,35 @@
 
     async def receive_chunk(self) -> Result[bytes | None, TransportError]:
         """Receive a part of the response's body; None marks its complete end."""
-        match await self._next_event():
-            case Err(error):
-                return Err(error)
-            case Ok(h11.Data(data=data)):
-                return Ok(bytes(data))
-            case Ok(h11.EndOfMessage()):
-                return Ok(None)
-            case Ok(event):
-                return Err(self._error(FailureKind.TRUNCATED, f"got {type(event).__name__}"))
+        return self._chunk_of(await self._next_event())
+
+    def take_chunk(self) -> Result[bytes | None, TransportError] | None:
+        """Return a part of the body that has arrived already, None if there is none."""
+        event = self._event_of_received()
+        return None if event is None else self._chunk_of(event)
+
+    def _chunk_of(self, event: Result[Any, TransportError]) -> Result[bytes | None, TransportError]:
+        if isinstance(event, Err):
+            return event
+        kind = type(event.ok_value)
+        if kind is h11.Data:
+            return Ok(bytes(event.ok_value.data))
+        if kind is h11.EndOfMessage:
+            return Ok(None)
+        return Err(self._error(FailureKind.TRUNCATED, f"got {kind.__name__}"))
+
+    def _event_of_received(self) -> Result[Any, TransportError] | None:
+        try:
+            event = self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
+            return Err(self._error(kind, str(error)))
+        return None if event is h11.NEED_DATA else Ok(event)
 
     async def _next_event(self) -> Result[Any, TransportError]:
-        while True:
-            try:
-                event = self.protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
-                return Err(self._error(kind, str(error)))
-            if event is not h11.NEED_DATA:
-                return Ok(event)
+        while (event := self._event_of_received()) is None:
             try:
-                data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
+                data = await receive(self.stream, RECEIVE_CHUNK_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
                 kind = FailureKind.TRUNCATED if self.answered else FailureKind.CLOSED
                 return Err(self._error(kind, str(error)))
@@ -128,6 +150,7 @@
             if not data and not self.answered:
                 return Err(self._error(FailureKind.CLOSED, "end of stream"))
             self.protocol.receive_data(data)
+        return event
 
     @staticmethod
     def _is_cut_short(error: h11.RemoteProtocolError) -> bool:
