Lend tokens by the borrower's need and ask VMs that hold some

Token loans of one lender replaced each other, so a lender could serve one loan in 240 ms.

Change: loans of tokens add up; a borrower orders for what waits and for the demand until the next round trip, from the VM that can lend most by its last answer, and asks again while a request waits. The rate moves only for budgets whose burst is below 1 s of their rate. The floor's rate of a small budget, which its empty floor could never use, goes to the ledger shares like its burst.

The tests' world also compares rooms and rates with the whole budget, doubles requests for loans and loses their answers; the state machine draws a budget with a short burst too. lender_restarts borrows twice, because the first order is now small.

--- a/src/wagtailbay/allotment/account.py
+++ b/src/wagtailbay/allotment/account.py
@@ -26,12 +26,14 @@
     so far at the former rate.
 
     Attributes:
-        lent: Loans to each borrower as this VM counts them. Loans to one borrower replace each
-            other: the largest counts, not the sum.
+        lent: Loans to each borrower as this VM counts them. Loans with rate to one borrower replace
+            each other: the largest counts, not the sum. Loans of tokens add up.
         borrowed: Loans of each lender, counted in the same way.
+        waiting: Tokens that waiting requests want.
         is_confined: Tells whether only the floor may be used now.
         refresh: Applies newer ledgers, which may set this account's share, before tokens are used.
-        on_short: Called when tokens run low.
+        on_short: Called when tokens run low, with the tokens wanted at once; tells whether a loan
+            may come.
     """
 
     budget: str
@@ -41,10 +43,11 @@
     ledger_ppm: int = 0
     is_confined: Callable[[float], bool] = never
     refresh: Callable[[float], None] = lambda now_s: None
-    on_short: Callable[[str, float], bool] = lambda budget, now_s: False
+    on_short: Callable[[str, float, float], bool] = lambda budget, wanted, now_s: False
     lent: dict[Holder, list[Loan]] = field(factory=dict)
     borrowed: dict[str, list[Loan]] = field(factory=dict)
     changed: ChangeSignal = field(factory=ChangeSignal)
+    waiting: float = 0.0
     bucket: TokenBucket = field(init=False)
     confined: bool = False
 
@@ -62,53 +65,63 @@
 
     def usable_ppm(self, now_s: float) -> int:
         """Return the share whose rate this VM may use."""
+        floor_ppm = 0 if self.floor_is_void else self.floor_ppm
         if self.confined:
-            return self.floor_ppm
-        own_ppm = max(0, self.ledger_ppm - self.lent_ppm(now_s, rate_only=True))
-        return own_ppm + self.floor_ppm + self.borrowed_ppm(now_s, rate_only=True)
+            return floor_ppm
+        lent_ppm = sum(_with_rate_ppm(loans, now_s) for loans in self.lent.values())
+        borrowed_ppm = sum(_with_rate_ppm(loans, now_s) for loans in self.borrowed.values())
+        return max(0, self.ledger_ppm - lent_ppm) + floor_ppm + borrowed_ppm
 
     def room_ppm(self, now_s: float) -> int:
         """Return the share whose burst this VM may hold."""
-        floor_ppm = 0 if self._floor_holds_none else self.floor_ppm
+        floor_ppm = 0 if self.floor_is_void else self.floor_ppm
         if self.confined:
             return floor_ppm
         own_ppm = max(0, self.ledger_ppm - self.lent_ppm(now_s))
         return own_ppm + floor_ppm + self.borrowed_ppm(now_s)
 
-    def lent_ppm(self, now_s: float, but: Holder | None = None, rate_only: bool = False) -> int:
-        """Return the share lent to all borrowers but one."""
+    def lent_ppm(self, now_s: float, replaced: Holder | None = None) -> int:
+        """Return the share lent, without the loans that a further one to a borrower replaces."""
         return sum(
-            _largest(loans, now_s, rate_only)
+            _tokens_only_ppm(loans, now_s)
+            + (0 if borrower == replaced else _with_rate_ppm(loans, now_s))
             for borrower, loans in self.lent.items()
-            if borrower != but
         )
 
-    def borrowed_ppm(self, now_s: float, rate_only: bool = False) -> int:
+    def borrowed_ppm(self, now_s: float) -> int:
         """Return the share borrowed from all lenders."""
-        return sum(_largest(loans, now_s, rate_only) for loans in self.borrowed.values())
+        return sum(
+            _tokens_only_ppm(loans, now_s) + _with_rate_ppm(loans, now_s)
+            for loans in self.borrowed.values()
+        )
 
     def borrowed_from(self, lender: str, now_s: float) -> int:
-        """Return the share borrowed from one lender."""
-        return _largest(self.borrowed.get(lender, []), now_s)
+        """Return the share borrowed with its rate from one lender."""
+        return _with_rate_ppm(self.borrowed.get(lender, []), now_s)
 
     def capacity(self, share_ppm: float) -> float:
         """Return the tokens that a ledger share may hold."""
-        whole_ppm = LEDGER_PPM if self._floor_holds_none else WHOLE_PPM
-        return self.limit.burst * share_ppm / whole_ppm
+        return self.limit.burst * share_ppm / self._whole_ppm
 
     def share_for(self, tokens: float) -> int:
         """Return the ledger share, in parts per million, that may hold the tokens."""
-        whole_ppm = LEDGER_PPM if self._floor_holds_none else WHOLE_PPM
-        return ceil(whole_ppm * tokens / max(self.limit.burst, 1e-9))
+        return ceil(self._whole_ppm * tokens / max(self.limit.burst, 1e-9))
 
     @property
-    def _floor_holds_none(self) -> bool:
-        # Parts of less than one token could never admit a request, so the burst of the whole
-        # reserve belongs to the ledger shares of a small budget.
+    def floor_is_void(self) -> bool:
+        """Tell whether the floor reserve belongs to the ledger shares.
+
+        Parts of less than one token could never admit a request, so neither burst nor rate of the
+        reserve would serve anyone.
+        """
         return self.floor_ppm > 0 and self.is_small
 
+    @property
+    def _whole_ppm(self) -> int:
+        return LEDGER_PPM if self.floor_is_void else WHOLE_PPM
+
     def _measures(self, at_s: float) -> tuple[float, float]:
-        rate_per_s = self.limit.rate_per_s * self.usable_ppm(at_s) / WHOLE_PPM
+        rate_per_s = self.limit.rate_per_s * self.usable_ppm(at_s) / self._whole_ppm
         return rate_per_s, self.capacity(self.room_ppm(at_s))
 
     def settle(self, now_s: float) -> None:
@@ -122,7 +135,8 @@
         was_confined, self.confined = self.confined, self.is_confined(now_s)
         gap = now_s - self.bucket.updated_s > MAX_LOOP_GAP_S
         if gap or self.confined or was_confined:
-            floor_rate_per_s = self.limit.rate_per_s * self.floor_ppm / WHOLE_PPM
+            floor_ppm = 0 if self.floor_is_void else self.floor_ppm
+            floor_rate_per_s = self.limit.rate_per_s * floor_ppm / WHOLE_PPM
             self.bucket.rate_per_s = min(self.bucket.rate_per_s, floor_rate_per_s)
         elif self.lent or self.borrowed:
             self._settle_ended_loans(now_s)
@@ -164,16 +178,18 @@
         """Take tokens if there are enough."""
         self.settle(now_s)
         taken = self.bucket.take(amount, now_s)
-        if not taken or self.bucket.level < max(amount, 0.25 * self.bucket.capacity):
-            self.on_short(self.budget, now_s)
+        if not taken:
+            self.on_short(self.budget, max(amount, self.waiting), now_s)
+        elif self.bucket.level < max(amount, 0.5 * self.bucket.capacity):
+            self.on_short(self.budget, 0.0, now_s)
         return taken
 
     def charge(self, amount: float, now_s: float) -> None:
         """Take tokens that are already spent; the level may become negative."""
         self.settle(now_s)
         self.bucket.charge(amount, now_s)
-        if self.bucket.level < 0.25 * self.bucket.capacity:
-            self.on_short(self.budget, now_s)
+        if self.bucket.level < 0.5 * self.bucket.capacity:
+            self.on_short(self.budget, 0.0, now_s)
 
     def level(self, now_s: float) -> float:
         """Return the tokens held."""
@@ -185,21 +201,22 @@
         self.settle(now_s)
         return self.bucket.wait_s(amount)
 
-    def may_borrow(self, now_s: float) -> bool:
+    def may_borrow(self, amount: float, now_s: float) -> bool:
         """Tell whether a loan may bring tokens soon, and ask for one."""
-        return self.on_short(self.budget, now_s)
+        return self.on_short(self.budget, amount + self.waiting, now_s)
 
     def lend(
         self, borrower: Holder, loan: Loan, keep_tokens: float, now_s: float, move: bool = True
     ) -> float:
         """Lend a share at once and return the tokens that go with it.
 
-        Only a share beyond earlier loans to the same borrower carries tokens, at most its part of
+        Only a share beyond the loans that this one replaces carries tokens, at most its part of
         the burst, so that tokens on their way are always backed by a share that nobody uses.
         """
         self.settle(now_s)
         loans = self.lent.setdefault(borrower, [])
-        added_ppm = max(0, loan.share_ppm - _largest(loans, now_s))
+        replaced_ppm = _with_rate_ppm(loans, now_s) if loan.with_rate else 0
+        added_ppm = max(0, loan.share_ppm - replaced_ppm)
         spare = max(0.0, self.bucket.level - keep_tokens)
         tokens = min(self.capacity(added_ppm), spare)
         if move:
@@ -220,15 +237,12 @@
         return True
 
 
-def _largest(loans: list[Loan], now_s: float, rate_only: bool = False) -> int:
-    return max(
-        (
-            loan.share_ppm
-            for loan in loans
-            if loan.until_s > now_s and (loan.with_rate or not rate_only)
-        ),
-        default=0,
-    )
+def _with_rate_ppm(loans: list[Loan], now_s: float) -> int:
+    return max((n.share_ppm for n in loans if n.until_s > now_s and n.with_rate), default=0)
+
+
+def _tokens_only_ppm(loans: list[Loan], now_s: float) -> int:
+    return sum(n.share_ppm for n in loans if n.until_s > now_s and not n.with_rate)
 
 
 def _unended(loans: dict, now_s: float) -> dict:
--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -34,18 +34,29 @@
 
 # A loan that the borrower needs no longer serves nobody until its term ends.
 LOAN_TERM_MS: Final = 500
-# Demand below this many tokens in a term borrows tokens; the rate for it would be left unused.
-FEW_TOKENS: Final = 16.0
+# Budgets with a burst of at least this time of their rate lend tokens only; their rate stays where
+# the ledger has it. A smaller burst refills sooner than the room of a loan is free again.
+TOKENS_ONLY_BURST_S: Final = 1.0
+# Tokens are ordered when less than the first time of the expected demand is left, and up to the
+# second. One round trip between regions takes 0.07 s, and a loan of tokens ends after 0.2 s.
+ORDER_BELOW_S: Final = 0.1
+ORDER_UP_TO_S: Final = 0.15
 MAX_LOAN_TERM_MS: Final = 2_000
 # The lender waits this much longer than the borrower, which covers clocks that differ by 1%.
 LOAN_MARGIN: Final = 0.1
 BORROW_TIMEOUT_MS: Final = 400
-BORROW_BACKOFF_S: Final = 0.25
-MAX_BORROW_BACKOFF_S: Final = 2.0
 AVOID_LENDER_S: Final = 0.5
+# A VM that did not answer is asked again after this time.
+UNREACHABLE_LENDER_S: Final = 1.0
 BORROW_INTERVAL_S: Final = 0.02
-FAILURES_BEFORE_BACKOFF: Final = 3
-MAX_LENDERS: Final = 2
+# While no VM has anything to lend, one is looked for at this interval.
+NO_LENDER_INTERVAL_S: Final = 0.05
+# A request waits for a lender that regains a token within this time; with one round trip between
+# regions it is served within the longest wait.
+LENDER_SOON_S: Final = 0.12
+MAX_LENDERS: Final = 4
+# A VM that had nothing to lend is taken to regain at least this part of its rate.
+LEAST_REGAINED: Final = 0.1
 # A lender keeps its own demand and this much more; a borrower asks for as much more.
 DEMAND_HEADROOM: Final = 1.2
 # A renewal is asked for when this part of the term is left.
@@ -53,6 +64,8 @@
 
 # A jump of demand must show within one loan term.
 DEMAND_SMOOTHING_S: Final = 1.0
+# A jump must show before the tokens of one VM, about 0.2 s of the whole rate, are spent.
+JUMP_SMOOTHING_S: Final = 0.1
 DEMAND_PUBLISH_INTERVAL_S: Final = 1.0
 DEMAND_REFRESH_S: Final = 10.0
 DEMAND_TTL_MS: Final = 30_000
--- a/src/wagtailbay/allotment/demand.py
+++ b/src/wagtailbay/allotment/demand.py
@@ -1,33 +1,59 @@
 """Measure and publish the demand at this VM."""
 
-from math import exp, floor, log10
+from math import ceil, exp, floor, log10, sqrt
 
 from attrs import define, field
 
 from wagtailbay.allotment.const import (
+    DEMAND_HEADROOM,
     DEMAND_KIND,
     DEMAND_PUBLISH_INTERVAL_S,
     DEMAND_REFRESH_S,
     DEMAND_SMOOTHING_S,
     DEMAND_TTL_MS,
+    JUMP_SMOOTHING_S,
     NOTICEABLE_CHANGE,
+    WHOLE_PPM,
 )
 from wagtailbay.allotment.models import Demand
+from wagtailbay.limits import BudgetLimit
 from wagtailbay.membership import FactTable
 
 
 @define
 class DemandMeter:
-    """Hold an exponentially weighted rate of what was asked for."""
+    """Hold exponentially weighted rates of what was asked for.
+
+    Attributes:
+        per_s: Smoothed over 1 s.
+        newest_per_s: Smoothed over 100 ms.
+        amount: What was asked for last.
+    """
 
     per_s: float = 0.0
+    newest_per_s: float = 0.0
+    amount: float = 0.0
     updated_s: float = 0.0
 
     def record(self, amount: float, now_s: float) -> None:
         """Count an amount."""
+        self.newest_per_s = self._newest(now_s) + amount / JUMP_SMOOTHING_S
         self.per_s = self.rate(now_s) + amount / DEMAND_SMOOTHING_S
+        self.amount = amount
         self.updated_s = max(self.updated_s, now_s)
 
+    def expected(self, now_s: float) -> float:
+        """Return the amount a second to expect next, after a jump sooner than rate() does.
+
+        The newest rate counts less twice the deviation that random arrivals alone give it.
+        """
+        newest_per_s = self._newest(now_s)
+        deviation_per_s = sqrt(newest_per_s * self.amount / (2 * JUMP_SMOOTHING_S))
+        return max(self.rate(now_s), newest_per_s - 2 * deviation_per_s)
+
+    def _newest(self, now_s: float) -> float:
+        return self.newest_per_s * exp(-max(0.0, now_s - self.updated_s) / JUMP_SMOOTHING_S)
+
     def rate(self, now_s: float) -> float:
         """Return the amount a second."""
         return self.per_s * exp(-max(0.0, now_s - self.updated_s) / DEMAND_SMOOTHING_S)
@@ -54,6 +80,11 @@
         meter = self.meters.get(budget)
         return 0.0 if meter is None else meter.rate(now_s)
 
+    def expected(self, budget: str, now_s: float) -> float:
+        """Return the amount a second of a budget to expect next."""
+        meter = self.meters.get(budget)
+        return 0.0 if meter is None else meter.expected(now_s)
+
     def publish(self, now_s: float) -> bool:
         """Publish where something changed or the fact would expire; returns whether it did."""
         since_s = float("inf") if self.published_s is None else now_s - self.published_s
@@ -89,3 +120,9 @@
         for fact in facts.of_kind(DEMAND_KIND, now_s)
         if isinstance(fact.value, Demand)
     }
+
+
+def needed_ppm(limit: BudgetLimit, demand_per_s: float) -> int:
+    """Return the share, in parts per million, whose rate meets a demand with some headroom."""
+    rate_per_s = max(limit.rate_per_s, 1e-9)
+    return min(WHOLE_PPM, ceil(DEMAND_HEADROOM * demand_per_s / rate_per_s * WHOLE_PPM))
--- a/src/wagtailbay/allotment/equal.py
+++ b/src/wagtailbay/allotment/equal.py
@@ -14,6 +14,7 @@
 
     bucket: TokenBucket
     changed: ChangeSignal = field(factory=ChangeSignal)
+    waiting: float = 0.0
 
     def take(self, amount: float, now_s: float) -> bool:
         """Take tokens if there are enough."""
@@ -33,7 +34,7 @@
         self.bucket.refill(now_s)
         return self.bucket.wait_s(amount)
 
-    def may_borrow(self, now_s: float) -> bool:
+    def may_borrow(self, amount: float, now_s: float) -> bool:
         """Answer that no other VM lends."""
         return False
 
--- a/src/wagtailbay/allotment/holding.py
+++ b/src/wagtailbay/allotment/holding.py
@@ -58,7 +58,7 @@
     max_vms: Callable[[], int | None]
     started_s: float
     safeguards: Safeguards = field(factory=Safeguards)
-    on_short: Callable[[str, float], bool] = lambda budget, now_s: False
+    on_short: Callable[[str, float, float], bool] = lambda budget, wanted, now_s: False
     accounts: dict[str, Account] = field(factory=dict)
     ledgers: dict[str, AppliedLedger] = field(factory=dict)
     refused: dict[str, int] = field(factory=dict)
@@ -97,7 +97,7 @@
             self.floor_ppm(),
             is_confined=self.is_confined,
             refresh=self.refresh,
-            on_short=lambda name, at_s: self.on_short(name, at_s),
+            on_short=lambda name, wanted, at_s: self.on_short(name, wanted, at_s),
         )
         self.accounts[budget] = account
         account.set_share(self._granted_ppm(budget), self.floor_ppm(), now_s)
--- a/src/wagtailbay/allotment/loans.py
+++ b/src/wagtailbay/allotment/loans.py
@@ -1,7 +1,7 @@
 """Lend shares to other VMs and borrow from them."""
 
 from collections.abc import Callable
-from math import ceil, floor, isfinite
+from math import floor, inf, isfinite
 
 import trio
 from attrs import define, field
@@ -9,22 +9,21 @@
 
 from wagtailbay.allotment.account import Account
 from wagtailbay.allotment.const import (
-    AVOID_LENDER_S,
-    BORROW_BACKOFF_S,
     BORROW_INTERVAL_S,
     BORROW_TIMEOUT_MS,
-    DEMAND_HEADROOM,
-    FAILURES_BEFORE_BACKOFF,
-    FEW_TOKENS,
+    LENDER_SOON_S,
     LOAN_TERM_MS,
-    MAX_BORROW_BACKOFF_S,
-    MAX_LENDERS,
     MAX_LOAN_TERM_MS,
+    NO_LENDER_INTERVAL_S,
+    ORDER_BELOW_S,
+    ORDER_UP_TO_S,
     RENEW_BEFORE_S,
+    TOKENS_ONLY_BURST_S,
     WHOLE_PPM,
 )
-from wagtailbay.allotment.demand import known_demand
+from wagtailbay.allotment.demand import needed_ppm
 from wagtailbay.allotment.holding import Holding
+from wagtailbay.allotment.lenders import LenderBoard
 from wagtailbay.allotment.models import Holder, Loan
 from wagtailbay.allotment.ports import Fleet, Lender
 from wagtailbay.limits.const import ROUNDING
@@ -41,28 +40,26 @@
 
     Attributes:
         pending: Requests that have no answer yet.
-        next_s: Before this time no further request is sent.
-        failures: Successive requests that brought nothing.
-        backoff_s: The pause after a few of them.
+        ordered: The tokens that they ask for.
+        next_s: Before this time no further request is sent while one is pending.
+        lenderless_until_s: Before this time no lender is looked for.
+        due_s: When a lender is expected to have a token, while none has.
     """
 
     pending: int = 0
-    failures: int = 0
+    ordered: float = 0.0
     next_s: float = 0.0
-    backoff_s: float = BORROW_BACKOFF_S
+    lenderless_until_s: float = 0.0
+    due_s: float = inf
 
-    def settle(self, lent: bool, now_s: float) -> None:
-        """Count an answer."""
+    def may_bring_tokens(self, now_s: float) -> bool:
+        """Tell whether tokens may come soon."""
+        return self.pending > 0 or self.due_s <= now_s + LENDER_SOON_S
+
+    def settle(self, tokens: float) -> None:
+        """Count an answer to a request for tokens."""
         self.pending -= 1
-        if lent:
-            self.backoff_s, self.failures = BORROW_BACKOFF_S, 0
-            self.next_s = now_s + BORROW_INTERVAL_S
-            return
-        self.failures += 1
-        if self.failures < FAILURES_BEFORE_BACKOFF:
-            return
-        self.next_s = now_s + self.backoff_s
-        self.backoff_s = min(MAX_BORROW_BACKOFF_S, 2 * self.backoff_s)
+        self.ordered = max(0.0, self.ordered - tokens) if self.pending else 0.0
 
 
 @define
@@ -74,18 +71,21 @@
     share back while it is in use.
 
     Attributes:
-        short: The budgets for which loans are to be asked.
-        avoided: Until when a VM that lent nothing for a budget is not asked again.
+        outbox: Requests that are to be sent, with whom to ask.
     """
 
     holding: Holding
     fleet: Fleet
     lender: Lender
     clock: Callable[[], float]
-    short: dict[str, None] = field(factory=dict)
+    lenders: LenderBoard = field(init=False)
+    outbox: list[tuple[str, LoanRequest]] = field(factory=list)
     states: dict[str, BorrowState] = field(factory=dict)
     wanted: ChangeSignal = field(factory=ChangeSignal)
-    avoided: dict[tuple[str, str], float] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Start without knowledge of the other VMs."""
+        self.lenders = LenderBoard(self.holding, self.fleet)
 
     def lend(self, request: LoanRequest, now_s: float) -> LoanGrant:
         """Lend what this VM does not need itself; a bad request gets nothing."""
@@ -98,12 +98,18 @@
         demand_per_s = self.holding.demand.rate(request.budget, now_s)
         # The lender keeps the tokens that it needs itself before the loan ends.
         keep_tokens = demand_per_s * request.term_ms / 1000
+        spare_tokens = max(0.0, account.bucket.level - keep_tokens)
         borrower = Holder(request.borrower, request.incarnation)
-        spare_ppm = account.ledger_ppm - account.lent_ppm(now_s, but=borrower)
         if request.with_rate:
-            spare_ppm -= max(0, _needed_ppm(account, demand_per_s) - account.floor_ppm)
-        elif account.bucket.level - keep_tokens < 1.0 - ROUNDING:
-            return NOTHING_LENT
+            spare_ppm = account.ledger_ppm - account.lent_ppm(now_s, replaced=borrower)
+            spare_ppm -= max(0, needed_ppm(account.limit, demand_per_s) - account.floor_ppm)
+        else:
+            spare_ppm = account.ledger_ppm - account.lent_ppm(now_s)
+            # A part of a token helps only a borrower that asks for just that part.
+            asked_tokens = account.capacity(request.share_ppm)
+            if spare_tokens < min(1.0, asked_tokens) - ROUNDING:
+                return LoanGrant(0, 0.0, spare_tokens)
+            spare_ppm = min(spare_ppm, account.share_for(spare_tokens))
         share_ppm = min(request.share_ppm, spare_ppm)
         if share_ppm <= 0:
             return NOTHING_LENT
@@ -111,54 +117,35 @@
         until_s = now_s + request.term_ms / 1000 * margin
         loan = Loan(share_ppm, until_s, request.with_rate)
         move = self.holding.safeguards.move_tokens
-        return LoanGrant(share_ppm, account.lend(borrower, loan, keep_tokens, now_s, move))
-
-    def on_short(self, budget: str, now_s: float) -> bool:
-        """Note that a budget runs low; returns whether a loan may bring tokens soon."""
-        state = self.states.get(budget)
-        if state is not None:
-            if state.pending:
-                return True
-            if now_s < state.next_s:
-                return False
-        if budget in self.short:
-            return True
-        if not self._missing_ppm(budget, now_s):
-            return False
-        self.short[budget] = None
-        self.wanted.notify()
-        return True
-
-    def plan_requests(self, budget: str, now_s: float) -> tuple[tuple[str, LoanRequest], ...]:
-        """Choose which neighbours to ask for how much."""
-        missing_ppm = self._missing_ppm(budget, now_s)
-        account = self.holding.accounts.get(budget)
-        if account is None or missing_ppm <= 0:
-            return ()
-        with_rate = self._lacks_rate(account, now_s)
-        term_ms = LOAN_TERM_MS if with_rate else TOKEN_LOAN_TERM_MS
-        own = self.holding.own
-        requests = []
-        for vm, spare_ppm in self._lenders(account, missing_ppm, with_rate, now_s):
-            share_ppm = min(missing_ppm, spare_ppm)
-            missing_ppm -= share_ppm
-            # Loans of one lender replace each other, so the former one is asked for again.
-            share_ppm += account.borrowed_from(vm, now_s + RENEW_BEFORE_S)
-            requests.append((vm, LoanRequest(own.vm, own.incarnation, budget, share_ppm, term_ms)))
-            if missing_ppm <= 0:
-                break
-        return tuple(requests)
-
-    def begin(self, budget: str, now_s: float) -> tuple[tuple[str, LoanRequest], ...]:
-        """Take a budget off the list of short ones and return the requests to send."""
-        self.short.pop(budget, None)
-        requests = self.plan_requests(budget, now_s)
+        tokens = account.lend(borrower, loan, keep_tokens, now_s, move)
+        return LoanGrant(share_ppm, tokens, max(0.0, account.bucket.level - keep_tokens))
+
+    def on_short(self, budget: str, wanted: float, now_s: float) -> bool:
+        """Ask for loans where tokens run low; returns whether one may bring tokens soon.
+
+        Args:
+            budget: The budget that is short.
+            wanted: Tokens for requests that cannot be served now.
+            now_s: The present time.
+        """
         state = self.states.setdefault(budget, BorrowState())
-        state.pending += len(requests)
-        if not requests:
-            state.pending += 1
-            state.failures = FAILURES_BEFORE_BACKOFF
-            state.settle(False, now_s)
+        account = self.holding.accounts.get(budget)
+        if account is None or account.confined or now_s < state.lenderless_until_s:
+            return state.may_bring_tokens(now_s)
+        if state.pending and now_s < state.next_s:
+            return True
+        requests = self._plan_requests(account, state, wanted, now_s)
+        if requests:
+            self.outbox.extend(requests)
+            state.pending += len(requests)
+            state.next_s = now_s + BORROW_INTERVAL_S
+            self.wanted.notify()
+        return state.may_bring_tokens(now_s)
+
+    def begin(self) -> tuple[tuple[str, LoanRequest], ...]:
+        """Return the requests to send now."""
+        requests = tuple(self.outbox)
+        self.outbox.clear()
         return requests
 
     async def fetch(self, vm: str, request: LoanRequest) -> None:
@@ -166,81 +153,101 @@
         sent_s = self.clock()
         answer = await self.lender.borrow(vm, request, BORROW_TIMEOUT_MS)
         now_s = self.clock()
+        account = self.holding.accounts.get(request.budget)
+        state = self.states[request.budget]
+        if account is None:
+            state.settle(0.0)
+            return
+        state.settle(0.0 if request.with_rate else account.capacity(request.share_ppm))
         match answer:
-            case Ok(LoanGrant() as grant) if _is_usable(grant, request):
-                until_s = sent_s + request.term_ms / 1000
-                loan = Loan(grant.share_ppm, until_s, request.with_rate)
-                account = self.holding.accounts.get(request.budget)
-                lent = account is not None and account.receive(vm, loan, grant.tokens, now_s)
-            case Ok(_) | Err(_):
-                lent = False
-        if not lent or grant.share_ppm < request.share_ppm / 2:
-            self.avoided[(request.budget, vm)] = now_s + AVOID_LENDER_S
-        elif not request.with_rate:
-            # Until the lender counts the loan as ended, another one would replace it.
-            self.avoided[(request.budget, vm)] = now_s + 1.2 * request.term_ms / 1000
-        self.states[request.budget].settle(lent, now_s)
-        if not lent:
-            self.on_short(request.budget, now_s)
+            case Ok(LoanGrant() as grant):
+                self._take_in(vm, account, request, grant, sent_s, now_s)
+            case Err(_):
+                self.lenders.note_unreachable(vm, now_s)
+        if account.waiting > 0:
+            self.on_short(request.budget, account.waiting, now_s)
+
+    def _take_in(
+        self,
+        vm: str,
+        account: Account,
+        request: LoanRequest,
+        grant: LoanGrant,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        if isfinite(grant.left_tokens):
+            self.lenders.note(request.budget, vm, grant.left_tokens, now_s)
+        if request.with_rate and grant.share_ppm < request.share_ppm / 2:
+            self.lenders.avoid(request.budget, vm, now_s)
+        if _is_usable(grant, request):
+            loan = Loan(grant.share_ppm, sent_s + request.term_ms / 1000, request.with_rate)
+            account.receive(vm, loan, grant.tokens, now_s)
 
     async def run(self) -> None:
-        """Borrow whenever a budget is short."""
+        """Send the requests for loans."""
         async with trio.open_nursery() as nursery:
             while True:
-                if not self.short:
-                    await self.wanted.wait()
-                for budget in tuple(self.short):
-                    for vm, request in self.begin(budget, self.clock()):
-                        nursery.start_soon(self.fetch, vm, request)
-
-    def _lacks_rate(self, account: Account, now_s: float) -> bool:
-        """Tell whether the demand here is more than the own rate, by more than a few tokens."""
-        demand_per_s = self.holding.demand.rate(account.budget, now_s)
-        if account.is_small and demand_per_s * LOAN_TERM_MS / 1000 < FEW_TOKENS:
-            return False
-        return _needed_ppm(account, demand_per_s) > account.usable_ppm(now_s + RENEW_BEFORE_S)
-
-    def _missing_ppm(self, budget: str, now_s: float) -> int:
-        """Return the share to borrow: for the demand, or for tokens where none is left."""
-        account = self.holding.accounts.get(budget)
-        if account is None or account.confined:
+                for vm, request in self.begin():
+                    nursery.start_soon(self.fetch, vm, request)
+                await self.wanted.wait()
+
+    def _plan_requests(
+        self, account: Account, state: BorrowState, wanted: float, now_s: float
+    ) -> list[tuple[str, LoanRequest]]:
+        """Choose whom to ask for how much."""
+        demand_per_s = self.holding.demand.expected(account.budget, now_s)
+        missing_ppm = self._missing_ppm(account, demand_per_s, now_s)
+        if missing_ppm > 0 and not state.pending:
+            asked = self.lenders.with_rate(account, missing_ppm, now_s)
+            if asked:
+                return [self._request_rate(account, vm, ppm, now_s) for vm, ppm in asked]
+        tokens = _missing_tokens(account, demand_per_s, wanted, state.ordered)
+        if tokens <= 0:
+            return []
+        asked = self.lenders.with_tokens(account, tokens, now_s)
+        state.due_s = inf
+        if not asked:
+            state.lenderless_until_s = now_s + NO_LENDER_INTERVAL_S
+            state.due_s = self.lenders.due_s(account, min(1.0, tokens), now_s)
+        state.ordered += sum(part for _, part in asked)
+        return [self._request_tokens(account, vm, part, now_s) for vm, part in asked]
+
+    def _request_rate(
+        self, account: Account, vm: str, share_ppm: int, now_s: float
+    ) -> tuple[str, LoanRequest]:
+        # Loans with rate of one lender replace each other, so the former one is asked for again.
+        share_ppm = min(WHOLE_PPM, share_ppm + account.borrowed_from(vm, now_s + RENEW_BEFORE_S))
+        own = self.holding.own
+        request = LoanRequest(own.vm, own.incarnation, account.budget, share_ppm, LOAN_TERM_MS)
+        return vm, request
+
+    def _request_tokens(
+        self, account: Account, vm: str, tokens: float, now_s: float
+    ) -> tuple[str, LoanRequest]:
+        # Until its answer says more, the VM is taken to hold nothing beyond this order.
+        self.lenders.note(account.budget, vm, 0.0, now_s)
+        own, share_ppm = self.holding.own, min(WHOLE_PPM, account.share_for(tokens))
+        return vm, LoanRequest(
+            own.vm, own.incarnation, account.budget, share_ppm, TOKEN_LOAN_TERM_MS
+        )
+
+    def _missing_ppm(self, account: Account, demand_per_s: float, now_s: float) -> int:
+        """Return the share whose rate the demand here lacks, where rates are lent."""
+        if account.limit.burst >= TOKENS_ONLY_BURST_S * account.limit.rate_per_s:
             return 0
-        soon_s = now_s + RENEW_BEFORE_S
-        demand_per_s = self.holding.demand.rate(budget, now_s)
-        missing_ppm = 0
-        if self._lacks_rate(account, now_s):
-            missing_ppm = _needed_ppm(account, demand_per_s) - account.usable_ppm(soon_s)
-        if account.bucket.level < 1.0:
-            # Parts of a token would be lost at the end of the loan.
-            tokens = 1.0 + floor(demand_per_s * TOKEN_LOAN_TERM_MS / 1000)
-            missing_ppm = max(missing_ppm, account.share_for(tokens))
-        return max(0, missing_ppm)
-
-    def _lenders(
-        self, account: Account, missing_ppm: int, with_rate: bool, now_s: float
-    ) -> tuple[tuple[str, int], ...]:
-        """Return the neighbours with most to spare; one that can lend all comes first if near."""
-        granted = self.holding.granted_to_others(account.budget)
-        demand = {vm: d.per_s for (vm, _), d in known_demand(self.holding.facts, now_s).items()}
-        spare = []
-        for vm in self.fleet.neighbours():
-            if self.avoided.get((account.budget, vm), now_s) > now_s:
-                continue
-            spare_ppm = granted.get(vm, 0) - account.borrowed_from(vm, now_s + RENEW_BEFORE_S)
-            if with_rate:
-                demand_per_s = demand.get(vm, {}).get(account.budget, 0.0)
-                spare_ppm -= _needed_ppm(account, demand_per_s)
-            if spare_ppm > 0:
-                spare.append((vm, spare_ppm))
-        enough = next((entry for entry in spare if entry[1] >= missing_ppm), None)
-        if enough is not None:
-            return (enough,)
-        return tuple(sorted(spare, key=lambda entry: -entry[1])[:MAX_LENDERS])
-
-
-def _needed_ppm(account: Account, demand_per_s: float) -> int:
-    rate_per_s = max(account.limit.rate_per_s, 1e-9)
-    return min(WHOLE_PPM, ceil(DEMAND_HEADROOM * demand_per_s / rate_per_s * WHOLE_PPM))
+        usable_ppm = account.usable_ppm(now_s + RENEW_BEFORE_S)
+        return max(0, needed_ppm(account.limit, demand_per_s) - usable_ppm)
+
+
+def _missing_tokens(account: Account, demand_per_s: float, wanted: float, ordered: float) -> float:
+    """Return the tokens to order: for requests that wait, and for the demand until the next."""
+    held = account.bucket.level + ordered
+    if not wanted and held >= demand_per_s * ORDER_BELOW_S:
+        return 0.0
+    # Whole tokens, because a VM without room of its own loses the rest at the end of the loan.
+    missing = wanted + floor(demand_per_s * ORDER_UP_TO_S) - held
+    return missing if wanted or missing >= 1.0 else 0.0
 
 
 def _is_valid(request: LoanRequest) -> bool:
--- a/src/wagtailbay/limits/const.py
+++ b/src/wagtailbay/limits/const.py
@@ -7,6 +7,8 @@
 # Bounds the memory of waiting requests when a workspace sends far more than its rate.
 MAX_WAITING: Final = 32
 MIN_SLEEP_S: Final = 0.001
+# A waiting request asks again for a loan after this time.
+BORROW_AGAIN_S: Final = 0.025
 # Bursts of budgets whose documents state a rate only, in seconds of that rate.
 REGION_BURST_S: Final = 0.5
 LINK_BURST_S: Final = 0.2
--- a/src/wagtailbay/limits/models.py
+++ b/src/wagtailbay/limits/models.py
@@ -20,9 +20,11 @@
 
     Attributes:
         changed: Notified when tokens or a share arrive other than by the passing of time.
+        waiting: Tokens that waiting requests want; set by the queue in which they wait.
     """
 
     changed: ChangeSignal
+    waiting: float
 
     def take(self, amount: float, now_s: float) -> bool:
         """Take tokens if there are enough."""
@@ -36,8 +38,8 @@
     def wait_s(self, amount: float, now_s: float) -> float:
         """Return the time until the own rate has brought the tokens; infinity if it never will."""
 
-    def may_borrow(self, now_s: float) -> bool:
-        """Tell whether a loan of another VM may bring tokens soon."""
+    def may_borrow(self, amount: float, now_s: float) -> bool:
+        """Tell whether a loan of another VM may bring tokens soon, and ask for one."""
 
 
 class ShareSource(Protocol):
--- a/src/wagtailbay/limits/queue.py
+++ b/src/wagtailbay/limits/queue.py
@@ -6,13 +6,14 @@
 import trio
 from attrs import define, field
 
-from wagtailbay.limits.const import MAX_WAIT_MS, MAX_WAITING, MIN_SLEEP_S
+from wagtailbay.limits.const import BORROW_AGAIN_S, MAX_WAIT_MS, MAX_WAITING, MIN_SLEEP_S
 from wagtailbay.limits.models import TokenAccount
 
 
 @define(eq=False)
 class _Turn:
     workspace: str
+    amount: float
     reached: trio.Event = field(factory=trio.Event)
 
 
@@ -40,7 +41,8 @@
             return True
         if not self._worthwhile(account, amount):
             return False
-        turn = self._join(workspace)
+        turn = self._join(workspace, amount)
+        account.waiting = self._wanted()
         try:
             with trio.move_on_after(self.max_wait_ms / 1000):
                 while self._front() is not turn:
@@ -49,6 +51,7 @@
             return False
         finally:
             self._leave(turn)
+            account.waiting = self._wanted()
 
     def _worthwhile(self, account: TokenAccount, amount: float) -> bool:
         """Tell whether the tokens can come in time behind those who wait already."""
@@ -56,21 +59,25 @@
         waiting = self.waiting
         if waiting >= self.max_waiting:
             return False
+        may_borrow = account.may_borrow(amount, now_s)
         ahead_s = account.wait_s(amount, now_s)
         if waiting:
             each_s = account.wait_s(amount + max(0.0, account.level(now_s)), now_s)
             ahead_s += waiting * each_s
-        return ahead_s <= self.max_wait_ms / 1000 or account.may_borrow(now_s)
+        return ahead_s <= self.max_wait_ms / 1000 or may_borrow
 
     async def _take_when_due(self, account: TokenAccount, amount: float) -> bool:
         while not account.take(amount, self.clock()):
-            sleep_s = max(MIN_SLEEP_S, account.wait_s(amount, self.clock()))
-            with trio.move_on_after(sleep_s):
+            due_s = max(MIN_SLEEP_S, account.wait_s(amount, self.clock()))
+            with trio.move_on_after(min(due_s, BORROW_AGAIN_S)):
                 await account.changed.wait()
         return True
 
-    def _join(self, workspace: str) -> _Turn:
-        turn = _Turn(workspace)
+    def _wanted(self) -> float:
+        return sum(turn.amount for turns in self.turns.values() for turn in turns)
+
+    def _join(self, workspace: str, amount: float) -> _Turn:
+        turn = _Turn(workspace, amount)
         self.turns.setdefault(workspace, deque()).append(turn)
         return turn
 
--- a/src/wagtailbay/membership/loans.py
+++ b/src/wagtailbay/membership/loans.py
@@ -38,7 +38,9 @@
 
     Attributes:
         tokens: Unspent tokens that move to the borrower with the share.
+        left_tokens: Tokens that the lender could lend now beyond these.
     """
 
     share_ppm: int
     tokens: float
+    left_tokens: float = 0.0
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -216,7 +216,9 @@
 
 def encode_grant(grant: LoanGrant) -> bytes:
     """Encode the answer to a request for a loan."""
-    return peer_pb2.Grant(share_ppm=grant.share_ppm, tokens=grant.tokens).SerializeToString()
+    return peer_pb2.Grant(
+        share_ppm=grant.share_ppm, tokens=grant.tokens, left_tokens=grant.left_tokens
+    ).SerializeToString()
 
 
 def decode_grant(data: bytes) -> Result[LoanGrant, str]:
@@ -226,6 +228,7 @@
         grant.ParseFromString(data)
     except DecodeError as error:
         return Err(str(error))
-    if grant.share_ppm > 1_000_000 or not 0 <= grant.tokens < float("inf"):
+    amounts = (grant.tokens, grant.left_tokens)
+    if grant.share_ppm > 1_000_000 or not all(0 <= n < float("inf") for n in amounts):
         return Err("a grant has a share of at most 1,000,000 ppm and finite tokens")
-    return Ok(LoanGrant(grant.share_ppm, grant.tokens))
+    return Ok(LoanGrant(grant.share_ppm, grant.tokens, grant.left_tokens))
--- a/src/wagtailbay/steer/budgets.py
+++ b/src/wagtailbay/steer/budgets.py
@@ -83,7 +83,7 @@
         account = self._account(from_region, to_region, now_s)
         if account is None or account.level(now_s) > 0.0:
             return True
-        account.may_borrow(now_s)
+        account.may_borrow(1.0, now_s)
         return False
 
     def charge(self, from_region: str, to_region: str, response_bytes: int, now_s: float) -> None:
--- a/src/wagtailbay_bench/budget_trial.py
+++ b/src/wagtailbay_bench/budget_trial.py
@@ -118,6 +118,8 @@
         "division": kind,
         "sent": sum(t.sent for t in within),
         "inside_rate": inside,
+        "refused": sum(t.refused for t in within),
+        "refused_by_one_bucket": sum(t.sent - t.inside for t in within),
         "refused_inside": refused,
         "refused_inside_ppm": round(1e6 * refused / max(1, inside)),
         "worst_workspace_ppm": max(
--- a/tests/allotment/test_safeguards.py
+++ b/tests/allotment/test_safeguards.py
@@ -63,8 +63,10 @@
     keeper, borrower = world.vms["vm-0"], world.vms["vm-2"]
     borrower.lenders = ("vm-1",)
     world.ask(borrower, 100)
-    world.borrow(borrower)
-    world.deliver_all()
+    # The first order is small, since it is planned before the whole demand has shown.
+    for _ in range(2):
+        world.borrow(borrower)
+        world.deliver_all()
     world.kill("vm-1")
     restarted = world.start("vm-1")
     restarted.read_store()
--- a/tests/allotment/test_state_machine.py
+++ b/tests/allotment/test_state_machine.py
@@ -16,6 +16,8 @@
 
 LARGE = BudgetLimit(rate_per_s=20.0, burst=60.0)
 SMALL = BudgetLimit(rate_per_s=2.0, burst=4.0)
+# A burst of less than 1 s of the rate is lent together with the rate.
+SHORT = BudgetLimit(rate_per_s=100.0, burst=60.0)
 MAX_VMS = 5
 NAMES = [f"vm-{number}" for number in range(MAX_VMS)]
 pick = st.integers(min_value=0, max_value=30)
@@ -37,7 +39,7 @@
 
     world: World
 
-    @initialize(limit=st.sampled_from([LARGE, SMALL]), vms=st.integers(2, 4))
+    @initialize(limit=st.sampled_from([LARGE, SMALL, SHORT]), vms=st.integers(2, 4))
     def start(self, limit: BudgetLimit, vms: int) -> None:
         """Start VMs with a divided ledger."""
         self.world = settled_world(vms, limit=limit, max_vms=MAX_VMS)
@@ -165,6 +167,11 @@
         """Switch the outage and lost answers of the store."""
         self.world.store.outage, self.world.store.lost_answers = outage, lost
 
+    @rule(doubled=st.booleans(), lost=st.booleans())
+    def break_loans(self, doubled: bool, lost: bool) -> None:
+        """Double requests for loans, and lose the answers."""
+        self.world.doubled_loans, self.world.lost_loans = doubled, lost
+
     @rule(one=st.sampled_from(NAMES), other=st.sampled_from([*NAMES, "store"]))
     def cut(self, one: str, other: str) -> None:
         """Cut a link."""
--- a/tests/membership/test_peer_calls.py
+++ b/tests/membership/test_peer_calls.py
@@ -103,14 +103,14 @@
 
         def lend(request: LoanRequest, now_s: float) -> LoanGrant:
             asked.append(request)
-            return LoanGrant(5_000, 2.5)
+            return LoanGrant(5_000, 2.5, 7.25)
 
         async with serving(lender=lend) as (_, address):
             loop = loop_to(address)
             refused = await loop.client.borrow("b", LOAN, 1_000)
             assert refused.err_value.kind is PeerFailure.REFUSED
             await loop.exchange()
-            assert await loop.client.borrow("b", LOAN, 1_000) == Ok(LoanGrant(5_000, 2.5))
+            assert await loop.client.borrow("b", LOAN, 1_000) == Ok(LoanGrant(5_000, 2.5, 7.25))
             assert asked == [LOAN]
 
     async def test_a_silent_peer_costs_the_timeout_only(self) -> None:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -96,7 +96,11 @@
         if lender is None or lender.paused or not self.world.is_linked(self.name, vm):
             return Err(BorrowFailed("unreachable"))
         grant = lender.allotment.lend(request, lender.clock())
+        if self.world.doubled_loans:
+            grant = lender.allotment.lend(request, lender.clock())
         await pause()
+        if self.world.lost_loans:
+            return Err(BorrowFailed("the answer was lost"))
         return Ok(grant)
 
     def tick(self) -> None:
@@ -151,7 +155,12 @@
 
 @define
 class World:
-    """Hold the true time, the VMs, the store and everything under way."""
+    """Hold the true time, the VMs, the store and everything under way.
+
+    Attributes:
+        doubled_loans: Whether each request for a loan arrives twice.
+        lost_loans: Whether the answers to requests for loans are lost.
+    """
 
     limit: BudgetLimit = BudgetLimit(rate_per_s=20.0, burst=60.0)
     max_vms: int = 5
@@ -161,6 +170,8 @@
     vms: dict[str, FakeVm] = field(factory=dict)
     under_way: list[Running] = field(factory=list)
     cut: set[frozenset[str]] = field(factory=set)
+    doubled_loans: bool = False
+    lost_loans: bool = False
     starts: int = 0
     now_s: float = 1000.0
     admitted: int = 0
@@ -250,7 +261,8 @@
     def borrow(self, vm: FakeVm) -> None:
         """Ask for the loans that the VM's own book decides on."""
         loans = vm.allotment.loans
-        for lender, request in loans.begin(BUDGET, vm.clock()):
+        loans.on_short(BUDGET, 1.0, vm.clock())
+        for lender, request in loans.begin():
             self.begin(vm, loans.fetch(lender, request))
 
     def deliver(self, running: Running) -> None:
@@ -295,6 +307,10 @@
             account.settle(clock_s)
         shares_ppm = sum(account.usable_ppm(clock_s) for account, clock_s in now)
         assert shares_ppm <= WHOLE_PPM, f"the usable shares sum to {shares_ppm} ppm"
+        rooms = sum(account.bucket.capacity for account, _ in now)
+        assert rooms <= self.limit.burst + 1e-6, f"the usable shares have room for {rooms} tokens"
+        rate_per_s = sum(account.bucket.rate_per_s for account, _ in now)
+        assert rate_per_s <= self.limit.rate_per_s + 1e-6, f"the usable shares gain {rate_per_s}/s"
         tokens = sum(account.bucket.level for account, _ in now)
         assert tokens <= self.limit.burst + 1e-6, f"the VMs hold {tokens} tokens"
 
