--- a/src/wagtailbay/access/keys.py
+++ b/src/wagtailbay/access/keys.py
@@ -31,9 +31,14 @@
 
 @define
 class KeyRing:
-    """Find the workspace of a key among the replicated objects."""
+    """Find the workspace of a key among the replicated objects.
+
+    Attributes:
+        withdrawals: Test-only switch; False accepts withdrawn keys.
+    """
 
     objects: Callable[[], Mapping[str, StoredObject]]
+    withdrawals: bool = True
 
     def check(self, key: str) -> KeyRecord | None:
         """Return the record of a key, or None if it is unknown or withdrawn."""
@@ -46,7 +51,9 @@
         if not hmac.compare_digest(stored.key.removeprefix(KEY_PREFIX), digest):
             return None
         record = _read_record(stored.value)
-        return None if record is None or record.withdrawn else record
+        if record is None or (record.withdrawn and self.withdrawals):
+            return None
+        return record
 
 
 def _read_record(value: object) -> KeyRecord | None:
--- a/src/wagtailbay/entry/forward.py
+++ b/src/wagtailbay/entry/forward.py
@@ -45,7 +45,11 @@
 
 @define
 class Forwarder:
-    """Try targets until one answers, the deadline passes or a retry would not be safe."""
+    """Try targets until one answers, the deadline passes or a retry would not be safe.
+
+    Attributes:
+        truthful: Test-only switch; False says "not run" in every refusal.
+    """
 
     chooser: Chooser
     versions: VersionPicker
@@ -57,6 +61,7 @@
     lane: SuspectLane = field(factory=SuspectLane)
     has_ended: Callable[[str], Awaitable[bool]] = refuses_connections
     metrics: Metrics = field(factory=Metrics)
+    truthful: bool = True
 
     async def forward(self, context: RequestContext, sink: AnswerSink) -> ForwardResult:
         """Forward a request and stream its answer; returns the status sent to the caller."""
@@ -66,7 +71,7 @@
         while True:
             result = await self._next_try(context, progress, sink)
             if result is not None:
-                return result
+                return result if self.truthful else deny_run(result)
 
     async def _next_try(
         self, context: RequestContext, progress: Progress, sink: AnswerSink
@@ -174,6 +179,13 @@
         return self.retries.take()
 
 
+def deny_run(result: ForwardResult) -> ForwardResult:
+    """Return a refusal that says "not run", whether it is true or not."""
+    if isinstance(result, Err) and isinstance(result.err_value, Refusal):
+        return Err(evolve(result.err_value, run=RunState.NOT_RUN))
+    return result
+
+
 def check_quarantine(crashes: CrashTable, fingerprint: str, now_s: float) -> Result[None, Refusal]:
     """Refuse a request that crashed targets."""
     if not crashes.is_refused(fingerprint, now_s):
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -17,6 +17,7 @@
 from wagtailbay.once.const import DRAIN_TIMEOUT_S
 from wagtailbay.programs.entry_settings import EntrySettings
 from wagtailbay.programs.node import PROGRAM, Node, NodeBuilder
+from wagtailbay.programs.without import STOPS
 from wagtailbay.settings import exit_with_faults, load_settings_or_exit
 from wagtailbay.settings.checks import split_address
 from wagtailbay.transport import HttpServer
@@ -49,7 +50,8 @@
                 until_signal.start_soon(node.fleet.become_live)
                 await anext(signals)
                 until_signal.cancel_scope.cancel()
-        await stop_gracefully(node)
+        if STOPS not in settings.without:
+            await stop_gracefully(node)
         nursery.cancel_scope.cancel()
 
 
--- a/src/wagtailbay/programs/entry_settings.py
+++ b/src/wagtailbay/programs/entry_settings.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from wagtailbay.membership.settings import PeerSettings
+from wagtailbay.programs.without import parse_mechanisms
 from wagtailbay.settings import setting
 from wagtailbay.settings.checks import (
     at_least,
@@ -45,8 +46,8 @@
         default="on",
         check=one_of("on", "off"),
     )
-    once: str = setting(
-        help_text="claims of non-idempotent requests; off is for tests only",
-        default="on",
-        check=one_of("on", "off"),
+    without: frozenset[str] = setting(
+        help_text="mechanisms to leave out, separated by commas; for tests only",
+        default=frozenset(),
+        parse=parse_mechanisms,
     )
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -27,6 +27,7 @@
 from wagtailbay.programs.entry_settings import EntrySettings
 from wagtailbay.programs.fleet import Fleet, build_fleet
 from wagtailbay.programs.fleet_view import FleetView
+from wagtailbay.programs.without import Mechanisms, switch_off
 from wagtailbay.quarantine import CrashTable
 from wagtailbay.shift import DrainWeights, SharedVersionCaps, build_shift_controller
 from wagtailbay.shift.controller import ShiftController
@@ -159,6 +160,8 @@
         )
         forwarder.metrics = self.exporter.metrics
         handler = self._build_handler(forwarder, self._build_once(writer), shares, allotment)
+        mechanisms = Mechanisms(handler, shift, chooser, fleet.replica)
+        switch_off(self.settings.without, mechanisms)
         return Node(
             fleet=fleet,
             allotment=allotment,
@@ -185,9 +188,7 @@
 
     def _build_once(self, writer: OutcomeWriter) -> OnceGate:
         vm, incarnation = self.identity.vm, self.identity.incarnation
-        once = OnceGate(writer.calls, writer, vm, incarnation, boottime_s, unix_time_s)
-        once.skip_claim = self.settings.once == "off"
-        return once
+        return OnceGate(writer.calls, writer, vm, incarnation, boottime_s, unix_time_s)
 
     def _build_handler(
         self,
--- a/src/wagtailbay/quarantine/table.py
+++ b/src/wagtailbay/quarantine/table.py
@@ -45,6 +45,7 @@
         latest: When this VM last saw each (fingerprint, target) crash.
         reached: When each request reached the number of crashes that it has now.
         clear_on_answer: For tests only; False blames neighbours for good.
+        refuses: For tests only; False refuses no request.
     """
 
     facts: FactTable
@@ -54,6 +55,7 @@
     reached: dict[str, tuple[int, float]] = field(factory=dict)
     counted_s: float = float("-inf")
     clear_on_answer: bool = True
+    refuses: bool = True
 
     def record_crash(self, fingerprint: str, target: str, description: str, now_s: float) -> None:
         """Count a crash; further copies of the request on the same target count once."""
@@ -88,7 +90,7 @@
 
     def is_refused(self, fingerprint: str, now_s: float) -> bool:
         """Tell whether a request must not be sent."""
-        return self._left_s(fingerprint, now_s) > 0
+        return self.refuses and self._left_s(fingerprint, now_s) > 0
 
     def _left_s(self, fingerprint: str, now_s: float) -> float:
         self._count(now_s)
--- a/src/wagtailbay_bench/prove/callers.py
+++ b/src/wagtailbay_bench/prove/callers.py
@@ -11,76 +11,98 @@
 
 from wagtailbay.transport import ConnectionPool, Request
 from wagtailbay_bench.deployment import Deployment
-from wagtailbay_bench.prove.const import CALLER_PAUSE_S, REQUEST_TIMEOUT_MS
+from wagtailbay_bench.prove.const import (
+    CALLER_PAUSE_S,
+    CALLERS,
+    CRASH_PAUSE_S,
+    EXPORT_CALLERS,
+    MOVE_CALLERS,
+    REQUEST_TIMEOUT_MS,
+)
 from wagtailbay_bench.prove.models import History, SentRequest
-from wagtailbay_bench.prove.scene import KEYS, SPARE_KEYS
+from wagtailbay_bench.prove.traffic import (
+    CrashTraffic,
+    PlainTraffic,
+    PlannedRequest,
+    RecordsTraffic,
+    Traffic,
+)
 
 
 @define
 class Caller:
-    """Send one request after another to VMs chosen at random; deposits are sent again."""
+    """Send one request after another to VMs chosen at random."""
 
     number: int
     deployment: Deployment
     history: History
+    traffic: Traffic
     random: random.Random
     pool: ConnectionPool = field(factory=lambda: ConnectionPool(max_idle_per_address=1))
     sent: int = 0
-    repeatable: list[str] = field(factory=list)
 
     async def run(self, until_s: float) -> None:
         """Send until the time is over."""
         while time.monotonic() < until_s:
             await self._send_one()
-            workspace_pause_s = CALLER_PAUSE_S * self.random.uniform(0.2, 1.8)
-            await trio.sleep(workspace_pause_s)
+            await trio.sleep(self.traffic.pause_s * self.random.uniform(0.2, 1.8))
         await self.pool.close()
 
     async def _send_one(self) -> None:
         self.sent += 1
         trace = f"{self.history.seed}-{self.number}-{self.sent}"
-        workspace = ("large", "small", "flood")[self.number % 3]
-        spare = self.random.random() < 0.3
-        key_name = f"{workspace}{'-2' if spare else ''}"
-        key = (SPARE_KEYS if spare else KEYS)[workspace]
-        idempotency_key, path = "", f"/item/{trace}"
-        method, body = "GET", b""
-        if self.random.random() < 0.25:
-            idempotency_key = self._idempotency_key(trace)
-            method, path, body = "POST", f"/deposit/{idempotency_key}", b"{}"
-        headers = (("Authorization", f"Bearer {key}"), ("X-Trace", trace))
-        if idempotency_key:
-            headers += (("Idempotency-Key", idempotency_key),)
+        planned = self.traffic.plan(trace, self.random)
         vm = self.random.choice(list(self.deployment.vm_addresses))
-        request = Request(method, f"/records{path}", headers, body)
         began_s = time.time()
         result = await self.pool.fetch(
-            self.deployment.vm_addresses[vm], request, REQUEST_TIMEOUT_MS
+            self.deployment.vm_addresses[vm], encode_request(planned, trace), REQUEST_TIMEOUT_MS
         )
         status, code, run, answer = read_answer(result)
         self.history.requests.append(
             SentRequest(
                 trace,
                 vm,
-                path,
-                workspace,
-                key_name,
-                idempotency_key,
+                planned.path,
+                planned.workspace,
+                planned.key_name,
+                planned.idempotency_key,
                 began_s,
                 time.time(),
                 status,
                 code,
                 run,
                 answer,
+                planned.service,
+                len(result.ok_value.body) if isinstance(result, Ok) else 0,
             )
         )
 
-    def _idempotency_key(self, trace: str) -> str:
-        """Return a new key, or now and then an old one as a caller that sends again."""
-        if self.repeatable and self.random.random() < 0.4:
-            return self.random.choice(self.repeatable)
-        self.repeatable.append(f"k-{trace}")
-        return self.repeatable[-1]
+
+def build_callers(deployment: Deployment, history: History) -> list[Caller]:
+    """Build the callers of all services."""
+    workspaces = ("large", "small", "flood")
+    guilty = f"/crash/{history.seed}"
+    traffics: list[Traffic] = [
+        *(RecordsTraffic(workspaces[n % 3], CALLER_PAUSE_S) for n in range(CALLERS)),
+        *(PlainTraffic("catalog", "mover", CALLER_PAUSE_S) for _ in range(MOVE_CALLERS)),
+        *(PlainTraffic("exports", "bulk", CALLER_PAUSE_S) for _ in range(EXPORT_CALLERS)),
+        CrashTraffic(guilty, CRASH_PAUSE_S),
+    ]
+    history.guilty_paths.add(guilty)
+    return [
+        Caller(number, deployment, history, traffic, random.Random(f"{history.seed}/{number}"))
+        for number, traffic in enumerate(traffics)
+    ]
+
+
+def encode_request(planned: PlannedRequest, trace: str) -> Request:
+    """Return the request as it is sent."""
+    headers = (("Authorization", f"Bearer {planned.key}"), ("X-Trace", trace))
+    path = f"/{planned.service}{planned.path}"
+    if not planned.idempotency_key:
+        return Request("GET", path, headers, b"")
+    headers += (("Idempotency-Key", planned.idempotency_key),)
+    return Request("POST", path, headers, b"{}")
 
 
 def read_answer(result: Any) -> tuple[int, str, str, dict[str, Any]]:
--- a/src/wagtailbay_bench/prove/checks.py
+++ b/src/wagtailbay_bench/prove/checks/requests.py
@@ -1,14 +1,12 @@
-"""Check a history against a plain specification of each property."""
+"""Check what became of single requests."""
 
 from bisect import bisect_left
-from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections import Counter
+from collections.abc import Iterator
 
+from wagtailbay_bench.prove.checks.const import WITHIN_SECONDS_S
 from wagtailbay_bench.prove.models import History, Violation
 
-# The stated bounds: "within seconds" for keys and drains.
-WITHDRAWN_WITHIN_S = 6.0
-DRAINED_WITHIN_S = 6.0
 # A request may wait this long between its admission and its run at a target.
 MAX_RUN_DELAY_S = 5.0
 
@@ -26,7 +24,7 @@
         if run["workspace"] != request.workspace:
             yield Violation("P3", "ran for another workspace", (str(run), str(request)))
         accepted_s = withdrawn.get(request.key_name)
-        if accepted_s is not None and request.sent_unix_s > accepted_s + WITHDRAWN_WITHIN_S:
+        if accepted_s is not None and request.sent_unix_s > accepted_s + WITHIN_SECONDS_S:
             yield Violation("P3", "ran with a withdrawn key", (str(run), str(request)))
 
 
@@ -82,55 +80,3 @@
         wanted = (request.workspace, request.idempotency_key)
         if request.idempotency_key and request.status == 200 and not counts[wanted]:
             yield Violation("P8", "answered but never ran", (str(request),))
-
-
-def check_drains(history: History) -> Iterator[Violation]:
-    """Check that a drained target ran no request sent a few seconds later."""
-    drained = {d.target: d.accepted_unix_s for d in history.drained}
-    for run in history.runs:
-        accepted_s = drained.get(run["target"])
-        if accepted_s is not None and run["unix_s"] > accepted_s + DRAINED_WITHIN_S:
-            yield Violation("P9", "ran on a drained target", (str(run),))
-
-
-def check_stops(history: History) -> Iterator[Violation]:
-    """Check that no request was cut on a VM that only ever stopped gracefully."""
-    for request in history.requests:
-        cut = request.status == 0 and request.code in ("truncated", "closed")
-        by_target = request.trace in history.cut_by_targets
-        if cut and not by_target and request.vm not in history.killed_vms:
-            yield Violation("P10", "a request was cut", (str(request),))
-
-
-def check_revisions(history: History) -> Iterator[Violation]:
-    """Check that no VM's configuration went back to an older revision."""
-    reads = defaultdict(list)
-    for read in history.revisions:
-        reads[read.vm].append(read)
-    for vm, items in reads.items():
-        highest = 0
-        for read in sorted(items, key=lambda item: item.read_unix_s):
-            if read.revision < highest:
-                yield Violation("P11", f"{vm} reverted from {highest} to {read.revision}")
-            highest = max(highest, read.revision)
-        for accepted_s, revision in history.in_force:
-            late = [r for r in items if r.read_unix_s > accepted_s + WITHDRAWN_WITHIN_S]
-            if any(read.revision < revision for read in late):
-                yield Violation("P11", f"{vm} lacks revision {revision} after the bound")
-
-
-CHECKS: dict[str, Callable[[History], Iterator[Violation]]] = {
-    "keys": check_keys,
-    "limits": check_limits,
-    "answers": check_answers,
-    "refusals": check_refusals,
-    "at-most-once": check_at_most_once,
-    "drains": check_drains,
-    "stops": check_stops,
-    "revisions": check_revisions,
-}
-
-
-def check_history(history: History) -> list[Violation]:
-    """Return everything that is wrong with a history."""
-    return [violation for check in CHECKS.values() for violation in check(history)]
--- a/src/wagtailbay_bench/prove/faults.py
+++ b/src/wagtailbay_bench/prove/faults.py
@@ -14,7 +14,7 @@
 from wagtailbay_bench.deployment import Deployment
 from wagtailbay_bench.prove.const import LONGEST_OUTAGE_S
 from wagtailbay_bench.prove.models import Drained, History, Withdrawal
-from wagtailbay_bench.prove.scene import SPARE_KEYS
+from wagtailbay_bench.prove.scene import RECORDS_TARGETS, SPARE_KEYS
 
 
 @define
@@ -47,7 +47,7 @@
 
     def any_target(self) -> str:
         """Return a target."""
-        return self.random.choice(list(self.deployment.target_addresses))
+        return self.random.choice(RECORDS_TARGETS)
 
 
 async def kill_vm(context: FaultContext) -> None:
--- a/src/wagtailbay_bench/prove/models.py
+++ b/src/wagtailbay_bench/prove/models.py
@@ -15,6 +15,7 @@
         key_name: Which key was sent.
         run: What the answer said: ``not_run``, ``unknown`` or empty.
         answer: The decoded answer, empty where none came whole.
+        answer_bytes: The length of the answer's body.
     """
 
     trace: str
@@ -29,6 +30,8 @@
     code: str
     run: str
     answer: Mapping[str, Any]
+    service: str = "records"
+    answer_bytes: int = 0
 
 
 @frozen
@@ -57,6 +60,40 @@
     revision: int
 
 
+@frozen
+class PlannedMove:
+    """Describe the move of a history.
+
+    Attributes:
+        kind: How the new version behaves: ``good`` or how it shows that it is bad.
+        new_targets: The targets that run the new version.
+        routes: The number of routes of the service.
+    """
+
+    service: str
+    kind: str
+    new_targets: frozenset[str]
+    deadline_unix_s: float
+    max_step_ppm: int
+    cap_per_s: float | None
+    routes: int
+
+    @property
+    def bad(self) -> bool:
+        """Tell whether the new version must be rolled back."""
+        return self.kind != "good"
+
+
+@frozen
+class StepRead:
+    """Record one state of a move as the store held it."""
+
+    share_ppm: int
+    step_unix_s: float
+    phase: str
+    reason: str
+
+
 @define
 class History:
     """Hold everything that one run recorded.
@@ -67,6 +104,11 @@
         killed_vms: VMs that were killed or frozen at some time.
         cut_by_targets: Traces whose answers a target broke off, so that a VM had to as well.
         in_force: When the store had accepted a revision, and the revision.
+        steps: The states of the move, each once.
+        places: The service and region of each target.
+        capacities: Requests/s of each service in each region.
+        links: Bytes/s from one region to another.
+        guilty_paths: Requests that crash every target and that their caller sends again.
     """
 
     seed: int
@@ -81,6 +123,15 @@
     killed_vms: set[str] = field(factory=set)
     cut_by_targets: set[str] = field(factory=set)
     in_force: list[tuple[float, int]] = field(factory=list)
+    move: PlannedMove | None = None
+    steps: list[StepRead] = field(factory=list)
+    places: Mapping[str, tuple[str, str]] = field(factory=dict)
+    capacities: Mapping[tuple[str, str], float] = field(factory=dict)
+    links: Mapping[tuple[str, str], float] = field(factory=dict)
+    vm_regions: Mapping[str, str] = field(factory=dict)
+    max_vms: int = 1
+    guilty_paths: set[str] = field(factory=set)
+    ended_unix_s: float = 0.0
 
 
 @frozen
--- a/src/wagtailbay_bench/prove/process_history.py
+++ b/src/wagtailbay_bench/prove/process_history.py
@@ -11,23 +11,24 @@
 from wagtailbay_bench.controls import Controls
 from wagtailbay_bench.deployment import Deployment
 from wagtailbay_bench.processes import ProcessGroup
-from wagtailbay_bench.prove.callers import Caller
+from wagtailbay_bench.prove.callers import build_callers
 from wagtailbay_bench.prove.const import (
-    CALLERS,
     FAULT_INTERVAL_S,
     HISTORY_DURATION_S,
     SETTLE_S,
 )
 from wagtailbay_bench.prove.faults import FAULTS, FaultContext
 from wagtailbay_bench.prove.models import History, RevisionRead
+from wagtailbay_bench.prove.moves import watch_move
 from wagtailbay_bench.prove.scene import (
     BEHAVIOUR,
     KEYS,
     SPARE_KEYS,
     VM_ZONES,
-    WORKSPACES,
+    describe_scene,
     fleet_document,
-    service_document,
+    prepare_targets,
+    service_documents,
 )
 
 
@@ -35,26 +36,27 @@
     seed: int, fault_names: Sequence[str], vm_flags: Mapping[str, str]
 ) -> History:
     """Run a deployment under load and faults; returns what callers and targets saw."""
-    history = History(seed, limits=WORKSPACES)
+    history = History(seed)
+    documents = service_documents(seed, time.time(), HISTORY_DURATION_S)
+    describe_scene(history, documents)
     generator = random.Random(f"{seed}/faults")
     keys = KEYS | {f"{name}-2": key for name, key in SPARE_KEYS.items()}
     with ProcessGroup() as group:
-        deployment = Deployment(
-            group, [service_document()], fleet_document(), keys, VM_ZONES, BEHAVIOUR
-        )
+        deployment = Deployment(group, documents, fleet_document(), keys, VM_ZONES, BEHAVIOUR)
         deployment.key_workspaces = {f"{name}-2": name for name in SPARE_KEYS}
         deployment.vm_flags = dict(vm_flags)
         await deployment.start()
         controls = Controls(deployment)
+        await prepare_targets(controls, seed)
         context = FaultContext(deployment, controls, history, generator)
         began_s = time.monotonic()
         async with trio.open_nursery() as nursery:
-            for number in range(CALLERS):
-                caller_random = random.Random(f"{seed}/caller/{number}")
-                caller = Caller(number, deployment, history, caller_random)
+            for caller in build_callers(deployment, history):
                 nursery.start_soon(caller.run, began_s + HISTORY_DURATION_S)
             nursery.start_soon(read_revisions, context, began_s + HISTORY_DURATION_S)
+            nursery.start_soon(watch_move, controls, history, began_s + HISTORY_DURATION_S)
             nursery.start_soon(bring_faults, context, fault_names, began_s)
+        history.ended_unix_s = time.time()
         history.runs = await controls.history()
         history.cut_by_targets = await controls.cut_traces()
         history.seen_headers = await controls.seen_headers()
--- a/src/wagtailbay_bench/prove/program.py
+++ b/src/wagtailbay_bench/prove/program.py
@@ -7,14 +7,13 @@
 
 import trio
 
+from wagtailbay.programs.without import MECHANISMS, parse_mechanisms
 from wagtailbay_bench.prove.checks import CHECKS, check_history
 from wagtailbay_bench.prove.faults import FAULTS
 from wagtailbay_bench.prove.models import History, Violation
 from wagtailbay_bench.prove.process_history import record_history
 
 SHORTENING_TRIES = 4
-# Mechanisms that the entry VMs can run without, to see that the checks then fail.
-SWITCHES = {"once": {"--once": "off"}}
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -27,7 +26,11 @@
         "--fault", choices=sorted(FAULTS), action="append", help="bring only this fault"
     )
     parser.add_argument(
-        "--without", choices=sorted(SWITCHES), help="switch a mechanism off; its check must fail"
+        "--without",
+        type=parse_mechanisms,
+        default=frozenset(),
+        metavar="NAME[,NAME]",
+        help=f"switch mechanisms off, whose checks must fail: {', '.join(MECHANISMS)}",
     )
     return parser
 
@@ -53,7 +56,7 @@
     """Run the proofs and return the exit status."""
     arguments = build_parser().parse_args()
     names = arguments.fault or list(FAULTS)
-    vm_flags = SWITCHES.get(arguments.without, {})
+    vm_flags = {"--without": ",".join(sorted(arguments.without))}
     violations, faults, requests = 0, 0, 0
     for seed in range(arguments.seed, arguments.seed + arguments.histories):
         history = trio.run(record_history, seed, names, vm_flags)
@@ -72,6 +75,8 @@
         if found:
             print(f"  faults: {', '.join(history.faults)}")
             used = sorted({item.split()[1] for item in history.faults})
+            if arguments.without:
+                continue
             kept = shorten(seed, used, arguments.property, vm_flags)
             options = " ".join(f"--fault {name}" for name in kept)
             print(f"  repeat with: script/prove --seed {seed} --histories 1 {options}")
--- a/src/wagtailbay_bench/prove/scene.py
+++ b/src/wagtailbay_bench/prove/scene.py
@@ -1,56 +1,185 @@
-"""Build the small deployment in which process histories run."""
+"""Build the small deployment in which process histories run.
 
+Three services share it: ``records`` meets the faults of targets, ``catalog`` moves to a new
+version, and callers ask ``exports`` for more than its regions and links can carry.
+"""
+
+from collections.abc import Mapping, Sequence
 from typing import Any
 
+from wagtailbay_bench.controls import Controls
+from wagtailbay_bench.prove.models import History, PlannedMove
+
 ZONES = {"n1": "north", "n2": "north", "s1": "south", "s2": "south"}
 VM_ZONES = {"vm-1": "n1", "vm-2": "n2", "vm-3": "s1", "vm-4": "s2"}
-WORKSPACES = {"large": (60.0, 60.0), "small": (10.0, 20.0), "flood": (5.0, 10.0)}
-KEYS = {"large": "key-large", "small": "key-small", "flood": "key-flood"}
-SPARE_KEYS = {"large": "key-large-2", "small": "key-small-2", "flood": "key-flood-2"}
+MAX_VMS = 5
+RECORDS_WORKSPACES = {"large": (60.0, 60.0), "small": (10.0, 20.0), "flood": (5.0, 10.0)}
+MOVER, BULK = {"mover": (1_000.0, 1_000.0)}, {"bulk": (1_000.0, 1_000.0)}
+WORKSPACES = RECORDS_WORKSPACES | MOVER | BULK
+KEYS = {name: f"key-{name}" for name in WORKSPACES}
+SPARE_KEYS = {name: f"key-{name}-2" for name in RECORDS_WORKSPACES}
 BEHAVIOUR = {"slots": 4, "queue": 8, "service_time_ms": 4}
 
+# Faults of targets hit those of this service only: they would explain why a version is bad.
+RECORDS_TARGETS = tuple(f"t-{zone}-{number}" for zone in ZONES for number in (1, 2))
+OLD_TARGETS = {f"c-old-{zone}": zone for zone in ZONES}
+NEW_TARGETS = {f"c-new-{zone}": zone for zone in ZONES}
+EXPORT_TARGETS = {f"x-{zone}": zone for zone in ZONES}
+EXPORT_CAPACITIES_PER_S = {"north": 10.0, "south": 40.0}
+EXPORT_BYTES = 8_000
+# The link towards the region that spills carries fewer bytes than its spilled requests need.
+LINK_MBIT_PER_S = {("south", "north"): 0.2, ("north", "south"): 8.0}
+MOVE_TIME_MS = 30
+MAX_STEP_PPM = 250_000
+CAP_PER_S = 8.0
+# Steps need 20 s. The end of the watch, 60 s later, lies beyond an ordinary history.
+SHORTEST_MOVE_S = 40.0
+MOVE_START_S = 1.0
+
+# How the new version behaves: (kind, behaviour of its targets, whether the plan has a cap).
+MOVES: Sequence[tuple[str, Mapping[str, Any], bool]] = (
+    ("good", {}, False),
+    ("fails-at-once", {"error_ppm": 700_000}, False),
+    ("good", {}, True),
+    ("fails-later", {"error_ppm": 700_000, "bad_after_requests": 8}, False),
+    ("fails-under-load", {"error_ppm": 700_000, "bad_above_in_flight": 1}, False),
+    ("fails-on-one-route", {"error_ppm": 700_000, "bad_path_prefix": "/search"}, False),
+    ("slow", {"slow_factor": 15.0}, False),
+)
+
 
 def fleet_document() -> dict[str, Any]:
     """Return the fleet document."""
     zones = [{"availability_zone": z, "region": r} for z, r in ZONES.items()]
-    return {"schema_version": 1, "max_vms": 5, "availability_zones": zones}
+    links = [
+        {"from_region": a, "to_region": b, "capacity_mbit_per_s": mbit_per_s}
+        for (a, b), mbit_per_s in LINK_MBIT_PER_S.items()
+    ]
+    return {
+        "schema_version": 1,
+        "max_vms": MAX_VMS,
+        "availability_zones": zones,
+        "links": links,
+    }
+
+
+def service_documents(seed: int, now_unix_s: float, duration_s: float) -> list[dict[str, Any]]:
+    """Return the documents of all services; the seed chooses the move."""
+    return [_records(), _catalog(seed, now_unix_s, duration_s), _exports()]
 
 
-def service_document() -> dict[str, Any]:
+def _records() -> dict[str, Any]:
     """Return a service with an idempotent, a non-idempotent and an open route."""
+    routes = [
+        {"name": "read", "path_prefix": "/", "deadline_ms": 3000, "idle_timeout_ms": 700},
+        {
+            "name": "deposit",
+            "path_prefix": "/deposit",
+            "idempotent": False,
+            "deadline_ms": 3000,
+            "idle_timeout_ms": 1500,
+        },
+        {"name": "public", "path_prefix": "/public", "open": True, "deadline_ms": 3000},
+    ]
+    zones = {target: target.split("-")[1] for target in RECORDS_TARGETS}
+    return _service("records", routes, [("v1", zones)], RECORDS_WORKSPACES, (300, 300))
+
+
+def _catalog(seed: int, now_unix_s: float, duration_s: float) -> dict[str, Any]:
+    """Return a service that moves to a new version."""
+    routes = [{"name": "read", "path_prefix": "/"}, {"name": "search", "path_prefix": "/search"}]
+    versions = [("v1", OLD_TARGETS), ("v2", NEW_TARGETS)]
+    start_unix_s = now_unix_s + MOVE_START_S
+    plan = {
+        "old_version": "v1",
+        "new_version": "v2",
+        "start_unix_s": start_unix_s,
+        "deadline_unix_s": start_unix_s + max(SHORTEST_MOVE_S, duration_s),
+        "max_step_ppm": MAX_STEP_PPM,
+    }
+    if MOVES[seed % len(MOVES)][2]:
+        plan["cap_per_s"] = CAP_PER_S
+    document = _service("catalog", routes, versions, MOVER, (1_000, 1_000))
+    return document | {"version_plan": plan}
+
+
+def _exports() -> dict[str, Any]:
+    """Return a service whose callers want more than its regions' capacity."""
+    routes = [{"name": "export", "path_prefix": "/"}]
+    capacities = tuple(EXPORT_CAPACITIES_PER_S.values())
+    return _service("exports", routes, [("v1", EXPORT_TARGETS)], BULK, capacities)
+
+
+def _service(
+    name: str,
+    routes: list[dict[str, Any]],
+    versions: Sequence[tuple[str, Mapping[str, str]]],
+    workspaces: Mapping[str, tuple[float, float]],
+    capacities_per_s: tuple[float, float],
+) -> dict[str, Any]:
+    """Return a service document; versions hold the availability zone of each target."""
     targets = [
         {
-            "target": f"t-{zone}-{number}",
+            "target": target,
             "address": "127.0.0.1:0",
             "availability_zone": zone,
-            "version": "v1",
+            "version": version,
             "slots": 4,
         }
-        for zone in ZONES
-        for number in (1, 2)
+        for version, zones in versions
+        for target, zone in zones.items()
     ]
     return {
         "schema_version": 1,
-        "service": "records",
-        "owner": "records-team",
-        "routes": [
-            {"name": "read", "path_prefix": "/", "deadline_ms": 3000, "idle_timeout_ms": 700},
-            {
-                "name": "deposit",
-                "path_prefix": "/deposit",
-                "idempotent": False,
-                "deadline_ms": 3000,
-                "idle_timeout_ms": 1500,
-            },
-            {"name": "public", "path_prefix": "/public", "open": True, "deadline_ms": 3000},
-        ],
+        "service": name,
+        "owner": f"{name}-team",
+        "routes": routes,
         "targets": targets,
         "workspaces": [
-            {"workspace": name, "rate_per_s": rate, "burst": burst}
-            for name, (rate, burst) in WORKSPACES.items()
+            {"workspace": workspace, "rate_per_s": rate, "burst": burst}
+            for workspace, (rate, burst) in workspaces.items()
         ],
         "regions": [
-            {"region": "north", "capacity_per_s": 300},
-            {"region": "south", "capacity_per_s": 300},
+            {"region": region, "capacity_per_s": capacity_per_s}
+            for region, capacity_per_s in zip(("north", "south"), capacities_per_s, strict=True)
         ],
     }
+
+
+async def prepare_targets(controls: Controls, seed: int) -> None:
+    """Let the targets of the move and of the exports behave as the scene needs it."""
+    for target in (*OLD_TARGETS, *NEW_TARGETS):
+        await controls.set_behaviour(target, service_time_ms=MOVE_TIME_MS)
+    for target in NEW_TARGETS:
+        await controls.set_behaviour(target, **MOVES[seed % len(MOVES)][1])
+    for target in EXPORT_TARGETS:
+        await controls.set_behaviour(target, body_bytes=EXPORT_BYTES)
+
+
+def describe_scene(history: History, documents: Sequence[Mapping[str, Any]]) -> None:
+    """Write into a history what the checks must know of the documents."""
+    history.limits = WORKSPACES
+    history.max_vms = MAX_VMS
+    history.vm_regions = {vm: ZONES[zone] for vm, zone in VM_ZONES.items()}
+    history.links = {ends: mbit * 125_000 for ends, mbit in LINK_MBIT_PER_S.items()}
+    history.places = {
+        target["target"]: (document["service"], ZONES[target["availability_zone"]])
+        for document in documents
+        for target in document["targets"]
+    }
+    history.capacities = {
+        (document["service"], region["region"]): region["capacity_per_s"]
+        for document in documents
+        for region in document["regions"]
+    }
+    catalog = next(document for document in documents if document["service"] == "catalog")
+    plan = catalog["version_plan"]
+    history.move = PlannedMove(
+        "catalog",
+        MOVES[history.seed % len(MOVES)][0],
+        frozenset(NEW_TARGETS),
+        plan["deadline_unix_s"],
+        plan["max_step_ppm"],
+        plan.get("cap_per_s"),
+        len(catalog["routes"]),
+    )
--- /dev/null
+++ b/tests/prove/histories.py
@@ -0,0 +1,56 @@
+"""Build recorded histories by hand."""
+
+from typing import Any
+
+from wagtailbay_bench.prove.models import History, PlannedMove, SentRequest, StepRead
+
+MOVE = PlannedMove("catalog", "good", frozenset({"new"}), 1_000.0, 250_000, None, 1)
+
+
+class HistoryBuilder:
+    """Add requests and their runs to a history."""
+
+    def __init__(self, **parts: Any) -> None:
+        """Begin a history of one VM."""
+        self.history = History(1, vm_regions={"vm-1": "north"}, max_vms=1, **parts)
+
+    def request(
+        self,
+        sent_s: float,
+        target: str = "",
+        *,
+        took_s: float = 0.01,
+        run_after_s: float = 0.005,
+        **changes: Any,
+    ) -> SentRequest:
+        """Add a request, and its run where a target is named."""
+        trace = f"t{len(self.history.requests)}"
+        values = {
+            "trace": trace,
+            "vm": "vm-1",
+            "path": "/item",
+            "workspace": "w",
+            "key_name": "w",
+            "idempotency_key": "",
+            "sent_unix_s": sent_s,
+            "ended_unix_s": sent_s + took_s,
+            "status": 200,
+            "code": "",
+            "run": "",
+            "answer": {"target": target},
+            "service": "catalog",
+        }
+        request = SentRequest(**(values | changes))
+        self.history.requests.append(request)
+        if target:
+            self.run(sent_s + run_after_s, target, trace)
+        return request
+
+    def run(self, unix_s: float, target: str, trace: str) -> None:
+        """Add a run."""
+        run = {"unix_s": unix_s, "trace": trace, "workspace": "w", "target": target}
+        self.history.runs.append(run | {"version": target})
+
+    def step(self, unix_s: float, share_ppm: int, phase: str = "running") -> None:
+        """Add a state of the move."""
+        self.history.steps.append(StepRead(share_ppm, unix_s, phase, ""))
