--- a/src/wagtailbay_bench/prove/models.py
+++ b/src/wagtailbay_bench/prove/models.py
@@ -112,6 +112,7 @@
     """
 
     seed: int
+    duration_s: float = 0.0
     requests: list[SentRequest] = field(factory=list)
     runs: list[Mapping[str, Any]] = field(factory=list)
     seen_headers: set[str] = field(factory=set)
--- a/src/wagtailbay_bench/prove/process_history.py
+++ b/src/wagtailbay_bench/prove/process_history.py
@@ -33,11 +33,14 @@
 
 
 async def record_history(
-    seed: int, fault_names: Sequence[str], vm_flags: Mapping[str, str]
+    seed: int,
+    fault_names: Sequence[str],
+    vm_flags: Mapping[str, str],
+    duration_s: float = HISTORY_DURATION_S,
 ) -> History:
     """Run a deployment under load and faults; returns what callers and targets saw."""
-    history = History(seed)
-    documents = service_documents(seed, time.time(), HISTORY_DURATION_S)
+    history = History(seed, duration_s)
+    documents = service_documents(seed, time.time(), duration_s)
     describe_scene(history, documents)
     generator = random.Random(f"{seed}/faults")
     keys = KEYS | {f"{name}-2": key for name, key in SPARE_KEYS.items()}
@@ -52,9 +55,9 @@
         began_s = time.monotonic()
         async with trio.open_nursery() as nursery:
             for caller in build_callers(deployment, history):
-                nursery.start_soon(caller.run, began_s + HISTORY_DURATION_S)
-            nursery.start_soon(read_revisions, context, began_s + HISTORY_DURATION_S)
-            nursery.start_soon(watch_move, controls, history, began_s + HISTORY_DURATION_S)
+                nursery.start_soon(caller.run, began_s + duration_s)
+            nursery.start_soon(read_revisions, context, began_s + duration_s)
+            nursery.start_soon(watch_move, controls, history, began_s + duration_s)
             nursery.start_soon(bring_faults, context, fault_names, began_s)
         history.ended_unix_s = time.time()
         history.runs = await controls.history()
@@ -68,7 +71,7 @@
     async with trio.open_nursery() as nursery:
         while True:
             await trio.sleep(context.random.uniform(*FAULT_INTERVAL_S))
-            if time.monotonic() > began_s + HISTORY_DURATION_S - SETTLE_S:
+            if time.monotonic() > began_s + context.history.duration_s - SETTLE_S:
                 break
             name = context.random.choice(list(fault_names))
             context.history.faults.append(f"{time.monotonic() - began_s:.2f} {name}")
--- a/src/wagtailbay_bench/prove/program.py
+++ b/src/wagtailbay_bench/prove/program.py
@@ -9,6 +9,7 @@
 
 from wagtailbay.programs.without import MECHANISMS, parse_mechanisms
 from wagtailbay_bench.prove.checks import CHECKS, check_history
+from wagtailbay_bench.prove.const import HISTORY_DURATION_S
 from wagtailbay_bench.prove.faults import FAULTS
 from wagtailbay_bench.prove.models import History, Violation
 from wagtailbay_bench.prove.process_history import record_history
@@ -22,6 +23,12 @@
     parser.add_argument("--seed", type=int, default=round(time.time()), help="first seed")
     parser.add_argument("--histories", type=int, default=2, help="process histories to record")
     parser.add_argument("--property", choices=sorted(CHECKS), help="check only this property")
+    parser.add_argument(
+        "--seconds",
+        type=float,
+        default=HISTORY_DURATION_S,
+        help="length of a history; from 100 on, good versions must finish",
+    )
     parser.add_argument(
         "--fault", choices=sorted(FAULTS), action="append", help="bring only this fault"
     )
@@ -59,7 +66,7 @@
     vm_flags = {"--without": ",".join(sorted(arguments.without))}
     violations, faults, requests = 0, 0, 0
     for seed in range(arguments.seed, arguments.seed + arguments.histories):
-        history = trio.run(record_history, seed, names, vm_flags)
+        history = trio.run(record_history, seed, names, vm_flags, arguments.seconds)
         found = violations_of(history, arguments.property)
         violations += len(found)
         faults += len(history.faults)
--- a/src/wagtailbay_bench/prove/scene.py
+++ b/src/wagtailbay_bench/prove/scene.py
@@ -32,8 +32,10 @@
 MOVE_TIME_MS = 30
 MAX_STEP_PPM = 250_000
 CAP_PER_S = 8.0
-# Steps need 20 s. The end of the watch, 60 s later, lies beyond an ordinary history.
+# Steps need 20 s. The end of the watch, 60 s later, lies beyond an ordinary history; one of 100 s
+# shows that a good version finishes.
 SHORTEST_MOVE_S = 40.0
+MOVE_MARGIN_S = 10.0
 MOVE_START_S = 1.0
 
 # How the new version behaves: (kind, behaviour of its targets, whether the plan has a cap).
@@ -94,7 +96,7 @@
         "old_version": "v1",
         "new_version": "v2",
         "start_unix_s": start_unix_s,
-        "deadline_unix_s": start_unix_s + max(SHORTEST_MOVE_S, duration_s),
+        "deadline_unix_s": start_unix_s + max(SHORTEST_MOVE_S, duration_s - MOVE_MARGIN_S),
         "max_step_ppm": MAX_STEP_PPM,
     }
     if MOVES[seed % len(MOVES)][2]:
--- /dev/null
+++ b/tests/prove/test_requests.py
@@ -0,0 +1,83 @@
+"""Test the checks of single requests on histories made by hand."""
+
+from prove.histories import HistoryBuilder
+
+from wagtailbay_bench.prove.checks.requests import (
+    check_answers,
+    check_at_most_once,
+    check_keys,
+    check_limits,
+    check_refusals,
+)
+from wagtailbay_bench.prove.models import Withdrawal
+
+
+class TestKeys:
+    """A request runs only with a key in force, for its workspace."""
+
+    def test_withdrawn_key(self) -> None:
+        """Guards against a withdrawn key that goes on working."""
+        for sent_s, found in ((5.0, False), (10.0, True)):
+            builder = HistoryBuilder(withdrawals=[Withdrawal("w", 2.0)])
+            builder.request(sent_s, "t")
+            assert bool(list(check_keys(builder.history))) is found
+
+    def test_other_workspace(self) -> None:
+        """Guards against a run for a workspace whose key did not come."""
+        builder = HistoryBuilder()
+        builder.request(1.0, "t", workspace="other")
+        assert list(check_keys(builder.history))
+
+
+class TestLimits:
+    """A workspace runs no more than its rate and burst."""
+
+    def test_rate(self) -> None:
+        """Guards against a workspace that gets several times its rate."""
+        for per_s, found in ((10, False), (40, True)):
+            builder = HistoryBuilder(limits={"w": (10.0, 20.0)})
+            for number in range(20 * per_s):
+                builder.request(number / per_s, "t")
+            assert bool(list(check_limits(builder.history))) is found
+
+
+class TestAnswers:
+    """An answer belongs to its request."""
+
+    def test_foreign_answer(self) -> None:
+        """Guards against an answer to another request."""
+        builder = HistoryBuilder()
+        builder.request(1.0, "t", answer={"trace": "t0", "path": "/item"})
+        assert not list(check_answers(builder.history))
+        builder.request(2.0, "t", answer={"trace": "t0", "path": "/item"})
+        assert len(list(check_answers(builder.history))) == 1
+
+
+class TestRefusals:
+    """Not run means not run."""
+
+    def test_untrue_refusal(self) -> None:
+        """Guards against a refused request that ran."""
+        builder = HistoryBuilder()
+        builder.request(1.0, "", status=503, run="not_run")
+        assert not list(check_refusals(builder.history))
+        builder.request(1.0, "t", status=503, run="not_run")
+        assert len(list(check_refusals(builder.history))) == 1
+
+
+class TestAtMostOnce:
+    """A deposit runs at most once, and does so if it was answered."""
+
+    def test_two_runs(self) -> None:
+        """Guards against a deposit that runs twice."""
+        builder = HistoryBuilder()
+        builder.request(1.0, "t", idempotency_key="k")
+        assert not list(check_at_most_once(builder.history))
+        builder.request(2.0, "t", idempotency_key="k")
+        assert len(list(check_at_most_once(builder.history))) == 1
+
+    def test_answered_without_a_run(self) -> None:
+        """Guards against a deposit that is confirmed but lost."""
+        builder = HistoryBuilder()
+        builder.request(1.0, "", idempotency_key="k")
+        assert list(check_at_most_once(builder.history))
