--- a/src/wagtailbay_bench/prove/process_history.py
+++ b/src/wagtailbay_bench/prove/process_history.py
@@ -11,50 +11,55 @@
 from wagtailbay_bench.controls import Controls
 from wagtailbay_bench.deployment import Deployment
 from wagtailbay_bench.processes import ProcessGroup
-from wagtailbay_bench.prove.callers import Caller
+from wagtailbay_bench.prove.callers import build_callers
 from wagtailbay_bench.prove.const import (
-    CALLERS,
     FAULT_INTERVAL_S,
     HISTORY_DURATION_S,
     SETTLE_S,
 )
 from wagtailbay_bench.prove.faults import FAULTS, FaultContext
 from wagtailbay_bench.prove.models import History, RevisionRead
+from wagtailbay_bench.prove.moves import watch_move
 from wagtailbay_bench.prove.scene import (
     BEHAVIOUR,
     KEYS,
     SPARE_KEYS,
     VM_ZONES,
-    WORKSPACES,
+    describe_scene,
     fleet_document,
-    service_document,
+    prepare_targets,
+    service_documents,
 )
 
 
 async def record_history(
-    seed: int, fault_names: Sequence[str], vm_flags: Mapping[str, str]
+    seed: int,
+    fault_names: Sequence[str],
+    vm_flags: Mapping[str, str],
+    duration_s: float = HISTORY_DURATION_S,
 ) -> History:
     """Run a deployment under load and faults; returns what callers and targets saw."""
-    history = History(seed, limits=WORKSPACES)
+    history = History(seed, duration_s)
+    documents = service_documents(seed, time.time(), duration_s)
+    describe_scene(history, documents)
     generator = random.Random(f"{seed}/faults")
     keys = KEYS | {f"{name}-2": key for name, key in SPARE_KEYS.items()}
     with ProcessGroup() as group:
-        deployment = Deployment(
-            group, [service_document()], fleet_document(), keys, VM_ZONES, BEHAVIOUR
-        )
+        deployment = Deployment(group, documents, fleet_document(), keys, VM_ZONES, BEHAVIOUR)
         deployment.key_workspaces = {f"{name}-2": name for name in SPARE_KEYS}
         deployment.vm_flags = dict(vm_flags)
         await deployment.start()
         controls = Controls(deployment)
+        await prepare_targets(controls, seed)
         context = FaultContext(deployment, controls, history, generator)
         began_s = time.monotonic()
         async with trio.open_nursery() as nursery:
-            for number in range(CALLERS):
-                caller_random = random.Random(f"{seed}/caller/{number}")
-                caller = Caller(number, deployment, history, caller_random)
-                nursery.start_soon(caller.run, began_s + HISTORY_DURATION_S)
-            nursery.start_soon(read_revisions, context, began_s + HISTORY_DURATION_S)
+            for caller in build_callers(deployment, history):
+                nursery.start_soon(caller.run, began_s + duration_s)
+            nursery.start_soon(read_revisions, context, began_s + duration_s)
+            nursery.start_soon(watch_move, controls, history, began_s + duration_s)
             nursery.start_soon(bring_faults, context, fault_names, began_s)
+        history.ended_unix_s = time.time()
         history.runs = await controls.history()
         history.cut_by_targets = await controls.cut_traces()
         history.seen_headers = await controls.seen_headers()
@@ -66,7 +71,7 @@
     async with trio.open_nursery() as nursery:
         while True:
             await trio.sleep(context.random.uniform(*FAULT_INTERVAL_S))
-            if time.monotonic() > began_s + HISTORY_DURATION_S - SETTLE_S:
+            if time.monotonic() > began_s + context.history.duration_s - SETTLE_S:
                 break
             name = context.random.choice(list(fault_names))
             context.history.faults.append(f"{time.monotonic() - began_s:.2f} {name}")
