Put links between the processes of the proofs and cut, freeze and slow them

No proof used the link stand-in, so no history contained a partition. New faults cut one VM from its peers, from the platform or from all but callers, cut the platform from most VMs, freeze one link, slow links, split the regions and lose a region; two faults may start together. Operators race at an administration API in each region, also during a cut, and withdrawals are followed until they are in force.

The checks of keys and revisions now know which VMs have a path to the store: a VM without one need not have a new revision, and may accept a key whose withdrawal is pending only where it may have a quorum (design.md, 5.6). A withdrawal in force is refused everywhere within the bound.

--- a/src/wagtailbay/programs/entry_settings.py
+++ b/src/wagtailbay/programs/entry_settings.py
@@ -8,6 +8,7 @@
     at_least,
     one_of,
     parse_address,
+    parse_named_addresses,
     parse_optional_address,
 )
 
@@ -30,6 +31,11 @@
         default="",
         parse=parse_optional_address,
     )
+    target_routes: dict[str, str] = setting(
+        help_text="addresses to connect to in place of targets' own, as ip:port=ip:port,...",
+        default={},
+        parse=parse_named_addresses,
+    )
     chooser: str = setting(
         help_text="choice of target; all but the default are baselines for measurements",
         default="two-choice",
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -153,7 +153,7 @@
         chooser = self._build_chooser(health, shares)
         shift = self._build_shift(view, shares)
         writer = OutcomeWriter(StoreCalls(self.store))
-        pool = ConnectionPool()
+        pool = ConnectionPool(routes=self.settings.target_routes)
         forwarder = Forwarder(
             chooser, shift.picker, pool, CrashTable(fleet.facts), boottime_s, self.settings.vm
         )
@@ -170,7 +170,7 @@
                 health,
                 boottime_s,
                 self.source,
-                fetch=ConnectionPool(max_idle_per_address=1).fetch,
+                fetch=ConnectionPool(1, self.settings.target_routes).fetch,
             ),
             shift=shift,
             writer=writer,
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -1,5 +1,7 @@
 """Keep idle connections to targets for later requests."""
 
+from collections.abc import Mapping
+
 import trio
 from attrs import define, field
 from result import Err, Ok, Result
@@ -10,15 +12,21 @@
 
 @define
 class ConnectionPool:
-    """Hold idle connections by address, newest last."""
+    """Hold idle connections by address, newest last.
+
+    Attributes:
+        routes: Addresses to connect to in place of some servers' own.
+    """
 
     max_idle_per_address: int = 16
+    routes: Mapping[str, str] = field(factory=dict)
     idle: dict[str, list[ClientConnection]] = field(factory=dict)
 
     async def acquire(
         self, address: str, timeout_ms: int, fresh: bool = False
     ) -> Result[ClientConnection, TransportError]:
         """Take an idle connection or open one; a fresh one cannot be closed as idle meanwhile."""
+        address = self.routes.get(address, address)
         waiting = [] if fresh else self.idle.get(address, [])
         while waiting:
             connection = waiting.pop()
--- a/src/wagtailbay_bench/prove/models.py
+++ b/src/wagtailbay_bench/prove/models.py
@@ -33,10 +33,42 @@
 
 @frozen
 class Withdrawal:
-    """Record that a key was withdrawn and when the store had accepted it."""
+    """Record that a key was withdrawn and when the store had accepted it.
+
+    Attributes:
+        in_force_unix_s: When an operator was told that it is in force, None if never.
+    """
 
     key_name: str
     accepted_unix_s: float
+    in_force_unix_s: float | None = None
+
+
+@frozen
+class Race:
+    """Record that two operators submitted changes of one version of a document.
+
+    Attributes:
+        accepted: The versions that were accepted.
+        refused: The statuses of the other answers, 0 without one.
+    """
+
+    expected_version: int
+    accepted: tuple[int, ...]
+    refused: tuple[int, ...]
+
+
+@frozen
+class Apart:
+    """Record that a VM had no path to the store, neither its own nor through its peers.
+
+    Attributes:
+        quorum: Whether it may have exchanged messages with a quorum.
+    """
+
+    vm: str
+    unix_s: float
+    quorum: bool
 
 
 @frozen
@@ -81,6 +113,18 @@
     killed_vms: set[str] = field(factory=set)
     cut_by_targets: set[str] = field(factory=set)
     in_force: list[tuple[float, int]] = field(factory=list)
+    races: list[Race] = field(factory=list)
+    apart: list[Apart] = field(factory=list)
+
+    def was_apart(self, vm: str, from_unix_s: float, to_unix_s: float) -> bool:
+        """Tell whether a VM had no path to the store at some moment."""
+        return any(a.vm == vm and from_unix_s <= a.unix_s <= to_unix_s for a in self.apart)
+
+    def had_only_quorum(self, vm: str, from_unix_s: float, to_unix_s: float) -> bool:
+        """Tell whether a VM had no path to the store but maybe a quorum at some moment."""
+        return any(
+            a.quorum and a.vm == vm and from_unix_s <= a.unix_s <= to_unix_s for a in self.apart
+        )
 
 
 @frozen
--- /dev/null
+++ b/src/wagtailbay_bench/prove/operator_faults.py
@@ -0,0 +1,119 @@
+"""Let operators act on a running deployment, also while it is cut in parts."""
+
+import json
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import trio
+
+from wagtailbay.access import hash_key
+from wagtailbay.transport import Request, fetch
+from wagtailbay_bench.prove.const import ADMIN_TIMEOUT_MS, WITHDRAWAL_WATCH_S
+from wagtailbay_bench.prove.context import FaultContext
+from wagtailbay_bench.prove.models import Drained, Race, Withdrawal
+from wagtailbay_bench.prove.network_faults import NETWORK_FAULTS
+from wagtailbay_bench.prove.scene import ADMIN_TOKENS, SPARE_KEYS
+
+CUTS: Final = ("split-regions", "lose-region", "cut-vm-from-all", "cut-platform")
+# Operators act this long after the cut, when the VMs may still have fresh knowledge.
+CUT_BEFORE_S: Final = (0.0, 3.0)
+
+
+async def call_admin(
+    context: FaultContext, operator: str, method: str, path: str, body: Any = None
+) -> tuple[int, dict[str, Any]]:
+    """Send an operator's request to its administration API; returns status 0 without answer."""
+    headers = (("Authorization", f"Bearer {ADMIN_TOKENS[operator]}"),)
+    data = b"" if body is None else json.dumps(body).encode()
+    address = context.deployment.admin_addresses[operator]
+    answer = await fetch(address, Request(method, path, headers, data), ADMIN_TIMEOUT_MS)
+    if answer.is_err():
+        return 0, {}
+    return answer.ok_value.status, json.loads(answer.ok_value.body)
+
+
+async def withdraw_key(context: FaultContext) -> None:
+    """Withdraw one of the spare keys while its callers go on; ask until it is in force."""
+    name = context.random.choice(list(SPARE_KEYS))
+    operator = context.random.choice(list(ADMIN_TOKENS))
+    key_id = hash_key(SPARE_KEYS[name])
+    value = {"workspace": name, "withdrawn": True}
+    written = await context.controls.store.put(f"keys/{key_id}", value, None)
+    if written.is_err():
+        return
+    accepted_unix_s, in_force_unix_s = time.time(), None
+    with trio.move_on_after(WITHDRAWAL_WATCH_S):
+        while in_force_unix_s is None:
+            path = f"/v1/keys/{key_id}/withdrawal"
+            _, answer = await call_admin(context, operator, "GET", path)
+            if answer.get("state") == "in_force":
+                in_force_unix_s = time.time()
+            await trio.sleep(0.2)
+    withdrawal = Withdrawal(f"{name}-2", accepted_unix_s, in_force_unix_s)
+    context.history.withdrawals.append(withdrawal)
+
+
+async def drain_target(context: FaultContext) -> None:
+    """Drain a target by its document."""
+    target = context.any_target()
+    drain = {"kind": "target", "name": target, "start_unix_s": 0, "deadline_unix_s": time.time()}
+    stored = (await context.controls.store.get("documents/records")).unwrap_or(None)
+    if stored is None:
+        return
+    drains = [*stored.value.get("drains", []), drain]
+    if len({item["name"] for item in drains}) > 3:
+        return
+    value = stored.value | {"drains": drains}
+    written = await context.controls.store.put("documents/records", value, stored.version)
+    if written.is_ok():
+        context.history.drained.append(Drained(target, time.time()))
+        context.history.in_force.append((time.time(), written.ok_value))
+
+
+async def race_operators(context: FaultContext) -> None:
+    """Let an operator in each region submit a change of the same version at the same time."""
+    stored = (await context.controls.store.get("documents/records")).unwrap_or(None)
+    if stored is None:
+        return
+    answers: list[tuple[int, dict[str, Any]]] = []
+
+    async def submit(operator: str) -> None:
+        document = stored.value | {"owner": operator}
+        body = {"document": document, "expected_version": stored.version, "reason": "race"}
+        path = "/v1/documents/records"
+        answers.append(await call_admin(context, operator, "PUT", path, body))
+
+    async with trio.open_nursery() as nursery:
+        for operator in ADMIN_TOKENS:
+            nursery.start_soon(submit, operator)
+    accepted = tuple(answer["version"] for status, answer in answers if status in (200, 201))
+    refused = tuple(status for status, _ in answers if status not in (200, 201))
+    context.history.races.append(Race(stored.version, accepted, refused))
+    context.history.in_force.extend((time.time(), version) for version in accepted)
+
+
+async def withdraw_while_cut(context: FaultContext) -> None:
+    """Withdraw a key while a VM, the platform or a region is cut off."""
+    await _while_cut(context, withdraw_key)
+
+
+async def race_while_cut(context: FaultContext) -> None:
+    """Let operators race while a VM, the platform or a region is cut off."""
+    await _while_cut(context, race_operators)
+
+
+async def _while_cut(context: FaultContext, act: Callable[[FaultContext], Awaitable[None]]) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(NETWORK_FAULTS[context.random.choice(CUTS)], context)
+        await trio.sleep(context.random.uniform(*CUT_BEFORE_S))
+        nursery.start_soon(act, context)
+
+
+OPERATOR_FAULTS: dict[str, Callable[[FaultContext], Awaitable[None]]] = {
+    "withdraw-key": withdraw_key,
+    "drain-target": drain_target,
+    "race-operators": race_operators,
+    "withdraw-while-cut": withdraw_while_cut,
+    "race-while-cut": race_while_cut,
+}
--- a/src/wagtailbay_bench/prove/process_history.py
+++ b/src/wagtailbay_bench/prove/process_history.py
@@ -4,28 +4,40 @@
 import random
 import time
 from collections.abc import Mapping, Sequence
+from hashlib import sha256
+from pathlib import Path
 
 import trio
 
 from wagtailbay.transport import Request, fetch
+from wagtailbay_bench.certificates import CertificateFolder
 from wagtailbay_bench.controls import Controls
 from wagtailbay_bench.deployment import Deployment
+from wagtailbay_bench.network import PLATFORM, Network
 from wagtailbay_bench.processes import ProcessGroup
 from wagtailbay_bench.prove.callers import Caller
 from wagtailbay_bench.prove.const import (
     CALLERS,
     FAULT_INTERVAL_S,
     HISTORY_DURATION_S,
+    LAST_CUT_S,
+    PAIR_PROBABILITY,
     SETTLE_S,
+    TLS_EVERY_SEEDS,
 )
-from wagtailbay_bench.prove.faults import FAULTS, FaultContext
+from wagtailbay_bench.prove.context import FaultContext
+from wagtailbay_bench.prove.faults import FAULTS
 from wagtailbay_bench.prove.models import History, RevisionRead
+from wagtailbay_bench.prove.reach import watch_paths
 from wagtailbay_bench.prove.scene import (
+    ADMIN_TOKENS,
+    ADMIN_ZONES,
     BEHAVIOUR,
     KEYS,
     SPARE_KEYS,
     VM_ZONES,
     WORKSPACES,
+    ZONES,
     fleet_document,
     service_document,
 )
@@ -37,30 +49,61 @@
     """Run a deployment under load and faults; returns what callers and targets saw."""
     history = History(seed, limits=WORKSPACES)
     generator = random.Random(f"{seed}/faults")
-    keys = KEYS | {f"{name}-2": key for name, key in SPARE_KEYS.items()}
     with ProcessGroup() as group:
-        deployment = Deployment(
-            group, [service_document()], fleet_document(), keys, VM_ZONES, BEHAVIOUR
-        )
-        deployment.key_workspaces = {f"{name}-2": name for name in SPARE_KEYS}
-        deployment.vm_flags = dict(vm_flags)
+        deployment, network = build_deployment(group, seed, vm_flags)
+        certificates = issue_certificates(deployment) if seed % TLS_EVERY_SEEDS == 0 else None
         await deployment.start()
         controls = Controls(deployment)
-        context = FaultContext(deployment, controls, history, generator)
+        until_s = trio.current_time() + HISTORY_DURATION_S - LAST_CUT_S
+        context = FaultContext(
+            deployment, network, controls, history, generator, certificates, until_s
+        )
         began_s = time.monotonic()
-        async with trio.open_nursery() as nursery:
-            for number in range(CALLERS):
-                caller_random = random.Random(f"{seed}/caller/{number}")
-                caller = Caller(number, deployment, history, caller_random)
-                nursery.start_soon(caller.run, began_s + HISTORY_DURATION_S)
-            nursery.start_soon(read_revisions, context, began_s + HISTORY_DURATION_S)
-            nursery.start_soon(bring_faults, context, fault_names, began_s)
+        async with trio.open_nursery() as watching:
+            watching.start_soon(watch_paths, context)
+            async with trio.open_nursery() as nursery:
+                for number in range(CALLERS):
+                    caller_random = random.Random(f"{seed}/caller/{number}")
+                    caller = Caller(number, deployment, history, caller_random)
+                    nursery.start_soon(caller.run, began_s + HISTORY_DURATION_S)
+                nursery.start_soon(read_revisions, context, began_s + HISTORY_DURATION_S)
+                nursery.start_soon(bring_faults, context, fault_names, began_s)
+            watching.cancel_scope.cancel()
         history.runs = await controls.history()
         history.cut_by_targets = await controls.cut_traces()
         history.seen_headers = await controls.seen_headers()
     return history
 
 
+def build_deployment(
+    group: ProcessGroup, seed: int, vm_flags: Mapping[str, str]
+) -> tuple[Deployment, Network]:
+    """Return the deployment with links between its ends; the store's zone depends on the seed."""
+    keys = KEYS | {f"{name}-2": key for name, key in SPARE_KEYS.items()}
+    document = service_document()
+    deployment = Deployment(group, [document], fleet_document(), keys, VM_ZONES, BEHAVIOUR)
+    deployment.key_workspaces = {f"{name}-2": name for name in SPARE_KEYS}
+    deployment.vm_flags = dict(vm_flags)
+    deployment.admin_zones = ADMIN_ZONES
+    digests = {who: sha256(token.encode()) for who, token in ADMIN_TOKENS.items()}
+    deployment.admin_digests = {who: digest.hexdigest() for who, digest in digests.items()}
+    target_zones = {t["target"]: t["availability_zone"] for t in document["targets"]}
+    store_zone = list(ZONES)[seed % len(ZONES)]
+    places = {**VM_ZONES, **ADMIN_ZONES, **target_zones, PLATFORM: store_zone}
+    deployment.network = Network(ZONES, places)
+    return deployment, deployment.network
+
+
+def issue_certificates(deployment: Deployment) -> CertificateFolder:
+    """Let the VMs of a deployment use TLS."""
+    path = Path(deployment.group.folder.name) / "certificates"
+    folder = CertificateFolder(path, tuple(deployment.vm_zones))
+    folder.issue()
+    folder.trust(folder.authority)
+    deployment.certificate_folder = path
+    return folder
+
+
 async def bring_faults(context: FaultContext, fault_names: Sequence[str], began_s: float) -> None:
     """Start faults at random times; several may hold at once."""
     async with trio.open_nursery() as nursery:
@@ -68,9 +111,10 @@
             await trio.sleep(context.random.uniform(*FAULT_INTERVAL_S))
             if time.monotonic() > began_s + HISTORY_DURATION_S - SETTLE_S:
                 break
-            name = context.random.choice(list(fault_names))
-            context.history.faults.append(f"{time.monotonic() - began_s:.2f} {name}")
-            nursery.start_soon(FAULTS[name], context)
+            pair = context.random.random() < PAIR_PROBABILITY
+            for name in context.random.choices(list(fault_names), k=2 if pair else 1):
+                context.history.faults.append(f"{time.monotonic() - began_s:.2f} {name}")
+                nursery.start_soon(FAULTS[name], context)
 
 
 async def read_revisions(context: FaultContext, until_s: float) -> None:
