Wake requests that wait for a region's budget when a loan arrives

Small budgets (harvest, deposits) need a loan for most requests. The loan came within some ms, but a waiting request looked only every 20 ms: at least 144 of the 202 waits took 21 to 25 ms.

Change: the chooser follows the account of its own region while a request waits, and looks early when the VM's own rate is about to bring a token. FairQueue in RegionBudget had no caller and is gone.

Ruled out: the garbage collector (23 ms of 5 s), retries.

--- a/src/wagtailbay/replica/signal.py
+++ b/src/wagtailbay/replica/signal.py
@@ -1,19 +1,28 @@
 """Wake tasks when shared state changes."""
 
+from collections.abc import Callable
+
 import trio
 from attrs import define, field
 
 
 @define
 class ChangeSignal:
-    """Wake every waiting task at each notification."""
+    """Wake every waiting task at each notification.
+
+    Attributes:
+        followers: Called at each notification, until they are removed.
+    """
 
+    followers: list[Callable[[], None]] = field(factory=list)
     _event: trio.Event = field(factory=trio.Event)
 
     def notify(self) -> None:
         """Wake the tasks that wait now."""
         self._event.set()
         self._event = trio.Event()
+        for follower in tuple(self.followers):
+            follower()
 
     async def wait(self) -> None:
         """Wait for the next notification."""
--- a/src/wagtailbay/steer/budgets.py
+++ b/src/wagtailbay/steer/budgets.py
@@ -1,13 +1,13 @@
 """Keep requests to regions and bytes on links within their capacity over the whole fleet."""
 
 from collections.abc import Callable
+from math import inf
 
 from attrs import define, field
 
 from wagtailbay.config import FleetDocument, ServiceDocument
 from wagtailbay.limits import (
     BudgetLimit,
-    FairQueue,
     ShareSource,
     TokenAccount,
     link_budget,
@@ -15,7 +15,7 @@
 )
 from wagtailbay.limits.rates import link_limit, region_limit
 
-__all__ = ["FairQueue", "LinkBudget", "RegionBudget", "SharedBudgets"]
+__all__ = ["LinkBudget", "RegionBudget", "SharedBudgets"]
 
 
 @define
@@ -32,30 +32,17 @@
     document: Callable[[str], ServiceDocument | None]
     clock: Callable[[], float]
     capacity_factor: Callable[[str, str], float] = lambda service, region: 1.0
-    queues: dict[str, FairQueue] = field(factory=dict)
 
     def take(self, service: str, region: str, now_s: float) -> bool:
         """Take one request; False without capacity, also for an undocumented region."""
-        account = self._account(service, region, now_s)
+        account = self.account(service, region, now_s)
         if account is None:
             return False
-        queue = self.queues.get(region_budget(service, region))
-        # Those who wait were here first.
-        if queue is not None and queue.waiting:
-            return False
+        self.shares.record_demand(region_budget(service, region), 1.0, now_s)
         return account.take(1.0, now_s)
 
-    async def take_in_turn(
-        self, service: str, region: str, workspace: str | None, now_s: float
-    ) -> bool:
-        """Take one request, waiting at most 200 ms round robin by workspace."""
-        account = self._account(service, region, now_s)
-        if account is None:
-            return False
-        queue = self.queues.setdefault(region_budget(service, region), FairQueue(self.clock))
-        return await queue.take(account, workspace or "")
-
-    def _account(self, service: str, region: str, now_s: float) -> TokenAccount | None:
+    def account(self, service: str, region: str, now_s: float) -> TokenAccount | None:
+        """Return this VM's account of a region, None for an undocumented one."""
         document = self.document(service)
         capacities = document.regions if document else ()
         capacity_per_s = next((c.capacity_per_s for c in capacities if c.region == region), None)
@@ -63,7 +50,6 @@
             return None
         factor = min(1.0, max(0.0, self.capacity_factor(service, region)))
         budget = region_budget(service, region)
-        self.shares.record_demand(budget, 1.0, now_s)
         return self.shares.account(budget, region_limit(capacity_per_s, factor), now_s)
 
 
@@ -132,6 +118,22 @@
         self.healthy[(service.service, region)] = healthy_fraction
         return self.regions.take(service.service, region, now_s)
 
+    def follow(
+        self, service: ServiceDocument, region: str, now_s: float, came: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Call back when budget for a region comes from another VM; returns how to end that."""
+        account = self.regions.account(service.service, region, now_s)
+        if account is None:
+            return lambda: None
+        followers = account.changed.followers
+        followers.append(came)
+        return lambda: followers.remove(came)
+
+    def wait_s(self, service: ServiceDocument, region: str, now_s: float) -> float:
+        """Return the time until this VM's own rate has brought the budget of one request."""
+        account = self.regions.account(service.service, region, now_s)
+        return inf if account is None else account.wait_s(1.0, now_s)
+
     def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
         """Tell whether the link that carries responses may take one more."""
         return self.links.has_room(from_region, to_region, now_s)
--- a/src/wagtailbay/steer/models.py
+++ b/src/wagtailbay/steer/models.py
@@ -1,5 +1,6 @@
 """Model the choice of a target and what came of it."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -105,6 +106,14 @@
                 effective capacity is the documented one times this.
         """
 
+    def follow(
+        self, service: ServiceDocument, region: str, now_s: float, came: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Call back when budget for a region comes from another VM; returns how to end that."""
+
+    def wait_s(self, service: ServiceDocument, region: str, now_s: float) -> float:
+        """Return the time until this VM's own rate has brought the budget of one request."""
+
     def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
         """Tell whether the link that carries responses may take one more."""
 
--- a/src/wagtailbay/steer/two_choice.py
+++ b/src/wagtailbay/steer/two_choice.py
@@ -11,7 +11,7 @@
 from wagtailbay.health import FailureSign
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.steer.candidates import CandidateFinder, Candidates
-from wagtailbay.steer.const import MAX_WAIT_S, PPM
+from wagtailbay.steer.const import MAX_WAIT_S, MIN_TICK_S, PPM, WAIT_TICK_S
 from wagtailbay.steer.models import (
     Assignment,
     AttemptOutcome,
@@ -77,17 +77,42 @@
         found: Result[Assignment, Shortage] = Err(Shortage.BUSY)
         if last or not len(room):
             found = self.try_now(query, now_s, last)
-        while isinstance(found, Err) and not last and found.err_value is not Shortage.NO_TARGET:
-            await room.wait(query.workspace or "", until_s, now_s)
-            now_s = self.clock()
-            last = now_s >= until_s
-            found = self.try_now(query, now_s, last)
+        if isinstance(found, Err) and not last and found.err_value is not Shortage.NO_TARGET:
+            found = await self._wait(query, room, until_s, now_s, found)
         if isinstance(found, Ok):
             self.finder.beliefs.start(name, found.ok_value.target.target, query.deadline_s)
             return Ok(found.ok_value)
         code = "no_budget" if found.err_value is Shortage.NO_BUDGET else "no_target"
         return Err(not_run(503, code, found.err_value.value, retry_after_ms=1_000))
 
+    async def _wait(
+        self,
+        query: TargetQuery,
+        room: WaitingRoom,
+        until_s: float,
+        now_s: float,
+        found: Result[Assignment, Shortage],
+    ) -> Result[Assignment, Shortage]:
+        """Try again when a target or budget becomes free, until a time."""
+        service, region = query.service, self.region
+        # Borrowed budget arrives within a few ms; looking every 20 ms doubled a deposit's p50.
+        stop_following = self.budgets.follow(service, region, now_s, room.wake_next)
+        try:
+            last = False
+            while isinstance(found, Err) and not last:
+                tick_s = WAIT_TICK_S
+                if found.err_value is Shortage.NO_BUDGET:
+                    due_s = self.budgets.wait_s(service, region, now_s)
+                    tick_s = max(MIN_TICK_S, min(tick_s, due_s))
+                await room.wait(query.workspace or "", until_s, now_s, tick_s)
+                now_s = self.clock()
+                last = now_s >= until_s
+                found = self.try_now(query, now_s, last)
+                last = last or found == Err(Shortage.NO_TARGET)
+        finally:
+            stop_following()
+        return found
+
     def try_now(
         self, query: TargetQuery, now_s: float, last: bool = True
     ) -> Result[Assignment, Shortage]:
--- a/src/wagtailbay/steer/unlimited.py
+++ b/src/wagtailbay/steer/unlimited.py
@@ -1,5 +1,7 @@
 """Steer without budgets and without drains."""
 
+from collections.abc import Callable
+
 from attrs import define
 
 from wagtailbay.config import ServiceDocument, Target
@@ -20,6 +22,16 @@
         """Allow the request."""
         return True
 
+    def follow(
+        self, service: ServiceDocument, region: str, now_s: float, came: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Call nothing, since no budget is ever short."""
+        return lambda: None
+
+    def wait_s(self, service: ServiceDocument, region: str, now_s: float) -> float:
+        """Return that there is no wait."""
+        return 0.0
+
     def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
         """Allow the response."""
         return True
--- a/src/wagtailbay/steer/waiting.py
+++ b/src/wagtailbay/steer/waiting.py
@@ -26,15 +26,21 @@
         """Return how many requests wait."""
         return sum(map(len, self.queues.values()))
 
-    async def wait(self, workspace: str, until_s: float, now_s: float) -> None:
-        """Wait for this request's turn, at most until a time on the caller's clock."""
+    async def wait(
+        self, workspace: str, until_s: float, now_s: float, tick_s: float = WAIT_TICK_S
+    ) -> None:
+        """Wait for this request's turn, at most until a time on the caller's clock.
+
+        Args:
+            tick_s: After this time the next request is woken even if nothing was announced.
+        """
         event = trio.Event()
         queue = self.queues.setdefault(workspace if self.in_turn else "", deque())
         queue.append(event)
         end = trio.current_time() + max(0.0, until_s - now_s)
         try:
             while not event.is_set() and trio.current_time() < end:
-                with trio.move_on_at(min(end, trio.current_time() + WAIT_TICK_S)):
+                with trio.move_on_at(min(end, trio.current_time() + tick_s)):
                     await event.wait()
                     return
                 self.wake_next()
--- a/tests/steer/test_two_choice_chooser.py
+++ b/tests/steer/test_two_choice_chooser.py
@@ -38,6 +38,7 @@
     links: bool = True
     taken: list[tuple[str, float]] = field(factory=list)
     charged: list[tuple[str, str, int]] = field(factory=list)
+    followers: list[Any] = field(factory=list)
 
     def take_region(self, service: Any, region: str, now_s: float, healthy_fraction=1.0) -> bool:
         """Take budget where a test left some."""
@@ -45,6 +46,15 @@
             self.taken.append((region, healthy_fraction))
         return region in self.regions
 
+    def follow(self, service: Any, region: str, now_s: float, came: Any) -> Any:
+        """Keep the callback, which a test calls when it adds budget."""
+        self.followers.append(came)
+        return lambda: self.followers.remove(came)
+
+    def wait_s(self, service: Any, region: str, now_s: float) -> float:
+        """Tell that time alone brings nothing."""
+        return float("inf")
+
     def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
         """Tell what the test set."""
         return self.links
@@ -194,6 +204,24 @@
         with pytest.raises(AssertionError):
             await check(waits=False)
 
+    async def test_budget_that_arrives_ends_the_wait(self, autojump_clock: Any) -> None:
+        """Guards against requests that look for borrowed budget only at the next tick."""
+        budgets = FakeBudgets(set())
+        made = chooser(budgets=budgets)
+
+        async def lend() -> None:
+            await trio.sleep(0.003)
+            budgets.regions.add("a")
+            for came in tuple(budgets.followers):
+                came()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lend)
+            found = await made.choose(query(SERVICE), trio.current_time())
+        assert isinstance(found, Ok)
+        assert trio.current_time() == pytest.approx(0.003)
+        assert not budgets.followers
+
     async def test_wait_is_bounded(self, autojump_clock: Any) -> None:
         """Guards against requests that hang while no region has budget."""
         made = chooser(budgets=FakeBudgets(set()))
