Print the percentiles of each kind of callers

The line of script/measure mixed readers, harvesters and deposits; only the JSON reports told them apart. It now ends with sent, answered, p50, p99 and p99.9 of readers, harvesters and deposits, or of drivers, payouts, rate tables and claims.

--- a/src/wagtailbay_bench/measure/const.py
+++ b/src/wagtailbay_bench/measure/const.py
@@ -13,3 +13,14 @@
 CLIENT_TIMEOUT_MS: Final = 3_000
 SERVICE_TIME_MS: Final = 8.0
 PROBE_COST_MS: Final = 6.0
+# What the callers of each service of the examples are to their users.
+CALLERS_OF: Final = {
+    "records": "readers",
+    "fulltext": "readers",
+    "harvest": "harvesters",
+    "deposits": "deposits",
+    "status": "drivers",
+    "payouts": "payouts",
+    "rates": "rate_tables",
+    "claims": "claims",
+}
--- a/src/wagtailbay_bench/measure/figures.py
+++ b/src/wagtailbay_bench/measure/figures.py
@@ -9,6 +9,27 @@
 
 from wagtailbay_bench.load import LoadReport, Sample
 from wagtailbay_bench.load.const import HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS
+from wagtailbay_bench.measure.const import CALLERS_OF
+
+
+@frozen
+class CallerFigures:
+    """Hold what one kind of callers saw; latencies are of answered requests only."""
+
+    callers: str
+    sent: int
+    answered_pct: float
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+
+    def pairs(self) -> str:
+        """Return the figures as key=value pairs whose keys start with the callers."""
+        return (
+            f"{self.callers}_sent={self.sent} {self.callers}_answered_pct={self.answered_pct:.2f}"
+            f" {self.callers}_p50_ms={self.p50_ms:.2f} {self.callers}_p99_ms={self.p99_ms:.2f}"
+            f" {self.callers}_p999_ms={self.p999_ms:.2f}"
+        )
 
 
 @frozen
@@ -21,6 +42,7 @@
         drain_s: From the drain's start to the last run on a drained target, None without a drain.
         new_version_pct: Share of the moved service's runs that went to the new version, in %.
         move: State of the move at the end, empty without one.
+        callers: The same by kind of callers.
     """
 
     scenario: str
@@ -38,10 +60,14 @@
     deposits_twice: int
     deposits_lost: int
     move: str
+    callers: tuple[CallerFigures, ...] = ()
 
     def line(self) -> str:
         """Return the figures as one line of key=value pairs."""
-        return " ".join(f"{a.name}={self._text(a.name)}" for a in fields(Figures))
+        names = [a.name for a in fields(Figures) if a.name != "callers"]
+        return " ".join(
+            [f"{name}={self._text(name)}" for name in names] + [c.pairs() for c in self.callers]
+        )
 
     def _text(self, name: str) -> str:
         value = getattr(self, name)
@@ -59,6 +85,30 @@
     return histogram
 
 
+def percentiles_ms(samples: Sequence[Sample]) -> tuple[float, float, float]:
+    """Return p50, p99 and p99.9 of the answered requests."""
+    histogram = answered_latencies(samples)
+    p50, p99, p999 = (histogram.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9))
+    return p50, p99, p999
+
+
+def caller_figures(samples: Sequence[Sample]) -> tuple[CallerFigures, ...]:
+    """Return the figures of each kind of callers, by the service that they call."""
+    by_callers: dict[str, list[Sample]] = {}
+    for sample in samples:
+        service = sample.traffic_class.partition("/")[0]
+        by_callers.setdefault(CALLERS_OF.get(service, service), []).append(sample)
+    return tuple(
+        CallerFigures(
+            callers,
+            len(own),
+            100 * sum(sample.answered for sample in own) / len(own),
+            *percentiles_ms(own),
+        )
+        for callers, own in sorted(by_callers.items())
+    )
+
+
 def least_headroom_pct(
     runs: Sequence[Mapping[str, Any]],
     places: Mapping[str, tuple[str, str]],
@@ -88,8 +138,7 @@
     move: str,
 ) -> Figures:
     """Build the figures of one variant."""
-    histogram = answered_latencies(samples)
-    p50, p99, p999 = (histogram.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9))
+    p50, p99, p999 = percentiles_ms(samples)
     new_runs = sum(run["version"] == "v2" for run in runs)
     return Figures(
         scenario,
@@ -107,4 +156,5 @@
         report.deposits_twice,
         report.deposits_lost,
         move,
+        caller_figures(samples),
     )
