Keep what a request derives from documents, and judge a target once

Cause: each request built the limit of its region anew, read its path in four forms though most paths have one reading only, indexed the headers of the request to the target, which nobody looks up, and judged a drawn target up to three times.

Change: limits are kept with the document and factor they come from; paths of plain characters skip the forms that they cannot have; the index is built at the first look; a choice judges each target once. RegionBudget no longer takes a clock, which nothing used.

--- a/src/wagtailbay/entry/routing.py
+++ b/src/wagtailbay/entry/routing.py
@@ -10,6 +10,8 @@
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.transport import Request
 
+# Paths of these characters have one reading only and none of the forms that are refused.
+PLAIN_PATH = re.compile(r"(?:/[A-Za-z0-9_~-]+)+")
 CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 SLASHES = re.compile(r"[/\\]+")
 BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
@@ -23,23 +25,31 @@
 
 def check_form(request: Request) -> Result[None, Refusal]:
     """Refuse targets and headers that two readers could understand differently."""
-    path, _ = split_target(request.path)
+    message = _path_fault(request.path)
+    for name in SINGLE_REQUEST_HEADERS if request.repeats_headers else ():
+        if sum(1 for key, _ in request.headers if key.lower() == name) > 1:
+            message = f"the header {name} must not be repeated"
+    return Ok(None) if message is None else Err(not_run(400, "malformed_request", message))
+
+
+def _path_fault(target: str) -> str | None:
+    """Return what is wrong with a request target, or None."""
+    if PLAIN_PATH.fullmatch(target):
+        return None
+    path, _ = split_target(target)
     decoded = unquote(path, errors="replace")
     message = None
     if not path.startswith("/") or path.startswith("//"):
         message = "the request target must be an absolute path"
-    elif "#" in request.path:
+    elif "#" in target:
         message = "the request target must not have a fragment"
-    elif BAD_ESCAPE.search(request.path):
+    elif BAD_ESCAPE.search(target):
         message = "the request target has an incomplete percent escape"
     elif CONTROL.search(decoded):
         message = "the path must not have control characters"
-    elif "." in decoded and {".", ".."} & set(re.split(r"[/\\]", decoded.replace(";", "/"))):
+    elif {".", ".."} & set(re.split(r"[/\\]", decoded.replace(";", "/"))):
         message = "the path must not have . or .. segments"
-    for name in SINGLE_REQUEST_HEADERS if request.repeats_headers else ():
-        if sum(1 for key, _ in request.headers if key.lower() == name) > 1:
-            message = f"the header {name} must not be repeated"
-    return Ok(None) if message is None else Err(not_run(400, "malformed_request", message))
+    return message
 
 
 def find_route(
@@ -63,6 +73,8 @@
 
 def other_readings(path: str) -> tuple[str, ...]:
     """Return the other forms in which a target could read a path."""
+    if PLAIN_PATH.fullmatch(path):
+        return ()
     decoded = unquote(path, errors="replace")
     readings = {decoded, SLASHES.sub("/", path), SLASHES.sub("/", decoded)}
     return tuple(readings - {path})
--- a/src/wagtailbay/steer/belief.py
+++ b/src/wagtailbay/steer/belief.py
@@ -46,17 +46,20 @@
             record.deadlines.pop(0)
         return len(record.deadlines)
 
-    def load(self, service: str, target: str, view: TargetView, slots: int, now_s: float) -> float:
-        """Return own requests plus the load of others, reported or shown by shed answers."""
+    def loads(
+        self, service: str, target: str, view: TargetView, slots: int, now_s: float
+    ) -> tuple[int, float]:
+        """Return own requests, and these plus the load of others, reported or shown by sheds."""
         record = self.records.get((service, target))
         if record is None:
-            return view.in_flight
+            return 0, view.in_flight
         others = view.in_flight
         if self.correct_reports and record.shed_s is not None:
             faded = 0.5 ** (max(0.0, now_s - record.shed_s) / SHED_HALF_LIFE_S)
             shown = slots * SHED_LOAD * min(record.sheds, MAX_SHED_LOADS) * faded
             others = max(others, shown)
-        return self.in_flight(service, target, now_s) + others
+        own = self.in_flight(service, target, now_s)
+        return own, own + others
 
     def answered_recently(self, service: str, target: str, now_s: float) -> bool:
         """Tell whether a target has just answered this VM."""
--- a/src/wagtailbay/steer/budgets.py
+++ b/src/wagtailbay/steer/budgets.py
@@ -26,12 +26,15 @@
         document: Returns the document in force of a service, None if there is none.
         capacity_factor: Returns the part of a region's documented capacity that is usable now,
             for example its healthy slots / all slots.
+        limits: The limit of each service and region with the document and factor it comes from.
     """
 
     shares: ShareSource
     document: Callable[[str], ServiceDocument | None]
-    clock: Callable[[], float]
     capacity_factor: Callable[[str, str], float] = lambda service, region: 1.0
+    limits: dict[tuple[str, str], tuple[ServiceDocument | None, float, BudgetLimit | None]] = field(
+        factory=dict
+    )
 
     def take(self, service: str, region: str, now_s: float) -> bool:
         """Take one request; False without capacity, also for an undocumented region."""
@@ -44,13 +47,20 @@
     def account(self, service: str, region: str, now_s: float) -> TokenAccount | None:
         """Return this VM's account of a region, None for an undocumented one."""
         document = self.document(service)
-        capacities = document.regions if document else ()
-        capacity_per_s = next((c.capacity_per_s for c in capacities if c.region == region), None)
-        if capacity_per_s is None:
-            return None
         factor = min(1.0, max(0.0, self.capacity_factor(service, region)))
-        budget = region_budget(service, region)
-        return self.shares.account(budget, region_limit(capacity_per_s, factor), now_s)
+        known = self.limits.get((service, region))
+        if known is None or known[0] is not document or known[1] != factor:
+            known = (document, factor, _limit_of(document, region, factor))
+            self.limits[(service, region)] = known
+        if known[2] is None:
+            return None
+        return self.shares.account(region_budget(service, region), known[2], now_s)
+
+
+def _limit_of(document: ServiceDocument | None, region: str, factor: float) -> BudgetLimit | None:
+    capacities = document.regions if document else ()
+    capacity_per_s = next((c.capacity_per_s for c in capacities if c.region == region), None)
+    return None if capacity_per_s is None else region_limit(capacity_per_s, factor)
 
 
 @define
--- a/src/wagtailbay/steer/candidates.py
+++ b/src/wagtailbay/steer/candidates.py
@@ -132,19 +132,18 @@
 
     def judge_of(self, service: str, now_s: float) -> Judge:
         """Return a function that judges the load of one target now."""
+        judged: dict[str, Candidate] = {}
 
         def judge(seat: Seat) -> Candidate:
             target = seat.target
-            view = self.states.view(service, target.target, now_s)
-            slots = min(target.slots, view.slots or target.slots)
-            return Candidate(
-                target,
-                seat.region,
-                self.beliefs.in_flight(service, target.target, now_s),
-                self.beliefs.load(service, target.target, view, slots, now_s),
-                seat.slots,
-                seat.weight_ppm,
-            )
+            found = judged.get(target.target)
+            if found is None:
+                view = self.states.view(service, target.target, now_s)
+                slots = min(target.slots, view.slots or target.slots)
+                own, load = self.beliefs.loads(service, target.target, view, slots, now_s)
+                found = Candidate(target, seat.region, own, load, seat.slots, seat.weight_ppm)
+                judged[target.target] = found
+            return found
 
         return judge
 
--- a/src/wagtailbay/transport/models.py
+++ b/src/wagtailbay/transport/models.py
@@ -21,21 +21,22 @@
     path: str
     headers: Headers = ()
     body: bytes = b""
-    _first: dict[str, str] = field(init=False, eq=False, repr=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Index the first value of each header, which is looked up several times a request."""
-        first = {name.lower(): value for name, value in reversed(self.headers)}
-        object.__setattr__(self, "_first", first)
+    _first: dict[str, str] = field(init=False, factory=dict, eq=False, repr=False)
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, or None; names are compared without case."""
-        return self._first.get(name.lower())
+        return self._index().get(name.lower())
 
     @property
     def repeats_headers(self) -> bool:
         """Tell whether any header occurs more than once."""
-        return len(self._first) < len(self.headers)
+        return len(self._index()) < len(self.headers)
+
+    def _index(self) -> dict[str, str]:
+        """Return the first value of each header, found at the first look."""
+        if not self._first:
+            self._first.update((name.lower(), value) for name, value in reversed(self.headers))
+        return self._first
 
 
 @frozen
--- a/tests/steer/test_load_belief.py
+++ b/tests/steer/test_load_belief.py
@@ -14,8 +14,8 @@
         belief.start("records", "t1", 10.0)
         belief.start("records", "t1", 5.0)
         belief.finish("records", "t1", 10.0, AttemptOutcome.ANSWERED, 4.0)
-        assert belief.load("records", "t1", TargetView(), 4, 5.5) == 1.0
-        assert belief.load("records", "t1", TargetView(), 4, 6.1) == 0.0
+        assert belief.loads("records", "t1", TargetView(), 4, 5.5) == (1, 1.0)
+        assert belief.loads("records", "t1", TargetView(), 4, 6.1) == (0, 0.0)
 
     def test_target_that_is_gone_is_forgotten_after_its_last_request(self) -> None:
         """Guards against a table that grows with every replaced target."""
