Wake one waiting request for each arrival of budget

A loan woke every waiting request of the service, and each looked at all targets again; where the own region had budget and others were short, a request looked every millisecond. The requests of a service now follow the budget once, each that succeeds wakes the next, and none looks more often than every 5 ms.

--- a/src/wagtailbay/steer/const.py
+++ b/src/wagtailbay/steer/const.py
@@ -8,7 +8,7 @@
 # Waiting requests look again after this time, for what becomes free without an event.
 WAIT_TICK_S: Final = 0.02
 # Bounds how often a request looks for budget that its VM's own rate is about to bring.
-MIN_TICK_S: Final = 0.001
+MIN_TICK_S: Final = 0.005
 # While no target is failed, ejected, drained or starting slowly, the list of targets is kept for
 # this long; a change of reports, ejections or documents ends it at once.
 SURVEY_S: Final = 0.1
--- a/src/wagtailbay/steer/two_choice.py
+++ b/src/wagtailbay/steer/two_choice.py
@@ -96,21 +96,22 @@
         """Try again when a target or budget becomes free, until a time."""
         service, region = query.service, self.region
         # Borrowed budget arrives within a few ms; looking every 20 ms doubled a deposit's p50.
-        stop_following = self.budgets.follow(service, region, now_s, room.wake_next)
-        try:
+        with room.visit(lambda: self.budgets.follow(service, region, now_s, room.wake_next)):
             last = False
             while isinstance(found, Err) and not last:
                 tick_s = WAIT_TICK_S
                 if found.err_value is Shortage.NO_BUDGET:
                     due_s = self.budgets.wait_s(service, region, now_s)
-                    tick_s = max(MIN_TICK_S, min(tick_s, due_s))
+                    # With budget at home, it is targets or other regions that are short.
+                    tick_s = max(MIN_TICK_S, min(tick_s, due_s)) if due_s > 0 else tick_s
                 await room.wait(query.workspace or "", until_s, now_s, tick_s)
                 now_s = self.clock()
                 last = now_s >= until_s
                 found = self.try_now(query, now_s, last)
                 last = last or found == Err(Shortage.NO_TARGET)
-        finally:
-            stop_following()
+        if isinstance(found, Ok):
+            # What came may be enough for the next one too.
+            room.wake_next()
         return found
 
     def try_now(
--- a/src/wagtailbay/steer/waiting.py
+++ b/src/wagtailbay/steer/waiting.py
@@ -1,6 +1,8 @@
 """Let requests wait for a free target or for budget, in turn by workspace."""
 
 from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import trio
 from attrs import define, field
@@ -17,10 +19,30 @@
 
     Attributes:
         in_turn: Test-only switch; False wakes requests in order of arrival.
+        visitors: Requests that wait or have just been woken to try again.
     """
 
     in_turn: bool = True
     queues: dict[str, deque[trio.Event]] = field(factory=dict)
+    visitors: int = 0
+    stop_following: Callable[[], None] = lambda: None
+
+    @contextmanager
+    def visit(self, follow: Callable[[], Callable[[], None]]) -> Iterator[None]:
+        """Follow what may end the waits, once for all requests that are trying again.
+
+        Args:
+            follow: Starts it and returns how to end it.
+        """
+        self.visitors += 1
+        if self.visitors == 1:
+            self.stop_following = follow()
+        try:
+            yield
+        finally:
+            self.visitors -= 1
+            if not self.visitors:
+                self.stop_following()
 
     def __len__(self) -> int:
         """Return how many requests wait."""
--- a/src/wagtailbay_bench/path_cost/profile.py
+++ b/src/wagtailbay_bench/path_cost/profile.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import tempfile
+from collections import Counter
 from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
@@ -50,6 +51,15 @@
         print(f"{100 * count / total:6.2f} %  {name}")
 
 
+def by_package(on_top: Mapping[str, int]) -> Counter:
+    """Add the counts of the functions of each package up."""
+    packages: Counter = Counter()
+    for name, count in on_top.items():
+        folder = name.partition(":")[0].rpartition("/")[0]
+        packages[folder.removeprefix("site-packages/") or "built in"] += count
+    return packages
+
+
 def main() -> None:
     """Run the program."""
     parser = argparse.ArgumentParser(prog="profile", description=__doc__)
@@ -64,6 +74,8 @@
     print(f"size={arguments.size} samples={total} cpu_us_with_sampling={cpu_us:.0f}")
     for generation, (runs, sum_ms, most_ms) in profile["garbage"].items():
         print(f"garbage generation={generation} runs={runs} ms={sum_ms:.1f} most_ms={most_ms:.1f}")
+    packages = by_package(profile["on_top"])
+    print_counts("running, by package", packages, total, arguments.lines)
     print_counts("running", profile["on_top"], total, arguments.lines)
     print_counts("running or waiting for what it called", profile["in_stack"], total, 90)
 
