Take h11's events of a target's answer without wrapping each

They are now returned as they are, or as a TransportError; what the class hands out are still results.

--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -88,11 +88,11 @@
     async def _receive_head(self) -> Result[ResponseHead, TransportError]:
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             event = await self._next_event()
-            if isinstance(event, Err):
-                return event
-            kind = type(event.ok_value)
+            kind = type(event)
             if kind is h11.Response:
-                return self._checked_head(event.ok_value)
+                return self._checked_head(event)
+            if kind is TransportError:
+                return Err(event)
             if kind is not h11.InformationalResponse:
                 return Err(self._error(FailureKind.CLOSED, f"got {kind.__name__}"))
         return Err(self._error(FailureKind.PROTOCOL, "too many informational responses"))
@@ -121,34 +121,36 @@
         event = self._event_of_received()
         return None if event is None else self._chunk_of(event)
 
-    def _chunk_of(self, event: Result[Any, TransportError]) -> Result[bytes | None, TransportError]:
-        if isinstance(event, Err):
-            return event
-        kind = type(event.ok_value)
+    def _chunk_of(self, event: Any) -> Result[bytes | None, TransportError]:
+        kind = type(event)
         if kind is h11.Data:
-            return Ok(bytes(event.ok_value.data))
+            return Ok(bytes(event.data))
         if kind is h11.EndOfMessage:
             return Ok(None)
+        if kind is TransportError:
+            return Err(event)
         return Err(self._error(FailureKind.TRUNCATED, f"got {kind.__name__}"))
 
-    def _event_of_received(self) -> Result[Any, TransportError] | None:
+    def _event_of_received(self) -> Any:
+        """Return the next event of h11, a TransportError, or None if more bytes are needed."""
         try:
             event = self.protocol.next_event()
         except h11.RemoteProtocolError as error:
             kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
-            return Err(self._error(kind, str(error)))
-        return None if event is h11.NEED_DATA else Ok(event)
+            return self._error(kind, str(error))
+        return None if event is h11.NEED_DATA else event
 
-    async def _next_event(self) -> Result[Any, TransportError]:
+    async def _next_event(self) -> Any:
+        """Return the next event of h11, or a TransportError."""
         while (event := self._event_of_received()) is None:
             try:
                 data = await receive(self.stream, RECEIVE_CHUNK_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
                 kind = FailureKind.TRUNCATED if self.answered else FailureKind.CLOSED
-                return Err(self._error(kind, str(error)))
+                return self._error(kind, str(error))
             self.answered = self.answered or bool(data)
             if not data and not self.answered:
-                return Err(self._error(FailureKind.CLOSED, "end of stream"))
+                return self._error(FailureKind.CLOSED, "end of stream")
             self.protocol.receive_data(data)
         return event
 
