Share a short region budget by workspace, in rounds

RegionBudget.take_in_turn and its queue had no caller; WaitingRoom is what carries turns under a shortage. It did not: waiting requests that joined together had their ticks together, so all of them were woken at one instant and competed in random order.

A round now tries the first request of each workspace, one after another, at most once a tick; a request whose turn was in vain keeps its place. The new test fails without turns.

take_in_turn, its queue and its clock are removed.

--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -243,7 +243,7 @@
         if self.settings.chooser == "least-connections":
             return LeastConnectionsChooser(self.source)
         config = self.config
-        regions = RegionBudget(shares, lambda name: config.view.services.get(name), boottime_s)
+        regions = RegionBudget(shares, lambda name: config.view.services.get(name))
         budgets = SharedBudgets(regions, LinkBudget(shares, lambda: config.view.fleet))
         weights = DrainWeights(lambda: config.view.fleet, unix_time_s)
         zone = self.settings.availability_zone
--- a/src/wagtailbay/steer/budgets.py
+++ b/src/wagtailbay/steer/budgets.py
@@ -7,7 +7,6 @@
 from wagtailbay.config import FleetDocument, ServiceDocument
 from wagtailbay.limits import (
     BudgetLimit,
-    FairQueue,
     ShareSource,
     TokenAccount,
     link_budget,
@@ -15,8 +14,6 @@
 )
 from wagtailbay.limits.rates import link_limit, region_limit
 
-__all__ = ["FairQueue", "LinkBudget", "RegionBudget", "SharedBudgets"]
-
 
 @define
 class RegionBudget:
@@ -30,31 +27,15 @@
 
     shares: ShareSource
     document: Callable[[str], ServiceDocument | None]
-    clock: Callable[[], float]
     capacity_factor: Callable[[str, str], float] = lambda service, region: 1.0
-    queues: dict[str, FairQueue] = field(factory=dict)
 
     def take(self, service: str, region: str, now_s: float) -> bool:
         """Take one request; False without capacity, also for an undocumented region."""
         account = self._account(service, region, now_s)
         if account is None:
             return False
-        queue = self.queues.get(region_budget(service, region))
-        # Those who wait were here first.
-        if queue is not None and queue.waiting:
-            return False
         return account.take(1.0, now_s)
 
-    async def take_in_turn(
-        self, service: str, region: str, workspace: str | None, now_s: float
-    ) -> bool:
-        """Take one request, waiting at most 200 ms round robin by workspace."""
-        account = self._account(service, region, now_s)
-        if account is None:
-            return False
-        queue = self.queues.setdefault(region_budget(service, region), FairQueue(self.clock))
-        return await queue.take(account, workspace or "")
-
     def _account(self, service: str, region: str, now_s: float) -> TokenAccount | None:
         document = self.document(service)
         capacities = document.regions if document else ()
--- a/src/wagtailbay/steer/two_choice.py
+++ b/src/wagtailbay/steer/two_choice.py
@@ -73,11 +73,15 @@
         found: Result[Assignment, Shortage] = Err(Shortage.BUSY)
         if last or not len(room):
             found = self.try_now(query, now_s, last)
+        waited = False
         while isinstance(found, Err) and not last and found.err_value is not Shortage.NO_TARGET:
-            await room.wait(query.workspace or "", until_s, now_s)
-            now_s = self.clock()
+            await room.wait(query.workspace or "", until_s, now_s, again=waited)
+            waited, now_s = True, self.clock()
             last = now_s >= until_s
             found = self.try_now(query, now_s, last)
+        if waited:
+            # What is left of a target or of a budget goes to the next one in turn.
+            room.wake_next()
         if isinstance(found, Ok):
             self.finder.beliefs.start(name, found.ok_value.target.target, query.deadline_s)
             return Ok(found.ok_value)
--- a/src/wagtailbay/steer/waiting.py
+++ b/src/wagtailbay/steer/waiting.py
@@ -13,31 +13,50 @@
     """Hold the waiting requests of one service.
 
     One request is woken at a time, taking workspaces in turn, so a workspace with many waiting
-    requests does not delay the others.
+    requests does not delay the others. A round tries the first request of each workspace; it
+    begins when a request has ended and at least every tick. Requests woken together would compete
+    for what has come free regardless of their workspace.
 
     Attributes:
         in_turn: Test-only switch; False wakes requests in order of arrival.
+        tried: The workspaces tried in this round.
+        round_s: When the round began.
     """
 
     in_turn: bool = True
     queues: dict[str, deque[trio.Event]] = field(factory=dict)
+    tried: set[str] = field(factory=set)
+    round_s: float = float("-inf")
 
     def __len__(self) -> int:
         """Return how many requests wait."""
         return sum(map(len, self.queues.values()))
 
-    async def wait(self, workspace: str, until_s: float, now_s: float) -> None:
-        """Wait for this request's turn, at most until a time on the caller's clock."""
+    async def wait(self, workspace: str, until_s: float, now_s: float, again: bool = False) -> None:
+        """Wait for this request's turn, at most until a time on the caller's clock.
+
+        Args:
+            workspace: Whose request waits.
+            until_s: When to give up.
+            now_s: The present time on the same clock.
+            again: Whether the request had its turn in vain; it keeps its place.
+        """
         event = trio.Event()
         queue = self.queues.setdefault(workspace if self.in_turn else "", deque())
-        queue.append(event)
+        if again:
+            queue.appendleft(event)
+            self._wake_untried()
+        else:
+            queue.append(event)
         end = trio.current_time() + max(0.0, until_s - now_s)
         try:
             while not event.is_set() and trio.current_time() < end:
                 with trio.move_on_at(min(end, trio.current_time() + WAIT_TICK_S)):
                     await event.wait()
                     return
-                self.wake_next()
+                # Requests that joined together have their ticks together; one round serves all.
+                if trio.current_time() - self.round_s >= WAIT_TICK_S / 2:
+                    self.wake_next()
         finally:
             self._leave(queue, event, workspace if self.in_turn else "")
 
@@ -48,10 +67,18 @@
             del self.queues[name]
 
     def wake_next(self) -> None:
-        """Wake the first request of the workspace whose turn it is."""
+        """Begin a round: wake the first request of the workspace whose turn it is."""
+        self.tried.clear()
+        self.round_s = trio.current_time()
+        self._wake_untried()
+
+    def _wake_untried(self) -> None:
         for name in tuple(self.queues):
+            if name in self.tried:
+                continue
             queue = self.queues.pop(name)
             if queue:
+                self.tried.add(name)
                 queue.popleft().set()
                 if queue:
                     # Goes to the end, behind the other workspaces.
--- /dev/null
+++ b/tests/steer/test_budget_shortage.py
@@ -0,0 +1,75 @@
+"""Test who is served while a region's budget is short."""
+
+import random
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+from attrs import define, field
+from result import Ok
+from steering_fakes import FLEET, FakeStates, query, service, target
+
+from wagtailbay.limits import TokenBucket
+from wagtailbay.steer import FullWeights, TwoChoiceChooser, build_chooser
+from wagtailbay.steer.waiting import WaitingRoom
+
+SERVICE = service((target("t1"), target("t2")))
+
+
+@define
+class ScarceBudgets:
+    """Let 40 requests a second pass to any region."""
+
+    bucket: TokenBucket = field(factory=lambda: TokenBucket(40.0, 1.0, 0.0, 0.0))
+
+    def take_region(self, service: Any, region: str, now_s: float, healthy_fraction=1.0) -> bool:
+        """Take what the rate has brought."""
+        return self.bucket.take(1.0, now_s)
+
+    def link_has_room(self, from_region: str, to_region: str, now_s: float) -> bool:
+        """Limit no link."""
+        return True
+
+    def charge_link(self, from_region: str, to_region: str, size: int, now_s: float) -> None:
+        """Ignore the response."""
+
+
+def scarce_chooser() -> TwoChoiceChooser:
+    """Build a chooser whose budget is short."""
+    weights, clock = FullWeights(), trio.current_time
+    made = build_chooser("a1", FakeStates(), ScarceBudgets(), weights, clock, random.Random(7))
+    made.fleet = FLEET
+    return made
+
+
+async def served(in_turn: bool) -> list[str]:
+    """Return the workspaces served, in order, of 20 requests of a large one and one of a small."""
+    made, order = scarce_chooser(), []
+    made.rooms["records"] = WaitingRoom(in_turn)
+
+    async def ask(workspace: str) -> None:
+        found = await made.choose(query(SERVICE, workspace), trio.current_time())
+        if isinstance(found, Ok):
+            order.append(workspace)
+
+    async with trio.open_nursery() as nursery:
+        for workspace in ("large",) * 20 + ("small",):
+            nursery.start_soon(ask, workspace)
+            await trio.testing.wait_all_tasks_blocked()
+    return order
+
+
+class TestBudgetShortage:
+    """What a short budget still allows is shared by workspace."""
+
+    async def test_a_small_workspace_is_served_in_turn(self, autojump_clock: Any) -> None:
+        """Guards against a large workspace that takes all that a short budget allows."""
+        order = await served(in_turn=True)
+        assert "small" in order[:3]
+        assert len(order) >= 5
+
+    async def test_it_is_not_served_in_order_of_arrival(self, autojump_clock: Any) -> None:
+        """Shows that the check above depends on the turns."""
+        with pytest.raises(AssertionError):
+            assert "small" in (await served(in_turn=False))[:3]
--- a/tests/steer/test_budgets.py
+++ b/tests/steer/test_budgets.py
@@ -21,7 +21,7 @@
         """Return the budget of one VM that has the whole share."""
         shares = EqualShares(lambda: 1, 0.0)
         services = {"records": DOCUMENT}
-        return RegionBudget(shares, services.get, lambda: 0.0, lambda service, region: factor)
+        return RegionBudget(shares, services.get, lambda service, region: factor)
 
     def test_admits_rate_and_half_a_second_of_burst(self) -> None:
         """Guards against an overload of a region."""
