Return a loan of tokens once they are spent

Cause, traced: at 2/s, burst 4, one VM holds the whole budget; each loan of one token locks a quarter of its room for 220 ms, and near its capacity it gains nothing in that time.

Change: loans are numbered; a borrower that has spent its tokens gives up the room and returns the loan, where the lender would otherwise reach its capacity before the end.

The safeguards get an eighth scenario: a borrower that keeps the room of a loan it returned.

--- a/src/wagtailbay/allotment/account.py
+++ b/src/wagtailbay/allotment/account.py
@@ -8,6 +8,7 @@
 from wagtailbay.allotment.const import LEDGER_PPM, MAX_LOOP_GAP_S, WHOLE_PPM
 from wagtailbay.allotment.models import Holder, Loan
 from wagtailbay.limits import BudgetLimit, TokenBucket
+from wagtailbay.limits.const import ROUNDING
 from wagtailbay.replica import ChangeSignal
 
 
@@ -29,6 +30,7 @@
         lent: Loans to each borrower as this VM counts them. Loans with rate to one borrower replace
             each other: the largest counts, not the sum. Loans of tokens add up.
         borrowed: Loans of each lender, counted in the same way.
+        on_spent: Called when the tokens of loans are spent.
         waiting: Tokens that waiting requests want.
         is_confined: Tells whether only the floor may be used now.
         refresh: Applies newer ledgers, which may set this account's share, before tokens are used.
@@ -47,6 +49,7 @@
     lent: dict[Holder, list[Loan]] = field(factory=dict)
     borrowed: dict[str, list[Loan]] = field(factory=dict)
     changed: ChangeSignal = field(factory=ChangeSignal)
+    on_spent: Callable[[str, float], None] = lambda budget, now_s: None
     waiting: float = 0.0
     bucket: TokenBucket = field(init=False)
     confined: bool = False
@@ -182,6 +185,8 @@
             self.on_short(self.budget, max(amount, self.waiting), now_s)
         elif self.bucket.level < max(amount, 0.5 * self.bucket.capacity):
             self.on_short(self.budget, 0.0, now_s)
+        if taken and self.borrowed and self.bucket.level < ROUNDING:
+            self.on_spent(self.budget, now_s)
         return taken
 
     def charge(self, amount: float, now_s: float) -> None:
@@ -225,6 +230,20 @@
         self._settle(now_s)
         return tokens
 
+    def end_lent(self, borrower: Holder, number: int, now_s: float) -> None:
+        """Take back the room of a loan that the borrower returned; a loan not known is none."""
+        self.settle(now_s)
+        loans = self.lent.get(borrower, [])
+        self.lent[borrower] = [loan for loan in loans if loan.with_rate or loan.number != number]
+        self._measure(now_s)
+
+    def end_borrowed(self, lender: str, number: int, now_s: float) -> None:
+        """Give up the room of a loan."""
+        self.settle(now_s)
+        loans = self.borrowed.get(lender, [])
+        self.borrowed[lender] = [loan for loan in loans if loan.number != number]
+        self._measure(now_s)
+
     def receive(self, lender: str, loan: Loan, tokens: float, now_s: float) -> bool:
         """Take in a loan unless its term has ended; returns whether it counts."""
         self.settle(now_s)
--- a/src/wagtailbay/allotment/assembly.py
+++ b/src/wagtailbay/allotment/assembly.py
@@ -59,6 +59,7 @@
         self.loans = LoanBook(self.holding, self.fleet, self.lender, self.clock)
         if self.loans_enabled:
             self.holding.on_short = self.loans.on_short
+            self.holding.on_spent = self.loans.on_spent
         self.keeper = LedgerKeeper(
             self.fleet,
             self.store,
--- a/src/wagtailbay/allotment/holding.py
+++ b/src/wagtailbay/allotment/holding.py
@@ -47,6 +47,7 @@
         limits: Returns the limit of every budget in the documents.
         max_vms: Returns the most VMs ever alive at once, None while it is unknown.
         on_short: Called when an account runs low; tells whether a loan may come.
+        on_spent: Called when an account has spent the tokens of its loans.
         ticked_s: When this VM's own loop last ran.
     """
 
@@ -59,6 +60,7 @@
     started_s: float
     safeguards: Safeguards = field(factory=Safeguards)
     on_short: Callable[[str, float, float], bool] = lambda budget, wanted, now_s: False
+    on_spent: Callable[[str, float], None] = lambda budget, now_s: None
     accounts: dict[str, Account] = field(factory=dict)
     ledgers: dict[str, AppliedLedger] = field(factory=dict)
     refused: dict[str, int] = field(factory=dict)
@@ -98,6 +100,7 @@
             is_confined=self.is_confined,
             refresh=self.refresh,
             on_short=lambda name, wanted, at_s: self.on_short(name, wanted, at_s),
+            on_spent=lambda name, at_s: self.on_spent(name, at_s),
         )
         self.accounts[budget] = account
         account.set_share(self._granted_ppm(budget), self.floor_ppm(), now_s)
--- a/src/wagtailbay/allotment/lenders.py
+++ b/src/wagtailbay/allotment/lenders.py
@@ -16,6 +16,7 @@
 from wagtailbay.allotment.demand import known_demand, needed_ppm
 from wagtailbay.allotment.holding import Holding
 from wagtailbay.allotment.ports import Fleet
+from wagtailbay.membership.loans import TOKEN_LOAN_TERM_MS
 
 
 @define
@@ -46,6 +47,14 @@
         """Record how many tokens a VM can lend."""
         self.seen[(budget, vm)] = Sighting(tokens, now_s)
 
+    def is_full(self, account: Account, vm: str, now_s: float) -> bool:
+        """Tell whether a VM is expected to reach its capacity before a loan ends by its term."""
+        granted_ppm = self.holding.granted_to_others(account.budget).get(vm, 0)
+        held, gained_per_s = self._tokens(account, vm, granted_ppm, 0.0, now_s)
+        lent = account.capacity(account.borrowed_ppm(now_s))
+        term_s = TOKEN_LOAN_TERM_MS / 1000
+        return held + gained_per_s * term_s >= account.capacity(granted_ppm) - lent
+
     def avoid(self, budget: str, vm: str, now_s: float) -> None:
         """Leave out a VM that lent little of its rate."""
         self.avoided[(budget, vm)] = now_s + AVOID_LENDER_S
--- a/src/wagtailbay/allotment/loans.py
+++ b/src/wagtailbay/allotment/loans.py
@@ -1,6 +1,7 @@
 """Lend shares to other VMs and borrow from them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import count
 from math import floor, inf, isfinite
 
 import trio
@@ -82,6 +83,7 @@
     outbox: list[tuple[str, LoanRequest]] = field(factory=list)
     states: dict[str, BorrowState] = field(factory=dict)
     wanted: ChangeSignal = field(factory=ChangeSignal)
+    numbers: Iterator[int] = field(factory=lambda: count(1))
 
     def __attrs_post_init__(self) -> None:
         """Start without knowledge of the other VMs."""
@@ -93,13 +95,16 @@
         if account is None or not _is_valid(request) or request.borrower == self.holding.own.vm:
             return NOTHING_LENT
         account.settle(now_s)
+        borrower = Holder(request.borrower, request.incarnation)
+        if request.returned:
+            account.end_lent(borrower, request.returned, now_s)
+            return NOTHING_LENT
         if account.confined:
             return NOTHING_LENT
         demand_per_s = self.holding.demand.rate(request.budget, now_s)
         # The lender keeps the tokens that it needs itself before the loan ends.
         keep_tokens = demand_per_s * request.term_ms / 1000
         spare_tokens = max(0.0, account.bucket.level - keep_tokens)
-        borrower = Holder(request.borrower, request.incarnation)
         if request.with_rate:
             spare_ppm = account.ledger_ppm - account.lent_ppm(now_s, replaced=borrower)
             spare_ppm -= max(0, needed_ppm(account.limit, demand_per_s) - account.floor_ppm)
@@ -115,7 +120,7 @@
             return NOTHING_LENT
         margin = 1 + self.holding.safeguards.loan_margin
         until_s = now_s + request.term_ms / 1000 * margin
-        loan = Loan(share_ppm, until_s, request.with_rate)
+        loan = Loan(share_ppm, until_s, request.with_rate, request.number)
         move = self.holding.safeguards.move_tokens
         tokens = account.lend(borrower, loan, keep_tokens, now_s, move)
         return LoanGrant(share_ppm, tokens, max(0.0, account.bucket.level - keep_tokens))
@@ -142,6 +147,27 @@
             self.wanted.notify()
         return state.may_bring_tokens(now_s)
 
+    def on_spent(self, budget: str, now_s: float) -> None:
+        """Return loans whose tokens are spent to lenders that are nearly full.
+
+        The bucket of a lender loses what it would have gained in the room that is lent.
+        """
+        account = self.holding.accounts[budget]
+        for vm, loans in tuple(account.borrowed.items()):
+            if not self.lenders.is_full(account, vm, now_s):
+                continue
+            for loan in tuple(loans):
+                if not loan.with_rate and loan.until_s > now_s:
+                    self._return(account, vm, loan, now_s)
+
+    def _return(self, account: Account, vm: str, loan: Loan, now_s: float) -> None:
+        if self.holding.safeguards.end_returned:
+            account.end_borrowed(vm, loan.number, now_s)
+        own = self.holding.own
+        request = LoanRequest(own.vm, own.incarnation, account.budget, 0, 0, returned=loan.number)
+        self.outbox.append((vm, request))
+        self.wanted.notify()
+
     def begin(self) -> tuple[tuple[str, LoanRequest], ...]:
         """Return the requests to send now."""
         requests = tuple(self.outbox)
@@ -150,6 +176,10 @@
 
     async def fetch(self, vm: str, request: LoanRequest) -> None:
         """Ask one VM and take in what it lends; an answer after the term is worth nothing."""
+        if request.returned:
+            # If it is lost, the loan ends by its term.
+            await self.lender.borrow(vm, request, BORROW_TIMEOUT_MS)
+            return
         sent_s = self.clock()
         answer = await self.lender.borrow(vm, request, BORROW_TIMEOUT_MS)
         now_s = self.clock()
@@ -181,7 +211,8 @@
         if request.with_rate and grant.share_ppm < request.share_ppm / 2:
             self.lenders.avoid(request.budget, vm, now_s)
         if _is_usable(grant, request):
-            loan = Loan(grant.share_ppm, sent_s + request.term_ms / 1000, request.with_rate)
+            until_s = sent_s + request.term_ms / 1000
+            loan = Loan(grant.share_ppm, until_s, request.with_rate, request.number)
             account.receive(vm, loan, grant.tokens, now_s)
 
     async def run(self) -> None:
@@ -229,7 +260,12 @@
         self.lenders.note(account.budget, vm, 0.0, now_s)
         own, share_ppm = self.holding.own, min(WHOLE_PPM, account.share_for(tokens))
         return vm, LoanRequest(
-            own.vm, own.incarnation, account.budget, share_ppm, TOKEN_LOAN_TERM_MS
+            own.vm,
+            own.incarnation,
+            account.budget,
+            share_ppm,
+            TOKEN_LOAN_TERM_MS,
+            next(self.numbers),
         )
 
     def _missing_ppm(self, account: Account, demand_per_s: float, now_s: float) -> int:
@@ -251,9 +287,11 @@
 
 
 def _is_valid(request: LoanRequest) -> bool:
-    numbers = (request.share_ppm, request.term_ms, request.incarnation)
+    numbers = (request.share_ppm, request.term_ms, request.incarnation, request.returned)
     if not all(type(number) is int for number in numbers) or type(request.borrower) is not str:
         return False
+    if request.returned:
+        return True
     return 0 < request.share_ppm <= WHOLE_PPM and 0 < request.term_ms <= MAX_LOAN_TERM_MS
 
 
--- a/src/wagtailbay/allotment/models.py
+++ b/src/wagtailbay/allotment/models.py
@@ -13,11 +13,13 @@
 
     Attributes:
         with_rate: Whether the share's rate moves; otherwise only room for tokens does.
+        number: The borrower's number of the loan.
     """
 
     share_ppm: int
     until_s: float
     with_rate: bool = True
+    number: int = 0
 
 
 @frozen
@@ -110,6 +112,7 @@
         await_ended_loans: Wait for the loans of an ended VM before its share is granted again.
         move_tokens: Take the tokens that move with a loan from the lender.
         check_applied_loans: Confirm a ledger version only when lent shares allow it.
+        end_returned: Give up the room of a loan before it is returned to the lender.
     """
 
     await_applied: bool = True
@@ -119,3 +122,4 @@
     await_ended_loans: bool = True
     move_tokens: bool = True
     check_applied_loans: bool = True
+    end_returned: bool = True
--- a/src/wagtailbay/membership/loans.py
+++ b/src/wagtailbay/membership/loans.py
@@ -18,6 +18,9 @@
         share_ppm: The wanted part of the whole budget, in parts per million.
         term_ms: How long the borrower will use it, from when it sent the request. A loan for at
             most 200 ms moves tokens and the room for them, while the rate stays with the lender.
+        number: Tells apart the loans of one run of a borrower.
+        returned: The number of a loan that the borrower uses no more; such a request asks for
+            nothing, and its share and term are 0.
     """
 
     borrower: str
@@ -25,6 +28,8 @@
     budget: str
     share_ppm: int
     term_ms: int
+    number: int = 0
+    returned: int = 0
 
     @property
     def with_rate(self) -> bool:
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -197,6 +197,8 @@
         budget=request.budget,
         share_ppm=max(0, request.share_ppm),
         term_ms=max(0, request.term_ms),
+        number=request.number,
+        returned=request.returned,
     ).SerializeToString()
 
 
@@ -207,10 +209,19 @@
         loan.ParseFromString(data)
     except DecodeError as error:
         return Err(str(error))
-    if not loan.borrower or not loan.budget or not 0 < loan.share_ppm <= 1_000_000:
+    least_ppm = 0 if loan.returned else 1
+    if not loan.borrower or not loan.budget or not least_ppm <= loan.share_ppm <= 1_000_000:
         return Err("a loan needs a borrower, a budget and a share of 1 to 1,000,000 ppm")
     return Ok(
-        LoanRequest(loan.borrower, loan.incarnation, loan.budget, loan.share_ppm, loan.term_ms)
+        LoanRequest(
+            loan.borrower,
+            loan.incarnation,
+            loan.budget,
+            loan.share_ppm,
+            loan.term_ms,
+            loan.number,
+            loan.returned,
+        )
     )
 
 
--- a/tests/allotment/test_safeguards.py
+++ b/tests/allotment/test_safeguards.py
@@ -110,6 +110,25 @@
     assert lender.account.lent_ppm(lender.clock()) > 0
 
 
+def returned_loan(world: World) -> None:
+    """Return a loan to its lender, and let both use what room they have."""
+    borrower = world.vms["vm-2"]
+    borrower.lenders = ("vm-1",)
+    world.advance(6.0)
+    world.ask(borrower, 100)
+    for _ in range(2):
+        world.borrow(borrower)
+        world.deliver_all()
+    assert borrower.account.borrowed_ppm(borrower.clock()) > 0
+    world.spend(borrower)
+    borrower.allotment.loans.on_spent(BUDGET, borrower.clock())
+    world.borrow(borrower)
+    world.deliver_all()
+    for _ in range(5):
+        world.check()
+        world.now_s += 0.03
+
+
 SCENARIOS = [
     (decrease_unseen_by_its_vm, {"await_applied": False}),
     (loan_across_clocks, {"loan_margin": 0.0}),
@@ -118,6 +137,7 @@
     (lender_restarts, {"await_ended_loans": False}),
     (repeated_loans, {"move_tokens": False}),
     (decrease_of_a_lender, {"check_applied_loans": False}),
+    (returned_loan, {"end_returned": False}),
 ]
 
 
--- a/tests/membership/test_peer_calls.py
+++ b/tests/membership/test_peer_calls.py
@@ -111,7 +111,9 @@
             assert refused.err_value.kind is PeerFailure.REFUSED
             await loop.exchange()
             assert await loop.client.borrow("b", LOAN, 1_000) == Ok(LoanGrant(5_000, 2.5, 7.25))
-            assert asked == [LOAN]
+            returned = evolve(LOAN, share_ppm=0, term_ms=0, returned=9)
+            await loop.client.borrow("b", returned, 1_000)
+            assert asked == [LOAN, returned]
 
     async def test_a_silent_peer_costs_the_timeout_only(self) -> None:
         """Guards against a request that waits for a frozen lender."""
