--- a/src/wagtailbay/allotment/account.py
+++ b/src/wagtailbay/allotment/account.py
@@ -5,7 +5,12 @@
 
 from attrs import define, field
 
-from wagtailbay.allotment.const import LEDGER_PPM, MAX_LOOP_GAP_S, WHOLE_PPM
+from wagtailbay.allotment.const import (
+    LEDGER_PPM,
+    MAX_LOOP_GAP_S,
+    REFILL_MARGIN,
+    WHOLE_PPM,
+)
 from wagtailbay.allotment.models import Holder, Loan
 from wagtailbay.limits import BudgetLimit, TokenBucket
 from wagtailbay.limits.const import ROUNDING
@@ -31,6 +36,7 @@
             each other: the largest counts, not the sum. Loans of tokens add up.
         borrowed: Loans of each lender, counted in the same way.
         on_spent: Called when the tokens of loans are spent.
+        refill_margin: The part by which tokens are gained more slowly than at the rate.
         waiting: Tokens that waiting requests want.
         is_confined: Tells whether only the floor may be used now.
         refresh: Applies newer ledgers, which may set this account's share, before tokens are used.
@@ -50,6 +56,7 @@
     borrowed: dict[str, list[Loan]] = field(factory=dict)
     changed: ChangeSignal = field(factory=ChangeSignal)
     on_spent: Callable[[str, float], None] = lambda budget, now_s: None
+    refill_margin: float = REFILL_MARGIN
     waiting: float = 0.0
     bucket: TokenBucket = field(init=False)
     confined: bool = False
@@ -106,6 +113,11 @@
         """Return the tokens that a ledger share may hold."""
         return self.limit.burst * share_ppm / self._whole_ppm
 
+    def rate_per_s(self, share_ppm: float) -> float:
+        """Return the tokens that a ledger share gains each second."""
+        rate_per_s = self.limit.rate_per_s / (1 + self.refill_margin)
+        return rate_per_s * share_ppm / self._whole_ppm
+
     def share_for(self, tokens: float) -> int:
         """Return the ledger share, in parts per million, that may hold the tokens."""
         return ceil(self._whole_ppm * tokens / max(self.limit.burst, 1e-9))
@@ -124,8 +136,7 @@
         return LEDGER_PPM if self.floor_is_void else WHOLE_PPM
 
     def _measures(self, at_s: float) -> tuple[float, float]:
-        rate_per_s = self.limit.rate_per_s * self.usable_ppm(at_s) / self._whole_ppm
-        return rate_per_s, self.capacity(self.room_ppm(at_s))
+        return self.rate_per_s(self.usable_ppm(at_s)), self.capacity(self.room_ppm(at_s))
 
     def settle(self, now_s: float) -> None:
         """Apply what has changed and count the tokens gained so far."""
@@ -139,8 +150,7 @@
         gap = now_s - self.bucket.updated_s > MAX_LOOP_GAP_S
         if gap or self.confined or was_confined:
             floor_ppm = 0 if self.floor_is_void else self.floor_ppm
-            floor_rate_per_s = self.limit.rate_per_s * floor_ppm / WHOLE_PPM
-            self.bucket.rate_per_s = min(self.bucket.rate_per_s, floor_rate_per_s)
+            self.bucket.rate_per_s = min(self.bucket.rate_per_s, self.rate_per_s(floor_ppm))
         elif self.lent or self.borrowed:
             self._settle_ended_loans(now_s)
         else:
--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -8,6 +8,9 @@
 LEDGER_PPM: Final = WHOLE_PPM - FLOOR_RESERVE_PPM
 LEDGER_PREFIX: Final = "ledgers/"
 
+# A clock that runs 1% fast gains 1% more; tokens are refilled more slowly by as much.
+REFILL_MARGIN: Final = 0.01
+
 PLAN_INTERVAL_S: Final = 5.0
 # How soon a new holder of the lease plans.
 CHECK_INTERVAL_S: Final = 0.25
--- a/src/wagtailbay/allotment/holding.py
+++ b/src/wagtailbay/allotment/holding.py
@@ -101,6 +101,7 @@
             refresh=self.refresh,
             on_short=lambda name, wanted, at_s: self.on_short(name, wanted, at_s),
             on_spent=lambda name, at_s: self.on_spent(name, at_s),
+            refill_margin=self.safeguards.refill_margin,
         )
         self.accounts[budget] = account
         account.set_share(self._granted_ppm(budget), self.floor_ppm(), now_s)
--- a/src/wagtailbay/allotment/lenders.py
+++ b/src/wagtailbay/allotment/lenders.py
@@ -11,7 +11,6 @@
     MAX_LENDERS,
     RENEW_BEFORE_S,
     UNREACHABLE_LENDER_S,
-    WHOLE_PPM,
 )
 from wagtailbay.allotment.demand import known_demand, needed_ppm
 from wagtailbay.allotment.holding import Holding
@@ -118,7 +117,7 @@
     ) -> tuple[float, float]:
         """Return the tokens that a VM holds by estimate, and how many it gains a second."""
         capacity = account.capacity(granted_ppm)
-        rate_per_s = account.limit.rate_per_s * granted_ppm / WHOLE_PPM
+        rate_per_s = account.rate_per_s(granted_ppm)
         gained_per_s = max(LEAST_REGAINED * rate_per_s, rate_per_s - demand_per_s)
         last = self.seen.get((account.budget, vm))
         if last is None:
--- a/src/wagtailbay/allotment/models.py
+++ b/src/wagtailbay/allotment/models.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from wagtailbay.allotment.const import LOAN_MARGIN
+from wagtailbay.allotment.const import LOAN_MARGIN, REFILL_MARGIN
 
 
 @frozen
@@ -112,6 +112,7 @@
         await_ended_loans: Wait for the loans of an ended VM before its share is granted again.
         move_tokens: Take the tokens that move with a loan from the lender.
         check_applied_loans: Confirm a ledger version only when lent shares allow it.
+        refill_margin: The part by which tokens are refilled more slowly than at the rate.
         end_returned: Give up the room of a loan before it is returned to the lender.
     """
 
@@ -123,3 +124,4 @@
     move_tokens: bool = True
     check_applied_loans: bool = True
     end_returned: bool = True
+    refill_margin: float = REFILL_MARGIN
--- a/tests/allotment/test_safeguards.py
+++ b/tests/allotment/test_safeguards.py
@@ -129,6 +129,19 @@
         world.now_s += 0.03
 
 
+def fast_clocks(world: World) -> None:
+    """Spend all that VMs gain whose clocks run 1% fast and which have the whole budget."""
+    world = settled_world(max_vms=3, safeguards=world.safeguards)
+    for vm in world.vms.values():
+        vm.clock_offset_s += world.now_s * (vm.clock_rate - 1.01)
+        vm.clock_rate = 1.01
+    for _ in range(200):
+        world.advance(1.0)
+        for vm in world.vms.values():
+            world.spend(vm)
+        world.check()
+
+
 SCENARIOS = [
     (decrease_unseen_by_its_vm, {"await_applied": False}),
     (loan_across_clocks, {"loan_margin": 0.0}),
@@ -138,6 +151,7 @@
     (repeated_loans, {"move_tokens": False}),
     (decrease_of_a_lender, {"check_applied_loans": False}),
     (returned_loan, {"end_returned": False}),
+    (fast_clocks, {"refill_margin": 0.0}),
 ]
 
 
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -294,8 +294,7 @@
 
     def _count(self, admitted: int) -> None:
         self.admitted += admitted
-        error = CLOCK_ERROR if self.skewed else 0.0
-        gained = (self.now_s - self.reference_s) * self.limit.rate_per_s * (1 + error)
+        gained = (self.now_s - self.reference_s) * self.limit.rate_per_s
         self.reference_level = min(self.limit.burst, self.reference_level + gained) - admitted
         self.reference_s = self.now_s
 
@@ -310,7 +309,8 @@
         rooms = sum(account.bucket.capacity for account, _ in now)
         assert rooms <= self.limit.burst + 1e-6, f"the usable shares have room for {rooms} tokens"
         rate_per_s = sum(account.bucket.rate_per_s for account, _ in now)
-        assert rate_per_s <= self.limit.rate_per_s + 1e-6, f"the usable shares gain {rate_per_s}/s"
+        limit_per_s = self.limit.rate_per_s
+        assert rate_per_s <= limit_per_s + 1e-6, f"the usable shares gain {rate_per_s}/s"
         tokens = sum(account.bucket.level for account, _ in now)
         assert tokens <= self.limit.burst + 1e-6, f"the VMs hold {tokens} tokens"
 
