Lend tokens that own demand no longer needs

Cause, traced at 20/s: after a jump the former VM held 3.6 to 4 tokens, kept for demand that had moved away, and was not asked again, because its published demand left it nothing by estimate.

A lender whose silence is longer than random arrivals would leave it keeps nothing, and a lender is taken to regain 30% of its rate at least.

--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -62,7 +62,7 @@
 LENDER_SOON_S: Final = 0.12
 MAX_LENDERS: Final = 4
 # A VM that had nothing to lend is taken to regain at least this part of its rate.
-LEAST_REGAINED: Final = 0.1
+LEAST_REGAINED: Final = 0.3
 # A lender keeps its own demand and this much more; a borrower asks for as much more.
 DEMAND_HEADROOM: Final = 1.2
 # A renewal is asked for when this part of the term is left.
@@ -72,6 +72,8 @@
 DEMAND_SMOOTHING_S: Final = 1.0
 # A jump must show before the tokens of one VM, about 0.2 s of the whole rate, are spent.
 JUMP_SMOOTHING_S: Final = 0.1
+# Random arrivals leave a silence of this many mean gaps in one of 20 cases.
+SILENT_ARRIVALS: Final = 3.0
 DEMAND_PUBLISH_INTERVAL_S: Final = 1.0
 DEMAND_REFRESH_S: Final = 10.0
 DEMAND_TTL_MS: Final = 30_000
--- a/src/wagtailbay/allotment/demand.py
+++ b/src/wagtailbay/allotment/demand.py
@@ -13,6 +13,7 @@
     DEMAND_TTL_MS,
     JUMP_SMOOTHING_S,
     NOTICEABLE_CHANGE,
+    SILENT_ARRIVALS,
     WHOLE_PPM,
 )
 from wagtailbay.allotment.models import Demand
@@ -51,6 +52,10 @@
         deviation_per_s = sqrt(newest_per_s * self.amount / (2 * JUMP_SMOOTHING_S))
         return max(self.rate(now_s), newest_per_s - 2 * deviation_per_s)
 
+    def has_ceased(self, now_s: float) -> bool:
+        """Tell whether the silence is longer than random arrivals at the rate would leave it."""
+        return (now_s - self.updated_s) * self.rate(now_s) > SILENT_ARRIVALS * self.amount
+
     def _newest(self, now_s: float) -> float:
         return self.newest_per_s * exp(-max(0.0, now_s - self.updated_s) / JUMP_SMOOTHING_S)
 
@@ -80,6 +85,11 @@
         meter = self.meters.get(budget)
         return 0.0 if meter is None else meter.rate(now_s)
 
+    def own_need(self, budget: str, now_s: float) -> float:
+        """Return the amount a second for which a lender keeps tokens; 0 once demand has ceased."""
+        meter = self.meters.get(budget)
+        return 0.0 if meter is None or meter.has_ceased(now_s) else meter.rate(now_s)
+
     def expected(self, budget: str, now_s: float) -> float:
         """Return the amount a second of a budget to expect next."""
         meter = self.meters.get(budget)
--- a/src/wagtailbay/allotment/loans.py
+++ b/src/wagtailbay/allotment/loans.py
@@ -101,7 +101,7 @@
             return NOTHING_LENT
         if account.confined:
             return NOTHING_LENT
-        demand_per_s = self.holding.demand.rate(request.budget, now_s)
+        demand_per_s = self.holding.demand.own_need(request.budget, now_s)
         # The lender keeps the tokens that it needs itself before the loan ends.
         keep_tokens = demand_per_s * request.term_ms / 1000
         spare_tokens = max(0.0, account.bucket.level - keep_tokens)
