Ask lenders that had nothing less often

Under a flood (eight tiny budgets at three times their rate) each VM asked for every token that a lender regained: 88.8 loans a second, 1.24 a request.

--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -63,6 +63,8 @@
 MAX_LENDERS: Final = 4
 # A VM that had nothing to lend is taken to regain at least this part of its rate.
 LEAST_REGAINED: Final = 0.3
+# Each answer without tokens halves what a VM is expected to regain, at most this many times.
+MAX_MISSES: Final = 3
 # A lender keeps its own demand and this much more; a borrower asks for as much more.
 DEMAND_HEADROOM: Final = 1.2
 # A renewal is asked for when this part of the term is left.
--- a/src/wagtailbay/allotment/lenders.py
+++ b/src/wagtailbay/allotment/lenders.py
@@ -9,21 +9,28 @@
     AVOID_LENDER_S,
     LEAST_REGAINED,
     MAX_LENDERS,
+    MAX_MISSES,
     RENEW_BEFORE_S,
     UNREACHABLE_LENDER_S,
 )
 from wagtailbay.allotment.demand import known_demand, needed_ppm
 from wagtailbay.allotment.holding import Holding
 from wagtailbay.allotment.ports import Fleet
+from wagtailbay.membership import LoanGrant
 from wagtailbay.membership.loans import TOKEN_LOAN_TERM_MS
 
 
 @define
 class Sighting:
-    """Hold how many tokens a VM could lend when it answered."""
+    """Hold how many tokens a VM could lend when it answered.
+
+    Attributes:
+        misses: Successive answers that brought nothing.
+    """
 
     tokens: float
     seen_s: float
+    misses: int = 0
 
 
 @define
@@ -42,9 +49,16 @@
     avoided: dict[tuple[str, str], float] = field(factory=dict)
     unreachable: dict[str, float] = field(factory=dict)
 
-    def note(self, budget: str, vm: str, tokens: float, now_s: float) -> None:
-        """Record how many tokens a VM can lend."""
-        self.seen[(budget, vm)] = Sighting(tokens, now_s)
+    def note_order(self, budget: str, vm: str, now_s: float) -> None:
+        """Take a VM that is asked to hold nothing beyond the order until it answers."""
+        last = self.seen.get((budget, vm))
+        self.seen[(budget, vm)] = Sighting(0.0, now_s, last.misses if last else 0)
+
+    def note_answer(self, budget: str, vm: str, grant: LoanGrant, now_s: float) -> None:
+        """Record how many tokens a VM can still lend."""
+        last = self.seen.get((budget, vm))
+        misses = 0 if grant.share_ppm or last is None else min(MAX_MISSES, last.misses + 1)
+        self.seen[(budget, vm)] = Sighting(grant.left_tokens, now_s, misses)
 
     def is_full(self, account: Account, vm: str, now_s: float) -> bool:
         """Tell whether a VM is expected to reach its capacity before a loan ends by its term."""
@@ -122,6 +136,8 @@
         last = self.seen.get((account.budget, vm))
         if last is None:
             return capacity, gained_per_s
+        # Where many VMs want what a lender regains, most of them ask in vain.
+        gained_per_s /= 2**last.misses
         return min(capacity, last.tokens + gained_per_s * (now_s - last.seen_s)), gained_per_s
 
 
--- a/src/wagtailbay/allotment/loans.py
+++ b/src/wagtailbay/allotment/loans.py
@@ -207,7 +207,7 @@
         now_s: float,
     ) -> None:
         if isfinite(grant.left_tokens):
-            self.lenders.note(request.budget, vm, grant.left_tokens, now_s)
+            self.lenders.note_answer(request.budget, vm, grant, now_s)
         if request.with_rate and grant.share_ppm < request.share_ppm / 2:
             self.lenders.avoid(request.budget, vm, now_s)
         if _is_usable(grant, request):
@@ -256,8 +256,7 @@
     def _request_tokens(
         self, account: Account, vm: str, tokens: float, now_s: float
     ) -> tuple[str, LoanRequest]:
-        # Until its answer says more, the VM is taken to hold nothing beyond this order.
-        self.lenders.note(account.budget, vm, 0.0, now_s)
+        self.lenders.note_order(account.budget, vm, now_s)
         own, share_ppm = self.holding.own, min(WHOLE_PPM, account.share_for(tokens))
         return vm, LoanRequest(
             own.vm,
