--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -8,6 +8,9 @@
 LEDGER_PPM: Final = WHOLE_PPM - FLOOR_RESERVE_PPM
 LEDGER_PREFIX: Final = "ledgers/"
 
+# A clock that runs 1% fast gains 1% more; tokens are refilled more slowly by as much.
+REFILL_MARGIN: Final = 0.01
+
 PLAN_INTERVAL_S: Final = 5.0
 # How soon a new holder of the lease plans.
 CHECK_INTERVAL_S: Final = 0.25
@@ -23,6 +26,9 @@
 MIN_DECREASE: Final = 0.2
 # Part of the ledger that is divided equally, so that a VM with no demand yet can serve some.
 EQUAL_PART: Final = 0.1
+# The same for a small budget: a VM whose share holds less than a token can neither use nor lend it,
+# and every decrease of a share costs tokens that such a budget has few of.
+SMALL_EQUAL_PART: Final = 0.6
 # A budget whose equal parts would hold fewer tokens than this is given to fewer VMs.
 TOKENS_PER_HOLDER: Final = 3.0
 # A small budget stays with its holders unless another VM has this part of the rate more demand.
@@ -56,7 +62,9 @@
 LENDER_SOON_S: Final = 0.12
 MAX_LENDERS: Final = 4
 # A VM that had nothing to lend is taken to regain at least this part of its rate.
-LEAST_REGAINED: Final = 0.1
+LEAST_REGAINED: Final = 0.3
+# Each answer without tokens halves what a VM is expected to regain, at most this many times.
+MAX_MISSES: Final = 3
 # A lender keeps its own demand and this much more; a borrower asks for as much more.
 DEMAND_HEADROOM: Final = 1.2
 # A renewal is asked for when this part of the term is left.
@@ -66,6 +74,8 @@
 DEMAND_SMOOTHING_S: Final = 1.0
 # A jump must show before the tokens of one VM, about 0.2 s of the whole rate, are spent.
 JUMP_SMOOTHING_S: Final = 0.1
+# Random arrivals leave a silence of this many mean gaps in one of 20 cases.
+SILENT_ARRIVALS: Final = 3.0
 DEMAND_PUBLISH_INTERVAL_S: Final = 1.0
 DEMAND_REFRESH_S: Final = 10.0
 DEMAND_TTL_MS: Final = 30_000
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -248,7 +248,7 @@
 
     def _build_budgets(self, shares: ShareSource) -> SharedBudgets:
         config = self.config
-        regions = RegionBudget(shares, lambda name: config.view.services.get(name), boottime_s)
+        regions = RegionBudget(shares, lambda name: config.view.services.get(name))
         return SharedBudgets(regions, LinkBudget(shares, lambda: config.view.fleet))
 
     def _build_chooser(self, health: TargetHealth, budgets: SharedBudgets) -> Chooser:
--- a/src/wagtailbay/steer/two_choice.py
+++ b/src/wagtailbay/steer/two_choice.py
@@ -97,21 +97,20 @@
         service, region = query.service, self.region
         # Borrowed budget arrives within a few ms; looking every 20 ms doubled a deposit's p50.
         with room.visit(lambda: self.budgets.follow(service, region, now_s, room.wake_next)):
-            last = False
+            waited = last = False
             while isinstance(found, Err) and not last:
                 tick_s = WAIT_TICK_S
                 if found.err_value is Shortage.NO_BUDGET:
                     due_s = self.budgets.wait_s(service, region, now_s)
                     # With budget at home, it is targets or other regions that are short.
                     tick_s = max(MIN_TICK_S, min(tick_s, due_s)) if due_s > 0 else tick_s
-                await room.wait(query.workspace or "", until_s, now_s, tick_s)
-                now_s = self.clock()
+                await room.wait(query.workspace or "", until_s, now_s, tick_s, again=waited)
+                waited, now_s = True, self.clock()
                 last = now_s >= until_s
                 found = self.try_now(query, now_s, last)
                 last = last or found == Err(Shortage.NO_TARGET)
-        if isinstance(found, Ok):
-            # What came may be enough for the next one too.
-            room.wake_next()
+        # What is left of a target or of a budget goes to the next one in turn.
+        room.wake_next()
         return found
 
     def try_now(
--- a/tests/allotment/test_safeguards.py
+++ b/tests/allotment/test_safeguards.py
@@ -110,6 +110,38 @@
     assert lender.account.lent_ppm(lender.clock()) > 0
 
 
+def returned_loan(world: World) -> None:
+    """Return a loan to its lender, and let both use what room they have."""
+    borrower = world.vms["vm-2"]
+    borrower.lenders = ("vm-1",)
+    world.advance(6.0)
+    world.ask(borrower, 100)
+    for _ in range(2):
+        world.borrow(borrower)
+        world.deliver_all()
+    assert borrower.account.borrowed_ppm(borrower.clock()) > 0
+    world.spend(borrower)
+    borrower.allotment.loans.on_spent(BUDGET, borrower.clock())
+    world.borrow(borrower)
+    world.deliver_all()
+    for _ in range(5):
+        world.check()
+        world.now_s += 0.03
+
+
+def fast_clocks(world: World) -> None:
+    """Spend all that VMs gain whose clocks run 1% fast and which have the whole budget."""
+    world = settled_world(max_vms=3, safeguards=world.safeguards)
+    for vm in world.vms.values():
+        vm.clock_offset_s += world.now_s * (vm.clock_rate - 1.01)
+        vm.clock_rate = 1.01
+    for _ in range(200):
+        world.advance(1.0)
+        for vm in world.vms.values():
+            world.spend(vm)
+        world.check()
+
+
 SCENARIOS = [
     (decrease_unseen_by_its_vm, {"await_applied": False}),
     (loan_across_clocks, {"loan_margin": 0.0}),
@@ -118,6 +150,8 @@
     (lender_restarts, {"await_ended_loans": False}),
     (repeated_loans, {"move_tokens": False}),
     (decrease_of_a_lender, {"check_applied_loans": False}),
+    (returned_loan, {"end_returned": False}),
+    (fast_clocks, {"refill_margin": 0.0}),
 ]
 
 
--- a/tests/steer/test_region_usage.py
+++ b/tests/steer/test_region_usage.py
@@ -14,7 +14,7 @@
     """Return the budgets of one VM that has the whole share."""
     shares = EqualShares(lambda: 1, 0.0)
     fleet = FleetDocument(1, ())
-    regions = RegionBudget(shares, {"records": DOCUMENT}.get, lambda: 0.0)
+    regions = RegionBudget(shares, {"records": DOCUMENT}.get)
     return SharedBudgets(regions, LinkBudget(shares, lambda: fleet))
 
 
