Emit the metrics of store calls and peer exchanges

Both were declared and documented but nothing counted them. The entry process now passes its store calls through CountedObjectStore, and each peer loop counts its calls. A test fails when a declared metric has no caller outside the slice, another one scrapes a real entry process.

--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -31,6 +31,7 @@
     prove contact for too long, for example because the peer has not chosen it as a neighbour.
 
     Attributes:
+        count: Takes the outcome of each call, ok or failed.
         urgent: Set when something must reach the peer at once.
         error: Why the last call failed, None after a good one.
     """
@@ -40,6 +41,7 @@
     client: PeerClient
     codec: FactCodec
     clock: Callable[[], float]
+    count: Callable[[str], None] = lambda outcome: None
     urgent: trio.Event = field(factory=trio.Event)
     error: PeerError | None = None
 
@@ -89,7 +91,8 @@
         return None
 
     def _note(self, error: PeerError | None) -> None:
-        """Log when the peer starts or stops to answer."""
+        """Count the call, and log when the peer starts or stops to answer."""
+        self.count("ok" if error is None else "failed")
         if error is not None and (self.error is None or self.error.kind is not error.kind):
             log_event("peer_unreachable", peer=self.vm, reason=str(error))
         elif error is None and self.error is not None:
@@ -104,6 +107,7 @@
     Attributes:
         configured: Peer addresses from the settings, by VM.
         listed: Returns the platform's list of VMs as last read by any VM, None if unknown.
+        count: Takes the outcome of each call, ok or failed.
     """
 
     exchanger: Exchanger
@@ -112,6 +116,7 @@
     clock: Callable[[], float]
     configured: Mapping[str, str]
     listed: Callable[[], VmList | None]
+    count: Callable[[str], None] = lambda outcome: None
     loops: dict[str, PeerLoop] = field(factory=dict)
     scopes: dict[str, trio.CancelScope] = field(factory=dict)
 
@@ -161,7 +166,7 @@
             del self.loops[vm]
             self.client.close(vm)
         for vm in sorted(wanted - self.loops.keys()):
-            loop = PeerLoop(vm, self.exchanger, self.client, self.codec, self.clock)
+            loop = PeerLoop(vm, self.exchanger, self.client, self.codec, self.clock, self.count)
             self.loops[vm], self.scopes[vm] = loop, trio.CancelScope()
             nursery.start_soon(self._run_loop, loop, self.scopes[vm])
 
--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -91,7 +91,7 @@
         self._store_calls.add(1, {"call": call, "outcome": outcome})
 
     def peer_exchanged(self, outcome: str) -> None:
-        """Count an exchange with a peer; outcome is ok or failed."""
+        """Count a call of this VM to a peer; outcome is ok or failed."""
         self._peer_exchanges.add(1, {"outcome": outcome})
 
     def share_changed(self, budget: str, share_ppm: int) -> None:
--- a/src/wagtailbay/platform/__init__.py
+++ b/src/wagtailbay/platform/__init__.py
@@ -1,6 +1,7 @@
 """Talk to the platform's object API and its list of VMs."""
 
 from wagtailbay.platform.client import HttpObjectStore
+from wagtailbay.platform.counted import CountedObjectStore
 from wagtailbay.platform.models import (
     Listing,
     ObjectStore,
@@ -14,6 +15,7 @@
 )
 
 __all__ = [
+    "CountedObjectStore",
     "HttpObjectStore",
     "Listing",
     "ObjectStore",
--- /dev/null
+++ b/src/wagtailbay/platform/counted.py
@@ -0,0 +1,71 @@
+"""Count the calls of an object store by their outcome."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
+
+from attrs import frozen
+from result import Err, Result
+
+from wagtailbay.platform.models import (
+    Listing,
+    ObjectStore,
+    OutcomeUnknown,
+    StoredObject,
+    StoreError,
+    StoreUnavailable,
+    VersionConflict,
+    VmList,
+)
+
+T = TypeVar("T")
+E = TypeVar("E")
+OUTCOMES = {
+    StoreUnavailable: "unavailable",
+    VersionConflict: "conflict",
+    OutcomeUnknown: "unknown",
+}
+
+
+@frozen
+class CountedObjectStore:
+    """Pass calls on to a store.
+
+    Attributes:
+        count: Takes the call's name and its outcome: ok, conflict, unavailable or unknown.
+    """
+
+    store: ObjectStore
+    count: Callable[[str, str], None]
+
+    def _counted(self, call: str, answer: Result[T, E]) -> Result[T, E]:
+        outcome = OUTCOMES[type(answer.err_value)] if isinstance(answer, Err) else "ok"
+        self.count(call, outcome)
+        return answer
+
+    async def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
+        """Read one object; None if it does not exist."""
+        return self._counted("get", await self.store.get(key))
+
+    async def list(self, prefixes: Sequence[str]) -> Result[Listing, StoreUnavailable]:
+        """Read all objects whose keys start with one of the prefixes."""
+        return self._counted("list", await self.store.list(prefixes))
+
+    async def watch(
+        self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
+    ) -> Result[Listing, StoreUnavailable]:
+        """Wait for changes after a revision; the listing is empty when the time runs out."""
+        return self._counted("watch", await self.store.watch(prefixes, since_revision, timeout_ms))
+
+    async def vms(self) -> Result[VmList, StoreUnavailable]:
+        """Read the platform's list of live and leaving VMs."""
+        return self._counted("vms", await self.store.vms())
+
+    async def put(
+        self, key: str, value: Any, expected_version: int | None
+    ) -> Result[int, StoreError]:
+        """Write an object and return its new version."""
+        return self._counted("put", await self.store.put(key, value, expected_version))
+
+    async def delete(self, key: str, expected_version: int | None) -> Result[int, StoreError]:
+        """Delete an object and return the revision of the deletion."""
+        return self._counted("delete", await self.store.delete(key, expected_version))
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -23,7 +23,7 @@
 from wagtailbay.metrics import Exporter, build_exporter
 from wagtailbay.once import OnceGate, OutcomeWriter, StoreCalls
 from wagtailbay.once.expiry import ExpirySweep
-from wagtailbay.platform import HttpObjectStore
+from wagtailbay.platform import CountedObjectStore, HttpObjectStore, ObjectStore
 from wagtailbay.programs.entry_settings import EntrySettings
 from wagtailbay.programs.fleet import Fleet, build_fleet
 from wagtailbay.programs.fleet_view import FleetView
@@ -124,7 +124,7 @@
     config: LiveConfig = field(factory=lambda: LiveConfig(ConfigView()))
     source: random.Random = field(factory=random.Random)
     started_s: float = field(factory=boottime_s)
-    store: HttpObjectStore = field(init=False)
+    store: ObjectStore = field(init=False)
     exporter: Exporter = field(init=False)
     fleet: Fleet = field(init=False)
     audit: AuditWriter = field(init=False)
@@ -132,8 +132,9 @@
     def __attrs_post_init__(self) -> None:
         """Build what all other parts use."""
         settings = self.settings
-        self.store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
         self.exporter = build_exporter(PROGRAM, settings.vm)
+        store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
+        self.store = CountedObjectStore(store, self.exporter.metrics.store_called)
         self.fleet = build_fleet(
             settings,
             self.identity,
@@ -142,6 +143,7 @@
             lambda: self.config.view.fleet,
             boottime_s,
         )
+        self.fleet.peers.count = self.exporter.metrics.peer_exchanged
         self.audit = AuditWriter(self.store, self.exporter.metrics.audit_record_lost)
 
     def build(self) -> Node:
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -1,10 +1,17 @@
 """Test the metrics against their table in docs/operators.md."""
 
+import ast
+import copy
 import re
 from pathlib import Path
 
+import trio
+
 from wagtailbay.metrics import Exporter, Metrics, build_exporter
 from wagtailbay.transport import HttpServer, Request, fetch
+from wagtailbay_bench.deployment import Deployment
+from wagtailbay_bench.processes import ProcessGroup, free_address
+from wagtailbay_bench.small import FLEET, RECORDS
 
 ROOT = Path(__file__).parents[2]
 ROW = re.compile(r"^\| `(wagtailbay_\w+)` \| (\w[\w/ ]*) \| ([\w, ]*) \|", re.MULTILINE)
@@ -33,6 +40,40 @@
     return found
 
 
+def used_names() -> set[str]:
+    """Return the attributes that any module outside the slice reads."""
+    modules = (ROOT / "src/wagtailbay").rglob("*.py")
+    trees = (ast.parse(path.read_text()) for path in modules if "metrics" not in path.parts)
+    nodes = (node for tree in trees for node in ast.walk(tree))
+    return {node.attr for node in nodes if isinstance(node, ast.Attribute)}
+
+
+class TestEmission:
+    """What is declared is also counted by the programs."""
+
+    def test_every_declared_metric_has_a_caller(self) -> None:
+        """Guards against a metric that operators watch and nothing ever counts."""
+        declared = {name for name in vars(Metrics) if not name.startswith("_")} - {"meter"}
+        assert declared - used_names() == set()
+        assert "never_counted" not in used_names()
+
+    async def test_an_entry_process_counts_store_calls_and_exchanges(self) -> None:
+        """Guards against counters that are declared and stay empty in the real program."""
+        with ProcessGroup() as group:
+            zones = {"vm-1": "mx-a1", "vm-2": "mx-a2"}
+            fleet = Deployment(group, [copy.deepcopy(RECORDS)], FLEET, {"unam": "k"}, zones)
+            await fleet.start()
+            address = free_address("127.0.0.3")
+            fleet.vm_flags = {"--metrics-address": address}
+            fleet.place_vm("vm-3", "mx-b1")
+            await fleet.start_vm("vm-3").wait_for_event("ready")
+            await trio.sleep(1)
+            answer = (await fetch(address, Request("GET", "/metrics"), 5_000)).unwrap()
+        text = answer.body.decode()
+        assert re.search(r'store_calls_total{call="list",outcome="ok"} [1-9]', text)
+        assert re.search(r'peer_exchanges_total{outcome="ok"} [1-9]', text)
+
+
 class TestMetrics:
     """Every metric is documented, and every documented one exists."""
 
