--- a/src/wagtailbay/locate/__init__.py
+++ b/src/wagtailbay/locate/__init__.py
@@ -1,5 +1,6 @@
 """Answer which entry VMs a caller should use."""
 
-from wagtailbay.locate.rank import LocateAnswer, RankedVm, VmRanker, rank_vms
+from wagtailbay.locate.groups import RankedVm
+from wagtailbay.locate.rank import LocateAnswer, VmRanker, rank_vms
 
 __all__ = ["LocateAnswer", "RankedVm", "VmRanker", "rank_vms"]
