--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -17,18 +17,20 @@
 from wagtailbay.entry.forward import Forwarder
 from wagtailbay.health import HealthMonitor, TargetHealth
 from wagtailbay.limits import ShareSource, WorkspaceLimiter
+from wagtailbay.locate import VmRanker
 from wagtailbay.logs import format_line
 from wagtailbay.membership import VmIdentity
 from wagtailbay.membership.credentials import CertificateSource
 from wagtailbay.metrics import Exporter, build_exporter
 from wagtailbay.once import OnceGate, OutcomeWriter, StoreCalls
 from wagtailbay.once.expiry import ExpirySweep
-from wagtailbay.platform import HttpObjectStore
+from wagtailbay.platform import CountedObjectStore, HttpObjectStore, ObjectStore
 from wagtailbay.programs.entry_settings import EntrySettings
 from wagtailbay.programs.fleet import Fleet, build_fleet
 from wagtailbay.programs.fleet_view import FleetView
 from wagtailbay.programs.without import Mechanisms, switch_off
 from wagtailbay.quarantine import CrashTable
+from wagtailbay.replica import ChangeSignal
 from wagtailbay.shift import DrainWeights, SharedVersionCaps, build_shift_controller
 from wagtailbay.shift.controller import ShiftController
 from wagtailbay.status import ConfigStatus, build_status
@@ -62,11 +64,13 @@
     server: HttpServer
     chooser: Chooser
     config: "LiveConfig"
+    ranker: VmRanker
 
     async def run_tasks(self, nursery: trio.Nursery) -> None:
         """Start every task but the servers."""
         tasks: list[Callable] = [
             self.follow_config,
+            self.follow_client_blocks,
             self.monitor.run,
             self.shift.run,
             self.writer.run,
@@ -85,8 +89,15 @@
         while True:
             self.config.view = build_view(self.config.view, replica.objects)
             self.chooser.fleet = self.config.view.fleet
+            self.config.changed.notify()
             await replica.changed.wait()
 
+    async def follow_client_blocks(self) -> None:
+        """Map the client blocks of each new fleet document."""
+        while True:
+            await self.ranker.map_blocks(self.config.view.fleet)
+            await self.config.changed.wait()
+
     async def _measure(self) -> None:
         while True:
             now_s = boottime_s()
@@ -106,9 +117,10 @@
 
 @define
 class LiveConfig:
-    """Hold the view of the documents in force."""
+    """Hold the view of the documents in force; changed is notified after each change."""
 
     view: ConfigView
+    changed: ChangeSignal = field(factory=ChangeSignal)
 
     def services_workspaces(self) -> tuple[str, ...]:
         """Return the workspaces of all services."""
@@ -126,7 +138,7 @@
     config: LiveConfig = field(factory=lambda: LiveConfig(ConfigView()))
     source: random.Random = field(factory=random.Random)
     started_s: float = field(factory=boottime_s)
-    store: HttpObjectStore = field(init=False)
+    store: ObjectStore = field(init=False)
     exporter: Exporter = field(init=False)
     fleet: Fleet = field(init=False)
     audit: AuditWriter = field(init=False)
@@ -134,8 +146,9 @@
     def __attrs_post_init__(self) -> None:
         """Build what all other parts use."""
         settings = self.settings
-        self.store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
         self.exporter = build_exporter(PROGRAM, settings.vm)
+        store = HttpObjectStore(settings.platform_address, settings.store_timeout_ms)
+        self.store = CountedObjectStore(store, self.exporter.metrics.store_called)
         self.fleet = build_fleet(
             settings,
             self.identity,
@@ -144,6 +157,7 @@
             lambda: self.config.view.fleet,
             boottime_s,
         )
+        self.fleet.peers.count = self.exporter.metrics.peer_exchanged
         self.audit = AuditWriter(self.store, self.exporter.metrics.audit_record_lost)
 
     def build(self) -> Node:
@@ -187,6 +201,7 @@
             server=HttpServer(handler.handle),
             chooser=chooser,
             config=config,
+            ranker=handler.ranker,
         )
 
     def _build_once(self, writer: OutcomeWriter) -> OnceGate:
