--- a/src/wagtailbay/entry/routing.py
+++ b/src/wagtailbay/entry/routing.py
@@ -46,6 +46,9 @@
     """Return service, route and the path at the target for ``/<service>/<path>``."""
     path, query = split_target(request.path)
     name, _, rest = path.removeprefix("/").partition("/")
+    if not view.services and view.fleet is None:
+        message = "this VM has just started and knows no document; use another VM"
+        return Err(not_run(503, "documents_missing", message, retry_after_ms=1_000))
     service = view.services.get(name)
     if service is None:
         return Err(not_run(404, "service_unknown", f"there is no service {name!r}"))
--- a/tests/entry/test_request_form.py
+++ b/tests/entry/test_request_form.py
@@ -21,6 +21,17 @@
 AUTH = ("Authorization", f"Bearer {KEY}")
 
 
+class TestVmWithoutDocuments:
+    """A VM that has just started does not say that a service is unknown."""
+
+    def test_no_documents(self) -> None:
+        """Guards against a 404 for an existing service, on which callers give up."""
+        found = find_route(Request("GET", "/records/1"), ConfigView())
+        refusal = found.unwrap_err()
+        assert (refusal.status, refusal.code) == (503, "documents_missing")
+        assert find_route(Request("GET", "/nothing/1"), VIEW).unwrap_err().status == 404
+
+
 class TestRequestTarget:
     """A target that two readers could understand differently is refused."""
 
