--- a/src/wagtailbay_bench/prove/checks/fleet.py
+++ b/src/wagtailbay_bench/prove/checks/fleet.py
@@ -9,7 +9,8 @@
 
 def check_drains(history: History) -> Iterator[Violation]:
     """Check that a drained target ran no request sent a few seconds later."""
-    drained = {d.target: d.accepted_unix_s for d in history.drained}
+    # A target may be drained again; the first time counts.
+    drained = {d.target: d.accepted_unix_s for d in reversed(history.drained)}
     for run in history.runs:
         accepted_s = drained.get(run["target"])
         if accepted_s is not None and run["unix_s"] > accepted_s + WITHIN_SECONDS_S:
--- a/src/wagtailbay_bench/prove/checks/requests.py
+++ b/src/wagtailbay_bench/prove/checks/requests.py
@@ -16,7 +16,8 @@
     if "authorization" in history.seen_headers:
         yield Violation("P3", "a target received the header Authorization")
     sent = {request.trace: request for request in history.requests}
-    withdrawn = {w.key_name: w.accepted_unix_s for w in history.withdrawals}
+    # A key may be withdrawn again; the first time counts.
+    withdrawn = {w.key_name: w.accepted_unix_s for w in reversed(history.withdrawals)}
     for run in history.runs:
         request = sent.get(run["trace"])
         if request is None:
--- a/tests/prove/test_fleet.py
+++ b/tests/prove/test_fleet.py
@@ -12,7 +12,7 @@
     def test_late_run(self) -> None:
         """Guards against a drained target that keeps getting work."""
         for sent_s, found in ((5.0, False), (10.0, True)):
-            builder = HistoryBuilder(drained=[Drained("t", 2.0)])
+            builder = HistoryBuilder(drained=[Drained("t", 2.0), Drained("t", 9.0)])
             builder.request(sent_s, "t")
             assert bool(list(check_drains(builder.history))) is found
 
--- a/tests/prove/test_requests.py
+++ b/tests/prove/test_requests.py
@@ -18,7 +18,7 @@
     def test_withdrawn_key(self) -> None:
         """Guards against a withdrawn key that goes on working."""
         for sent_s, found in ((5.0, False), (10.0, True)):
-            builder = HistoryBuilder(withdrawals=[Withdrawal("w", 2.0)])
+            builder = HistoryBuilder(withdrawals=[Withdrawal("w", 2.0), Withdrawal("w", 9.0)])
             builder.request(sent_s, "t")
             assert bool(list(check_keys(builder.history))) is found
 
