--- a/src/wagtailbay_bench/prove/checks/requests.py
+++ b/src/wagtailbay_bench/prove/checks/requests.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from wagtailbay_bench.prove.checks.const import WITHIN_SECONDS_S
+from wagtailbay_bench.prove.checks.windows import Span, fullest_windows
 from wagtailbay_bench.prove.models import History, Violation
 
 # A request may wait this long between its admission and its run at a target.
@@ -31,6 +32,7 @@
 
 def check_limits(history: History) -> Iterator[Violation]:
     """Check that in no window a workspace ran more than its rate and burst allow."""
+    yield from _check_admitted(history)
     for workspace, (rate_per_s, burst) in history.limits.items():
         times = sorted(run["unix_s"] for run in history.runs if run["workspace"] == workspace)
         for first, start_s in enumerate(times):
@@ -43,6 +45,22 @@
                     return
 
 
+def _check_admitted(history: History) -> Iterator[Violation]:
+    """Check the requests that ran: each was admitted between its departure and its first run."""
+    first_run_s: dict[str, float] = {}
+    for run in history.runs:
+        first_run_s.setdefault(run["trace"], run["unix_s"])
+    for workspace, (rate_per_s, burst) in history.limits.items():
+        spans = [
+            Span(request.sent_unix_s, first_run_s[request.trace])
+            for request in history.requests
+            if request.workspace == workspace and request.trace in first_run_s
+        ]
+        for window_s, count in fullest_windows(spans):
+            if count > burst + rate_per_s * window_s + 1:
+                yield Violation("P4", f"{workspace}: {count:.0f} requests in {window_s:g} s")
+
+
 def check_answers(history: History) -> Iterator[Violation]:
     """Check that each answer belongs to its own request and is whole."""
     for request in history.requests:
--- a/tests/prove/test_requests.py
+++ b/tests/prove/test_requests.py
@@ -40,6 +40,13 @@
                 builder.request(number / per_s, "t")
             assert bool(list(check_limits(builder.history))) is found
 
+    def test_short_excess(self) -> None:
+        """Guards against an excess that the time between admission and run would explain."""
+        builder = HistoryBuilder(limits={"w": (10.0, 20.0)})
+        for number in range(40):
+            builder.request(number / 40, "t")
+        assert list(check_limits(builder.history))
+
 
 class TestAnswers:
     """An answer belongs to its request."""
