--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -49,6 +49,7 @@
 
     Attributes:
         document: Returns the fleet document in force, None while there is none.
+        waits_until_ready: Test-only switch; False goes live without knowing the changes in force.
     """
 
     exchanger: Exchanger
@@ -59,6 +60,7 @@
     lease: LeaseKeeper
     document: Callable[[], FleetDocument | None]
     clock: Clock
+    waits_until_ready: bool = True
 
     @property
     def roster(self) -> Roster:
@@ -129,7 +131,7 @@
 
     async def become_live(self) -> None:
         """Announce this VM once it is ready."""
-        while not self.can_become_ready(self.clock()):
+        while self.waits_until_ready and not self.can_become_ready(self.clock()):
             with trio.move_on_after(HOUSEKEEPING_INTERVAL_S):
                 await self.replica.changed.wait()
                 await trio.lowlevel.checkpoint()  # The documents are read by another task.
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -16,14 +16,12 @@
         revision: Every change up to this store revision is included.
         objects: By key, deleted ones included with value None.
         deletions_since: Every deletion after this revision is included in objects.
-        only_newer: Test-only switch; False takes in whatever comes, also what is older.
     """
 
     revision: int = 0
     deletions_since: int = 0
     objects: dict[str, StoredObject] = field(factory=dict)
     changed: ChangeSignal = field(factory=ChangeSignal)
-    only_newer: bool = True
 
     def apply(self, objects: Iterable[StoredObject], revision: int) -> bool:
         """Take in objects that are complete from this replica's revision up to the given one.
@@ -35,12 +33,10 @@
         changed = False
         for stored in objects:
             known = self.objects.get(stored.key)
-            if not self.only_newer or stored.version > (
-                self.revision if known is None else known.version
-            ):
+            if stored.version > (self.revision if known is None else known.version):
                 self.objects[stored.key] = stored
                 changed = True
-        self.revision = max(self.revision, revision) if self.only_newer else revision
+        self.revision = max(self.revision, revision)
         if changed:
             self.changed.notify()
         return changed
