--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -49,7 +49,6 @@
 
     Attributes:
         document: Returns the fleet document in force, None while there is none.
-        waits_until_ready: Test-only switch; False goes live without knowing the changes in force.
     """
 
     exchanger: Exchanger
@@ -60,7 +59,6 @@
     lease: LeaseKeeper
     document: Callable[[], FleetDocument | None]
     clock: Clock
-    waits_until_ready: bool = True
 
     @property
     def roster(self) -> Roster:
@@ -131,7 +129,7 @@
 
     async def become_live(self) -> None:
         """Announce this VM once it is ready."""
-        while self.waits_until_ready and not self.can_become_ready(self.clock()):
+        while not self.can_become_ready(self.clock()):
             with trio.move_on_after(HOUSEKEEPING_INTERVAL_S):
                 await self.replica.changed.wait()
                 await trio.lowlevel.checkpoint()  # The documents are read by another task.
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -160,7 +160,7 @@
         )
         forwarder.metrics = self.exporter.metrics
         handler = self._build_handler(forwarder, self._build_once(writer), shares, allotment)
-        mechanisms = Mechanisms(handler, shift, chooser, fleet)
+        mechanisms = Mechanisms(handler, shift, chooser, fleet.replica)
         switch_off(self.settings.without, mechanisms)
         return Node(
             fleet=fleet,
--- a/src/wagtailbay/programs/without.py
+++ b/src/wagtailbay/programs/without.py
@@ -6,7 +6,7 @@
 
 from wagtailbay.allotment import EqualShares
 from wagtailbay.entry import RequestHandler
-from wagtailbay.programs.fleet import Fleet
+from wagtailbay.replica import Replica
 from wagtailbay.shift import UncappedVersions
 from wagtailbay.shift.controller import ShiftController
 from wagtailbay.steer import Chooser, TwoChoiceChooser
@@ -20,7 +20,7 @@
     handler: RequestHandler
     shift: ShiftController
     chooser: Chooser
-    fleet: Fleet
+    replica: Replica
 
 
 def _keep_withdrawn_keys(parts: Mechanisms) -> None:
@@ -44,8 +44,8 @@
         parts.chooser.finder.weights.enabled = False
 
 
-def _serve_before_ready(parts: Mechanisms) -> None:
-    parts.fleet.waits_until_ready = False
+def _keep_first_documents(parts: Mechanisms) -> None:
+    parts.replica.follows = False
 
 
 def _exceed_steps(parts: Mechanisms) -> None:
@@ -81,7 +81,7 @@
     "refusals": _say_not_run,
     "at-most-once": _skip_claims,
     "drains": _ignore_drains,
-    "revisions": _serve_before_ready,
+    "revisions": _keep_first_documents,
     "quarantine": _refuse_no_crashing_request,
 }
 # The wait of a planned stop is left out where the signal is received.
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -16,12 +16,14 @@
         revision: Every change up to this store revision is included.
         objects: By key, deleted ones included with value None.
         deletions_since: Every deletion after this revision is included in objects.
+        follows: Test-only switch; False takes nothing in after the first objects.
     """
 
     revision: int = 0
     deletions_since: int = 0
     objects: dict[str, StoredObject] = field(factory=dict)
     changed: ChangeSignal = field(factory=ChangeSignal)
+    follows: bool = True
 
     def apply(self, objects: Iterable[StoredObject], revision: int) -> bool:
         """Take in objects that are complete from this replica's revision up to the given one.
@@ -30,6 +32,8 @@
         unknown one from before this replica's revision, which must have been deleted since. A
         lagging source therefore never reverts anything. Returns whether any object changed.
         """
+        if self.objects and not self.follows:
+            return False
         changed = False
         for stored in objects:
             known = self.objects.get(stored.key)
--- a/src/wagtailbay_bench/controls.py
+++ b/src/wagtailbay_bench/controls.py
@@ -4,14 +4,17 @@
 from collections import Counter
 from typing import Any
 
+import trio
 from attrs import define
 from result import Err, Ok, Result
 
 from wagtailbay.platform import HttpObjectStore, StoreError
-from wagtailbay.transport import Request, fetch
+from wagtailbay.transport import FailureKind, Request, Response, TransportError, fetch
 from wagtailbay_bench.deployment import Deployment
 
 CONTROL_TIMEOUT_MS = 5_000
+CRASHED_TRIES = 10
+CRASHED_WAIT_S = 0.2
 
 
 @define
@@ -25,9 +28,19 @@
         """Return a client of the platform stand-in."""
         return HttpObjectStore(self.deployment.platform_address)
 
+    async def _call(self, address: str, request: Request) -> Result[Response, TransportError]:
+        """Call a stand-in; a crashed target listens again after a second."""
+        answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+        for _ in range(CRASHED_TRIES):
+            if not isinstance(answer, Err) or answer.err_value.kind is not FailureKind.CONNECT:
+                break
+            await trio.sleep(CRASHED_WAIT_S)
+            answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+        return answer
+
     async def _put(self, address: str, path: str, value: Any) -> Any:
         request = Request("PUT", path, (), json.dumps(value).encode())
-        answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+        answer = await self._call(address, request)
         if not isinstance(answer, Ok):
             raise RuntimeError(f"{address}{path}: {answer.err_value}")
         return json.loads(answer.ok_value.body)
@@ -62,7 +75,7 @@
         runs = []
         for address in self.deployment.target_addresses.values():
             request = Request("GET", "/standin/runs")
-            answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+            answer = await self._call(address, request)
             if isinstance(answer, Ok):
                 runs.extend(json.loads(answer.ok_value.body)["history"])
         return sorted(runs, key=lambda run: run["unix_s"])
@@ -71,7 +84,7 @@
         """Return the traces of requests whose answers a target itself broke off."""
         traces: set[str] = set()
         for address in self.deployment.target_addresses.values():
-            answer = await fetch(address, Request("GET", "/standin/runs"), CONTROL_TIMEOUT_MS)
+            answer = await self._call(address, Request("GET", "/standin/runs"))
             if isinstance(answer, Ok):
                 traces.update(json.loads(answer.ok_value.body)["cut_traces"])
         return traces
@@ -81,7 +94,7 @@
         total: Counter = Counter()
         for address in self.deployment.target_addresses.values():
             request = Request("GET", "/standin/runs")
-            answer = await fetch(address, request, CONTROL_TIMEOUT_MS)
+            answer = await self._call(address, request)
             if isinstance(answer, Ok):
                 total.update(json.loads(answer.ok_value.body)["runs"])
         return total
@@ -90,7 +103,7 @@
         """Return the names of all header fields that any target received."""
         names: set[str] = set()
         for address in self.deployment.target_addresses.values():
-            answer = await fetch(address, Request("GET", "/standin/counts"), CONTROL_TIMEOUT_MS)
+            answer = await self._call(address, Request("GET", "/standin/counts"))
             if isinstance(answer, Ok):
                 names.update(json.loads(answer.ok_value.body)["seen_headers"])
         return names
--- a/src/wagtailbay_bench/prove/program.py
+++ b/src/wagtailbay_bench/prove/program.py
@@ -74,7 +74,8 @@
         answered = sum(request.status == 200 for request in history.requests)
         print(
             f"seed={seed} requests={len(history.requests)} answered={answered}"
-            f" runs={len(history.runs)} faults={len(history.faults)} violations={len(found)}",
+            f" runs={len(history.runs)} move={history.move.kind} faults={len(history.faults)}"
+            f" violations={len(found)}",
             flush=True,
         )
         for violation in found[:5]:
--- /dev/null
+++ b/tests/replica/test_follows.py
@@ -0,0 +1,16 @@
+"""Test the switch by which a replica stays at its first objects."""
+
+from wagtailbay.platform import StoredObject
+from wagtailbay.replica import Replica
+
+
+class TestFollows:
+    """Without following, later objects are left out; with it, they are taken in."""
+
+    def test_later_object(self) -> None:
+        """Guards against a switch that leaves nothing out, or that is off by default."""
+        for follows, expected in ((True, "new"), (False, "old")):
+            replica = Replica(follows=follows)
+            replica.apply([StoredObject("documents/a", 1, "old")], 1)
+            replica.apply([StoredObject("documents/a", 2, "new")], 2)
+            assert replica.value("documents/a") == expected
