--- a/src/wagtailbay_bench/prove/program.py
+++ b/src/wagtailbay_bench/prove/program.py
@@ -83,7 +83,8 @@
         if found:
             print(f"  faults: {', '.join(history.faults)}")
             used = sorted({item.split()[1] for item in history.faults})
-            if arguments.without:
+            # A violation that is wanted, or a history of minutes, is not worth more histories.
+            if arguments.without or arguments.seconds > HISTORY_DURATION_S:
                 continue
             kept = shorten(seed, used, arguments.property, vm_flags)
             options = " ".join(f"--fault {name}" for name in kept)
