--- a/src/wagtailbay/programs/without.py
+++ b/src/wagtailbay/programs/without.py
@@ -44,8 +44,8 @@
         parts.chooser.finder.weights.enabled = False
 
 
-def _accept_older_objects(parts: Mechanisms) -> None:
-    parts.replica.only_newer = False
+def _keep_first_documents(parts: Mechanisms) -> None:
+    parts.replica.follows = False
 
 
 def _exceed_steps(parts: Mechanisms) -> None:
@@ -81,7 +81,7 @@
     "refusals": _say_not_run,
     "at-most-once": _skip_claims,
     "drains": _ignore_drains,
-    "revisions": _accept_older_objects,
+    "revisions": _keep_first_documents,
     "quarantine": _refuse_no_crashing_request,
 }
 # The wait of a planned stop is left out where the signal is received.
