Refuse requests on a VM that is not ready instead of denying their service

Cause: a VM that had just started and could reach neither the store nor a quorum answered 404 service_unknown, which a caller takes as final, and would have served open routes by documents of a single peer.

Change: while a VM is joining, every request but those under /-/ is refused with 503 not_ready, not run.

--- a/src/wagtailbay/entry/const.py
+++ b/src/wagtailbay/entry/const.py
@@ -5,6 +5,8 @@
 LOCATE_PATH: Final = "/-/locate"
 STATUS_PATH: Final = "/-/status"
 READY_PATH: Final = "/-/ready"
+# A VM that starts while the store answers is ready within a second.
+NOT_READY_RETRY_AFTER_MS: Final = 1_000
 MAX_DEADLINE_MS: Final = 600_000
 MAX_ATTEMPTS: Final = 3
 CONNECT_TIMEOUT_MS: Final = 1_000
--- a/src/wagtailbay/entry/handler.py
+++ b/src/wagtailbay/entry/handler.py
@@ -9,7 +9,12 @@
 
 from wagtailbay.access import AccessGate
 from wagtailbay.config import ConfigView
-from wagtailbay.entry.const import LOCATE_PATH, READY_PATH, STATUS_PATH
+from wagtailbay.entry.const import (
+    LOCATE_PATH,
+    NOT_READY_RETRY_AFTER_MS,
+    READY_PATH,
+    STATUS_PATH,
+)
 from wagtailbay.entry.deposit import DepositForwarder
 from wagtailbay.entry.forward import Forwarder, check_quarantine
 from wagtailbay.entry.models import AnswerCut, RequestContext
@@ -76,6 +81,9 @@
         self, request: Request, request_id: str, now_s: float
     ) -> Result[RequestContext, Refusal]:
         """Check everything but the workspace's limit."""
+        if self.roster.own_member.state is VmState.JOINING:
+            message = "this VM is starting; use another VM"
+            return Err(not_run(503, "not_ready", message, retry_after_ms=NOT_READY_RETRY_AFTER_MS))
         formed = check_form(request)
         if isinstance(formed, Err):
             return formed
--- a/src/wagtailbay_bench/prove/context.py
+++ b/src/wagtailbay_bench/prove/context.py
@@ -25,6 +25,7 @@
         silent: VMs that pass nothing on to others now.
         frozen: VMs that are paused now.
         store_faults: The faults of the platform stand-in that hold now.
+        withdrawn: Workspaces whose spare key was withdrawn.
     """
 
     deployment: Deployment
@@ -38,6 +39,7 @@
     silent: set[str] = field(factory=set)
     frozen: set[str] = field(factory=set)
     store_faults: dict[str, float] = field(factory=dict)
+    withdrawn: set[str] = field(factory=set)
 
     def any_vm(self) -> str:
         """Return a VM; only requests are sent to it."""
--- a/src/wagtailbay_bench/prove/operator_faults.py
+++ b/src/wagtailbay_bench/prove/operator_faults.py
@@ -35,7 +35,11 @@
 
 async def withdraw_key(context: FaultContext) -> None:
     """Withdraw one of the spare keys while its callers go on; ask until it is in force."""
-    name = context.random.choice(list(SPARE_KEYS))
+    names = sorted(SPARE_KEYS.keys() - context.withdrawn)
+    if not names:
+        return
+    name = context.random.choice(names)
+    context.withdrawn.add(name)
     operator = context.random.choice(list(ADMIN_TOKENS))
     key_id = hash_key(SPARE_KEYS[name])
     value = {"workspace": name, "withdrawn": True}
--- a/src/wagtailbay_bench/rig.py
+++ b/src/wagtailbay_bench/rig.py
@@ -15,7 +15,7 @@
 from wagtailbay.entry.forward import Forwarder
 from wagtailbay.entry.retry import RetryBudget
 from wagtailbay.limits import WorkspaceLimiter
-from wagtailbay.membership import FactTable, Roster, VmIdentity
+from wagtailbay.membership import FactTable, Roster, VmIdentity, VmState
 from wagtailbay.platform import StoredObject
 from wagtailbay.quarantine import CrashTable
 from wagtailbay.refusals import Refusal
@@ -121,7 +121,7 @@
         limits = (WorkspaceLimit("unam", 1e6, 1e6),)
         return ServiceDocument("records", "team", routes, tuple(self.targets.values()), limits, ())
 
-    async def add_vm(self, vm: str = "vm-1") -> RigVm:
+    async def add_vm(self, vm: str = "vm-1", state: VmState = VmState.LIVE) -> RigVm:
         """Start an entry VM that knows the targets entered so far."""
         clock = trio.current_time
         facts = FactTable(vm, 1)
@@ -132,6 +132,9 @@
         self.nursery.start_soon(deposits.gate.writer.run)
         key = StoredObject(f"keys/{hash_key(KEY)}", 1, {"workspace": "unam"})
         document = self._document()
+        roster = Roster(VmIdentity(vm, 1, "127.0.0.1:1", "", "mx-a1"))
+        if state is not VmState.JOINING:
+            roster.announce(state)
         handler = RequestHandler(
             view=lambda: ConfigView(services={"records": document}),
             gate=AccessGate(
@@ -140,7 +143,7 @@
             limiter=WorkspaceLimiter(EqualShares(lambda: 1, -1e6), clock),
             forwarder=forwarder,
             deposits=deposits,
-            roster=Roster(VmIdentity(vm, 1, "127.0.0.1:1", "", "mx-a1")),
+            roster=roster,
             status=lambda now_s: {},
             clock=clock,
         )
--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -7,6 +7,7 @@
 import trio
 
 from wagtailbay.entry.retry import RetryBudget
+from wagtailbay.membership import VmState
 from wagtailbay.once.const import MAX_RECORDED_BODY_BYTES
 from wagtailbay.steer import AttemptOutcome
 from wagtailbay_bench.rig import KEY, Rig, get, post
@@ -78,6 +79,18 @@
         if run is not None:
             assert run_of(answer) == run
 
+    @pytest.mark.parametrize("path", ["/records/x", "/records/open/x", "/other/x"])
+    async def test_a_vm_that_is_not_ready_runs_nothing(self, nursery, path: str) -> None:
+        """Guards against "no such service" and old documents from a VM that has just started."""
+        rig = Rig(nursery)
+        await rig.add_target("t0")
+        vm = await rig.add_vm(state=VmState.JOINING)
+        answer = await vm.session(get(path))
+        assert (answer[9:12], run_of(answer)) == (b"503", "not_run")
+        assert b'"not_ready"' in answer
+        assert (await vm.session(get("/-/ready")))[9:12] == b"503"
+        assert rig.standins["t0"].served == 0
+
     async def test_cut_answer_ends_without_proper_end(self, nursery) -> None:
         """Guards against a truncated answer that the caller takes for a complete one."""
         rig = Rig(nursery)
