--- a/src/wagtailbay_bench/processes.py
+++ b/src/wagtailbay_bench/processes.py
@@ -54,7 +54,9 @@
                 await trio.sleep(0.02)
             else:
                 return
-        raise RuntimeError(f"{self.name}: no event {event!r}; log: {self.log_path.read_text()}")
+        ended = f"exit status {self.process.poll()}"
+        log = self.log_path.read_text()
+        raise RuntimeError(f"{self.name}: no event {event!r}; {ended}; log: {log}")
 
     def kill(self) -> None:
         """End the process at once."""
