--- a/src/wagtailbay/locate/blocks.py
+++ b/src/wagtailbay/locate/blocks.py
@@ -11,18 +11,16 @@
 from attrs import define, field
 
 from wagtailbay.config import ClientBlock
-from wagtailbay.locate.const import SLICE_BLOCKS
-
-UNMAPPED = 0xFFFF
-# IPv6 blocks are kept by their upper 64 bits; longer prefixes are not routed between networks.
-IPV6_SHIFT = 64
-# A builder sorts the blocks of 2^18 IPv4 addresses, or of one IPv6 /32, at a time. Parts of 2^16
-# addresses took 6 ms to bring into order among each other.
-IPV4_PART_SHIFT = 18
-IPV6_PART_SHIFT = 32
-ZONE_BITS = 16
-LENGTH_BITS = 7
-LENGTH_MASK = (1 << LENGTH_BITS) - 1
+from wagtailbay.locate.const import (
+    IPV4_PART_SHIFT,
+    IPV6_PART_SHIFT,
+    IPV6_SHIFT,
+    LENGTH_BITS,
+    LENGTH_MASK,
+    SLICE_BLOCKS,
+    UNMAPPED,
+    ZONE_BITS,
+)
 
 
 @define
--- a/src/wagtailbay/locate/const.py
+++ b/src/wagtailbay/locate/const.py
@@ -21,3 +21,14 @@
 MAX_CACHED_ZONES: Final = 128
 # Blocks that a map takes in between two turns of other tasks, about 1 ms.
 SLICE_BLOCKS: Final = 250
+# A builder sorts the blocks of 2^18 IPv4 addresses, or of one IPv6 /32, at a time. Parts of 2^16
+# addresses took 6 ms to bring into order among each other.
+IPV4_PART_SHIFT: Final = 18
+IPV6_PART_SHIFT: Final = 32
+# IPv6 blocks are kept by their upper 64 bits; longer prefixes are not routed between networks.
+IPV6_SHIFT: Final = 64
+ZONE_BITS: Final = 16
+LENGTH_BITS: Final = 7
+LENGTH_MASK: Final = (1 << LENGTH_BITS) - 1
+# The number of no zone.
+UNMAPPED: Final = (1 << ZONE_BITS) - 1
