Give gRPC the same certificates once and not at each handshake

Cause: the callback of the dynamic server credentials returned a configuration at every handshake. gRPC then replaces and frees the one before, also while other handshakes use it, and the process ends.

Change: the callback returns a configuration only after a replacement and None otherwise.

A replacement during a handshake remains possible in gRPC itself; no run has met it.

--- a/src/wagtailbay/membership/credentials.py
+++ b/src/wagtailbay/membership/credentials.py
@@ -57,22 +57,34 @@
     return text.encode() if text.startswith(PEM_MARK) else Path(text).read_bytes()
 
 
-def server_credentials(source: CertificateSource) -> grpc.ServerCredentials:
-    """Return credentials that ask every caller for a certificate and follow replaced files."""
+@define
+class CertificateReload:
+    """Give gRPC the certificates to serve with, once after each replacement.
+
+    gRPC asks at each handshake. A new configuration frees the one before without regard to other
+    handshakes that use it at that moment, so the same certificates are not given again.
+    """
 
-    def configuration() -> grpc.ServerCertificateConfiguration | None:
-        match source.load():
-            case Ok(loaded):
+    source: CertificateSource
+    given: PeerCertificates | None = None
+
+    def __call__(self) -> grpc.ServerCertificateConfiguration | None:
+        """Return a configuration with replaced certificates, None while nothing has changed."""
+        match self.source.load():
+            case Ok(loaded) if loaded is not self.given:
+                self.given = loaded
                 pairs = [(loaded.key, loaded.certificate)]
                 return grpc.ssl_server_certificate_configuration(pairs, loaded.authority)
         return None
 
-    initial = configuration()
+
+def server_credentials(source: CertificateSource) -> grpc.ServerCredentials:
+    """Return credentials that ask every caller for a certificate and follow replaced files."""
+    reload = CertificateReload(source)
+    initial = reload()
     if initial is None:
         raise ValueError("the certificates must have been loaded once before")
-    return grpc.dynamic_ssl_server_credentials(
-        initial, configuration, require_client_authentication=True
-    )
+    return grpc.dynamic_ssl_server_credentials(initial, reload, require_client_authentication=True)
 
 
 def channel_credentials(certificates: PeerCertificates) -> grpc.ChannelCredentials:
--- a/tests/membership/test_peer_calls.py
+++ b/tests/membership/test_peer_calls.py
@@ -15,7 +15,7 @@
 from wagtailbay.clock import boottime_s
 from wagtailbay.membership import Exchanger, PeerClient, PeerFailure, PeerLoop, PeerServer
 from wagtailbay.membership.const import CERTIFICATE_NAME
-from wagtailbay.membership.credentials import CertificateSource
+from wagtailbay.membership.credentials import CertificateReload, CertificateSource
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
 from wagtailbay.membership.settings import PeerSettings, certificate_source
 from wagtailbay_bench.processes import free_address
@@ -155,6 +155,16 @@
                 await loops[0].exchange()
             assert loops[0].error is None
 
+    def test_unchanged_certificates_are_given_to_grpc_once(self, tmp_path: Path) -> None:
+        """Guards against a change of certificates, which gRPC does unguarded, at each handshake."""
+        authority = trustme.CA()
+        reload = CertificateReload(write_certificates(authority, tmp_path))
+        assert [reload() is None for _ in range(3)] == [False, True, True]
+        write_certificates(authority, tmp_path)
+        assert [reload() is None for _ in range(3)] == [False, True, True]
+        (tmp_path / "key").unlink()
+        assert reload() is None
+
     @pytest.mark.parametrize("address", ["10.0.0.1:1", "127.0.0.1:1"])
     def test_no_tls_is_for_loopback_only(self, address: str) -> None:
         """Guards against peer messages in clear between machines."""
