End the watch of a delayed move at its deadline

Change: the watch ends at the deadline; the move finishes if it was watched for 5 s and has shown enough requests, else it is rolled back.

--- a/src/wagtailbay/shift/advance.py
+++ b/src/wagtailbay/shift/advance.py
@@ -45,11 +45,14 @@
 
 
 def _watched(state: MoveState, evidence: StepEvidence, now_unix_s: float) -> MoveState:
-    if now_unix_s < state.step_unix_s + WATCH_S:
+    """End the watch after 60 s, or at the deadline where an outage delayed the last step."""
+    watched_s = now_unix_s - state.step_unix_s
+    overdue = now_unix_s >= state.plan.deadline_unix_s
+    if watched_s < WATCH_S and not overdue:
         return state
-    if evidence.new_requests >= MIN_STEP_REQUESTS:
+    if watched_s >= MIN_STEP_S and evidence.new_requests >= MIN_STEP_REQUESTS:
         return evolve(state, phase=MovePhase.FINISHED, step_unix_s=now_unix_s, reason="")
-    if now_unix_s >= state.plan.deadline_unix_s:
+    if overdue:
         return _rolled_back(state, "no evidence of the new version by the deadline", now_unix_s)
     return state
 
--- a/tests/shift/test_move_plan.py
+++ b/tests/shift/test_move_plan.py
@@ -1,5 +1,6 @@
 """Test the planning and advance of moves."""
 
+import pytest
 from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -7,6 +8,7 @@
 from steering_fakes import PLAN
 
 from wagtailbay.shift.advance import StepEvidence, advance
+from wagtailbay.shift.const import MIN_STEP_S
 from wagtailbay.shift.models import MovePhase, MoveState
 from wagtailbay.shift.plan import begin_move, plan_steps
 
@@ -103,6 +105,17 @@
         assert state.phase is MovePhase.FINISHED
         assert now_s <= PLAN.deadline_unix_s
 
+    @pytest.mark.parametrize("watched_s", [4.0, 6.0, 59.0])
+    def test_delayed_watch_ends_at_the_deadline(self, watched_s: float) -> None:
+        """Guards against a good version that an outage delays past its deadline."""
+        last_s = PLAN.deadline_unix_s - watched_s
+        state = evolve(begin_move(PLAN, 1000.0), phase=MovePhase.WATCHING, step=5)
+        state = evolve(state, step_unix_s=last_s)
+        assert advance(state, ENOUGH, PLAN.deadline_unix_s - 0.1) == state
+        ended = advance(state, ENOUGH, PLAN.deadline_unix_s)
+        enough = watched_s >= MIN_STEP_S
+        assert ended.phase is (MovePhase.FINISHED if enough else MovePhase.ROLLED_BACK)
+
     def test_late_fault_rolls_back_in_the_watch(self) -> None:
         """Guards against a fault that shows only under the whole traffic."""
         state = begin_move(PLAN, 1000.0)
