--- a/src/wagtailbay/steer/candidates.py
+++ b/src/wagtailbay/steer/candidates.py
@@ -1,4 +1,4 @@
-"""Judge which targets can take a request."""
+"""Evaluate which targets can take a request."""
 
 from collections.abc import Callable, Sequence
 
@@ -7,15 +7,15 @@
 from wagtailbay.config import FleetDocument, ServiceDocument, Target
 from wagtailbay.health import OutlierDetector, TargetState, TargetStates, TargetView
 from wagtailbay.steer.belief import LoadBelief
-from wagtailbay.steer.const import PPM, SURVEY_S
+from wagtailbay.steer.const import PPM, SNAPSHOT_S
+from wagtailbay.steer.eligible import EligibleTarget, Evaluate, TargetGroup, group_targets
 from wagtailbay.steer.latency import LatencyBook
 from wagtailbay.steer.models import Candidate, TargetQuery, WeightSource
-from wagtailbay.steer.seats import Group, Judge, Seat, build_group
 from wagtailbay.steer.slow_start import SlowStart
 
 
 @frozen
-class _Places:
+class _Topology:
     """Hold the region of each target and the slots of each region under two documents."""
 
     service: ServiceDocument
@@ -35,49 +35,52 @@
         groups: The groups asked for so far.
     """
 
-    for_query: tuple[Seat, ...]
-    usable: tuple[Seat, ...]
+    for_query: tuple[EligibleTarget, ...]
+    usable: tuple[EligibleTarget, ...]
     healthy_fraction: dict[str, float]
-    groups: dict[tuple[str, str], Group] = field(factory=dict)
+    groups: dict[tuple[str, str], TargetGroup] = field(factory=dict)
 
-    def in_region(self, region: str) -> Group:
+    def in_region(self, region: str) -> TargetGroup:
         """Return those of a region that can take the request."""
-        return self._group("region", region, lambda seat: seat.region == region)
+        return self._group("region", region, lambda eligible: eligible.region == region)
 
-    def in_zone(self, zone: str) -> Group:
+    def in_zone(self, zone: str) -> TargetGroup:
         """Return those of an availability zone that can take the request."""
-        return self._group("zone", zone, lambda seat: seat.target.availability_zone == zone)
+        return self._group("zone", zone, lambda eligible: eligible.target.availability_zone == zone)
 
-    def outside_zone(self, region: str, zone: str) -> Group:
+    def outside_zone(self, region: str, zone: str) -> TargetGroup:
         """Return those of a region outside one of its availability zones."""
         return self._group(
             "outside",
             zone,
-            lambda seat: seat.region == region and seat.target.availability_zone != zone,
+            lambda eligible: eligible.region == region
+            and eligible.target.availability_zone != zone,
         )
 
-    def _group(self, kind: str, name: str, belongs: Callable[[Seat], bool]) -> Group:
+    def _group(
+        self, kind: str, name: str, belongs: Callable[[EligibleTarget], bool]
+    ) -> TargetGroup:
         found = self.groups.get((kind, name))
         if found is None:
-            found = build_group([seat for seat in self.for_query if belongs(seat)])
+            found = group_targets([eligible for eligible in self.for_query if belongs(eligible)])
             self.groups[(kind, name)] = found
         return found
 
 
 @define(eq=False)
-class _Survey:
+class _Snapshot:
     """Hold which targets of a service can take requests, for a short time.
 
     Attributes:
         key: What it was built from; a difference ends it at once.
         until_s: When it ends without any change.
-        open_seats: The targets that are not drained, fit or not.
+        not_drained: The targets that are not drained, fit or not.
     """
 
     key: tuple
     until_s: float
-    usable: tuple[Seat, ...]
-    open_seats: tuple[Seat, ...]
+    usable: tuple[EligibleTarget, ...]
+    not_drained: tuple[EligibleTarget, ...]
     healthy_fraction: dict[str, float]
     by_version: dict[str | None, Candidates] = field(factory=dict)
 
@@ -91,7 +94,7 @@
         return found
 
     def _build(self, query: TargetQuery) -> Candidates:
-        matching = _matching(self.usable, query) or _matching(self.open_seats, query)
+        matching = _matching(self.usable, query) or _matching(self.not_drained, query)
         return Candidates(matching, self.usable, self.healthy_fraction)
 
 
@@ -102,7 +105,7 @@
     Attributes:
         eject: Test-only switch; False uses targets that probes or requests show to be unfit.
         drain: Test-only switch; False gives work to targets that report that they drain.
-        surveys: The newest survey of each service.
+        snapshots: The newest snapshot of each service.
     """
 
     states: TargetStates
@@ -113,8 +116,8 @@
     slow_start: SlowStart = field(factory=SlowStart)
     eject: bool = True
     drain: bool = True
-    places: dict[str, _Places] = field(factory=dict)
-    surveys: dict[str, _Survey] = field(factory=dict)
+    topologies: dict[str, _Topology] = field(factory=dict)
+    snapshots: dict[str, _Snapshot] = field(factory=dict)
 
     def find(self, query: TargetQuery, fleet: FleetDocument | None, now_s: float) -> Candidates:
         """Return the targets that can take a request.
@@ -123,21 +126,25 @@
         wrong, and a refused connection tells quickly. Draining ones are never returned.
         """
         service = query.service
-        survey = self.surveys.get(service.service)
+        snapshot = self.snapshots.get(service.service)
         key = (service, fleet, self.states.changes(now_s), self.outliers.changes)
         key += (self.eject, self.drain)
-        if survey is None or survey.key != key or not 0 <= survey.until_s - now_s <= SURVEY_S:
-            self._place(service, fleet)
-            survey = self._survey(service, key, now_s)
-            self.surveys[service.service] = survey
-        return survey.candidates(query)
-
-    def judge_of(self, service: str, now_s: float) -> Judge:
+        if (
+            snapshot is None
+            or snapshot.key != key
+            or not 0 <= snapshot.until_s - now_s <= SNAPSHOT_S
+        ):
+            self._update_topology(service, fleet)
+            snapshot = self._take_snapshot(service, key, now_s)
+            self.snapshots[service.service] = snapshot
+        return snapshot.candidates(query)
+
+    def evaluator(self, service: str, now_s: float) -> Evaluate:
         """Return a function that judges the load of one target now."""
         judged: dict[str, Candidate] = {}
 
-        def judge(seat: Seat) -> Candidate:
-            target = seat.target
+        def evaluate(eligible: EligibleTarget) -> Candidate:
+            target = eligible.target
             found = judged.get(target.target)
             if found is None:
                 view = self.states.view(service, target.target, now_s)
@@ -145,14 +152,20 @@
                 own, load = self.beliefs.loads(service, target.target, view, slots, now_s)
                 slowness = self.latencies.slowness(service, target.target, now_s)
                 found = Candidate(
-                    target, seat.region, own, load, seat.slots, seat.weight_ppm, slowness
+                    target,
+                    eligible.region,
+                    own,
+                    load,
+                    eligible.slots,
+                    eligible.weight_ppm,
+                    slowness,
                 )
                 judged[target.target] = found
             return found
 
-        return judge
+        return evaluate
 
-    def _survey(self, service: ServiceDocument, key: tuple, now_s: float) -> _Survey:
+    def _take_snapshot(self, service: ServiceDocument, key: tuple, now_s: float) -> _Snapshot:
         views = {
             t.target: self.states.view(service.service, t.target, now_s) for t in service.targets
         }
@@ -168,18 +181,20 @@
         }
         usable_now = {target.target: target.target in names for target in service.targets}
         self.slow_start.observe(service.service, usable_now, now_s)
-        open_seats = tuple(
-            self._seat(service, target, weight, views[target.target], now_s)
+        not_drained = tuple(
+            self._eligible(service, target, weight, views[target.target], now_s)
             for target, weight in open_targets
         )
-        usable = tuple(seat for seat in open_seats if seat.target.target in names)
+        usable = tuple(eligible for eligible in not_drained if eligible.target.target in names)
         # Time alone changes the state of drained, failed, ejected and recovering targets.
         steady = len(names) == len(service.targets) and not service.drains
-        steady = steady and all(seat.slots >= 1 and seat.weight_ppm == PPM for seat in usable)
+        steady = steady and all(
+            eligible.slots >= 1 and eligible.weight_ppm == PPM for eligible in usable
+        )
         steady = steady and not self.slow_start.is_raising(service.service, now_s)
-        until_s = now_s + SURVEY_S if steady else now_s
+        until_s = now_s + SNAPSHOT_S if steady else now_s
         fractions = self._fractions(service.service, usable)
-        return _Survey(key, until_s, usable, open_seats, fractions)
+        return _Snapshot(key, until_s, usable, not_drained, fractions)
 
     def _weight_ppm(
         self, service: ServiceDocument, target: Target, view: TargetView, now_s: float
@@ -197,29 +212,29 @@
             return True
         return self.beliefs.answered_recently(service, target.target, now_s)
 
-    def _seat(
+    def _eligible(
         self,
         service: ServiceDocument,
         target: Target,
         weight_ppm: int,
         view: TargetView,
         now_s: float,
-    ) -> Seat:
+    ) -> EligibleTarget:
         slots = min(target.slots, view.slots or target.slots)
         factor = self.slow_start.factor(service.service, target.target, now_s)
-        region = self.places[service.service].region[target.target]
-        return Seat(target, region, slots * factor, weight_ppm)
+        region = self.topologies[service.service].region[target.target]
+        return EligibleTarget(target, region, slots * factor, weight_ppm)
 
-    def _fractions(self, service: str, usable: Sequence[Seat]) -> dict[str, float]:
-        slots = self.places[service].slots
+    def _fractions(self, service: str, usable: Sequence[EligibleTarget]) -> dict[str, float]:
+        slots = self.topologies[service].slots
         healthy = dict.fromkeys(slots, 0.0)
-        for seat in usable:
-            healthy[seat.region] += seat.slots * seat.weight_ppm / PPM
+        for eligible in usable:
+            healthy[eligible.region] += eligible.slots * eligible.weight_ppm / PPM
         return {region: healthy[region] / slots[region] for region in slots}
 
-    def _place(self, service: ServiceDocument, fleet: FleetDocument | None) -> None:
+    def _update_topology(self, service: ServiceDocument, fleet: FleetDocument | None) -> None:
         """Find the regions of a service's targets again when a document has changed."""
-        known = self.places.get(service.service)
+        known = self.topologies.get(service.service)
         if known is not None and known.service is service and known.fleet is fleet:
             return
         names = frozenset(t.target for t in service.targets)
@@ -230,7 +245,7 @@
         for target in service.targets:
             name = region[target.target]
             slots[name] = slots.get(name, 0.0) + target.slots
-        self.places[service.service] = _Places(service, fleet, region, slots)
+        self.topologies[service.service] = _Topology(service, fleet, region, slots)
 
 
 def region_of(target: Target, fleet: FleetDocument | None) -> str:
@@ -238,9 +253,10 @@
     return (fleet.region_of(target.availability_zone) if fleet else None) or ""
 
 
-def _matching(seats: Sequence[Seat], query: TargetQuery) -> tuple[Seat, ...]:
+def _matching(targets: Sequence[EligibleTarget], query: TargetQuery) -> tuple[EligibleTarget, ...]:
     return tuple(
-        seat
-        for seat in seats
-        if query.version in (None, seat.target.version) and seat.target.target not in query.excluded
+        eligible
+        for eligible in targets
+        if query.version in (None, eligible.target.version)
+        and eligible.target.target not in query.excluded
     )
--- a/src/wagtailbay/steer/const.py
+++ b/src/wagtailbay/steer/const.py
@@ -11,7 +11,7 @@
 MIN_TICK_S: Final = 0.005
 # While no target is failed, ejected, drained or starting slowly, the list of targets is kept for
 # this long; a change of reports, ejections or documents ends it at once.
-SURVEY_S: Final = 0.1
+SNAPSHOT_S: Final = 0.1
 # Two draws are the same target rarely, unless it has nearly all chances.
 MAX_DRAWS: Final = 16
 SLOW_START_FROM: Final = 0.1
--- a/src/wagtailbay/steer/seats.py
+++ b/src/wagtailbay/steer/eligible.py
@@ -13,7 +13,7 @@
 
 
 @frozen(eq=False)
-class Seat:
+class EligibleTarget:
     """Hold what changes rarely about a target that can take requests.
 
     Attributes:
@@ -27,54 +27,54 @@
     weight_ppm: int
 
 
-Judge = Callable[[Seat], Candidate]
+Evaluate = Callable[[EligibleTarget], Candidate]
 
 
 @define(eq=False)
-class Group:
-    """Hold the seats among which one draw is made.
+class TargetGroup:
+    """Hold the targets among which one draw is made.
 
     Attributes:
-        cumulative: Running sums of the seats' chances, which are slots x weight.
+        cumulative: Running sums of the targets' chances, which are slots x weight.
         weight_ppm: The highest weight.
     """
 
-    seats: tuple[Seat, ...]
+    targets: tuple[EligibleTarget, ...]
     cumulative: list[float]
     weight_ppm: int
 
-    def pick_of_two(self, judge: Judge, source: random.Random) -> Candidate:
-        """Return the one with less load of two random seats.
+    def pick_of_two(self, evaluate: Evaluate, source: random.Random) -> Candidate:
+        """Return the one with less load of two random targets.
 
         They are drawn in proportion to slots and weight. If the better one is busy, the least
         loaded of all is returned.
         """
         first = self._draw(source)
-        if len(self.seats) == 1:
-            return judge(self.seats[0])
+        if len(self.targets) == 1:
+            return evaluate(self.targets[0])
         second = self._draw_other(first, source)
-        better = min(judge(self.seats[first]), judge(self.seats[second]), key=_score)
-        return min(map(judge, self.seats), key=_score) if better.busy else better
+        better = min(evaluate(self.targets[first]), evaluate(self.targets[second]), key=_score)
+        return min(map(evaluate, self.targets), key=_score) if better.busy else better
 
     def _draw(self, source: random.Random) -> int:
         point = source.random() * self.cumulative[-1]
-        return min(bisect(self.cumulative, point), len(self.seats) - 1)
+        return min(bisect(self.cumulative, point), len(self.targets) - 1)
 
     def _draw_other(self, first: int, source: random.Random) -> int:
-        """Draw until another seat comes up; a seat of nearly all chances ends that early."""
+        """Draw until another target comes up; one with nearly all chances ends that early."""
         for _ in range(MAX_DRAWS):
             second = self._draw(source)
             if second != first:
                 return second
-        return (first + 1) % len(self.seats)
+        return (first + 1) % len(self.targets)
 
 
 def _score(candidate: Candidate) -> float:
     return candidate.score
 
 
-def build_group(seats: Sequence[Seat]) -> Group:
+def group_targets(targets: Sequence[EligibleTarget]) -> TargetGroup:
     """Build a group."""
-    chances = accumulate(seat.slots * seat.weight_ppm for seat in seats)
-    weight_ppm = max((seat.weight_ppm for seat in seats), default=PPM)
-    return Group(tuple(seats), list(chances), weight_ppm)
+    chances = accumulate(eligible.slots * eligible.weight_ppm for eligible in targets)
+    weight_ppm = max((eligible.weight_ppm for eligible in targets), default=PPM)
+    return TargetGroup(tuple(targets), list(chances), weight_ppm)
--- a/src/wagtailbay/steer/spill.py
+++ b/src/wagtailbay/steer/spill.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from wagtailbay.steer.const import SPILL_ENDS_AFTER_S, SPILL_ENDS_BELOW_LOAD
-from wagtailbay.steer.seats import Judge, Seat
+from wagtailbay.steer.eligible import EligibleTarget, Evaluate
 
 
 @define
@@ -27,7 +27,9 @@
     hysteresis: bool = True
     spilling: dict[str, _Spill] = field(factory=dict)
 
-    def is_away(self, service: str, home: Sequence[Seat], judge: Judge, now_s: float) -> bool:
+    def is_away(
+        self, service: str, home: Sequence[EligibleTarget], evaluate: Evaluate, now_s: float
+    ) -> bool:
         """Tell whether requests go to other regions first.
 
         Args:
@@ -39,7 +41,7 @@
             return True
         if spill is None:
             return False
-        load = load_of(home, judge)
+        load = load_of(home, evaluate)
         if load > SPILL_ENDS_BELOW_LOAD:
             spill.spare_since_s = None
         elif spill.spare_since_s is None:
@@ -52,6 +54,8 @@
         return True
 
 
-def load_of(seats: Sequence[Seat], judge: Judge) -> float:
+def load_of(targets: Sequence[EligibleTarget], evaluate: Evaluate) -> float:
     """Return the load of some targets through their slots."""
-    return sum(judge(seat).load for seat in seats) / sum(seat.slots for seat in seats)
+    return sum(evaluate(eligible).load for eligible in targets) / sum(
+        eligible.slots for eligible in targets
+    )
--- a/src/wagtailbay/steer/two_choice.py
+++ b/src/wagtailbay/steer/two_choice.py
@@ -12,6 +12,7 @@
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.steer.candidates import CandidateFinder, Candidates
 from wagtailbay.steer.const import MAX_WAIT_S, MIN_TICK_S, PPM, WAIT_TICK_S
+from wagtailbay.steer.eligible import Evaluate, TargetGroup
 from wagtailbay.steer.models import (
     Assignment,
     AttemptOutcome,
@@ -19,9 +20,8 @@
     BudgetSource,
     TargetQuery,
 )
-from wagtailbay.steer.seats import Group, Judge
 from wagtailbay.steer.spill import SpillMemory, load_of
-from wagtailbay.steer.waiting import WaitingRoom
+from wagtailbay.steer.waiting import WaitQueue
 
 SIGNS = {
     AttemptOutcome.CONNECT_FAILED: FailureSign.CONNECT,
@@ -56,7 +56,7 @@
     fleet: FleetDocument | None = None
     spills: SpillMemory = field(factory=SpillMemory)
     waits: bool = True
-    rooms: dict[str, WaitingRoom] = field(factory=dict)
+    wait_queues: dict[str, WaitQueue] = field(factory=dict)
     drain_debt_ppm: dict[tuple[str, str], int] = field(factory=dict)
     _region: tuple[FleetDocument | None, str] | None = None
 
@@ -71,14 +71,14 @@
     async def choose(self, query: TargetQuery, now_s: float) -> Result[Assignment, Refusal]:
         """Choose a target; waits up to 200 ms while all are busy or no budget is left."""
         name = query.service.service
-        room = self.rooms.setdefault(name, WaitingRoom())
+        queue = self.wait_queues.setdefault(name, WaitQueue())
         until_s = min(now_s + MAX_WAIT_S, query.deadline_s)
         last = not self.waits or until_s <= now_s
         found: Result[Assignment, Shortage] = Err(Shortage.BUSY)
-        if last or not len(room):
+        if last or not len(queue):
             found = self.try_now(query, now_s, last)
         if isinstance(found, Err) and not last and found.err_value is not Shortage.NO_TARGET:
-            found = await self._wait(query, room, until_s, now_s, found)
+            found = await self._wait(query, queue, until_s, now_s, found)
         if isinstance(found, Ok):
             self.finder.beliefs.start(name, found.ok_value.target.target, query.deadline_s)
             return Ok(found.ok_value)
@@ -88,7 +88,7 @@
     async def _wait(
         self,
         query: TargetQuery,
-        room: WaitingRoom,
+        queue: WaitQueue,
         until_s: float,
         now_s: float,
         found: Result[Assignment, Shortage],
@@ -96,7 +96,7 @@
         """Try again when a target or budget becomes free, until a time."""
         service, region = query.service, self.region
         # Borrowed budget arrives within a few ms; looking every 20 ms doubled a deposit's p50.
-        with room.visit(lambda: self.budgets.follow(service, region, now_s, room.wake_next)):
+        with queue.following(lambda: self.budgets.follow(service, region, now_s, queue.wake_next)):
             waited = last = False
             while isinstance(found, Err) and not last:
                 tick_s = WAIT_TICK_S
@@ -104,13 +104,13 @@
                     due_s = self.budgets.wait_s(service, region, now_s)
                     # With budget at home, it is targets or other regions that are short.
                     tick_s = max(MIN_TICK_S, min(tick_s, due_s)) if due_s > 0 else tick_s
-                await room.wait(query.workspace or "", until_s, now_s, tick_s, again=waited)
+                await queue.wait(query.workspace or "", until_s, now_s, tick_s, again=waited)
                 waited, now_s = True, self.clock()
                 last = now_s >= until_s
                 found = self.try_now(query, now_s, last)
                 last = last or found == Err(Shortage.NO_TARGET)
         # What is left of a target or of a budget goes to the next one in turn.
-        room.wake_next()
+        queue.wake_next()
         return found
 
     def try_now(
@@ -124,12 +124,12 @@
         candidates = self.finder.find(query, self.fleet, now_s)
         if not candidates.for_query:
             return Err(Shortage.NO_TARGET)
-        judge = self.finder.judge_of(query.service.service, now_s)
+        evaluate = self.finder.evaluator(query.service.service, now_s)
         shortage, denied = Shortage.NO_BUDGET, set()
         passes = (False, True) if last else (False,)
         for accept_busy in passes:
-            for group in self._groups(query, candidates, judge, now_s, last):
-                picked = group.pick_of_two(judge, self.random)
+            for group in self._groups(query, candidates, evaluate, now_s, last):
+                picked = group.pick_of_two(evaluate, self.random)
                 if picked.region in denied:
                     continue
                 if picked.busy and not accept_busy:
@@ -145,10 +145,10 @@
         self,
         query: TargetQuery,
         candidates: Candidates,
-        judge: Judge,
+        evaluate: Evaluate,
         now_s: float,
         last: bool,
-    ) -> Iterator[Group]:
+    ) -> Iterator[TargetGroup]:
         """Yield the groups of targets to try, best first.
 
         While a wait is possible, other regions come in only for lack of capacity or budget at
@@ -157,23 +157,23 @@
         service = query.service.service
         region = self.region
         home = candidates.in_region(region)
-        home_usable = [seat for seat in candidates.usable if seat.region == region]
-        spilling = self.spills.is_away(service, home_usable, judge, now_s)
-        near = self._near_groups(service, region, candidates, judge) if home.seats else []
-        away: list[Group] = []
+        home_usable = [eligible for eligible in candidates.usable if eligible.region == region]
+        spilling = self.spills.is_away(service, home_usable, evaluate, now_s)
+        near = self._near_groups(service, region, candidates, evaluate) if home.targets else []
+        away: list[TargetGroup] = []
         if spilling or not near:
-            away = self._away(candidates, region, judge)
+            away = self._away(candidates, region, evaluate)
             yield from away
         yield from near
-        if not near and home.seats and not (spilling and away):
+        if not near and home.targets and not (spilling and away):
             yield home
-        waits_for_home = not last and all(judge(seat).busy for seat in home.seats)
+        waits_for_home = not last and all(evaluate(eligible).busy for eligible in home.targets)
         if near and not spilling and not waits_for_home:
-            yield from self._away(candidates, region, judge)
+            yield from self._away(candidates, region, evaluate)
 
     def _near_groups(
-        self, service: str, region: str, candidates: Candidates, judge: Judge
-    ) -> list[Group]:
+        self, service: str, region: str, candidates: Candidates, evaluate: Evaluate
+    ) -> list[TargetGroup]:
         """Return the own availability zone and the home region, less what drains hold back."""
         home = candidates.in_region(region)
         zone = candidates.in_zone(self.availability_zone)
@@ -181,11 +181,11 @@
             return []
         if not self._stays(service, f"zone/{self.availability_zone}", zone):
             rest = candidates.outside_zone(region, self.availability_zone)
-            return [rest] if rest.seats else [home]
-        zone_has_room = any(c.load < c.slots for c in map(judge, zone.seats))
+            return [rest] if rest.targets else [home]
+        zone_has_room = any(c.load < c.slots for c in map(evaluate, zone.targets))
         return [zone, home] if zone_has_room else [home]
 
-    def _stays(self, service: str, place: str, group: Group) -> bool:
+    def _stays(self, service: str, place: str, group: TargetGroup) -> bool:
         """Spread requests evenly between a place that is being drained and others."""
         if group.weight_ppm >= PPM:
             return True
@@ -194,11 +194,11 @@
         return debt_ppm >= PPM
 
     @staticmethod
-    def _away(candidates: Candidates, own: str, judge: Judge) -> list[Group]:
+    def _away(candidates: Candidates, own: str, evaluate: Evaluate) -> list[TargetGroup]:
         """Return the other regions, the least loaded first."""
-        regions = sorted({seat.region for seat in candidates.for_query} - {own})
+        regions = sorted({eligible.region for eligible in candidates.for_query} - {own})
         groups = [candidates.in_region(region) for region in regions]
-        return sorted(groups, key=lambda group: load_of(group.seats, judge))
+        return sorted(groups, key=lambda group: load_of(group.targets, evaluate))
 
     def _take(self, query: TargetQuery, region: str, candidates: Candidates, now_s: float) -> bool:
         if region != self.region and not self.budgets.link_has_room(region, self.region, now_s):
@@ -222,5 +222,5 @@
             self.finder.outliers.record_success(service, target)
         if assignment.region != self.region:
             self.budgets.charge_link(assignment.region, self.region, report.response_bytes, now_s)
-        if service in self.rooms:
-            self.rooms[service].wake_next()
+        if service in self.wait_queues:
+            self.wait_queues[service].wake_next()
--- a/src/wagtailbay/steer/waiting.py
+++ b/src/wagtailbay/steer/waiting.py
@@ -11,7 +11,7 @@
 
 
 @define
-class WaitingRoom:
+class WaitQueue:
     """Hold the waiting requests of one service.
 
     One request is woken at a time, taking workspaces in turn, so a workspace with many waiting
@@ -21,31 +21,31 @@
 
     Attributes:
         in_turn: Test-only switch; False wakes requests in order of arrival.
-        visitors: Requests that wait or have just been woken to try again.
+        retrying: Requests that wait or have just been woken to try again.
         tried: The workspaces tried in this round.
         round_s: When the round began.
     """
 
     in_turn: bool = True
     queues: dict[str, deque[trio.Event]] = field(factory=dict)
-    visitors: int = 0
+    retrying: int = 0
     stop_following: Callable[[], None] = lambda: None
 
     @contextmanager
-    def visit(self, follow: Callable[[], Callable[[], None]]) -> Iterator[None]:
+    def following(self, follow: Callable[[], Callable[[], None]]) -> Iterator[None]:
         """Follow what may end the waits, once for all requests that are trying again.
 
         Args:
             follow: Starts it and returns how to end it.
         """
-        self.visitors += 1
-        if self.visitors == 1:
+        self.retrying += 1
+        if self.retrying == 1:
             self.stop_following = follow()
         try:
             yield
         finally:
-            self.visitors -= 1
-            if not self.visitors:
+            self.retrying -= 1
+            if not self.retrying:
                 self.stop_following()
 
     tried: set[str] = field(factory=set)
--- a/tests/steer/test_budget_shortage.py
+++ b/tests/steer/test_budget_shortage.py
@@ -12,7 +12,7 @@
 
 from wagtailbay.limits import TokenBucket
 from wagtailbay.steer import FullWeights, TwoChoiceChooser, build_chooser
-from wagtailbay.steer.waiting import WaitingRoom
+from wagtailbay.steer.waiting import WaitQueue
 
 SERVICE = service((target("t1"), target("t2")))
 
@@ -55,7 +55,7 @@
 async def served(in_turn: bool) -> list[str]:
     """Return the workspaces served, in order, of 20 requests of a large one and one of a small."""
     made, order = scarce_chooser(), []
-    made.rooms["records"] = WaitingRoom(in_turn)
+    made.wait_queues["records"] = WaitQueue(in_turn)
 
     async def ask(workspace: str) -> None:
         found = await made.choose(query(SERVICE, workspace), trio.current_time())
--- a/tests/steer/test_spill_memory.py
+++ b/tests/steer/test_spill_memory.py
@@ -2,16 +2,18 @@
 
 from steering_fakes import target
 
+from wagtailbay.steer.eligible import EligibleTarget, Evaluate
 from wagtailbay.steer.models import Candidate
-from wagtailbay.steer.seats import Judge, Seat
 from wagtailbay.steer.spill import SpillMemory
 
-HOME = [Seat(target("t1", slots=10), "a", 10.0, 1_000_000)]
+HOME = [EligibleTarget(target("t1", slots=10), "a", 10.0, 1_000_000)]
 
 
-def judge_with(load: float | None) -> Judge:
-    """Judge every target of the home region to have a load."""
-    return lambda seat: Candidate(seat.target, "a", 0, load, seat.slots, seat.weight_ppm)
+def judge_with(load: float | None) -> Evaluate:
+    """Evaluate every target of the home region to have a load."""
+    return lambda eligible: Candidate(
+        eligible.target, "a", 0, load, eligible.slots, eligible.weight_ppm
+    )
 
 
 class TestSpillMemory:
--- a/tests/steer/test_waiting_room.py
+++ b/tests/steer/test_wait_queue.py
@@ -5,20 +5,20 @@
 import pytest
 import trio
 
-from wagtailbay.steer.waiting import WaitingRoom
+from wagtailbay.steer.waiting import WaitQueue
 
 
-class TestWaitingRoom:
+class TestWaitQueue:
     """Workspaces take turns."""
 
     async def test_small_workspace_is_not_held_up(self, autojump_clock: Any) -> None:
         """Guards against a large workspace that delays others; fails in order of arrival."""
 
         async def check(in_turn: bool) -> None:
-            room, order = WaitingRoom(in_turn), []
+            queue, order = WaitQueue(in_turn), []
 
             async def wait(workspace: str) -> None:
-                await room.wait(workspace, 10.0, 0.0)
+                await queue.wait(workspace, 10.0, 0.0)
                 order.append(workspace)
 
             async with trio.open_nursery() as nursery:
@@ -26,10 +26,10 @@
                     nursery.start_soon(wait, workspace)
                     await trio.testing.wait_all_tasks_blocked()
                 for _ in range(11):
-                    room.wake_next()
+                    queue.wake_next()
                     await trio.testing.wait_all_tasks_blocked()
             assert "small" in order[:2]
-            assert not room.queues
+            assert not queue.queues
 
         await check(in_turn=True)
         with pytest.raises(AssertionError):
@@ -37,10 +37,10 @@
 
     async def test_wait_ends_and_leaves_nothing(self, autojump_clock: Any) -> None:
         """Guards against requests that wait for good, and against queues that only grow."""
-        room = WaitingRoom()
-        await room.wait("unam", 5.2, 5.0)
+        queue = WaitQueue()
+        await queue.wait("unam", 5.2, 5.0)
         assert trio.current_time() <= 0.25
         with trio.move_on_after(0.01):
-            await room.wait("unam", 9.0, 5.0)
-        assert len(room) == 0
-        assert not room.queues
+            await queue.wait("unam", 9.0, 5.0)
+        assert len(queue) == 0
+        assert not queue.queues
