Keep one in-memory object store

Cause: tests/support and wagtailbay_bench each had one with the same duty. Change: wagtailbay_bench.memory_store has the faults of both, and its delays.

--- a/src/wagtailbay_bench/budget_fleet.py
+++ b/src/wagtailbay_bench/budget_fleet.py
@@ -116,7 +116,7 @@
         await trio.sleep(self.fleet.random.uniform(0, EXCHANGE_INTERVAL_S))
         while True:
             store = self.fleet.store
-            if self is self.fleet.vms[0] and not store.outage:
+            if self is self.fleet.vms[0] and not store.down:
                 self.replica.apply(tuple(store.objects.values()), store.revision)
             for other in self.fleet.vms:
                 if other is not self:
@@ -177,7 +177,8 @@
         """Start all VMs."""
         for number in range(self.vm_count):
             self.vms.append(TrialVm(self, f"vm-{number}", number % REGIONS))
-        self.store.vm_names = [vm.name for vm in self.vms]
+        for vm in self.vms:
+            self.store.add_vm(vm.name)
         for vm in self.vms:
             nursery.start_soon(vm.beat)
             if vm.allotment is not None:
--- a/src/wagtailbay_bench/budget_trial.py
+++ b/src/wagtailbay_bench/budget_trial.py
@@ -103,7 +103,7 @@
                     fleet.send, name, limit.rate_per_s * load, until_s, choose, count_from_s
                 )
             await trio.sleep_until(count_from_s)
-            fleet.store.outage = scenario.outage
+            fleet.store.down = scenario.outage
         nursery.cancel_scope.cancel()
     return fleet
 
--- a/src/wagtailbay_bench/memory_store.py
+++ b/src/wagtailbay_bench/memory_store.py
@@ -1,8 +1,11 @@
 """Keep objects in memory behind the interface of the object store."""
 
+import json
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
+import trio
 from attrs import define, field
 from result import Err, Ok, Result
 
@@ -18,64 +21,112 @@
 )
 
 
-async def at_once() -> None:
-    """Take no time."""
-
-
 @define
 class MemoryStore:
-    """Keep objects with versions and conditional updates, with an outage and lost answers.
+    """Answer like the object API, with faults that a test sets.
 
     Attributes:
         travel: Awaited before a call takes effect and before its answer arrives.
-        lost_answers: How many of the next writes take effect without an answer.
-        vm_names: The VMs on the platform's list.
+        down: Every call fails and no write takes effect.
+        lose_answers: So many writes take effect but report an unknown outcome.
+        lose_writes: So many writes have no effect and report an unknown outcome.
+        vm_records: The platform's list of VMs.
+        calls: Calls counted by kind.
     """
 
-    travel: Callable[[], Awaitable[None]] = at_once
-    outage: bool = False
-    lost_answers: int = 0
+    travel: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
     revision: int = 0
     objects: dict[str, StoredObject] = field(factory=dict)
-    vm_names: list[str] = field(factory=list)
+    vm_records: tuple[VmRecord, ...] = ()
+    down: bool = False
+    lose_answers: int = 0
+    lose_writes: int = 0
+    calls: Counter = field(factory=Counter)
 
     async def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
-        """Read one object."""
-        await self.travel()
-        return self._unless_outage(self.objects.get(key))
+        """Read one object; None if it does not exist."""
+        return await self._read("get", lambda: self.objects.get(key) if self.version(key) else None)
 
     async def list(self, prefixes: Sequence[str]) -> Result[Listing, StoreUnavailable]:
-        """Read the objects under the prefixes."""
-        await self.travel()
-        found = (o for o in self.objects.values() if o.key.startswith(tuple(prefixes)))
-        answer = self._unless_outage(Listing(self.revision, tuple(found)))
-        await self.travel()
-        return answer
+        """Read all objects that exist under the prefixes."""
+
+        def existing() -> Listing:
+            found = (o for o in self._select(prefixes, 0) if o.value is not None)
+            return Listing(self.revision, tuple(found))
+
+        return await self._read("list", existing)
+
+    async def watch(
+        self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
+    ) -> Result[Listing, StoreUnavailable]:
+        """Return changes after a revision, deletions included; waits at most the timeout."""
+        if not self._select(prefixes, since_revision):
+            await trio.sleep(timeout_ms / 1000)
+        return await self._read(
+            "watch", lambda: Listing(self.revision, self._select(prefixes, since_revision))
+        )
+
+    async def vms(self) -> Result[VmList, StoreUnavailable]:
+        """Return the list of VMs."""
+        return await self._read("vms", lambda: VmList(max(1, self.revision), self.vm_records))
 
     async def put(
         self, key: str, value: Any, expected_version: int | None
     ) -> Result[int, StoreError]:
-        """Write an object."""
+        """Write an object and return its new version."""
+        return await self._write("put", key, json.loads(json.dumps(value)), expected_version)
+
+    async def delete(self, key: str, expected_version: int | None) -> Result[int, StoreError]:
+        """Delete an object and return the revision of the deletion."""
+        return await self._write("delete", key, None, expected_version)
+
+    def version(self, key: str) -> int:
+        """Return the version of an object that exists, else 0."""
+        stored = self.objects.get(key)
+        return stored.version if stored and stored.value is not None else 0
+
+    def add_vm(self, vm: str) -> None:
+        """Put a VM on the list unless it is there."""
+        if all(record.vm != vm for record in self.vm_records):
+            self.vm_records += (VmRecord(vm, "", "", "live"),)
+
+    def remove_vm(self, vm: str) -> None:
+        """Take a VM off the list."""
+        self.vm_records = tuple(record for record in self.vm_records if record.vm != vm)
+
+    def _select(self, prefixes: Sequence[str], since: int) -> tuple[StoredObject, ...]:
+        found = (o for o in self.objects.values() if o.key.startswith(tuple(prefixes)))
+        return tuple(sorted((o for o in found if o.version > since), key=lambda o: o.key))
+
+    async def _read(self, kind: str, answer: Callable[[], Any]) -> Result[Any, StoreUnavailable]:
+        reached = await self._reach(kind)
+        if isinstance(reached, Err):
+            return reached
+        found = answer()
+        await self.travel()
+        return Ok(found)
+
+    async def _reach(self, kind: str) -> Result[None, StoreUnavailable]:
         await self.travel()
-        if self.outage:
-            return Err(StoreUnavailable("outage"))
-        current = self.objects.get(key)
-        version = current.version if current else 0
-        if expected_version is not None and version != expected_version:
-            return Err(VersionConflict(key, version))
+        self.calls[kind] += 1
+        return Err(StoreUnavailable("the store is down")) if self.down else Ok(None)
+
+    async def _write(
+        self, kind: str, key: str, value: Any, expected_version: int | None
+    ) -> Result[int, StoreError]:
+        reached = await self._reach(kind)
+        if isinstance(reached, Err):
+            return reached
+        if self.lose_writes > 0:
+            self.lose_writes -= 1
+            return Err(OutcomeUnknown(key, "connection closed"))
+        if expected_version is not None and self.version(key) != expected_version:
+            return Err(VersionConflict(key, self.version(key)))
         self.revision += 1
         self.objects[key] = StoredObject(key, self.revision, value)
         written = self.revision
-        if self.lost_answers:
-            self.lost_answers -= 1
-            return Err(OutcomeUnknown(key, "answer lost"))
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return Err(OutcomeUnknown(key, "connection closed"))
         await self.travel()
         return Ok(written)
-
-    async def vms(self) -> Result[VmList, StoreUnavailable]:
-        """Read the list of VMs."""
-        records = tuple(VmRecord(vm, "", "", "live") for vm in self.vm_names)
-        return self._unless_outage(VmList(self.revision, records))
-
-    def _unless_outage(self, answer: Any) -> Result[Any, StoreUnavailable]:
-        return Err(StoreUnavailable("outage")) if self.outage else Ok(answer)
--- a/tests/admin/test_admin_units.py
+++ b/tests/admin/test_admin_units.py
@@ -10,7 +10,6 @@
 from support.admin import NOW_UNIX_S, AdminSite
 from support.documents import fleet, service
 from support.properties import PROPERTY
-from support.store import FakeObjectStore
 
 from wagtailbay.admin import build_handler, parse_token_digests
 from wagtailbay.admin.fleet import FleetView, VmReport
@@ -21,6 +20,7 @@
 from wagtailbay.config import FleetDocument
 from wagtailbay.platform import VmRecord
 from wagtailbay.transport import Request, fetch
+from wagtailbay_bench.memory_store import MemoryStore
 
 PATH_TEXT = st.text(string.ascii_letters + "/%{}.?=&0123456789[]#:@", max_size=30)
 
@@ -30,18 +30,18 @@
 
     async def test_lost_answer_is_read_back(self) -> None:
         """Guards against an accepted write that is reported as failed."""
-        store = FakeObjectStore(lose_answers=1)
+        store = MemoryStore(lose_answers=1)
         assert await write_object(store, "k", {"a": 1}, 0) == Ok(1)
 
     async def test_write_without_effect_is_repeated(self) -> None:
         """Guards against a write that is reported as accepted and never took effect."""
-        store = FakeObjectStore(lose_writes=2)
+        store = MemoryStore(lose_writes=2)
         assert await write_object(store, "k", {"a": 1}, 0) == Ok(1)
         assert store.objects["k"].value == {"a": 1}
 
     async def test_lost_race_after_lost_write_is_a_conflict(self) -> None:
         """Guards against taking another operator's value for one's own."""
-        store = FakeObjectStore()
+        store = MemoryStore()
         await store.put("k", {"b": 1}, 0)
         store.lose_writes = 1
         error = (await write_object(store, "k", {"a": 1}, 0)).err_value
@@ -49,13 +49,13 @@
 
     async def test_unresolved_outcome_is_unknown(self) -> None:
         """Guards against a claim that nothing was changed when that is not known."""
-        store = FakeObjectStore(lose_writes=9)
+        store = MemoryStore(lose_writes=9)
         error = (await write_object(store, "k", {"a": 1}, 0)).err_value
         assert (error.status, error.code) == (503, "outcome_unknown")
 
     async def test_lost_answer_to_a_deletion(self) -> None:
         """Guards against a deletion that is reported as failed."""
-        store = FakeObjectStore()
+        store = MemoryStore()
         await store.put("k", {"a": 1}, 0)
         store.lose_answers = 1
         assert isinstance(await write_object(store, "k", None, 1), Ok)
@@ -93,7 +93,7 @@
     )
     def test_any_request_is_answered(self, method: str, start: str, rest: str, body: bytes) -> None:
         """Guards against input that ends the process."""
-        store = FakeObjectStore()
+        store = MemoryStore()
         digest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
         handler = build_handler(
             store, AuditWriter(store), {"ana": digest}, {}, lambda: 0.0, lambda: NOW_UNIX_S
--- a/tests/allotment/test_safeguards.py
+++ b/tests/allotment/test_safeguards.py
@@ -41,7 +41,7 @@
     """vm-1 stops until its share belongs to others, then serves before it hears anything."""
     keeper, paused = world.vms["vm-0"], world.vms["vm-1"]
     paused.paused = True
-    world.store.vm_names.remove("vm-1")
+    world.store.remove_vm("vm-1")
     for _ in range(8):
         world.advance(10.0)
         world.plan_through(keeper)
--- a/tests/allotment/test_state_machine.py
+++ b/tests/allotment/test_state_machine.py
@@ -159,13 +159,13 @@
     def drop_from_list(self, name: str) -> None:
         """Drop a dead or stopped VM from the list of the platform."""
         vm = self.world.vms.get(name)
-        if (vm is None or vm.paused) and name in self.world.store.vm_names:
-            self.world.store.vm_names.remove(name)
+        if vm is None or vm.paused:
+            self.world.store.remove_vm(name)
 
     @rule(outage=st.booleans(), lost=st.integers(0, 1))
     def break_store(self, outage: bool, lost: int) -> None:
         """Switch the outage and lost answers of the store."""
-        self.world.store.outage, self.world.store.lost_answers = outage, lost
+        self.world.store.down, self.world.store.lose_answers = outage, lost
 
     @rule(doubled=st.booleans(), lost=st.booleans())
     def break_loans(self, doubled: bool, lost: bool) -> None:
--- a/tests/audit/test_audit.py
+++ b/tests/audit/test_audit.py
@@ -2,10 +2,10 @@
 
 import trio
 from attrs import evolve
-from support.store import FakeObjectStore
 
 from wagtailbay.audit import AuditReader, AuditRecord, AuditWriter
 from wagtailbay.audit.wire import decode_record, encode_record
+from wagtailbay_bench.memory_store import MemoryStore
 
 NOON_UNIX_S = 1_796_385_600.0
 RECORD = AuditRecord(
@@ -23,7 +23,7 @@
 
     async def test_outage_delays_records(self, nursery, autojump_clock) -> None:
         """Guards against records that an outage of the store swallows."""
-        store = FakeObjectStore(down=True)
+        store = MemoryStore(down=True)
         writer = AuditWriter(store)
         nursery.start_soon(writer.run)
         writer.record(record(1))
@@ -35,7 +35,7 @@
 
     async def test_lost_answer_writes_once(self, nursery, autojump_clock) -> None:
         """Guards against a second record when the answer to the write was lost."""
-        store = FakeObjectStore(lose_answers=1)
+        store = MemoryStore(lose_answers=1)
         writer = AuditWriter(store)
         nursery.start_soon(writer.run)
         writer.record(record(1))
@@ -45,14 +45,14 @@
     async def test_full_queue_is_counted(self) -> None:
         """Guards against a bounded queue that drops records silently."""
         told = []
-        writer = AuditWriter(FakeObjectStore(), lambda: told.append(1), max_queued=2)
+        writer = AuditWriter(MemoryStore(), lambda: told.append(1), max_queued=2)
         for number in range(3):
             writer.record(record(number))
         assert (writer.lost, len(told), len(writer.queue)) == (1, 1, 2)
 
     async def test_flush_reports_what_is_left(self, nursery, autojump_clock) -> None:
         """Guards against a stop during an outage that hides unwritten records."""
-        writer = AuditWriter(FakeObjectStore(down=True))
+        writer = AuditWriter(MemoryStore(down=True))
         nursery.start_soon(writer.run)
         writer.record(record(1))
         await writer.flush(timeout_s=1)
@@ -64,7 +64,7 @@
 
     async def test_pages_cover_all_days(self) -> None:
         """Guards against records that fall between two pages."""
-        store = FakeObjectStore()
+        store = MemoryStore()
         for number in range(25):
             stored = record(number, NOON_UNIX_S - number * 40_000)
             writer = AuditWriter(store)
@@ -80,7 +80,7 @@
 
     async def test_page_after_empty_days_misses_nothing(self) -> None:
         """Guards against a search that skips the day where the page before ended."""
-        store = FakeObjectStore()
+        store = MemoryStore()
         for number, days in enumerate((0, 31, 62)):
             await AuditWriter(store)._write(record(number, NOON_UNIX_S - days * 86_400))
         seen, before = [], None
@@ -92,7 +92,7 @@
 
     async def test_bad_position_is_refused(self) -> None:
         """Guards against a mistyped position that raises."""
-        answer = await AuditReader(FakeObjectStore()).read(4, "yesterday", NOON_UNIX_S)
+        answer = await AuditReader(MemoryStore()).read(4, "yesterday", NOON_UNIX_S)
         assert "expected a position" in answer.err_value
 
     def test_unknown_form_is_skipped(self) -> None:
--- a/tests/audit/test_retention.py
+++ b/tests/audit/test_retention.py
@@ -1,11 +1,11 @@
 """Test the removal of old audit records."""
 
 from attrs import evolve
-from support.store import FakeObjectStore
 
 from wagtailbay.audit import AuditRecord, AuditWriter, RetentionSweep
 from wagtailbay.audit.const import RETENTION_DAYS_SEARCHED
 from wagtailbay.audit.wire import audit_key, encode_record
+from wagtailbay_bench.memory_store import MemoryStore
 
 DAY_S = 86_400.0
 NOW_UNIX_S = 1_796_385_600.0
@@ -16,7 +16,7 @@
 
 async def sweep_over(*ages_days: float, retention_days: int = 30) -> tuple[list[float], list[str]]:
     """Run one whole round; returns the ages in days that stay and the details recorded."""
-    store = FakeObjectStore()
+    store = MemoryStore()
     keys = {}
     for number, age_days in enumerate(ages_days):
         when_unix_s = NOW_UNIX_S - age_days * DAY_S
@@ -42,7 +42,7 @@
 
     async def test_an_outage_removes_nothing(self) -> None:
         """Guards against a sweep that ends the program while the store is down."""
-        store = FakeObjectStore(down=True)
+        store = MemoryStore(down=True)
         writer = AuditWriter(store)
         sweep = RetentionSweep(store, writer, 30, lambda: NOW_UNIX_S)
         assert await sweep.step(NOW_UNIX_S) == 0
@@ -50,6 +50,6 @@
 
     async def test_zero_days_keep_all(self) -> None:
         """Guards against a setting of 0 that removes every record."""
-        sweep = RetentionSweep(FakeObjectStore(), AuditWriter(FakeObjectStore()), 0, lambda: 0.0)
+        sweep = RetentionSweep(MemoryStore(), AuditWriter(MemoryStore()), 0, lambda: 0.0)
         await sweep.run()
         assert sweep.store.calls == {}
--- a/tests/support/admin.py
+++ b/tests/support/admin.py
@@ -7,11 +7,11 @@
 import trio
 from attrs import define, field
 
-from support.store import FakeObjectStore
 from wagtailbay.admin import AdminHandler, build_handler
 from wagtailbay.audit import AuditWriter
 from wagtailbay.platform import VmRecord
 from wagtailbay.transport import HttpServer, Reply, Request, fetch
+from wagtailbay_bench.memory_store import MemoryStore
 
 TOKENS = {"ana": "token-of-ana", "luis": "token-of-luis"}
 NOW_UNIX_S = 1_796_385_600.0
@@ -21,7 +21,7 @@
 class AdminSite:
     """Hold a store, an admin server and entry VMs on free ports of the loopback interface."""
 
-    store: FakeObjectStore = field(factory=FakeObjectStore)
+    store: MemoryStore = field(factory=MemoryStore)
     address: str = ""
     statuses: dict[str, dict[str, Any]] = field(factory=dict)
     handler: AdminHandler | None = None
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -137,7 +137,7 @@
 
     def read_store(self) -> None:
         """List the replicated objects."""
-        if not self.world.store.outage and self.world.is_linked(self.name, "store"):
+        if not self.world.store.down and self.world.is_linked(self.name, "store"):
             self.is_isolated(self.clock())
             store = self.world.store
             self.replica.apply(tuple(store.objects.values()), store.revision)
@@ -187,8 +187,7 @@
         rate = 1.0 + CLOCK_ERROR * ((self.starts % 3) - 1) if self.skewed else 1.0
         vm = FakeVm(self, name, self.starts, clock_offset_s=7.0 * self.starts, clock_rate=rate)
         self.vms[name] = vm
-        if name not in self.store.vm_names:
-            self.store.vm_names.append(name)
+        self.store.add_vm(name)
         vm.tick()
         return vm
 
@@ -208,8 +207,7 @@
             if other is not vm and self.is_linked(name, other.name):
                 other.hear(vm)
         self.kill(name)
-        if name in self.store.vm_names:
-            self.store.vm_names.remove(name)
+        self.store.remove_vm(name)
 
     def is_linked(self, one: str, other: str) -> bool:
         """Tell whether two VMs, or a VM and the store, reach each other."""
