--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -182,16 +182,7 @@
         return Node(
             fleet=fleet,
             allotment=allotment,
-            monitor=HealthMonitor(
-                self.identity.vm,
-                lambda: config.view,
-                fleet.roster,
-                fleet.facts,
-                health,
-                boottime_s,
-                self.source,
-                fetch=ConnectionPool(1, self.settings.target_routes).fetch,
-            ),
+            monitor=self._build_monitor(health),
             shift=shift,
             writer=writer,
             sweep=ExpirySweep(self.store, config.services_workspaces, unix_time_s),
@@ -204,6 +195,19 @@
             ranker=handler.ranker,
         )
 
+    def _build_monitor(self, health: TargetHealth) -> HealthMonitor:
+        fleet, config = self.fleet, self.config
+        return HealthMonitor(
+            self.identity.vm,
+            lambda: config.view,
+            fleet.roster,
+            fleet.facts,
+            health,
+            boottime_s,
+            self.source,
+            fetch=ConnectionPool(1, self.settings.target_routes).fetch,
+        )
+
     def _build_once(self, writer: OutcomeWriter) -> OnceGate:
         vm, incarnation = self.identity.vm, self.identity.incarnation
         return OnceGate(writer.calls, writer, vm, incarnation, boottime_s, unix_time_s)
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -28,6 +28,9 @@
     message: str
 
 
+RECEIVE_TIMED_OUT = BadRequest(408, "request_timeout", "the request did not arrive in time")
+
+
 @define
 class RequestReceiver:
     """Receive one request after another from a caller's connection."""
@@ -75,10 +78,7 @@
             else:
                 waited = True
                 if not await self._receive_bytes(deadline_s, head is None):
-                    if head is None:
-                        return None
-                    message = "the request did not arrive in time"
-                    return Err(BadRequest(408, "request_timeout", message))
+                    return None if head is None else Err(RECEIVE_TIMED_OUT)
 
     async def _receive_bytes(self, deadline_s: float, idle: bool) -> bool:
         """Feed received bytes to h11; False when the wait ended without any."""
--- a/src/wagtailbay_bench/measure/program.py
+++ b/src/wagtailbay_bench/measure/program.py
@@ -78,13 +78,8 @@
         drained_s = drain_time_s(scenario, deployment, runs, began_unix_s)
         move = await read_move(deployment, controls)
     if settings.report_folder:
-        write_page(
-            settings.report_folder,
-            f"{example.name}-{scenario.name}-{variant.name}",
-            report,
-            samples,
-            deployment,
-        )
+        name = f"{example.name}-{scenario.name}-{variant.name}"
+        write_page(settings.report_folder, name, report, samples, deployment)
     return build_figures(
         f"{example.name}/{scenario.name}",
         variant.name,
