--- a/src/wagtailbay_bench/budget_trial.py
+++ b/src/wagtailbay_bench/budget_trial.py
@@ -27,7 +27,16 @@
 LARGE = BudgetLimit(rate_per_s=200.0, burst=400.0)
 MEDIUM = BudgetLimit(rate_per_s=20.0, burst=40.0)
 SMALL = BudgetLimit(rate_per_s=2.0, burst=4.0)
-SIZES = {"large": LARGE, "medium": MEDIUM, "small": SMALL}
+# Regions state a capacity only; their burst is half a second of it.
+REGION = BudgetLimit(rate_per_s=100.0, burst=50.0)
+SMALL_REGION = BudgetLimit(rate_per_s=15.0, burst=7.5)
+SIZES = {
+    "large": LARGE,
+    "medium": MEDIUM,
+    "small": SMALL,
+    "region": REGION,
+    "tight": SMALL_REGION,
+}
 KINDS = ("design", "equal", "no_loans")
 
 Choose = Callable[[random.Random, float], int]
--- a/tests/allotment/test_state_machine.py
+++ b/tests/allotment/test_state_machine.py
@@ -16,8 +16,10 @@
 
 LARGE = BudgetLimit(rate_per_s=20.0, burst=60.0)
 SMALL = BudgetLimit(rate_per_s=2.0, burst=4.0)
-# A burst of less than 1 s of the rate is lent together with the rate.
-SHORT = BudgetLimit(rate_per_s=100.0, burst=60.0)
+# A region: half a second's worth, of which tokens alone are lent.
+REGION = BudgetLimit(rate_per_s=100.0, burst=50.0)
+# A burst of less than 0.5 s of the rate is lent together with the rate.
+SHORT = BudgetLimit(rate_per_s=100.0, burst=40.0)
 MAX_VMS = 5
 NAMES = [f"vm-{number}" for number in range(MAX_VMS)]
 pick = st.integers(min_value=0, max_value=30)
@@ -39,7 +41,7 @@
 
     world: World
 
-    @initialize(limit=st.sampled_from([LARGE, SMALL, SHORT]), vms=st.integers(2, 4))
+    @initialize(limit=st.sampled_from([LARGE, SMALL, REGION, SHORT]), vms=st.integers(2, 4))
     def start(self, limit: BudgetLimit, vms: int) -> None:
         """Start VMs with a divided ledger."""
         self.world = settled_world(vms, limit=limit, max_vms=MAX_VMS)
