--- a/src/wagtailbay/allotment/const.py
+++ b/src/wagtailbay/allotment/const.py
@@ -41,8 +41,8 @@
 # A loan that the borrower needs no longer serves nobody until its term ends.
 LOAN_TERM_MS: Final = 500
 # Budgets with a burst of at least this time of their rate lend tokens only; their rate stays where
-# the ledger has it. A smaller burst refills sooner than the room of a loan is free again. Lending the
-# rate of regions, whose burst is half a second, refused half of the requests to a region of 15/s.
+# the ledger has it. A smaller burst refills sooner than the room of a loan is free again. Lending
+# the rate of regions, whose burst is half a second, refused half of the requests at 15/s.
 TOKENS_ONLY_BURST_S: Final = 0.5
 # Tokens are ordered when less than the first time of the expected demand is left, and up to the
 # second. One round trip between regions takes 0.07 s, and a loan of tokens ends after 0.2 s.
