Follow the changed link stand-in in the symptoms, and give no address twice

Change: the request has the new form and its answer is checked; free_address keeps what it has given out.

--- a/src/wagtailbay_bench/processes.py
+++ b/src/wagtailbay_bench/processes.py
@@ -20,11 +20,20 @@
 LOG_TAIL_CHARACTERS = 1_500
 
 
+# A port is free again between the probe and the program's start, so that two deployments of one
+# process could be given the same one.
+_given_addresses: set[str] = set()
+
+
 def free_address(host: str) -> str:
-    """Return an address on a loopback host with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+    """Return an address on a loopback host with a port that is free and not given out before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((host, 0))
+            address = f"{host}:{probe.getsockname()[1]}"
+        if address not in _given_addresses:
+            _given_addresses.add(address)
+            return address
 
 
 @define
--- a/src/wagtailbay_bench/symptoms/site.py
+++ b/src/wagtailbay_bench/symptoms/site.py
@@ -87,9 +87,11 @@
 
     async def set_link(self, **state: object) -> None:
         """Change the way of one VM to the platform."""
-        path = f"/standin/links/{PLATFORM_LINK}"
-        request = Request("PUT", path, (), json.dumps(state).encode())
-        (await fetch(self.control_address, request, 2_000)).unwrap()
+        body = json.dumps({PLATFORM_LINK: state}).encode()
+        request = Request("PUT", "/standin/links", (), body)
+        answer = (await fetch(self.control_address, request, 2_000)).unwrap()
+        if answer.status != 200:
+            raise RuntimeError(f"the link cannot be changed: status {answer.status}")
 
     async def status(self) -> dict[str, Any]:
         """Return the status of the deployment; empty while the store does not answer."""
