Use one decaying rate, and one start of a version move

Cause: the usage of regions and the demand of budgets computed the same exponentially weighted rate three times; measurements and symptoms each planned the same move. ShareSource.share and Controls.store_calls had lost their callers. Change: limits.DecayingRate serves both meters, start_version both tools; the two dead methods are gone. Behaviour stays the same.

--- a/src/wagtailbay/allotment/demand.py
+++ b/src/wagtailbay/allotment/demand.py
@@ -1,6 +1,6 @@
 """Measure and publish the demand at this VM."""
 
-from math import ceil, exp, floor, log10, sqrt
+from math import ceil, floor, log10, sqrt
 
 from attrs import define, field
 
@@ -17,51 +17,47 @@
     WHOLE_PPM,
 )
 from wagtailbay.allotment.models import Demand
-from wagtailbay.limits import BudgetLimit
+from wagtailbay.limits import BudgetLimit, DecayingRate
 from wagtailbay.membership import FactTable
 
 
 @define
 class DemandMeter:
-    """Hold exponentially weighted rates of what was asked for.
+    """Hold the rates of what was asked for.
 
     Attributes:
-        per_s: Smoothed over 1 s.
-        newest_per_s: Smoothed over 100 ms.
+        smooth: Over 1 s.
+        newest: Over 100 ms.
         amount: What was asked for last.
     """
 
-    per_s: float = 0.0
-    newest_per_s: float = 0.0
+    smooth: DecayingRate = field(factory=lambda: DecayingRate(DEMAND_SMOOTHING_S))
+    newest: DecayingRate = field(factory=lambda: DecayingRate(JUMP_SMOOTHING_S))
     amount: float = 0.0
-    updated_s: float = 0.0
 
     def record(self, amount: float, now_s: float) -> None:
         """Count an amount."""
-        self.newest_per_s = self._newest(now_s) + amount / JUMP_SMOOTHING_S
-        self.per_s = self.rate(now_s) + amount / DEMAND_SMOOTHING_S
+        self.newest.record(amount, now_s)
+        self.smooth.record(amount, now_s)
         self.amount = amount
-        self.updated_s = max(self.updated_s, now_s)
 
     def expected(self, now_s: float) -> float:
         """Return the amount a second to expect next, after a jump sooner than rate() does.
 
         The newest rate counts less twice the deviation that random arrivals alone give it.
         """
-        newest_per_s = self._newest(now_s)
+        newest_per_s = self.newest.at(now_s)
         deviation_per_s = sqrt(newest_per_s * self.amount / (2 * JUMP_SMOOTHING_S))
         return max(self.rate(now_s), newest_per_s - 2 * deviation_per_s)
 
     def has_ceased(self, now_s: float) -> bool:
         """Tell whether the silence is longer than random arrivals at the rate would leave it."""
-        return (now_s - self.updated_s) * self.rate(now_s) > SILENT_ARRIVALS * self.amount
-
-    def _newest(self, now_s: float) -> float:
-        return self.newest_per_s * exp(-max(0.0, now_s - self.updated_s) / JUMP_SMOOTHING_S)
+        silent_s = now_s - self.smooth.updated_s
+        return silent_s * self.rate(now_s) > SILENT_ARRIVALS * self.amount
 
     def rate(self, now_s: float) -> float:
         """Return the amount a second."""
-        return self.per_s * exp(-max(0.0, now_s - self.updated_s) / DEMAND_SMOOTHING_S)
+        return self.smooth.at(now_s)
 
 
 @define
@@ -77,7 +73,7 @@
         """Count an amount asked of a budget."""
         meter = self.meters.get(budget)
         if meter is None:
-            meter = self.meters[budget] = DemandMeter(updated_s=now_s)
+            meter = self.meters[budget] = DemandMeter()
         meter.record(amount, now_s)
 
     def rate(self, budget: str, now_s: float) -> float:
--- a/src/wagtailbay/allotment/holding.py
+++ b/src/wagtailbay/allotment/holding.py
@@ -14,7 +14,6 @@
     FLOOR_RESERVE_PPM,
     LEDGER_PREFIX,
     MAX_LOOP_GAP_S,
-    WHOLE_PPM,
 )
 from wagtailbay.allotment.demand import DemandBoard
 from wagtailbay.allotment.models import Holder, Ledger, LedgerApplied, LedgerFault, Safeguards
@@ -74,14 +73,6 @@
         self.demand = DemandBoard(self.facts)
         self.ticked_s = self.started_s
 
-    def share(self, budget: str, now_s: float) -> float:
-        """Return this VM's share of a budget, from 0 to 1."""
-        account = self.accounts.get(budget)
-        if account is None:
-            return self.floor_ppm() / WHOLE_PPM
-        account.settle(now_s)
-        return account.usable_ppm(now_s) / WHOLE_PPM
-
     def record_demand(self, budget: str, amount: float, now_s: float) -> None:
         """Record that an amount was asked for, whether it was admitted or not."""
         self.demand.record(budget, amount, now_s)
--- a/src/wagtailbay/limits/__init__.py
+++ b/src/wagtailbay/limits/__init__.py
@@ -1,6 +1,7 @@
 """Hold workspaces to their rate and burst over the whole fleet."""
 
 from wagtailbay.limits.bucket import TokenBucket
+from wagtailbay.limits.decay import DecayingRate
 from wagtailbay.limits.limiter import WorkspaceLimiter
 from wagtailbay.limits.models import (
     BudgetLimit,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "BudgetLimit",
+    "DecayingRate",
     "FairQueue",
     "ShareSource",
     "TokenAccount",
--- a/src/wagtailbay/limits/models.py
+++ b/src/wagtailbay/limits/models.py
@@ -45,9 +45,6 @@
 class ShareSource(Protocol):
     """Supply this VM's part of the budgets."""
 
-    def share(self, budget: str, now_s: float) -> float:
-        """Return this VM's share of a budget, from 0 to 1."""
-
     def record_demand(self, budget: str, amount: float, now_s: float) -> None:
         """Record that an amount was asked for, whether it was admitted or not."""
 
--- a/src/wagtailbay/steer/usage.py
+++ b/src/wagtailbay/steer/usage.py
@@ -1,33 +1,15 @@
 """Measure how many requests/s this VM sends to each region."""
 
-import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
 from attrs import define, field
 
 from wagtailbay.config import ServiceDocument
+from wagtailbay.limits import DecayingRate
 from wagtailbay.steer.const import USAGE_WINDOW_S
 
 
-@define
-class DecayingRate:
-    """Estimate events/s; what happened one window ago counts 1/e of what happens now."""
-
-    rate_per_s: float = 0.0
-    updated_s: float = 0.0
-
-    def record(self, now_s: float) -> None:
-        """Count one event."""
-        self.rate_per_s = self.at(now_s) + 1.0 / USAGE_WINDOW_S
-        self.updated_s = now_s
-
-    def at(self, now_s: float) -> float:
-        """Return the rate in events/s."""
-        age_s = max(0.0, now_s - self.updated_s)
-        return self.rate_per_s * math.exp(-age_s / USAGE_WINDOW_S)
-
-
 @define
 class RegionUsage:
     """Count the requests that this VM sends to each region of each service.
@@ -44,7 +26,8 @@
 
     def record(self, service: str, region: str, now_s: float) -> None:
         """Count one request that took budget of a region."""
-        self.rates.setdefault((service, region), DecayingRate()).record(now_s)
+        rate = self.rates.setdefault((service, region), DecayingRate(USAGE_WINDOW_S))
+        rate.record(1.0, now_s)
 
     def status(self, now_s: float) -> Mapping[str, Any]:
         """Return requests/s and usable capacity by ``service/region``."""
--- a/src/wagtailbay_bench/controls.py
+++ b/src/wagtailbay_bench/controls.py
@@ -49,13 +49,6 @@
         """Replace the faults of the platform stand-in."""
         await self._put(self.deployment.platform_address, "/standin/faults", faults)
 
-    async def store_calls(self) -> dict[str, Any]:
-        """Return the counted calls of the platform stand-in."""
-        answer = await fetch(
-            self.deployment.platform_address, Request("GET", "/standin/calls"), CONTROL_TIMEOUT_MS
-        )
-        return json.loads(answer.unwrap().body)
-
     async def set_behaviour(self, target: str, **changes: Any) -> None:
         """Change how a target behaves."""
         address = self.deployment.target_addresses[target]
--- a/src/wagtailbay_bench/measure/const.py
+++ b/src/wagtailbay_bench/measure/const.py
@@ -9,6 +9,7 @@
 FULL_DURATION_S: Final = 40.0
 QUICK_VMS: Final = 6
 FAULT_AT_S: Final = 3.0
+PLAN_S: Final = 60.0
 WARM_UP_S: Final = 5.0
 CLIENT_TIMEOUT_MS: Final = 3_000
 SERVICE_TIME_MS: Final = 8.0
--- a/src/wagtailbay_bench/measure/scenarios.py
+++ b/src/wagtailbay_bench/measure/scenarios.py
@@ -2,13 +2,14 @@
 
 import time
 from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
 
 from attrs import evolve, field, frozen
 
 from wagtailbay_bench.controls import Controls
 from wagtailbay_bench.deployment import Deployment
 from wagtailbay_bench.load import TrafficClass
-from wagtailbay_bench.measure.const import FAULT_AT_S
+from wagtailbay_bench.measure.const import FAULT_AT_S, PLAN_S
 
 Action = Callable[[Deployment, Controls], Awaitable[None]]
 
@@ -124,27 +125,30 @@
 
 async def start_bad_version(deployment: Deployment, controls: Controls) -> None:
     """Start a move to a version that fails every second request."""
-    await start_version(deployment, controls, error_ppm=500_000)
+    await start_version(deployment.documents[-1], controls, PLAN_S, error_ppm=500_000)
 
 
 async def start_slow_version(deployment: Deployment, controls: Controls) -> None:
     """Start a move to a version that is eight times as slow."""
-    await start_version(deployment, controls, slow_factor=8.0)
+    await start_version(deployment.documents[-1], controls, PLAN_S, slow_factor=8.0)
 
 
 async def start_late_version(deployment: Deployment, controls: Controls) -> None:
     """Start a move to a version that fails after 40 requests on each target."""
-    await start_version(deployment, controls, error_ppm=500_000, bad_after_requests=40)
+    await start_version(
+        deployment.documents[-1], controls, PLAN_S, error_ppm=500_000, bad_after_requests=40
+    )
 
 
 async def start_good_version(deployment: Deployment, controls: Controls) -> None:
     """Start a move to a version as good as the old one."""
-    await start_version(deployment, controls)
+    await start_version(deployment.documents[-1], controls, PLAN_S)
 
 
-async def start_version(deployment: Deployment, controls: Controls, **badness: object) -> None:
+async def start_version(
+    document: Mapping[str, Any], controls: Controls, plan_s: float, **badness: object
+) -> None:
     """Give half of a service's targets a new version and plan the move."""
-    document = deployment.documents[-1]
     changed = [dict(target) for target in document["targets"]]
     for target in changed[::2]:
         target["version"] = "v2"
@@ -154,7 +158,7 @@
         "old_version": "v1",
         "new_version": "v2",
         "start_unix_s": now_s,
-        "deadline_unix_s": now_s + 60,
+        "deadline_unix_s": now_s + plan_s,
         "max_step_ppm": 200_000,
     }
     changes = {"targets": changed, "version_plan": plan}
--- a/src/wagtailbay_bench/symptoms/cases.py
+++ b/src/wagtailbay_bench/symptoms/cases.py
@@ -1,12 +1,12 @@
 """Bring about one symptom after another."""
 
-import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from itertools import cycle
 
 import trio
 
+from wagtailbay_bench.measure.scenarios import start_version
 from wagtailbay_bench.symptoms.site import CUT_VM, Site, error_code
 
 Case = Callable[[Site], Awaitable[None]]
@@ -52,27 +52,14 @@
 async def move_rolled_back(site: Site) -> None:
     """Section 5.2: a new version fails every second request."""
     document = next(d for d in site.deployment.documents if d["service"] == SERVICE)
-    targets = [dict(target) for target in document["targets"]]
-    for target in targets[::2]:
-        target["version"] = "v2"
-        await site.controls.set_behaviour(target["target"], version="v2", error_ppm=500_000)
-    now_unix_s = time.time()
-    plan = {
-        "old_version": "v1",
-        "new_version": "v2",
-        "start_unix_s": now_unix_s,
-        "deadline_unix_s": now_unix_s + PLAN_S,
-        "max_step_ppm": 200_000,
-    }
-    changes = {"targets": targets, "version_plan": plan}
-    (await site.controls.change_document(SERVICE, **changes)).unwrap()
+    await start_version(document, site.controls, PLAN_S, error_ppm=500_000)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(send_reads, site, 60.0, PLAN_S)
         problem = await site.wait_for_problem(f"move {SERVICE}", "rolled back", PLAN_S)
         nursery.cancel_scope.cancel()
     site.expect("5.2 move", problem, "problem")
     await site.ctl("moves")
-    for target in targets[::2]:
+    for target in document["targets"][::2]:
         await site.controls.set_behaviour(target["target"], version="v1", error_ppm=0)
     (await site.controls.replace_document(SERVICE, document)).unwrap()
 
