Move the object store's protocol and client to a slice of their own

Cause: the folder platform/ is to hold nothing but the translation of the users' platform; it held the product's own ObjectStore protocol, its outcomes and the client of its object API. Change: they move to store/; imports follow. Behaviour stays the same. Measured: tests of store, replica, membership and lease pass.

--- a/src/wagtailbay/access/keys.py
+++ b/src/wagtailbay/access/keys.py
@@ -8,7 +8,7 @@
 from attrs import define, frozen
 
 from wagtailbay.access.const import KEY_BYTES, KEY_PREFIX
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 
 @frozen
--- a/src/wagtailbay/admin/build.py
+++ b/src/wagtailbay/admin/build.py
@@ -11,7 +11,7 @@
 from wagtailbay.admin.overview import Overview
 from wagtailbay.admin.tokens import TokenTable
 from wagtailbay.audit import AuditWriter
-from wagtailbay.platform import ObjectStore
+from wagtailbay.store import ObjectStore
 
 
 def build_handler(
--- a/src/wagtailbay/admin/documents.py
+++ b/src/wagtailbay/admin/documents.py
@@ -30,7 +30,7 @@
     parse_named,
 )
 from wagtailbay.config.const import DOCUMENT_PREFIX, FLEET_NAME
-from wagtailbay.platform import ObjectStore, StoredObject
+from wagtailbay.store import ObjectStore, StoredObject
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
--- a/src/wagtailbay/admin/fleet.py
+++ b/src/wagtailbay/admin/fleet.py
@@ -12,8 +12,8 @@
 from wagtailbay.admin.wire import decode_entry_status
 from wagtailbay.config import FleetDocument, parse_fleet
 from wagtailbay.config.const import FLEET_DOCUMENT_KEY
-from wagtailbay.platform import ObjectStore, VmRecord
 from wagtailbay.settings.checks import parse_address
+from wagtailbay.store import ObjectStore, VmRecord
 from wagtailbay.transport import Request, fetch
 
 
--- a/src/wagtailbay/admin/keys.py
+++ b/src/wagtailbay/admin/keys.py
@@ -25,7 +25,7 @@
 from wagtailbay.admin.writes import write_object
 from wagtailbay.config import ServiceDocument, parse_service
 from wagtailbay.config.const import DOCUMENT_PREFIX, FLEET_DOCUMENT_KEY
-from wagtailbay.platform import ObjectStore, StoredObject
+from wagtailbay.store import ObjectStore, StoredObject
 
 KEY_ID = re.compile(r"[0-9a-f]{64}")
 
--- a/src/wagtailbay/admin/overview.py
+++ b/src/wagtailbay/admin/overview.py
@@ -16,7 +16,7 @@
 from wagtailbay.audit.const import MAX_PAGE_RECORDS
 from wagtailbay.audit.wire import encode_record
 from wagtailbay.config.const import DOCUMENT_PREFIX
-from wagtailbay.platform import ObjectStore, StoredObject, StoreUnavailable
+from wagtailbay.store import ObjectStore, StoredObject, StoreUnavailable
 
 
 @frozen
--- a/src/wagtailbay/admin/writes.py
+++ b/src/wagtailbay/admin/writes.py
@@ -6,7 +6,7 @@
 
 from wagtailbay.admin.const import MAX_WRITE_TRIES
 from wagtailbay.admin.models import AdminError, conflict, outcome_unknown, store_unavailable
-from wagtailbay.platform import ObjectStore, OutcomeUnknown, StoreUnavailable, VersionConflict
+from wagtailbay.store import ObjectStore, OutcomeUnknown, StoreUnavailable, VersionConflict
 
 
 async def write_object(
--- a/src/wagtailbay/allotment/assembly.py
+++ b/src/wagtailbay/allotment/assembly.py
@@ -13,8 +13,8 @@
 from wagtailbay.allotment.ports import Fleet, Lender
 from wagtailbay.limits import BudgetLimit
 from wagtailbay.membership import FactTable, LoanGrant, LoanRequest
-from wagtailbay.platform import ObjectStore
 from wagtailbay.replica import Replica
+from wagtailbay.store import ObjectStore
 
 
 @define
--- a/src/wagtailbay/allotment/keeper.py
+++ b/src/wagtailbay/allotment/keeper.py
@@ -27,7 +27,7 @@
 from wagtailbay.limits import BudgetLimit
 from wagtailbay.logs import log_event
 from wagtailbay.membership import FactTable, VmState
-from wagtailbay.platform import ObjectStore, OutcomeUnknown, StoreError
+from wagtailbay.store import ObjectStore, OutcomeUnknown, StoreError
 
 GRANTABLE = (VmState.LIVE, VmState.LEAVING)
 
--- a/src/wagtailbay/audit/reader.py
+++ b/src/wagtailbay/audit/reader.py
@@ -8,7 +8,7 @@
 from wagtailbay.audit.const import AUDIT_PREFIX, MAX_DAYS_PER_PAGE
 from wagtailbay.audit.models import AuditPage
 from wagtailbay.audit.wire import day_of, day_prefix, decode_record, previous_day
-from wagtailbay.platform import ObjectStore, StoreUnavailable
+from wagtailbay.store import ObjectStore, StoreUnavailable
 
 
 @frozen
--- a/src/wagtailbay/audit/retention.py
+++ b/src/wagtailbay/audit/retention.py
@@ -18,7 +18,7 @@
 from wagtailbay.audit.wire import day_prefix
 from wagtailbay.audit.writer import AuditWriter
 from wagtailbay.logs import log_event
-from wagtailbay.platform import ObjectStore
+from wagtailbay.store import ObjectStore
 
 
 @define
--- a/src/wagtailbay/audit/writer.py
+++ b/src/wagtailbay/audit/writer.py
@@ -15,7 +15,7 @@
 from wagtailbay.audit.models import AuditRecord
 from wagtailbay.audit.wire import audit_key, encode_record
 from wagtailbay.logs import log_event
-from wagtailbay.platform import ObjectStore, VersionConflict
+from wagtailbay.store import ObjectStore, VersionConflict
 
 
 @define
--- a/src/wagtailbay/config/files.py
+++ b/src/wagtailbay/config/files.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from wagtailbay.config.faults import DocumentFault, shorten
-from wagtailbay.platform.const import MAX_VALUE_BYTES
+from wagtailbay.store.const import MAX_VALUE_BYTES
 
 
 def decode_json(data: bytes) -> Result[Any, DocumentFault]:
--- a/src/wagtailbay/config/view.py
+++ b/src/wagtailbay/config/view.py
@@ -9,7 +9,7 @@
 from wagtailbay.config.documents import parse_named
 from wagtailbay.config.faults import DocumentFault
 from wagtailbay.config.models import FleetDocument, ServiceDocument
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 
 @frozen
--- a/src/wagtailbay/lease/keeper.py
+++ b/src/wagtailbay/lease/keeper.py
@@ -21,7 +21,7 @@
 from wagtailbay.lease.models import LeaseRecord, read_record
 from wagtailbay.logs import log_event
 from wagtailbay.membership import VmIdentity
-from wagtailbay.platform import (
+from wagtailbay.store import (
     ObjectStore,
     OutcomeUnknown,
     StoredObject,
--- a/src/wagtailbay/membership/listing.py
+++ b/src/wagtailbay/membership/listing.py
@@ -15,7 +15,7 @@
     VM_LIST_TTL_MS,
 )
 from wagtailbay.membership.facts import Fact, FactTable
-from wagtailbay.platform import ObjectStore, VmList, VmRecord
+from wagtailbay.store import ObjectStore, VmList, VmRecord
 
 
 @define
--- a/src/wagtailbay/membership/messages.py
+++ b/src/wagtailbay/membership/messages.py
@@ -6,7 +6,7 @@
 
 from wagtailbay.membership.facts import FactBatch
 from wagtailbay.membership.models import Member
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 
 @frozen
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -19,8 +19,8 @@
 from wagtailbay.membership.messages import ExchangeMessage, PeerError, PeerFailure
 from wagtailbay.membership.models import VmState
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
-from wagtailbay.platform import VmList
 from wagtailbay.replica import ChangeSignal
+from wagtailbay.store import VmList
 
 
 @define
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -22,7 +22,7 @@
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
 from wagtailbay.membership.messages import ClockEcho, EntryBatch, ExchangeMessage
 from wagtailbay.membership.models import Member, VmIdentity, VmState
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 
 def encode_exchange(message: ExchangeMessage, codec: FactCodec, now_s: float) -> bytes:
--- a/src/wagtailbay/once/calls.py
+++ b/src/wagtailbay/once/calls.py
@@ -15,7 +15,7 @@
     MAX_WATCHES,
     WATCH_TIMEOUT_MS,
 )
-from wagtailbay.platform import ObjectStore, StoreUnavailable
+from wagtailbay.store import ObjectStore, StoreUnavailable
 
 T = TypeVar("T")
 E = TypeVar("E")
--- a/src/wagtailbay/once/expiry.py
+++ b/src/wagtailbay/once/expiry.py
@@ -18,7 +18,7 @@
     SWEEP_INTERVAL_S,
 )
 from wagtailbay.once.wire import decode_record
-from wagtailbay.platform import ObjectStore, StoredObject
+from wagtailbay.store import ObjectStore, StoredObject
 
 
 @define
--- a/src/wagtailbay/once/gate.py
+++ b/src/wagtailbay/once/gate.py
@@ -23,8 +23,8 @@
 )
 from wagtailbay.once.wire import decode_record, encode_record
 from wagtailbay.once.writer import OutcomeWriter
-from wagtailbay.platform import OutcomeUnknown, StoredObject, StoreUnavailable, VersionConflict
 from wagtailbay.refusals import Refusal
+from wagtailbay.store import OutcomeUnknown, StoredObject, StoreUnavailable, VersionConflict
 
 ClaimResult = Result[Claim | Outcome, Refusal]
 
--- a/src/wagtailbay/once/writer.py
+++ b/src/wagtailbay/once/writer.py
@@ -15,8 +15,8 @@
 )
 from wagtailbay.once.models import ClaimRecord, ClaimState
 from wagtailbay.once.wire import decode_record, encode_record
-from wagtailbay.platform import StoredObject, VersionConflict
 from wagtailbay.replica import ChangeSignal
+from wagtailbay.store import StoredObject, VersionConflict
 
 
 @frozen
--- a/src/wagtailbay/programs/admin.py
+++ b/src/wagtailbay/programs/admin.py
@@ -14,7 +14,6 @@
 from wagtailbay.clock import boottime_s, unix_time_s
 from wagtailbay.logs import log_event, start_logging
 from wagtailbay.metrics import build_exporter
-from wagtailbay.platform import HttpObjectStore
 from wagtailbay.settings import load_settings_or_exit, setting
 from wagtailbay.settings.checks import (
     at_least,
@@ -23,6 +22,7 @@
     parse_optional_address,
     split_address,
 )
+from wagtailbay.store import HttpObjectStore
 from wagtailbay.transport import HttpServer
 
 PROGRAM = "wagtailbay-admin"
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -37,8 +37,8 @@
 from wagtailbay.membership.listing import VmListReader
 from wagtailbay.membership.server import lend_nothing
 from wagtailbay.membership.settings import PeerSettings
-from wagtailbay.platform import ObjectStore
 from wagtailbay.replica import Freshness, Replica, StoreReader
+from wagtailbay.store import ObjectStore
 
 Clock = Callable[[], float]
 
--- a/src/wagtailbay/programs/node.py
+++ b/src/wagtailbay/programs/node.py
@@ -24,7 +24,6 @@
 from wagtailbay.metrics import Exporter, build_exporter
 from wagtailbay.once import OnceGate, OutcomeWriter, StoreCalls
 from wagtailbay.once.expiry import ExpirySweep
-from wagtailbay.platform import CountedObjectStore, HttpObjectStore, ObjectStore
 from wagtailbay.programs.entry_settings import EntrySettings
 from wagtailbay.programs.fleet import Fleet, build_fleet
 from wagtailbay.programs.fleet_view import FleetView
@@ -42,6 +41,7 @@
 )
 from wagtailbay.steer.budgets import LinkBudget, RegionBudget, SharedBudgets
 from wagtailbay.steer.usage import RegionUsage
+from wagtailbay.store import CountedObjectStore, HttpObjectStore, ObjectStore
 from wagtailbay.transport import ConnectionPool, HttpServer
 
 PROGRAM = "wagtailbay-entry"
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field
 
-from wagtailbay.platform import StoredObject
 from wagtailbay.replica.signal import ChangeSignal
+from wagtailbay.store import StoredObject
 
 
 @define
--- a/src/wagtailbay/replica/watch.py
+++ b/src/wagtailbay/replica/watch.py
@@ -8,7 +8,6 @@
 from result import Err, Ok
 
 from wagtailbay.logs import log_event
-from wagtailbay.platform import ObjectStore, StoreUnavailable
 from wagtailbay.replica.const import (
     LIST_INTERVAL_S,
     MAX_BACKOFF_S,
@@ -17,6 +16,7 @@
     WATCH_TIMEOUT_MS,
 )
 from wagtailbay.replica.replica import Freshness, Replica
+from wagtailbay.store import ObjectStore, StoreUnavailable
 
 
 @define
--- a/src/wagtailbay/shift/controller.py
+++ b/src/wagtailbay/shift/controller.py
@@ -8,7 +8,6 @@
 
 from wagtailbay.config import ConfigView, ServiceDocument
 from wagtailbay.membership import FactTable
-from wagtailbay.platform import ObjectStore
 from wagtailbay.shift.const import TICK_S
 from wagtailbay.shift.evidence import EvidencePublisher, growth_since
 from wagtailbay.shift.judge import Judgement, judge, local_error_rate
@@ -16,6 +15,7 @@
 from wagtailbay.shift.models import Contact, Lease, Pair, Stop, ValueLookup, VersionBudget
 from wagtailbay.shift.picker import MoveReader, MoveVersionPicker
 from wagtailbay.shift.stops import StopBoard
+from wagtailbay.store import ObjectStore
 
 
 @define
--- a/src/wagtailbay/shift/keeper.py
+++ b/src/wagtailbay/shift/keeper.py
@@ -10,7 +10,6 @@
 from wagtailbay.config import ConfigView, ServiceDocument
 from wagtailbay.logs import log_event
 from wagtailbay.membership import FactTable
-from wagtailbay.platform import ObjectStore, StoreUnavailable
 from wagtailbay.shift.advance import StepEvidence, advance
 from wagtailbay.shift.const import MOVE_PREFIX, TICK_S
 from wagtailbay.shift.evidence import FleetEvidence
@@ -19,6 +18,7 @@
 from wagtailbay.shift.plan import begin_move, move_id
 from wagtailbay.shift.stops import StopBoard
 from wagtailbay.shift.wire import decode_move, encode_move
+from wagtailbay.store import ObjectStore, StoreUnavailable
 
 Audit = Callable[[str, dict], None]
 
--- a/src/wagtailbay/platform/__init__.py
+++ b/src/wagtailbay/store/__init__.py
@@ -1,8 +1,8 @@
 """Talk to the platform's object API and its list of VMs."""
 
-from wagtailbay.platform.client import HttpObjectStore
-from wagtailbay.platform.counted import CountedObjectStore
-from wagtailbay.platform.models import (
+from wagtailbay.store.client import HttpObjectStore
+from wagtailbay.store.counted import CountedObjectStore
+from wagtailbay.store.models import (
     Listing,
     ObjectStore,
     OutcomeUnknown,
--- a/src/wagtailbay/platform/client.py
+++ b/src/wagtailbay/store/client.py
@@ -8,8 +8,8 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
-from wagtailbay.platform.const import DEFAULT_CALL_TIMEOUT_MS, WATCH_MARGIN_MS
-from wagtailbay.platform.models import (
+from wagtailbay.store.const import DEFAULT_CALL_TIMEOUT_MS, WATCH_MARGIN_MS
+from wagtailbay.store.models import (
     Listing,
     OutcomeUnknown,
     StoredObject,
@@ -18,7 +18,7 @@
     VersionConflict,
     VmList,
 )
-from wagtailbay.platform.wire import decode_listing, decode_object, decode_vms
+from wagtailbay.store.wire import decode_listing, decode_object, decode_vms
 from wagtailbay.transport import Request, Response, TransportError, fetch
 
 T = TypeVar("T")
--- a/src/wagtailbay/platform/const.py
+++ b/src/wagtailbay/store/const.py
@@ -1,4 +1,4 @@
-"""Constants of the platform slice."""
+"""Constants of the store slice."""
 
 from typing import Final
 
--- a/src/wagtailbay/platform/counted.py
+++ b/src/wagtailbay/store/counted.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 from result import Err, Result
 
-from wagtailbay.platform.models import (
+from wagtailbay.store.models import (
     Listing,
     ObjectStore,
     OutcomeUnknown,
--- a/src/wagtailbay/platform/wire.py
+++ b/src/wagtailbay/store/wire.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from wagtailbay.platform.models import Listing, StoredObject, VmList, VmRecord
+from wagtailbay.store.models import Listing, StoredObject, VmList, VmRecord
 
 
 def stored_object(item: dict[str, Any]) -> StoredObject:
--- a/src/wagtailbay_bench/controls.py
+++ b/src/wagtailbay_bench/controls.py
@@ -8,7 +8,7 @@
 from attrs import define
 from result import Err, Ok, Result
 
-from wagtailbay.platform import HttpObjectStore, StoreError
+from wagtailbay.store import HttpObjectStore, StoreError
 from wagtailbay.transport import FailureKind, Request, Response, TransportError, fetch
 from wagtailbay_bench.deployment import Deployment
 
--- a/src/wagtailbay_bench/deployment.py
+++ b/src/wagtailbay_bench/deployment.py
@@ -10,7 +10,7 @@
 from result import Ok
 
 from wagtailbay.access import hash_key
-from wagtailbay.platform import HttpObjectStore
+from wagtailbay.store import HttpObjectStore
 from wagtailbay.transport import Request, Response, fetch
 from wagtailbay_bench.network import PLATFORM, Network
 from wagtailbay_bench.processes import ProcessGroup, ProgramProcess, free_address
--- a/src/wagtailbay_bench/memory_store.py
+++ b/src/wagtailbay_bench/memory_store.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
-from wagtailbay.platform import (
+from wagtailbay.store import (
     Listing,
     OutcomeUnknown,
     StoredObject,
--- a/src/wagtailbay_bench/once_history.py
+++ b/src/wagtailbay_bench/once_history.py
@@ -20,7 +20,9 @@
     StoreCalls,
     Submission,
 )
-from wagtailbay.platform import (
+from wagtailbay.refusals import Refusal, RunState
+from wagtailbay.replica import ChangeSignal
+from wagtailbay.store import (
     Listing,
     ObjectStore,
     OutcomeUnknown,
@@ -29,8 +31,6 @@
     StoreUnavailable,
     VersionConflict,
 )
-from wagtailbay.refusals import Refusal, RunState
-from wagtailbay.replica import ChangeSignal
 
 
 @define
--- a/src/wagtailbay_bench/rig.py
+++ b/src/wagtailbay_bench/rig.py
@@ -16,12 +16,12 @@
 from wagtailbay.entry.retry import RetryBudget
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.membership import FactTable, Roster, VmIdentity, VmState
-from wagtailbay.platform import StoredObject
 from wagtailbay.quarantine import CrashTable
 from wagtailbay.refusals import Refusal
 from wagtailbay.settings.checks import split_address
 from wagtailbay.shift import AnyVersionPicker
 from wagtailbay.steer import Assignment, AttemptReport, RoundRobinChooser, TargetQuery
+from wagtailbay.store import StoredObject
 from wagtailbay.transport import ConnectionPool, HttpServer
 from wagtailbay_bench.once_history import FakeStore, make_gate
 from wagtailbay_standins.target import Behaviour, TargetStandin, run_target
--- a/tests/access/test_freshness_of_keys.py
+++ b/tests/access/test_freshness_of_keys.py
@@ -6,7 +6,7 @@
 from wagtailbay.access import AccessGate, KeyRing, hash_key
 from wagtailbay.config import Route, ServiceDocument, WorkspaceLimit
 from wagtailbay.membership import Exchanger
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 SERVICE = ServiceDocument("records", "t", (), (), (WorkspaceLimit("unam", 1, 1),), ())
 KEYED, OPEN = Route("read", "/"), Route("open", "/open", open=True)
--- a/tests/admin/test_admin_features.py
+++ b/tests/admin/test_admin_features.py
@@ -9,7 +9,7 @@
 from support.documents import fleet, service
 
 from wagtailbay.access import hash_key
-from wagtailbay.platform import VmRecord
+from wagtailbay.store import VmRecord
 
 scenarios("../features/operators_race.feature")
 scenarios("../features/bad_document.feature")
--- a/tests/admin/test_admin_units.py
+++ b/tests/admin/test_admin_units.py
@@ -18,7 +18,7 @@
 from wagtailbay.admin.writes import write_object
 from wagtailbay.audit import AuditWriter
 from wagtailbay.config import FleetDocument
-from wagtailbay.platform import VmRecord
+from wagtailbay.store import VmRecord
 from wagtailbay.transport import Request, fetch
 from wagtailbay_bench.memory_store import MemoryStore
 
--- a/tests/config/test_documents.py
+++ b/tests/config/test_documents.py
@@ -23,7 +23,7 @@
     parse_service,
     read_document,
 )
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 ROOT = Path(__file__).parents[2]
 DRAIN = {"start_unix_s": 10, "deadline_unix_s": 20}
--- a/tests/lease/test_keeper.py
+++ b/tests/lease/test_keeper.py
@@ -10,7 +10,7 @@
 from wagtailbay.lease import LeaseKeeper, LeaseRecord
 from wagtailbay.lease.const import LEASE_KEY
 from wagtailbay.lease.models import read_record
-from wagtailbay.platform import OutcomeUnknown, StoredObject, StoreUnavailable, VersionConflict
+from wagtailbay.store import OutcomeUnknown, StoredObject, StoreUnavailable, VersionConflict
 
 LOST_BEFORE, LOST_AFTER, DOWN = "lost before", "lost after", "down"
 
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -7,7 +7,7 @@
 
 from wagtailbay.membership import VmState
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 
 class TestEntries:
--- a/tests/membership/test_fleet_knowledge.py
+++ b/tests/membership/test_fleet_knowledge.py
@@ -13,7 +13,7 @@
     live_members,
 )
 from wagtailbay.membership.listing import VmListReader
-from wagtailbay.platform import VmList, VmRecord
+from wagtailbay.store import VmList, VmRecord
 
 
 class TestRoster:
--- a/tests/membership/test_pairs.py
+++ b/tests/membership/test_pairs.py
@@ -17,7 +17,7 @@
 from wagtailbay.membership.messages import ClockEcho, ExchangeMessage
 from wagtailbay.membership.record import PeerRecord
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
-from wagtailbay.platform import StoredObject
+from wagtailbay.store import StoredObject
 
 
 def over_the_wire(message: ExchangeMessage, now_s: float) -> ExchangeMessage:
--- a/tests/replica/test_fleet_configuration.py
+++ b/tests/replica/test_fleet_configuration.py
@@ -7,7 +7,7 @@
 import trio
 
 from wagtailbay.access import hash_key
-from wagtailbay.platform import HttpObjectStore
+from wagtailbay.store import HttpObjectStore
 from wagtailbay.transport import Request, fetch
 from wagtailbay_bench.deployment import Deployment
 from wagtailbay_bench.processes import ProcessGroup, free_address
--- a/tests/replica/test_follows.py
+++ b/tests/replica/test_follows.py
@@ -1,7 +1,7 @@
 """Test the switch by which a replica stays at its first objects."""
 
-from wagtailbay.platform import StoredObject
 from wagtailbay.replica import Replica
+from wagtailbay.store import StoredObject
 
 
 class TestFollows:
--- a/tests/replica/test_store_reader.py
+++ b/tests/replica/test_store_reader.py
@@ -9,8 +9,8 @@
 from result import Err, Ok, Result
 from trio.testing import MockClock
 
-from wagtailbay.platform import Listing, StoredObject, StoreUnavailable
 from wagtailbay.replica import Freshness, Replica, StoreReader
+from wagtailbay.store import Listing, StoredObject, StoreUnavailable
 
 
 @define
--- a/tests/steering_fakes.py
+++ b/tests/steering_fakes.py
@@ -17,8 +17,8 @@
 )
 from wagtailbay.health import TargetView
 from wagtailbay.membership import Member, VmIdentity, VmState
-from wagtailbay.platform import OutcomeUnknown, StoredObject, StoreUnavailable, VersionConflict
 from wagtailbay.steer import AttemptOutcome, AttemptReport, TargetQuery
+from wagtailbay.store import OutcomeUnknown, StoredObject, StoreUnavailable, VersionConflict
 
 FLEET = FleetDocument(4, tuple(AvailabilityZone(z, z[:1]) for z in ("a1", "a2", "b1", "b2")))
 READ = Route("read", "/")
--- a/tests/platform/test_client.py
+++ b/tests/store/test_client.py
@@ -3,7 +3,7 @@
 import pytest
 from result import Err
 
-from wagtailbay.platform import HttpObjectStore, OutcomeUnknown, StoreUnavailable
+from wagtailbay.store import HttpObjectStore, OutcomeUnknown, StoreUnavailable
 from wagtailbay.transport import HttpServer, Reply, Request
 
 
--- a/tests/support/admin.py
+++ b/tests/support/admin.py
@@ -9,7 +9,7 @@
 
 from wagtailbay.admin import AdminHandler, build_handler
 from wagtailbay.audit import AuditWriter
-from wagtailbay.platform import VmRecord
+from wagtailbay.store import VmRecord
 from wagtailbay.transport import HttpServer, Reply, Request, fetch
 from wagtailbay_bench.memory_store import MemoryStore
 
