--- /dev/null
+++ b/src/wagtailbay/gateway/attempt.py
@@ -0,0 +1,171 @@
+"""Send a request to one target and take its answer."""
+
+from collections.abc import Callable
+
+import trio
+from attrs import define, field
+from result import Err, Ok
+
+from wagtailbay.gateway.const import (
+    CONNECT_TIMEOUT_MS,
+    MAX_FOREIGN_ANSWERS,
+    MAX_HELD_BYTES,
+    MAX_IDLE_FOR_ONCE_S,
+    MAX_IDLE_S,
+)
+from wagtailbay.gateway.models import (
+    AnswerBroken,
+    Answered,
+    GatewayRequest,
+    HeldAnswer,
+    TargetHead,
+    TryOutcome,
+    Vocabulary,
+)
+from wagtailbay.placement import LoadReport, Placement, TargetSign
+from wagtailbay.transport import (
+    AnswerSink,
+    ClientConnection,
+    ConnectionPool,
+    FailureKind,
+    Headers,
+    Request,
+    ResponseHead,
+    TransportError,
+)
+from wagtailbay.transport.wire import end_to_end_headers
+
+
+@define
+class TargetTry:
+    """Send a request to one target within the time that is left for it.
+
+    Attributes:
+        sink: Takes the answer.
+        last: Whether no other target will be tried, so that any answer goes to the caller.
+        load: What the target said of its load.
+    """
+
+    pool: ConnectionPool
+    vocabulary: Vocabulary
+    clock: Callable[[], float]
+    request: GatewayRequest
+    placement: Placement
+    sink: AnswerSink
+    last: bool
+    load: LoadReport | None = None
+    sent: bool = field(default=False, init=False)
+
+    async def run(self) -> TryOutcome:
+        """Carry out the try; the connection is kept only after a whole exchange."""
+        left_ms = self.request.left_ms(self.clock())
+        entry = self.placement.target.entry
+        once = not self.request.route.idempotent
+        max_idle_s = MAX_IDLE_FOR_ONCE_S if once else MAX_IDLE_S
+        opened = await self.pool.acquire(
+            entry.address, min(CONNECT_TIMEOUT_MS, left_ms), max_idle_s=max_idle_s
+        )
+        if isinstance(opened, Err):
+            return TryOutcome(TargetSign.UNREACHABLE, None, may_have_run=False)
+        connection = opened.ok_value
+        connection.takes_unframed = True
+        try:
+            with trio.move_on_after(self.request.left_ms(self.clock()) / 1000):
+                return await self._exchange(connection)
+            return self._timed_out()
+        finally:
+            self.sent = connection.request_sent
+            await self.pool.release(connection)
+
+    def _timed_out(self) -> TryOutcome:
+        if self.sink.started:
+            broken = AnswerBroken("the time was over while the answer was sent")
+            return TryOutcome(TargetSign.TIMED_OUT, broken, may_have_run=True)
+        return TryOutcome(TargetSign.TIMED_OUT, None, may_have_run=True)
+
+    def _encode(self) -> Request:
+        """Build the request for the target."""
+        caller, entry = self.request.caller, self.placement.target.entry
+        workspace = self.request.workspace.workspace if self.request.workspace else None
+        left_ms = self.request.left_ms(self.clock())
+        request = self.request.request
+        headers = self.vocabulary.target_headers(request, workspace, entry.target, left_ms)
+        return Request(request.method, request.path, headers, request.body, host=caller.host)
+
+    async def _exchange(self, connection: ClientConnection) -> TryOutcome:
+        received = await connection.send(self._encode())
+        for _ in range(MAX_FOREIGN_ANSWERS + 1):
+            if isinstance(received, Err):
+                return self._failed(received.err_value)
+            head = received.ok_value
+            said = self.vocabulary.read_target(head)
+            if said.request_id in (None, self.request.caller.request_id):
+                return await self._take(connection, head, said)
+            # A late second answer to an earlier request; this one's may still follow.
+            received = await connection.skip_response()
+        return self._failed(connection.error(FailureKind.PROTOCOL, "answers to other requests"))
+
+    async def _take(
+        self, connection: ClientConnection, head: ResponseHead, said: TargetHead
+    ) -> TryOutcome:
+        """Take the answer; it goes to the caller whole where it is not too large."""
+        self.load = said.load
+        body = bytearray()
+        complete = False
+        while not complete and len(body) <= MAX_HELD_BYTES:
+            match await connection.receive_chunk():
+                case Err(error):
+                    return self._failed(error)
+                case Ok(None):
+                    complete = True
+                case Ok(data):
+                    body += data
+        if said.not_run:
+            return TryOutcome(TargetSign.SHED, None, may_have_run=False, load=said.load)
+        headers = end_to_end_headers(head.headers)
+        if complete:
+            return await self._deliver(HeldAnswer(head.status, headers, bytes(body)))
+        return await self._stream(connection, head.status, headers, bytes(body))
+
+    async def _deliver(self, answer: HeldAnswer) -> TryOutcome:
+        sign = TargetSign.FAILED if answer.status >= 500 else TargetSign.ANSWERED
+        if sign is TargetSign.FAILED and not self.last and self.request.route.idempotent:
+            return TryOutcome(sign, None, may_have_run=True, load=self.load, held=answer)
+        await send_held(self.sink, answer)
+        return TryOutcome(sign, Answered(answer.status), may_have_run=True, load=self.load)
+
+    async def _stream(
+        self, connection: ClientConnection, status: int, headers: Headers, first: bytes
+    ) -> TryOutcome:
+        """Pass a large answer on as it arrives."""
+        await self.sink.start(status, headers)
+        await self.sink.send(first)
+        while True:
+            match await connection.receive_chunk():
+                case Err(error):
+                    return self._failed(error)
+                case Ok(None):
+                    await self.sink.finish()
+                    sign = TargetSign.FAILED if status >= 500 else TargetSign.ANSWERED
+                    return TryOutcome(sign, Answered(status), True, self.load)
+                case Ok(data):
+                    await self.sink.send(data)
+
+    def _failed(self, error: TransportError) -> TryOutcome:
+        if self.sink.started:
+            return TryOutcome(TargetSign.BROKEN, AnswerBroken(str(error)), may_have_run=True)
+        ended = error.kind is FailureKind.CLOSED and error.request_sent and not error.answered
+        return TryOutcome(
+            TargetSign.BROKEN, None, may_have_run=error.request_sent, ended_unanswered=ended
+        )
+
+
+async def send_held(sink: AnswerSink, answer: HeldAnswer) -> None:
+    """Send a whole answer to the caller."""
+    headers = tuple((n, v) for n, v in answer.headers if n.lower() != "content-length")
+    if answer.status not in (204, 304):
+        headers += (("Content-Length", str(len(answer.body))),)
+    await sink.start(answer.status, headers)
+    if answer.body:
+        await sink.send(answer.body)
+    await sink.finish()
--- a/src/wagtailbay/locate/__init__.py
+++ b/src/wagtailbay/locate/__init__.py
@@ -1,6 +1,7 @@
 """Answer which entry VMs a caller should use."""
 
 from wagtailbay.locate.groups import RankedVm
+from wagtailbay.locate.near import near_vms
 from wagtailbay.locate.rank import LocateAnswer, VmRanker, rank_vms
 
-__all__ = ["LocateAnswer", "RankedVm", "VmRanker", "rank_vms"]
+__all__ = ["LocateAnswer", "RankedVm", "VmRanker", "near_vms", "rank_vms"]
--- a/src/wagtailbay/locate/const.py
+++ b/src/wagtailbay/locate/const.py
@@ -32,3 +32,10 @@
 LENGTH_MASK: Final = (1 << LENGTH_BITS) - 1
 # The number of no zone.
 UNMAPPED: Final = (1 << ZONE_BITS) - 1
+
+# Clients that pick at random get the VMs of their own zone alone from this many on: one to go to
+# when another fails.
+MIN_NEAR_VMS: Final = 2
+MAX_NEAR_VMS: Final = 64
+# Such clients keep an answer for up to three times this long.
+NEAR_TTL_MS: Final = 2_000
--- /dev/null
+++ b/src/wagtailbay/locate/near.py
@@ -0,0 +1,21 @@
+"""Name the entry VMs for clients that use any named one with equal likelihood."""
+
+from wagtailbay.config import FleetDocument
+from wagtailbay.locate.const import MAX_NEAR_VMS, MIN_NEAR_VMS
+from wagtailbay.locate.groups import RankedVm, group_vms, live_vms
+from wagtailbay.membership import Roster
+
+
+def near_vms(
+    availability_zone: str, roster: Roster, fleet: FleetDocument, now_s: float
+) -> tuple[RankedVm, ...]:
+    """Return the VMs of the client's zone, and farther ones only where these are too few.
+
+    Such clients do not read the order of the answer, so a far VM that is named gets as many
+    requests as a near one.
+    """
+    groups = group_vms(availability_zone, live_vms(roster, now_s), fleet)
+    named = groups.same_zone.vms
+    if len(named) < MIN_NEAR_VMS:
+        named += groups.same_region.vms
+    return (named or groups.others.vms)[:MAX_NEAR_VMS]
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -72,3 +72,5 @@
 SERVICE_NAME: Final = "wagtailbay.Peer"
 EXCHANGE_METHOD: Final = "Exchange"
 BORROW_METHOD: Final = "Borrow"
+REGISTRATION_PREFIX: Final = "vms/"
+REGISTRATION_RETRY_S: Final = 1.0
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -52,6 +52,7 @@
             facts_seen_incarnation=record.incarnation,
             members=self._members_for(vm, record, now_s),
             members_through=members_through,
+            replica_position=self.replica.position,
             mark_ms=record.give_mark(now_s, members_through) if answers else None,
             echo=None if answers else record.echo(now_s),
         )
@@ -59,7 +60,8 @@
     def _batch_since(self, revision: int) -> EntryBatch:
         own = self.replica.revision
         if revision >= own:
-            return EntryBatch(own, own, False, ())
+            # Objects may be known from beyond the revision up to which all are.
+            return EntryBatch(revision, own, False, self.replica.delta_since(revision))
         if revision >= self.replica.deletions_since:
             return EntryBatch(revision, own, False, self.replica.delta_since(revision))
         return EntryBatch(0, own, True, self.replica.existing())
@@ -81,6 +83,7 @@
         # Before a peer's first answer its incarnation is unknown, and all members are sent.
         if sent.facts_seen_incarnation in (0, record.incarnation):
             record.members_sent = max(record.members_sent, sent.members_through)
+            record.replica_sent = max(record.replica_sent, sent.replica_position)
 
     def note_lost(self, vm: str) -> None:
         """Record that a message to a peer may not have arrived."""
@@ -173,12 +176,13 @@
         record = self.records.get(vm)
         if record is None:
             return True
-        if record.revision >= self.replica.revision:
+        if record.replica_sent >= self.replica.position:
             return False
         return any(
             not stored.key.startswith(UNHURRIED_PREFIXES)
-            for stored in self.replica.objects.values()
+            for key, stored in self.replica.objects.items()
             if stored.version > record.revision
+            and self.replica.positions.get(key, 0) > record.replica_sent
         )
 
     def rest_s(self, vm: str, now_s: float) -> float:
--- /dev/null
+++ b/src/wagtailbay/membership/registration.py
@@ -0,0 +1,42 @@
+"""Register this VM in the store, so that VMs without a common acquaintance find each other."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from attrs import define
+from result import Err
+
+from wagtailbay.logs import log_event
+from wagtailbay.membership.const import REGISTRATION_PREFIX, REGISTRATION_RETRY_S
+from wagtailbay.membership.models import VmIdentity
+from wagtailbay.store import ObjectStore, VersionConflict
+
+
+@define
+class VmRegistrar:
+    """Write the VM's peer address under its name; a later start overwrites an earlier one's."""
+
+    store: ObjectStore
+    identity: VmIdentity
+    clock: Callable[[], float]
+    random: random.Random
+
+    async def run(self) -> None:
+        """Try until the entry is written."""
+        while not await self.register():
+            await trio.sleep(REGISTRATION_RETRY_S * self.random.uniform(0.5, 1.5))
+
+    async def register(self) -> bool:
+        """Write the entry; True if it is there now."""
+        identity = self.identity
+        value = {"address": identity.peer_address, "zone": identity.availability_zone}
+        key = REGISTRATION_PREFIX + identity.vm
+        written = await self.store.put(key, value, 0)
+        if isinstance(written, Err) and isinstance(written.err_value, VersionConflict):
+            # An earlier run of this VM registered the same address.
+            return True
+        if isinstance(written, Err):
+            log_event("vm_not_registered", reason=str(written.err_value))
+            return False
+        return True
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -130,7 +130,7 @@
             log_event("replica_too_large", objects=len(batch.objects), max_bytes=limit)
             return peer_pb2.EntryBatch()
         if size > limit and encoded.entries:
-            encoded.revision = encoded.entries[-1].version
+            encoded.revision = min(batch.revision, encoded.entries[-1].version)
             break
         encoded.entries.add(key=stored.key, version=stored.version, value=value)
     return encoded
@@ -141,8 +141,9 @@
         StoredObject(entry.key, entry.version, json.loads(entry.value) if entry.value else None)
         for entry in encoded.entries
     )
-    if any(stored.version > encoded.revision for stored in objects):
-        raise ValueError("an entry is newer than its batch")
+    oldest = 0 if encoded.whole else encoded.since_revision
+    if any(stored.version <= oldest for stored in objects):
+        raise ValueError("an entry is not newer than what its batch starts from")
     return EntryBatch(encoded.since_revision, encoded.revision, encoded.whole, objects)
 
 
--- /dev/null
+++ b/src/wagtailbay/placement/__init__.py
@@ -0,0 +1,27 @@
+"""Choose the target of a request by affinity, load, place and health."""
+
+from wagtailbay.placement.chooser import Placer
+from wagtailbay.placement.cold import ColdBudget
+from wagtailbay.placement.load import TargetLoad
+from wagtailbay.placement.models import (
+    LoadReport,
+    Placement,
+    PlacementQuery,
+    Shortage,
+    TargetSign,
+    VersionFilter,
+)
+from wagtailbay.placement.spill import SpillLimiter
+
+__all__ = [
+    "ColdBudget",
+    "LoadReport",
+    "Placement",
+    "PlacementQuery",
+    "Placer",
+    "Shortage",
+    "SpillLimiter",
+    "TargetLoad",
+    "TargetSign",
+    "VersionFilter",
+]
--- /dev/null
+++ b/src/wagtailbay/placement/chooser.py
@@ -0,0 +1,249 @@
+"""Choose a target: the object's own one first, then free ones, then other regions."""
+
+import random
+from collections.abc import Callable, Mapping
+from functools import lru_cache
+from statistics import median
+
+from attrs import define, field
+from result import Err, Ok, Result
+from xxhash import xxh64_intdigest
+
+from wagtailbay.logs import log_event
+from wagtailbay.placement.cold import ColdBudget
+from wagtailbay.placement.const import (
+    AWAY_FILL,
+    GOAL_SHARE,
+    MAX_EJECTED_SHARE,
+    MAX_FILL,
+    MAX_RETRY_AFTER_MS,
+    MIN_FILL,
+    MIN_REGION_VMS,
+    MIN_RETRY_AFTER_MS,
+    OTHER_FILL,
+    SLOW_FACTOR,
+    SLOW_SLOTS_SHARE,
+)
+from wagtailbay.placement.load import TargetLoad
+from wagtailbay.placement.models import (
+    LoadReport,
+    Placement,
+    PlacementQuery,
+    Shortage,
+    TargetSign,
+)
+from wagtailbay.placement.spill import SpillLimiter
+from wagtailbay.registry import KnownTarget, TargetRegistry
+from wagtailbay.routing import ServiceRule
+
+
+@lru_cache(maxsize=65_536)
+def affinity_rank(affinity: str, target: str) -> int:
+    """Return the place of a target in the order of an object; the lowest is preferred."""
+    return xxh64_intdigest(f"{affinity}\0{target}".encode())
+
+
+@define
+class Placer:
+    """Choose targets for the requests of one VM.
+
+    Attributes:
+        regions: The region of each availability zone.
+        services: Returns the rules of the services in force, by name.
+        region_vms: Returns how many VMs of this region share the cold targets.
+    """
+
+    region: str
+    regions: Mapping[str, str]
+    registry: TargetRegistry
+    services: Callable[[], Mapping[str, ServiceRule]]
+    region_vms: Callable[[], int]
+    random: random.Random
+    cold: ColdBudget = field(factory=ColdBudget)
+    loads: dict[tuple[str, int], TargetLoad] = field(factory=dict)
+    spills: dict[str, SpillLimiter] = field(factory=dict)
+
+    def load_of(self, target: KnownTarget) -> TargetLoad:
+        """Return the beliefs about one start of a target."""
+        key = (target.entry.target, target.entry.born_unix_ms)
+        load = self.loads.get(key)
+        if load is None:
+            load = self.loads[key] = TargetLoad()
+        return load
+
+    def choose(self, query: PlacementQuery, now_s: float) -> Result[Placement, Shortage]:
+        """Choose a target and count the request as in flight there."""
+        chosen = self._choose(query, now_s)
+        if isinstance(chosen, Ok):
+            self.load_of(chosen.ok_value.target).start()
+        return chosen
+
+    def _choose(self, query: PlacementQuery, now_s: float) -> Result[Placement, Shortage]:
+        candidates = self._candidates(query, now_s)
+        if not candidates:
+            return Err(Shortage("no usable target", MAX_RETRY_AFTER_MS))
+        usual_ms = self._usual_latency_ms(candidates, now_s)
+        home = [c for c in candidates if self._region_of(c) == self.region]
+        away = [c for c in candidates if self._region_of(c) != self.region]
+        placed = self._place(query, home, usual_ms, now_s) if home else None
+        limiter = self.spills.setdefault(query.service, SpillLimiter())
+        if away:
+            limiter.observe(placed is None, not home, now_s)
+            if (not home and placed is None) or limiter.take():
+                elsewhere = self._place_away(query, away, usual_ms, bool(home), now_s)
+                placed = elsewhere or placed
+        if placed is None:
+            placed = self._place_queued(query, home or away, usual_ms, now_s)
+        if placed is not None:
+            return Ok(placed)
+        return Err(Shortage("all targets are full", self.retry_after_ms(usual_ms)))
+
+    def _candidates(self, query: PlacementQuery, now_s: float) -> list[KnownTarget]:
+        usable = [
+            target
+            for target in self.registry.usable(query.service, now_s)
+            if target.entry.target not in query.excluded
+            and (query.version is None or query.version.admits(target.entry.version))
+            and (not query.home_regions or self._region_of(target) in query.home_regions)
+        ]
+        healthy = [target for target in usable if not self.load_of(target).is_ejected(now_s)]
+        if len(healthy) < (1 - MAX_EJECTED_SHARE) * len(usable):
+            return usable
+        return healthy
+
+    def _region_of(self, target: KnownTarget) -> str:
+        return self.regions.get(target.entry.availability_zone, "")
+
+    def _usual_latency_ms(self, targets: list[KnownTarget], now_s: float) -> float | None:
+        known = [self.load_of(target).known_latency_ms(now_s) for target in targets]
+        latencies = [latency_ms for latency_ms in known if latency_ms is not None]
+        return median(latencies) if latencies else None
+
+    def _slots(self, target: KnownTarget, usual_ms: float | None, now_s: float) -> float:
+        """Return the slots of a target, fewer if it is clearly slower than the others."""
+        latency_ms = self.load_of(target).known_latency_ms(now_s)
+        slots = max(1, target.entry.slots)
+        if latency_ms and usual_ms and latency_ms > SLOW_FACTOR * usual_ms:
+            return slots * SLOW_SLOTS_SHARE
+        return slots
+
+    def _max_fill(self, query: PlacementQuery, usual_ms: float | None) -> float:
+        """Return how full a target may be for an answer in good time, through its slots."""
+        if not usual_ms:
+            return MIN_FILL
+        return min(MAX_FILL, max(MIN_FILL, GOAL_SHARE * query.latency_goal_ms / usual_ms))
+
+    def _ordered(self, query: PlacementQuery, targets: list[KnownTarget]) -> list[KnownTarget]:
+        if query.affinity is None:
+            shuffled = self.random.sample(targets, len(targets))
+            return sorted(shuffled, key=lambda t: self.load_of(t).own / max(1, t.entry.slots))
+        affinity = query.affinity
+        return sorted(targets, key=lambda target: affinity_rank(affinity, target.entry.target))
+
+    def _place(
+        self,
+        query: PlacementQuery,
+        targets: list[KnownTarget],
+        usual_ms: float | None,
+        now_s: float,
+    ) -> Placement | None:
+        """Return the first target in the object's order that has room."""
+        fill = self._max_fill(query, usual_ms) if query.affinity is not None else OTHER_FILL
+        preferred = True
+        for target in self._ordered(query, targets):
+            belief = self.load_of(target)
+            load = belief.load(now_s)
+            has_room = load < fill * self._slots(target, usual_ms, now_s)
+            if has_room and not belief.is_shedding(now_s) and self._may_warm(target, now_s):
+                return Placement(target, self._region_of(target), load, preferred)
+            if not target.is_cold(now_s):
+                preferred, fill = False, OTHER_FILL
+        return None
+
+    def _may_warm(self, target: KnownTarget, now_s: float) -> bool:
+        """Tell whether a target is not cold, or has budget for one more request."""
+        rule = self.services().get(target.entry.service)
+        if not target.is_cold(now_s) or rule is None or rule.cold_per_s <= 0:
+            return True
+        if self._region_of(target) != self.region:
+            return False
+        vms = max(MIN_REGION_VMS, self.region_vms())
+        return self.cold.take(target.entry.target, rule.cold_per_s, vms, now_s)
+
+    def _place_away(
+        self,
+        query: PlacementQuery,
+        targets: list[KnownTarget],
+        usual_ms: float | None,
+        has_home: bool,
+        now_s: float,
+    ) -> Placement | None:
+        """Return a target of another region that has room to spare."""
+        fill = AWAY_FILL if has_home else self._max_fill(query, usual_ms)
+        for target in self._ordered(query, targets):
+            belief = self.load_of(target)
+            load = belief.load(now_s)
+            has_room = load < fill * self._slots(target, usual_ms, now_s)
+            if has_room and not belief.is_shedding(now_s) and not target.is_cold(now_s):
+                return Placement(target, self._region_of(target), load, False)
+        return None
+
+    def _place_queued(
+        self,
+        query: PlacementQuery,
+        targets: list[KnownTarget],
+        usual_ms: float | None,
+        now_s: float,
+    ) -> Placement | None:
+        """Return the least full target if its queue still allows an answer in good time."""
+        warm = [target for target in targets if not target.is_cold(now_s)]
+        if not warm:
+            return None
+
+        def fill_of(target: KnownTarget) -> float:
+            slots = self._slots(target, usual_ms, now_s)
+            return self.load_of(target).load(now_s) / slots
+
+        target = min(warm, key=fill_of)
+        if fill_of(target) >= self._max_fill(query, usual_ms):
+            return None
+        load = self.load_of(target).load(now_s)
+        return Placement(target, self._region_of(target), load, False)
+
+    def retry_after_ms(self, usual_ms: float | None = None) -> float:
+        """Return when a slot may be free, spread so that callers do not come back together."""
+        base_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, usual_ms or 0.0))
+        return base_ms * self.random.uniform(0.5, 1.5)
+
+    def finish(
+        self,
+        placement: Placement,
+        sign: TargetSign,
+        latency_ms: float,
+        report: LoadReport | None,
+        now_s: float,
+    ) -> None:
+        """Record what came of a request; called once for each placement."""
+        target = placement.target
+        belief = self.load_of(target)
+        was_ejected = belief.is_ejected(now_s)
+        belief.finish(sign, latency_ms, report, now_s)
+        if belief.is_ejected(now_s) and not was_ejected:
+            log_event("target_ejected", target=target.entry.target, sign=sign.value)
+        if sign is TargetSign.UNREACHABLE:
+            self.expect_restart(target, now_s)
+
+    def expect_restart(self, target: KnownTarget, now_s: float) -> None:
+        """Treat a target that has ended as cold, since it may be back before its new entry is."""
+        rule = self.services().get(target.entry.service)
+        if rule is not None:
+            target.cold_until_s = max(target.cold_until_s, now_s + rule.cold_ms / 1000)
+
+    def forget(self) -> None:
+        """Drop the beliefs about targets that the registry no longer has."""
+        known = {
+            (name, target.entry.born_unix_ms) for name, target in self.registry.targets.items()
+        }
+        for key in [key for key in self.loads if key not in known and not self.loads[key].own]:
+            del self.loads[key]
+        self.cold.forget({name for name, _ in known})
--- /dev/null
+++ b/src/wagtailbay/placement/const.py
@@ -0,0 +1,42 @@
+"""Constants of the placement slice."""
+
+from typing import Final
+
+# What other VMs have in flight at a target is taken from its last report, which fades at this pace.
+REPORT_HALF_LIFE_S: Final = 0.7
+# Weight of the newest latency in a target's mean.
+LATENCY_WEIGHT: Final = 0.15
+# A target this many times slower than its service's median gets little work.
+SLOW_FACTOR: Final = 2.5
+SLOW_SLOTS_SHARE: Final = 0.2
+# Latencies of a target without which it is not called slow.
+MIN_LATENCIES: Final = 4
+# A mean that no new answer has confirmed for this long no longer counts against a target.
+LATENCY_TERM_S: Final = 3.0
+# Weight of the newest outcome in a target's share of failures, and the share that ejects it.
+FAILURE_WEIGHT: Final = 0.2
+EJECT_FAILURE_SHARE: Final = 0.35
+EJECT_S: Final = 1.0
+MAX_EJECT_S: Final = 8.0
+# With more than this share of a service's targets ejected, ejections are ignored.
+MAX_EJECTED_SHARE: Final = 0.5
+# A target that turned a request away counts as full for this long.
+SHED_HOLD_S: Final = 0.15
+# A target queues requests for an answer in good time up to this share of the latency goal.
+GOAL_SHARE: Final = 0.85
+MIN_FILL: Final = 1.0
+MAX_FILL: Final = 2.5
+# A request leaves its preferred target for one without its object only below this fill.
+OTHER_FILL: Final = 0.9
+# Other regions are used only well below their slots, since their own callers need these first.
+AWAY_FILL: Final = 0.75
+# The share of requests sent to other regions moves by at most this much in a second. The bound of
+# 15% between two windows of 2 s leaves room for the randomness of small counts.
+SPILL_STEP_PER_S: Final = 0.04
+# With no usable target at home there is nothing to be gained by a slow change.
+LOST_HOME_STEP_PER_S: Final = 10.0
+SPILL_DEMAND_HALF_LIFE_S: Final = 0.7
+# VMs of a region that are assumed before the fleet is known; shares of cold targets rest on it.
+MIN_REGION_VMS: Final = 3
+MIN_RETRY_AFTER_MS: Final = 150
+MAX_RETRY_AFTER_MS: Final = 1_500
--- /dev/null
+++ b/src/wagtailbay/placement/models.py
@@ -0,0 +1,88 @@
+"""Model a request's need of a target and the outcome of the choice."""
+
+from enum import Enum
+
+from attrs import frozen
+
+from wagtailbay.registry import KnownTarget
+
+
+@frozen
+class VersionFilter:
+    """Restrict a choice to one version, or to all others.
+
+    Attributes:
+        wanted: False excludes the version in place of requiring it.
+    """
+
+    version: str
+    wanted: bool = True
+
+    def admits(self, version: str) -> bool:
+        """Tell whether a target of a version may be chosen."""
+        return (version == self.version) is self.wanted
+
+
+@frozen
+class PlacementQuery:
+    """Describe the request that needs a target.
+
+    Attributes:
+        affinity: Names the object that it concerns, None if targets do not care.
+        latency_goal_ms: An answer within this time is in good time.
+        priority: 0 is the most urgent.
+        excluded: Targets that it was sent to before.
+        home_regions: Where it may run; empty for anywhere.
+    """
+
+    service: str
+    affinity: str | None
+    latency_goal_ms: float
+    priority: int
+    excluded: frozenset[str] = frozenset()
+    home_regions: frozenset[str] = frozenset()
+    version: VersionFilter | None = None
+
+
+@frozen
+class Placement:
+    """Assign a request to a target.
+
+    Attributes:
+        load: The load that the target was believed to have, in requests.
+        preferred: Whether it is the first target in the order of the request's object.
+    """
+
+    target: KnownTarget
+    region: str
+    load: float
+    preferred: bool
+
+
+@frozen
+class Shortage:
+    """Say why no target was chosen and when to come back."""
+
+    reason: str
+    retry_after_ms: float
+
+
+@frozen
+class LoadReport:
+    """Hold what a target said of its load: requests running and waiting, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class TargetSign(Enum):
+    """Name what one try shows of a target."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    SHED = "shed"
+    BROKEN = "broken"
+    UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed_out"
+    GIVEN_UP = "given_up"
--- /dev/null
+++ b/src/wagtailbay/platform/front.py
@@ -0,0 +1,52 @@
+"""Answer the platform's look-ups and its question whether this VM is ready."""
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+from attrs import frozen
+
+from wagtailbay.locate import RankedVm
+from wagtailbay.platform.durations import format_duration_ms
+from wagtailbay.transport import Reply, Request
+
+RESOLVE_PATH = "/resolve"
+READY_PATH = "/ready"
+
+
+@frozen
+class LookupFront:
+    """Serve the directory.
+
+    Attributes:
+        near: Returns the VMs for a client in an availability zone.
+        ttl_ms: How long a client may keep an answer.
+    """
+
+    near: Callable[[str], tuple[RankedVm, ...]]
+    ttl_ms: float
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one look-up."""
+        path, _, query = request.path.partition("?")
+        if path != RESOLVE_PATH:
+            await reply.send_json(404, {"error": "there is nothing here"})
+            return
+        zone = parse_qs(query).get("zone", [""])[0]
+        addresses = [vm.address for vm in self.near(zone)]
+        if not addresses:
+            await reply.send_json(503, {"error": "no VM is ready"})
+            return
+        answer = {"addresses": addresses, "ttl": format_duration_ms(self.ttl_ms)}
+        await reply.send_json(200, answer)
+
+
+@frozen
+class ReadyFront:
+    """Tell the platform whether this VM is ready."""
+
+    is_ready: Callable[[], bool]
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one question."""
+        ready = self.is_ready()
+        await reply.send_json(200 if ready else 503, {"ready": ready})
--- /dev/null
+++ b/src/wagtailbay/platform/objects.py
@@ -0,0 +1,69 @@
+"""Convert the platform's objects to the product's stored objects."""
+
+from typing import Any
+
+from wagtailbay.logs import log_event
+from wagtailbay.platform.const import CONFIG_NAME, KIND_OF_PREFIX, OWN_KIND_PREFIX
+from wagtailbay.platform.decode import MALFORMED, decode_order, decode_table, decode_target
+from wagtailbay.registry import unstructure_entry
+from wagtailbay.rollout import unstructure_order
+from wagtailbay.routing import unstructure_table
+from wagtailbay.store import StoredObject
+
+
+def kind_of(prefix: str) -> str:
+    """Return the platform's kind for the objects under one of the product's prefixes."""
+    return KIND_OF_PREFIX.get(prefix) or OWN_KIND_PREFIX + prefix.rstrip("/")
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return the kind and the name of an object by its key."""
+    prefix, _, name = key.partition("/")
+    return kind_of(prefix + "/"), name
+
+
+def stored_object(prefix: str, item: dict[str, Any]) -> StoredObject | None:
+    """Convert one object; None, with a log line, if it has another form."""
+    name = "?"
+    try:
+        name, version = item["meta"]["name"], int(item["meta"]["revision"])
+        value = _value(prefix, name, item)
+    except MALFORMED as error:
+        log_event(
+            "object_unusable", kind=kind_of(prefix), name=str(name)[:80], reason=str(error)[:200]
+        )
+        return None
+    return StoredObject(prefix + name, version, value)
+
+
+def _value(prefix: str, name: str, item: dict[str, Any]) -> Any:
+    match prefix:
+        case "routing/":
+            if name != CONFIG_NAME:
+                raise ValueError("not the configuration in force")
+            return unstructure_table(decode_table(item["spec"]))
+        case "targets/":
+            return unstructure_entry(decode_target(item, name))
+        case "rollouts/":
+            return unstructure_order(decode_order(item))
+        case "evacuations/":
+            return {}
+    return item["spec"]
+
+
+def changed_objects(prefix: str, events: list[dict[str, Any]], at: int) -> list[StoredObject]:
+    """Convert the events of a watch, the last one of each object.
+
+    A deleted object's own revision may be that of its last change, so it counts as deleted at the
+    revision of the answer.
+    """
+    latest: dict[str, dict[str, Any]] = {}
+    for event in events:
+        latest[event["object"]["meta"]["name"]] = event
+    found: list[StoredObject] = []
+    for name, event in latest.items():
+        if event.get("deleted"):
+            found.append(StoredObject(prefix + name, at, None))
+        elif (stored := stored_object(prefix, event["object"])) is not None:
+            found.append(stored)
+    return found
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -37,10 +37,12 @@
 from wagtailbay.membership.listing import VmListReader
 from wagtailbay.membership.server import lend_nothing
 from wagtailbay.membership.settings import PeerSettings
-from wagtailbay.replica import Freshness, Replica, StoreReader
+from wagtailbay.replica import Freshness, PrefixFollower, Replica, StoreReader
 from wagtailbay.store import ObjectStore
 
 Clock = Callable[[], float]
+Reader = StoreReader | PrefixFollower
+ReaderFactory = Callable[[ObjectStore, Replica, Freshness, Callable[[], bool], Clock], Reader]
 
 
 @define
@@ -48,6 +50,7 @@
     """Hold the parts of one VM that know the fleet.
 
     Attributes:
+        lease: None where no duty needs a single holder.
         document: Returns the fleet document in force, None while there is none.
     """
 
@@ -56,7 +59,7 @@
     peers: PeerSet
     client: PeerClient
     server: PeerServer
-    lease: LeaseKeeper
+    lease: LeaseKeeper | None
     document: Callable[[], FleetDocument | None]
     clock: Clock
 
@@ -81,7 +84,7 @@
         return self.exchanger.freshness
 
     @property
-    def reader(self) -> StoreReader:
+    def reader(self) -> Reader:
         """Return the reader of the store."""
         return self.exchanger.reader
 
@@ -100,7 +103,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.reader.run)
             nursery.start_soon(self._housekeeping)
-            nursery.start_soon(self.lease.run)
+            if self.lease is not None:
+                nursery.start_soon(self.lease.run)
             nursery.start_soon(self.lists.run)
             if listen_address:
                 await nursery.start(self.server.serve, listen_address)
@@ -144,7 +148,8 @@
         if self.roster.own_member.state is VmState.LIVE:
             self.roster.announce(VmState.LEAVING)
         log_event("leaving")
-        await self.lease.release()
+        if self.lease is not None:
+            await self.lease.release()
 
     async def announce_left(self) -> None:
         """Spread that this VM has left; returns when the neighbours know or did not answer."""
@@ -166,8 +171,8 @@
             "confirmed_age_ms": self.freshness.age_ms(now_s),
             "store_reachable": self.reader.reachable,
             "store_watcher": self.reader.is_watcher(),
-            "lease_holder": self.lease.holder(),
-            "holds_lease": self.lease.is_holder(now_s),
+            "lease_holder": self.lease.holder() if self.lease else None,
+            "holds_lease": self.lease is not None and self.lease.is_holder(now_s),
             "quorum": self.quorum.has_quorum(now_s),
             "isolated": self.isolation.is_isolated(now_s),
             "peers": [self._peer_status(vm, now_s) for vm in sorted(self._known_peers())],
@@ -199,16 +204,18 @@
     document: Callable[[], FleetDocument | None],
     clock: Clock,
     lender: Lender = lend_nothing,
+    make_reader: ReaderFactory | None = None,
+    has_lease: bool = True,
 ) -> Fleet:
     """Build the parts of one VM that know the fleet; starts nothing."""
-    exchanger = build_exchanger(identity, store, document, clock)
+    exchanger = build_exchanger(identity, store, document, clock, make_reader or build_reader)
     lists = VmListReader(store, exchanger.facts, exchanger.reader.is_watcher, clock)
     client = PeerClient(lambda vm: peers.address_of(vm), certificates, settings.peer_routes)
     peers = PeerSet(exchanger, client, DEFAULT_CODEC, clock, settings.peers, lists.listed)
     # The server has a copy of its own, because gRPC reads it from its threads.
     copied = None if certificates is None else evolve(certificates)
     server = PeerServer(exchanger, DEFAULT_CODEC, clock, copied, lender)
-    lease = build_lease(store, exchanger, clock)
+    lease = build_lease(store, exchanger, clock) if has_lease else None
     return Fleet(exchanger, lists, peers, client, server, lease, document, clock)
 
 
@@ -217,6 +224,7 @@
     store: ObjectStore,
     document: Callable[[], FleetDocument | None],
     clock: Clock,
+    make_reader: ReaderFactory,
 ) -> Exchanger:
     """Build the state that a VM shares with its peers."""
     roster = Roster(identity)
@@ -232,7 +240,7 @@
         FactTable(identity.vm, identity.incarnation),
         replica,
         freshness,
-        StoreReader(store, replica, freshness, is_watcher, clock, random.Random()),
+        make_reader(store, replica, freshness, is_watcher, clock),
         Quorum(
             roster,
             lambda: fleet.votes if (fleet := document()) else None,
@@ -242,6 +250,17 @@
     )
 
 
+def build_reader(
+    store: ObjectStore,
+    replica: Replica,
+    freshness: Freshness,
+    is_watcher: Callable[[], bool],
+    clock: Clock,
+) -> StoreReader:
+    """Build the reader of a store that watches several kinds of object in one call."""
+    return StoreReader(store, replica, freshness, is_watcher, clock, random.Random())
+
+
 def build_lease(store: ObjectStore, exchanger: Exchanger, clock: Clock) -> LeaseKeeper:
     """Build the keeper of the lease; the live VMs contend in the order of a hash."""
     roster, replica = exchanger.roster, exchanger.replica
--- /dev/null
+++ b/src/wagtailbay/programs/gateway.py
@@ -0,0 +1,88 @@
+"""Run one gateway VM on the users' platform."""
+
+import os
+import signal
+import sys
+from functools import partial
+
+import trio
+
+from wagtailbay.locate.const import NEAR_TTL_MS
+from wagtailbay.logs import log_event, start_logging
+from wagtailbay.programs.gateway_node import PROGRAM, GatewayBuilder, GatewayNode, build_fronts
+from wagtailbay.programs.gateway_settings import GatewaySettings
+from wagtailbay.settings import load_settings_or_exit
+from wagtailbay.settings.checks import split_address
+from wagtailbay.transport import HttpServer
+
+# New connections are taken for this long after the VM has left the look-up answers.
+ACCEPT_MARGIN_S = 0.8
+# The process ends this long before it would be killed.
+END_MARGIN_S = 0.3
+
+
+async def run(settings: GatewaySettings) -> None:
+    """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
+    node = GatewayBuilder(settings).build()
+    lookup, ready = build_fronts(node)
+    async with trio.open_nursery() as nursery:
+        await node.run_tasks(nursery)
+        await nursery.start(node.fleet.run, settings.peer_address)
+        await nursery.start(HttpServer(ready.handle).serve, split_address(settings.ready_address))
+        await nursery.start(HttpServer(lookup.handle).serve, split_address(settings.lookup_address))
+        if settings.metrics_address:
+            scrape = HttpServer(node.exporter.handle)
+            await nursery.start(scrape.serve, split_address(settings.metrics_address))
+        accepting = await nursery.start(serve_callers, node)
+        log_event("listening", address=settings.listen_address, machine=settings.machine)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as until_signal:
+                until_signal.start_soon(node.become_live)
+                await anext(signals)
+                until_signal.cancel_scope.cancel()
+        await stop_gracefully(node, accepting)
+        nursery.cancel_scope.cancel()
+
+
+async def serve_callers(node: GatewayNode, *, task_status: trio.TaskStatus) -> None:
+    """Serve callers; reports the scope whose end stops new connections."""
+    address = split_address(node.settings.listen_address)
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(address[1], host=address[0])
+        scope = trio.CancelScope()
+        task_status.started(scope)
+        with scope:
+            await trio.serve_listeners(
+                node.server.serve_connection, listeners, handler_nursery=nursery
+            )
+
+
+async def stop_gracefully(node: GatewayNode, accepting: trio.CancelScope) -> None:
+    """Leave the look-up answers, serve what they still send, then end within the grace time."""
+    started_s = trio.current_time()
+    log_event("stopping", open_requests=node.server.open_requests)
+    await node.fleet.announce_leaving()
+    # Each answer from now on tells its caller to connect elsewhere.
+    node.server.draining.set()
+    await trio.sleep(NEAR_TTL_MS / 1000 + ACCEPT_MARGIN_S)
+    accepting.cancel()
+    end_s = started_s + node.settings.grace_ms / 1000 - END_MARGIN_S
+    with trio.move_on_at(end_s):
+        while node.server.open_requests:
+            await trio.sleep(0.02)
+        node.server.close_idle()
+        await node.fleet.announce_left()
+    log_event("stopped", open_requests=node.server.open_requests)
+
+
+def main() -> None:
+    """Run the program."""
+    # gRPC would write its own lines, which have another form, between this program's.
+    os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+    settings = load_settings_or_exit(PROGRAM, GatewaySettings, os.environ)
+    start_logging(sys.stdout, PROGRAM, settings.vm)
+    trio.run(partial(run, settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wagtailbay/quota/const.py
@@ -0,0 +1,23 @@
+"""Constants of the quota slice."""
+
+from typing import Final
+
+DEMAND_KIND: Final = "workspace_demand"
+DEMAND_INTERVAL_S: Final = 0.5
+# The demand of a VM that is no longer heard counts for this long, so that a VM that was cut off
+# and goes on with its last share is left its part.
+DEMAND_TTL_MS: Final = 6_000
+DEMAND_WINDOW_S: Final = 2.0
+# Part of the rate that is divided evenly, so that a VM admits the first requests of a workspace.
+EVEN_PART: Final = 0.15
+# Part of the burst that the VMs hold together; shares that move bring some of it twice.
+BURST_PART: Final = 0.6
+# Each VM holds at least so many tokens, however small its share.
+MIN_BURST: Final = 2.0
+# A VM that hears no peer for this long keeps to the share that it had before.
+LOST_CONTACT_S: Final = 2.5
+# After this long the others have taken its share over, and it keeps only a part of it.
+SHARE_TAKEN_OVER_S: Final = 5.0
+TAKEN_OVER_PART: Final = 0.5
+MIN_RETRY_AFTER_MS: Final = 200
+MAX_RETRY_AFTER_MS: Final = 3_000
--- /dev/null
+++ b/src/wagtailbay/quota/share.py
@@ -0,0 +1,108 @@
+"""Divide the rate of each workspace among the VMs by their demand."""
+
+import random
+from collections.abc import Callable
+from math import isfinite
+
+import trio
+from attrs import define, field
+from result import Err, Ok, Result
+
+from wagtailbay.limits import DecayingRate, TokenBucket
+from wagtailbay.membership import FactTable
+from wagtailbay.quota.const import (
+    BURST_PART,
+    DEMAND_INTERVAL_S,
+    DEMAND_KIND,
+    DEMAND_TTL_MS,
+    DEMAND_WINDOW_S,
+    EVEN_PART,
+    LOST_CONTACT_S,
+    MAX_RETRY_AFTER_MS,
+    MIN_BURST,
+    MIN_RETRY_AFTER_MS,
+    SHARE_TAKEN_OVER_S,
+    TAKEN_OVER_PART,
+)
+from wagtailbay.quota.models import WorkspaceDemand
+from wagtailbay.routing import Workspace
+
+
+@define
+class WorkspaceQuota:
+    """Admit requests within this VM's share of each workspace's rate.
+
+    Every VM publishes the demand that it sees; a VM's share is its part of the whole demand, so
+    the shares of VMs that hear each other add up to one.
+
+    Attributes:
+        fleet_size: Returns how many VMs divide the rate evenly where no demand is known.
+        contact_age_s: Returns how long ago a peer was heard, infinity if never.
+        demand: This VM's own demand by workspace.
+        shares: The last share of each workspace that was computed in contact with the fleet.
+    """
+
+    facts: FactTable
+    fleet_size: Callable[[], int]
+    contact_age_s: Callable[[float], float]
+    clock: Callable[[], float]
+    random: random.Random
+    demand: dict[str, DecayingRate] = field(factory=dict)
+    others_per_s: dict[str, float] = field(factory=dict)
+    shares: dict[str, float] = field(factory=dict)
+    buckets: dict[str, TokenBucket] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Publish this VM's demand and read the others' until cancelled."""
+        while True:
+            self.exchange(self.clock())
+            await trio.sleep(DEMAND_INTERVAL_S * self.random.uniform(0.9, 1.1))
+
+    def exchange(self, now_s: float) -> None:
+        """Publish this VM's demand and add up that of the others."""
+        own = {name: round(rate.at(now_s), 2) for name, rate in self.demand.items()}
+        asked = {name: per_s for name, per_s in own.items() if per_s > 0}
+        self.facts.publish(
+            DEMAND_KIND, "all", WorkspaceDemand(asked), ttl_ms=DEMAND_TTL_MS, now_s=now_s
+        )
+        others: dict[str, float] = {}
+        for fact in self.facts.of_kind(DEMAND_KIND, now_s):
+            if fact.vm == self.facts.vm:
+                continue
+            for name, per_s in fact.value.per_s.items():
+                others[name] = others.get(name, 0.0) + max(0.0, per_s)
+        self.others_per_s = others
+
+    def share(self, workspace: str, now_s: float) -> float:
+        """Return this VM's share of a workspace's rate."""
+        even = 1.0 / max(1, self.fleet_size())
+        age_s = self.contact_age_s(now_s)
+        if age_s > LOST_CONTACT_S:
+            kept = self.shares.get(workspace, even)
+            return kept * TAKEN_OVER_PART if age_s > SHARE_TAKEN_OVER_S else kept
+        own_per_s = self.demand[workspace].at(now_s) if workspace in self.demand else 0.0
+        total_per_s = own_per_s + self.others_per_s.get(workspace, 0.0)
+        by_demand = own_per_s / total_per_s if total_per_s > 0 else even
+        share = EVEN_PART * even + (1 - EVEN_PART) * by_demand
+        self.shares[workspace] = share
+        return share
+
+    def admit(self, workspace: Workspace, now_s: float) -> Result[None, float]:
+        """Take one request of a workspace; an error holds the time to come back in ms."""
+        if workspace.rate_per_s <= 0:
+            return Ok(None)
+        name = workspace.workspace
+        self.demand.setdefault(name, DecayingRate(DEMAND_WINDOW_S)).record(1.0, now_s)
+        share = self.share(name, now_s)
+        rate_per_s = workspace.rate_per_s * share
+        capacity = max(MIN_BURST, workspace.burst * BURST_PART * share)
+        bucket = self.buckets.get(name)
+        if bucket is None:
+            bucket = self.buckets[name] = TokenBucket(rate_per_s, capacity, capacity, now_s)
+        else:
+            bucket.resize(rate_per_s, capacity, now_s)
+        if bucket.take(1.0, now_s):
+            return Ok(None)
+        wait_s = bucket.wait_s(1.0)
+        wait_ms = wait_s * 1000 if isfinite(wait_s) else MAX_RETRY_AFTER_MS
+        return Err(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
--- /dev/null
+++ b/src/wagtailbay/registry/registry.py
@@ -0,0 +1,142 @@
+"""Follow the entries of targets and the evacuations of availability zones."""
+
+from collections.abc import Mapping
+
+from attrs import define, field
+from result import Err
+
+from wagtailbay.logs import log_event
+from wagtailbay.registry.const import (
+    COLD_MARGIN_S,
+    EVACUATION_PREFIX,
+    LAPSED_ENTRY_GRACE_S,
+    OUTAGE_MEMORY_S,
+    TARGET_PREFIX,
+)
+from wagtailbay.registry.models import TargetEntry, structure_entry
+from wagtailbay.store import StoredObject
+
+
+@define(eq=False)
+class KnownTarget:
+    """Hold a target and until when it is cold.
+
+    Attributes:
+        cold_until_s: Until when it bears only the rate of a cold target.
+        removed_s: When its entry was found missing, None while it has one.
+    """
+
+    entry: TargetEntry
+    since_s: float
+    cold_until_s: float = float("-inf")
+    removed_s: float | None = None
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether the target is cold."""
+        return now_s < self.cold_until_s
+
+
+@define
+class TargetRegistry:
+    """Hold the targets by identity and the zones that are evacuated.
+
+    Attributes:
+        taken: The store's version of each object that was looked at.
+        store_failed_s: When the store last failed to answer this VM, or the VM it learns from.
+    """
+
+    targets: dict[str, KnownTarget] = field(factory=dict)
+    evacuated_zones: frozenset[str] = frozenset()
+    taken: dict[str, int] = field(factory=dict)
+    store_failed_s: float = float("-inf")
+    _by_service: dict[str, tuple[KnownTarget, ...]] = field(factory=dict)
+
+    def note_store_failure(self, now_s: float) -> None:
+        """Record that the store does not answer, so that entries may lapse."""
+        self.store_failed_s = now_s
+
+    def take_in(
+        self, objects: Mapping[str, StoredObject], cold_ms: Mapping[str, float], now_s: float
+    ) -> None:
+        """Take in the replicated objects.
+
+        Args:
+            cold_ms: How long a target of each service stays cold after its start.
+        """
+        for key, stored in objects.items():
+            if not key.startswith(TARGET_PREFIX) or self.taken.get(key, 0) >= stored.version:
+                continue
+            self.taken[key] = stored.version
+            self._take_target(key.removeprefix(TARGET_PREFIX), stored, now_s)
+        zones = frozenset(
+            key.removeprefix(EVACUATION_PREFIX)
+            for key, stored in objects.items()
+            if key.startswith(EVACUATION_PREFIX) and stored.value is not None
+        )
+        if zones != self.evacuated_zones:
+            self._change_zones(zones, cold_ms, now_s)
+        self._by_service.clear()
+
+    def _take_target(self, name: str, stored: StoredObject, now_s: float) -> None:
+        known = self.targets.get(name)
+        if stored.value is None:
+            if known is not None and known.removed_s is None:
+                known.removed_s = now_s
+                log_event("target_removed", target=name, revision=stored.version)
+            return
+        structured = structure_entry(stored.value)
+        if isinstance(structured, Err):
+            log_event("target_entry_unusable", target=name, reason=structured.err_value)
+            return
+        entry = structured.ok_value
+        if known is None or known.entry.born_unix_ms != entry.born_unix_ms:
+            known = self.targets[name] = KnownTarget(entry, now_s)
+            log_event("target_added", target=name, service=entry.service, version=entry.version)
+        if entry.draining and not known.entry.draining:
+            log_event("target_draining", target=name, revision=stored.version)
+        known.entry, known.removed_s = entry, None
+        if entry.cold_left_ms > 0:
+            until_s = now_s + entry.cold_left_ms / 1000 + COLD_MARGIN_S
+            known.cold_until_s = max(known.cold_until_s, until_s)
+
+    def _change_zones(
+        self, zones: frozenset[str], cold_ms: Mapping[str, float], now_s: float
+    ) -> None:
+        """Change the evacuated zones; targets that come back may have become cold."""
+        returned = self.evacuated_zones - zones
+        log_event("evacuation_changed", zones=sorted(zones), returned=sorted(returned))
+        for known in self.targets.values():
+            if known.entry.availability_zone in returned:
+                until_s = now_s + cold_ms.get(known.entry.service, 0.0) / 1000
+                known.cold_until_s = max(known.cold_until_s, until_s)
+        self.evacuated_zones = zones
+
+    def usable(self, service: str, now_s: float) -> list[KnownTarget]:
+        """Return the targets of a service that may get new work."""
+        known = self._by_service.get(service)
+        if known is None:
+            found = (t for t in self.targets.values() if t.entry.service == service)
+            known = self._by_service[service] = tuple(found)
+        return [target for target in known if self._is_usable(target, now_s)]
+
+    def _is_usable(self, target: KnownTarget, now_s: float) -> bool:
+        entry = target.entry
+        if entry.draining or entry.availability_zone in self.evacuated_zones:
+            return False
+        if target.removed_s is None:
+            return True
+        # An entry that was removed while the store was away may only have lapsed.
+        lapsed = target.removed_s - self.store_failed_s < OUTAGE_MEMORY_S
+        return lapsed and now_s - target.removed_s < LAPSED_ENTRY_GRACE_S
+
+    def forget_removed(self, now_s: float) -> None:
+        """Drop targets whose entries have been missing for long enough."""
+        gone = [
+            name
+            for name, target in self.targets.items()
+            if target.removed_s is not None and now_s - target.removed_s > LAPSED_ENTRY_GRACE_S
+        ]
+        for name in gone:
+            del self.targets[name]
+        if gone:
+            self._by_service.clear()
--- /dev/null
+++ b/src/wagtailbay/replica/follow.py
@@ -0,0 +1,135 @@
+"""Follow a store whose watches cover one kind of object each."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from attrs import define, field
+from result import Err, Ok
+
+from wagtailbay.logs import log_event
+from wagtailbay.replica.const import (
+    FOLLOW_BACKOFF_S,
+    FOLLOW_STALE_AFTER_S,
+    FOLLOW_WAIT_MS,
+    LIST_INTERVAL_S,
+    MAX_FOLLOW_BACKOFF_S,
+)
+from wagtailbay.replica.replica import Freshness, Replica
+from wagtailbay.store import HistoryLost, ObjectStore, StoreUnavailable
+
+
+@define
+class PrefixState:
+    """Hold how far one prefix is known.
+
+    Attributes:
+        revision: Every change under the prefix up to this one is known; None before a listing.
+        confirmed_s: When the question was asked that the newest answer belongs to.
+    """
+
+    revision: int | None = None
+    confirmed_s: float = float("-inf")
+    failures: int = 0
+
+
+@define
+class PrefixFollower:
+    """Watch each prefix in a task of its own, on the VMs chosen for it.
+
+    The replica's revision is the lowest of all prefixes; its age is that of the oldest answer.
+    VMs that do not watch learn from their peers, and list for themselves when nothing is heard.
+
+    Attributes:
+        is_watcher: Tells whether this VM watches now.
+        reachable: Whether the last call was answered.
+        answered_s: When the last answered call was sent, None if none was answered.
+        on_failure: Called with the time when a call fails.
+    """
+
+    store: ObjectStore
+    replica: Replica
+    freshness: Freshness
+    is_watcher: Callable[[], bool]
+    clock: Callable[[], float]
+    random: random.Random
+    prefixes: tuple[str, ...]
+    reachable: bool = False
+    answered_s: float | None = None
+    on_failure: Callable[[float], None] = lambda now_s: None
+    states: dict[str, PrefixState] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        self.states = {prefix: PrefixState() for prefix in self.prefixes}
+        async with trio.open_nursery() as nursery:
+            for prefix, state in self.states.items():
+                nursery.start_soon(self._follow, prefix, state)
+
+    async def _follow(self, prefix: str, state: PrefixState) -> None:
+        while True:
+            if state.failures:
+                await trio.sleep(self._backoff_s(state))
+            if not self._must_read():
+                state.revision = None
+                await trio.sleep(LIST_INTERVAL_S * self.random.uniform(0.4, 0.6))
+            elif state.revision is None:
+                await self._list(prefix, state)
+            elif self.is_watcher():
+                await self._watch(prefix, state)
+            else:
+                state.revision = None
+
+    def _must_read(self) -> bool:
+        """Tell whether this VM reads the store itself."""
+        if self.is_watcher():
+            return True
+        age_ms = self.freshness.age_ms(self.clock())
+        return age_ms is None or age_ms > FOLLOW_STALE_AFTER_S * 1000
+
+    def _backoff_s(self, state: PrefixState) -> float:
+        full_s = min(MAX_FOLLOW_BACKOFF_S, FOLLOW_BACKOFF_S * 2 ** min(state.failures - 1, 6))
+        return full_s * self.random.uniform(0.5, 1.0)
+
+    async def _list(self, prefix: str, state: PrefixState) -> None:
+        asked_s = self.clock()
+        match await self.store.list((prefix,)):
+            case Ok(listing):
+                self.replica.replace_prefix(prefix, listing.objects, listing.revision)
+                self._note_answer(state, listing.revision, asked_s)
+            case Err(error):
+                self._note_failure(state, error)
+
+    async def _watch(self, prefix: str, state: PrefixState) -> None:
+        asked_s = self.clock()
+        match await self.store.watch((prefix,), state.revision, FOLLOW_WAIT_MS):
+            case Ok(listing):
+                self.replica.apply(listing.objects, self.replica.revision)
+                self._note_answer(state, listing.revision, asked_s)
+            case Err(HistoryLost()):
+                log_event("store_history_lost", prefix=prefix, revision=state.revision)
+                state.revision = None
+            case Err(error):
+                self._note_failure(state, error)
+
+    def _note_answer(self, state: PrefixState, revision: int, asked_s: float) -> None:
+        """Record an answer; the time of the question bounds how old it can be."""
+        state.revision = max(revision, state.revision or 0)
+        state.confirmed_s, state.failures = asked_s, 0
+        if not self.reachable:
+            log_event("store_reachable", revision=revision)
+        self.reachable, self.answered_s = True, asked_s
+        known = self.states.values()
+        if all(other.revision is not None for other in known):
+            lowest = min(other.revision for other in known if other.revision is not None)
+            self.replica.apply((), lowest)
+            self.freshness.confirm(min(other.confirmed_s for other in known))
+
+    def _note_failure(self, state: PrefixState, error: StoreUnavailable) -> None:
+        """Record a failed call; the next one lists, since an answer may have been lost."""
+        if self.reachable:
+            log_event("store_unreachable", reason=error.message)
+        self.reachable = False
+        state.failures += 1
+        state.revision = None
+        self.on_failure(self.clock())
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -16,12 +16,16 @@
         revision: Every change up to this store revision is included.
         objects: By key, deleted ones included with value None.
         deletions_since: Every deletion after this revision is included in objects.
+        position: Grows with each object taken in.
+        positions: The position of each object's newest version.
         follows: Test-only switch; False takes nothing in after the first objects.
     """
 
     revision: int = 0
     deletions_since: int = 0
     objects: dict[str, StoredObject] = field(factory=dict)
+    position: int = 0
+    positions: dict[str, int] = field(factory=dict)
     changed: ChangeSignal = field(factory=ChangeSignal)
     follows: bool = True
 
@@ -39,12 +43,38 @@
             known = self.objects.get(stored.key)
             if stored.version > (self.revision if known is None else known.version):
                 self.objects[stored.key] = stored
+                self.position += 1
+                self.positions[stored.key] = self.position
                 changed = True
         self.revision = max(self.revision, revision)
         if changed:
             self.changed.notify()
         return changed
 
+    def replace_prefix(self, prefix: str, objects: Iterable[StoredObject], revision: int) -> bool:
+        """Take in a complete listing of the objects under one prefix at a revision.
+
+        The replica's own revision stays, since the listing says nothing of other prefixes.
+        Returns whether any object changed.
+        """
+        listed = tuple(objects)
+        keys = {stored.key for stored in listed}
+        deleted = tuple(
+            StoredObject(key, revision, None)
+            for key, stored in self.objects.items()
+            if key.startswith(prefix)
+            and key not in keys
+            and stored.value is not None
+            and stored.version < revision
+        )
+        if deleted:
+            self.deletions_since = max(self.deletions_since, revision)
+        # Unknown objects of the listing exist, however old they are.
+        for stored in listed:
+            if stored.key not in self.objects:
+                self.objects[stored.key] = StoredObject(stored.key, 0, None)
+        return self.apply((*listed, *deleted), self.revision)
+
     def replace(self, objects: Iterable[StoredObject], revision: int) -> bool:
         """Take in a complete listing of the objects that existed at a revision.
 
--- /dev/null
+++ b/src/wagtailbay/rollout/__init__.py
@@ -0,0 +1,21 @@
+"""Move a service's traffic to a new version, or back if it is bad."""
+
+from wagtailbay.rollout.const import ROLLOUT_PREFIX
+from wagtailbay.rollout.keeper import RolloutKeeper
+from wagtailbay.rollout.models import (
+    RolloutOrder,
+    RolloutPhase,
+    structure_order,
+    unstructure_order,
+)
+from wagtailbay.rollout.traffic import RolloutTraffic
+
+__all__ = [
+    "ROLLOUT_PREFIX",
+    "RolloutKeeper",
+    "RolloutOrder",
+    "RolloutPhase",
+    "RolloutTraffic",
+    "structure_order",
+    "unstructure_order",
+]
--- /dev/null
+++ b/src/wagtailbay/routing/__init__.py
@@ -0,0 +1,29 @@
+"""Find the route and the workspace of a request in the configuration in force."""
+
+from wagtailbay.routing.codec import structure_table, unstructure_table
+from wagtailbay.routing.const import ROUTING_KEY, ROUTING_PREFIX
+from wagtailbay.routing.live import LiveRouting
+from wagtailbay.routing.models import (
+    CallerLimits,
+    RoutePart,
+    RouteRule,
+    RoutingTable,
+    ServiceRule,
+    Workspace,
+)
+from wagtailbay.routing.split import ServiceSplitter
+
+__all__ = [
+    "ROUTING_KEY",
+    "ROUTING_PREFIX",
+    "CallerLimits",
+    "LiveRouting",
+    "RoutePart",
+    "RouteRule",
+    "RoutingTable",
+    "ServiceRule",
+    "ServiceSplitter",
+    "Workspace",
+    "structure_table",
+    "unstructure_table",
+]
--- /dev/null
+++ b/src/wagtailbay/routing/live.py
@@ -0,0 +1,45 @@
+"""Keep the newest accepted table in force."""
+
+from collections.abc import Mapping
+
+from attrs import define, field
+from result import Err
+
+from wagtailbay.logs import log_event
+from wagtailbay.replica import ChangeSignal
+from wagtailbay.routing.codec import structure_table
+from wagtailbay.routing.const import ROUTING_KEY
+from wagtailbay.routing.models import RoutingTable
+from wagtailbay.store import StoredObject
+
+
+@define
+class LiveRouting:
+    """Hold the table in force, which never goes back to an older version.
+
+    Attributes:
+        table: None until the first one is known.
+        taken_version: The store's version of the object that was looked at last.
+    """
+
+    table: RoutingTable | None = None
+    taken_version: int = 0
+    changed: ChangeSignal = field(factory=ChangeSignal)
+
+    def take_in(self, objects: Mapping[str, StoredObject]) -> None:
+        """Put the replicated table in force if it is newer; an unusable one changes nothing."""
+        stored = objects.get(ROUTING_KEY)
+        if stored is None or stored.value is None or stored.version <= self.taken_version:
+            return
+        self.taken_version = stored.version
+        structured = structure_table(stored.value)
+        if isinstance(structured, Err):
+            log_event("routing_unusable", revision=stored.version, reason=structured.err_value)
+            return
+        table = structured.ok_value
+        if self.table is not None and table.version <= self.table.version:
+            log_event("routing_not_newer", version=table.version, in_force=self.table.version)
+            return
+        self.table = table
+        log_event("routing_in_force", version=table.version, revision=stored.version)
+        self.changed.notify()
--- a/src/wagtailbay/store/__init__.py
+++ b/src/wagtailbay/store/__init__.py
@@ -3,6 +3,7 @@
 from wagtailbay.store.client import HttpObjectStore
 from wagtailbay.store.counted import CountedObjectStore
 from wagtailbay.store.models import (
+    HistoryLost,
     Listing,
     ObjectStore,
     OutcomeUnknown,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "CountedObjectStore",
+    "HistoryLost",
     "HttpObjectStore",
     "Listing",
     "ObjectStore",
--- a/src/wagtailbay/store/counted.py
+++ b/src/wagtailbay/store/counted.py
@@ -7,6 +7,7 @@
 from result import Err, Result
 
 from wagtailbay.store.models import (
+    HistoryLost,
     Listing,
     ObjectStore,
     OutcomeUnknown,
@@ -21,6 +22,7 @@
 E = TypeVar("E")
 OUTCOMES = {
     StoreUnavailable: "unavailable",
+    HistoryLost: "history_lost",
     VersionConflict: "conflict",
     OutcomeUnknown: "unknown",
 }
@@ -52,7 +54,7 @@
 
     async def watch(
         self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
-    ) -> Result[Listing, StoreUnavailable]:
+    ) -> Result[Listing, StoreUnavailable | HistoryLost]:
         """Wait for changes after a revision; the listing is empty when the time runs out."""
         return self._counted("watch", await self.store.watch(prefixes, since_revision, timeout_ms))
 
--- a/src/wagtailbay/store/models.py
+++ b/src/wagtailbay/store/models.py
@@ -55,6 +55,11 @@
     message: str
 
 
+@frozen
+class HistoryLost:
+    """Report that a watch cannot go on, since the store dropped the changes after its revision."""
+
+
 @frozen
 class OutcomeUnknown:
     """Report that a write may or may not have taken effect."""
@@ -96,7 +101,7 @@
 
     async def watch(
         self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
-    ) -> Result[Listing, StoreUnavailable]:
+    ) -> Result[Listing, StoreUnavailable | HistoryLost]:
         """Wait for changes after a revision; the listing is empty when the time runs out."""
 
     async def vms(self) -> Result[VmList, StoreUnavailable]:
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -41,6 +41,9 @@
     Attributes:
         checked: Whether nothing has run since the connection was found without unread bytes.
         poller: Looks for unread bytes; made at the first look.
+        takes_unframed: Whether a response may lack a length and end with its connection.
+        head: The request in flight.
+        released_s: When it was last kept for another request, on trio's clock.
     """
 
     address: str
@@ -53,25 +56,48 @@
     checked: bool = False
     method: str = ""
     poller: Any = None
+    takes_unframed: bool = False
+    head: h11.Request | None = None
+    released_s: float = 0.0
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of its response."""
         if not self.checked and self.has_unread_bytes():
-            return Err(self._error(FailureKind.PROTOCOL, "bytes before the request"))
+            return Err(self.error(FailureKind.PROTOCOL, "bytes before the request"))
         self.checked = False
         self.method = request.method
         try:
-            data = self.protocol.send(encode_request_head(request, self.address)) or b""
+            self.head = encode_request_head(request, self.address)
+            data = self.protocol.send(self.head) or b""
             if request.body:
                 data += self.protocol.send(h11.Data(data=request.body)) or b""
             data += self.protocol.send(END_OF_MESSAGE) or b""
         except h11.LocalProtocolError as error:
-            return Err(self._error(FailureKind.PROTOCOL, str(error)))
+            return Err(self.error(FailureKind.PROTOCOL, str(error)))
         try:
             self.request_sent = True
             await send_rest(self.stream, data, send_now(self.stream, data))
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-            return Err(self._error(FailureKind.CLOSED, f"while sending: {error}"))
+            return Err(self.error(FailureKind.CLOSED, f"while sending: {error}"))
+        return await self._receive_head()
+
+    async def skip_response(self) -> Result[ResponseHead, TransportError]:
+        """Read over a response that belongs to an earlier request, to the head of the next one."""
+        while True:
+            match await self.receive_chunk():
+                case Err(error):
+                    return Err(error)
+                case Ok(None):
+                    break
+        unread, closed = self.protocol.trailing_data
+        protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+        protocol.send(h11.Request(method=self.head.method, target="/", headers=[("Host", "-")]))
+        protocol.send(END_OF_MESSAGE)
+        self.protocol = protocol
+        if unread:
+            protocol.receive_data(unread)
+        if closed:
+            protocol.receive_data(b"")
         return await self._receive_head()
 
     def has_unread_bytes(self) -> bool:
@@ -94,22 +120,23 @@
             if kind is TransportError:
                 return Err(event)
             if kind is not h11.InformationalResponse:
-                return Err(self._error(FailureKind.CLOSED, f"got {kind.__name__}"))
-        return Err(self._error(FailureKind.PROTOCOL, "too many informational responses"))
+                return Err(self.error(FailureKind.CLOSED, f"got {kind.__name__}"))
+        return Err(self.error(FailureKind.PROTOCOL, "too many informational responses"))
 
     def _checked_head(self, event: h11.Response) -> Result[ResponseHead, TransportError]:
         fields = list(event.headers)
         if not is_small(fields):
-            return Err(self._error(FailureKind.PROTOCOL, "header fields too large"))
+            return Err(self.error(FailureKind.PROTOCOL, "header fields too large"))
         head = ResponseHead(event.status_code, decode_headers(fields))
         names = [name for name, _ in head.headers]
         if "content-length" in names and "transfer-encoding" in names:
             message = "both Content-Length and Transfer-Encoding"
-            return Err(self._error(FailureKind.PROTOCOL, message))
+            return Err(self.error(FailureKind.PROTOCOL, message))
         bodiless = self.method == "HEAD" or head.status in (204, 304)
-        if not bodiless and not {"content-length", "transfer-encoding"} & set(names):
+        framed = bodiless or {"content-length", "transfer-encoding"} & set(names)
+        if not framed and not self.takes_unframed:
             # Its end could not be told from a broken connection.
-            return Err(self._error(FailureKind.PROTOCOL, "a response without a length"))
+            return Err(self.error(FailureKind.PROTOCOL, "a response without a length"))
         return Ok(head)
 
     async def receive_chunk(self) -> Result[bytes | None, TransportError]:
@@ -129,7 +156,7 @@
             return Ok(None)
         if kind is TransportError:
             return Err(event)
-        return Err(self._error(FailureKind.TRUNCATED, f"got {kind.__name__}"))
+        return Err(self.error(FailureKind.TRUNCATED, f"got {kind.__name__}"))
 
     def _event_of_received(self) -> Any:
         """Return the next event of h11, a TransportError, or None if more bytes are needed."""
@@ -137,7 +164,7 @@
             event = self.protocol.next_event()
         except h11.RemoteProtocolError as error:
             kind = FailureKind.TRUNCATED if self._is_cut_short(error) else FailureKind.PROTOCOL
-            return self._error(kind, str(error))
+            return self.error(kind, str(error))
         return None if event is h11.NEED_DATA else event
 
     async def _next_event(self) -> Any:
@@ -147,10 +174,10 @@
                 data = await receive(self.stream, RECEIVE_CHUNK_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
                 kind = FailureKind.TRUNCATED if self.answered else FailureKind.CLOSED
-                return self._error(kind, str(error))
+                return self.error(kind, str(error))
             self.answered = self.answered or bool(data)
             if not data and not self.answered:
-                return self._error(FailureKind.CLOSED, "end of stream")
+                return self.error(FailureKind.CLOSED, "end of stream")
             self.protocol.receive_data(data)
         return event
 
@@ -158,7 +185,8 @@
     def _is_cut_short(error: h11.RemoteProtocolError) -> bool:
         return "peer closed connection" in str(error) or "peer unexpectedly closed" in str(error)
 
-    def _error(self, kind: FailureKind, message: str) -> TransportError:
+    def error(self, kind: FailureKind, message: str) -> TransportError:
+        """Return a fault with what is known of the request and its response."""
         return TransportError(kind, message, self.request_sent, self.answered)
 
     def recycle(self) -> bool:
--- a/src/wagtailbay/transport/models.py
+++ b/src/wagtailbay/transport/models.py
@@ -15,12 +15,17 @@
 
 @frozen
 class Request:
-    """Hold one request; path includes the query, body is complete."""
+    """Hold one request; path includes the query, body is complete.
+
+    Attributes:
+        host: The host to name to the server; None for the address that it is sent to.
+    """
 
     method: str
     path: str
     headers: Headers = ()
     body: bytes = b""
+    host: str | None = None
     _first: dict[str, str] = field(init=False, factory=dict, eq=False, repr=False)
 
     def header(self, name: str) -> str | None:
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -1,6 +1,7 @@
 """Keep idle connections to targets for later requests."""
 
 from collections.abc import Mapping
+from math import inf
 
 import trio
 from attrs import define, field
@@ -23,14 +24,19 @@
     idle: dict[str, list[ClientConnection]] = field(factory=dict)
 
     async def acquire(
-        self, address: str, timeout_ms: int, fresh: bool = False
+        self, address: str, timeout_ms: float, fresh: bool = False, max_idle_s: float = inf
     ) -> Result[ClientConnection, TransportError]:
-        """Take an idle connection or open one; a fresh one cannot be closed as idle meanwhile."""
+        """Take an idle connection or open one; a fresh one cannot be closed as idle meanwhile.
+
+        Args:
+            max_idle_s: Kept connections that were not used for longer are closed.
+        """
         address = self.routes.get(address, address)
         waiting = [] if fresh else self.idle.get(address, [])
         while waiting:
             connection = waiting.pop()
-            if not connection.has_unread_bytes():
+            idle_s = trio.current_time() - connection.released_s
+            if idle_s <= max_idle_s and not connection.has_unread_bytes():
                 connection.checked = True
                 return Ok(connection)
             await connection.close()
@@ -41,6 +47,7 @@
         waiting = self.idle.setdefault(connection.address, [])
         if len(waiting) >= self.max_idle_per_address or not connection.recycle():
             return False
+        connection.released_s = trio.current_time()
         waiting.append(connection)
         return True
 
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -38,13 +38,15 @@
     inbox: CallerInbox
     protocol: h11.Connection
     max_body_bytes: int
+    idle_timeout_s: float = IDLE_CONNECTION_TIMEOUT_S
+    receive_timeout_s: float = REQUEST_RECEIVE_TIMEOUT_S
 
     async def receive(self) -> Result[Request, BadRequest] | None:
         """Receive a whole request; None when the caller closed or stayed idle."""
         head: h11.Request | None = None
         fields: Fields = []
         body = bytearray()
-        deadline_s = trio.current_time() + IDLE_CONNECTION_TIMEOUT_S
+        deadline_s = trio.current_time() + self.idle_timeout_s
         waited = False
         while True:
             try:
@@ -57,7 +59,7 @@
             # a match cost 15 us a request.
             kind = type(event)
             if kind is h11.Request:
-                deadline_s = trio.current_time() + REQUEST_RECEIVE_TIMEOUT_S
+                deadline_s = trio.current_time() + self.receive_timeout_s
                 fields = list(event.headers)
                 fault = find_fault(event, fields)
                 if fault is not None:
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -12,10 +12,12 @@
 from wagtailbay.invariants import BrokenInvariantError
 from wagtailbay.logs import log_event
 from wagtailbay.transport.const import (
+    IDLE_CONNECTION_TIMEOUT_S,
     LINGER_BYTES,
     LINGER_S,
     MAX_HEADER_BYTES,
     MAX_REQUEST_BODY_BYTES,
+    REQUEST_RECEIVE_TIMEOUT_S,
 )
 from wagtailbay.transport.inbox import CallerInbox
 from wagtailbay.transport.models import Request
@@ -39,6 +41,8 @@
 
     handler: Handler
     max_body_bytes: int = MAX_REQUEST_BODY_BYTES
+    idle_timeout_s: float = IDLE_CONNECTION_TIMEOUT_S
+    receive_timeout_s: float = REQUEST_RECEIVE_TIMEOUT_S
     draining: trio.Event = field(factory=trio.Event)
     open_requests: int = 0
     connections: int = 0
@@ -50,9 +54,9 @@
         host, port = address
         listeners = await trio.open_tcp_listeners(port, host=host)
         task_status.started(listeners[0].socket.getsockname()[:2])
-        await trio.serve_listeners(self._serve_connection, listeners)
+        await trio.serve_listeners(self.serve_connection, listeners)
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve a connection; its task receives nothing itself, since the inbox does."""
         ended: list[Exception] = []
         self.connections += 1
@@ -76,7 +80,9 @@
 
     async def _serve_requests(self, inbox: CallerInbox) -> None:
         protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
-        receiver = RequestReceiver(inbox, protocol, self.max_body_bytes)
+        receiver = RequestReceiver(
+            inbox, protocol, self.max_body_bytes, self.idle_timeout_s, self.receive_timeout_s
+        )
         try:
             while await self._serve_request(receiver):
                 protocol.start_next_cycle()
--- a/src/wagtailbay/transport/wire.py
+++ b/src/wagtailbay/transport/wire.py
@@ -59,7 +59,7 @@
 def encode_request_head(request: Request, host: str) -> h11.Request:
     """Encode a request's head with Host and Content-Length."""
     headers = [(n, v) for n, v in request.headers if n.lower() not in ("host", "content-length")]
-    headers.append(("Host", host))
+    headers.append(("Host", request.host or host))
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         headers.append(("Content-Length", str(len(request.body))))
     return h11.Request(
