Read the settings of a gateway from the platform's placeholders

Cause: placeholders take the plain names of the fields, and seeds are named only to a role that serves the control address. Change: other VMs are called at the control address, so that seeds need no further port.

--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -94,9 +94,7 @@
             objects += [stored for stored in found if stored is not None]
         return Ok(Listing(revision or 0, tuple(objects)))
 
-    async def _list_kind(
-        self, kind: str
-    ) -> Result[tuple[int, Items], StoreUnavailable]:
+    async def _list_kind(self, kind: str) -> Result[tuple[int, Items], StoreUnavailable]:
         """Read all pages; the revision is that of the first, since later ones may miss changes."""
         items: Items = []
         first_at: int | None = None
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -209,9 +209,9 @@
         peers = PeerSettings(
             peer_listen_address=settings.peer_address,
             peers={
-                host: f"{host}:{settings.peer_port}"
-                for host in settings.seeds
-                if host != settings.vm
+                name: address
+                for address in settings.seeds
+                if (name := address.rpartition(":")[0]) != settings.vm
             },
         )
 
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -6,7 +6,7 @@
 
 from wagtailbay.platform import parse_duration_ms
 from wagtailbay.settings import setting
-from wagtailbay.settings.checks import at_least, parse_address, parse_optional_address
+from wagtailbay.settings.checks import parse_address, parse_address_list, parse_optional_address
 
 
 def parse_zones(text: str) -> dict[str, str]:
@@ -21,12 +21,6 @@
     return {str(zone): str(region) for zone, region in zones.items()}
 
 
-def parse_hosts(text: str) -> tuple[str, ...]:
-    """Parse addresses separated by commas and return their hosts."""
-    parts = [part.strip() for part in text.split(",") if part.strip()]
-    return tuple(parse_address(part).rpartition(":")[0] for part in parts)
-
-
 @frozen
 class GatewaySettings:
     """Serve callers on one VM of the users' platform."""
@@ -40,13 +34,11 @@
     listen_address: str = setting(help_text="where callers connect", parse=parse_address)
     ready_address: str = setting(help_text="where readiness is asked", parse=parse_address)
     lookup_address: str = setting(help_text="where callers look VMs up", parse=parse_address)
-    peer_port: int = setting(
-        help_text="port for other VMs, the same on all", parse=int, check=at_least(1)
-    )
+    peer_address: str = setting(help_text="where other VMs connect", parse=parse_address)
     seeds: tuple[str, ...] = setting(
-        help_text="addresses of some other VMs; only the hosts are used",
+        help_text="where some other VMs are called, separated by commas",
         default=(),
-        parse=parse_hosts,
+        parse=parse_address_list,
     )
     platform_address: str = setting(help_text="address of the store", parse=parse_address)
     metrics_address: str = setting(
@@ -62,8 +54,3 @@
     def region(self) -> str:
         """Return this VM's own region."""
         return self.zones.get(self.availability_zone, "")
-
-    @property
-    def peer_address(self) -> str:
-        """Return where other VMs connect."""
-        return f"{self.vm}:{self.peer_port}"
