Count homes apart from the need for room, and confirm objects that a peer holds

Change: the share that spills counts requests without homes only; messages confirm objects; knowledge is stale after 6 s; one watcher a region.

--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -21,7 +21,7 @@
 # Time between an answer in the target and this VM's own timeout, in which the caller is answered.
 ANSWER_MARGIN_MS: Final = 15.0
 # Knowledge of the configuration older than this does not prove that a key or a route is missing.
-MAX_DENIAL_AGE_MS: Final = 5_000.0
+MAX_DENIAL_AGE_MS: Final = 7_000.0
 DENIAL_RETRY_AFTER_MS: Final = 1_000
 # A request that crashed targets is refused for long; its caller should not come back soon.
 CRASHING_RETRY_AFTER_MS: Final = 10_000
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -51,7 +51,7 @@
     def note(self, placement: Placement, outcome: TryOutcome) -> None:
         """Take in a try that brought the caller no answer."""
         target = placement.target.entry.target
-        self.tried.append(f"{target}:{outcome.sign.value}")
+        self.tried.append(f"{target}:{placement.reason.value}:{outcome.sign.value}")
         self.excluded |= {target}
         self.may_have_run = self.may_have_run or outcome.may_have_run
         self.held = outcome.held or self.held
--- a/src/wagtailbay/membership/choice.py
+++ b/src/wagtailbay/membership/choice.py
@@ -36,9 +36,11 @@
 
 
 def choose_watchers(
-    members: Iterable[Member], region_of: Callable[[str], str | None]
+    members: Iterable[Member],
+    region_of: Callable[[str], str | None],
+    per_region: int = WATCHERS_PER_REGION,
 ) -> frozenset[str]:
-    """Return the names of the VMs that watch the store, two for each region.
+    """Return the names of the VMs that watch the store, some for each region.
 
     An availability zone without a known region counts as a region of its own.
     """
@@ -49,7 +51,7 @@
     return frozenset(
         vm
         for region, vms in by_region.items()
-        for vm in rendezvous_order(f"watch\0{region}", vms)[:WATCHERS_PER_REGION]
+        for vm in rendezvous_order(f"watch\0{region}", vms)[:per_region]
     )
 
 
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -46,25 +46,28 @@
             replica_revision=self.replica.revision,
             confirmed_age_ms=self.freshness.age_ms(now_s),
             store_reachable=self.reader.reachable,
-            batch=self._batch_since(record.revision),
+            batch=self._batch_for(record),
             facts=self.facts.batch_after(record.facts_sent, now_s),
             facts_seen=record.facts_received,
             facts_seen_incarnation=record.incarnation,
             members=self._members_for(vm, record, now_s),
             members_through=members_through,
             replica_position=self.replica.position,
+            replica_seen=record.replica_received,
             mark_ms=record.give_mark(now_s, members_through) if answers else None,
             echo=None if answers else record.echo(now_s),
         )
 
-    def _batch_since(self, revision: int) -> EntryBatch:
-        own = self.replica.revision
-        if revision >= own:
-            # Objects may be known from beyond the revision up to which all are.
-            return EntryBatch(revision, own, False, self.replica.delta_since(revision))
-        if revision >= self.replica.deletions_since:
-            return EntryBatch(revision, own, False, self.replica.delta_since(revision))
-        return EntryBatch(0, own, True, self.replica.existing())
+    def _batch_for(self, record: PeerRecord) -> EntryBatch:
+        """Return what a peer lacks, without the objects that it has confirmed."""
+        own, revision = self.replica.revision, record.revision
+        if revision < self.replica.deletions_since and revision < own:
+            return EntryBatch(0, own, True, self.replica.existing())
+        # Objects may be known from beyond the revision up to which all are.
+        newer = self.replica.delta_since(revision)
+        positions, sent = self.replica.positions, record.replica_sent
+        lacking = tuple(stored for stored in newer if positions.get(stored.key, 0) > sent)
+        return EntryBatch(revision, own, False, lacking)
 
     def _members_for(self, vm: str, record: PeerRecord, now_s: float) -> tuple[Member, ...]:
         """Return the members that changed, and now and then those heard directly."""
@@ -107,7 +110,12 @@
             return Err(f"{sender.vm} incarnation {sender.incarnation} is not the newest run")
         record = self._record_for(message)
         proved_s = asked_s if asked_s is not None else self._proof_s(record, message, now_s)
+        caught_up = record.replica_sent >= self.replica.position
         self._apply_batch(message.batch)
+        if caught_up:
+            # What came from the peer itself need not be sent back.
+            record.replica_sent = self.replica.position
+        record.replica_received = max(record.replica_received, message.replica_position)
         record.revision = max(record.revision, message.replica_revision)
         record.store_reachable = message.store_reachable
         if message.facts.from_position <= record.facts_received:
@@ -115,6 +123,7 @@
         self.facts.merge(message.facts.facts)
         if message.facts_seen_incarnation == self.roster.own.incarnation:
             record.facts_sent = max(record.facts_sent, message.facts_seen)
+            record.replica_sent = max(record.replica_sent, message.replica_seen)
             self._note_heard(record.note_echo(message.echo), now_s)
         fresh = (m for m in message.members if now_s - (m.contact_s or 0.0) < FORGET_AFTER_S)
         self.roster.merge(fresh)
--- a/src/wagtailbay/membership/record.py
+++ b/src/wagtailbay/membership/record.py
@@ -16,6 +16,7 @@
         facts_received: This VM holds the peer's facts up to this position.
         facts_sent: The peer holds this VM's facts up to this position.
         replica_sent: The peer holds this VM's objects up to this position.
+        replica_received: This VM holds the peer's objects up to this position.
         members_sent: The peer holds this VM's roster up to this position.
         contacts_s: When the contacts were last told to the peer.
         mark_ms: The peer's clock in its newest answer, 0 if there was none.
@@ -31,6 +32,7 @@
     facts_received: int = 0
     facts_sent: int = 0
     replica_sent: int = 0
+    replica_received: int = 0
     members_sent: int = 0
     contacts_s: float = float("-inf")
     store_reachable: bool | None = None
--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -29,6 +29,7 @@
     LoadReport,
     Placement,
     PlacementQuery,
+    PlacementReason,
     Shortage,
     TargetSign,
 )
@@ -86,18 +87,28 @@
         home = [c for c in candidates if self._region_of(c) == self.region]
         away = [c for c in candidates if self._region_of(c) != self.region]
         placed = self._place(query, home, usual_ms, now_s) if home else None
-        limiter = self.spills.setdefault(query.service, SpillLimiter())
-        if away:
-            limiter.observe(placed is None, not home, now_s)
-            if (not home and placed is None) or limiter.take():
-                elsewhere = self._place_away(query, away, usual_ms, bool(home), now_s)
-                placed = elsewhere or placed
+        if away and self._spills(query, placed is None, bool(home), now_s):
+            placed = self._place_away(query, away, usual_ms, bool(home), now_s) or placed
         if placed is None:
             placed = self._place_queued(query, home or away, usual_ms, now_s)
         if placed is not None:
             return Ok(placed)
         return Err(Shortage("all targets are full", self.retry_after_ms(usual_ms)))
 
+    def _spills(
+        self, query: PlacementQuery, needs_room: bool, has_home: bool, now_s: float
+    ) -> bool:
+        """Tell whether a request goes to another region if there is room for it.
+
+        A request that may not run in this region says nothing of the room there, and a retry has
+        lost the target that it was meant for.
+        """
+        if query.home_regions or query.excluded:
+            return needs_room
+        limiter = self.spills.setdefault(query.service, SpillLimiter())
+        limiter.observe(needs_room, not has_home, now_s)
+        return limiter.take() or (needs_room and not has_home)
+
     def _candidates(self, query: PlacementQuery, now_s: float) -> list[KnownTarget]:
         usable = [
             target
@@ -149,15 +160,15 @@
     ) -> Placement | None:
         """Return the first target in the object's order that has room."""
         fill = self._max_fill(query, usual_ms) if query.affinity is not None else OTHER_FILL
-        preferred = True
+        reason = PlacementReason.PREFERRED
         for target in self._ordered(query, targets):
             belief = self.load_of(target)
             load = belief.load(now_s)
             has_room = load < fill * self._slots(target, usual_ms, now_s)
             if has_room and not belief.is_shedding(now_s) and self._may_warm(target, now_s):
-                return Placement(target, self._region_of(target), load, preferred)
+                return Placement(target, self._region_of(target), load, reason)
             if not target.is_cold(now_s):
-                preferred, fill = False, OTHER_FILL
+                reason, fill = PlacementReason.OTHER, OTHER_FILL
         return None
 
     def _may_warm(self, target: KnownTarget, now_s: float) -> bool:
@@ -185,7 +196,7 @@
             load = belief.load(now_s)
             has_room = load < fill * self._slots(target, usual_ms, now_s)
             if has_room and not belief.is_shedding(now_s) and not target.is_cold(now_s):
-                return Placement(target, self._region_of(target), load, False)
+                return Placement(target, self._region_of(target), load, PlacementReason.SPILLED)
         return None
 
     def _place_queued(
@@ -208,7 +219,7 @@
         if fill_of(target) >= self._max_fill(query, usual_ms):
             return None
         load = self.load_of(target).load(now_s)
-        return Placement(target, self._region_of(target), load, False)
+        return Placement(target, self._region_of(target), load, PlacementReason.QUEUED)
 
     def retry_after_ms(self, usual_ms: float | None = None) -> float:
         """Return when a slot may be free, spread so that callers do not come back together."""
--- a/src/wagtailbay/placement/models.py
+++ b/src/wagtailbay/placement/models.py
@@ -44,19 +44,27 @@
     version: VersionFilter | None = None
 
 
+class PlacementReason(Enum):
+    """Name why a target was chosen, for logs."""
+
+    PREFERRED = "preferred"
+    OTHER = "other"
+    SPILLED = "spilled"
+    QUEUED = "queued"
+
+
 @frozen
 class Placement:
     """Assign a request to a target.
 
     Attributes:
         load: The load that the target was believed to have, in requests.
-        preferred: Whether it is the first target in the order of the request's object.
     """
 
     target: KnownTarget
     region: str
     load: float
-    preferred: bool
+    reason: PlacementReason
 
 
 @frozen
--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -186,17 +186,18 @@
         listed = await self._list_kind(VMS_KIND)
         if isinstance(listed, Err):
             return listed
-        at, items = listed.ok_value
-        records = []
+        _, items = listed.ok_value
+        records, revision = [], 0
         for item in items:
             stored = stored_object("vms/", item)
             if stored is not None and isinstance(stored.value, dict):
                 value = stored.value
+                revision = max(revision, stored.version)
                 name = stored.key.partition("/")[2]
                 records.append(
                     VmRecord(name, value.get("address", ""), value.get("zone", ""), "live")
                 )
-        return Ok(VmList(at, tuple(records)))
+        return Ok(VmList(revision, tuple(records)))
 
 
 def _decoded(body: bytes) -> Result[dict[str, Any], StoreUnavailable]:
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -32,6 +32,7 @@
     EXCHANGE_TIMEOUT_MS,
     FORGET_INTERVAL_S,
     HOUSEKEEPING_INTERVAL_S,
+    WATCHERS_PER_REGION,
 )
 from wagtailbay.membership.credentials import CertificateSource
 from wagtailbay.membership.listing import VmListReader
@@ -206,9 +207,12 @@
     lender: Lender = lend_nothing,
     make_reader: ReaderFactory | None = None,
     has_lease: bool = True,
+    watchers_per_region: int = WATCHERS_PER_REGION,
 ) -> Fleet:
     """Build the parts of one VM that know the fleet; starts nothing."""
-    exchanger = build_exchanger(identity, store, document, clock, make_reader or build_reader)
+    exchanger = build_exchanger(
+        identity, store, document, clock, make_reader or build_reader, watchers_per_region
+    )
     lists = VmListReader(store, exchanger.facts, exchanger.reader.is_watcher, clock)
     client = PeerClient(lambda vm: peers.address_of(vm), certificates, settings.peer_routes)
     peers = PeerSet(exchanger, client, DEFAULT_CODEC, clock, settings.peers, lists.listed)
@@ -225,6 +229,7 @@
     document: Callable[[], FleetDocument | None],
     clock: Clock,
     make_reader: ReaderFactory,
+    watchers_per_region: int,
 ) -> Exchanger:
     """Build the state that a VM shares with its peers."""
     roster = Roster(identity)
@@ -232,7 +237,8 @@
     def is_watcher() -> bool:
         fleet = document()
         region_of = fleet.region_of if fleet else lambda zone: None
-        return identity.vm in choose_watchers(live_members(roster, clock()), region_of)
+        members = live_members(roster, clock())
+        return identity.vm in choose_watchers(members, region_of, watchers_per_region)
 
     replica, freshness = Replica(), Freshness()
     return Exchanger(
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -42,7 +42,9 @@
 PROGRAM = "wagtailbay-gateway"
 PREFIXES = (ROUTING_PREFIX, TARGET_PREFIX, ROLLOUT_PREFIX, EVACUATION_PREFIX)
 HOUSEKEEPING_S = 1.0
-# A VM counts as live for division of budgets while it was heard this lately.
+# Each call of the platform's store is priced. A region whose one watcher fails learns from those
+# of the others, since every VM exchanges messages with VMs of all regions.
+WATCHERS_PER_REGION = 1
 MAX_IDLE_CONNECTIONS = 32
 
 
@@ -237,6 +239,7 @@
             boottime_s,
             make_reader=follow,
             has_lease=False,
+            watchers_per_region=WATCHERS_PER_REGION,
         )
         fleet.peers.count = exporter.metrics.peer_exchanged
         return fleet
--- a/src/wagtailbay/replica/const.py
+++ b/src/wagtailbay/replica/const.py
@@ -11,8 +11,10 @@
 
 # Where each kind of object has a watch of its own, it waits longer, since each call is counted.
 FOLLOW_WAIT_MS: Final = 2_000
-# Longer than a watch and the exchange that passes its answer on, so that a VM that learns from its
-# peers calls the store only when they hear nothing either.
-FOLLOW_STALE_AFTER_S: Final = 4.0
+# An answer proves what was true when it was asked for, so knowledge is up to two watches and an
+# exchange old where all is well. Older knowledge makes a VM call the store itself.
+FOLLOW_STALE_AFTER_S: Final = 6.0
 FOLLOW_BACKOFF_S: Final = 0.2
 MAX_FOLLOW_BACKOFF_S: Final = 1.5
+# Pause after an answer with changes; far below the seconds in which a change must be in force.
+FOLLOW_PAUSE_S: Final = 0.2
--- a/src/wagtailbay/replica/follow.py
+++ b/src/wagtailbay/replica/follow.py
@@ -10,6 +10,7 @@
 from wagtailbay.logs import log_event
 from wagtailbay.replica.const import (
     FOLLOW_BACKOFF_S,
+    FOLLOW_PAUSE_S,
     FOLLOW_STALE_AFTER_S,
     FOLLOW_WAIT_MS,
     LIST_INTERVAL_S,
@@ -73,12 +74,12 @@
             if not self._must_read():
                 state.revision = None
                 await trio.sleep(LIST_INTERVAL_S * self.random.uniform(0.4, 0.6))
-            elif state.revision is None:
-                await self._list(prefix, state)
-            elif self.is_watcher():
+            elif state.revision is not None and self.is_watcher():
                 await self._watch(prefix, state)
             else:
-                state.revision = None
+                await self._list(prefix, state)
+                if not self.is_watcher():
+                    await trio.sleep(LIST_INTERVAL_S * self.random.uniform(0.8, 1.2))
 
     def _must_read(self) -> bool:
         """Tell whether this VM reads the store itself."""
@@ -106,6 +107,9 @@
             case Ok(listing):
                 self.replica.apply(listing.objects, self.replica.revision)
                 self._note_answer(state, listing.revision, asked_s)
+                if listing.objects:
+                    # Changes that come close together are read with one call.
+                    await trio.sleep(FOLLOW_PAUSE_S)
             case Err(HistoryLost()):
                 log_event("store_history_lost", prefix=prefix, revision=state.revision)
                 state.revision = None
