Test routing, registry, placement, quota and the gateway's path

Cause: the slices had no tests. Those of the quota found that VMs that meet a flood of a workspace before they have heard of each other's demand admitted 1,370 requests in 5 s where 680 may run. Change: a VM compares its own demand as published with that of the others, and its share grows by at most a quarter in a second. A slow target's queue is bounded apart from the goal.

--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -28,7 +28,7 @@
 from wagtailbay.quarantine import CrashTable, refuses_connections
 from wagtailbay.refusals import Refusal, not_run, outcome_unknown
 from wagtailbay.rollout import RolloutTraffic
-from wagtailbay.transport import AnswerSink, ConnectionPool
+from wagtailbay.transport import AnswerSink, CallerGoneError, ConnectionPool
 
 
 @define
@@ -83,6 +83,10 @@
         self.retries.earn()
         version = self.rollouts.pick(request.service, self.clock())
         while True:
+            if sink.has_left():
+                # Read late, as on a busy VM; a target would work for nobody.
+                log_event("caller_left", request_id=request.caller.request_id)
+                raise CallerGoneError
             placed = self._place(request, trace, version)
             if isinstance(placed, Err):
                 return await self._give_up(request, sink, trace, placed.err_value)
--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -22,7 +22,7 @@
     MIN_RETRY_AFTER_MS,
     OTHER_FILL,
     SLOW_FACTOR,
-    SLOW_SLOTS_SHARE,
+    SLOW_FILL,
 )
 from wagtailbay.placement.load import TargetLoad
 from wagtailbay.placement.models import (
@@ -130,13 +130,15 @@
         latencies = [latency_ms for latency_ms in known if latency_ms is not None]
         return median(latencies) if latencies else None
 
-    def _slots(self, target: KnownTarget, usual_ms: float | None, now_s: float) -> float:
-        """Return the slots of a target, fewer if it is clearly slower than the others."""
-        latency_ms = self.load_of(target).known_latency_ms(now_s)
+    def _capacity(
+        self, target: KnownTarget, fill: float, usual_ms: float | None, now_s: float
+    ) -> float:
+        """Return how many requests a target may have; few if it is slower than the others."""
         slots = max(1, target.entry.slots)
+        latency_ms = self.load_of(target).known_latency_ms(now_s)
         if latency_ms and usual_ms and latency_ms > SLOW_FACTOR * usual_ms:
-            return slots * SLOW_SLOTS_SHARE
-        return slots
+            return slots * min(fill, SLOW_FILL)
+        return slots * fill
 
     def _max_fill(self, query: PlacementQuery, usual_ms: float | None) -> float:
         """Return how full a target may be for an answer in good time, through its slots."""
@@ -164,7 +166,7 @@
         for target in self._ordered(query, targets):
             belief = self.load_of(target)
             load = belief.load(now_s)
-            has_room = load < fill * self._slots(target, usual_ms, now_s)
+            has_room = load < self._capacity(target, fill, usual_ms, now_s)
             if has_room and not belief.is_shedding(now_s) and self._may_warm(target, now_s):
                 return Placement(target, self._region_of(target), load, reason)
             if not target.is_cold(now_s):
@@ -194,7 +196,7 @@
         for target in self._ordered(query, targets):
             belief = self.load_of(target)
             load = belief.load(now_s)
-            has_room = load < fill * self._slots(target, usual_ms, now_s)
+            has_room = load < self._capacity(target, fill, usual_ms, now_s)
             if has_room and not belief.is_shedding(now_s) and not target.is_cold(now_s):
                 return Placement(target, self._region_of(target), load, PlacementReason.SPILLED)
         return None
@@ -211,12 +213,14 @@
         if not warm:
             return None
 
-        def fill_of(target: KnownTarget) -> float:
-            slots = self._slots(target, usual_ms, now_s)
-            return self.load_of(target).load(now_s) / slots
+        fill = self._max_fill(query, usual_ms)
+
+        def part_of(target: KnownTarget) -> float:
+            capacity = self._capacity(target, fill, usual_ms, now_s)
+            return self.load_of(target).load(now_s) / capacity
 
-        target = min(warm, key=fill_of)
-        if fill_of(target) >= self._max_fill(query, usual_ms):
+        target = min(warm, key=part_of)
+        if part_of(target) >= 1.0:
             return None
         load = self.load_of(target).load(now_s)
         return Placement(target, self._region_of(target), load, PlacementReason.QUEUED)
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -8,7 +8,7 @@
 LATENCY_WEIGHT: Final = 0.15
 # A target this many times slower than its service's median gets little work.
 SLOW_FACTOR: Final = 2.5
-SLOW_SLOTS_SHARE: Final = 0.2
+SLOW_FILL: Final = 0.2
 # Latencies of a target without which it is not called slow.
 MIN_LATENCIES: Final = 4
 # A mean that no new answer has confirmed for this long no longer counts against a target.
--- a/src/wagtailbay/quota/share.py
+++ b/src/wagtailbay/quota/share.py
@@ -21,6 +21,7 @@
     MAX_RETRY_AFTER_MS,
     MIN_BURST,
     MIN_RETRY_AFTER_MS,
+    SHARE_STEP_PER_S,
     SHARE_TAKEN_OVER_S,
     TAKEN_OVER_PART,
 )
@@ -39,7 +40,9 @@
         fleet_size: Returns how many VMs divide the rate evenly where no demand is known.
         contact_age_s: Returns how long ago a peer was heard, infinity if never.
         demand: This VM's own demand by workspace.
-        shares: The last share of each workspace that was computed in contact with the fleet.
+        published_per_s: What of it was published last.
+        shares: The last share of each workspace that was computed in contact with the fleet, with
+            the time.
     """
 
     facts: FactTable
@@ -48,8 +51,9 @@
     clock: Callable[[], float]
     random: random.Random
     demand: dict[str, DecayingRate] = field(factory=dict)
+    published_per_s: dict[str, float] = field(factory=dict)
     others_per_s: dict[str, float] = field(factory=dict)
-    shares: dict[str, float] = field(factory=dict)
+    shares: dict[str, tuple[float, float]] = field(factory=dict)
     buckets: dict[str, TokenBucket] = field(factory=dict)
 
     async def run(self) -> None:
@@ -62,6 +66,7 @@
         """Publish this VM's demand and add up that of the others."""
         own = {name: round(rate.at(now_s), 2) for name, rate in self.demand.items()}
         asked = {name: per_s for name, per_s in own.items() if per_s > 0}
+        self.published_per_s = asked
         self.facts.publish(
             DEMAND_KIND, "all", WorkspaceDemand(asked), ttl_ms=DEMAND_TTL_MS, now_s=now_s
         )
@@ -78,13 +83,16 @@
         even = 1.0 / max(1, self.fleet_size())
         age_s = self.contact_age_s(now_s)
         if age_s > LOST_CONTACT_S:
-            kept = self.shares.get(workspace, even)
+            _, kept = self.shares.get(workspace, (now_s, even))
             return kept * TAKEN_OVER_PART if age_s > SHARE_TAKEN_OVER_S else kept
-        own_per_s = self.demand[workspace].at(now_s) if workspace in self.demand else 0.0
+        # As old as what the others published, since demand that grows would look too large.
+        own_per_s = self.published_per_s.get(workspace, 0.0)
         total_per_s = own_per_s + self.others_per_s.get(workspace, 0.0)
         by_demand = own_per_s / total_per_s if total_per_s > 0 else even
         share = EVEN_PART * even + (1 - EVEN_PART) * by_demand
-        self.shares[workspace] = share
+        known_s, known = self.shares.get(workspace, (now_s, even))
+        share = min(share, known + SHARE_STEP_PER_S * max(0.0, now_s - known_s))
+        self.shares[workspace] = (now_s, share)
         return share
 
     def admit(self, workspace: Workspace, now_s: float) -> Result[None, float]:
--- a/src/wagtailbay/transport/reply.py
+++ b/src/wagtailbay/transport/reply.py
@@ -10,7 +10,7 @@
 
 from wagtailbay.transport.const import SEND_TIMEOUT_S
 from wagtailbay.transport.models import Headers, ResponseHead
-from wagtailbay.transport.sockets import send_now, send_rest
+from wagtailbay.transport.sockets import has_closed, send_now, send_rest
 from wagtailbay.transport.wire import END_OF_MESSAGE, encode_response_head
 
 
@@ -23,6 +23,9 @@
 
     started: bool
 
+    def has_left(self) -> bool:
+        """Tell whether nobody waits for the answer any more."""
+
     async def start(self, status: int, headers: Headers) -> None:
         """Take the head."""
 
@@ -53,6 +56,10 @@
     held: bytes = b""
     on_finish: Callable[[], None] = lambda: None
 
+    def has_left(self) -> bool:
+        """Tell whether the caller has closed, even if its end has not been received yet."""
+        return has_closed(self.stream)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Take the head of the response."""
         if self.closing():
--- a/src/wagtailbay/transport/sockets.py
+++ b/src/wagtailbay/transport/sockets.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import select
 
 import trio
 
@@ -45,3 +46,12 @@
     """Send what send_now left over."""
     if sent_bytes < len(data):
         await stream.send_all(memoryview(data)[sent_bytes:])
+
+
+def has_closed(stream: trio.abc.Stream) -> bool:
+    """Tell whether the other side has closed or broken the connection, without waiting."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    poller = select.poll()
+    poller.register(stream.socket.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/src/wagtailbay_standins/objects.py
@@ -0,0 +1,138 @@
+"""Stand in for the store of the users' platform: objects by kind and name, over HTTP.
+
+Faults are fields of the stand-in that a test sets: ``refuses`` answers every call with that status,
+``history_from`` drops the history before a revision, so that older watches get 410.
+"""
+
+import json
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import trio
+from attrs import define, field
+
+from wagtailbay.transport import HttpServer, Reply, Request
+from wagtailbay_standins.platform import ObjectTable
+
+PAGE_ITEMS = 50
+
+
+@define
+class ObjectApi:
+    """Serve the object API; each object is a value with spec, status and when it was created."""
+
+    table: ObjectTable = field(factory=ObjectTable)
+    refuses: int | None = None
+    history_from: int = 0
+    calls: list[str] = field(factory=list)
+
+    def put_spec(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as the operator or a target does; returns its revision."""
+        return self._write(f"{kind}/{name}", {"spec": spec})
+
+    def put_fields(self, kind: str, name: str, fields: dict[str, Any]) -> int:
+        """Write an object with other fields beside its meta."""
+        return self._write(f"{kind}/{name}", fields)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.table.write(f"{kind}/{name}", None, None)
+
+    def status(self, kind: str, name: str) -> Any:
+        """Return the status that was written for an object."""
+        return self.table.objects[f"{kind}/{name}"][1].get("status")
+
+    def _write(self, key: str, fields: dict[str, Any]) -> int:
+        known = self.table.objects.get(key, (0, None))[1] or {}
+        created = known.get("created") or self.table.revision + 1
+        return self.table.write(key, known | fields | {"created": created}, None)
+
+    def _item(self, key: str) -> dict[str, Any]:
+        version, value = self.table.objects[key]
+        meta = {
+            "name": key.partition("/")[2],
+            "revision": version,
+            "created": (value or {}).get("created", 0),
+            "finalizers": [],
+            "deleting": False,
+        }
+        rest = {name: part for name, part in (value or {}).items() if name != "created"}
+        return {"meta": meta, "spec": None, "status": None, **rest}
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one call."""
+        self.calls.append(f"{request.method} {request.path}")
+        if self.refuses is not None:
+            await reply.send_json(self.refuses, {"error": "refused"})
+            return
+        parts = urlsplit(request.path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        _, _, kind, *names = unquote(parts.path).split("/")
+        if request.method == "GET" and not names:
+            await self._list(reply, kind, query)
+        elif request.method == "GET":
+            await self._get(reply, f"{kind}/{names[0]}")
+        else:
+            await self._change(request, reply, kind, names, query)
+
+    async def _get(self, reply: Reply, key: str) -> None:
+        if not self.table.version(key):
+            await reply.send_json(404, {"error": "not found"})
+            return
+        await reply.send_json(200, self._item(key))
+
+    async def _list(self, reply: Reply, kind: str, query: dict[str, str]) -> None:
+        if "watch" in query:
+            await self._watch(reply, kind, int(query["watch"]), int(query["wait_ms"]))
+            return
+        after = query.get("after", "")
+        keys = [item["key"] for item in self.table.select((f"{kind}/",))]
+        keys = [key for key in keys if key.partition("/")[2] > after]
+        page = {
+            "items": [self._item(key) for key in keys[:PAGE_ITEMS]],
+            "has_more": len(keys) > PAGE_ITEMS,
+            "at": self.table.revision,
+        }
+        await reply.send_json(200, page)
+
+    async def _watch(self, reply: Reply, kind: str, since: int, wait_ms: int) -> None:
+        if since < self.history_from:
+            await reply.send_json(410, {"error": "this history is gone"})
+            return
+        with trio.move_on_after(wait_ms / 1000):
+            while not self.table.select((f"{kind}/",), since, deleted=True):
+                await self.table.changed.wait()
+        events = [
+            {"object": self._item(item["key"]), "deleted": item["value"] is None}
+            for item in self.table.select((f"{kind}/",), since, deleted=True)
+        ]
+        await reply.send_json(200, {"events": events, "at": self.table.revision})
+
+    async def _change(
+        self, request: Request, reply: Reply, kind: str, names: list[str], query: dict[str, str]
+    ) -> None:
+        body = json.loads(request.body) if request.body else {}
+        name = names[0] if names else body["meta"]["name"]
+        key = f"{kind}/{name}"
+        version = self.table.version(key)
+        expected = body.get("meta", {}).get("revision", query.get("revision"))
+        exists = version > 0
+        conflict = expected is not None and int(expected) != version
+        if (request.method == "POST" and exists) or conflict:
+            await reply.send_json(409, self._item(key))
+        elif request.method in ("PUT", "DELETE") and not exists:
+            await reply.send_json(404, {"error": "not found"})
+        else:
+            if request.method == "DELETE":
+                self.table.write(key, None, None)
+            elif names[1:] == ["status"]:
+                self._write(key, {"status": body.get("status")})
+            else:
+                self._write(key, {"spec": body.get("spec")})
+            await reply.send_json(200, self._item(key))
+
+    async def serve(self, *, task_status: trio.TaskStatus) -> None:
+        """Serve on a free loopback port; reports ``ip:port``."""
+        async with trio.open_nursery() as nursery:
+            host, port = await nursery.start(HttpServer(self.handle).serve, ("127.0.0.1", 0))
+            task_status.started(f"{host}:{port}")
--- /dev/null
+++ b/tests/support/gateway.py
@@ -0,0 +1,166 @@
+"""Build routing tables, targets and whole gateways for tests."""
+
+import json
+from typing import Any
+
+from attrs import define, field
+
+from wagtailbay.registry import TargetEntry, TargetRegistry, unstructure_entry
+from wagtailbay.routing import CallerLimits, RoutePart, RouteRule, RoutingTable, ServiceRule
+from wagtailbay.store import StoredObject
+from wagtailbay.transport import HttpServer, Reply, Request
+
+LIMITS = CallerLimits(16_384, 1_000_000, 3_000.0, 15_000.0)
+
+
+def route(name: str = "r", **changes: Any) -> RouteRule:
+    """Return a route of host ``h.example`` under ``/a/``."""
+    values: dict[str, Any] = {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": "/a/",
+        "idempotent": True,
+        "timeout_ms": 1_000.0,
+        "latency_goal_ms": 300.0,
+        "priority": 1,
+        "parts": (RoutePart("records"),),
+        "max_targets": 2,
+    }
+    return RouteRule(**(values | changes))
+
+
+def table(*routes: RouteRule, version: int = 1, workspaces: tuple = ()) -> RoutingTable:
+    """Return a table with one service."""
+    services = (ServiceRule("records", "/health", 100, 3_000.0, 6.0),)
+    return RoutingTable(version, routes or (route(),), services, workspaces, LIMITS)
+
+
+def entry(name: str, **changes: Any) -> TargetEntry:
+    """Return the entry of a target in zone ``z1``."""
+    values: dict[str, Any] = {
+        "target": name,
+        "address": "127.0.0.1:1",
+        "service": "records",
+        "version": "v1",
+        "availability_zone": "z1",
+        "slots": 4,
+        "draining": False,
+        "cold_left_ms": 0.0,
+    }
+    return TargetEntry(**(values | changes))
+
+
+def stored(prefix: str, name: str, version: int, value: Any) -> dict[str, StoredObject]:
+    """Return one replicated object by its key."""
+    return {prefix + name: StoredObject(prefix + name, version, value)}
+
+
+def registry_of(*entries: TargetEntry, now_s: float = 0.0) -> TargetRegistry:
+    """Return a registry that knows the targets."""
+    registry = TargetRegistry()
+    objects = {}
+    for version, target in enumerate(entries, start=1):
+        objects |= stored("targets/", target.target, version, unstructure_entry(target))
+    registry.take_in(objects, {}, now_s)
+    return registry
+
+
+def config_spec(**changes: Any) -> dict[str, Any]:
+    """Return a configuration as the operators of the users' platform write it."""
+    spec = {
+        "version": "00000007",
+        "routes": [
+            {
+                "name": "r1",
+                "host": "h.example",
+                "path_prefix": "/a/",
+                "kind": "safe",
+                "timeout": "1500ms",
+                "latency_goal": "600ms",
+                "priority": 2,
+                "weighted_services": [
+                    {"service": "records", "weight": 90},
+                    {"service": "other", "weight": 10},
+                ],
+                "max_attempts": 2,
+                "public": False,
+                "sticky": True,
+                "home_regions": ["north"],
+            },
+            {
+                "name": "r2",
+                "host": "h.example",
+                "path_prefix": "/b/",
+                "kind": "unsafe",
+                "timeout": "2s",
+                "service": "records",
+                "max_attempts": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": "records",
+                "health_path": "/health",
+                "max_conns": 360,
+                "protocol": "h1",
+                "tls": False,
+                "cold": "3s",
+                "cold_per_s": 6.4,
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+        "tenants": [
+            {
+                "name": "unam",
+                "api_keys": ["key-1", "key-2"],
+                "priority": 1,
+                "rate_per_s": 134,
+                "burst": 134,
+                "home_regions": [],
+            }
+        ],
+    }
+    return spec | changes
+
+
+def server_fields(address: str, **status: Any) -> dict[str, Any]:
+    """Return what a target of the users' platform says of itself."""
+    return {
+        "address": address,
+        "born": 1_700_000_000_000,
+        "info": {"service": "records", "version": "v1", "zone": "z1", "slots": 7},
+        "status": {"state": "ready", "seq": 4, "cold_left": "0ms"} | status,
+    }
+
+
+@define
+class PlatformTarget:
+    """Answer requests as a target of the users' platform does, and remember them."""
+
+    name: str
+    status: int = 200
+    not_run: bool = False
+    foreign_first: bool = False
+    requests: list[Request] = field(factory=list)
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        self.requests.append(request)
+        headers = (
+            ("Request-Id", request.header("Request-Id") or ""),
+            ("Response-Seal", f"seal-{self.name}"),
+            ("Server-Load", "1,0,7"),
+        )
+        if self.not_run:
+            headers += (("Not-Executed", "1"),)
+        body = json.dumps({"target": self.name}).encode()
+        await reply.send_whole(self.status, headers, body)
+
+    async def serve(self, *, task_status: Any) -> None:
+        """Serve on a free loopback port; reports (host, port)."""
+        await HttpServer(self.handle).serve(("127.0.0.1", 0), task_status=task_status)
