Accept all waiting connections at a turn, queue log lines, notice late reading

Each log line was a write of its own. Change: an accept loop that takes all that wait; a bounded queue of lines written by one task; requests that are read late are refused early; objects that a peer holds are confirmed by position.

--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -30,3 +30,7 @@
 RETRY_RATIO: Final = 0.15
 RETRY_CAPACITY: Final = 8.0
 RETRY_START_TOKENS: Final = 3.0
+# A VM that reads requests so late that this part of their latency goal is over refuses them: it
+# cannot answer in good time, and the rest of its work would be as late.
+OVERLOAD_GOAL_PART: Final = 0.5
+OVERLOAD_RETRY_AFTER_MS: Final = 400
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -61,7 +61,12 @@
 
 @define
 class GatewayForwarder:
-    """Try targets for a request, within its time, its route and the retry budget."""
+    """Try targets for a request, within its time, its route and the retry budget.
+
+    Attributes:
+        has_ended: Tells whether the target at an address has ended.
+        background: Runs what the caller need not wait for; None leaves it out.
+    """
 
     placer: Placer
     rollouts: RolloutTraffic
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -12,8 +12,11 @@
     DENIAL_RETRY_AFTER_MS,
     MAX_DENIAL_AGE_MS,
     NOT_READY_RETRY_AFTER_MS,
+    OVERLOAD_GOAL_PART,
+    OVERLOAD_RETRY_AFTER_MS,
 )
 from wagtailbay.gateway.forward import GatewayForwarder, RequestTrace
+from wagtailbay.gateway.lag import LoopLag
 from wagtailbay.gateway.models import AnswerBroken, CallerHead, GatewayRequest, Vocabulary
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
@@ -39,6 +42,7 @@
     splitter: ServiceSplitter
     knowledge_age_ms: Callable[[float], float | None]
     clock: Callable[[], float]
+    lag: LoopLag = field(factory=LoopLag)
     metrics: Metrics = field(factory=Metrics)
 
     async def handle(self, request: Request, reply: Reply) -> None:
@@ -68,6 +72,10 @@
         route = table.find_route(caller.host, path)
         if route is None:
             return Err(self._deny(404, "route_unknown", "no route for host and path", now_s))
+        waited_ms = self.lag.waited_s() * 1000
+        if waited_ms > OVERLOAD_GOAL_PART * route.latency_goal_ms:
+            message = "this VM is overloaded; use another one"
+            return Err(not_run(503, "vm_overloaded", message, OVERLOAD_RETRY_AFTER_MS))
         allowed = self._find_workspace(table, route, caller, now_s)
         if isinstance(allowed, Err):
             return allowed
@@ -97,7 +105,7 @@
                 home_regions=_home_regions(route, workspace),
                 fingerprint=fingerprint,
                 received_s=now_s,
-                due_s=now_s + max(0.0, wait_ms - ANSWER_MARGIN_MS) / 1000,
+                due_s=now_s + max(0.0, wait_ms - waited_ms - ANSWER_MARGIN_MS) / 1000,
             )
         )
 
--- /dev/null
+++ b/src/wagtailbay/gateway/lag.py
@@ -0,0 +1,36 @@
+"""Measure how late this process gets to its work."""
+
+import trio
+from attrs import define
+
+# How often the lag is measured, and what remains of an earlier one at each measurement.
+TICK_S = 0.05
+KEPT_PART = 0.7
+# Timers that fire this late are usual.
+USUAL_LAG_S = 0.02
+
+
+@define
+class LoopLag:
+    """Hold the time that a request waits before this process reads it.
+
+    Attributes:
+        lag_s: How late the loop came to its work lately.
+    """
+
+    lag_s: float = 0.0
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            due_s = trio.current_time() + TICK_S
+            await trio.sleep_until(due_s)
+            self.note(trio.current_time() - due_s)
+
+    def note(self, late_s: float) -> None:
+        """Take in one measurement."""
+        self.lag_s = max(late_s, self.lag_s * KEPT_PART)
+
+    def waited_s(self) -> float:
+        """Return how long a request that is read now has probably waited."""
+        return self.lag_s if self.lag_s > USUAL_LAG_S else 0.0
--- a/src/wagtailbay/logs/events.py
+++ b/src/wagtailbay/logs/events.py
@@ -1,10 +1,14 @@
 """Send events to eliot and from there to a text stream."""
 
+import time
+from collections.abc import Callable
+from itertools import count
 from typing import Any, TextIO
 
 from eliot import add_destinations, log_message
 
 from wagtailbay.logs.lines import format_line
+from wagtailbay.logs.queue import LineQueue
 
 # Eliot adds these fields for its own trees of actions, which a flat line does not show.
 ELIOT_TREE_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
@@ -18,13 +22,38 @@
 def start_logging(stream: TextIO, program: str, vm: str = "") -> None:
     """Write all later events to the stream, one line each."""
 
-    def write(message: dict[str, Any]) -> None:
-        values = {k: v for k, v in message.items() if k not in ELIOT_TREE_FIELDS}
-        head = {"time": f"{message['timestamp']:.3f}", "event": message.get("message_type", "")}
-        head["program"] = program
+    def write(line: str) -> None:
+        stream.write(line + "\n")
+        stream.flush()
+
+    add_destinations(_formatter(write, program, vm))
+
+
+def start_queued_logging(write: Callable[[bytes], object], program: str, vm: str) -> LineQueue:
+    """Queue all later events; the queue's task has to be run to write them."""
+    queue = LineQueue(write)
+    add_destinations(_formatter(queue.add, program, vm, numbered=True))
+    return queue
+
+
+def _formatter(
+    take: Callable[[str], None], program: str, vm: str, numbered: bool = False
+) -> Callable[[dict[str, Any]], None]:
+    """Return a destination that formats each event as a line.
+
+    Args:
+        numbered: Whether lines carry a number and a steady time, since the time of day may jump.
+    """
+    numbers = count(1)
+
+    def destination(message: dict[str, Any]) -> None:
+        head: dict[str, Any] = {"time": f"{message['timestamp']:.3f}"}
+        if numbered:
+            head |= {"steady_s": f"{time.monotonic():.3f}", "seq": next(numbers)}
+        head |= {"event": message.get("message_type", ""), "program": program}
         if vm:
             head["vm"] = vm
-        stream.write(format_line(head | values) + "\n")
-        stream.flush()
+        values = {k: v for k, v in message.items() if k not in ELIOT_TREE_FIELDS}
+        take(format_line(head | values))
 
-    add_destinations(write)
+    return destination
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -52,7 +52,8 @@
             facts_seen_incarnation=record.incarnation,
             members=self._members_for(vm, record, now_s),
             members_through=members_through,
-            replica_position=self.replica.position,
+            replica_from=record.replica_sent,
+            replica_through=self.replica.position,
             replica_seen=record.replica_received,
             mark_ms=record.give_mark(now_s, members_through) if answers else None,
             echo=None if answers else record.echo(now_s),
@@ -86,7 +87,6 @@
         # Before a peer's first answer its incarnation is unknown, and all members are sent.
         if sent.facts_seen_incarnation in (0, record.incarnation):
             record.members_sent = max(record.members_sent, sent.members_through)
-            record.replica_sent = max(record.replica_sent, sent.replica_position)
 
     def note_lost(self, vm: str) -> None:
         """Record that a message to a peer may not have arrived."""
@@ -115,7 +115,8 @@
         if caught_up:
             # What came from the peer itself need not be sent back.
             record.replica_sent = self.replica.position
-        record.replica_received = max(record.replica_received, message.replica_position)
+        if message.replica_from <= record.replica_received:
+            record.replica_received = max(record.replica_received, message.replica_through)
         record.revision = max(record.revision, message.replica_revision)
         record.store_reachable = message.store_reachable
         if message.facts.from_position <= record.facts_received:
--- a/src/wagtailbay/membership/messages.py
+++ b/src/wagtailbay/membership/messages.py
@@ -48,7 +48,8 @@
         facts_seen_incarnation: The incarnation of the receiver that the position belongs to.
         members: Other VMs that changed since the last exchange.
         members_through: The sender's roster position that the members reach; not sent.
-        replica_position: The sender's replica position that the batch reaches, 0 for a part of it.
+        replica_from: The sender's replica position after which the batch begins.
+        replica_through: The one that it reaches, 0 for a part of a batch.
         replica_seen: The receiver's position up to which the sender holds its objects.
         mark_ms: The sender's clock in an answer, None in a call.
         echo: In a call, the receiver's newest known mark.
@@ -64,7 +65,8 @@
     facts_seen_incarnation: int
     members: tuple[Member, ...]
     members_through: int = 0
-    replica_position: int = 0
+    replica_from: int = 0
+    replica_through: int = 0
     replica_seen: int = 0
     mark_ms: int | None = None
     echo: ClockEcho | None = None
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -35,11 +35,12 @@
         facts_from=message.facts.from_position,
         facts_seen=message.facts_seen,
         facts_seen_incarnation=message.facts_seen_incarnation,
+        replica_from=message.replica_from,
         replica_seen=message.replica_seen,
         members=(_encode_member(member, now_s) for member in message.members),
     )
     if len(encoded.batch.entries) == len(message.batch.objects):
-        encoded.replica_position = message.replica_position
+        encoded.replica_through = message.replica_through
     encoded.facts_through = _add_facts(encoded, message.facts, codec, now_s)
     if message.confirmed_age_ms is not None:
         # Rounded up, so that knowledge never counts as fresher than it is.
@@ -83,7 +84,8 @@
         ),
         facts_seen=encoded.facts_seen,
         facts_seen_incarnation=encoded.facts_seen_incarnation,
-        replica_position=encoded.replica_position,
+        replica_from=encoded.replica_from,
+        replica_through=encoded.replica_through,
         replica_seen=encoded.replica_seen,
         members=tuple(_decode_member(member, now_s) for member in encoded.members),
         mark_ms=encoded.mark_ms or None,
--- a/src/wagtailbay/programs/gateway.py
+++ b/src/wagtailbay/programs/gateway.py
@@ -8,12 +8,12 @@
 import trio
 
 from wagtailbay.locate.const import NEAR_TTL_MS
-from wagtailbay.logs import log_event, start_logging
+from wagtailbay.logs import LineQueue, log_event, start_queued_logging
 from wagtailbay.programs.gateway_node import PROGRAM, GatewayBuilder, GatewayNode, build_fronts
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.settings import load_settings_or_exit
 from wagtailbay.settings.checks import split_address
-from wagtailbay.transport import HttpServer
+from wagtailbay.transport import HttpServer, accept_connections, open_listener
 
 # New connections are taken for this long after the VM has left the look-up answers.
 ACCEPT_MARGIN_S = 0.8
@@ -21,11 +21,12 @@
 END_MARGIN_S = 0.3
 
 
-async def run(settings: GatewaySettings) -> None:
+async def run(settings: GatewaySettings, lines: LineQueue) -> None:
     """Run until SIGTERM or SIGINT has been served by a graceful shutdown."""
     node = GatewayBuilder(settings).build()
     lookup, ready = build_fronts(node)
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(lines.run)
         await node.run_tasks(nursery)
         await nursery.start(node.fleet.run, settings.peer_address)
         await nursery.start(HttpServer(ready.handle).serve, split_address(settings.ready_address))
@@ -48,13 +49,9 @@
     """Serve callers; reports the scope whose end stops new connections."""
     address = split_address(node.settings.listen_address)
     async with trio.open_nursery() as nursery:
-        listeners = await trio.open_tcp_listeners(address[1], host=address[0])
-        scope = trio.CancelScope()
-        task_status.started(scope)
-        with scope:
-            await trio.serve_listeners(
-                node.server.serve_connection, listeners, handler_nursery=nursery
-            )
+        with open_listener(address) as listener, trio.CancelScope() as scope:
+            task_status.started(scope)
+            await accept_connections(listener, node.server.serve_connection, nursery)
 
 
 async def stop_gracefully(node: GatewayNode, accepting: trio.CancelScope) -> None:
@@ -80,8 +77,10 @@
     # gRPC would write its own lines, which have another form, between this program's.
     os.environ.setdefault("GRPC_VERBOSITY", "NONE")
     settings = load_settings_or_exit(PROGRAM, GatewaySettings, os.environ)
-    start_logging(sys.stdout, PROGRAM, settings.vm)
-    trio.run(partial(run, settings))
+    stdout = sys.stdout.fileno()
+    lines = start_queued_logging(partial(os.write, stdout), PROGRAM, settings.vm)
+    trio.run(run, settings, lines)
+    os.write(stdout, lines.take())
 
 
 if __name__ == "__main__":
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -78,6 +78,7 @@
             self.quota.run,
             self.keeper.run,
             self.registrar.run,
+            self.handler.lag.run,
         ):
             nursery.start_soon(task)
 
@@ -185,7 +186,7 @@
             ServiceSplitter(self.source),
             fleet.freshness.age_ms,
             boottime_s,
-            exporter.metrics,
+            metrics=exporter.metrics,
         )
         return GatewayNode(
             settings=settings,
--- a/src/wagtailbay/transport/__init__.py
+++ b/src/wagtailbay/transport/__init__.py
@@ -1,5 +1,6 @@
 """Carry HTTP/1.1 messages over trio streams by means of h11."""
 
+from wagtailbay.transport.accept import accept_connections, open_listener
 from wagtailbay.transport.client import ClientConnection, open_connection
 from wagtailbay.transport.models import (
     FailureKind,
@@ -26,6 +27,8 @@
     "Response",
     "ResponseHead",
     "TransportError",
+    "accept_connections",
     "fetch",
     "open_connection",
+    "open_listener",
 ]
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -193,7 +193,7 @@
         """Prepare the connection for another request; False means that it must be closed."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
-        if self.has_unread_bytes():
+        if self.protocol.trailing_data[0]:
             return False
         self.protocol.start_next_cycle()
         self.request_sent = self.answered = False
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -7,8 +7,8 @@
 import pytest
 import trio
 from result import Ok
-
 from support.gateway import PlatformTarget, config_spec, server_fields
+
 from wagtailbay.programs.gateway_node import GatewayBuilder, GatewayNode, build_fronts
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.transport import ConnectionPool, HttpServer, Request, Response
@@ -108,7 +108,8 @@
         (request,) = scene.ran()
         assert answer.status == 200
         assert header(answer, "Response-Seal").startswith("seal-")
-        assert request.path == "/a/x?y=1" and request.header("Host") == "h.example"
+        assert request.path == "/a/x?y=1"
+        assert request.header("Host") == "h.example"
         assert request.header("Authorization") is None
         assert [v for n, v in request.headers if n.lower() == "tenant"] == ["unam"]
         assert request.header("X-Extra") == "kept"
@@ -141,14 +142,16 @@
         for target in scene.targets.values():
             target.status = 500
         answer = await scene.ask("/b/x", "POST")
-        assert answer.status == 500 and len(scene.ran()) == 1
+        assert answer.status == 500
+        assert len(scene.ran()) == 1
 
     async def test_refusal_of_a_target_is_tried_elsewhere_and_then_told(self, scene):
         """Guards against a refusal that says not run although it may have run."""
         for target in scene.targets.values():
             target.status, target.not_run = 503, True
         answer = await scene.ask("/b/x", "POST")
-        assert answer.status == 503 and float(header(answer, "Retry-After")) > 0
+        assert answer.status == 503
+        assert float(header(answer, "Retry-After")) > 0
         assert len(scene.ran()) == 2
         assert json.loads(answer.body)["error"]["run"] == "not_run"
 
@@ -168,7 +171,8 @@
         """Guards against a workspace above its rate."""
         answers = [await scene.ask() for _ in range(130)]
         refused = [answer for answer in answers if answer.status == 429]
-        assert refused and all(float(header(a, "Retry-After")) > 0 for a in refused)
+        assert refused
+        assert all(float(header(a, "Retry-After")) > 0 for a in refused)
 
 
 class TestFronts:
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 from result import Err, Ok
-
 from support.gateway import entry, registry_of
+
 from wagtailbay.placement import (
     LoadReport,
     PlacementQuery,
@@ -102,9 +102,7 @@
 
     def test_fleet_stays_within_what_a_cold_target_bears(self):
         """Guards against a crash of targets that come back cold (cold return)."""
-        placers = [
-            placer_of(entry("a", cold_left_ms=10_000.0, slots=50), seed=i) for i in range(4)
-        ]
+        placers = [placer_of(entry("a", cold_left_ms=10_000.0, slots=50), seed=i) for i in range(4)]
         sent = [0] * 5
         for tick in range(500):
             now_s = tick / 100
@@ -159,9 +157,7 @@
                 load = placer.load_of(target)
                 load.start()
                 load.finish(TargetSign.ANSWERED, 900.0 if name == "t0" else 100.0, None, 0.0)
-        names = Counter(
-            name_of(placer.choose(query(affinity=str(i)), 0.0)) for i in range(30)
-        )
+        names = Counter(name_of(placer.choose(query(affinity=str(i)), 0.0)) for i in range(30))
         assert names["t0"] <= 3
 
 
--- a/tests/placement/test_spill.py
+++ b/tests/placement/test_spill.py
@@ -3,8 +3,8 @@
 import random
 
 from result import Ok
-
 from support.gateway import entry, registry_of
+
 from wagtailbay.placement import PlacementQuery, Placer, SpillLimiter
 
 REGIONS = {"z1": "north", "z3": "south"}
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -1,6 +1,7 @@
 """Test the registry of targets."""
 
 from support.gateway import entry, registry_of, stored
+
 from wagtailbay.registry import unstructure_entry
 
 
@@ -55,7 +56,8 @@
         assert usable(registry, 1.0) == ["b"]
         registry.take_in(stored("evacuations/", "z1", 9, None), {"records": 3_000.0}, 5.0)
         assert set(usable(registry, 5.0)) == {"a", "b"}
-        assert registry.targets["a"].is_cold(7.9) and not registry.targets["a"].is_cold(8.1)
+        assert registry.targets["a"].is_cold(7.9)
+        assert not registry.targets["a"].is_cold(8.1)
         assert not registry.targets["b"].is_cold(5.0)
 
     def test_new_start_under_the_same_identity_is_another_target(self):
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -3,8 +3,8 @@
 import random
 
 from result import Err, Ok
-
 from support.gateway import route, stored, table
+
 from wagtailbay.routing import (
     LiveRouting,
     RoutePart,
@@ -86,4 +86,5 @@
         splitter.pick(route(parts=(RoutePart("a", 1), RoutePart("b", 1))))
         parts = (RoutePart("a", 1), RoutePart("d", 9))
         picks = [splitter.pick(route(parts=parts)) for _ in range(100)]
-        assert abs(picks.count("d") - 90) <= 1 and "b" not in picks
+        assert abs(picks.count("d") - 90) <= 1
+        assert "b" not in picks
