Keep objects at their own targets under overload

Cause: on overload, requests moved to targets that were cold for their objects, which took three times the work and evicted other objects; the collapse outlasted the flood by 20 s. Change: another target than the object's own is used only up to half of its slots, and only requests without an object queue at the least full target.

--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -90,7 +90,8 @@
         if away and self._spills(query, placed is None, bool(home), now_s):
             placed = self._place_away(query, away, usual_ms, bool(home), now_s) or placed
         if placed is None:
-            placed = self._place_queued(query, home or away, usual_ms, now_s)
+            if query.affinity is None:
+                placed = self._place_queued(query, home or away, usual_ms, now_s)
         if placed is not None:
             return Ok(placed)
         return Err(Shortage("all targets are full", self.retry_after_ms(usual_ms)))
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -27,9 +27,9 @@
 MIN_FILL: Final = 1.0
 MAX_FILL: Final = 2.5
 # A request leaves its preferred target for one without its object only below this fill.
-OTHER_FILL: Final = 0.9
+OTHER_FILL: Final = 0.5
 # Other regions are used only well below their slots, since their own callers need these first.
-AWAY_FILL: Final = 0.75
+AWAY_FILL: Final = 0.5
 # The share of requests sent to other regions moves by at most this much in a second. The bound of
 # 15% between two windows of 2 s leaves room for the randomness of small counts.
 SPILL_STEP_PER_S: Final = 0.04
