Send objects only to peers whose digest shows that they lack them

Change: messages carry a digest of keys and versions. VMs that watch the store push changes, the others wait for a peer's digest. A service that is idle uses other targets freely, a busy one does not. SIGHUP no longer ends the process.

--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -108,7 +108,7 @@
             latency_goal_ms=request.route.latency_goal_ms,
             priority=request.priority,
             excluded=trace.excluded,
-            home_regions=request.home_regions,
+            allowed_regions=request.allowed_regions,
             version=version,
         )
         return self.placer.choose(query, self.clock())
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -102,7 +102,7 @@
                 route=route,
                 workspace=workspace,
                 service=self.splitter.pick(route),
-                home_regions=_home_regions(route, workspace),
+                allowed_regions=_allowed_regions(route, workspace),
                 fingerprint=fingerprint,
                 received_s=now_s,
                 due_s=now_s + max(0.0, wait_ms - waited_ms - ANSWER_MARGIN_MS) / 1000,
@@ -183,10 +183,10 @@
         )
 
 
-def _home_regions(route: RouteRule, workspace: Workspace | None) -> frozenset[str]:
+def _allowed_regions(route: RouteRule, workspace: Workspace | None) -> frozenset[str]:
     """Return where a request may run; the homes of route and workspace both bind."""
-    of_workspace = workspace.home_regions if workspace else frozenset()
-    if route.home_regions and of_workspace:
+    of_workspace = workspace.allowed_regions if workspace else frozenset()
+    if route.allowed_regions and of_workspace:
         # Homes without a region in common leave none, which no region's name is.
-        return (route.home_regions & of_workspace) or frozenset({""})
-    return route.home_regions or of_workspace
+        return (route.allowed_regions & of_workspace) or frozenset({""})
+    return route.allowed_regions or of_workspace
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -1,5 +1,7 @@
 """Build and take in the messages that VMs exchange."""
 
+from collections.abc import Callable
+
 from attrs import define, field
 from result import Err, Ok, Result
 
@@ -24,6 +26,8 @@
     """Keep this VM's state equal with its peers', message by message.
 
     Attributes:
+        pushes: Tells whether this VM sends objects to peers that may have them from another VM.
+            The others first hear by a peer's digest that it lacks something.
         dates_calls: Test-only switch; False takes a peer's call for as new as its arrival.
     """
 
@@ -35,33 +39,42 @@
     quorum: Quorum
     isolation: IsolationCheck
     records: dict[str, PeerRecord] = field(factory=dict)
+    pushes: Callable[[], bool] = lambda: True
     dates_calls: bool = True
 
     def build(self, vm: str, now_s: float, *, answers: bool = False) -> ExchangeMessage:
         """Return the message for a peer, to call it or to answer its call."""
         record = self.records.setdefault(vm, PeerRecord())
         members_through = self.roster.position
+        batch = self._batch_for(record, answers)
+        skipped = not batch.whole and not batch.revision
         return ExchangeMessage(
             sender=self.roster.own_member,
             replica_revision=self.replica.revision,
             confirmed_age_ms=self.freshness.age_ms(now_s),
             store_reachable=self.reader.reachable,
-            batch=self._batch_for(record),
+            batch=batch,
             facts=self.facts.batch_after(record.facts_sent, now_s),
             facts_seen=record.facts_received,
             facts_seen_incarnation=record.incarnation,
             members=self._members_for(vm, record, now_s),
             members_through=members_through,
             replica_from=record.replica_sent,
-            replica_through=self.replica.position,
+            replica_through=0 if skipped else self.replica.position,
             replica_seen=record.replica_received,
+            replica_digest=self.replica.digest,
             mark_ms=record.give_mark(now_s, members_through) if answers else None,
             echo=None if answers else record.echo(now_s),
         )
 
-    def _batch_for(self, record: PeerRecord) -> EntryBatch:
+    def _batch_for(self, record: PeerRecord, answers: bool) -> EntryBatch:
         """Return what a peer lacks, without the objects that it has confirmed."""
         own, revision = self.replica.revision, record.revision
+        if record.replica_digest == self.replica.digest:
+            return EntryBatch(revision, own, False, ())
+        heard_since = record.replica_heard == self.replica.position
+        if not answers and not heard_since and not self.pushes():
+            return EntryBatch(0, 0, False, ())
         if revision < self.replica.deletions_since and revision < own:
             return EntryBatch(0, own, True, self.replica.existing())
         # Objects may be known from beyond the revision up to which all are.
@@ -115,6 +128,8 @@
         if caught_up:
             # What came from the peer itself need not be sent back.
             record.replica_sent = self.replica.position
+        record.replica_digest = message.replica_digest
+        record.replica_heard = self.replica.position
         if message.replica_from <= record.replica_received:
             record.replica_received = max(record.replica_received, message.replica_through)
         record.revision = max(record.revision, message.replica_revision)
@@ -186,7 +201,7 @@
         record = self.records.get(vm)
         if record is None:
             return True
-        if record.replica_sent >= self.replica.position:
+        if record.replica_sent >= self.replica.position or not self.pushes():
             return False
         return any(
             not stored.key.startswith(UNHURRIED_PREFIXES)
--- a/src/wagtailbay/membership/messages.py
+++ b/src/wagtailbay/membership/messages.py
@@ -50,6 +50,7 @@
         members_through: The sender's roster position that the members reach; not sent.
         replica_from: The sender's replica position after which the batch begins.
         replica_through: The one that it reaches, 0 for a part of a batch.
+        replica_digest: Of the keys and versions that the sender holds.
         replica_seen: The receiver's position up to which the sender holds its objects.
         mark_ms: The sender's clock in an answer, None in a call.
         echo: In a call, the receiver's newest known mark.
@@ -68,6 +69,7 @@
     replica_from: int = 0
     replica_through: int = 0
     replica_seen: int = 0
+    replica_digest: int = 0
     mark_ms: int | None = None
     echo: ClockEcho | None = None
 
--- a/src/wagtailbay/membership/record.py
+++ b/src/wagtailbay/membership/record.py
@@ -16,6 +16,8 @@
         facts_received: This VM holds the peer's facts up to this position.
         facts_sent: The peer holds this VM's facts up to this position.
         replica_sent: The peer holds this VM's objects up to this position.
+        replica_digest: Of the keys and versions that the peer held when it was heard last.
+        replica_heard: This VM's position at that time.
         replica_received: This VM holds the peer's objects up to this position.
         members_sent: The peer holds this VM's roster up to this position.
         contacts_s: When the contacts were last told to the peer.
@@ -33,6 +35,8 @@
     facts_sent: int = 0
     replica_sent: int = 0
     replica_received: int = 0
+    replica_digest: int | None = None
+    replica_heard: int = -1
     members_sent: int = 0
     contacts_s: float = float("-inf")
     store_reachable: bool | None = None
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -37,6 +37,7 @@
         facts_seen_incarnation=message.facts_seen_incarnation,
         replica_from=message.replica_from,
         replica_seen=message.replica_seen,
+        replica_digest=message.replica_digest,
         members=(_encode_member(member, now_s) for member in message.members),
     )
     if len(encoded.batch.entries) == len(message.batch.objects):
@@ -87,6 +88,7 @@
         replica_from=encoded.replica_from,
         replica_through=encoded.replica_through,
         replica_seen=encoded.replica_seen,
+        replica_digest=encoded.replica_digest,
         members=tuple(_decode_member(member, now_s) for member in encoded.members),
         mark_ms=encoded.mark_ms or None,
         echo=echo,
--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -13,14 +13,17 @@
 from wagtailbay.placement.cold import ColdBudget
 from wagtailbay.placement.const import (
     AWAY_FILL,
+    BUSY_FILL,
     GOAL_SHARE,
+    IDLE_FILL,
     MAX_EJECTED_SHARE,
     MAX_FILL,
     MAX_RETRY_AFTER_MS,
     MIN_FILL,
     MIN_REGION_VMS,
     MIN_RETRY_AFTER_MS,
-    OTHER_FILL,
+    OTHER_FILL_BUSY,
+    OTHER_FILL_IDLE,
     SLOW_FACTOR,
     SLOW_FILL,
 )
@@ -89,9 +92,8 @@
         placed = self._place(query, home, usual_ms, now_s) if home else None
         if away and self._spills(query, placed is None, bool(home), now_s):
             placed = self._place_away(query, away, usual_ms, bool(home), now_s) or placed
-        if placed is None:
-            if query.affinity is None:
-                placed = self._place_queued(query, home or away, usual_ms, now_s)
+        if placed is None and query.affinity is None:
+            placed = self._place_queued(query, home or away, usual_ms, now_s)
         if placed is not None:
             return Ok(placed)
         return Err(Shortage("all targets are full", self.retry_after_ms(usual_ms)))
@@ -104,7 +106,7 @@
         A request that may not run in this region says nothing of the room there, and a retry has
         lost the target that it was meant for.
         """
-        if query.home_regions or query.excluded:
+        if query.allowed_regions or query.excluded:
             return needs_room
         limiter = self.spills.setdefault(query.service, SpillLimiter())
         limiter.observe(needs_room, not has_home, now_s)
@@ -116,7 +118,7 @@
             for target in self.registry.usable(query.service, now_s)
             if target.entry.target not in query.excluded
             and (query.version is None or query.version.admits(target.entry.version))
-            and (not query.home_regions or self._region_of(target) in query.home_regions)
+            and (not query.allowed_regions or self._region_of(target) in query.allowed_regions)
         ]
         healthy = [target for target in usable if not self.load_of(target).is_ejected(now_s)]
         if len(healthy) < (1 - MAX_EJECTED_SHARE) * len(usable):
@@ -162,7 +164,8 @@
         now_s: float,
     ) -> Placement | None:
         """Return the first target in the object's order that has room."""
-        fill = self._max_fill(query, usual_ms) if query.affinity is not None else OTHER_FILL
+        other_fill = self._other_fill(targets, now_s)
+        fill = self._max_fill(query, usual_ms) if query.affinity is not None else other_fill
         reason = PlacementReason.PREFERRED
         for target in self._ordered(query, targets):
             belief = self.load_of(target)
@@ -171,9 +174,16 @@
             if has_room and not belief.is_shedding(now_s) and self._may_warm(target, now_s):
                 return Placement(target, self._region_of(target), load, reason)
             if not target.is_cold(now_s):
-                reason, fill = PlacementReason.OTHER, OTHER_FILL
+                reason, fill = PlacementReason.OTHER, other_fill
         return None
 
+    def _other_fill(self, targets: list[KnownTarget], now_s: float) -> float:
+        """Return how full a target may be for a request whose object is at another one."""
+        slots = sum(max(1, target.entry.slots) for target in targets)
+        mean = sum(self.load_of(target).load(now_s) for target in targets) / slots
+        busy = min(1.0, max(0.0, (mean - IDLE_FILL) / (BUSY_FILL - IDLE_FILL)))
+        return OTHER_FILL_IDLE + busy * (OTHER_FILL_BUSY - OTHER_FILL_IDLE)
+
     def _may_warm(self, target: KnownTarget, now_s: float) -> bool:
         """Tell whether a target is not cold, or has budget for one more request."""
         rule = self.services().get(target.entry.service)
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -26,10 +26,16 @@
 GOAL_SHARE: Final = 0.85
 MIN_FILL: Final = 1.0
 MAX_FILL: Final = 2.5
-# A request leaves its preferred target for one without its object only below this fill.
-OTHER_FILL: Final = 0.5
+# A request leaves its preferred target for one without its object only below this fill: the first
+# while the service is idle, the second once it is busy, when work that takes three times as long
+# and evicts other objects costs more than a refusal.
+OTHER_FILL_IDLE: Final = 0.9
+OTHER_FILL_BUSY: Final = 0.25
+# The mean fill of the targets up to which a service counts as idle, and from which as busy.
+IDLE_FILL: Final = 0.4
+BUSY_FILL: Final = 0.7
 # Other regions are used only well below their slots, since their own callers need these first.
-AWAY_FILL: Final = 0.5
+AWAY_FILL: Final = 0.3
 # The share of requests sent to other regions moves by at most this much in a second. The bound of
 # 15% between two windows of 2 s leaves room for the randomness of small counts.
 SPILL_STEP_PER_S: Final = 0.04
--- a/src/wagtailbay/platform/decode.py
+++ b/src/wagtailbay/platform/decode.py
@@ -65,7 +65,7 @@
         max_targets=max(1, int(item.get("max_attempts") or 1)),
         public=bool(item.get("public")),
         sticky=bool(item.get("sticky")),
-        home_regions=frozenset(item.get("home_regions") or ()),
+        allowed_regions=frozenset(item.get("home_regions") or ()),
     )
 
 
@@ -88,7 +88,7 @@
         priority=None if priority is None else int(priority),
         rate_per_s=float(item.get("rate_per_s") or 0.0),
         burst=float(item.get("burst") or 0.0),
-        home_regions=frozenset(item.get("home_regions") or ()),
+        allowed_regions=frozenset(item.get("home_regions") or ()),
     )
 
 
@@ -116,7 +116,7 @@
         availability_zone=_text(static["zone"]),
         slots=slots,
         draining=state == "draining",
-        cold_left_ms=parse_duration_ms(changing.get("cold_left") or "0ms"),
+        cold_remaining_ms=parse_duration_ms(changing.get("cold_left") or "0ms"),
         born_unix_ms=born,
     )
 
--- a/src/wagtailbay/programs/gateway.py
+++ b/src/wagtailbay/programs/gateway.py
@@ -27,6 +27,7 @@
     lookup, ready = build_fronts(node)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lines.run)
+        nursery.start_soon(note_reloads)
         await node.run_tasks(nursery)
         await nursery.start(node.fleet.run, settings.peer_address)
         await nursery.start(HttpServer(ready.handle).serve, split_address(settings.ready_address))
@@ -45,6 +46,13 @@
         nursery.cancel_scope.cancel()
 
 
+async def note_reloads() -> None:
+    """Outlive SIGHUP; what the platform may change meanwhile is read at the next start only."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            log_event("reload_asked", changed="nothing")
+
+
 async def serve_callers(node: GatewayNode, *, task_status: trio.TaskStatus) -> None:
     """Serve callers; reports the scope whose end stops new connections."""
     address = split_address(node.settings.listen_address)
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -243,6 +243,7 @@
             watchers_per_region=WATCHERS_PER_REGION,
         )
         fleet.peers.count = exporter.metrics.peer_exchanged
+        fleet.exchanger.pushes = fleet.reader.is_watcher
         return fleet
 
     def _build_placer(self, fleet: Fleet) -> Placer:
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -11,7 +11,7 @@
 # Part of the rate that is divided evenly, so that a VM admits the first requests of a workspace.
 EVEN_PART: Final = 0.15
 # A share grows at most by this in a second: what a VM takes more, the others must have heard of.
-SHARE_STEP_PER_S: Final = 0.25
+SHARE_STEP_PER_S: Final = 0.4
 # Part of the burst that the VMs hold together; shares that move bring some of it twice.
 BURST_PART: Final = 0.6
 # Each VM holds at least so many tokens, however small its share.
--- a/src/wagtailbay/registry/models.py
+++ b/src/wagtailbay/registry/models.py
@@ -19,7 +19,7 @@
         born_unix_ms: When it started; tells two starts under one identity apart.
         slots: How many requests it runs at the same time.
         draining: Whether it leaves and wants no new work.
-        cold_left_ms: How long it stays cold, counted from when it said so.
+        cold_remaining_ms: How long it stays cold, counted from when it said so.
     """
 
     target: str
@@ -29,7 +29,7 @@
     availability_zone: str
     slots: int
     draining: bool
-    cold_left_ms: float
+    cold_remaining_ms: float
     born_unix_ms: int = 0
 
 
--- a/src/wagtailbay/registry/registry.py
+++ b/src/wagtailbay/registry/registry.py
@@ -95,8 +95,8 @@
         if entry.draining and not known.entry.draining:
             log_event("target_draining", target=name, revision=stored.version)
         known.entry, known.removed_s = entry, None
-        if entry.cold_left_ms > 0:
-            until_s = now_s + entry.cold_left_ms / 1000 + COLD_MARGIN_S
+        if entry.cold_remaining_ms > 0:
+            until_s = now_s + entry.cold_remaining_ms / 1000 + COLD_MARGIN_S
             known.cold_until_s = max(known.cold_until_s, until_s)
 
     def _change_zones(
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from attrs import define, field
+from xxhash import xxh64_intdigest
 
 from wagtailbay.replica.signal import ChangeSignal
 from wagtailbay.store import StoredObject
@@ -18,6 +19,7 @@
         deletions_since: Every deletion after this revision is included in objects.
         position: Grows with each object taken in.
         positions: The position of each object's newest version.
+        digest: Of all keys and versions; two replicas with the same one hold the same objects.
         follows: Test-only switch; False takes nothing in after the first objects.
     """
 
@@ -26,6 +28,7 @@
     objects: dict[str, StoredObject] = field(factory=dict)
     position: int = 0
     positions: dict[str, int] = field(factory=dict)
+    digest: int = 0
     changed: ChangeSignal = field(factory=ChangeSignal)
     follows: bool = True
 
@@ -42,6 +45,9 @@
         for stored in objects:
             known = self.objects.get(stored.key)
             if stored.version > (self.revision if known is None else known.version):
+                if known is not None and known.version:
+                    self.digest ^= _mark(known)
+                self.digest ^= _mark(stored)
                 self.objects[stored.key] = stored
                 self.position += 1
                 self.positions[stored.key] = self.position
@@ -119,6 +125,10 @@
         }
 
 
+def _mark(stored: StoredObject) -> int:
+    return xxh64_intdigest(f"{stored.key}\0{stored.version}".encode())
+
+
 @define
 class Freshness:
     """Track when this VM's replica was last known to equal the store."""
--- a/src/wagtailbay/routing/codec.py
+++ b/src/wagtailbay/routing/codec.py
@@ -17,7 +17,7 @@
     """Return the JSON value of a table."""
     plain = _CONVERTER.unstructure(table)
     for part in (*plain["routes"], *plain["workspaces"]):
-        for name in ("home_regions", "keys"):
+        for name in ("allowed_regions", "keys"):
             if name in part:
                 part[name] = sorted(part[name])
     return plain
--- /dev/null
+++ b/tests/platform/test_decode.py
@@ -0,0 +1,172 @@
+"""Test the translation of the platform's objects, from bodies as they come."""
+
+import pytest
+from result import Ok
+from support.gateway import config_spec, server_fields
+
+from wagtailbay.platform.decode import MALFORMED, decode_order, decode_table, decode_target
+from wagtailbay.platform.durations import format_duration_ms, parse_duration_ms
+from wagtailbay.platform.objects import changed_objects, kind_of, split_key, stored_object
+from wagtailbay.rollout import RolloutPhase
+from wagtailbay.routing import structure_table
+
+
+def item(name: str, revision: int, **fields) -> dict:
+    """Return an object as the store lists it."""
+    meta = {"name": name, "revision": revision, "created": 3, "finalizers": [], "deleting": False}
+    return {"meta": meta, "spec": None, "status": None, **fields}
+
+
+class TestDurations:
+    """Read times with their units."""
+
+    def test_units(self):
+        """Guards against seconds that are taken for milliseconds."""
+        assert parse_duration_ms("1500ms") == 1500.0
+        assert parse_duration_ms("2.5s") == 2500.0
+        assert format_duration_ms(2_000.0) == "2000ms"
+
+    @pytest.mark.parametrize("value", ["", "5", "5 s", "5m", None, 5, True])
+    def test_anything_else_is_an_error(self, value):
+        """Guards against a time without a unit that is guessed."""
+        with pytest.raises(ValueError, match="expected a number"):
+            parse_duration_ms(value)
+
+
+class TestConfiguration:
+    """Decode configurations."""
+
+    def test_fields_arrive_under_the_products_names(self):
+        """Guards against a route that is forwarded by other rules than the operator's."""
+        table = decode_table(config_spec())
+        first, second = table.routes
+        assert table.version == 7
+        assert [(part.service, part.weight) for part in first.parts] == [
+            ("records", 90.0),
+            ("other", 10.0),
+        ]
+        assert (first.idempotent, first.timeout_ms, first.latency_goal_ms) == (True, 1500, 600)
+        assert first.allowed_regions == {"north"}
+        assert (second.idempotent, second.timeout_ms, second.sticky) == (False, 2000, False)
+        assert second.latency_goal_ms == 2000
+        workspace = table.find_workspace("key-2")
+        assert (workspace.workspace, workspace.rate_per_s, workspace.priority) == ("unam", 134, 1)
+        assert table.services_by_name["records"].cold_ms == 3000
+
+    def test_stored_value_can_be_structured_by_another_vm(self):
+        """Guards against a configuration that only the VM that read it understands."""
+        stored = stored_object("routing/", item("main", 9, spec=config_spec()))
+        assert structure_table(stored.value) == Ok(decode_table(config_spec()))
+
+    @pytest.mark.parametrize(
+        "broken",
+        [
+            {"version": None},
+            {"version": "xyz"},
+            {"routes": [{"name": "r"}]},
+            {"limits": {}},
+            {"services": "many"},
+            {"tenants": [{"api_keys": []}]},
+        ],
+    )
+    def test_unusable_configuration_is_dropped(self, broken):
+        """Guards against a VM that ends, or takes half a configuration, on bad input."""
+        assert stored_object("routing/", item("main", 9, spec=config_spec(**broken))) is None
+
+    def test_other_names_of_the_kind_are_no_configuration(self):
+        """Guards against a draft that comes in force."""
+        assert stored_object("routing/", item("draft", 9, spec=config_spec())) is None
+
+
+class TestTargets:
+    """Decode entries of targets."""
+
+    def test_fields_of_both_groups_arrive(self):
+        """Guards against a target in a wrong zone or with wrong slots."""
+        entry = decode_target(
+            item("i-1", 4, **server_fields("10.1.2.3:80", state="draining", cold_left="1.5s")),
+            "i-1",
+        )
+        assert (entry.target, entry.address, entry.service) == ("i-1", "10.1.2.3:80", "records")
+        assert (entry.availability_zone, entry.slots, entry.version) == ("z1", 7, "v1")
+        assert entry.draining
+        assert entry.cold_remaining_ms == 1500
+        assert entry.born_unix_ms == 1_700_000_000_000
+
+    def test_fields_may_lie_in_the_spec(self):
+        """Guards against an entry that is lost when its writer uses the other place."""
+        entry = decode_target(item("i-1", 4, spec=server_fields("10.1.2.3:80")), "i-1")
+        assert entry.address == "10.1.2.3:80"
+
+    @pytest.mark.parametrize(
+        "broken",
+        [
+            {"address": 5},
+            {"address": "nowhere"},
+            {"info": {"service": "records"}},
+            {"info": {"service": "records", "version": "v1", "zone": "z1", "slots": "7"}},
+            {"info": {"service": 1, "version": "v1", "zone": "z1", "slots": 7}},
+            {"status": {"state": "sleeping", "cold_left": "0ms"}},
+            {"status": {}},
+            {"status": {"state": "ready", "cold_left": 5}},
+            {"born": 1.5},
+            {"born": "yesterday"},
+        ],
+    )
+    def test_malformed_entry_names_no_target(self, broken):
+        """Guards against an entry of another writer that takes a service's requests."""
+        fields = server_fields("10.1.2.3:80") | broken
+        assert stored_object("targets/", item("i-1", 4, **fields)) is None
+
+    def test_object_without_meta_is_dropped(self):
+        """Guards against a listing that fails as a whole for one object."""
+        assert stored_object("targets/", {"spec": {}}) is None
+        assert stored_object("targets/", {"meta": {"name": "i", "revision": None}}) is None
+
+
+class TestOrders:
+    """Decode orders to move a service to a version."""
+
+    def order(self, **fields):
+        """Return the order of an object."""
+        spec = {"service": "records", "target_version": "v2", "duration": "12s"}
+        return decode_order(item("records", 8, spec=spec, **fields))
+
+    def test_new_order(self):
+        """Guards against an order that is taken for a finished one."""
+        order = self.order()
+        assert (order.target_version, order.duration_s) == ("v2", 12.0)
+        assert order.phase is RolloutPhase.ORDERED
+        assert order.created_revision == 3
+
+    def test_written_state_counts_for_its_own_version_only(self):
+        """Guards against the end of an earlier rollout that ends a new one."""
+        own = {"state": "complete", "target_version": "v2"}
+        assert self.order(status=own).phase is RolloutPhase.COMPLETE
+        earlier = {"state": "complete", "target_version": "v1"}
+        assert self.order(status=earlier).phase is RolloutPhase.ORDERED
+
+    def test_missing_fields_raise_what_callers_catch(self):
+        """Guards against an error that ends the process."""
+        with pytest.raises(MALFORMED):
+            decode_order(item("records", 8, spec={"service": "records"}))
+
+
+class TestKeys:
+    """Map the product's keys to kinds and names."""
+
+    def test_kinds(self):
+        """Guards against own objects that meet a kind of the platform."""
+        assert kind_of("targets/") == "servers"
+        assert split_key("vms/10.0.0.1") == ("wagtailbay-vms", "10.0.0.1")
+
+    def test_last_event_of_an_object_counts(self):
+        """Guards against a deleted object that stays, and one that was created again."""
+        events = [
+            {"object": item("a", 5, spec={}), "deleted": True},
+            {"object": item("b", 6, spec={}), "deleted": True},
+            {"object": item("b", 7, spec={}), "deleted": False},
+        ]
+        found = {o.key: o for o in changed_objects("evacuations/", events, 9)}
+        assert (found["evacuations/a"].value, found["evacuations/a"].version) == (None, 9)
+        assert (found["evacuations/b"].value, found["evacuations/b"].version) == ({}, 7)
