--- a/src/wagtailbay/rollout/judge.py
+++ b/src/wagtailbay/rollout/judge.py
@@ -11,7 +11,7 @@
 
 @define
 class RouteTally:
-    """Count one route's answers with fading weight; what came one window ago counts 1/e.
+    """Count one route's answers with fading weight; what came one window ago counts half.
 
     Attributes:
         total: Fading counts of answers of the old and the new version.
@@ -60,13 +60,14 @@
     Each route is judged alone and then all together, since some versions fail on one route only.
     """
     sums: dict[str, list[float]] = {}
+    together = [0.0, 0.0, 0.0, 0.0]
     for report in reports:
         for route, counts in report.items():
-            for name in (route, "all routes"):
-                known = sums.setdefault(name, [0.0, 0.0, 0.0, 0.0])
-                for place, count in enumerate(counts):
-                    known[place] += count
-    for route, (old, old_bad, new, new_bad) in sums.items():
+            known = sums.setdefault(route, [0.0, 0.0, 0.0, 0.0])
+            for place, count in enumerate(counts):
+                known[place] += count
+                together[place] += count
+    for route, (old, old_bad, new, new_bad) in (*sums.items(), ("all routes", together)):
         if new_bad < MIN_BAD:
             continue
         old_share = (old_bad + 0.5) / (old + 1.0) if old else 0.0
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -42,6 +42,7 @@
         checked: Whether nothing has run since the connection was found without unread bytes.
         poller: Looks for unread bytes; made at the first look.
         takes_unframed: Whether a response may lack a length and end with its connection.
+        framed: Whether the response in hand has a length.
         head: The request in flight.
         released_s: When it was last kept for another request, on trio's clock.
     """
@@ -57,6 +58,7 @@
     method: str = ""
     poller: Any = None
     takes_unframed: bool = False
+    framed: bool = True
     head: h11.Request | None = None
     released_s: float = 0.0
 
@@ -133,8 +135,8 @@
             message = "both Content-Length and Transfer-Encoding"
             return Err(self.error(FailureKind.PROTOCOL, message))
         bodiless = self.method == "HEAD" or head.status in (204, 304)
-        framed = bodiless or {"content-length", "transfer-encoding"} & set(names)
-        if not framed and not self.takes_unframed:
+        self.framed = bodiless or bool({"content-length", "transfer-encoding"} & set(names))
+        if not self.framed and not self.takes_unframed:
             # Its end could not be told from a broken connection.
             return Err(self.error(FailureKind.PROTOCOL, "a response without a length"))
         return Ok(head)
@@ -193,7 +195,7 @@
         """Prepare the connection for another request; False means that it must be closed."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
-        if self.protocol.trailing_data[0]:
+        if not self.framed or self.protocol.trailing_data[0]:
             return False
         self.protocol.start_next_cycle()
         self.request_sent = self.answered = False
--- /dev/null
+++ b/tests/transport/test_late_answers.py
@@ -0,0 +1,119 @@
+"""Test answers that belong to other requests, answers without a length, and accepting."""
+
+import trio
+from result import Err, Ok
+
+from wagtailbay.transport import Request, accept_connections, open_connection, open_listener
+from wagtailbay.transport.sockets import has_closed
+
+
+async def serve_bytes(nursery: trio.Nursery, answers: list[bytes], abort: bool = False) -> str:
+    """Answer every request on a connection with the next bytes; returns the address."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        for data in answers:
+            await stream.receive_some(65_536)
+            await stream.send_all(data)
+        if not abort:
+            await stream.aclose()
+            return
+        await trio.sleep(0.05)
+        linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+        stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+        stream.socket.close()
+
+    listener = open_listener(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+    nursery.start_soon(accept_connections, listener, serve, nursery)
+    return f"{host}:{port}"
+
+
+def answer(request_id: str, body: bytes) -> bytes:
+    """Encode an answer."""
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+async def read_body(connection) -> bytes | None:
+    """Return the whole body, None if it broke off."""
+    body = b""
+    while True:
+        match await connection.receive_chunk():
+            case Err(_):
+                return None
+            case Ok(None):
+                return body
+            case Ok(data):
+                body += data
+
+
+class TestForeignAnswers:
+    """Read over late second answers."""
+
+    async def test_own_answer_follows_a_foreign_one(self, nursery):
+        """Guards against an answer to another request that reaches a caller."""
+        address = await serve_bytes(nursery, [answer("old", b"no") + answer("own", b"yes")])
+        connection = (await open_connection(address, 1_000)).ok_value
+        head = (await connection.send(Request("GET", "/"))).ok_value
+        assert head.header("Request-Id") == "old"
+        head = (await connection.skip_response()).ok_value
+        assert head.header("Request-Id") == "own"
+        assert await read_body(connection) == b"yes"
+
+
+class TestUnframedAnswers:
+    """Take answers that end with their connection."""
+
+    async def test_clean_end_is_complete(self, nursery):
+        """Guards against a good answer that is thrown away."""
+        address = await serve_bytes(nursery, [b"HTTP/1.1 200 OK\r\n\r\nbody"])
+        connection = (await open_connection(address, 1_000)).ok_value
+        connection.takes_unframed = True
+        assert isinstance(await connection.send(Request("GET", "/")), Ok)
+        assert await read_body(connection) == b"body"
+        assert not connection.recycle()
+
+    async def test_reset_is_no_complete_answer(self, nursery):
+        """Guards against half an answer that looks whole."""
+        address = await serve_bytes(nursery, [b"HTTP/1.1 200 OK\r\n\r\nbody"], abort=True)
+        connection = (await open_connection(address, 1_000)).ok_value
+        connection.takes_unframed = True
+        assert isinstance(await connection.send(Request("GET", "/")), Ok)
+        assert await read_body(connection) is None
+
+
+class TestAccept:
+    """Accept connections."""
+
+    async def test_many_connections_are_accepted_at_one_turn(self, nursery):
+        """Guards against callers that wait in the queue of the listener of a busy VM."""
+        accepted = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            accepted.append(stream)
+
+        listener = open_listener(("127.0.0.1", 0))
+        streams = [await trio.open_tcp_stream(*listener.getsockname()) for _ in range(40)]
+        nursery.start_soon(accept_connections, listener, serve, nursery)
+        with trio.fail_after(5):
+            while len(accepted) < len(streams):
+                await trio.lowlevel.checkpoint()
+
+    async def test_closed_caller_is_noticed_without_reading(self, nursery):
+        """Guards against a request that is sent on although its caller has left."""
+        accepted = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            accepted.append(stream)
+
+        listener = open_listener(("127.0.0.1", 0))
+        nursery.start_soon(accept_connections, listener, serve, nursery)
+        caller = await trio.open_tcp_stream(*listener.getsockname())
+        with trio.fail_after(5):
+            while not accepted:
+                await trio.sleep(0.005)
+            assert not has_closed(accepted[0])
+            await caller.send_all(b"GET / HTTP/1.1\r\n")
+            await caller.aclose()
+            while not has_closed(accepted[0]):
+                await trio.sleep(0.005)
