--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -146,7 +146,7 @@
     ) -> None:
         self.metrics.refused(refusal.code)
         if request is not None:
-            self._log(request, trace, refusal.status, "refused", refusal.code)
+            self._log(request, trace, refusal.status, "refused", f"{refusal.code}: {refusal.message}")
         else:
             log_event(
                 "request_refused",
