Convert replicated values in one place, and shorten long functions

Cause: three slices had the same conversion to and from JSON values; two choices of a target and three functions had grown. Change: replica.to_value and from_value; Placer._has_room and _placement; the handler's limits, the exchange's objects and the builder's handler are functions of their own. Behaviour is the same. Measured: tests of the slices pass.

--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -82,16 +82,9 @@
         workspace = allowed.ok_value
         name = workspace.workspace if workspace else None
         fingerprint = request_fingerprint(name, request.method, request.path, request.body)
-        if self.forwarder.crashes.is_refused(fingerprint, now_s):
-            message = "earlier requests like this one crashed targets"
-            return Err(not_run(503, "crashes_targets", message, CRASHING_RETRY_AFTER_MS))
-        if workspace is not None:
-            admitted = self.quota.admit(workspace, now_s)
-            if isinstance(admitted, Err):
-                retry_after_ms = round(admitted.err_value)
-                return Err(
-                    not_run(429, "rate_exceeded", f"{name} is above its rate", retry_after_ms)
-                )
+        refusal = self._limit(workspace, fingerprint, now_s)
+        if refusal is not None:
+            return Err(refusal)
         wait_ms = route.timeout_ms
         if caller.deadline_ms is not None:
             wait_ms = min(wait_ms, caller.deadline_ms)
@@ -117,6 +110,17 @@
             return Err(self._deny(401, "key_unknown", "the key is not known", now_s))
         return Ok(found)
 
+    def _limit(self, workspace: Workspace | None, fingerprint: str, now_s: float) -> Refusal | None:
+        """Refuse what crashed targets, and what is above a workspace's rate."""
+        if self.forwarder.crashes.is_refused(fingerprint, now_s):
+            message = "earlier requests like this one crashed targets"
+            return not_run(503, "crashes_targets", message, CRASHING_RETRY_AFTER_MS)
+        admitted = Ok(None) if workspace is None else self.quota.admit(workspace, now_s)
+        if isinstance(admitted, Ok):
+            return None
+        message = f"{workspace.workspace} is above its rate"
+        return not_run(429, "rate_exceeded", message, round(admitted.err_value))
+
     def _deny(self, status: int, code: str, message: str, now_s: float) -> Refusal:
         """Return a denial; without fresh knowledge the caller is asked to come back instead."""
         age_ms = self.knowledge_age_ms(now_s)
@@ -146,7 +150,8 @@
     ) -> None:
         self.metrics.refused(refusal.code)
         if request is not None:
-            self._log(request, trace, refusal.status, "refused", f"{refusal.code}: {refusal.message}")
+            reason = f"{refusal.code}: {refusal.message}"
+            self._log(request, trace, refusal.status, "refused", reason)
         else:
             log_event(
                 "request_refused",
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -123,15 +123,7 @@
             return Err(f"{sender.vm} incarnation {sender.incarnation} is not the newest run")
         record = self._record_for(message)
         proved_s = asked_s if asked_s is not None else self._proof_s(record, message, now_s)
-        caught_up = record.replica_sent >= self.replica.position
-        self._apply_batch(message.batch)
-        if caught_up:
-            # What came from the peer itself need not be sent back.
-            record.replica_sent = self.replica.position
-        record.replica_digest = message.replica_digest
-        record.replica_heard = self.replica.position
-        if message.replica_from <= record.replica_received:
-            record.replica_received = max(record.replica_received, message.replica_through)
+        self._take_objects(record, message)
         record.revision = max(record.revision, message.replica_revision)
         record.store_reachable = message.store_reachable
         if message.facts.from_position <= record.facts_received:
@@ -153,6 +145,18 @@
             self._note_proof(message, proved_s)
         return Ok(None)
 
+    def _take_objects(self, record: PeerRecord, message: ExchangeMessage) -> None:
+        """Take in the objects of a message and note what the peer holds."""
+        caught_up = record.replica_sent >= self.replica.position
+        self._apply_batch(message.batch)
+        if caught_up:
+            # What came from the peer itself need not be sent back.
+            record.replica_sent = self.replica.position
+        record.replica_digest = message.replica_digest
+        record.replica_heard = self.replica.position
+        if message.replica_from <= record.replica_received:
+            record.replica_received = max(record.replica_received, message.replica_through)
+
     def _note_heard(self, heard_s: float | None, now_s: float) -> None:
         """Keep this VM from isolation while a peer that calls it receives its answers.
 
--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -143,6 +143,19 @@
             return slots * min(fill, SLOW_FILL)
         return slots * fill
 
+    def _has_room(
+        self, target: KnownTarget, fill: float, usual_ms: float | None, now_s: float
+    ) -> bool:
+        """Tell whether a target may take one more request."""
+        belief = self.load_of(target)
+        if belief.is_shedding(now_s):
+            return False
+        return belief.load(now_s) < self._capacity(target, fill, usual_ms, now_s)
+
+    def _placement(self, target: KnownTarget, reason: PlacementReason, now_s: float) -> Placement:
+        load = self.load_of(target).load(now_s)
+        return Placement(target, self._region_of(target), load, reason)
+
     def _max_fill(self, query: PlacementQuery, usual_ms: float | None) -> float:
         """Return how full a target may be for an answer in good time, through its slots."""
         if not usual_ms:
@@ -168,11 +181,8 @@
         fill = self._max_fill(query, usual_ms) if query.affinity is not None else other_fill
         reason = PlacementReason.PREFERRED
         for target in self._ordered(query, targets):
-            belief = self.load_of(target)
-            load = belief.load(now_s)
-            has_room = load < self._capacity(target, fill, usual_ms, now_s)
-            if has_room and not belief.is_shedding(now_s) and self._may_warm(target, now_s):
-                return Placement(target, self._region_of(target), load, reason)
+            if self._has_room(target, fill, usual_ms, now_s) and self._may_warm(target, now_s):
+                return self._placement(target, reason, now_s)
             if not target.is_cold(now_s):
                 reason, fill = PlacementReason.OTHER, other_fill
         return None
@@ -205,11 +215,8 @@
         """Return a target of another region that has room to spare."""
         fill = AWAY_FILL if has_home else self._max_fill(query, usual_ms)
         for target in self._ordered(query, targets):
-            belief = self.load_of(target)
-            load = belief.load(now_s)
-            has_room = load < self._capacity(target, fill, usual_ms, now_s)
-            if has_room and not belief.is_shedding(now_s) and not target.is_cold(now_s):
-                return Placement(target, self._region_of(target), load, PlacementReason.SPILLED)
+            if self._has_room(target, fill, usual_ms, now_s) and not target.is_cold(now_s):
+                return self._placement(target, PlacementReason.SPILLED, now_s)
         return None
 
     def _place_queued(
@@ -233,8 +240,7 @@
         target = min(warm, key=part_of)
         if part_of(target) >= 1.0:
             return None
-        load = self.load_of(target).load(now_s)
-        return Placement(target, self._region_of(target), load, PlacementReason.QUEUED)
+        return self._placement(target, PlacementReason.QUEUED, now_s)
 
     def retry_after_ms(self, usual_ms: float | None = None) -> float:
         """Return when a slot may be free, spread so that callers do not come back together."""
--- a/src/wagtailbay/platform/objects.py
+++ b/src/wagtailbay/platform/objects.py
@@ -5,9 +5,7 @@
 from wagtailbay.logs import log_event
 from wagtailbay.platform.const import CONFIG_NAME, KIND_OF_PREFIX, OWN_KIND_PREFIX
 from wagtailbay.platform.decode import MALFORMED, decode_order, decode_table, decode_target
-from wagtailbay.registry import unstructure_entry
-from wagtailbay.rollout import unstructure_order
-from wagtailbay.routing import unstructure_table
+from wagtailbay.replica import to_value
 from wagtailbay.store import StoredObject
 
 
@@ -41,11 +39,11 @@
         case "routing/":
             if name != CONFIG_NAME:
                 raise ValueError("not the configuration in force")
-            return unstructure_table(decode_table(item["spec"]))
+            return to_value(decode_table(item["spec"]))
         case "targets/":
-            return unstructure_entry(decode_target(item, name))
+            return to_value(decode_target(item, name))
         case "rollouts/":
-            return unstructure_order(decode_order(item))
+            return to_value(decode_order(item))
         case "evacuations/":
             return {}
     return item["spec"]
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -164,12 +164,33 @@
             settings.availability_zone,
         )
         fleet = self._build_fleet(identity, store, exporter)
-        placer = self._build_placer(fleet)
         rollouts = RolloutTraffic(self.source)
         pool = ConnectionPool(MAX_IDLE_CONNECTIONS)
+        handler = self._build_handler(fleet, rollouts, pool, exporter)
+        return GatewayNode(
+            settings=settings,
+            identity=identity,
+            exporter=exporter,
+            store=store,
+            fleet=fleet,
+            registrar=VmRegistrar(store, identity, boottime_s, self.source),
+            routing=self.routing,
+            registry=self.registry,
+            placer=handler.forwarder.placer,
+            rollouts=rollouts,
+            keeper=self._build_keeper(fleet, store, rollouts),
+            quota=handler.quota,
+            handler=handler,
+            pool=pool,
+            server=HttpServer(handler.handle),
+        )
+
+    def _build_handler(
+        self, fleet: Fleet, rollouts: RolloutTraffic, pool: ConnectionPool, exporter: Exporter
+    ) -> GatewayHandler:
         vocabulary = PlatformVocabulary()
         forwarder = GatewayForwarder(
-            placer,
+            self._build_placer(fleet),
             rollouts,
             pool,
             vocabulary,
@@ -177,34 +198,16 @@
             boottime_s,
             exporter.metrics,
         )
-        quota = self._build_quota(fleet)
-        handler = GatewayHandler(
+        return GatewayHandler(
             self.routing,
             vocabulary,
-            quota,
+            self._build_quota(fleet),
             forwarder,
             ServiceSplitter(self.source),
             fleet.freshness.age_ms,
             boottime_s,
             metrics=exporter.metrics,
         )
-        return GatewayNode(
-            settings=settings,
-            identity=identity,
-            exporter=exporter,
-            store=store,
-            fleet=fleet,
-            registrar=VmRegistrar(store, identity, boottime_s, self.source),
-            routing=self.routing,
-            registry=self.registry,
-            placer=placer,
-            rollouts=rollouts,
-            keeper=self._build_keeper(fleet, store, rollouts),
-            quota=quota,
-            handler=handler,
-            pool=pool,
-            server=HttpServer(handler.handle),
-        )
 
     def _build_fleet(self, identity: VmIdentity, store: PlatformStore, exporter: Exporter) -> Fleet:
         settings = self.settings
--- a/src/wagtailbay/registry/__init__.py
+++ b/src/wagtailbay/registry/__init__.py
@@ -1,7 +1,7 @@
 """Know the targets that may be used and what they said of themselves."""
 
 from wagtailbay.registry.const import EVACUATION_PREFIX, TARGET_PREFIX
-from wagtailbay.registry.models import TargetEntry, structure_entry, unstructure_entry
+from wagtailbay.registry.models import TargetEntry
 from wagtailbay.registry.registry import KnownTarget, TargetRegistry
 
 __all__ = [
@@ -10,6 +10,4 @@
     "KnownTarget",
     "TargetEntry",
     "TargetRegistry",
-    "structure_entry",
-    "unstructure_entry",
 ]
--- a/src/wagtailbay/registry/models.py
+++ b/src/wagtailbay/registry/models.py
@@ -1,13 +1,6 @@
 """Model the entry of a target."""
 
-from typing import Any
-
-from attrs import asdict, frozen
-from cattrs import Converter
-from cattrs.errors import BaseValidationError
-from result import Err, Ok, Result
-
-_CONVERTER = Converter()
+from attrs import frozen
 
 
 @frozen
@@ -31,16 +24,3 @@
     draining: bool
     cold_remaining_ms: float
     born_unix_ms: int = 0
-
-
-def unstructure_entry(entry: TargetEntry) -> dict[str, Any]:
-    """Return the JSON value of an entry."""
-    return asdict(entry)
-
-
-def structure_entry(value: Any) -> Result[TargetEntry, str]:
-    """Return the entry of a JSON value, or why it has none."""
-    try:
-        return Ok(_CONVERTER.structure(value, TargetEntry))
-    except (BaseValidationError, KeyError, TypeError, ValueError, AttributeError) as error:
-        return Err(f"{type(error).__name__}: {error}")
--- a/src/wagtailbay/registry/registry.py
+++ b/src/wagtailbay/registry/registry.py
@@ -13,7 +13,8 @@
     OUTAGE_MEMORY_S,
     TARGET_PREFIX,
 )
-from wagtailbay.registry.models import TargetEntry, structure_entry
+from wagtailbay.registry.models import TargetEntry
+from wagtailbay.replica import from_value
 from wagtailbay.store import StoredObject
 
 
@@ -84,7 +85,7 @@
                 known.removed_s = now_s
                 log_event("target_removed", target=name, revision=stored.version)
             return
-        structured = structure_entry(stored.value)
+        structured = from_value(stored.value, TargetEntry)
         if isinstance(structured, Err):
             log_event("target_entry_unusable", target=name, reason=structured.err_value)
             return
--- a/src/wagtailbay/replica/__init__.py
+++ b/src/wagtailbay/replica/__init__.py
@@ -4,6 +4,7 @@
 from wagtailbay.replica.follow import PrefixFollower
 from wagtailbay.replica.replica import Freshness, Replica
 from wagtailbay.replica.signal import ChangeSignal
+from wagtailbay.replica.values import from_value, to_value
 from wagtailbay.replica.watch import StoreReader
 
 __all__ = [
@@ -13,4 +14,6 @@
     "PrefixFollower",
     "Replica",
     "StoreReader",
+    "from_value",
+    "to_value",
 ]
--- a/src/wagtailbay/rollout/__init__.py
+++ b/src/wagtailbay/rollout/__init__.py
@@ -2,12 +2,7 @@
 
 from wagtailbay.rollout.const import ROLLOUT_PREFIX
 from wagtailbay.rollout.keeper import RolloutKeeper
-from wagtailbay.rollout.models import (
-    RolloutOrder,
-    RolloutPhase,
-    structure_order,
-    unstructure_order,
-)
+from wagtailbay.rollout.models import RolloutOrder, RolloutPhase
 from wagtailbay.rollout.traffic import RolloutTraffic
 
 __all__ = [
@@ -16,6 +11,4 @@
     "RolloutOrder",
     "RolloutPhase",
     "RolloutTraffic",
-    "structure_order",
-    "unstructure_order",
 ]
--- a/src/wagtailbay/rollout/models.py
+++ b/src/wagtailbay/rollout/models.py
@@ -1,18 +1,12 @@
 """Model orders to move a service to a version, and the evidence of VMs."""
 
 from enum import Enum
-from typing import Any
 
 from attrs import frozen
-from cattrs import Converter
-from cattrs.errors import BaseValidationError
-from result import Err, Ok, Result
 
 from wagtailbay.membership.codec import register_fact
 from wagtailbay.rollout.const import EVIDENCE_KIND, VERDICT_KIND
 
-_CONVERTER = Converter()
-
 
 class RolloutPhase(Enum):
     """Name the states of a rollout as operators read them."""
@@ -78,16 +72,3 @@
 
 register_fact(EVIDENCE_KIND, RolloutEvidence)
 register_fact(VERDICT_KIND, RolloutVerdict)
-
-
-def unstructure_order(order: RolloutOrder) -> Any:
-    """Return the JSON value of an order."""
-    return _CONVERTER.unstructure(order)
-
-
-def structure_order(value: Any) -> Result[RolloutOrder, str]:
-    """Return the order of a JSON value, or why it has none."""
-    try:
-        return Ok(_CONVERTER.structure(value, RolloutOrder))
-    except (BaseValidationError, KeyError, TypeError, ValueError, AttributeError) as error:
-        return Err(f"{type(error).__name__}: {error}")
--- a/src/wagtailbay/rollout/traffic.py
+++ b/src/wagtailbay/rollout/traffic.py
@@ -8,6 +8,7 @@
 
 from wagtailbay.logs import log_event
 from wagtailbay.placement import TargetSign, VersionFilter
+from wagtailbay.replica import from_value
 from wagtailbay.rollout.const import (
     CANARY_SHARE,
     RAMP_END_PART,
@@ -16,7 +17,7 @@
     START_AFTER_S,
 )
 from wagtailbay.rollout.judge import RouteTally
-from wagtailbay.rollout.models import RolloutOrder, RolloutPhase, structure_order
+from wagtailbay.rollout.models import RolloutOrder, RolloutPhase
 from wagtailbay.store import StoredObject
 
 BAD_SIGNS = (TargetSign.FAILED, TargetSign.TIMED_OUT, TargetSign.BROKEN)
@@ -83,7 +84,7 @@
             if stored.value is None:
                 self._end(service)
                 continue
-            structured = structure_order(stored.value)
+            structured = from_value(stored.value, RolloutOrder)
             if isinstance(structured, Err):
                 log_event("rollout_unusable", service=service, reason=structured.err_value)
                 continue
--- a/src/wagtailbay/routing/__init__.py
+++ b/src/wagtailbay/routing/__init__.py
@@ -1,6 +1,5 @@
 """Find the route and the workspace of a request in the configuration in force."""
 
-from wagtailbay.routing.codec import structure_table, unstructure_table
 from wagtailbay.routing.const import ROUTING_KEY, ROUTING_PREFIX
 from wagtailbay.routing.live import LiveRouting
 from wagtailbay.routing.models import (
@@ -24,6 +23,4 @@
     "ServiceRule",
     "ServiceSplitter",
     "Workspace",
-    "structure_table",
-    "unstructure_table",
 ]
--- a/src/wagtailbay/routing/live.py
+++ b/src/wagtailbay/routing/live.py
@@ -6,8 +6,7 @@
 from result import Err
 
 from wagtailbay.logs import log_event
-from wagtailbay.replica import ChangeSignal
-from wagtailbay.routing.codec import structure_table
+from wagtailbay.replica import ChangeSignal, from_value
 from wagtailbay.routing.const import ROUTING_KEY
 from wagtailbay.routing.models import RoutingTable
 from wagtailbay.store import StoredObject
@@ -32,7 +31,7 @@
         if stored is None or stored.value is None or stored.version <= self.taken_version:
             return
         self.taken_version = stored.version
-        structured = structure_table(stored.value)
+        structured = from_value(stored.value, RoutingTable)
         if isinstance(structured, Err):
             log_event("routing_unusable", revision=stored.version, reason=structured.err_value)
             return
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -7,8 +7,9 @@
 from wagtailbay.platform.decode import MALFORMED, decode_order, decode_table, decode_target
 from wagtailbay.platform.durations import format_duration_ms, parse_duration_ms
 from wagtailbay.platform.objects import changed_objects, kind_of, split_key, stored_object
+from wagtailbay.replica import from_value
 from wagtailbay.rollout import RolloutPhase
-from wagtailbay.routing import structure_table
+from wagtailbay.routing import RoutingTable
 
 
 def item(name: str, revision: int, **fields) -> dict:
@@ -56,7 +57,7 @@
     def test_stored_value_can_be_structured_by_another_vm(self):
         """Guards against a configuration that only the VM that read it understands."""
         stored = stored_object("routing/", item("main", 9, spec=config_spec()))
-        assert structure_table(stored.value) == Ok(decode_table(config_spec()))
+        assert from_value(stored.value, RoutingTable) == Ok(decode_table(config_spec()))
 
     @pytest.mark.parametrize(
         "broken",
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -2,7 +2,7 @@
 
 from support.gateway import entry, registry_of, stored
 
-from wagtailbay.registry import unstructure_entry
+from wagtailbay.replica import to_value
 
 
 def usable(registry, now_s: float) -> list[str]:
@@ -16,7 +16,7 @@
     def test_draining_target_gets_nothing_at_once(self):
         """Guards against new work for a target that leaves."""
         registry = registry_of(entry("a"), entry("b"))
-        changed = stored("targets/", "a", 9, unstructure_entry(entry("a", draining=True)))
+        changed = stored("targets/", "a", 9, to_value(entry("a", draining=True)))
         registry.take_in(changed, {}, 1.0)
         assert usable(registry, 1.0) == ["b"]
 
@@ -39,7 +39,7 @@
         registry = registry_of(entry("a"))
         registry.note_store_failure(10.0)
         registry.take_in(stored("targets/", "a", 9, None), {}, 11.0)
-        registry.take_in(stored("targets/", "a", 10, unstructure_entry(entry("a"))), {}, 12.0)
+        registry.take_in(stored("targets/", "a", 10, to_value(entry("a"))), {}, 12.0)
         assert usable(registry, 20.0) == ["a"]
 
     def test_unusable_entry_leaves_the_others(self):
@@ -64,6 +64,6 @@
         """Guards against beliefs about an earlier start."""
         registry = registry_of(entry("a", born_unix_ms=1))
         again = entry("a", born_unix_ms=2, cold_remaining_ms=3_000.0)
-        registry.take_in(stored("targets/", "a", 9, unstructure_entry(again)), {}, 1.0)
+        registry.take_in(stored("targets/", "a", 9, to_value(again)), {}, 1.0)
         assert registry.targets["a"].since_s == 1.0
         assert registry.targets["a"].is_cold(4.0)
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -8,13 +8,12 @@
 
 from wagtailbay.membership import FactTable
 from wagtailbay.placement import TargetSign
+from wagtailbay.replica import from_value, to_value
 from wagtailbay.rollout import (
     RolloutKeeper,
     RolloutOrder,
     RolloutPhase,
     RolloutTraffic,
-    structure_order,
-    unstructure_order,
 )
 from wagtailbay.rollout.judge import RouteTally, find_fault
 from wagtailbay.store import StoreUnavailable
@@ -25,7 +24,7 @@
 def traffic_of(order: RolloutOrder = ORDER, now_s: float = 0.0, seed: int = 1) -> RolloutTraffic:
     """Return the traffic of a VM that knows an order."""
     traffic = RolloutTraffic(random.Random(seed))
-    traffic.take_in(stored("rollouts/", "records", 1, unstructure_order(order)), now_s)
+    traffic.take_in(stored("rollouts/", "records", 1, to_value(order)), now_s)
     return traffic
 
 
@@ -207,14 +206,14 @@
 
     def test_codec_round_trip(self):
         """Guards against an order that other VMs do not understand."""
-        assert structure_order(unstructure_order(ORDER)) == Ok(ORDER)
-        assert isinstance(structure_order({"service": 1}), Err)
+        assert from_value(to_value(ORDER), RolloutOrder) == Ok(ORDER)
+        assert isinstance(from_value({"service": 1}, RolloutOrder), Err)
 
     def test_new_order_for_the_same_service_begins_anew(self):
         """Guards against the end of an earlier order that holds for the next one."""
         traffic = traffic_of(evolve(ORDER, phase=RolloutPhase.COMPLETE))
         later = evolve(ORDER, target_version="v3", created_revision=9)
-        traffic.take_in(stored("rollouts/", "records", 9, unstructure_order(later)), 5.0)
+        traffic.take_in(stored("rollouts/", "records", 9, to_value(later)), 5.0)
         assert traffic.progress["records"].share(5.2) == 0.0
         assert traffic.progress["records"].share(8.0) > 0
 
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -5,13 +5,13 @@
 from result import Err, Ok
 from support.gateway import route, stored, table
 
+from wagtailbay.replica import from_value, to_value
 from wagtailbay.routing import (
     LiveRouting,
     RoutePart,
+    RoutingTable,
     ServiceSplitter,
     Workspace,
-    structure_table,
-    unstructure_table,
 )
 
 
@@ -42,11 +42,11 @@
         """Guards against a field that is lost on the way to another VM."""
         workspaces = (Workspace("unam", frozenset({"k1", "k2"}), 1, 10.0, 5.0, frozenset({"n"})),)
         before = table(route(allowed_regions=frozenset({"n", "s"})), workspaces=workspaces)
-        assert structure_table(unstructure_table(before)) == Ok(before)
+        assert from_value(to_value(before), RoutingTable) == Ok(before)
 
     def test_unusable_value_is_an_error(self):
         """Guards against a VM that fails on another release's value."""
-        assert isinstance(structure_table({"version": "x"}), Err)
+        assert isinstance(from_value({"version": "x"}, RoutingTable), Err)
 
 
 class TestLiveRouting:
@@ -55,17 +55,17 @@
     def test_older_table_never_comes_back(self):
         """Guards against a configuration that reverts within one run of a VM."""
         live = LiveRouting()
-        live.take_in(stored("routing/", "main", 5, unstructure_table(table(version=7))))
-        live.take_in(stored("routing/", "main", 6, unstructure_table(table(version=6))))
+        live.take_in(stored("routing/", "main", 5, to_value(table(version=7))))
+        live.take_in(stored("routing/", "main", 6, to_value(table(version=6))))
         assert live.table.version == 7
 
     def test_unusable_table_leaves_the_former_in_force(self):
         """Guards against a lost configuration after bad input."""
         live = LiveRouting()
-        live.take_in(stored("routing/", "main", 5, unstructure_table(table(version=7))))
+        live.take_in(stored("routing/", "main", 5, to_value(table(version=7))))
         live.take_in(stored("routing/", "main", 6, {"version": 8}))
         assert live.table.version == 7
-        live.take_in(stored("routing/", "main", 7, unstructure_table(table(version=9))))
+        live.take_in(stored("routing/", "main", 7, to_value(table(version=9))))
         assert live.table.version == 9
 
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -5,7 +5,8 @@
 
 from attrs import define, field
 
-from wagtailbay.registry import TargetEntry, TargetRegistry, unstructure_entry
+from wagtailbay.registry import TargetEntry, TargetRegistry
+from wagtailbay.replica import to_value
 from wagtailbay.routing import CallerLimits, RoutePart, RouteRule, RoutingTable, ServiceRule
 from wagtailbay.store import StoredObject
 from wagtailbay.transport import HttpServer, Reply, Request
@@ -60,7 +61,7 @@
     registry = TargetRegistry()
     objects = {}
     for version, target in enumerate(entries, start=1):
-        objects |= stored("targets/", target.target, version, unstructure_entry(target))
+        objects |= stored("targets/", target.target, version, to_value(target))
     registry.take_in(objects, {}, now_s)
     return registry
 
