--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -24,7 +24,14 @@
 )
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
-from wagtailbay.placement import Placement, PlacementQuery, Placer, Shortage, TargetSign
+from wagtailbay.placement import (
+    Placement,
+    PlacementQuery,
+    Placer,
+    Shortage,
+    TargetSign,
+    VersionFilter,
+)
 from wagtailbay.quarantine import CrashTable, refuses_connections
 from wagtailbay.refusals import Refusal, not_run, outcome_unknown
 from wagtailbay.rollout import RolloutTraffic
@@ -101,7 +108,9 @@
             if not self._may_retry(request, trace, outcome):
                 return await self._give_up(request, sink, trace, None)
 
-    def _place(self, request: GatewayRequest, trace: RequestTrace, version) -> Result:
+    def _place(
+        self, request: GatewayRequest, trace: RequestTrace, version: VersionFilter | None
+    ) -> Result[Placement, Shortage]:
         query = PlacementQuery(
             service=request.service,
             affinity=_affinity(request),
@@ -126,6 +135,13 @@
             outcome = await attempt.run()
         finally:
             sign = outcome.sign if outcome else TargetSign.GIVEN_UP
+            if outcome is None:
+                log_event(
+                    "request_abandoned",
+                    request_id=request.caller.request_id,
+                    target=entry.target,
+                    waited_ms=round((self.clock() - request.received_s) * 1000),
+                )
             self._record(request, placement, sign, attempt, started_s)
         trace.note(placement, outcome)
         if outcome.ended_unanswered and self.background is not None:
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -1,6 +1,7 @@
 """Assemble the parts of one gateway VM."""
 
 import random
+from collections.abc import Mapping
 from math import inf
 
 import trio
@@ -35,7 +36,7 @@
     RolloutPhase,
     RolloutTraffic,
 )
-from wagtailbay.routing import ROUTING_PREFIX, LiveRouting, ServiceSplitter
+from wagtailbay.routing import ROUTING_PREFIX, LiveRouting, ServiceRule, ServiceSplitter
 from wagtailbay.store import CountedObjectStore, StoreError, StoreUnavailable
 from wagtailbay.transport import ConnectionPool, HttpServer
 
@@ -67,7 +68,6 @@
     handler: GatewayHandler
     pool: ConnectionPool
     server: HttpServer
-    changed: trio.Event = field(factory=trio.Event)
 
     async def run_tasks(self, nursery: trio.Nursery) -> None:
         """Start every task but the servers."""
@@ -95,7 +95,7 @@
             self.rollouts.take_in(replica.objects, now_s)
             await replica.changed.wait()
 
-    def services(self) -> dict:
+    def services(self) -> Mapping[str, ServiceRule]:
         """Return the rules of the services in force."""
         table = self.routing.table
         return table.services_by_name if table else {}
@@ -257,7 +257,7 @@
             zones = [settings.zones.get(m.identity.availability_zone) for m in members]
             return zones.count(settings.region)
 
-        def services() -> dict:
+        def services() -> Mapping[str, ServiceRule]:
             return self.routing.table.services_by_name if self.routing.table else {}
 
         return Placer(
