Let two VMs of each region watch the store

The store turned four VMs away at 2.5 s, the one watcher of each region among them; the others noticed at 5.4 s that their knowledge was stale, and a key withdrawn at 2.58 s worked until then. Change: two watchers a region, so that a third of the VMs cannot be all of them.

--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -43,9 +43,10 @@
 PROGRAM = "wagtailbay-gateway"
 PREFIXES = (ROUTING_PREFIX, TARGET_PREFIX, ROLLOUT_PREFIX, EVACUATION_PREFIX)
 HOUSEKEEPING_S = 1.0
-# Each call of the platform's store is priced. A region whose one watcher fails learns from those
-# of the others, since every VM exchanges messages with VMs of all regions.
-WATCHERS_PER_REGION = 1
+# Each call of the platform's store is priced, but the store may turn a third of the VMs away and
+# serve the others. With one watcher a region these could be all of them, and a change was then in
+# force only after 2.9 s, when the others found their knowledge stale.
+WATCHERS_PER_REGION = 2
 MAX_IDLE_CONNECTIONS = 32
 
 
