--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import trio
-from attrs import define, field
+from attrs import define
 from result import Err, Ok
 
 from wagtailbay.gateway.const import (
@@ -54,7 +54,6 @@
     sink: AnswerSink
     last: bool
     load: LoadReport | None = None
-    sent: bool = field(default=False, init=False)
 
     async def run(self) -> TryOutcome:
         """Carry out the try; the connection is kept only after a whole exchange."""
@@ -74,7 +73,6 @@
                 return await self._exchange(connection)
             return self._timed_out()
         finally:
-            self.sent = connection.request_sent
             await self.pool.release(connection)
 
     def _timed_out(self) -> TryOutcome:
