Judge the lateness of a VM by its last measurement only

Change: the last measurement counts. The tests set the lateness themselves, have a case for it, and give their requests more time, so that they do not depend on the machine.

--- a/src/wagtailbay/gateway/lag.py
+++ b/src/wagtailbay/gateway/lag.py
@@ -3,9 +3,8 @@
 import trio
 from attrs import define
 
-# How often the lag is measured, and what remains of an earlier one at each measurement.
+# How often the lag is measured.
 TICK_S = 0.05
-KEPT_PART = 0.7
 # Timers that fire this late are usual.
 USUAL_LAG_S = 0.02
 
@@ -15,7 +14,7 @@
     """Hold the time that a request waits before this process reads it.
 
     Attributes:
-        lag_s: How late the loop came to its work lately.
+        lag_s: How late the loop came to its work at the last measurement.
     """
 
     lag_s: float = 0.0
@@ -28,8 +27,8 @@
             self.note(trio.current_time() - due_s)
 
     def note(self, late_s: float) -> None:
-        """Take in one measurement."""
-        self.lag_s = max(late_s, self.lag_s * KEPT_PART)
+        """Take in one measurement; an earlier one says nothing of requests that are read now."""
+        self.lag_s = max(0.0, late_s)
 
     def waited_s(self) -> float:
         """Return how long a request that is read now has probably waited."""
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -9,12 +9,13 @@
 from result import Ok
 from support.gateway import PlatformTarget, config_spec, server_fields
 
+from wagtailbay.gateway.lag import LoopLag
 from wagtailbay.programs.gateway_node import GatewayBuilder, GatewayNode, build_fronts
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.transport import ConnectionPool, HttpServer, Request, Response
 from wagtailbay_standins.objects import ObjectApi
 
-WAIT_S = 10
+WAIT_S = 60
 
 
 def free_address() -> str:
@@ -56,10 +57,14 @@
             self.api.put_fields("servers", name, server_fields(f"{host}:{port}"))
         routes = config_spec()["routes"]
         routes[0] |= {"weighted_services": [], "service": "records", "home_regions": []}
+        for route in routes:
+            route["timeout"] = "20s"
         self.api.put_spec("config", "main", config_spec(routes=routes, **config))
         builder = GatewayBuilder(settings_for(store_address, free_address()), random.Random(3))
         self.node = node = builder.build()
         await node.run_tasks(nursery)
+        # The machine that runs the tests may be slow; what a late VM does has a test of its own.
+        node.handler.lag = LoopLag()
         await nursery.start(node.fleet.run, node.settings.peer_address)
         host, port = await nursery.start(node.server.serve, ("127.0.0.1", 0))
         self.address = f"{host}:{port}"
@@ -72,12 +77,12 @@
         """Send a request of workspace unam."""
         fields = {
             "Request-Id": "id-1",
-            "Deadline-Ms": "1000",
+            "Deadline-Ms": "20000",
             "Cookie": "Affinity-Key=17",
             "Authorization": "Token key-1",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         request = Request(method, path, tuple(fields.items()), host="h.example")
-        answer = await self.pool.fetch(self.address, request, 3_000)
+        answer = await self.pool.fetch(self.address, request, 30_000)
         assert isinstance(answer, Ok)
         return answer.ok_value
 
@@ -114,7 +119,7 @@
         assert [v for n, v in request.headers if n.lower() == "tenant"] == ["unam"]
         assert request.header("X-Extra") == "kept"
         assert request.header("Expect-Instance") in scene.targets
-        assert 0 < int(request.header("Deadline-Ms")) <= 1000
+        assert 0 < int(request.header("Deadline-Ms")) <= 20_000
 
     async def test_unknown_key_and_route_are_denied(self, scene):
         """Guards against a request that runs without a key, or on no route."""
@@ -175,6 +180,19 @@
         assert all(float(header(a, "Retry-After")) > 0 for a in refused)
 
 
+class TestLateVm:
+    """Refuse what a VM reads too late."""
+
+    async def test_late_vm_refuses_at_once_until_it_is_in_time(self, scene):
+        """Guards against requests that wait for an answer that cannot come in good time."""
+        scene.node.handler.lag.note(0.5)
+        answer = await scene.ask()
+        assert answer.status == 503
+        assert json.loads(answer.body)["error"]["code"] == "vm_overloaded"
+        scene.node.handler.lag.note(0.0)
+        assert (await scene.ask()).status == 200
+
+
 class TestFronts:
     """Answer look-ups and readiness."""
 
@@ -183,10 +201,10 @@
         lookup, ready = build_fronts(scene.node)
         host, port = await nursery.start(HttpServer(lookup.handle).serve, ("127.0.0.1", 0))
         request = Request("GET", "/resolve?name=h.example&region=north&zone=z1")
-        answer = (await scene.pool.fetch(f"{host}:{port}", request, 1_000)).ok_value
+        answer = (await scene.pool.fetch(f"{host}:{port}", request, 30_000)).ok_value
         assert json.loads(answer.body) == {"addresses": ["127.0.0.1:0"], "ttl": "2000ms"}
         host, port = await nursery.start(HttpServer(ready.handle).serve, ("127.0.0.1", 0))
         asked = Request("GET", "/ready")
-        assert (await scene.pool.fetch(f"{host}:{port}", asked, 1_000)).ok_value.status == 200
+        assert (await scene.pool.fetch(f"{host}:{port}", asked, 30_000)).ok_value.status == 200
         await scene.node.fleet.announce_leaving()
-        assert (await scene.pool.fetch(f"{host}:{port}", asked, 1_000)).ok_value.status == 503
+        assert (await scene.pool.fetch(f"{host}:{port}", asked, 30_000)).ok_value.status == 503
--- a/tests/logs/test_line_queue.py
+++ b/tests/logs/test_line_queue.py
@@ -18,7 +18,7 @@
         nursery.start_soon(queue.run)
         for number in range(50):
             queue.add(f"line {number}")
-        with trio.fail_after(5):
+        with trio.fail_after(30):
             while not written:
                 await trio.sleep(0.01)
         assert written[0].decode().splitlines() == [f"line {number}" for number in range(50)]
--- a/tests/replica/test_follow.py
+++ b/tests/replica/test_follow.py
@@ -72,7 +72,7 @@
 
     async def until(self, condition) -> None:
         """Wait until something holds."""
-        with trio.fail_after(5):
+        with trio.fail_after(30):
             while not condition():
                 await trio.sleep(0.005)
 
--- a/tests/transport/test_late_answers.py
+++ b/tests/transport/test_late_answers.py
@@ -53,7 +53,7 @@
     async def test_own_answer_follows_a_foreign_one(self, nursery):
         """Guards against an answer to another request that reaches a caller."""
         address = await serve_bytes(nursery, [answer("old", b"no") + answer("own", b"yes")])
-        connection = (await open_connection(address, 1_000)).ok_value
+        connection = (await open_connection(address, 30_000)).ok_value
         head = (await connection.send(Request("GET", "/"))).ok_value
         assert head.header("Request-Id") == "old"
         head = (await connection.skip_response()).ok_value
@@ -67,7 +67,7 @@
     async def test_clean_end_is_complete(self, nursery):
         """Guards against a good answer that is thrown away."""
         address = await serve_bytes(nursery, [b"HTTP/1.1 200 OK\r\n\r\nbody"])
-        connection = (await open_connection(address, 1_000)).ok_value
+        connection = (await open_connection(address, 30_000)).ok_value
         connection.takes_unframed = True
         assert isinstance(await connection.send(Request("GET", "/")), Ok)
         assert await read_body(connection) == b"body"
@@ -76,7 +76,7 @@
     async def test_reset_is_no_complete_answer(self, nursery):
         """Guards against half an answer that looks whole."""
         address = await serve_bytes(nursery, [b"HTTP/1.1 200 OK\r\n\r\nbody"], abort=True)
-        connection = (await open_connection(address, 1_000)).ok_value
+        connection = (await open_connection(address, 30_000)).ok_value
         connection.takes_unframed = True
         assert isinstance(await connection.send(Request("GET", "/")), Ok)
         assert await read_body(connection) is None
@@ -95,7 +95,7 @@
         listener = open_listener(("127.0.0.1", 0))
         streams = [await trio.open_tcp_stream(*listener.getsockname()) for _ in range(40)]
         nursery.start_soon(accept_connections, listener, serve, nursery)
-        with trio.fail_after(5):
+        with trio.fail_after(30):
             while len(accepted) < len(streams):
                 await trio.lowlevel.checkpoint()
 
@@ -109,7 +109,7 @@
         listener = open_listener(("127.0.0.1", 0))
         nursery.start_soon(accept_connections, listener, serve, nursery)
         caller = await trio.open_tcp_stream(*listener.getsockname())
-        with trio.fail_after(5):
+        with trio.fail_after(30):
             while not accepted:
                 await trio.sleep(0.005)
             assert not has_closed(accepted[0])
