Serve requests that come while the end of a VM is told

After SIGTERM a VM waited until nothing was open, told its peers that it had left, and ended. A connection accepted at the last moment brought its request in between, which was cut while its target was at work. Change: the VM waits for open requests once more. Measured: the new test fails without the change and passes with it.

--- a/src/wagtailbay/programs/gateway.py
+++ b/src/wagtailbay/programs/gateway.py
@@ -17,6 +17,7 @@
 
 # New connections are taken for this long after the VM has left the look-up answers.
 ACCEPT_MARGIN_S = 0.8
+FINISH_CHECK_S = 0.02
 # The process ends this long before it would be killed.
 END_MARGIN_S = 0.3
 
@@ -73,13 +74,20 @@
     accepting.cancel()
     end_s = started_s + node.settings.grace_ms / 1000 - END_MARGIN_S
     with trio.move_on_at(end_s):
-        while node.server.open_requests:
-            await trio.sleep(0.02)
-        node.server.close_idle()
+        await finish_requests(node)
         await node.fleet.announce_left()
+        # A connection that was accepted last may have brought its request meanwhile.
+        await finish_requests(node)
     log_event("stopped", open_requests=node.server.open_requests)
 
 
+async def finish_requests(node: GatewayNode) -> None:
+    """Wait until no request is served, and close the connections that wait for one."""
+    while node.server.open_requests:
+        await trio.sleep(FINISH_CHECK_S)
+    node.server.close_idle()
+
+
 def main() -> None:
     """Run the program."""
     # gRPC would write its own lines, which have another form, between this program's.
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -10,6 +10,8 @@
 from support.gateway import PlatformTarget, config_spec, server_fields
 
 from wagtailbay.gateway.lag import LoopLag
+from wagtailbay.programs.fleet import Fleet
+from wagtailbay.programs.gateway import stop_gracefully
 from wagtailbay.programs.gateway_node import GatewayBuilder, GatewayNode, build_fronts
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.transport import ConnectionPool, HttpServer, Request, Response
@@ -193,6 +195,40 @@
         assert (await scene.ask()).status == 200
 
 
+class TestPlannedStop:
+    """End without cutting a request."""
+
+    async def test_request_that_comes_while_the_end_is_told_is_answered(
+        self, scene, nursery, monkeypatch
+    ):
+        """Guards against a request of the last connection that is cut by the end (LOST)."""
+        answers, asked = [], trio.Event()
+        for target in scene.targets.values():
+            target.delay_s = 0.3
+
+        async def ask() -> None:
+            answers.append(await scene.ask())
+
+        async def announce_left(fleet) -> None:
+            nursery.start_soon(ask)
+            while not scene.ran():
+                await trio.sleep(0.01)
+            asked.set()
+
+        async def announce_leaving(fleet) -> None:
+            pass
+
+        monkeypatch.setattr(Fleet, "announce_left", announce_left)
+        monkeypatch.setattr(Fleet, "announce_leaving", announce_leaving)
+        await stop_gracefully(scene.node, trio.CancelScope())
+        assert asked.is_set()
+        assert scene.node.server.open_requests == 0
+        with trio.fail_after(WAIT_S):
+            while not answers:
+                await trio.sleep(0.01)
+        assert answers[0].status == 200
+
+
 class TestFronts:
     """Answer look-ups and readiness."""
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+import trio
 from attrs import define, field
 
 from wagtailbay.registry import TargetEntry, TargetRegistry
@@ -146,12 +147,13 @@
     name: str
     status: int = 200
     not_run: bool = False
-    foreign_first: bool = False
+    delay_s: float = 0.0
     requests: list[Request] = field(factory=list)
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
         self.requests.append(request)
+        await trio.sleep(self.delay_s)
         headers = (
             ("Request-Id", request.header("Request-Id") or ""),
             ("Response-Seal", f"seal-{self.name}"),
