--- a/src/wagtailbay/membership/registration.py
+++ b/src/wagtailbay/membership/registration.py
@@ -1,7 +1,6 @@
 """Register this VM in the store, so that VMs without a common acquaintance find each other."""
 
 import random
-from collections.abc import Callable
 
 import trio
 from attrs import define
@@ -19,7 +18,6 @@
 
     store: ObjectStore
     identity: VmIdentity
-    clock: Callable[[], float]
     random: random.Random
 
     async def run(self) -> None:
--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -203,7 +203,7 @@
 def _decoded(body: bytes) -> Result[dict[str, Any], StoreUnavailable]:
     try:
         value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+    except MALFORMED as error:
         return Err(StoreUnavailable(f"malformed answer: {error}"))
     return (
         Ok(value) if isinstance(value, dict) else Err(StoreUnavailable("the answer is no object"))
@@ -214,5 +214,5 @@
     """Return the revision that an answer to a write names, None if it names none."""
     try:
         return int(json.loads(body)["meta"]["revision"])
-    except (*MALFORMED, RecursionError):
+    except MALFORMED:
         return None
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -174,7 +174,7 @@
             exporter=exporter,
             store=store,
             fleet=fleet,
-            registrar=VmRegistrar(store, identity, boottime_s, self.source),
+            registrar=VmRegistrar(store, identity, self.source),
             routing=self.routing,
             registry=self.registry,
             placer=handler.forwarder.placer,
