Refuse connections on a link as soon as its cut is confirmed

The change now returns once the link has stopped listening, and a listener opened meanwhile is closed at once.

--- a/src/wagtailbay_standins/link.py
+++ b/src/wagtailbay_standins/link.py
@@ -45,18 +45,27 @@
     state: LinkState = field(factory=LinkState)
     changed: ChangeSignal = field(factory=ChangeSignal)
     accepting: trio.CancelScope = field(factory=trio.CancelScope)
+    listening: bool = False
 
     async def run(self, *, task_status: trio.TaskStatus) -> None:
         """Listen whenever the link is not cut and its far end takes connections."""
         host, port = split_address(self.listen_address)
         async with trio.open_nursery() as nursery:
             while True:
+                self.listening = True
+                self.changed.notify()
                 listeners = await trio.open_tcp_listeners(port, host=host)
                 task_status.started()
                 task_status = trio.TASK_STATUS_IGNORED
                 with trio.CancelScope() as self.accepting:
+                    if self.state.cut:
+                        # The link was cut while the listeners were opened.
+                        self.accepting.cancel()
                     await trio.serve_listeners(self.serve, listeners, handler_nursery=nursery)
-                while self.state.cut or not await self._far_end_listens():
+                self.listening = False
+                self.changed.notify()
+                # The link may be cut while the far end is asked.
+                while self.state.cut or not await self._far_end_listens() or self.state.cut:
                     with trio.move_on_after(FAR_END_CHECK_S):
                         await self.changed.wait()
 
@@ -68,12 +77,14 @@
         await trio.aclose_forcefully(far)
         return True
 
-    def change(self, **values: object) -> None:
-        """Change the state of the link."""
+    async def change(self, **values: object) -> None:
+        """Change the state of the link; a cut one refuses connections when this returns."""
         self.state = evolve(self.state, **values)
         if self.state.cut:
             self.accepting.cancel()
         self.changed.notify()
+        while self.state.cut and self.listening:
+            await self.changed.wait()
 
     async def serve(self, near: trio.SocketStream) -> None:
         """Carry one connection until either end closes it or the link is cut."""
@@ -139,7 +150,7 @@
             await reply.send_json(404, {"error": "no such link"})
             return
         for name, values in changes.items():
-            links[name].change(**values)
+            await links[name].change(**values)
         await reply.send_json(200, {"changed": len(changes)})
 
     async with trio.open_nursery() as nursery:
--- a/tests/bench/test_network.py
+++ b/tests/bench/test_network.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 
 from wagtailbay.settings.checks import split_address
@@ -17,6 +18,7 @@
 )
 from wagtailbay_bench.network import Disturbance, Network
 from wagtailbay_bench.processes import ProcessGroup, free_address
+from wagtailbay_standins.link import Link
 
 WAY = ("vm-1", "target")
 REQUEST = Request("GET", "/")
@@ -81,6 +83,27 @@
             assert network.is_open(WAY)
 
 
+class TestCut:
+    """A link that was told to be cut refuses at once."""
+
+    async def test_connections_are_refused_when_the_change_returns(self) -> None:
+        """Guards against a cut whose first connections are accepted and then closed."""
+        link = Link(free_address("127.0.0.6"), free_address("127.0.0.6"))
+        with socket.create_server(split_address(link.to_address)):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(link.run)
+                for _ in range(20):
+                    await link.change(cut=True)
+                    # Blocks this thread, so that the link cannot run in the meantime.
+                    with pytest.raises(ConnectionRefusedError):
+                        socket.create_connection(split_address(link.listen_address), timeout=1)
+                    await link.change(cut=False)
+                    with trio.fail_after(2):
+                        while not link.listening:
+                            await link.changed.wait()
+                nursery.cancel_scope.cancel()
+
+
 class TestDelay:
     """A way between regions takes 35 ms in each direction."""
 
