Give the retry budget a slice of its own and divide it among the VMs

The fleet's capacity of 60 is now divided among the live VMs, at least one each. TryOutcome.load repeated TargetTry.load and had no reader.

--- a/src/wagtailbay/entry/forward.py
+++ b/src/wagtailbay/entry/forward.py
@@ -7,14 +7,19 @@
 from result import Err, Ok, Result
 
 from wagtailbay.entry.attempt import Attempt
-from wagtailbay.entry.const import MAX_ATTEMPTS
+from wagtailbay.entry.const import (
+    MAX_ATTEMPTS,
+    RETRY_CAPACITY,
+    RETRY_RATIO,
+    RETRY_START_TOKENS,
+)
 from wagtailbay.entry.models import ForwardResult, RequestContext, Try
-from wagtailbay.entry.retry import RetryBudget
 from wagtailbay.entry.routing import split_target
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
 from wagtailbay.quarantine import CrashTable, SuspectLane, refuses_connections
 from wagtailbay.refusals import Refusal, RunState, not_run
+from wagtailbay.retries import RetryBudget
 from wagtailbay.shift import VersionPicker
 from wagtailbay.steer import Assignment, AttemptOutcome, AttemptReport, Chooser, TargetQuery
 from wagtailbay.transport import AnswerSink, CallerGoneError, ConnectionPool
@@ -57,7 +62,9 @@
     crashes: CrashTable
     clock: Callable[[], float]
     vm: str
-    retries: RetryBudget = field(factory=RetryBudget)
+    retries: RetryBudget = field(
+        factory=lambda: RetryBudget(RETRY_RATIO, lambda: RETRY_CAPACITY, RETRY_START_TOKENS)
+    )
     lane: SuspectLane = field(factory=SuspectLane)
     has_ended: Callable[[str], Awaitable[bool]] = refuses_connections
     metrics: Metrics = field(factory=Metrics)
--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -119,7 +119,7 @@
                 case Ok(data):
                     body += data
         if said.not_run:
-            return TryOutcome(TargetSign.SHED, None, may_have_run=False, load=said.load)
+            return TryOutcome(TargetSign.SHED, None, may_have_run=False)
         headers = end_to_end_headers(head.headers)
         if complete:
             return await self._deliver(HeldAnswer(head.status, headers, bytes(body)))
@@ -128,9 +128,9 @@
     async def _deliver(self, answer: HeldAnswer) -> TryOutcome:
         sign = TargetSign.FAILED if answer.status >= 500 else TargetSign.ANSWERED
         if sign is TargetSign.FAILED and not self.last and self.request.route.idempotent:
-            return TryOutcome(sign, None, may_have_run=True, load=self.load, held=answer)
+            return TryOutcome(sign, None, may_have_run=True, held=answer)
         await send_held(self.sink, answer)
-        return TryOutcome(sign, Answered(answer.status), may_have_run=True, load=self.load)
+        return TryOutcome(sign, Answered(answer.status), may_have_run=True)
 
     async def _stream(
         self, connection: ClientConnection, status: int, headers: Headers, first: bytes
@@ -145,7 +145,7 @@
                 case Ok(None):
                     await self.sink.finish()
                     sign = TargetSign.FAILED if status >= 500 else TargetSign.ANSWERED
-                    return TryOutcome(sign, Answered(status), True, self.load)
+                    return TryOutcome(sign, Answered(status), may_have_run=True)
                 case Ok(data):
                     await self.sink.send(data)
 
--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -28,8 +28,11 @@
 # The fleet's retries may reach a fifth of its requests; the rest of that is left for the callers
 # that another VM sees.
 RETRY_RATIO: Final = 0.15
-RETRY_CAPACITY: Final = 8.0
-RETRY_START_TOKENS: Final = 3.0
+# Retries that all VMs together may save up, from the users' bound of 60 beyond the fifth; each VM
+# can make at least one.
+FLEET_RETRY_CAPACITY: Final = 60.0
+MIN_RETRY_CAPACITY: Final = 1.0
+RETRY_START_TOKENS: Final = 1.0
 # A VM that reads requests so late that this part of their latency goal is over refuses them: it
 # cannot answer in good time, and the rest of its work would be as late.
 OVERLOAD_GOAL_PART: Final = 0.5
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -6,11 +6,11 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
-from wagtailbay.entry.retry import RetryBudget
 from wagtailbay.gateway.attempt import TargetTry, send_held
 from wagtailbay.gateway.const import (
+    FLEET_RETRY_CAPACITY,
+    MIN_RETRY_CAPACITY,
     MIN_RETRY_LEFT_MS,
-    RETRY_CAPACITY,
     RETRY_RATIO,
     RETRY_START_TOKENS,
 )
@@ -34,6 +34,7 @@
 )
 from wagtailbay.quarantine import CrashTable, refuses_connections
 from wagtailbay.refusals import Refusal, not_run, outcome_unknown
+from wagtailbay.retries import RetryBudget
 from wagtailbay.rollout import RolloutTraffic
 from wagtailbay.transport import AnswerSink, CallerGoneError, ConnectionPool
 
@@ -71,6 +72,7 @@
     """Try targets for a request, within its time, its route and the retry budget.
 
     Attributes:
+        live_vms: Returns how many VMs make retries.
         has_ended: Tells whether the target at an address has ended.
         background: Runs what the caller need not wait for; None leaves it out.
     """
@@ -82,12 +84,18 @@
     crashes: CrashTable
     clock: Callable[[], float]
     metrics: Metrics = field(factory=Metrics)
-    retries: RetryBudget = field(
-        factory=lambda: RetryBudget(RETRY_RATIO, RETRY_CAPACITY, RETRY_START_TOKENS)
-    )
+    live_vms: Callable[[], int] = lambda: 1
+    retries: RetryBudget = field(init=False)
     has_ended: Callable[[str], Awaitable[bool]] = refuses_connections
     background: trio.Nursery | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Give this VM its part of the retries that the fleet may save up."""
+        self.retries = RetryBudget(RETRY_RATIO, self._retry_capacity, RETRY_START_TOKENS)
+
+    def _retry_capacity(self) -> float:
+        return max(MIN_RETRY_CAPACITY, FLEET_RETRY_CAPACITY / max(1, self.live_vms()))
+
     async def forward(
         self, request: GatewayRequest, sink: AnswerSink, trace: RequestTrace
     ) -> ForwardResult:
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -124,7 +124,6 @@
     sign: TargetSign
     answered: Answered | AnswerBroken | None
     may_have_run: bool
-    load: LoadReport | None = None
     ended_unanswered: bool = False
     held: "HeldAnswer | None" = None
 
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -198,6 +198,7 @@
             CrashTable(fleet.facts),
             boottime_s,
             exporter.metrics,
+            live_vms=lambda: len(live_members(fleet.roster, boottime_s())),
         )
         return GatewayHandler(
             self.routing,
--- a/src/wagtailbay/retries/budget.py
+++ b/src/wagtailbay/retries/budget.py
@@ -1,8 +1,8 @@
-"""Bound the share of retries in all tries."""
+"""Earn retries with first tries."""
 
-from attrs import define
+from collections.abc import Callable
 
-from wagtailbay.entry.const import RETRY_CAPACITY, RETRY_RATIO, RETRY_START_TOKENS
+from attrs import define
 
 
 @define
@@ -10,20 +10,23 @@
     """Earn a part of a retry with each first try.
 
     Each VM's retries stay within the ratio of its own first tries, so those of the fleet do too,
-    apart from the few start tokens of each VM.
+    apart from what each VM has saved up.
 
     Attributes:
+        ratio: Retries for each first try.
+        capacity: Returns the most retries that are saved up.
+        tokens: Retries that may be made now.
         enabled: For tests only; False allows every retry.
     """
 
-    ratio: float = RETRY_RATIO
-    capacity: float = RETRY_CAPACITY
-    tokens: float = RETRY_START_TOKENS
+    ratio: float
+    capacity: Callable[[], float]
+    tokens: float
     enabled: bool = True
 
     def earn(self) -> None:
         """Count a first try."""
-        self.tokens = min(self.capacity, self.tokens + self.ratio)
+        self.tokens = min(self.capacity(), self.tokens + self.ratio)
 
     def take(self) -> bool:
         """Take the token of one retry; False if there is none."""
--- a/src/wagtailbay_bench/rig.py
+++ b/src/wagtailbay_bench/rig.py
@@ -13,7 +13,6 @@
 from wagtailbay.entry import RequestHandler
 from wagtailbay.entry.deposit import DepositForwarder
 from wagtailbay.entry.forward import Forwarder
-from wagtailbay.entry.retry import RetryBudget
 from wagtailbay.limits import WorkspaceLimiter
 from wagtailbay.membership import FactTable, Roster, VmIdentity, VmState
 from wagtailbay.quarantine import CrashTable
@@ -127,7 +126,7 @@
         facts = FactTable(vm, 1)
         chooser, pool = RecordingChooser(), ConnectionPool()
         forwarder = Forwarder(chooser, AnyVersionPicker(), pool, CrashTable(facts), clock, vm)
-        forwarder.retries = RetryBudget(tokens=20.0)
+        forwarder.retries.tokens = 20.0
         deposits = DepositForwarder(make_gate(self.store, vm), forwarder)
         self.nursery.start_soon(deposits.gate.writer.run)
         key = StoredObject(f"keys/{hash_key(KEY)}", 1, {"workspace": "unam"})
--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -6,9 +6,10 @@
 import pytest
 import trio
 
-from wagtailbay.entry.retry import RetryBudget
+from wagtailbay.entry.const import RETRY_CAPACITY, RETRY_RATIO
 from wagtailbay.membership import VmState
 from wagtailbay.once.const import MAX_RECORDED_BODY_BYTES
+from wagtailbay.retries import RetryBudget
 from wagtailbay.steer import AttemptOutcome
 from wagtailbay_bench.rig import KEY, Rig, get, post
 from wagtailbay_standins.target import Behaviour
@@ -124,7 +125,7 @@
             for number in range(3):
                 await add(rig, "breaks", f"t{number}")
             vm = await rig.add_vm()
-            vm.forwarder.retries = RetryBudget(enabled=enabled)
+            vm.forwarder.retries = RetryBudget(RETRY_RATIO, lambda: RETRY_CAPACITY, 2.0, enabled)
             vm.forwarder.has_ended = ended_never
             for number in range(60):
                 await vm.session(get(f"/records/{number}"))
--- /dev/null
+++ b/tests/retries/test_budget.py
@@ -0,0 +1,29 @@
+"""Test that retries stay a part of first tries."""
+
+from wagtailbay.retries import RetryBudget
+
+
+class TestRetryBudget:
+    """Retries are earned by first tries and saved up to a capacity."""
+
+    def test_retries_follow_first_tries(self) -> None:
+        """Guards against retries that multiply the load when every try fails."""
+        budget = RetryBudget(0.15, lambda: 5.0, 1.0)
+        retries = 0
+        for _ in range(1_000):
+            budget.earn()
+            retries += budget.take()
+        assert 149 <= retries <= 151
+
+    def test_a_larger_fleet_saves_up_no_more(self) -> None:
+        """Guards against 75 VMs that have each saved up what 8 VMs may."""
+        for vms in (8, 75):
+            budgets = [RetryBudget(0.15, lambda n=vms: max(1.0, 60 / n), 1.0) for _ in range(vms)]
+            for budget in budgets:
+                for _ in range(500):
+                    budget.earn()
+            burst = 0
+            for budget in budgets:
+                while budget.take():
+                    burst += 1
+            assert burst <= max(60, vms)
