Tell the story of one request: wagtailctl explain

An on-call engineer had to join the lines of several VMs by hand. The new slice explain follows the lines in one pass with bounded memory and notes, at each line about the request, what its VM believed: configuration, store, unreachable peers, the last events of the targets that were tried, how the service's other requests ended just before, and newer configurations in force elsewhere by then.

Refusals before a choice now log their reason, the share of the rate that was used up and the age of the VM's knowledge. The line that counts dropped lines carries time and VM like any other.

--- a/src/wagtailbay/ctl/arguments.py
+++ b/src/wagtailbay/ctl/arguments.py
@@ -70,7 +70,7 @@
     """Build the parser of all sub-commands."""
     parser = argparse.ArgumentParser(
         prog=PROGRAM,
-        description="Edit documents, grant keys and read the status of a wagtailbay fleet.",
+        description="Edit documents, grant keys, read the status of a fleet and explain requests.",
         epilog=EXIT_STATUS_HELP,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
@@ -128,6 +128,12 @@
     flags.add(locate, "entry-address", "address of any entry VM", type=address, default="")
     flags.add(locate, "client", "text that identifies the client", default="")
     flags.add(locate, "availability-zone", "the client's availability zone", default="")
+    help_text = "tell the story of a request from the VMs' log lines"
+    explain = _add(subparsers, "explain", help_text, commands.explain)
+    explain.add_argument("request_id", metavar="REQUEST_ID")
+    explain.add_argument(
+        "files", nargs="*", metavar="FILE", help="logs, each VM's lines in order; - or none: stdin"
+    )
 
 
 def _add_key_commands(subparsers: Any, flags: FlagReader) -> None:
--- a/src/wagtailbay/ctl/commands.py
+++ b/src/wagtailbay/ctl/commands.py
@@ -1,11 +1,13 @@
 """Carry out the sub-commands."""
 
 import difflib
-from collections.abc import Callable
+import sys
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 from urllib.parse import quote, urlencode
 
+from attrs import asdict
 from result import Err, Ok, Result
 
 from wagtailbay.config import check_references, document_name, parse_named, read_document
@@ -26,6 +28,7 @@
     status_view,
     withdrawal_view,
 )
+from wagtailbay.explain import StoryBuilder, format_story
 
 Outcome = Result[View, Failure]
 
@@ -211,3 +214,26 @@
     path = f"/-/locate?{urlencode(query)}"
     answer = await ask_entry(arguments.entry_address, path, arguments.timeout_ms)
     return answer.map(locate_view)
+
+
+async def explain(client: AdminClient, arguments: Any) -> Outcome:
+    """Tell the story of a request from the log lines of one or more VMs."""
+    builder = StoryBuilder(arguments.request_id)
+    for path in arguments.files or ["-"]:
+        try:
+            if path == "-":
+                _feed(builder, sys.stdin)
+            else:
+                with Path(path).open(errors="replace") as lines:
+                    _feed(builder, lines)
+        except OSError as error:
+            return Err(Failure(EXIT_USAGE, f"{path}: {error.strerror or error}"))
+    story = builder.story()
+    status = EXIT_DONE if story.steps else EXIT_REFUSED
+    text = format_story(story) if story.steps else f"no line about request {story.request_id}"
+    return Ok(View(asdict(story), text, status))
+
+
+def _feed(builder: StoryBuilder, lines: Iterable[str]) -> None:
+    for line in lines:
+        builder.feed(line)
--- a/src/wagtailbay/ctl/const.py
+++ b/src/wagtailbay/ctl/const.py
@@ -13,7 +13,7 @@
 EXIT_OUTCOME_UNKNOWN: Final = 7
 EXIT_STATUS_HELP: Final = """exit status:
   0  done; for diff: no difference
-  1  refused, or for diff: the documents differ
+  1  refused; for diff: the documents differ; for explain: no line about the request
   2  usage error or unusable setting
   3  another change came first (version conflict)
   4  no answer, or the store is not available; nothing was changed
--- /dev/null
+++ b/src/wagtailbay/explain/text.py
@@ -0,0 +1,51 @@
+"""Write the story of a request for people."""
+
+from wagtailbay.explain.const import MEANINGS, RECENT_S
+from wagtailbay.explain.models import RequestStep, RequestStory
+
+
+def format_story(story: RequestStory) -> str:
+    """Return the story as lines of text."""
+    lines = [f"request {story.request_id}"]
+    for step in story.steps:
+        lines += [*_step_lines(step), ""]
+    for newer in story.newer:
+        lines.append(f"version {newer.version} was in force on {newer.vm} at {newer.time_s:.3f}")
+    if story.unread_lines:
+        lines.append(f"{story.unread_lines} lines are not in this product's format")
+    return "\n".join(lines).rstrip()
+
+
+def _step_lines(step: RequestStep) -> list[str]:
+    values = " ".join(f"{k}={v}" for k, v in step.values.items() if k != "request_id")
+    lines = [f"{step.time_s:.3f} {step.vm} {step.event} {values}"]
+    meaning = MEANINGS.get(_code(step))
+    if meaning:
+        lines.append(f"  meaning: {meaning}")
+    for part in step.values.get("tried", "-").split(","):
+        if part != "-":
+            target, reason, sign = (part.split(":") + ["", ""])[:3]
+            lines.append(f"  target {target}: chosen as {reason}, outcome {sign}")
+    state = step.state
+    if state.configuration is not None:
+        since = state.configuration
+        lines.append(f"  configuration: version {since.version}, in force since {since.time_s:.3f}")
+    for target, event in state.targets.items():
+        lines.append(f"  last event of target {target}: {event}")
+    if state.recent:
+        counts = ", ".join(f"{count} {outcome}" for outcome, count in state.recent.items())
+        lines.append(f"  the service's other requests in the last {RECENT_S:g} s: {counts}")
+    if state.store:
+        lines.append(f"  store: {state.store}")
+    if state.unreachable_peers:
+        lines.append(f"  unreachable peers: {', '.join(state.unreachable_peers)}")
+    if state.evacuated_zones not in ("", "[]"):
+        lines.append(f"  evacuated zones: {state.evacuated_zones}")
+    if state.lines_dropped:
+        lines.append(f"  {state.lines_dropped} lines of this VM are missing before this one")
+    return lines
+
+
+def _code(step: RequestStep) -> str:
+    """Return the code of a refusal, from its own key or before the reason's colon."""
+    return step.values.get("code") or step.values.get("reason", "").partition(":")[0]
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -118,8 +118,12 @@
         admitted = Ok(None) if workspace is None else self.quota.admit(workspace, now_s)
         if isinstance(admitted, Ok):
             return None
-        message = f"{workspace.workspace} is above its rate"
-        return not_run(429, "rate_exceeded", message, round(admitted.err_value))
+        exceeded = admitted.err_value
+        message = (
+            f"{workspace.workspace} is above its rate: {exceeded.share_per_s:.1f} of"
+            f" {workspace.rate_per_s:g} requests/s at this VM"
+        )
+        return not_run(429, "rate_exceeded", message, round(exceeded.retry_after_ms))
 
     def _deny(self, status: int, code: str, message: str, now_s: float) -> Refusal:
         """Return a denial; without fresh knowledge the caller is asked to come back instead."""
@@ -153,13 +157,16 @@
             reason = f"{refusal.code}: {refusal.message}"
             self._log(request, trace, refusal.status, "refused", reason)
         else:
+            age_ms = self.knowledge_age_ms(self.clock())
             log_event(
                 "request_refused",
                 request_id=request_id,
                 status=refusal.status,
                 code=refusal.code,
+                reason=refusal.message,
                 retry_after_ms=refusal.retry_after_ms,
                 version=self.routing.table.version if self.routing.table else 0,
+                knowledge_age_ms=None if age_ms is None else round(age_ms),
             )
         headers = self.vocabulary.refusal_headers(request_id, refusal.retry_after_ms)
         error = {"code": refusal.code, "message": refusal.message, "run": refusal.run.value}
--- a/src/wagtailbay/logs/events.py
+++ b/src/wagtailbay/logs/events.py
@@ -31,7 +31,7 @@
 
 def start_queued_logging(write: Callable[[bytes], object], program: str, vm: str) -> LineQueue:
     """Queue all later events; the queue's task has to be run to write them."""
-    queue = LineQueue(write)
+    queue = LineQueue(write, lambda count: log_event("log_lines_dropped", count=count))
     add_destinations(_formatter(queue.add, program, vm, numbered=True))
     return queue
 
--- a/src/wagtailbay/logs/queue.py
+++ b/src/wagtailbay/logs/queue.py
@@ -20,10 +20,12 @@
 
     Attributes:
         write: Writes bytes and may block.
+        tell_dropped: Logs how many lines were dropped.
         dropped: Lines that found the queue full since the last write.
     """
 
     write: Callable[[bytes], object]
+    tell_dropped: Callable[[int], None]
     lines: deque[str] = field(factory=deque)
     dropped: int = 0
 
@@ -35,12 +37,12 @@
         self.lines.append(line)
 
     def take(self) -> bytes:
-        """Return what waits, with a line that counts what was dropped."""
-        if self.dropped:
-            self.lines.append(f"event=log_lines_dropped count={self.dropped}")
-            self.dropped = 0
+        """Return what waits; what was dropped is told in the next lines."""
         data = "".join(f"{line}\n" for line in self.lines).encode()
         self.lines.clear()
+        dropped, self.dropped = self.dropped, 0
+        if dropped:
+            self.tell_dropped(dropped)
         return data
 
     async def run(self) -> None:
--- a/src/wagtailbay/quota/__init__.py
+++ b/src/wagtailbay/quota/__init__.py
@@ -1,6 +1,6 @@
 """Hold each workspace to its rate and burst over the whole fleet."""
 
-from wagtailbay.quota.models import WorkspaceDemand
+from wagtailbay.quota.models import RateExceeded, WorkspaceDemand
 from wagtailbay.quota.share import WorkspaceQuota
 
-__all__ = ["WorkspaceDemand", "WorkspaceQuota"]
+__all__ = ["RateExceeded", "WorkspaceDemand", "WorkspaceQuota"]
--- a/src/wagtailbay/quota/models.py
+++ b/src/wagtailbay/quota/models.py
@@ -13,4 +13,16 @@
     per_s: dict[str, float]
 
 
+@frozen
+class RateExceeded:
+    """Say that a VM's share of a workspace's rate is used up.
+
+    Attributes:
+        share_per_s: The requests a second that this VM may admit now.
+    """
+
+    share_per_s: float
+    retry_after_ms: float
+
+
 register_fact(DEMAND_KIND, WorkspaceDemand)
--- a/src/wagtailbay/quota/share.py
+++ b/src/wagtailbay/quota/share.py
@@ -25,7 +25,7 @@
     SHARE_TAKEN_OVER_S,
     TAKEN_OVER_PART,
 )
-from wagtailbay.quota.models import WorkspaceDemand
+from wagtailbay.quota.models import RateExceeded, WorkspaceDemand
 from wagtailbay.routing import Workspace
 
 
@@ -95,8 +95,8 @@
         self.shares[workspace] = (now_s, share)
         return share
 
-    def admit(self, workspace: Workspace, now_s: float) -> Result[None, float]:
-        """Take one request of a workspace; an error holds the time to come back in ms."""
+    def admit(self, workspace: Workspace, now_s: float) -> Result[None, RateExceeded]:
+        """Take one request of a workspace."""
         if workspace.rate_per_s <= 0:
             return Ok(None)
         name = workspace.workspace
@@ -113,4 +113,5 @@
             return Ok(None)
         wait_s = bucket.wait_s(1.0)
         wait_ms = wait_s * 1000 if isfinite(wait_s) else MAX_RETRY_AFTER_MS
-        return Err(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
+        wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
+        return Err(RateExceeded(rate_per_s, wait_ms))
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -223,3 +223,40 @@
         """Guards against stored text that changes what a terminal shows."""
         assert cell("a\x1b[2Jb\nc") == "a?[2Jb?c"
         assert format_table(("x",), []) == "(none)"
+
+
+class TestExplain:
+    """The story of a request is read from files, without any server."""
+
+    async def explain(self, tmp_path: Path, *argv: str) -> tuple[int, str]:
+        """Run the command and return its status and output."""
+        out: list[str] = []
+        return await run(["explain", *argv], {}, out.append, out.append), "\n".join(out)
+
+    async def test_lines_of_two_vms(self, tmp_path: Path) -> None:
+        """Guards against a cause that only another VM's log shows."""
+        one, two = tmp_path / "vm-1.log", tmp_path / "vm-2.log"
+        one.write_text("time=11.000 event=routing_in_force vm=vm-1 version=8\n")
+        two.write_text(
+            "time=5.000 event=routing_in_force vm=vm-2 version=7\n"
+            "time=12.000 event=request_refused vm=vm-2 request_id=r status=404"
+            " code=route_unknown version=7\n"
+        )
+        status, text = await self.explain(tmp_path, "r", str(one), str(two))
+        assert status == 0
+        assert "configuration: version 7, in force since 5.000" in text
+        assert "version 8 was in force on vm-1 at 11.000" in text
+
+    async def test_json_and_an_unknown_request(self, tmp_path: Path) -> None:
+        """Guards against a script that takes an empty story for a good one."""
+        log = tmp_path / "vm.log"
+        log.write_text("time=5.000 event=request_finished vm=v request_id=r outcome=answered\n")
+        out: list[str] = []
+        argv = ["--output", "json", "explain", "r", str(log)]
+        assert await run(argv, {}, out.append, out.append) == 0
+        assert json.loads(out[0])["steps"][0]["values"]["outcome"] == "answered"
+        status, text = await self.explain(tmp_path, "other", str(log))
+        assert (status, text) == (1, "no line about request other")
+        status, text = await self.explain(tmp_path, "r", str(tmp_path / "missing"))
+        assert status == 2
+        assert "No such file" in text
--- a/tests/logs/test_line_queue.py
+++ b/tests/logs/test_line_queue.py
@@ -14,7 +14,7 @@
     async def test_lines_are_written_in_batches(self, nursery):
         """Guards against a system call for each line."""
         written = []
-        queue = LineQueue(written.append)
+        queue = LineQueue(written.append, lambda count: None)
         nursery.start_soon(queue.run)
         for number in range(50):
             queue.add(f"line {number}")
@@ -26,12 +26,14 @@
     async def test_stalled_reader_costs_lines_and_not_time(self, nursery):
         """Guards against requests that wait for whoever reads the log."""
         stalled = threading.Event()
-        queue = LineQueue(lambda data: stalled.wait(10))
+        told = []
+        queue = LineQueue(lambda data: stalled.wait(10), told.append)
         nursery.start_soon(queue.run)
         queue.add("first")
         await trio.sleep(0.3)
         for number in range(MAX_WAITING_LINES + 7):
             queue.add(f"line {number}")
         assert queue.dropped == 7
-        assert "count=7" in queue.take().decode()
+        queue.take()
+        assert told == [7]
         stalled.set()
