Keep large exchanges in their zone, and cold budgets with few senders

Half of all requests of a region went to the other zone, since an object has one target in the region. Routes whose exchanges are large by their mean now prefer the object's target in the VM's own zone, then the region's, while the service is idle and the zone has two targets or more.

A cold target's budget was divided among all VMs of its region, each with one request at once: 25 VMs could send 25 in the first second. At most six VMs, chosen by rendezvous, now hold it; the test fails with 25 senders.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -44,6 +44,7 @@
         sink: Takes the answer.
         last: Whether no other target will be tried, so that any answer goes to the caller.
         load: What the target said of its load.
+        answer_bytes: Of the answer's body, as far as it was received.
     """
 
     pool: ConnectionPool
@@ -54,6 +55,7 @@
     sink: AnswerSink
     last: bool
     load: LoadReport | None = None
+    answer_bytes: int = 0
 
     async def run(self) -> TryOutcome:
         """Carry out the try; the connection is kept only after a whole exchange."""
@@ -118,6 +120,7 @@
                     complete = True
                 case Ok(data):
                     body += data
+        self.answer_bytes = len(body)
         if said.not_run:
             return TryOutcome(TargetSign.SHED, None, may_have_run=False)
         headers = end_to_end_headers(head.headers)
@@ -147,6 +150,7 @@
                     sign = TargetSign.FAILED if status >= 500 else TargetSign.ANSWERED
                     return TryOutcome(sign, Answered(status), may_have_run=True)
                 case Ok(data):
+                    self.answer_bytes += len(data)
                     await self.sink.send(data)
 
     def _failed(self, error: TransportError) -> TryOutcome:
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -25,6 +25,7 @@
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
 from wagtailbay.placement import (
+    ExchangeSizes,
     Placement,
     PlacementQuery,
     Placer,
@@ -85,6 +86,7 @@
     clock: Callable[[], float]
     metrics: Metrics = field(factory=Metrics)
     live_vms: Callable[[], int] = lambda: 1
+    sizes: ExchangeSizes = field(factory=ExchangeSizes)
     retries: RetryBudget = field(init=False)
     has_ended: Callable[[str], Awaitable[bool]] = refuses_connections
     background: trio.Nursery | None = None
@@ -127,6 +129,7 @@
             excluded=trace.excluded,
             allowed_regions=request.allowed_regions,
             version=version,
+            is_large=self.sizes.is_large(request.route.name, len(request.request.body)),
         )
         return self.placer.choose(query, self.clock())
 
@@ -171,6 +174,9 @@
         warm = not placement.target.is_cold(started_s)
         self.rollouts.finish(entry.service, request.route.name, entry.version, sign, warm, now_s)
         self.metrics.attempt_finished(entry.service, sign.value)
+        if sign is TargetSign.ANSWERED:
+            size_bytes = len(request.request.body) + attempt.answer_bytes
+            self.sizes.record(request.route.name, size_bytes)
         if sign in (TargetSign.ANSWERED, TargetSign.FAILED):
             self.crashes.record_answer(request.fingerprint, now_s)
 
--- a/src/wagtailbay/placement/__init__.py
+++ b/src/wagtailbay/placement/__init__.py
@@ -12,10 +12,12 @@
     TargetSign,
     VersionFilter,
 )
+from wagtailbay.placement.sizes import ExchangeSizes
 from wagtailbay.placement.spill import SpillLimiter
 
 __all__ = [
     "ColdBudget",
+    "ExchangeSizes",
     "LoadReport",
     "Placement",
     "PlacementQuery",
--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -20,8 +20,8 @@
     MAX_FILL,
     MAX_RETRY_AFTER_MS,
     MIN_FILL,
-    MIN_REGION_VMS,
     MIN_RETRY_AFTER_MS,
+    MIN_ZONE_TARGETS,
     OTHER_FILL_BUSY,
     OTHER_FILL_IDLE,
     SLOW_FACTOR,
@@ -47,26 +47,44 @@
     return xxh64_intdigest(f"{affinity}\0{target}".encode())
 
 
+def _other_fill(mean_fill: float) -> float:
+    """Return how full a target may be for a request whose object is at another one."""
+    busy = min(1.0, max(0.0, (mean_fill - IDLE_FILL) / (BUSY_FILL - IDLE_FILL)))
+    return OTHER_FILL_IDLE + busy * (OTHER_FILL_BUSY - OTHER_FILL_IDLE)
+
+
+def _until_warm(targets: list[KnownTarget], now_s: float) -> list[KnownTarget]:
+    """Return the first targets up to the first one that is not cold."""
+    for place, target in enumerate(targets):
+        if not target.is_cold(now_s):
+            return targets[: place + 1]
+    return targets
+
+
 @define
 class Placer:
     """Choose targets for the requests of one VM.
 
     Attributes:
+        availability_zone: Of this VM.
         regions: The region of each availability zone.
         services: Returns the rules of the services in force, by name.
-        region_vms: Returns how many VMs of this region share the cold targets.
     """
 
-    region: str
+    availability_zone: str
     regions: Mapping[str, str]
     registry: TargetRegistry
     services: Callable[[], Mapping[str, ServiceRule]]
-    region_vms: Callable[[], int]
+    cold: ColdBudget
     random: random.Random
-    cold: ColdBudget = field(factory=ColdBudget)
     loads: dict[tuple[str, int], TargetLoad] = field(factory=dict)
     spills: dict[str, SpillLimiter] = field(factory=dict)
 
+    @property
+    def region(self) -> str:
+        """Return this VM's region."""
+        return self.regions.get(self.availability_zone, "")
+
     def load_of(self, target: KnownTarget) -> TargetLoad:
         """Return the beliefs about one start of a target."""
         key = (target.entry.target, target.entry.born_unix_ms)
@@ -177,22 +195,46 @@
         now_s: float,
     ) -> Placement | None:
         """Return the first target in the object's order that has room."""
-        other_fill = self._other_fill(targets, now_s)
-        fill = self._max_fill(query, usual_ms) if query.affinity is not None else other_fill
-        reason = PlacementReason.PREFERRED
-        for target in self._ordered(query, targets):
-            if self._has_room(target, fill, usual_ms, now_s) and self._may_warm(target, now_s):
-                return self._placement(target, reason, now_s)
-            if not target.is_cold(now_s):
-                reason, fill = PlacementReason.OTHER, other_fill
+        mean_fill = self._mean_fill(targets, now_s)
+        other_fill = _other_fill(mean_fill)
+        own_fill = self._max_fill(query, usual_ms) if query.affinity is not None else other_fill
+        ordered = self._ordered(query, targets)
+        stays = query.is_large and query.affinity is not None and mean_fill < IDLE_FILL
+        preferred = self._preferred(ordered, stays, now_s)
+        names = {target.entry.target for target in preferred}
+        others = [target for target in ordered if target.entry.target not in names]
+        for reason, candidates, fill in (
+            (PlacementReason.PREFERRED, preferred, own_fill),
+            (PlacementReason.OTHER, others, other_fill),
+        ):
+            for target in candidates:
+                if self._has_room(target, fill, usual_ms, now_s) and self._may_warm(target, now_s):
+                    return self._placement(target, reason, now_s)
         return None
 
-    def _other_fill(self, targets: list[KnownTarget], now_s: float) -> float:
-        """Return how full a target may be for a request whose object is at another one."""
+    def _preferred(
+        self, ordered: list[KnownTarget], stays: bool, now_s: float
+    ) -> list[KnownTarget]:
+        """Return the targets that keep the object warm: the first warm one, and cold ones before.
+
+        A large exchange prefers the first one in the VM's own zone: the object is then handled in
+        each zone of the region, which costs less than its bytes between the zones unless the
+        service is busy.
+        """
+        first = _until_warm(ordered, now_s)
+        if not stays:
+            return first
+        near = [t for t in ordered if t.entry.availability_zone == self.availability_zone]
+        if len(near) < MIN_ZONE_TARGETS:
+            return first
+        near = _until_warm(near, now_s)
+        names = {target.entry.target for target in near}
+        return near + [target for target in first if target.entry.target not in names]
+
+    def _mean_fill(self, targets: list[KnownTarget], now_s: float) -> float:
+        """Return the part of the targets' slots that is in use."""
         slots = sum(max(1, target.entry.slots) for target in targets)
-        mean = sum(self.load_of(target).load(now_s) for target in targets) / slots
-        busy = min(1.0, max(0.0, (mean - IDLE_FILL) / (BUSY_FILL - IDLE_FILL)))
-        return OTHER_FILL_IDLE + busy * (OTHER_FILL_BUSY - OTHER_FILL_IDLE)
+        return sum(self.load_of(target).load(now_s) for target in targets) / slots
 
     def _may_warm(self, target: KnownTarget, now_s: float) -> bool:
         """Tell whether a target is not cold, or has budget for one more request."""
@@ -201,8 +243,7 @@
             return True
         if self._region_of(target) != self.region:
             return False
-        vms = max(MIN_REGION_VMS, self.region_vms())
-        return self.cold.take(target.entry.target, rule.cold_per_s, vms, now_s)
+        return self.cold.take(target.entry.target, rule.cold_per_s, now_s)
 
     def _place_away(
         self,
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -44,5 +44,16 @@
 SPILL_DEMAND_HALF_LIFE_S: Final = 0.7
 # VMs of a region that are assumed before the fleet is known; shares of cold targets rest on it.
 MIN_REGION_VMS: Final = 3
+# Each sender may hold one request for the first moment. With the rate itself that stays below one
+# and a half of the rate and 5 requests, the users' bound in any second, from 2 requests/s on.
+MAX_COLD_SENDERS: Final = 6
 MIN_RETRY_AFTER_MS: Final = 150
 MAX_RETRY_AFTER_MS: Final = 1_500
+# A target that handles an object for the first time works up to three times as long. Bodies from
+# this size on cost more between two zones than one more target that has to do so.
+LARGE_EXCHANGE_BYTES: Final = 3_000
+# Weight of the newest exchange in a route's mean size.
+SIZE_WEIGHT: Final = 0.1
+# A zone with fewer targets of a service would have all its objects at one target, more than this
+# keeps warm.
+MIN_ZONE_TARGETS: Final = 2
--- a/src/wagtailbay/placement/models.py
+++ b/src/wagtailbay/placement/models.py
@@ -33,6 +33,7 @@
         priority: 0 is the most urgent.
         excluded: Targets that it was sent to before.
         allowed_regions: Where it may run; empty for anywhere.
+        is_large: Whether its bytes and those of its answer are many.
     """
 
     service: str
@@ -42,6 +43,7 @@
     excluded: frozenset[str] = frozenset()
     allowed_regions: frozenset[str] = frozenset()
     version: VersionFilter | None = None
+    is_large: bool = False
 
 
 class PlacementReason(Enum):
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -20,7 +20,7 @@
 from wagtailbay.membership.registration import VmRegistrar
 from wagtailbay.membership.settings import PeerSettings
 from wagtailbay.metrics import Exporter, build_exporter
-from wagtailbay.placement import Placer
+from wagtailbay.placement import ColdBudget, Placer
 from wagtailbay.platform import PlatformStore, PlatformVocabulary
 from wagtailbay.platform.front import LookupFront, ReadyFront
 from wagtailbay.programs.fleet import Fleet, build_fleet
@@ -246,24 +246,38 @@
             make_reader=follow,
             has_lease=False,
             watchers_per_region=WATCHERS_PER_REGION,
+            publishes_list=False,
         )
         fleet.peers.count = exporter.metrics.peer_exchanged
-        fleet.exchanger.pushes = fleet.reader.is_watcher
+        exchanger = fleet.exchanger
+
+        def pushes() -> bool:
+            own = identity.vm
+            return fleet.reader.is_watcher() or exchanger.layout.is_delegate(own)
+
+        exchanger.pushes = pushes
         return fleet
 
     def _build_placer(self, fleet: Fleet) -> Placer:
         settings = self.settings
 
-        def region_vms() -> int:
-            members = live_members(fleet.roster, boottime_s())
-            zones = [settings.zones.get(m.identity.availability_zone) for m in members]
-            return zones.count(settings.region)
+        def region_vms() -> list[str]:
+            return [
+                member.identity.vm
+                for member in live_members(fleet.roster, boottime_s())
+                if settings.zones.get(member.identity.availability_zone) == settings.region
+            ]
 
         def services() -> Mapping[str, ServiceRule]:
             return self.routing.table.services_by_name if self.routing.table else {}
 
         return Placer(
-            settings.region, settings.zones, self.registry, services, region_vms, self.source
+            settings.availability_zone,
+            settings.zones,
+            self.registry,
+            services,
+            ColdBudget(settings.vm, region_vms),
+            self.source,
         )
 
     def _build_quota(self, fleet: Fleet) -> WorkspaceQuota:
@@ -279,7 +293,14 @@
             ]
             return now_s - max(heard) if heard else inf
 
-        return WorkspaceQuota(fleet.facts, fleet_size, contact_age_s, boottime_s, self.source)
+        return WorkspaceQuota(
+            fleet.facts,
+            fleet_size,
+            contact_age_s,
+            boottime_s,
+            self.source,
+            lambda: fleet.exchanger.layout,
+        )
 
     def _build_keeper(
         self, fleet: Fleet, store: PlatformStore, rollouts: RolloutTraffic
@@ -295,7 +316,14 @@
             return Ok(None) if isinstance(written, Ok) else written
 
         return RolloutKeeper(
-            self.settings.vm, fleet.facts, rollouts, live_vms, write, boottime_s, self.source
+            self.settings.vm,
+            fleet.facts,
+            rollouts,
+            live_vms,
+            write,
+            boottime_s,
+            self.source,
+            lambda: fleet.exchanger.layout,
         )
 
 
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -3,10 +3,12 @@
 import random
 from collections import Counter
 
+import pytest
 from result import Err, Ok
 from support.gateway import entry, registry_of
 
 from wagtailbay.placement import (
+    ColdBudget,
     LoadReport,
     PlacementQuery,
     PlacementReason,
@@ -21,12 +23,12 @@
 RULES = {"records": ServiceRule("records", "/health", 100, 3_000.0, 6.0)}
 
 
-def placer_of(*entries, seed: int = 1, region_vms: int = 4) -> Placer:
+def placer_of(*entries, seed: int = 1, region_vms: int = 4, zone: str = "z1") -> Placer:
     """Return the placer of a VM in region north."""
     registry = registry_of(*entries)
-    return Placer(
-        "north", REGIONS, registry, lambda: RULES, lambda: region_vms, random.Random(seed)
-    )
+    names = [f"vm-{number}" for number in range(region_vms)]
+    cold = ColdBudget(f"vm-{seed}", lambda: names)
+    return Placer(zone, REGIONS, registry, lambda: RULES, cold, random.Random(seed))
 
 
 def query(**changes) -> PlacementQuery:
@@ -117,11 +119,11 @@
 class TestColdTargets:
     """Spare cold targets."""
 
-    def test_fleet_stays_within_what_a_cold_target_bears(self):
+    @pytest.mark.parametrize("vms", [4, 25])
+    def test_fleet_stays_within_what_a_cold_target_bears(self, vms: int):
         """Guards against a crash of targets that come back cold (cold return)."""
-        placers = [
-            placer_of(entry("a", cold_remaining_ms=10_000.0, slots=50), seed=i) for i in range(4)
-        ]
+        cold = entry("a", cold_remaining_ms=10_000.0, slots=50)
+        placers = [placer_of(cold, seed=i, region_vms=vms) for i in range(vms)]
         sent = [0] * 5
         for tick in range(500):
             now_s = tick / 100
--- a/tests/placement/test_spill.py
+++ b/tests/placement/test_spill.py
@@ -5,7 +5,7 @@
 from result import Ok
 from support.gateway import entry, registry_of
 
-from wagtailbay.placement import PlacementQuery, Placer, SpillLimiter
+from wagtailbay.placement import ColdBudget, PlacementQuery, Placer, SpillLimiter
 
 REGIONS = {"z1": "north", "z3": "south"}
 
@@ -38,11 +38,11 @@
     def test_requests_with_homes_do_not_count_as_need(self):
         """Guards against a region that is emptied by requests that may not run in it."""
         placer = Placer(
-            "north",
+            "z1",
             REGIONS,
             registry_of(entry("a", slots=50), entry("b", availability_zone="z3", slots=50)),
             dict,
-            lambda: 4,
+            ColdBudget("vm-1", list),
             random.Random(1),
         )
         regions = []
