--- a/src/wagtailbay/logs/events.py
+++ b/src/wagtailbay/logs/events.py
@@ -26,20 +26,20 @@
         stream.write(line + "\n")
         stream.flush()
 
-    add_destinations(_formatter(write, program, vm))
+    add_formatter(write, program, vm)
 
 
 def start_queued_logging(write: Callable[[bytes], object], program: str, vm: str) -> LineQueue:
     """Queue all later events; the queue's task has to be run to write them."""
     queue = LineQueue(write, lambda count: log_event("log_lines_dropped", count=count))
-    add_destinations(_formatter(queue.add, program, vm, numbered=True))
+    add_formatter(queue.add, program, vm, numbered=True)
     return queue
 
 
-def _formatter(
+def add_formatter(
     take: Callable[[str], None], program: str, vm: str, numbered: bool = False
 ) -> Callable[[dict[str, Any]], None]:
-    """Return a destination that formats each event as a line.
+    """Format each later event as a line; returns the destination, by which eliot removes it.
 
     Args:
         numbered: Whether lines carry a number and a steady time, since the time of day may jump.
@@ -56,4 +56,5 @@
         values = {k: v for k, v in message.items() if k not in ELIOT_TREE_FIELDS}
         take(format_line(head | values))
 
+    add_destinations(destination)
     return destination
--- /dev/null
+++ b/src/wagtailbay_bench/log_cost.py
@@ -0,0 +1,96 @@
+"""Measure what the log costs a request: the same requests with and without it, by turns."""
+
+import statistics
+import sys
+import time
+
+import trio
+from eliot import remove_destination
+
+from wagtailbay.logs import LineQueue
+from wagtailbay.logs.events import add_formatter
+from wagtailbay.programs.gateway_node import GatewayBuilder
+from wagtailbay.programs.gateway_settings import GatewaySettings
+from wagtailbay.replica import to_value
+from wagtailbay.routing import (
+    CallerLimits,
+    RoutePart,
+    RouteRule,
+    RoutingTable,
+    ServiceRule,
+    Workspace,
+)
+from wagtailbay.store import StoredObject
+from wagtailbay.transport import ConnectionPool, HttpServer, Request
+
+REQUESTS = 1_000
+TURNS = 7
+TABLE = RoutingTable(
+    1,
+    (RouteRule("r", "h.example", "/", True, 1_000.0, 300.0, 1, (RoutePart("records"),), 2),),
+    (ServiceRule("records", "/health", 100, 3_000.0, 6.0),),
+    (Workspace("unam", frozenset({"key-1"}), rate_per_s=1e9, burst=1e9),),
+    CallerLimits(16_384, 1_000_000, 3_000.0, 15_000.0),
+)
+
+
+async def time_requests(address: str, pool: ConnectionPool) -> float:
+    """Return the mean time of a request that is refused, since no target exists, in us."""
+    fields = (("Request-Id", "id-1"), ("Authorization", "Token key-1"))
+    request = Request("GET", "/x", fields, host="h.example")
+    started_s = time.perf_counter()
+    for _ in range(REQUESTS):
+        (await pool.fetch(address, request, 5_000)).unwrap()
+    return (time.perf_counter() - started_s) / REQUESTS * 1e6
+
+
+async def measure(write_stalls: bool) -> tuple[float, float]:
+    """Return the median time of a request without and with the log, in us.
+
+    Args:
+        write_stalls: Whether the reader of the log stands still, so that all lines are dropped.
+    """
+    settings = GatewaySettings(
+        vm="vm-1",
+        availability_zone="z1",
+        zones={"z1": "north"},
+        listen_address="127.0.0.1:0",
+        ready_address="127.0.0.1:0",
+        lookup_address="127.0.0.1:0",
+        peer_address="127.0.0.1:1",
+        platform_address="127.0.0.1:1",
+    )
+    node = GatewayBuilder(settings).build()
+    node.routing.take_in({"routing/main": StoredObject("routing/main", 1, to_value(TABLE))})
+    plain, logged = [], []
+    stalled = trio.Event()
+
+    def write(data: bytes) -> None:
+        if write_stalls:
+            trio.from_thread.run(stalled.wait)
+
+    async with trio.open_nursery() as nursery:
+        host, port = await nursery.start(HttpServer(node.handler.handle).serve, ("127.0.0.1", 0))
+        pool = ConnectionPool()
+        queue = LineQueue(write, lambda count: None)
+        nursery.start_soon(queue.run)
+        for _ in range(TURNS):
+            plain.append(await time_requests(f"{host}:{port}", pool))
+            destination = add_formatter(queue.add, "log-cost", "vm-1", numbered=True)
+            logged.append(await time_requests(f"{host}:{port}", pool))
+            remove_destination(destination)
+        stalled.set()
+        nursery.cancel_scope.cancel()
+    return statistics.median(plain), statistics.median(logged)
+
+
+def main() -> None:
+    """Print the figures."""
+    for write_stalls in (False, True):
+        plain_us, logged_us = trio.run(measure, write_stalls)
+        reader = "stalled reader" if write_stalls else "reader keeps up"
+        print(f"{reader}: without log {plain_us:.0f} us, with log {logged_us:.0f} us a request")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
