Borrow tokens of a workspace's rate before a request is refused

A workspace's rate is divided among the VMs by demand. Each VM's least burst shrinks in fleets above 12 VMs, where 75 times two tokens were 150.

--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -21,7 +21,7 @@
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
 from wagtailbay.quarantine import request_fingerprint
-from wagtailbay.quota import WorkspaceQuota
+from wagtailbay.quota import TokenBorrower, WorkspaceQuota
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.routing import LiveRouting, RouteRule, RoutingTable, ServiceSplitter, Workspace
 from wagtailbay.transport import CallerGoneError, Reply, Request
@@ -38,6 +38,7 @@
     routing: LiveRouting
     vocabulary: Vocabulary
     quota: WorkspaceQuota
+    borrower: TokenBorrower
     forwarder: GatewayForwarder
     splitter: ServiceSplitter
     knowledge_age_ms: Callable[[float], float | None]
@@ -54,13 +55,13 @@
             await self._refuse(reply, refusal, "", RequestTrace(), None)
             return
         caller, trace = read.ok_value, RequestTrace()
-        match self._admit(caller, request, now_s):
+        match await self._admit(caller, request, now_s):
             case Err(refusal):
                 await self._refuse(reply, refusal, caller.request_id, trace, None)
             case Ok(admitted):
                 await self._serve(admitted, reply, trace)
 
-    def _admit(
+    async def _admit(
         self, caller: CallerHead, request: Request, now_s: float
     ) -> Result[GatewayRequest, Refusal]:
         """Decide whether a request may be sent; nothing is sent here."""
@@ -82,7 +83,7 @@
         workspace = allowed.ok_value
         name = workspace.workspace if workspace else None
         fingerprint = request_fingerprint(name, request.method, request.path, request.body)
-        refusal = self._limit(workspace, fingerprint, now_s)
+        refusal = await self._limit(workspace, fingerprint, now_s)
         if refusal is not None:
             return Err(refusal)
         wait_ms = route.timeout_ms
@@ -110,13 +111,15 @@
             return Err(self._deny(401, "key_unknown", "the key is not known", now_s))
         return Ok(found)
 
-    def _limit(self, workspace: Workspace | None, fingerprint: str, now_s: float) -> Refusal | None:
+    async def _limit(
+        self, workspace: Workspace | None, fingerprint: str, now_s: float
+    ) -> Refusal | None:
         """Refuse what crashed targets, and what is above a workspace's rate."""
         if self.forwarder.crashes.is_refused(fingerprint, now_s):
             message = "earlier requests like this one crashed targets"
             return not_run(503, "crashes_targets", message, CRASHING_RETRY_AFTER_MS)
         admitted = Ok(None) if workspace is None else self.quota.admit(workspace, now_s)
-        if isinstance(admitted, Ok):
+        if isinstance(admitted, Ok) or await self.borrower.borrow(workspace):
             return None
         exceeded = admitted.err_value
         message = (
--- a/src/wagtailbay/placement/__init__.py
+++ b/src/wagtailbay/placement/__init__.py
@@ -12,6 +12,7 @@
     TargetSign,
     VersionFilter,
 )
+from wagtailbay.placement.occupancy import OccupancyKeeper
 from wagtailbay.placement.sizes import ExchangeSizes
 from wagtailbay.placement.spill import SpillLimiter
 
@@ -19,6 +20,7 @@
     "ColdBudget",
     "ExchangeSizes",
     "LoadReport",
+    "OccupancyKeeper",
     "Placement",
     "PlacementQuery",
     "PlacementReason",
--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -168,7 +168,7 @@
         belief = self.load_of(target)
         if belief.is_shedding(now_s):
             return False
-        return belief.load(now_s) < self._capacity(target, fill, usual_ms, now_s)
+        return belief.has_room(self._capacity(target, fill, usual_ms, now_s), now_s)
 
     def _placement(self, target: KnownTarget, reason: PlacementReason, now_s: float) -> Placement:
         load = self.load_of(target).load(now_s)
@@ -306,6 +306,20 @@
         if sign is TargetSign.UNREACHABLE:
             self.expect_restart(target, now_s)
 
+    def in_flight(self) -> dict[str, int]:
+        """Return this VM's requests in flight by target."""
+        counts: dict[str, int] = {}
+        for (name, _), belief in self.loads.items():
+            if belief.own:
+                counts[name] = counts.get(name, 0) + belief.own
+        return counts
+
+    def take_in_others(self, in_flight: Mapping[str, int], senders: int) -> None:
+        """Take in what the other VMs have in flight by target."""
+        for target in self.registry.targets.values():
+            told = in_flight.get(target.entry.target, 0)
+            self.load_of(target).take_in_told(told, self.random.random(), senders)
+
     def expect_restart(self, target: KnownTarget, now_s: float) -> None:
         """Treat a target that has ended as cold, since it may be back before its new entry is."""
         rule = self.services().get(target.entry.service)
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -2,8 +2,19 @@
 
 from typing import Final
 
-# What other VMs have in flight at a target is taken from its last report, which fades at this pace.
+# What other VMs have in flight at a target is taken from its last report, which gives way at this
+# pace to what the VMs told each other.
 REPORT_HALF_LIFE_S: Final = 0.7
+# A VM takes this many times its even part of a target's room, since not all use theirs.
+SENDER_PART: Final = 4.0
+OCCUPANCY_KIND: Final = "occupancy"
+# About the time of a short request; what is older says little of the slots.
+OCCUPANCY_INTERVAL_S: Final = 0.5
+# With fewer VMs each hears the targets often enough; five VMs a region that told each other served
+# no better and paid for the bytes.
+OCCUPANCY_MIN_VMS: Final = 8
+# Three exchanges and a little more: a VM that is lost no longer fills its targets.
+OCCUPANCY_TTL_MS: Final = 4_000
 # Weight of the newest latency in a target's mean.
 LATENCY_WEIGHT: Final = 0.15
 # A target this many times slower than its service's median gets little work.
--- a/src/wagtailbay/placement/load.py
+++ b/src/wagtailbay/placement/load.py
@@ -11,6 +11,7 @@
     MAX_EJECT_S,
     MIN_LATENCIES,
     REPORT_HALF_LIFE_S,
+    SENDER_PART,
     SHED_HOLD_S,
 )
 from wagtailbay.placement.models import LoadReport, TargetSign
@@ -30,6 +31,10 @@
     Attributes:
         own: This VM's requests in flight.
         others: What others had in flight by the last report.
+        told: What the other VMs said last that they have in flight; None if they said nothing.
+        told_own: This VM's requests in flight when they said it.
+        told_phase: Between 0 and 1, drawn anew each time, so that parts of a request add up.
+        senders: How many VMs send to it.
         latency_ms: Mean of the latest answers.
         failure_share: Fading share of tries that failed.
         ejections: How often it was ejected in a row.
@@ -38,6 +43,10 @@
     own: int = 0
     others: float = 0.0
     reported_s: float = float("-inf")
+    told: float | None = None
+    told_own: int = 0
+    told_phase: float = 0.0
+    senders: int = 1
     latency_ms: float = 0.0
     latencies: int = 0
     answered_s: float = float("-inf")
@@ -49,7 +58,27 @@
     def load(self, now_s: float) -> float:
         """Return the requests that it is believed to have, running and waiting."""
         age_s = max(0.0, now_s - self.reported_s)
-        return self.own + self.others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        weight = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        return self.own + weight * self.others + (1 - weight) * (self.told or 0.0)
+
+    def take_in_told(self, told: float, phase: float, senders: int) -> None:
+        """Take in what the other VMs have in flight."""
+        self.told, self.told_own = told, self.own
+        self.told_phase, self.senders = phase, max(1, senders)
+
+    def has_room(self, capacity: float, now_s: float) -> bool:
+        """Tell whether one more request fits.
+
+        All senders see the same room at the same time. Where no report of the target itself is
+        fresh, each takes only its part of it, and the place of each own request that has ended.
+        """
+        if self.load(now_s) >= capacity:
+            return False
+        if self.told is None or now_s - self.reported_s < REPORT_HALF_LIFE_S:
+            return True
+        room = capacity - self.told - self.told_own
+        part = min(1.0, SENDER_PART / self.senders)
+        return self.own - self.told_own + self.told_phase < room * part
 
     def is_ejected(self, now_s: float) -> bool:
         """Tell whether it gets no work for now, since it failed."""
--- /dev/null
+++ b/src/wagtailbay/placement/occupancy.py
@@ -0,0 +1,86 @@
+"""Tell other VMs how many requests this VM has at each target, and hear the same of them."""
+
+import random
+from collections.abc import Callable
+from typing import Self
+
+import trio
+from attrs import define, field, frozen
+
+from wagtailbay.membership import FactTable, FleetFold, FleetLayout
+from wagtailbay.membership.codec import register_fact
+from wagtailbay.placement.chooser import Placer
+from wagtailbay.placement.const import (
+    OCCUPANCY_INTERVAL_S,
+    OCCUPANCY_KIND,
+    OCCUPANCY_MIN_VMS,
+    OCCUPANCY_TTL_MS,
+)
+
+
+@frozen
+class Occupancy:
+    """Hold requests in flight by target."""
+
+    in_flight: dict[str, int]
+
+    def merge(self, other: Self) -> Self:
+        """Return the requests of both."""
+        total = dict(self.in_flight)
+        for target, count in other.in_flight.items():
+            total[target] = total.get(target, 0) + max(0, count)
+        return Occupancy(total)
+
+
+@frozen
+class OccupancyFact:
+    """Hold the requests of one VM, and of other VMs if it speaks for its cell."""
+
+    own: Occupancy
+    cell: Occupancy | None = None
+    rest: Occupancy | None = None
+
+
+register_fact(OCCUPANCY_KIND, OccupancyFact)
+
+
+@define
+class OccupancyKeeper:
+    """Keep the placer's beliefs about what other VMs have at the targets.
+
+    A target tells its load with each answer, but of 25 VMs in a region each hears one target only
+    now and then. Between two answers what the VMs tell each other counts.
+
+    Attributes:
+        region_vms: Returns how many VMs of this region send to the same targets.
+    """
+
+    placer: Placer
+    region_vms: Callable[[], int]
+    facts: FactTable
+    layout: Callable[[], FleetLayout]
+    clock: Callable[[], float]
+    random: random.Random
+    fold: FleetFold = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Add up the requests over the fleet."""
+        self.fold = FleetFold(
+            OCCUPANCY_KIND, OccupancyFact, self.facts, self.layout, OCCUPANCY_TTL_MS
+        )
+
+    async def run(self) -> None:
+        """Tell and hear until cancelled."""
+        while True:
+            self.exchange(self.clock())
+            await trio.sleep(OCCUPANCY_INTERVAL_S * self.random.uniform(0.9, 1.1))
+
+    def exchange(self, now_s: float) -> None:
+        """Publish this VM's requests and take in those of the others."""
+        senders = self.region_vms()
+        if senders < OCCUPANCY_MIN_VMS:
+            return
+        self.fold.publish("all", Occupancy(self.placer.in_flight()), now_s)
+        others = self.fold.others("all", now_s)
+        if others is not None:
+            self.placer.take_in_others(others.in_flight, senders)
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -16,17 +16,18 @@
 from wagtailbay.locate import near_vms
 from wagtailbay.locate.const import NEAR_TTL_MS
 from wagtailbay.logs import log_event
-from wagtailbay.membership import VmIdentity, VmState, live_members
+from wagtailbay.membership import LoanGrant, LoanRequest, VmIdentity, VmState, live_members
 from wagtailbay.membership.registration import VmRegistrar
 from wagtailbay.membership.settings import PeerSettings
 from wagtailbay.metrics import Exporter, build_exporter
-from wagtailbay.placement import ColdBudget, Placer
+from wagtailbay.placement import ColdBudget, OccupancyKeeper, Placer
 from wagtailbay.platform import PlatformStore, PlatformVocabulary
 from wagtailbay.platform.front import LookupFront, ReadyFront
 from wagtailbay.programs.fleet import Fleet, build_fleet
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.quarantine import CrashTable
-from wagtailbay.quota import WorkspaceQuota
+from wagtailbay.quota import TokenBorrower, WorkspaceQuota
+from wagtailbay.quota.const import BUDGET_PREFIX
 from wagtailbay.registry import EVACUATION_PREFIX, TARGET_PREFIX, TargetRegistry
 from wagtailbay.replica import PrefixFollower
 from wagtailbay.rollout import (
@@ -63,6 +64,7 @@
     routing: LiveRouting
     registry: TargetRegistry
     placer: Placer
+    occupancy: OccupancyKeeper
     rollouts: RolloutTraffic
     keeper: RolloutKeeper
     quota: WorkspaceQuota
@@ -80,6 +82,7 @@
             self.keeper.run,
             self.registrar.run,
             self.handler.lag.run,
+            self.occupancy.run,
         ):
             nursery.start_soon(task)
 
@@ -151,6 +154,7 @@
     source: random.Random = field(factory=random.Random)
     registry: TargetRegistry = field(factory=TargetRegistry)
     routing: LiveRouting = field(factory=LiveRouting)
+    quota: WorkspaceQuota | None = None
 
     def build(self) -> GatewayNode:
         """Build all parts."""
@@ -178,6 +182,14 @@
             routing=self.routing,
             registry=self.registry,
             placer=handler.forwarder.placer,
+            occupancy=OccupancyKeeper(
+                handler.forwarder.placer,
+                lambda: len(self._region_vms(fleet)),
+                fleet.facts,
+                lambda: fleet.exchanger.layout,
+                boottime_s,
+                self.source,
+            ),
             rollouts=rollouts,
             keeper=self._build_keeper(fleet, store, rollouts),
             quota=handler.quota,
@@ -190,6 +202,15 @@
         self, fleet: Fleet, rollouts: RolloutTraffic, pool: ConnectionPool, exporter: Exporter
     ) -> GatewayHandler:
         vocabulary = PlatformVocabulary()
+        quota = self.quota = self._build_quota(fleet)
+        borrower = TokenBorrower(
+            fleet.roster.own,
+            quota,
+            fleet.client.borrow,
+            lambda: self._lenders(fleet),
+            boottime_s,
+            self.source,
+        )
         forwarder = GatewayForwarder(
             self._build_placer(fleet),
             rollouts,
@@ -203,7 +224,8 @@
         return GatewayHandler(
             self.routing,
             vocabulary,
-            self._build_quota(fleet),
+            quota,
+            borrower,
             forwarder,
             ServiceSplitter(self.source),
             fleet.freshness.age_ms,
@@ -247,6 +269,7 @@
             has_lease=False,
             watchers_per_region=WATCHERS_PER_REGION,
             publishes_list=False,
+            lender=self._lend,
         )
         fleet.peers.count = exporter.metrics.peer_exchanged
         exchanger = fleet.exchanger
@@ -261,13 +284,6 @@
     def _build_placer(self, fleet: Fleet) -> Placer:
         settings = self.settings
 
-        def region_vms() -> list[str]:
-            return [
-                member.identity.vm
-                for member in live_members(fleet.roster, boottime_s())
-                if settings.zones.get(member.identity.availability_zone) == settings.region
-            ]
-
         def services() -> Mapping[str, ServiceRule]:
             return self.routing.table.services_by_name if self.routing.table else {}
 
@@ -276,10 +292,35 @@
             settings.zones,
             self.registry,
             services,
-            ColdBudget(settings.vm, region_vms),
+            ColdBudget(settings.vm, lambda: self._region_vms(fleet)),
             self.source,
         )
 
+    def _lend(self, request: LoanRequest, now_s: float) -> LoanGrant:
+        """Give up a token of a workspace's rate."""
+        table = self.routing.table
+        name = request.budget.removeprefix(BUDGET_PREFIX)
+        workspaces = table.workspaces if table else ()
+        found = next((known for known in workspaces if known.workspace == name), None)
+        if found is None or self.quota is None:
+            return LoanGrant(0, 0.0)
+        return LoanGrant(0, self.quota.lend(found, now_s))
+
+    def _lenders(self, fleet: Fleet) -> tuple[list[str], list[str]]:
+        """Return the VMs that this one exchanges messages with, in its region and elsewhere."""
+        near = set(self._region_vms(fleet))
+        heard = [vm for vm, loop in fleet.peers.loops.items() if loop.error is None]
+        return [vm for vm in heard if vm in near], [vm for vm in heard if vm not in near]
+
+    def _region_vms(self, fleet: Fleet) -> list[str]:
+        """Return the names of the live VMs of this VM's region."""
+        zones, region = self.settings.zones, self.settings.region
+        return [
+            member.identity.vm
+            for member in live_members(fleet.roster, boottime_s())
+            if zones.get(member.identity.availability_zone) == region
+        ]
+
     def _build_quota(self, fleet: Fleet) -> WorkspaceQuota:
         def fleet_size() -> int:
             live = live_members(fleet.roster, boottime_s())
--- /dev/null
+++ b/src/wagtailbay/quota/borrow.py
@@ -0,0 +1,65 @@
+"""Ask other VMs for a token before a request within its workspace's rate is refused."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+from attrs import define
+from result import Ok, Result
+
+from wagtailbay.logs import log_event
+from wagtailbay.membership import LoanGrant, LoanRequest, PeerError, VmIdentity
+from wagtailbay.membership.loans import TOKEN_LOAN_TERM_MS
+from wagtailbay.quota.const import (
+    BORROW_TIMEOUT_MS,
+    BUDGET_PREFIX,
+    LENDERS_ASKED,
+    TOKEN_SHARE_PPM,
+)
+from wagtailbay.quota.share import WorkspaceQuota
+from wagtailbay.routing import Workspace
+
+AskPeer = Callable[[str, LoanRequest, int], Awaitable[Result[LoanGrant, PeerError]]]
+
+
+@define
+class TokenBorrower:
+    """Borrow single tokens of a workspace's rate from VMs that have not used theirs.
+
+    Shares follow demand, but a small share is used up by two requests that come close together,
+    while other VMs' shares are left over. A workspace that asks for more than its rate gets no
+    loans, so that a flood costs no messages.
+
+    Attributes:
+        lenders: Returns the VMs that this one hears, those of its own region first.
+    """
+
+    identity: VmIdentity
+    quota: WorkspaceQuota
+    ask: AskPeer
+    lenders: Callable[[], tuple[list[str], list[str]]]
+    clock: Callable[[], float]
+    random: random.Random
+
+    async def borrow(self, workspace: Workspace) -> bool:
+        """Return whether another VM gave up a token for one request."""
+        if not self.quota.may_borrow(workspace, self.clock()):
+            return False
+        request = LoanRequest(
+            self.identity.vm,
+            self.identity.incarnation,
+            BUDGET_PREFIX + workspace.workspace,
+            TOKEN_SHARE_PPM,
+            TOKEN_LOAN_TERM_MS,
+        )
+        for vm in self._choose():
+            granted = await self.ask(vm, request, BORROW_TIMEOUT_MS)
+            if isinstance(granted, Ok) and granted.ok_value.tokens >= 1.0:
+                return True
+        self.quota.note_no_lender(workspace, self.clock())
+        log_event("rate_not_borrowed", workspace=workspace.workspace)
+        return False
+
+    def _choose(self) -> list[str]:
+        near, far = self.lenders()
+        ordered = [*self.random.sample(near, len(near)), *self.random.sample(far, len(far))]
+        return ordered[:LENDERS_ASKED]
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -14,12 +14,26 @@
 SHARE_STEP_PER_S: Final = 0.4
 # Part of the burst that the VMs hold together; shares that move bring some of it twice.
 BURST_PART: Final = 0.6
-# Each VM holds at least so many tokens, however small its share.
+# Each VM holds at least so many tokens, however small its share; in a large fleet fewer, so that
+# all together hold no more than the users' allowance of 20 requests and a little.
 MIN_BURST: Final = 2.0
+FLEET_MIN_BURST: Final = 24.0
+LEAST_BURST: Final = 1.0
 # A VM that hears no peer for this long keeps to the share that it had before.
 LOST_CONTACT_S: Final = 2.5
 # After this long the others have taken its share over, and it keeps only a part of it.
 SHARE_TAKEN_OVER_S: Final = 5.0
 TAKEN_OVER_PART: Final = 0.5
+# Budgets of loans are named by this and the workspace.
+BUDGET_PREFIX: Final = "workspace_rate:"
+# A loan of one token asks for no part of the rate; the messages want a share that is not 0.
+TOKEN_SHARE_PPM: Final = 1
+# An exchange between two regions takes 70 ms; a caller that is refused waits longer than this.
+BORROW_TIMEOUT_MS: Final = 150
+LENDERS_ASKED: Final = 3
+# Demand is counted over a few seconds and known late; a little above the rate it may be within.
+BORROW_DEMAND_PART: Final = 1.2
+# After a request that no VM lent for, the next ones of the workspace are refused at once.
+NO_LENDER_PAUSE_S: Final = 0.25
 MIN_RETRY_AFTER_MS: Final = 200
 MAX_RETRY_AFTER_MS: Final = 3_000
--- a/src/wagtailbay/quota/share.py
+++ b/src/wagtailbay/quota/share.py
@@ -11,16 +11,20 @@
 from wagtailbay.limits import DecayingRate, TokenBucket
 from wagtailbay.membership import FactTable, FleetFold, FleetLayout
 from wagtailbay.quota.const import (
+    BORROW_DEMAND_PART,
     BURST_PART,
     DEMAND_INTERVAL_S,
     DEMAND_KIND,
     DEMAND_TTL_MS,
     DEMAND_WINDOW_S,
     EVEN_PART,
+    FLEET_MIN_BURST,
+    LEAST_BURST,
     LOST_CONTACT_S,
     MAX_RETRY_AFTER_MS,
     MIN_BURST,
     MIN_RETRY_AFTER_MS,
+    NO_LENDER_PAUSE_S,
     SHARE_STEP_PER_S,
     SHARE_TAKEN_OVER_S,
     TAKEN_OVER_PART,
@@ -58,6 +62,7 @@
     others_per_s: dict[str, float] = field(factory=dict)
     shares: dict[str, tuple[float, float]] = field(factory=dict)
     buckets: dict[str, TokenBucket] = field(factory=dict)
+    no_lender_until_s: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Add up the demand over the fleet."""
@@ -102,17 +107,44 @@
             return Ok(None)
         name = workspace.workspace
         self.demand.setdefault(name, DecayingRate(DEMAND_WINDOW_S)).record(1.0, now_s)
-        share = self.share(name, now_s)
-        rate_per_s = workspace.rate_per_s * share
-        capacity = max(MIN_BURST, workspace.burst * BURST_PART * share)
-        bucket = self.buckets.get(name)
-        if bucket is None:
-            bucket = self.buckets[name] = TokenBucket(rate_per_s, capacity, capacity, now_s)
-        else:
-            bucket.resize(rate_per_s, capacity, now_s)
+        bucket = self._bucket(workspace, now_s)
         if bucket.take(1.0, now_s):
             return Ok(None)
+        rate_per_s = bucket.rate_per_s
         wait_s = bucket.wait_s(1.0)
         wait_ms = wait_s * 1000 if isfinite(wait_s) else MAX_RETRY_AFTER_MS
         wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
         return Err(RateExceeded(rate_per_s, wait_ms))
+
+    def _bucket(self, workspace: Workspace, now_s: float) -> TokenBucket:
+        """Return the tokens of this VM's share as it is now."""
+        name, share = workspace.workspace, self.share(workspace.workspace, now_s)
+        rate_per_s = workspace.rate_per_s * share
+        least = min(MIN_BURST, max(LEAST_BURST, FLEET_MIN_BURST / max(1, self.fleet_size())))
+        capacity = max(least, workspace.burst * BURST_PART * share)
+        bucket = self.buckets.get(name)
+        if bucket is None:
+            bucket = self.buckets[name] = TokenBucket(rate_per_s, capacity, capacity, now_s)
+        else:
+            bucket.resize(rate_per_s, capacity, now_s)
+        return bucket
+
+    def may_borrow(self, workspace: Workspace, now_s: float) -> bool:
+        """Tell whether other VMs probably have tokens of a workspace left."""
+        name = workspace.workspace
+        if self.contact_age_s(now_s) > LOST_CONTACT_S:
+            return False
+        if now_s < self.no_lender_until_s.get(name, now_s):
+            return False
+        asked_per_s = self.demand[name].at(now_s) + self.others_per_s.get(name, 0.0)
+        return asked_per_s <= BORROW_DEMAND_PART * workspace.rate_per_s
+
+    def note_no_lender(self, workspace: Workspace, now_s: float) -> None:
+        """Record that the VMs asked had no token."""
+        self.no_lender_until_s[workspace.workspace] = now_s + NO_LENDER_PAUSE_S
+
+    def lend(self, workspace: Workspace, now_s: float) -> float:
+        """Give up one token if there is one; returns the tokens given."""
+        if workspace.rate_per_s <= 0 or self.contact_age_s(now_s) > LOST_CONTACT_S:
+            return 0.0
+        return 1.0 if self._bucket(workspace, now_s).take(1.0, now_s) else 0.0
