--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -6,7 +6,7 @@
 # pace to what the VMs told each other.
 REPORT_HALF_LIFE_S: Final = 0.7
 # A VM takes this many times its even part of a target's room, since not all use theirs.
-SENDER_PART: Final = 4.0
+SENDER_PART: Final = 8.0
 OCCUPANCY_KIND: Final = "occupancy"
 # About the time of a short request; what is older says little of the slots.
 OCCUPANCY_INTERVAL_S: Final = 0.5
