Learn from one reset that a server drops idle connections

A server may drop idle connections without a word and sooner than usual; the next request on one is reset, and one that must not run twice is lost, on each kept connection of each target. A reset within 0.2 s on a kept connection now closes all that were idle for half as long, for 20 s.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -72,7 +72,10 @@
         connection.takes_unframed = True
         try:
             with trio.move_on_after(self.request.left_ms(self.clock()) / 1000):
-                return await self._exchange(connection)
+                outcome = await self._exchange(connection)
+                if outcome.ended_unanswered:
+                    self.pool.note_reset(connection)
+                return outcome
             return self._timed_out()
         finally:
             await self.pool.release(connection)
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -45,6 +45,8 @@
         framed: Whether the response in hand has a length.
         head: The request in flight.
         released_s: When it was last kept for another request, on trio's clock.
+        acquired_s: When it was last taken for a request.
+        idle_s: How long it had been kept then; 0 for a new one.
     """
 
     address: str
@@ -61,6 +63,8 @@
     framed: bool = True
     head: h11.Request | None = None
     released_s: float = 0.0
+    acquired_s: float = 0.0
+    idle_s: float = 0.0
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of its response."""
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -16,3 +16,7 @@
 LINGER_BYTES: Final = 4 * 1_048_576
 # A caller that takes no bytes for this long is treated as gone.
 SEND_TIMEOUT_S: Final = 60.0
+# A dropped connection resets a request after one way there and back: up to 70 ms between regions.
+DROPPED_RESET_S: Final = 0.2
+# New connections cost about a millisecond each; after this time idle ones are tried again.
+LEARNT_IDLE_TERM_S: Final = 20.0
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -7,7 +7,9 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
+from wagtailbay.logs import log_event
 from wagtailbay.transport.client import ClientConnection, exchange, open_connection
+from wagtailbay.transport.const import DROPPED_RESET_S, LEARNT_IDLE_TERM_S
 from wagtailbay.transport.models import FailureKind, Request, Response, TransportError
 
 
@@ -15,13 +17,20 @@
 class ConnectionPool:
     """Hold idle connections by address, newest last.
 
+    A server may drop an idle connection without a word, and resets what is sent on it next. After
+    such a reset no connection is used that was idle for half as long, for a while.
+
     Attributes:
         routes: Addresses to connect to in place of some servers' own.
+        learnt_idle_s: Connections that were idle for longer are probably dropped.
+        learnt_until_s: How long this holds.
     """
 
     max_idle_per_address: int = 16
     routes: Mapping[str, str] = field(factory=dict)
     idle: dict[str, list[ClientConnection]] = field(factory=dict)
+    learnt_idle_s: float = inf
+    learnt_until_s: float = 0.0
 
     async def acquire(
         self, address: str, timeout_ms: float, fresh: bool = False, max_idle_s: float = inf
@@ -34,14 +43,37 @@
         address = self.routes.get(address, address)
         waiting = [] if fresh else self.idle.get(address, [])
         while waiting:
-            connection = waiting.pop()
-            idle_s = trio.current_time() - connection.released_s
-            if idle_s <= max_idle_s and not connection.has_unread_bytes():
+            connection, now_s = waiting.pop(), trio.current_time()
+            idle_s = now_s - connection.released_s
+            longest_s = min(max_idle_s, self._learnt_idle_s(now_s))
+            if idle_s <= longest_s and not connection.has_unread_bytes():
                 connection.checked = True
+                connection.acquired_s, connection.idle_s = now_s, idle_s
                 return Ok(connection)
             await connection.close()
         return await open_connection(address, timeout_ms)
 
+    def _learnt_idle_s(self, now_s: float) -> float:
+        return self.learnt_idle_s if now_s < self.learnt_until_s else inf
+
+    def note_reset(self, connection: ClientConnection) -> None:
+        """Learn from a connection that was reset with no byte of an answer.
+
+        A reset right after the request was sent on a kept connection means that the server had
+        dropped it; a server that crashes resets requests of any age.
+        """
+        now_s = trio.current_time()
+        if not connection.idle_s or now_s - connection.acquired_s > DROPPED_RESET_S:
+            return
+        self.learnt_idle_s = min(self._learnt_idle_s(now_s), connection.idle_s / 2)
+        self.learnt_until_s = now_s + LEARNT_IDLE_TERM_S
+        log_event(
+            "idle_connection_dropped",
+            address=connection.address,
+            idle_ms=round(connection.idle_s * 1000),
+            used_up_to_ms=round(self.learnt_idle_s * 1000),
+        )
+
     def keep(self, connection: ClientConnection) -> bool:
         """Keep a connection after a complete exchange; False means that it must be closed."""
         waiting = self.idle.setdefault(connection.address, [])
