--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -12,7 +12,8 @@
 from wagtailbay.logs import log_event
 from wagtailbay.placement.cold import ColdBudget
 from wagtailbay.placement.const import (
-    AWAY_FILL,
+    AWAY_FILL_BUSY,
+    AWAY_FILL_IDLE,
     BUSY_FILL,
     GOAL_SHARE,
     IDLE_FILL,
@@ -47,10 +48,14 @@
     return xxh64_intdigest(f"{affinity}\0{target}".encode())
 
 
+def _busyness(mean_fill: float) -> float:
+    """Return 0 for idle targets, 1 for busy ones, and what lies between."""
+    return min(1.0, max(0.0, (mean_fill - IDLE_FILL) / (BUSY_FILL - IDLE_FILL)))
+
+
 def _other_fill(mean_fill: float) -> float:
     """Return how full a target may be for a request whose object is at another one."""
-    busy = min(1.0, max(0.0, (mean_fill - IDLE_FILL) / (BUSY_FILL - IDLE_FILL)))
-    return OTHER_FILL_IDLE + busy * (OTHER_FILL_BUSY - OTHER_FILL_IDLE)
+    return OTHER_FILL_IDLE + _busyness(mean_fill) * (OTHER_FILL_BUSY - OTHER_FILL_IDLE)
 
 
 def _until_warm(targets: list[KnownTarget], now_s: float) -> list[KnownTarget]:
@@ -254,7 +259,11 @@
         now_s: float,
     ) -> Placement | None:
         """Return a target of another region that has room to spare."""
-        fill = AWAY_FILL if has_home else self._max_fill(query, usual_ms)
+        if has_home:
+            busy = _busyness(self._mean_fill(targets, now_s))
+            fill = AWAY_FILL_IDLE + busy * (AWAY_FILL_BUSY - AWAY_FILL_IDLE)
+        else:
+            fill = self._max_fill(query, usual_ms)
         for target in self._ordered(query, targets):
             if self._has_room(target, fill, usual_ms, now_s) and not target.is_cold(now_s):
                 return self._placement(target, PlacementReason.SPILLED, now_s)
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -46,7 +46,8 @@
 IDLE_FILL: Final = 0.4
 BUSY_FILL: Final = 0.7
 # Other regions are used only well below their slots, since their own callers need these first.
-AWAY_FILL: Final = 0.3
+AWAY_FILL_IDLE: Final = 0.6
+AWAY_FILL_BUSY: Final = 0.3
 # The share of requests sent to other regions moves by at most this much in a second. The bound of
 # 15% between two windows of 2 s leaves room for the randomness of small counts.
 SPILL_STEP_PER_S: Final = 0.04
--- a/tests/placement/test_spill.py
+++ b/tests/placement/test_spill.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from result import Ok
 from support.gateway import entry, registry_of
 
@@ -57,3 +58,24 @@
                 regions.append(found.ok_value.region)
             placer.load_of(found.ok_value.target).own = 0
         assert set(regions) == {"north"}
+
+    @pytest.mark.parametrize(("others", "used"), [(0, 6), (10, 3)])
+    def test_an_idle_region_takes_more_than_a_busy_one(self, others: int, used: int) -> None:
+        """Guards against refusals in one region while another one is half empty."""
+        away = [entry(f"b{n}", availability_zone="z3", slots=10) for n in range(4)]
+        placer = Placer(
+            "z1",
+            REGIONS,
+            registry_of(entry("a", slots=1), *away),
+            dict,
+            ColdBudget("vm-1", list),
+            random.Random(1),
+        )
+        for target in placer.registry.targets.values():
+            placer.load_of(target).own = 10 if target.entry.target == "a" else others
+        chosen = placer.registry.targets["b0"]
+        placer.load_of(chosen).own = 0
+        placer.spills["records"] = SpillLimiter(share=1.0, wanted=1.0)
+        for _ in range(20):
+            placer.choose(PlacementQuery("records", "7", 600.0, 1), 0.0)
+        assert placer.load_of(chosen).own == used
