--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -244,3 +244,27 @@
         assert (await scene.pool.fetch(f"{host}:{port}", asked, 30_000)).ok_value.status == 200
         await scene.node.fleet.announce_leaving()
         assert (await scene.pool.fetch(f"{host}:{port}", asked, 30_000)).ok_value.status == 503
+
+
+class TestCrashingRequest:
+    """A request that ends each target that runs it comes again and again."""
+
+    async def test_it_reaches_few_targets_and_its_neighbours_are_served(self, scene: Scene) -> None:
+        """Guards against a request that ends one target after another."""
+
+        async def has_ended(address: str) -> bool:
+            return True
+
+        scene.node.handler.forwarder.has_ended = has_ended
+        for _ in range(6):
+            answer = await scene.ask("/a/crash")
+            assert answer.status in (502, 503)
+            await trio.sleep(0.05)
+        # Two crashes are enough to refuse it; a request that was under way may add one.
+        assert len(scene.ran()) <= 3
+        assert answer.status == 503
+        assert float(header(answer, "Retry-After")) >= 5
+        scene.node.registry.targets["t1"].cold_until_s = float("-inf")
+        for belief in scene.node.placer.loads.values():
+            belief.ejected_until_s = float("-inf")
+        assert (await scene.ask("/a/other")).status == 200
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -10,7 +10,9 @@
 from wagtailbay.replica import to_value
 from wagtailbay.routing import CallerLimits, RoutePart, RouteRule, RoutingTable, ServiceRule
 from wagtailbay.store import StoredObject
-from wagtailbay.transport import HttpServer, Reply, Request
+from wagtailbay.transport import CallerGoneError, HttpServer, Reply, Request
+
+CRASHING = "/crash"
 
 LIMITS = CallerLimits(16_384, 1_000_000, 3_000.0, 15_000.0)
 
@@ -151,8 +153,10 @@
     requests: list[Request] = field(factory=list)
 
     async def handle(self, request: Request, reply: Reply) -> None:
-        """Answer one request."""
+        """Answer one request; one for the path of a crash gets no answer."""
         self.requests.append(request)
+        if request.path.endswith(CRASHING):
+            raise CallerGoneError
         await trio.sleep(self.delay_s)
         headers = (
             ("Request-Id", request.header("Request-Id") or ""),
