Let the VMs of a cell hear their delegates only

Now most VMs have two peers; delegates tell them the sum over the fleet and when all others were heard. FleetFold gives this total in place of the others' sum.

--- a/src/wagtailbay/membership/choice.py
+++ b/src/wagtailbay/membership/choice.py
@@ -1,11 +1,13 @@
 """Choose which VMs exchange messages and which read the store."""
 
 from collections.abc import Callable, Iterable
+from math import inf
 
 from attrs import define, field
 from xxhash import xxh64_intdigest
 
 from wagtailbay.membership.const import (
+    HEARTBEAT_S,
     LIVE_VIEW_S,
     UNHEARD_AFTER_S,
     UNHEARD_INDIRECTLY_AFTER_S,
@@ -36,7 +38,10 @@
 
 
 def _unheard_after_s(member: Member) -> float:
-    return UNHEARD_INDIRECTLY_AFTER_S if member.heard_s is None else UNHEARD_AFTER_S
+    # Others hear a VM that this one hears itself at most about a heartbeat later.
+    later_s = inf if member.heard_s is None else member.contact_s - member.heard_s
+    is_heard = later_s < 2 * HEARTBEAT_S
+    return UNHEARD_AFTER_S if is_heard else UNHEARD_INDIRECTLY_AFTER_S
 
 
 @define
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -102,18 +102,19 @@
     def _contacts_for(self, vm: str, now_s: float) -> tuple[Contact, ...]:
         """Return when the VMs were heard that a peer does not hear itself.
 
-        A delegate tells its cell of all others, and the delegates of other cells of its own.
+        A delegate tells the VMs of its cell of all others, and the delegates of other cells of its
+        own cell.
         """
         layout, own = self.layout, self.roster.own.vm
         if not layout.is_delegate(own):
             return ()
         cells = layout.cell_by_vm
+        is_mate = cells.get(vm) == cells.get(own)
         told = []
         for name, member in self.roster.members.items():
-            cell = cells.get(name)
-            if name == own or cell == cells.get(vm) or member.contact_s is None:
+            if name in (own, vm) or member.contact_s is None:
                 continue
-            if cells.get(own) not in (cell, cells.get(vm)):
+            if not is_mate and cells.get(name) != cells.get(own):
                 continue
             if now_s - member.contact_s < UNHEARD_INDIRECTLY_AFTER_S:
                 told.append(Contact(name, member.identity.incarnation, member.contact_s))
--- a/src/wagtailbay/membership/fold.py
+++ b/src/wagtailbay/membership/fold.py
@@ -32,7 +32,7 @@
 
 @define
 class FleetFold:
-    """Publish this VM's value of one kind and add up those of all others.
+    """Publish this VM's value of one kind and know the sum over the fleet.
 
     A delegate publishes the sum of its cell, which the delegates of other cells hear, and the sum
     of all others, which its own cell hears. So what a VM publishes does not grow with the fleet.
@@ -57,16 +57,24 @@
         value = self.make(own, cell, rest)
         self.facts.publish(self.kind, key, value, ttl_ms=self.ttl_ms, now_s=now_s, urgent=urgent)
 
-    def others(self, key: str, now_s: float) -> Any:
-        """Return the sum of all other VMs' values, None if there are none."""
+    def total(self, key: str, own: Foldable, now_s: float) -> Any:
+        """Return the sum over the fleet.
+
+        Of VMs that do not speak for their cell it is as old as what a delegate told, and holds this
+        VM's value of that time.
+
+        Args:
+            own: This VM's value, which is all that is known before others have told theirs.
+        """
         layout = self.layout()
-        parts = [*self._of_mates(key, now_s)]
+        if not layout.is_divided:
+            published = self._published(key, now_s)
+            return _merged([own, *(value.own for _, _, value in published)])
         if layout.is_delegate(self.facts.vm):
-            parts += self._of_other_cells(key, now_s)
-        elif layout.is_divided:
-            rest = self._newest_rest(key, now_s)
-            parts += [] if rest is None else [rest]
-        return _merged(parts)
+            others = self._of_mates(key, now_s) + self._of_other_cells(key, now_s)
+            return _merged([own, *others])
+        told = self._told(key, now_s)
+        return own if told is None else told
 
     def _published(self, key: str, now_s: float) -> Iterator[tuple[str, float, FoldedFact]]:
         for fact in self.facts.of_kind(self.kind, now_s):
@@ -74,14 +82,9 @@
                 yield fact.vm, fact.expires_s, fact.value
 
     def _of_mates(self, key: str, now_s: float) -> list[Any]:
-        """Return the values of the VMs that this one hears itself for the sum."""
-        layout = self.layout()
-        mates = layout.mates(self.facts.vm)
-        return [
-            value.own
-            for vm, _, value in self._published(key, now_s)
-            if not layout.is_divided or vm in mates
-        ]
+        """Return the values of the other VMs of this one's cell."""
+        mates = self.layout().mates(self.facts.vm)
+        return [value.own for vm, _, value in self._published(key, now_s) if vm in mates]
 
     def _of_other_cells(self, key: str, now_s: float) -> list[Any]:
         """Return the newest sum of each other cell."""
@@ -96,14 +99,18 @@
                 newest[cell] = expires_s, value.cell
         return [value for _, value in newest.values()]
 
-    def _newest_rest(self, key: str, now_s: float) -> Any:
+    def _told(self, key: str, now_s: float) -> Any:
+        """Return the newest sum over the fleet that a VM of this one's cell has told."""
         mates = self.layout().mates(self.facts.vm)
         told = [
-            (expires_s, vm, value.rest)
+            (expires_s, vm, value)
             for vm, expires_s, value in self._published(key, now_s)
-            if vm in mates and value.rest is not None
+            if vm in mates and value.cell is not None
         ]
-        return max(told, key=lambda item: item[:2])[2] if told else None
+        if not told:
+            return None
+        newest = max(told, key=lambda item: item[:2])[2]
+        return newest.cell if newest.rest is None else newest.cell.merge(newest.rest)
 
 
 def _merged(values: list[Any]) -> Any:
--- a/src/wagtailbay/membership/layout.py
+++ b/src/wagtailbay/membership/layout.py
@@ -1,4 +1,4 @@
-"""Divide a large fleet into cells whose VMs all hear each other."""
+"""Divide a large fleet into cells whose VMs hear each other through delegates."""
 
 from collections.abc import Collection, Mapping
 
@@ -13,9 +13,9 @@
 class FleetLayout:
     """Hold which VMs form a cell and which of them speak for it.
 
-    A small fleet is one cell without delegates. In a large one each availability zone is a cell,
-    or several; the delegates of a cell hear those of the same rank of every other cell, and so
-    pass on what the cells hold.
+    A small fleet is one cell whose VMs all hear each other. In a large one each availability zone
+    is a cell, or several. The delegates of a cell hear all its VMs, and those of the same rank of
+    every other cell; the other VMs hear their delegates only.
 
     Attributes:
         cells: The VMs of each cell in order of name.
@@ -44,13 +44,11 @@
         """Tell whether a VM speaks for its cell."""
         return vm in self.delegates.get(self.cell_by_vm.get(vm, ""), ())
 
-    def speaks_for(self, vm: str, cell: str) -> bool:
-        """Tell whether a VM speaks for a cell."""
-        return vm in self.delegates.get(cell, ())
-
     def neighbours(self, vm: str) -> frozenset[str]:
         """Return the VMs that a VM exchanges messages with."""
         own = self.cell_by_vm.get(vm, "")
+        if self.is_divided and not self.is_delegate(vm):
+            return frozenset(self.delegates.get(own, ()))
         ranks = [rank for rank, name in enumerate(self.delegates.get(own, ())) if name == vm]
         peers = {
             names[min(rank, len(names) - 1)]
--- a/src/wagtailbay/placement/occupancy.py
+++ b/src/wagtailbay/placement/occupancy.py
@@ -80,7 +80,11 @@
         senders = self.region_vms()
         if senders < OCCUPANCY_MIN_VMS:
             return
-        self.fold.publish("all", Occupancy(self.placer.in_flight()), now_s)
-        others = self.fold.others("all", now_s)
-        if others is not None:
-            self.placer.take_in_others(others.in_flight, senders)
+        own = Occupancy(self.placer.in_flight())
+        self.fold.publish("all", own, now_s)
+        total = self.fold.total("all", own, now_s)
+        others = {
+            target: max(0, count - own.in_flight.get(target, 0))
+            for target, count in total.in_flight.items()
+        }
+        self.placer.take_in_others(others, senders)
--- a/src/wagtailbay/programs/gateway.py
+++ b/src/wagtailbay/programs/gateway.py
@@ -9,7 +9,8 @@
 
 from wagtailbay.locate.const import NEAR_TTL_MS
 from wagtailbay.logs import LineQueue, log_event, start_queued_logging
-from wagtailbay.programs.gateway_node import PROGRAM, GatewayBuilder, GatewayNode, build_fronts
+from wagtailbay.programs.gateway_build import GatewayBuilder
+from wagtailbay.programs.gateway_node import PROGRAM, GatewayNode, build_fronts
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.settings import load_settings_or_exit
 from wagtailbay.settings.checks import split_address
--- a/src/wagtailbay/quota/share.py
+++ b/src/wagtailbay/quota/share.py
@@ -80,9 +80,12 @@
         asked = {name: per_s for name, per_s in own.items() if per_s > 0}
         self.published_per_s = asked
         speaks = self.layout().is_delegate(self.facts.vm)
-        self.fold.publish("all", WorkspaceDemand(asked), now_s, urgent=speaks)
-        others = self.fold.others("all", now_s)
-        self.others_per_s = others.per_s if others is not None else {}
+        own = WorkspaceDemand(asked)
+        self.fold.publish("all", own, now_s, urgent=speaks)
+        total = self.fold.total("all", own, now_s)
+        self.others_per_s = {
+            name: max(0.0, per_s - asked.get(name, 0.0)) for name, per_s in total.per_s.items()
+        }
 
     def share(self, workspace: str, now_s: float) -> float:
         """Return this VM's share of a workspace's rate."""
--- a/src/wagtailbay/rollout/keeper.py
+++ b/src/wagtailbay/rollout/keeper.py
@@ -92,8 +92,7 @@
             moved_vms=int(progress.share(now_s) >= 1.0 and not progress.old_in_flight),
         )
         self.fold.publish(key, own, now_s, urgent=self._is_urgent(key, own))
-        others = self.fold.others(key, now_s)
-        fleet = own if others is None else own.merge(others)
+        fleet = self.fold.total(key, own, now_s)
         progress.known_since_s = min(progress.known_since_s, now_s - fleet.age_s)
         return fleet
 
@@ -152,7 +151,9 @@
             return False
         if progress.age_s(now_s) > progress.order.duration_s - LATEST_END_S:
             return True
-        if evidence.old_in_flight or evidence.moved_vms < evidence.vms:
+        if progress.old_in_flight or evidence.old_in_flight:
+            return False
+        if evidence.moved_vms < evidence.vms:
             return False
         return evidence.moved_vms >= len(self.live_vms())
 
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -12,7 +12,8 @@
 from wagtailbay.gateway.lag import LoopLag
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway import stop_gracefully
-from wagtailbay.programs.gateway_node import GatewayBuilder, GatewayNode, build_fronts
+from wagtailbay.programs.gateway_build import GatewayBuilder
+from wagtailbay.programs.gateway_node import GatewayNode, build_fronts
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.transport import ConnectionPool, HttpServer, Request, Response
 from wagtailbay_standins.objects import ObjectApi
--- a/tests/membership/test_fleet_knowledge.py
+++ b/tests/membership/test_fleet_knowledge.py
@@ -5,6 +5,7 @@
 from wagtailbay.membership import (
     FactTable,
     IsolationCheck,
+    LiveView,
     Quorum,
     Roster,
     VmState,
@@ -71,6 +72,21 @@
         assert choose_watchers(live_members(roster, 15.0), lambda zone: "r") == {"a"}
 
 
+class TestLiveView:
+    """What asks with each request reads the roster now and then."""
+
+    def test_it_is_at_most_a_moment_old(self) -> None:
+        """Guards against a lost VM that keeps its share because the view is never read again."""
+        roster = Roster(identity("a"))
+        view = LiveView(roster)
+        roster.hear(member("b"), 10.0)
+        assert view.refresh(10.0).zones.keys() == {"a", "b"}
+        roster.hear(member("c"), 10.1)
+        assert "c" not in view.refresh(10.1).zones
+        assert view.refresh(10.3).zones.keys() == {"a", "b", "c"}
+        assert view.refresh(15.0).zones.keys() == {"a"}
+
+
 class TestQuorum:
     """More than half of max_vms must have answered lately."""
 
--- a/tests/membership/test_watchers_turned_away.py
+++ b/tests/membership/test_watchers_turned_away.py
@@ -3,7 +3,7 @@
 from itertools import combinations
 
 from wagtailbay.membership import Member, VmIdentity, VmState, choose_watchers
-from wagtailbay.programs.gateway_node import WATCHERS_PER_REGION
+from wagtailbay.programs.gateway_build import WATCHERS_PER_REGION
 
 # The VMs of both users' deployments by region.
 FLEETS = ((4, 3, 3), (4, 4, 3))
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 from support.gateway import stored
 
-from wagtailbay.membership import FactTable
+from wagtailbay.membership import FactTable, lay_out
 from wagtailbay.placement import TargetSign
 from wagtailbay.replica import from_value, to_value
 from wagtailbay.rollout import (
@@ -128,6 +128,26 @@
         assert fresh.age_s(fleet.now_s) > 11
 
 
+class TestLargeFleet:
+    """Evidence of many VMs does not fill their time."""
+
+    async def test_only_bad_answers_and_the_end_are_told_at_once(self):
+        """Guards against four calls a second to each peer while a version is fine."""
+        fleet = Fleet(1)
+        keeper = fleet.keepers[0]
+        zones = {f"vm-{number}": f"z{number % 3}" for number in range(30)}
+        keeper.layout = keeper.fold.layout = lambda: lay_out(zones, zones)
+        urgent = []
+        keeper.facts.changed.followers.append(lambda: urgent.append(fleet.now_s))
+        await fleet.run(10)
+        calm = len(urgent)
+        assert calm <= 1
+        await fleet.run(
+            1, lambda version, now_s: TargetSign[("FAILED", "ANSWERED")[version == "v1"]]
+        )
+        assert len(urgent) > calm
+
+
 class TestBadVersion:
     """Go back soon."""
 
