Forget what other VMs told once a region has few of them

A region that lost most of its VMs stopped telling, and kept the last word of the lost ones about its targets for good. The test fails without the change.

--- a/src/wagtailbay/placement/chooser.py
+++ b/src/wagtailbay/placement/chooser.py
@@ -329,6 +329,11 @@
             told = in_flight.get(target.entry.target, 0)
             self.load_of(target).take_in_told(told, self.random.random(), senders)
 
+    def forget_others(self) -> None:
+        """Go by what targets tell alone."""
+        for belief in self.loads.values():
+            belief.told = None
+
     def expect_restart(self, target: KnownTarget, now_s: float) -> None:
         """Treat a target that has ended as cold, since it may be back before its new entry is."""
         rule = self.services().get(target.entry.service)
--- a/src/wagtailbay/placement/occupancy.py
+++ b/src/wagtailbay/placement/occupancy.py
@@ -79,6 +79,7 @@
         """Publish this VM's requests and take in those of the others."""
         senders = self.region_vms()
         if senders < OCCUPANCY_MIN_VMS:
+            self.placer.forget_others()
             return
         own = Occupancy(self.placer.in_flight())
         self.fold.publish("all", own, now_s)
--- a/tests/placement/test_occupancy.py
+++ b/tests/placement/test_occupancy.py
@@ -89,3 +89,13 @@
         assert mean >= 0.75 * TARGETS * SLOTS, "the slots are used"
         baseline, _ = Region(tells=False).run(per_s=95.0, seconds=20, objects=40)
         assert baseline > SLOTS + QUEUE, "by what answers tell alone they overfill it"
+
+    def test_a_region_that_has_lost_its_vms_goes_by_the_targets_alone(self) -> None:
+        """Guards against targets that stay full by the last word of VMs that are gone."""
+        region = Region(tells=True)
+        region.run(per_s=95.0, seconds=3, objects=40)
+        keeper = region.keepers[0]
+        assert any(belief.told for belief in keeper.placer.loads.values())
+        keeper.region_vms = lambda: 2
+        keeper.exchange(3.0)
+        assert all(belief.told is None for belief in keeper.placer.loads.values())
