Keep room in the log for other events than the one in a flood

One event gets at most 800 of the 1,000 lines between two writes, and what finds no room is not formatted. The lines that are missing are counted by event. A test with three times as many refusals as lines fails without the limit.

--- a/src/wagtailbay/logs/events.py
+++ b/src/wagtailbay/logs/events.py
@@ -22,8 +22,8 @@
 def start_logging(stream: TextIO, program: str, vm: str = "") -> None:
     """Write all later events to the stream, one line each."""
 
-    def write(line: str) -> None:
-        stream.write(line + "\n")
+    def write(event: str, make_line: Callable[[], str]) -> None:
+        stream.write(make_line() + "\n")
         stream.flush()
 
     add_formatter(write, program, vm)
@@ -31,30 +31,40 @@
 
 def start_queued_logging(write: Callable[[bytes], object], program: str, vm: str) -> LineQueue:
     """Queue all later events; the queue's task has to be run to write them."""
-    queue = LineQueue(write, lambda count: log_event("log_lines_dropped", count=count))
+
+    def tell_dropped(event: str, count: int) -> None:
+        log_event("log_lines_dropped", dropped_event=event, count=count)
+
+    queue = LineQueue(write, tell_dropped)
     add_formatter(queue.add, program, vm, numbered=True)
     return queue
 
 
 def add_formatter(
-    take: Callable[[str], None], program: str, vm: str, numbered: bool = False
+    take: Callable[[str, Callable[[], str]], None], program: str, vm: str, numbered: bool = False
 ) -> Callable[[dict[str, Any]], None]:
     """Format each later event as a line; returns the destination, by which eliot removes it.
 
     Args:
+        take: Takes an event's name and what formats its line.
         numbered: Whether lines carry a number and a steady time, since the time of day may jump.
     """
     numbers = count(1)
 
     def destination(message: dict[str, Any]) -> None:
-        head: dict[str, Any] = {"time": f"{message['timestamp']:.3f}"}
-        if numbered:
-            head |= {"steady_s": f"{time.monotonic():.3f}", "seq": next(numbers)}
-        head |= {"event": message.get("message_type", ""), "program": program}
-        if vm:
-            head["vm"] = vm
-        values = {k: v for k, v in message.items() if k not in ELIOT_TREE_FIELDS}
-        take(format_line(head | values))
+        event = message.get("message_type", "")
+
+        def make_line() -> str:
+            head: dict[str, Any] = {"time": f"{message['timestamp']:.3f}"}
+            if numbered:
+                head |= {"steady_s": f"{time.monotonic():.3f}", "seq": next(numbers)}
+            head |= {"event": event, "program": program}
+            if vm:
+                head["vm"] = vm
+            values = {k: v for k, v in message.items() if k not in ELIOT_TREE_FIELDS}
+            return format_line(head | values)
+
+        take(event, make_line)
 
     add_destinations(destination)
     return destination
--- a/src/wagtailbay/logs/queue.py
+++ b/src/wagtailbay/logs/queue.py
@@ -1,6 +1,6 @@
 """Hold log lines until a task writes them, so that no event waits for a reader."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 import trio
@@ -10,6 +10,8 @@
 FLUSH_INTERVAL_S = 0.1
 # More lines between two writes are dropped and counted: 10,000 lines a second at the most.
 MAX_WAITING_LINES = 1_000
+# One event in a flood, such as a refusal, leaves room for the lines of all others.
+MAX_WAITING_OF_EVENT = 800
 
 
 @define
@@ -20,29 +22,33 @@
 
     Attributes:
         write: Writes bytes and may block.
-        tell_dropped: Logs how many lines were dropped.
-        dropped: Lines that found the queue full since the last write.
+        tell_dropped: Logs how many lines of an event were dropped.
+        waiting: Lines in the queue by event.
+        dropped: Lines that found no room since the last write, by event.
     """
 
     write: Callable[[bytes], object]
-    tell_dropped: Callable[[int], None]
+    tell_dropped: Callable[[str, int], None]
     lines: deque[str] = field(factory=deque)
-    dropped: int = 0
+    waiting: Counter[str] = field(factory=Counter)
+    dropped: Counter[str] = field(factory=Counter)
 
-    def add(self, line: str) -> None:
-        """Take one line without its end; a full queue drops it."""
-        if len(self.lines) >= MAX_WAITING_LINES:
-            self.dropped += 1
+    def add(self, event: str, make_line: Callable[[], str]) -> None:
+        """Take one line without its end; one that finds no room is not even formatted."""
+        if len(self.lines) >= MAX_WAITING_LINES or self.waiting[event] >= MAX_WAITING_OF_EVENT:
+            self.dropped[event] += 1
             return
-        self.lines.append(line)
+        self.waiting[event] += 1
+        self.lines.append(make_line())
 
     def take(self) -> bytes:
         """Return what waits; what was dropped is told in the next lines."""
         data = "".join(f"{line}\n" for line in self.lines).encode()
         self.lines.clear()
-        dropped, self.dropped = self.dropped, 0
-        if dropped:
-            self.tell_dropped(dropped)
+        self.waiting.clear()
+        dropped, self.dropped = self.dropped, Counter()
+        for event, count in dropped.items():
+            self.tell_dropped(event, count)
         return data
 
     async def run(self) -> None:
--- a/src/wagtailbay_bench/log_cost.py
+++ b/src/wagtailbay_bench/log_cost.py
@@ -72,7 +72,7 @@
     async with trio.open_nursery() as nursery:
         host, port = await nursery.start(HttpServer(node.handler.handle).serve, ("127.0.0.1", 0))
         pool = ConnectionPool()
-        queue = LineQueue(write, lambda count: None)
+        queue = LineQueue(write, lambda event, count: None)
         nursery.start_soon(queue.run)
         for _ in range(TURNS):
             plain.append(await time_requests(f"{host}:{port}", pool))
--- a/tests/logs/test_line_queue.py
+++ b/tests/logs/test_line_queue.py
@@ -5,7 +5,7 @@
 import trio
 
 from wagtailbay.logs import LineQueue
-from wagtailbay.logs.queue import MAX_WAITING_LINES
+from wagtailbay.logs.queue import MAX_WAITING_LINES, MAX_WAITING_OF_EVENT
 
 
 class TestLineQueue:
@@ -14,10 +14,10 @@
     async def test_lines_are_written_in_batches(self, nursery):
         """Guards against a system call for each line."""
         written = []
-        queue = LineQueue(written.append, lambda count: None)
+        queue = LineQueue(written.append, lambda event, count: None)
         nursery.start_soon(queue.run)
         for number in range(50):
-            queue.add(f"line {number}")
+            queue.add("e", lambda number=number: f"line {number}")
         with trio.fail_after(30):
             while not written:
                 await trio.sleep(0.01)
@@ -27,13 +27,24 @@
         """Guards against requests that wait for whoever reads the log."""
         stalled = threading.Event()
         told = []
-        queue = LineQueue(lambda data: stalled.wait(10), told.append)
+        queue = LineQueue(lambda data: stalled.wait(10), lambda *dropped: told.append(dropped))
         nursery.start_soon(queue.run)
-        queue.add("first")
+        queue.add("e", lambda: "first")
         await trio.sleep(0.3)
         for number in range(MAX_WAITING_LINES + 7):
-            queue.add(f"line {number}")
-        assert queue.dropped == 7
+            queue.add(f"e{number % 2}", lambda number=number: f"line {number}")
+        assert queue.dropped.total() == 7
         queue.take()
-        assert told == [7]
+        assert sorted(told) == [("e0", 4), ("e1", 3)]
         stalled.set()
+
+    def test_a_flood_of_one_event_leaves_room_for_the_others(self):
+        """Guards against a change of belief that is missing among the lines of refusals."""
+        told, formatted = [], []
+        queue = LineQueue(lambda data: None, lambda *dropped: told.append(dropped))
+        for number in range(3 * MAX_WAITING_LINES):
+            queue.add("request_refused", lambda number=number: formatted.append(number) or "line")
+        queue.add("target_ejected", lambda: "ejected")
+        assert len(formatted) == MAX_WAITING_OF_EVENT, "a dropped line costs no formatting"
+        assert "ejected" in queue.take().decode()
+        assert told == [("request_refused", 3 * MAX_WAITING_LINES - MAX_WAITING_OF_EVENT)]
