Give each service a retry budget of its own

A VM's budget was earned by the requests for all services and could be spent on one whose targets turned requests away.

The budget is now kept by service. The test fails with one budget for all.

--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -25,11 +25,11 @@
 DENIAL_RETRY_AFTER_MS: Final = 1_000
 # A request that crashed targets is refused for long; its caller should not come back soon.
 CRASHING_RETRY_AFTER_MS: Final = 10_000
-# The fleet's retries may reach a fifth of its requests; the rest of that is left for the callers
-# that another VM sees.
+# The fleet's retries for a service may reach a fifth of the requests for it; the rest of that is
+# left for the callers that another VM sees.
 RETRY_RATIO: Final = 0.15
-# Retries that all VMs together may save up, from the users' bound of 60 beyond the fifth; each VM
-# can make at least one.
+# Retries for a service that all VMs together may save up, from the users' bound of 60 beyond the
+# fifth; each VM can make at least one.
 FLEET_RETRY_CAPACITY: Final = 60.0
 MIN_RETRY_CAPACITY: Final = 1.0
 RETRY_START_TOKENS: Final = 1.0
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -35,7 +35,7 @@
 )
 from wagtailbay.quarantine import CrashTable, refuses_connections
 from wagtailbay.refusals import Refusal, not_run, outcome_unknown
-from wagtailbay.retries import RetryBudget
+from wagtailbay.retries import RetryBudget, ServiceRetries
 from wagtailbay.rollout import RolloutTraffic
 from wagtailbay.transport import AnswerSink, CallerGoneError, ConnectionPool
 
@@ -87,13 +87,15 @@
     metrics: Metrics = field(factory=Metrics)
     live_vms: Callable[[], int] = lambda: 1
     sizes: ExchangeSizes = field(factory=ExchangeSizes)
-    retries: RetryBudget = field(init=False)
+    retries: ServiceRetries = field(init=False)
     has_ended: Callable[[str], Awaitable[bool]] = refuses_connections
     background: trio.Nursery | None = None
 
     def __attrs_post_init__(self) -> None:
         """Give this VM its part of the retries that the fleet may save up."""
-        self.retries = RetryBudget(RETRY_RATIO, self._retry_capacity, RETRY_START_TOKENS)
+        self.retries = ServiceRetries(
+            lambda: RetryBudget(RETRY_RATIO, self._retry_capacity, RETRY_START_TOKENS)
+        )
 
     def _retry_capacity(self) -> float:
         return max(MIN_RETRY_CAPACITY, FLEET_RETRY_CAPACITY / max(1, self.live_vms()))
@@ -102,7 +104,7 @@
         self, request: GatewayRequest, sink: AnswerSink, trace: RequestTrace
     ) -> ForwardResult:
         """Serve a request; an error is the answer that the caller still has to get."""
-        self.retries.earn()
+        self.retries.of(request.service).earn()
         version = self.rollouts.pick(request.service, self.clock())
         while True:
             if sink.has_left():
@@ -200,7 +202,7 @@
             return False
         if self.crashes.is_refused(request.fingerprint, self.clock()):
             return False
-        return self.retries.take()
+        return self.retries.of(request.service).take()
 
     async def _give_up(
         self,
--- a/src/wagtailbay/retries/__init__.py
+++ b/src/wagtailbay/retries/__init__.py
@@ -1,5 +1,5 @@
 """Bound the share of retries in all tries."""
 
-from wagtailbay.retries.budget import RetryBudget
+from wagtailbay.retries.budget import RetryBudget, ServiceRetries
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "ServiceRetries"]
--- a/src/wagtailbay/retries/budget.py
+++ b/src/wagtailbay/retries/budget.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 
 
 @define
@@ -34,3 +34,25 @@
             return False
         self.tokens = max(0.0, self.tokens - 1.0)
         return True
+
+
+@define
+class ServiceRetries:
+    """Hold a retry budget for each service.
+
+    A service whose targets turn requests away would otherwise use up what the requests of all
+    other services have earned, and get far more than its own part.
+
+    Attributes:
+        make: Builds the budget of one service.
+        budgets: By service.
+    """
+
+    make: Callable[[], RetryBudget]
+    budgets: dict[str, RetryBudget] = field(factory=dict)
+
+    def of(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        if service not in self.budgets:
+            self.budgets[service] = self.make()
+        return self.budgets[service]
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -1,6 +1,6 @@
 """Test that retries stay a part of first tries."""
 
-from wagtailbay.retries import RetryBudget
+from wagtailbay.retries import RetryBudget, ServiceRetries
 
 
 class TestRetryBudget:
@@ -27,3 +27,23 @@
                 while budget.take():
                     burst += 1
             assert burst <= max(60, vms)
+
+
+class TestServiceRetries:
+    """One service turns requests away while others are fine."""
+
+    def test_a_failing_service_uses_its_own_requests_only(self) -> None:
+        """Guards against a service that gets a fourth more than its requests (a hunt's day)."""
+
+        def play(retries: ServiceRetries, failing: str) -> int:
+            made = 0
+            for number in range(2_000):
+                for service in ("a", "b", "c"):
+                    retries.of(service).earn()
+                made += retries.of(failing).take() if number % 2 else 0
+            return made
+
+        own = ServiceRetries(lambda: RetryBudget(0.15, lambda: 5.0, 1.0))
+        assert play(own, "a") <= 0.15 * 2_000 + 5
+        shared = RetryBudget(0.15, lambda: 5.0, 1.0)
+        assert play(ServiceRetries(lambda: shared), "a") > 0.2 * 2_000 + 5
