Compare a VM's demand with the others' of the same age

Each VM counted its new demand against the others' old one, which it hears up to one and a half seconds later, so that all shares grew together.

A VM's own demand now enters its share a second after it was published. Loans are given only while a workspace asks for up to half of its rate.

--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -8,6 +8,8 @@
 # and goes on with its last share is left its part.
 DEMAND_TTL_MS: Final = 6_000
 DEMAND_WINDOW_S: Final = 2.0
+# What others have published is known after up to an interval and a heartbeat.
+OWN_DEMAND_AGE_S: Final = 1.0
 # Part of the rate that is divided evenly, so that a VM admits the first requests of a workspace.
 EVEN_PART: Final = 0.15
 # A share grows at most by this in a second: what a VM takes more, the others must have heard of.
@@ -32,8 +34,9 @@
 # between two regions takes 70 ms.
 BORROW_TIMEOUT_MS: Final = 150
 LENDERS_ASKED: Final = 3
-# Demand is counted over a few seconds and known late; a little above the rate it may be within.
-BORROW_DEMAND_PART: Final = 1.2
+# Shares that follow demand add up to more than one while it moves. What is left over at a VM may be
+# lent only while the workspace asks for well less than its rate.
+BORROW_DEMAND_PART: Final = 0.5
 # After a request that no VM lent for, the next ones of the workspace are refused at once.
 NO_LENDER_PAUSE_S: Final = 0.25
 MIN_RETRY_AFTER_MS: Final = 200
--- a/src/wagtailbay/quota/share.py
+++ b/src/wagtailbay/quota/share.py
@@ -1,6 +1,7 @@
 """Divide the rate of each workspace among the VMs by their demand."""
 
 import random
+from collections import deque
 from collections.abc import Callable
 from math import isfinite
 
@@ -25,6 +26,7 @@
     MIN_BURST,
     MIN_RETRY_AFTER_MS,
     NO_LENDER_PAUSE_S,
+    OWN_DEMAND_AGE_S,
     SHARE_STEP_PER_S,
     SHARE_TAKEN_OVER_S,
     TAKEN_OVER_PART,
@@ -45,7 +47,8 @@
         fleet_size: Returns how many VMs divide the rate evenly where no demand is known.
         contact_age_s: Returns how long ago a peer was heard, infinity if never.
         demand: This VM's own demand by workspace.
-        published_per_s: What of it was published last.
+        published: What of it was published lately, with the time; the first is old enough to be
+            compared with what is known of the others.
         shares: The last share of each workspace that was computed in contact with the fleet, with
             the time.
     """
@@ -58,7 +61,7 @@
     layout: Callable[[], FleetLayout] = lambda: FleetLayout({}, {})
     fold: FleetFold = field(init=False)
     demand: dict[str, DecayingRate] = field(factory=dict)
-    published_per_s: dict[str, float] = field(factory=dict)
+    published: deque[tuple[float, dict[str, float]]] = field(factory=deque)
     others_per_s: dict[str, float] = field(factory=dict)
     shares: dict[str, tuple[float, float]] = field(factory=dict)
     buckets: dict[str, TokenBucket] = field(factory=dict)
@@ -78,7 +81,9 @@
         """Publish this VM's demand and add up that of the others."""
         own = {name: round(rate.at(now_s), 2) for name, rate in self.demand.items()}
         asked = {name: per_s for name, per_s in own.items() if per_s > 0}
-        self.published_per_s = asked
+        self.published.append((now_s, asked))
+        while len(self.published) > 1 and self.published[1][0] <= now_s - OWN_DEMAND_AGE_S:
+            self.published.popleft()
         speaks = self.layout().is_delegate(self.facts.vm)
         own = WorkspaceDemand(asked)
         self.fold.publish("all", own, now_s, urgent=speaks)
@@ -94,8 +99,8 @@
         if age_s > LOST_CONTACT_S:
             _, kept = self.shares.get(workspace, (now_s, even))
             return kept * TAKEN_OVER_PART if age_s > SHARE_TAKEN_OVER_S else kept
-        # As old as what the others published, since demand that grows would look too large.
-        own_per_s = self.published_per_s.get(workspace, 0.0)
+        # As old as what is known of the others: new demand against old would look too large.
+        own_per_s = self.published[0][1].get(workspace, 0.0) if self.published else 0.0
         total_per_s = own_per_s + self.others_per_s.get(workspace, 0.0)
         by_demand = own_per_s / total_per_s if total_per_s > 0 else even
         share = EVEN_PART * even + (1 - EVEN_PART) * by_demand
@@ -139,7 +144,13 @@
             return False
         if now_s < self.no_lender_until_s.get(name, now_s):
             return False
-        asked_per_s = self.demand[name].at(now_s) + self.others_per_s.get(name, 0.0)
+        return self._asks_little(workspace, now_s)
+
+    def _asks_little(self, workspace: Workspace, now_s: float) -> bool:
+        """Tell whether loans of a workspace's tokens cannot add up to more than its rate."""
+        own = self.demand.get(workspace.workspace)
+        asked_per_s = self.others_per_s.get(workspace.workspace, 0.0)
+        asked_per_s += own.at(now_s) if own is not None else 0.0
         return asked_per_s <= BORROW_DEMAND_PART * workspace.rate_per_s
 
     def note_no_lender(self, workspace: Workspace, now_s: float) -> None:
@@ -150,4 +161,6 @@
         """Give up one token if there is one; returns the tokens given."""
         if workspace.rate_per_s <= 0 or self.contact_age_s(now_s) > LOST_CONTACT_S:
             return 0.0
+        if not self._asks_little(workspace, now_s):
+            return 0.0
         return 1.0 if self._bucket(workspace, now_s).take(1.0, now_s) else 0.0
