--- a/src/wagtailbay/quota/borrow.py
+++ b/src/wagtailbay/quota/borrow.py
@@ -27,11 +27,11 @@
     """Borrow single tokens of a workspace's rate from VMs that have not used theirs.
 
     Shares follow demand, but a small share is used up by two requests that come close together,
-    while other VMs' shares are left over. A workspace that asks for more than its rate gets no
-    loans, so that a flood costs no messages.
+    while other VMs' shares are left over. A workspace that asks for more than half of its rate
+    gets no loans: shares add up to more than one while demand moves, and a flood costs no messages.
 
     Attributes:
-        lenders: Returns the VMs that this one hears, those of its own region first.
+        lenders: Returns the VMs that may be asked, those near by and all others.
     """
 
     identity: VmIdentity
