Add up the fleet's sums once, and say shared things in one place

- FleetFold.exchange publishes and returns the total.
- Demand and occupancy added up their counts by the same loop: add_counts.
- The outcome of a write without an answer and the errors of malformed bodies stood in store and platform alike: failed_write, MALFORMED.
- A VM that pushes is told from the layout in a divided fleet, where the watchers are delegates; it was found by hashing all live VMs for each message.
- Workspaces are found by name in a mapping; the layout's cells are a cached property like those of the routing table.
- The placement query carried a priority that nothing reads.

Behaviour is unchanged; tests keep their assertions and call the new names.

--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -127,7 +127,6 @@
             service=request.service,
             affinity=_affinity(request),
             latency_goal_ms=request.route.latency_goal_ms,
-            priority=request.priority,
             excluded=trace.excluded,
             allowed_regions=request.allowed_regions,
             version=version,
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -83,13 +83,6 @@
     received_s: float
     due_s: float
 
-    @property
-    def priority(self) -> int:
-        """Return the rank of the request; the workspace's goes before the route's."""
-        if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
-
     def left_ms(self, now_s: float) -> float:
         """Return the time left for an answer."""
         return max(0.0, (self.due_s - now_s) * 1000)
--- a/src/wagtailbay/membership/fold.py
+++ b/src/wagtailbay/membership/fold.py
@@ -1,13 +1,15 @@
 """Add up what every VM publishes, over a fleet whose VMs do not all hear each other."""
 
-from collections.abc import Callable, Iterator
-from typing import Any, Protocol, Self
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, Protocol, Self, TypeVar
 
 from attrs import define
 
 from wagtailbay.membership.facts import FactTable
 from wagtailbay.membership.layout import FleetLayout
 
+T = TypeVar("T", int, float)
+
 
 class Foldable(Protocol):
     """Be a value of which two make one, in any order."""
@@ -48,33 +50,30 @@
     layout: Callable[[], FleetLayout]
     ttl_ms: int
 
-    def publish(self, key: str, own: Foldable, now_s: float, *, urgent: bool = False) -> None:
-        """Publish this VM's value, with those of others if this VM speaks for its cell."""
-        cell = rest = None
-        if self.layout().is_delegate(self.facts.vm):
-            cell = _merged([own, *self._of_mates(key, now_s)])
-            rest = _merged(self._of_other_cells(key, now_s))
-        value = self.make(own, cell, rest)
-        self.facts.publish(self.kind, key, value, ttl_ms=self.ttl_ms, now_s=now_s, urgent=urgent)
-
-    def total(self, key: str, own: Foldable, now_s: float) -> Any:
-        """Return the sum over the fleet.
+    def exchange(self, key: str, own: Foldable, now_s: float, *, urgent: bool = False) -> Any:
+        """Publish this VM's value and return the sum over the fleet.
 
-        Of VMs that do not speak for their cell it is as old as what a delegate told, and holds this
-        VM's value of that time.
+        On VMs that do not speak for their cell the sum is as old as what a delegate told, and holds
+        this VM's value of that time.
 
         Args:
             own: This VM's value, which is all that is known before others have told theirs.
         """
         layout = self.layout()
-        if not layout.is_divided:
-            published = self._published(key, now_s)
-            return _merged([own, *(value.own for _, _, value in published)])
+        cell = rest = None
         if layout.is_delegate(self.facts.vm):
-            others = self._of_mates(key, now_s) + self._of_other_cells(key, now_s)
-            return _merged([own, *others])
-        told = self._told(key, now_s)
-        return own if told is None else told
+            cell = _merged([own, *self._of_mates(key, now_s)])
+            rest = _merged(self._of_other_cells(key, now_s))
+            total = _merged([cell, rest])
+        elif layout.is_divided:
+            told = self._told(key, now_s)
+            total = own if told is None else told
+        else:
+            published = self._published(key, now_s)
+            total = _merged([own, *(value.own for _, _, value in published)])
+        value = self.make(own, cell, rest)
+        self.facts.publish(self.kind, key, value, ttl_ms=self.ttl_ms, now_s=now_s, urgent=urgent)
+        return total
 
     def _published(self, key: str, now_s: float) -> Iterator[tuple[str, float, FoldedFact]]:
         for fact in self.facts.of_kind(self.kind, now_s):
@@ -110,12 +109,21 @@
         if not told:
             return None
         newest = max(told, key=lambda item: item[:2])[2]
-        return newest.cell if newest.rest is None else newest.cell.merge(newest.rest)
+        return _merged([newest.cell, newest.rest])
+
+
+def add_counts(some: Mapping[str, T], others: Mapping[str, T]) -> dict[str, T]:
+    """Add up two mappings by key; negative counts of other VMs are malformed and count as 0."""
+    total = dict(some)
+    for key, count in others.items():
+        total[key] = total.get(key, 0) + max(0, count)
+    return total
 
 
-def _merged(values: list[Any]) -> Any:
-    """Return all values as one, None if there are none."""
+def _merged(values: Iterable[Any]) -> Any:
+    """Return all values as one without those that are None; None if nothing is left."""
     total = None
     for value in values:
-        total = value if total is None else total.merge(value)
+        if value is not None:
+            total = value if total is None else total.merge(value)
     return total
--- a/src/wagtailbay/membership/layout.py
+++ b/src/wagtailbay/membership/layout.py
@@ -1,15 +1,16 @@
 """Divide a large fleet into cells whose VMs hear each other through delegates."""
 
 from collections.abc import Collection, Mapping
+from functools import cached_property
 
-from attrs import field, frozen
+from attrs import frozen
 from xxhash import xxh64_intdigest
 
 from wagtailbay.membership.choice import rendezvous_order
 from wagtailbay.membership.const import DELEGATES_PER_CELL, FULL_MESH_VMS, MAX_CELL_VMS
 
 
-@frozen
+@frozen(slots=False)
 class FleetLayout:
     """Hold which VMs form a cell and which of them speak for it.
 
@@ -24,12 +25,11 @@
 
     cells: dict[str, tuple[str, ...]]
     delegates: dict[str, tuple[str, ...]]
-    cell_by_vm: dict[str, str] = field(init=False)
 
-    def __attrs_post_init__(self) -> None:
-        """Note the cell of each VM."""
-        by_vm = {vm: cell for cell, vms in self.cells.items() for vm in vms}
-        object.__setattr__(self, "cell_by_vm", by_vm)
+    @cached_property
+    def cell_by_vm(self) -> dict[str, str]:
+        """Return the cell of each VM."""
+        return {vm: cell for cell, vms in self.cells.items() for vm in vms}
 
     @property
     def is_divided(self) -> bool:
--- a/src/wagtailbay/placement/models.py
+++ b/src/wagtailbay/placement/models.py
@@ -30,7 +30,6 @@
     Attributes:
         affinity: Names the object that it concerns, None if targets do not care.
         latency_goal_ms: An answer within this time is in good time.
-        priority: 0 is the most urgent.
         excluded: Targets that it was sent to before.
         allowed_regions: Where it may run; empty for anywhere.
         is_large: Whether its bytes and those of its answer are many.
@@ -39,7 +38,6 @@
     service: str
     affinity: str | None
     latency_goal_ms: float
-    priority: int
     excluded: frozenset[str] = frozenset()
     allowed_regions: frozenset[str] = frozenset()
     version: VersionFilter | None = None
--- a/src/wagtailbay/placement/occupancy.py
+++ b/src/wagtailbay/placement/occupancy.py
@@ -9,6 +9,7 @@
 
 from wagtailbay.membership import FactTable, FleetFold, FleetLayout
 from wagtailbay.membership.codec import register_fact
+from wagtailbay.membership.fold import add_counts
 from wagtailbay.placement.chooser import Placer
 from wagtailbay.placement.const import (
     OCCUPANCY_INTERVAL_S,
@@ -26,10 +27,7 @@
 
     def merge(self, other: Self) -> Self:
         """Return the requests of both."""
-        total = dict(self.in_flight)
-        for target, count in other.in_flight.items():
-            total[target] = total.get(target, 0) + max(0, count)
-        return Occupancy(total)
+        return Occupancy(add_counts(self.in_flight, other.in_flight))
 
 
 @frozen
@@ -82,8 +80,7 @@
             self.placer.forget_others()
             return
         own = Occupancy(self.placer.in_flight())
-        self.fold.publish("all", own, now_s)
-        total = self.fold.total("all", own, now_s)
+        total = self.fold.exchange("all", own, now_s)
         others = {
             target: max(0, count - own.in_flight.get(target, 0))
             for target, count in total.in_flight.items()
--- a/src/wagtailbay/platform/decode.py
+++ b/src/wagtailbay/platform/decode.py
@@ -17,8 +17,6 @@
     Workspace,
 )
 
-# What decoding raises for an object that lacks a field or has one of another type.
-MALFORMED: Final = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
 PHASES: Final = {
     "running": RolloutPhase.RUNNING,
     "complete": RolloutPhase.COMPLETE,
--- a/src/wagtailbay/platform/objects.py
+++ b/src/wagtailbay/platform/objects.py
@@ -4,9 +4,9 @@
 
 from wagtailbay.logs import log_event
 from wagtailbay.platform.const import CONFIG_NAME, KIND_OF_PREFIX, OWN_KIND_PREFIX
-from wagtailbay.platform.decode import MALFORMED, decode_order, decode_table, decode_target
+from wagtailbay.platform.decode import decode_order, decode_table, decode_target
 from wagtailbay.replica import to_value
-from wagtailbay.store import StoredObject
+from wagtailbay.store import MALFORMED, StoredObject
 
 
 def kind_of(prefix: str) -> str:
--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -14,10 +14,11 @@
     VMS_KIND,
     WATCH_MARGIN_MS,
 )
-from wagtailbay.platform.decode import MALFORMED, PHASE_NAMES
+from wagtailbay.platform.decode import PHASE_NAMES
 from wagtailbay.platform.objects import changed_objects, kind_of, split_key, stored_object
 from wagtailbay.rollout import RolloutOrder, RolloutPhase
 from wagtailbay.store import (
+    MALFORMED,
     HistoryLost,
     Listing,
     OutcomeUnknown,
@@ -27,6 +28,7 @@
     VersionConflict,
     VmList,
     VmRecord,
+    failed_write,
 )
 from wagtailbay.transport import ConnectionPool, Request, Response, TransportError
 
@@ -176,10 +178,8 @@
                 return Err(StoreUnavailable(f"status {response.status}"))
             case Ok(response):
                 return Err(OutcomeUnknown(key, f"status {response.status}"))
-            case Err(error) if not error.request_sent:
-                return Err(StoreUnavailable(str(error)))
             case Err(error):
-                return Err(OutcomeUnknown(key, str(error)))
+                return Err(failed_write(key, error))
 
     async def vms(self) -> Result[VmList, StoreUnavailable]:
         """Read the VMs that registered themselves."""
--- a/src/wagtailbay/programs/gateway_build.py
+++ b/src/wagtailbay/programs/gateway_build.py
@@ -196,8 +196,7 @@
         """Give up a token of a workspace's rate."""
         table = self.routing.table
         name = request.budget.removeprefix(BUDGET_PREFIX)
-        workspaces = table.workspaces if table else ()
-        found = next((known for known in workspaces if known.workspace == name), None)
+        found = table.workspaces_by_name.get(name) if table else None
         if found is None or self.quota is None:
             return LoanGrant(0, 0.0)
         return LoanGrant(0, self.quota.lend(found, now_s))
--- a/src/wagtailbay/programs/gateway_fleet.py
+++ b/src/wagtailbay/programs/gateway_fleet.py
@@ -67,4 +67,7 @@
 
     def pushes(self) -> bool:
         """Tell whether this VM sends objects to peers that may have them from another VM."""
-        return self.fleet.reader.is_watcher() or self.layout().is_delegate(self.settings.vm)
+        if self.layout().is_divided:
+            # Watchers are chosen among the delegates.
+            return self.layout().is_delegate(self.settings.vm)
+        return self.fleet.reader.is_watcher()
--- a/src/wagtailbay/quota/models.py
+++ b/src/wagtailbay/quota/models.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from wagtailbay.membership.codec import register_fact
+from wagtailbay.membership.fold import add_counts
 from wagtailbay.quota.const import DEMAND_KIND
 
 
@@ -16,10 +17,8 @@
 
     def merge(self, other: Self) -> Self:
         """Return the demand of both."""
-        total = dict(self.per_s)
-        for name, per_s in other.per_s.items():
-            total[name] = round(total.get(name, 0.0) + max(0.0, per_s), 2)
-        return WorkspaceDemand(total)
+        total = add_counts(self.per_s, other.per_s)
+        return WorkspaceDemand({name: round(per_s, 2) for name, per_s in total.items()})
 
 
 @frozen
--- a/src/wagtailbay/quota/share.py
+++ b/src/wagtailbay/quota/share.py
@@ -86,8 +86,7 @@
             self.published.popleft()
         speaks = self.layout().is_delegate(self.facts.vm)
         own = WorkspaceDemand(asked)
-        self.fold.publish("all", own, now_s, urgent=speaks)
-        total = self.fold.total("all", own, now_s)
+        total = self.fold.exchange("all", own, now_s, urgent=speaks)
         self.others_per_s = {
             name: max(0.0, per_s - asked.get(name, 0.0)) for name, per_s in total.per_s.items()
         }
--- a/src/wagtailbay/rollout/keeper.py
+++ b/src/wagtailbay/rollout/keeper.py
@@ -91,8 +91,7 @@
             vms=1,
             moved_vms=int(progress.share(now_s) >= 1.0 and not progress.old_in_flight),
         )
-        self.fold.publish(key, own, now_s, urgent=self._is_urgent(key, own))
-        fleet = self.fold.total(key, own, now_s)
+        fleet = self.fold.exchange(key, own, now_s, urgent=self._is_urgent(key, own))
         progress.known_since_s = min(progress.known_since_s, now_s - fleet.age_s)
         return fleet
 
--- a/src/wagtailbay/routing/models.py
+++ b/src/wagtailbay/routing/models.py
@@ -116,6 +116,11 @@
     def _workspaces_by_key(self) -> dict[str, Workspace]:
         return {key: workspace for workspace in self.workspaces for key in workspace.keys}
 
+    @cached_property
+    def workspaces_by_name(self) -> dict[str, Workspace]:
+        """Return the workspaces by their names."""
+        return {workspace.workspace: workspace for workspace in self.workspaces}
+
     @cached_property
     def services_by_name(self) -> dict[str, ServiceRule]:
         """Return the services by their names."""
--- a/src/wagtailbay/store/__init__.py
+++ b/src/wagtailbay/store/__init__.py
@@ -1,6 +1,6 @@
 """Talk to the platform's object API and its list of VMs."""
 
-from wagtailbay.store.client import HttpObjectStore
+from wagtailbay.store.client import MALFORMED, HttpObjectStore, failed_write
 from wagtailbay.store.counted import CountedObjectStore
 from wagtailbay.store.models import (
     HistoryLost,
@@ -16,6 +16,7 @@
 )
 
 __all__ = [
+    "MALFORMED",
     "CountedObjectStore",
     "HistoryLost",
     "HttpObjectStore",
@@ -28,4 +29,5 @@
     "VersionConflict",
     "VmList",
     "VmRecord",
+    "failed_write",
 ]
--- a/src/wagtailbay/store/client.py
+++ b/src/wagtailbay/store/client.py
@@ -97,10 +97,15 @@
                 return Err(StoreUnavailable("the platform refused the write"))
             case Ok(response):
                 return Err(OutcomeUnknown(key, f"status {response.status}"))
-            case Err(error) if not error.request_sent:
-                return Err(StoreUnavailable(str(error)))
             case Err(error):
-                return Err(OutcomeUnknown(key, str(error)))
+                return Err(failed_write(key, error))
+
+
+def failed_write(key: str, error: TransportError) -> StoreError:
+    """Tell of a write without an answer whether it may have been carried out."""
+    if not error.request_sent:
+        return StoreUnavailable(str(error))
+    return OutcomeUnknown(key, str(error))
 
 
 def _decoded(
--- a/tests/membership/test_fold.py
+++ b/tests/membership/test_fold.py
@@ -52,7 +52,7 @@
         for _ in range(turns):
             self.now_s += INTERVAL_S
             for vm in sorted(self.live):
-                self.folds[vm].publish("all", Count(self.numbers[vm]), self.now_s)
+                self.folds[vm].exchange("all", Count(self.numbers[vm]), self.now_s)
             layout = self.layout()
             for vm in sorted(self.live):
                 for other in layout.neighbours(vm) & self.live:
@@ -64,7 +64,7 @@
         """Return what the VMs hold for the sum of the fleet."""
         found = set()
         for vm in self.live:
-            found.add(self.folds[vm].total("all", Count(self.numbers[vm]), self.now_s).number)
+            found.add(self.folds[vm].exchange("all", Count(self.numbers[vm]), self.now_s).number)
         return found
 
 
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -33,7 +33,7 @@
 
 def query(**changes) -> PlacementQuery:
     """Return the need of a target."""
-    values = {"service": "records", "affinity": "7", "latency_goal_ms": 600.0, "priority": 1}
+    values = {"service": "records", "affinity": "7", "latency_goal_ms": 600.0}
     return PlacementQuery(**(values | changes))
 
 
--- a/tests/placement/test_occupancy.py
+++ b/tests/placement/test_occupancy.py
@@ -66,7 +66,7 @@
                 _, placer, placement = self.running.pop(0)
                 placer.finish(placement, TargetSign.ANSWERED, WORK_S * 1000, None, now_s)
             placer = source.choice(self.placers)
-            query = PlacementQuery("records", str(source.randrange(objects)), 2_500.0, 1)
+            query = PlacementQuery("records", str(source.randrange(objects)), 2_500.0)
             placed = placer.choose(query, now_s)
             if placed.is_ok():
                 self.running.append((now_s + WORK_S, placer, placed.ok_value))
--- a/tests/placement/test_sizes.py
+++ b/tests/placement/test_sizes.py
@@ -24,7 +24,7 @@
     placers = [placer_in("z1"), placer_in("z2")]
     for turn in range(400):
         placer = placers[turn % 2]
-        query = PlacementQuery("records", str(turn // 2 % 20), 600.0, 1, is_large=is_large)
+        query = PlacementQuery("records", str(turn // 2 % 20), 600.0, is_large=is_large)
         found = placer.choose(query, turn / 100).ok_value
         target = found.target.entry
         crossed += target.availability_zone != placer.availability_zone
@@ -52,8 +52,8 @@
     def test_a_full_zone_uses_the_regions_target(self) -> None:
         """Guards against a refusal or a third copy while the other zone has the object."""
         placer = placer_in("z1")
-        query = PlacementQuery("records", "7", 600.0, 1, is_large=True)
-        small = PlacementQuery("records", "7", 600.0, 1)
+        query = PlacementQuery("records", "7", 600.0, is_large=True)
+        small = PlacementQuery("records", "7", 600.0)
         in_region = placer.choose(small, 0.0).ok_value.target.entry.target
         first = placer.choose(query, 0.0).ok_value.target
         placer.load_of(first).own = 100
@@ -67,10 +67,10 @@
         for target in placer.registry.targets.values():
             placer.load_of(target).own = 7
         for number in range(20):
-            large = PlacementQuery("records", str(number), 600.0, 1, is_large=True)
+            large = PlacementQuery("records", str(number), 600.0, is_large=True)
             chosen = placer.choose(large, 0.0).ok_value.target
             placer.load_of(chosen).own -= 1
-            small = placer.choose(PlacementQuery("records", str(number), 600.0, 1), 0.0)
+            small = placer.choose(PlacementQuery("records", str(number), 600.0), 0.0)
             placer.load_of(small.ok_value.target).own -= 1
             assert chosen is small.ok_value.target
 
--- a/tests/placement/test_spill.py
+++ b/tests/placement/test_spill.py
@@ -51,7 +51,7 @@
             now_s = tick / 100
             homes = frozenset({"south"}) if tick % 4 == 0 else frozenset()
             found = placer.choose(
-                PlacementQuery("records", str(tick % 9), 600.0, 1, allowed_regions=homes), now_s
+                PlacementQuery("records", str(tick % 9), 600.0, allowed_regions=homes), now_s
             )
             assert isinstance(found, Ok)
             if not homes:
@@ -77,5 +77,5 @@
         placer.load_of(chosen).own = 0
         placer.spills["records"] = SpillLimiter(share=1.0, wanted=1.0)
         for _ in range(20):
-            placer.choose(PlacementQuery("records", "7", 600.0, 1), 0.0)
+            placer.choose(PlacementQuery("records", "7", 600.0), 0.0)
         assert placer.load_of(chosen).own == used
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -4,12 +4,13 @@
 from result import Ok
 from support.gateway import config_spec, server_fields
 
-from wagtailbay.platform.decode import MALFORMED, decode_order, decode_table, decode_target
+from wagtailbay.platform.decode import decode_order, decode_table, decode_target
 from wagtailbay.platform.durations import format_duration_ms, parse_duration_ms
 from wagtailbay.platform.objects import changed_objects, kind_of, split_key, stored_object
 from wagtailbay.replica import from_value
 from wagtailbay.rollout import RolloutPhase
 from wagtailbay.routing import RoutingTable
+from wagtailbay.store import MALFORMED
 
 
 def item(name: str, revision: int, **fields) -> dict:
