Follow the store past one unusable object

Cause: a listing, watch response or peer message was decoded as a whole. One object that is nested 100,000 levels deep, has an integer of 5,000 digits, bytes that are not UTF-8 or a revision beyond 64 bits made all of it unreadable, so no VM followed that kind any more. An unhashable name in a watch event failed the watch each time it changed. int() of an infinite number raised OverflowError, which no decoder caught, and ended the reader's task and with it the process. A port above 65535, a huge number of slots or a lone surrogate was accepted and made each later selection, log line or message to a peer fail.

Change: the slice decoding parses documents with values that the JSON parser gives up on, holds the one list of decoding exceptions, and checks texts, counts and durations. The platform's adapter, the object API client and the messages between VMs decode each object, event and member apart, and log and leave out the malformed one. An object that has become malformed counts as deleted in a watch, as it did in a listing. Health reports compare before they convert. The kind download may be repeated.

--- a/src/wagtailbay/health/wire.py
+++ b/src/wagtailbay/health/wire.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import math
 from typing import Any
 
 from result import Err, Ok, Result
@@ -69,7 +68,7 @@
 def _is_count(value: Any) -> bool:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return False
-    return math.isfinite(value) and 0 <= value <= MAX_REPORTED_VALUE
+    return 0 <= value <= MAX_REPORTED_VALUE
 
 
 def encode_report(report: TargetReport) -> list[Any]:
--- a/src/wagtailbay/membership/codec.py
+++ b/src/wagtailbay/membership/codec.py
@@ -5,21 +5,11 @@
 
 from attrs import define, field, frozen
 from cattrs import Converter
-from cattrs.errors import BaseValidationError
 from result import Err, Ok, Result
 
+from wagtailbay.decoding import DECODE_ERRORS
 from wagtailbay.membership.const import MAX_CACHED_FACT_BYTES, MAX_CACHED_FACTS
 
-DECODING_ERRORS = (
-    BaseValidationError,
-    ValueError,
-    TypeError,
-    LookupError,
-    ArithmeticError,
-    AttributeError,
-    RecursionError,
-)
-
 
 @frozen
 class VmListEntry:
@@ -89,7 +79,7 @@
             return Ok(cached)
         try:
             value = self.converter.structure(json.loads(data, parse_constant=_reject_constant), cls)
-        except DECODING_ERRORS as error:
+        except DECODE_ERRORS as error:
             return Err(f"{type(error).__name__}: {error}")
         if len(data) <= MAX_CACHED_FACT_BYTES:
             _add_to_cache(self.decode_cache, (kind, data), value)
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -1,11 +1,13 @@
 """Protobuf encoding of the messages between entry VMs; no other module uses protobuf."""
 
 import json
+from collections.abc import Iterable
 from typing import Any
 
 from google.protobuf.message import DecodeError
 from result import Err, Ok, Result
 
+from wagtailbay.decoding import parse_json
 from wagtailbay.logs import log_event
 from wagtailbay.membership.codec import FactCodec
 from wagtailbay.membership.const import (
@@ -27,11 +29,12 @@
 
 def encode_exchange(message: ExchangeMessage, codec: FactCodec, now_s: float) -> bytes:
     """Encode an exchange message; a batch or facts too large for it are truncated."""
+    batch, batch_is_complete = _encode_batch(message.batch)
     encoded = peer_pb2.ExchangeMessage(
         sender=_encode_member(message.sender, now_s),
         replica_revision=message.replica_revision,
         store_reachable=message.store_reachable,
-        batch=_encode_batch(message.batch),
+        batch=batch,
         facts_from=message.facts.from_position,
         facts_seen=message.facts_seen,
         facts_seen_incarnation=message.facts_seen_incarnation,
@@ -41,7 +44,7 @@
         members=(_encode_member(member, now_s) for member in message.members),
         contacts=(_encode_contact(contact, now_s) for contact in message.contacts),
     )
-    if len(encoded.batch.entries) == len(message.batch.objects):
+    if batch_is_complete:
         encoded.replica_through = message.replica_through
     encoded.facts_through = _add_facts(encoded, message.facts, codec, now_s)
     if message.confirmed_age_ms is not None:
@@ -56,7 +59,7 @@
 
 
 def decode_exchange(data: bytes, codec: FactCodec, now_s: float) -> Result[ExchangeMessage, str]:
-    """Decode an exchange message; facts that cannot be decoded are dropped."""
+    """Decode an exchange message; malformed facts, members and objects are dropped."""
     encoded = peer_pb2.ExchangeMessage()
     try:
         encoded.ParseFromString(data)
@@ -91,7 +94,7 @@
         replica_through=encoded.replica_through,
         replica_seen=encoded.replica_seen,
         replica_digest=encoded.replica_digest,
-        members=tuple(_decode_member(member, now_s) for member in encoded.members),
+        members=_decode_members(encoded.members, now_s),
         contacts=tuple(
             Contact(item.vm, item.incarnation, now_s - item.age_ms / 1000)
             for item in encoded.contacts
@@ -136,38 +139,72 @@
     return Member(identity, VmState(encoded.state), encoded.sequence, contact_s=contact_s)
 
 
-def _encode_batch(batch: EntryBatch) -> Any:
+def _decode_members(encoded: Iterable[Any], now_s: float) -> tuple[Member, ...]:
+    members = []
+    for item in encoded:
+        try:
+            members.append(_decode_member(item, now_s))
+        except ValueError as error:
+            log_event("member_dropped", vm=item.vm[:80], reason=str(error)[:200])
+    return tuple(members)
+
+
+def _encode_batch(batch: EntryBatch) -> tuple[Any, bool]:
+    """Encode a batch of objects; return it and whether it has all objects that can be encoded."""
     encoded = peer_pb2.EntryBatch(
         since_revision=batch.since_revision, revision=batch.revision, whole=batch.whole
     )
     size_bytes, limit_bytes = 0, MAX_SNAPSHOT_BYTES if batch.whole else MAX_DELTA_BYTES
     for stored in batch.objects:
-        value = b""
-        if stored.value is not None:
-            value = json.dumps(stored.value, separators=(",", ":"), ensure_ascii=False).encode()
+        value = _encode_value(stored)
+        if value is None:
+            continue
         size_bytes += len(stored.key) + len(value)
         if size_bytes > limit_bytes and batch.whole:
             # A truncated snapshot would delete objects at the receiver; it lists the store instead.
             log_event("replica_too_large", objects=len(batch.objects), max_bytes=limit_bytes)
-            return peer_pb2.EntryBatch()
+            return peer_pb2.EntryBatch(), not batch.objects
         if size_bytes > limit_bytes and encoded.entries:
             encoded.revision = min(batch.revision, encoded.entries[-1].version)
-            break
+            return encoded, False
         encoded.entries.add(key=stored.key, version=stored.version, value=value)
-    return encoded
+    return encoded, True
+
+
+def _encode_value(stored: StoredObject) -> bytes | None:
+    """Encode the value of an object, empty if it is deleted; return None if that fails."""
+    if stored.value is None:
+        return b""
+    try:
+        return json.dumps(stored.value, separators=(",", ":"), ensure_ascii=False).encode()
+    except (ValueError, TypeError, RecursionError) as error:
+        _log_dropped_object(stored.key, f"{type(error).__name__}: {error}")
+        return None
 
 
 def _decode_batch(encoded: Any) -> EntryBatch:
-    objects = tuple(
-        StoredObject(entry.key, entry.version, json.loads(entry.value) if entry.value else None)
-        for entry in encoded.entries
-    )
+    decoded = (_decode_object(entry) for entry in encoded.entries)
+    objects = tuple(stored for stored in decoded if stored is not None)
     base_revision = 0 if encoded.whole else encoded.since_revision
     if any(stored.version <= base_revision for stored in objects):
         raise ValueError("an entry is not newer than what its batch starts from")
     return EntryBatch(encoded.since_revision, encoded.revision, encoded.whole, objects)
 
 
+def _decode_object(entry: Any) -> StoredObject | None:
+    if not entry.value:
+        return StoredObject(entry.key, entry.version, None)
+    parsed = parse_json(entry.value)
+    if isinstance(parsed, Err):
+        _log_dropped_object(entry.key, parsed.err_value)
+        return None
+    return StoredObject(entry.key, entry.version, parsed.ok_value)
+
+
+def _log_dropped_object(key: str, reason: str) -> None:
+    log_event("object_dropped", key=key[:80], reason=reason[:200])
+
+
 def _add_facts(encoded: Any, batch: FactBatch, codec: FactCodec, now_s: float) -> int:
     """Add facts up to the size limit; return the position through which they are complete."""
     size_bytes, complete_through = 0, batch.from_position
--- a/src/wagtailbay/platform/decode.py
+++ b/src/wagtailbay/platform/decode.py
@@ -5,6 +5,7 @@
 
 from typing import Any, Final
 
+from wagtailbay.decoding import MAX_COUNT, require_count, require_text
 from wagtailbay.platform.durations import parse_duration_ms
 from wagtailbay.registry import TargetEntry
 from wagtailbay.rollout import RolloutOrder, RolloutPhase
@@ -16,7 +17,13 @@
     ServiceRule,
     Workspace,
 )
+from wagtailbay.settings.checks import parse_address, split_address
 
+TARGET_STATES: Final = ("ready", "draining")
+# Kinds of routes whose requests may run more than once; all others run at most once.
+IDEMPOTENT_KINDS: Final = frozenset({"safe", "download"})
+# A target with more slots than this is an error in its entry.
+MAX_SLOTS: Final = 1_000_000
 PHASES_BY_NAME: Final = {
     "running": RolloutPhase.RUNNING,
     "complete": RolloutPhase.COMPLETE,
@@ -29,13 +36,13 @@
     """Decode the routing table from the spec of a configuration object."""
     limits = spec["limits"]
     return RoutingTable(
-        version=int(_require_text(spec["version"]), 16),
+        version=require_count(int(require_text(spec["version"]), 16)),
         routes=tuple(_decode_route(item) for item in spec["routes"]),
         services=tuple(_decode_service(item) for item in spec["services"]),
         workspaces=tuple(_decode_workspace(item) for item in spec.get("tenants") or ()),
         limits=CallerLimits(
-            max_header_bytes=int(limits["max_header_bytes"]),
-            max_body_bytes=int(limits["max_body_bytes"]),
+            max_header_bytes=require_count(limits["max_header_bytes"]),
+            max_body_bytes=require_count(limits["max_body_bytes"]),
             header_timeout_ms=parse_duration_ms(limits["header_timeout"]),
             idle_timeout_ms=parse_duration_ms(limits["idle_timeout"]),
         ),
@@ -46,52 +53,63 @@
     weighted_services = item.get("weighted_services") or ()
     if weighted_services:
         route_parts = tuple(
-            RoutePart(_require_text(p["service"]), float(p["weight"])) for p in weighted_services
+            RoutePart(require_text(p["service"]), _require_rate(p["weight"]))
+            for p in weighted_services
         )
     else:
-        route_parts = (RoutePart(_require_text(item["service"])),)
+        route_parts = (RoutePart(require_text(item["service"])),)
     timeout_ms = parse_duration_ms(item["timeout"])
     latency_goal = item.get("latency_goal")
     return RouteRule(
-        name=_require_text(item["name"]),
-        host=_require_text(item["host"]),
-        path_prefix=_require_text(item["path_prefix"]),
-        # Requests of every kind other than safe must run at most once.
-        idempotent=item["kind"] == "safe",
+        name=require_text(item["name"]),
+        host=require_text(item["host"]),
+        path_prefix=require_text(item["path_prefix"]),
+        idempotent=require_text(item["kind"]) in IDEMPOTENT_KINDS,
         timeout_ms=timeout_ms,
         latency_goal_ms=parse_duration_ms(latency_goal) if latency_goal else timeout_ms,
-        priority=int(item.get("priority") or 0),
+        priority=require_count(item.get("priority") or 0),
         parts=route_parts,
-        max_targets=max(1, int(item.get("max_attempts") or 1)),
+        max_targets=require_count(item.get("max_attempts") or 1, minimum=1),
         public=bool(item.get("public")),
         sticky=bool(item.get("sticky")),
-        allowed_regions=frozenset(item.get("home_regions") or ()),
+        allowed_regions=_decode_names(item.get("home_regions")),
     )
 
 
 def _decode_service(item: dict[str, Any]) -> ServiceRule:
     cold = item.get("cold")
     return ServiceRule(
-        service=_require_text(item["name"]),
-        health_path=_require_text(item.get("health_path") or "/health"),
-        max_connections=int(item.get("max_conns") or 0),
+        service=require_text(item["name"]),
+        health_path=require_text(item.get("health_path") or "/health"),
+        max_connections=require_count(item.get("max_conns") or 0),
         cold_ms=parse_duration_ms(cold) if cold else 0.0,
-        cold_per_s=float(item.get("cold_per_s") or 0.0),
+        cold_per_s=_require_rate(item.get("cold_per_s") or 0.0),
     )
 
 
 def _decode_workspace(item: dict[str, Any]) -> Workspace:
     priority = item.get("priority")
     return Workspace(
-        workspace=_require_text(item["name"]),
-        keys=frozenset(_require_text(key) for key in item.get("api_keys") or ()),
-        priority=None if priority is None else int(priority),
-        rate_per_s=float(item.get("rate_per_s") or 0.0),
-        burst=float(item.get("burst") or 0.0),
-        allowed_regions=frozenset(item.get("home_regions") or ()),
+        workspace=require_text(item["name"]),
+        keys=_decode_names(item.get("api_keys")),
+        priority=None if priority is None else require_count(priority),
+        rate_per_s=_require_rate(item.get("rate_per_s") or 0.0),
+        burst=_require_rate(item.get("burst") or 0.0),
+        allowed_regions=_decode_names(item.get("home_regions")),
     )
 
 
+def _decode_names(names: Any) -> frozenset[str]:
+    return frozenset(require_text(name) for name in names or ())
+
+
+def _require_rate(value: Any) -> float:
+    """Return a finite number that is not negative; raise ValueError for another value."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= MAX_COUNT:
+        raise ValueError("expected a finite number that is not negative")
+    return float(value)
+
+
 def decode_target_entry(item: dict[str, Any], name: str) -> TargetEntry:
     """Decode the registry entry of a target.
 
@@ -101,24 +119,18 @@
     fields = _merge_fields(item)
     info, status = fields.get("info") or fields, fields.get("status") or {}
     state = status["state"]
-    if state not in ("ready", "draining"):
-        raise ValueError(f"unknown state {state!r}")
-    born = fields.get("born", 0)
-    if isinstance(born, bool) or not isinstance(born, int):
-        raise ValueError(f"born must be an integer, got {born!r}")
-    slots = info["slots"]
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
-        raise ValueError(f"slots must be an integer of at least 1, got {slots!r}")
+    if state not in TARGET_STATES:
+        raise ValueError(f"expected a known state, got {str(state)[:40]!r}")
     return TargetEntry(
         target=name,
-        address=_require_address(fields["address"]),
-        service=_require_text(info["service"]),
-        version=_require_text(info["version"]),
-        availability_zone=_require_text(info["zone"]),
-        slots=slots,
+        address=require_address(fields["address"]),
+        service=require_text(info["service"]),
+        version=require_text(info["version"]),
+        availability_zone=require_text(info["zone"]),
+        slots=require_count(info["slots"], minimum=1, maximum=MAX_SLOTS),
         draining=state == "draining",
         cold_remaining_ms=parse_duration_ms(status.get("cold_left") or "0ms"),
-        born_unix_ms=born,
+        born_unix_ms=require_count(fields.get("born", 0)),
     )
 
 
@@ -135,27 +147,22 @@
 def decode_rollout_order(item: dict[str, Any]) -> RolloutOrder:
     """Decode an operator's rollout order and the phase recorded in its status."""
     spec, status = item["spec"], item.get("status") or {}
-    version = _require_text(spec["target_version"])
+    version = require_text(spec["target_version"])
     # A status with another target version belongs to an earlier order.
     is_current = status.get("target_version") == version
     phase = PHASES_BY_NAME.get(status.get("state"), RolloutPhase.ORDERED)
     return RolloutOrder(
-        service=_require_text(spec["service"]),
+        service=require_text(spec["service"]),
         target_version=version,
         duration_s=parse_duration_ms(spec["duration"]) / 1000,
-        created_revision=int(item["meta"].get("created") or 0),
+        created_revision=require_count(item["meta"].get("created") or 0),
         phase=phase if is_current else RolloutPhase.ORDERED,
     )
 
 
-def _require_text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"expected a non-empty string, got {value!r}")
-    return value
-
-
-def _require_address(value: Any) -> str:
-    host, _, port = _require_text(value).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"expected <host>:<port>, got {value!r}")
-    return value
+def require_address(value: Any) -> str:
+    """Return an address of the form ``<IP address>:<port>``; raise ValueError for another value."""
+    address = parse_address(require_text(value))
+    if split_address(address)[1] == 0:
+        raise ValueError(f"expected a port from 1 to 65535, got {address!r}")
+    return address
--- a/src/wagtailbay/platform/durations.py
+++ b/src/wagtailbay/platform/durations.py
@@ -2,7 +2,9 @@
 
 import re
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+from wagtailbay.decoding import require_duration_ms
+
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _MS_PER_UNIT = {"ms": 1.0, "s": 1000.0}
 
 
@@ -10,12 +12,12 @@
     """Parse a duration such as ``1500ms`` or ``2.5s`` into milliseconds.
 
     Raises:
-        ValueError: The value is not a string of this form.
+        ValueError: The value is not a string of this form, or the duration is over a year.
     """
     match = _DURATION.fullmatch(text) if isinstance(text, str) else None
     if match is None:
-        raise ValueError(f"expected a number followed by ms or s, got {text!r}")
-    return float(match[1]) * _MS_PER_UNIT[match[2]]
+        raise ValueError(f"expected a number followed by ms or s, got {repr(text)[:80]}")
+    return require_duration_ms(float(match[1]) * _MS_PER_UNIT[match[2]])
 
 
 def format_duration_ms(duration_ms: float) -> str:
--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
+from wagtailbay.decoding import DECODE_ERRORS, parse_json, require_count
 from wagtailbay.platform.const import (
     CALL_TIMEOUT_MS,
     MAX_PAGES,
@@ -17,13 +18,13 @@
 from wagtailbay.platform.decode import NAMES_BY_PHASE
 from wagtailbay.platform.objects import (
     decode_stored_object,
+    decode_vm_record,
     decode_watch_events,
     kind_for_prefix,
     split_object_key,
 )
 from wagtailbay.rollout import RolloutOrder, RolloutPhase
 from wagtailbay.store import (
-    DECODE_ERRORS,
     HistoryLost,
     Listing,
     OutcomeUnknown,
@@ -32,7 +33,6 @@
     StoreUnavailable,
     VersionConflict,
     VmList,
-    VmRecord,
     classify_write_failure,
 )
 from wagtailbay.transport import ConnectionPool, Request, Response, TransportError
@@ -123,13 +123,14 @@
                 return Err(StoreUnavailable(str(read_result.err_value)))
             page = read_result.ok_value or {"items": [], "at": 0}
             try:
-                first_revision = int(page["at"]) if first_revision is None else first_revision
+                page_revision = require_count(page["at"])
+                first_revision = page_revision if first_revision is None else first_revision
                 items += page["items"]
                 if not page.get("has_more"):
                     return Ok((first_revision, items))
-                after = page["items"][-1]["meta"]["name"]
-            except (*DECODE_ERRORS, IndexError) as error:
-                return Err(StoreUnavailable(f"malformed listing: {error}"))
+                after = _last_name(page["items"], after)
+            except DECODE_ERRORS as error:
+                return Err(StoreUnavailable(f"malformed listing: {error}"[:200]))
         return Err(StoreUnavailable(f"the listing of {kind} has too many pages"))
 
     async def watch(
@@ -144,10 +145,10 @@
         if read_result.ok_value is None:
             return Ok(Listing(since_revision, ()))
         try:
-            revision = int(read_result.ok_value["at"])
+            revision = require_count(read_result.ok_value["at"])
             objects = decode_watch_events(prefix, read_result.ok_value["events"], revision)
         except DECODE_ERRORS as error:
-            return Err(StoreUnavailable(f"malformed watch response: {error}"))
+            return Err(StoreUnavailable(f"malformed watch response: {error}"[:200]))
         return Ok(Listing(revision, tuple(objects)))
 
     async def put(
@@ -206,34 +207,37 @@
         if isinstance(list_result, Err):
             return list_result
         _, items = list_result.ok_value
-        records, revision = [], 0
-        for item in items:
-            stored_object = decode_stored_object("vms/", item)
-            if stored_object is not None and isinstance(stored_object.value, dict):
-                value = stored_object.value
-                revision = max(revision, stored_object.version)
-                name = stored_object.key.partition("/")[2]
-                records.append(
-                    VmRecord(name, value.get("address", ""), value.get("zone", ""), "live")
-                )
-        return Ok(VmList(revision, tuple(records)))
+        decoded = [record for record in map(decode_vm_record, items) if record is not None]
+        revision = max((version for _, version in decoded), default=0)
+        return Ok(VmList(revision, tuple(record for record, _ in decoded)))
 
 
 def _decode_response(body: bytes) -> Result[dict[str, Any], StoreUnavailable]:
-    try:
-        value = json.loads(body)
-    except DECODE_ERRORS as error:
-        return Err(StoreUnavailable(f"malformed response: {error}"))
-    return (
-        Ok(value)
-        if isinstance(value, dict)
-        else Err(StoreUnavailable("the response is not a JSON object"))
-    )
+    match parse_json(body):
+        case Ok(dict(value)):
+            return Ok(value)
+        case Err(reason):
+            return Err(StoreUnavailable(f"malformed response: {reason}"[:200]))
+    return Err(StoreUnavailable("the response is not a JSON object"))
 
 
 def _parse_revision(body: bytes) -> int | None:
     """Return the revision in the response to a write, None if it is missing."""
     try:
-        return int(json.loads(body)["meta"]["revision"])
+        return require_count(parse_json(body).unwrap_or(None)["meta"]["revision"])
     except DECODE_ERRORS:
         return None
+
+
+def _last_name(items: ObjectItems, after: str) -> str:
+    """Return the name after which the next page starts, from the last object that has one.
+
+    Raises:
+        ValueError: No object of the page has a name other than that of the previous page.
+    """
+    for item in reversed(items):
+        meta = item.get("meta") if isinstance(item, dict) else None
+        name = meta.get("name") if isinstance(meta, dict) else None
+        if isinstance(name, str) and name != after:
+            return name
+    raise ValueError("a page without names cannot be continued")
--- a/src/wagtailbay/replica/values.py
+++ b/src/wagtailbay/replica/values.py
@@ -3,17 +3,18 @@
 from typing import Any, TypeVar
 
 from cattrs import Converter
-from cattrs.errors import BaseValidationError
 from result import Err, Ok, Result
 
+from wagtailbay.decoding import DECODE_ERRORS
+
 T = TypeVar("T")
+# Reasons are logged; they quote the malformed value, which may be large.
+MAX_REASON_LENGTH = 300
 _CONVERTER = Converter()
 # Sets are unordered; sorting them gives equal values the same serialized form.
 _CONVERTER.register_unstructure_hook_func(
     lambda model_class: getattr(model_class, "__origin__", model_class) is frozenset, sorted
 )
-# Exceptions raised when structuring a malformed value.
-DECODE_ERRORS = (BaseValidationError, KeyError, TypeError, ValueError, AttributeError)
 
 
 def to_value(model: Any) -> Any:
@@ -26,4 +27,4 @@
     try:
         return Ok(_CONVERTER.structure(value, model_class))
     except DECODE_ERRORS as error:
-        return Err(f"{type(error).__name__}: {error}")
+        return Err(f"{type(error).__name__}: {error}"[:MAX_REASON_LENGTH])
--- a/src/wagtailbay/settings/checks.py
+++ b/src/wagtailbay/settings/checks.py
@@ -32,7 +32,7 @@
     if not separator:
         raise ValueError(f"expected <ip number>:<port>, got {text!r}")
     ipaddress.ip_address(host)
-    if not port.isdigit() or int(port) > 65535:
+    if not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) > 65535:
         raise ValueError(f"port must be 0 to 65535, got {port!r}")
     return text
 
--- a/src/wagtailbay/store/__init__.py
+++ b/src/wagtailbay/store/__init__.py
@@ -1,6 +1,6 @@
 """Access to the platform's object API and its list of VMs."""
 
-from wagtailbay.store.client import DECODE_ERRORS, HttpObjectStore, classify_write_failure
+from wagtailbay.store.client import HttpObjectStore, classify_write_failure
 from wagtailbay.store.metered import MeteredObjectStore
 from wagtailbay.store.models import (
     HistoryLost,
@@ -16,7 +16,6 @@
 )
 
 __all__ = [
-    "DECODE_ERRORS",
     "HistoryLost",
     "HttpObjectStore",
     "Listing",
--- a/src/wagtailbay/store/client.py
+++ b/src/wagtailbay/store/client.py
@@ -2,12 +2,13 @@
 
 import json
 from collections.abc import Callable, Sequence
-from typing import Any, Final, TypeVar
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 from attrs import frozen
 from result import Err, Ok, Result
 
+from wagtailbay.decoding import DECODE_ERRORS
 from wagtailbay.store.const import DEFAULT_CALL_TIMEOUT_MS, WATCH_TIMEOUT_MARGIN_MS
 from wagtailbay.store.models import (
     Listing,
@@ -18,12 +19,10 @@
     VersionConflict,
     VmList,
 )
-from wagtailbay.store.wire import decode_listing, decode_object, decode_vms
+from wagtailbay.store.wire import decode_listing, decode_object, decode_version, decode_vms
 from wagtailbay.transport import Request, Response, TransportError, fetch
 
 T = TypeVar("T")
-# Exceptions raised when decoding a body that is not JSON or lacks a field.
-DECODE_ERRORS: Final = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
 
 
 @frozen
@@ -125,7 +124,7 @@
 def _decode_write_response(key: str, response: Response) -> Result[int, StoreError]:
     """Decode the response to a write, which took effect if the status is 200 but not if 409."""
     try:
-        version = int(json.loads(response.body)["version"])
+        version = decode_version(response.body)
     except DECODE_ERRORS as error:
         return Err(OutcomeUnknown(key, f"malformed answer: {type(error).__name__}: {error}"))
     return Ok(version) if response.status == 200 else Err(VersionConflict(key, version))
--- a/tests/health/test_probe_wire.py
+++ b/tests/health/test_probe_wire.py
@@ -37,6 +37,9 @@
         "body",
         [
             b"[" * 10_000,
+            b'{"in_flight": ' + b"9" * 400 + b', "slots": 3}',
+            b'{"in_flight": 1e999, "slots": 3}',
+            b'{"in_flight": 1, "slots": ' + b"9" * 5_000 + b"}",
             b'{"in_flight": NaN, "slots": 3}',
             b'{"in_flight": -1, "slots": 3}',
             b'{"in_flight": 1e300, "slots": 3}',
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from wagtailbay.membership import VmState
+from wagtailbay.membership.generated import peer_pb2
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
 from wagtailbay.store import StoredObject
 
@@ -197,3 +198,25 @@
         assert [fact.kind for fact in b.facts.facts.values()] == ["stop"]
         for malformed in (b'{"revision":{}}', b"[]", b"NaN", b"\xff", b"[" * 100_000):
             assert CODEC.decode("stop", malformed).is_err()
+
+    def test_malformed_object_does_not_discard_message(self) -> None:
+        """Guards against one object that keeps two VMs from exchanging anything."""
+        a, b = exchanger("a"), exchanger("b")
+        a.replica.apply(
+            [
+                StoredObject("keys/1", 1, {"workspace": "w"}),
+                StoredObject("keys/2", 2, {"workspace": "\ud800"}),
+                StoredObject("keys/3", 3, {"workspace": "w"}),
+            ],
+            3,
+        )
+        data = encode_exchange(a.build_message("b", 1.0, is_answer=True), CODEC, 1.0)
+        encoded = peer_pb2.ExchangeMessage.FromString(data)
+        encoded.batch.entries.add(key="keys/4", version=4, value=b"{")
+        encoded.batch.entries.add(key="keys/5", version=5, value=b"[" * 5_000 + b"]" * 5_000)
+        encoded.members.add(vm="c", incarnation=1, state="unknown")
+        message = decode_exchange(encoded.SerializeToString(), CODEC, 1.0).ok_value
+        b.apply_message(message, 1.0)
+        assert {"keys/1", "keys/3"} <= set(b.replica.objects)
+        assert "keys/4" not in b.replica.objects
+        assert "c" not in b.roster.members
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -4,6 +4,7 @@
 from result import Ok
 from support.gateway import config_spec, server_fields
 
+from wagtailbay.decoding import DECODE_ERRORS
 from wagtailbay.platform.decode import (
     decode_rollout_order,
     decode_routing_table,
@@ -19,7 +20,6 @@
 from wagtailbay.replica import from_value
 from wagtailbay.rollout import RolloutPhase
 from wagtailbay.routing import RoutingTable
-from wagtailbay.store import DECODE_ERRORS
 
 
 def item(name: str, revision: int, **fields) -> dict:
