Restart a task after an unexpected error instead of ending the process

Cause: every background task ran directly in the process's nursery, and an unexpected exception of a connection's task was raised into the nursery of the listener. One malformed object, peer or caller that reached code without a handler for it ended the whole process; the platform restarts it, it reads the same object again and ends again.

StoreReader no longer reads a field that HistoryLost lacks.

--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -1,6 +1,7 @@
 """Forward a request to targets until one responds or a retry is no longer allowed."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 from attrs import define, field
@@ -37,6 +38,7 @@
 from wagtailbay.refusals import Refusal, not_run, outcome_unknown
 from wagtailbay.retries import RetryBudget, RetryBudgets
 from wagtailbay.rollout import VersionSplitter
+from wagtailbay.supervision import run_isolated
 from wagtailbay.transport import CallerDisconnectedError, ConnectionPool, ResponseSink
 
 
@@ -165,7 +167,8 @@
             self._record(request, placement, outcome, attempt, started_s)
         trace.record(placement, result)
         if result.closed_without_response and self.background_nursery is not None:
-            self.background_nursery.start_soon(self._check_crash, request, placement)
+            check = partial(self._check_crash, request, placement)
+            self.background_nursery.start_soon(run_isolated, check, "crash_check")
         return result
 
     def _record(
--- a/src/wagtailbay/health/monitor.py
+++ b/src/wagtailbay/health/monitor.py
@@ -15,6 +15,7 @@
 from wagtailbay.health.models import Members
 from wagtailbay.health.probe import Fetch, ProbeLoop
 from wagtailbay.membership import FactTable, VmState
+from wagtailbay.supervision import keep_running
 from wagtailbay.transport import fetch
 
 # Service, target and address; a target whose address changes gets a new probe task.
@@ -47,6 +48,7 @@
 
     async def run(self) -> None:
         """Start and stop probe tasks as documents, VMs and reports change."""
+        self.tasks.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 self.update_tasks(nursery, self.clock())
@@ -65,7 +67,7 @@
         service, target, address = key
         loop = ProbeLoop(service, target, address, self.facts, self.clock, self.rng, self.fetch)
         with scope:
-            await loop.run()
+            await keep_running(loop.run, f"probe {service}/{target}")
 
     def targets_to_probe(self, now_s: float) -> set[ProbeKey]:
         """Return the targets that are assigned to this VM or taken over by it."""
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -22,6 +22,7 @@
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
 from wagtailbay.replica import ChangeSignal
 from wagtailbay.store import VmList
+from wagtailbay.supervision import keep_running
 
 
 @define
@@ -156,6 +157,8 @@
 
     async def run(self) -> None:
         """Start and stop loops as the neighbours change, until cancelled."""
+        self.loops.clear()
+        self.cancel_scopes.clear()
         async with trio.open_nursery() as nursery:
             for signal in (
                 self.exchanger.facts.changed,
@@ -187,7 +190,7 @@
     @staticmethod
     async def _run_loop(loop: PeerLoop, scope: trio.CancelScope) -> None:
         with scope:
-            await loop.run()
+            await keep_running(loop.run, f"peer {loop.vm}")
 
     async def _wake_loops_on_change(self, signal: ChangeSignal) -> None:
         """Wake the loops after a change of facts or this VM's state, or of urgent objects."""
--- a/src/wagtailbay/programs/entry_node.py
+++ b/src/wagtailbay/programs/entry_node.py
@@ -42,6 +42,7 @@
 from wagtailbay.steer.budgets import LinkBudget, RegionBudget, SharedBudgets
 from wagtailbay.steer.usage import RegionUsage
 from wagtailbay.store import HttpObjectStore, MeteredObjectStore, ObjectStore
+from wagtailbay.supervision import keep_running
 from wagtailbay.transport import ConnectionPool, HttpServer
 
 PROGRAM = "wagtailbay-entry"
@@ -68,20 +69,23 @@
 
     async def run_tasks(self, nursery: trio.Nursery) -> None:
         """Start all background tasks; the caller starts the servers."""
-        tasks: list[Callable] = [
-            self.run_config_updates,
-            self.run_client_block_updates,
-            self.health_monitor.run,
-            self.shift.run,
-            self.outcome_writer.run,
-            self.audit_writer.run,
-            self._run_metrics_updates,
-        ]
+        tasks: dict[str, Callable] = {
+            "config_updates": self.run_config_updates,
+            "client_block_updates": self.run_client_block_updates,
+            "health": self.health_monitor.run,
+            "shift": self.shift.run,
+            "outcomes": self.outcome_writer.run,
+            "audit": self.audit_writer.run,
+            "metrics": self._run_metrics_updates,
+            "claim_sweep": self._run_claim_sweeps,
+        }
         if self.allotment is not None:
-            tasks.append(self.allotment.run)
-        for task in tasks:
-            nursery.start_soon(task)
-        nursery.start_soon(self.claim_sweeper.run, lambda: self.fleet.lease.is_holder(boottime_s()))
+            tasks["allotment"] = self.allotment.run
+        for name, task in tasks.items():
+            nursery.start_soon(keep_running, task, name)
+
+    async def _run_claim_sweeps(self) -> None:
+        await self.claim_sweeper.run(lambda: self.fleet.lease.is_holder(boottime_s()))
 
     async def run_config_updates(self) -> None:
         """Rebuild the configuration view after each change of the replicated documents."""
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -40,6 +40,7 @@
 from wagtailbay.membership.vm_list_reader import VmListReader
 from wagtailbay.replica import Freshness, PrefixReader, Replica, StoreReader
 from wagtailbay.store import ObjectStore
+from wagtailbay.supervision import keep_running
 
 Clock = Callable[[], float]
 Reader = StoreReader | PrefixReader
@@ -102,14 +103,14 @@
     async def run(self, listen_address: str, *, task_status: trio.TaskStatus) -> None:
         """Run all tasks until cancelled; report startup once peers can connect."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.reader.run)
-            nursery.start_soon(self._run_housekeeping)
+            nursery.start_soon(keep_running, self.reader.run, "store_reader")
+            nursery.start_soon(keep_running, self._run_housekeeping, "fleet_housekeeping")
             if self.lease is not None:
-                nursery.start_soon(self.lease.run)
-            nursery.start_soon(self.vm_list_reader.run)
+                nursery.start_soon(keep_running, self.lease.run, "lease")
+            nursery.start_soon(keep_running, self.vm_list_reader.run, "vm_list")
             if listen_address:
                 await nursery.start(self.server.serve, listen_address)
-                nursery.start_soon(self.peers.run)
+                nursery.start_soon(keep_running, self.peers.run, "peers")
             task_status.started()
 
     async def _run_housekeeping(self) -> None:
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -30,6 +30,7 @@
     VersionSplitter,
 )
 from wagtailbay.routing import ActiveRouting, ServiceRule
+from wagtailbay.supervision import keep_running
 from wagtailbay.transport import ConnectionPool, HttpServer
 
 PROGRAM = "wagtailbay-gateway"
@@ -60,16 +61,16 @@
     async def run_tasks(self, nursery: trio.Nursery) -> None:
         """Start all background tasks; the caller starts the servers."""
         self.handler.forwarder.background_nursery = nursery
-        for task in (
-            self.run_object_updates,
-            self.run_housekeeping,
-            self.quota.run,
-            self.rollout_controller.run,
-            self.registrar.run,
-            self.handler.loop_lag.run,
-            self.occupancy.run,
-        ):
-            nursery.start_soon(task)
+        for name, task in {
+            "object_updates": self.run_object_updates,
+            "housekeeping": self.run_housekeeping,
+            "quota": self.quota.run,
+            "rollouts": self.rollout_controller.run,
+            "registration": self.registrar.run,
+            "loop_lag": self.handler.loop_lag.run,
+            "occupancy": self.occupancy.run,
+        }.items():
+            nursery.start_soon(keep_running, task, name)
 
     async def run_object_updates(self) -> None:
         """Apply each change of the replicated objects to routing, targets and rollouts."""
--- a/src/wagtailbay/replica/prefix_reader.py
+++ b/src/wagtailbay/replica/prefix_reader.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 import trio
 from attrs import define, field
@@ -18,6 +19,7 @@
 )
 from wagtailbay.replica.replica import Freshness, Replica
 from wagtailbay.store import HistoryLost, ObjectStore, StoreUnavailable
+from wagtailbay.supervision import keep_running
 
 
 @define
@@ -69,9 +71,12 @@
         self.states = {prefix: PrefixState() for prefix in self.prefixes}
         async with trio.open_nursery() as nursery:
             for prefix, state in self.states.items():
-                nursery.start_soon(self._run_prefix, prefix, state)
+                task = partial(self._run_prefix, prefix, state)
+                nursery.start_soon(keep_running, task, f"replicate {prefix}")
 
     async def _run_prefix(self, prefix: str, state: PrefixState) -> None:
+        # After an unexpected error, changes since the last listing may be missing.
+        state.revision = None
         while True:
             if state.failures:
                 await trio.sleep(self._backoff_s(state))
--- a/src/wagtailbay/replica/store_reader.py
+++ b/src/wagtailbay/replica/store_reader.py
@@ -93,5 +93,5 @@
 
     def _record_failure(self, error: StoreUnavailable) -> None:
         if self.reachable or self.failures == 0:
-            log_event("store_unreachable", reason=error.message)
+            log_event("store_unreachable", reason=str(error))
         self.reachable, self.failures = False, self.failures + 1
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -227,7 +227,7 @@
             stream = await trio.open_tcp_stream(host, port)
     except trio.TooSlowError:
         return Err(TransportError(FailureKind.TIMEOUT, f"connect to {address}", False))
-    except OSError as error:
+    except (OSError, OverflowError, UnicodeError) as error:
         return Err(TransportError(FailureKind.CONNECT, f"{address}: {error}", False))
     return Ok(ClientConnection(address, stream))
 
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -2,6 +2,7 @@
 
 import traceback
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import h11
@@ -11,6 +12,7 @@
 
 from wagtailbay.invariants import BrokenInvariantError
 from wagtailbay.logs import log_event
+from wagtailbay.supervision import run_isolated
 from wagtailbay.transport.connection_reader import ConnectionReader
 from wagtailbay.transport.const import (
     IDLE_CONNECTION_TIMEOUT_S,
@@ -63,6 +65,10 @@
         await trio.serve_listeners(self.serve_connection, listeners)
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serve one connection; an unexpected error ends this connection only."""
+        await run_isolated(partial(self._serve_connection, stream), "connection")
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve the requests of a connection, whose bytes a separate task receives."""
         errors: list[Exception] = []
         self.connections += 1
@@ -97,7 +103,7 @@
         try:
             while await self._serve_request(receiver):
                 protocol.start_next_cycle()
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, h11.RemoteProtocolError) as error:
             log_event("connection_failed", reason=str(error))
 
     async def _serve_request(self, receiver: RequestReceiver) -> bool:
--- a/tests/transport/test_server_input.py
+++ b/tests/transport/test_server_input.py
@@ -10,6 +10,7 @@
 from wagtailbay.invariants import BrokenInvariantError
 from wagtailbay.settings.checks import split_address
 from wagtailbay.transport import HttpServer, Reply, Request
+from wagtailbay.transport.receive import RequestReceiver
 
 GOOD_REQUEST = b"GET /good HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
@@ -214,3 +215,19 @@
             while server.connections:
                 await trio.sleep(0.001)
         assert (server.aborted_requests, server.open_requests) == (1, 0)
+
+
+class TestUnexpectedErrors:
+    """An unexpected error outside of a handler ends its connection only."""
+
+    async def test_other_connections_are_served(self, nursery, monkeypatch):
+        """Guards against a process that ends because of one connection."""
+        _, address = await start_server(nursery)
+
+        async def fail(receiver):
+            raise RuntimeError("unexpected receiver error")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(RequestReceiver, "receive", fail)
+            await send_and_receive(address, GOOD_REQUEST)
+        assert b"200" in await send_and_receive(address, GOOD_REQUEST)
