Keep to the requirements that a deployment states, and to targets that leave or ask for a pause

Cause: only the grace time was read from the settings. The gateway knew neither that a target says in its answers that it is leaving, nor that it asks for a pause with its 503. Load reports were parsed with str.isdigit, which accepts characters that int() rejects and numbers of any length: one header of a target made each later selection fail. A body without end was passed on until the deadline, a late copy without end was read as long, and the store's responses could hold 64 MB each.

Change: the slice requirements has one checked value, WAGTAILBAY_REQUIREMENTS, that placement, quota, rollout, registry, retries, lookups and the reader of the store use. A run of a target that said that it is leaving gets nothing more, whatever its entry says; VMs tell each other while the store shows it as ready, so it stays out after a restart of a VM. A paused target gets nothing for that time; if all targets of a service are paused, callers are refused at once with the time of the earliest return. Responses are cut at 64 MB, discarded ones at 256 kB, those of the store at 8 MB.

--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -20,6 +20,7 @@
     ResponseSink,
     TransportError,
 )
+from wagtailbay.transport.const import MAX_RESPONSE_BODY_BYTES
 
 
 @define
@@ -102,7 +103,7 @@
             return self._handle_error(sent.err_value)
         head = sent.ok_value
         if head.status == 503 and head.header(RUN_HEADER) == "not-run":
-            await self._discard_body(connection)
+            await connection.discard_body()
             refusal = not_run(503, "shed", "the target is overloaded", retry_after_ms=1_000)
             return AttemptResult(
                 Err(refusal), self.build_report(AttemptOutcome.SHED, 503), may_have_run=False
@@ -131,12 +132,6 @@
         route = self.context.route
         return route.idle_timeout_ms / 1000 if route.idempotent else math.inf
 
-    @staticmethod
-    async def _discard_body(connection: ClientConnection) -> None:
-        while isinstance(chunk := await connection.receive_chunk(), Ok):
-            if chunk.ok_value is None:
-                return
-
     def _handle_error(self, error: TransportError) -> AttemptResult:
         timed_out = error.kind is FailureKind.TIMEOUT
         report = self.build_report(AttemptOutcome.TIMED_OUT if timed_out else AttemptOutcome.BROKEN)
@@ -173,6 +168,9 @@
                 report = self.build_report(AttemptOutcome.ANSWERED, head.status, received_bytes)
                 return AttemptResult(Ok(head.status), report, may_have_run=True)
             received_bytes += len(chunk.ok_value)
+            if received_bytes > MAX_RESPONSE_BODY_BYTES:
+                error = connection.make_error(FailureKind.TOO_LARGE, f"{received_bytes} bytes")
+                return self._handle_error(error)
             await self.sink.send(chunk.ok_value)
 
     def build_report(
--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -22,7 +22,7 @@
     ResponseTruncated,
     TargetMetadata,
 )
-from wagtailbay.placement import LoadReport, Placement, TargetOutcome
+from wagtailbay.placement import Placement, TargetOutcome
 from wagtailbay.transport import (
     ClientConnection,
     ConnectionPool,
@@ -33,6 +33,7 @@
     ResponseSink,
     TransportError,
 )
+from wagtailbay.transport.const import MAX_RESPONSE_BODY_BYTES
 from wagtailbay.transport.wire import end_to_end_headers
 
 
@@ -44,7 +45,8 @@
         sink: Receives the response for the caller.
         is_last_attempt: Whether no other target is tried afterwards, so that the caller gets
             any response, also an error.
-        load: Load that the target reported in its response, None if it reported none.
+        max_response_bytes: A response with a larger body is cut off.
+        metadata: Metadata of the target's response, None before its head was received.
         response_bytes: Size of the response body received so far.
     """
 
@@ -55,7 +57,8 @@
     placement: Placement
     sink: ResponseSink
     is_last_attempt: bool
-    load: LoadReport | None = None
+    max_response_bytes: int = MAX_RESPONSE_BODY_BYTES
+    metadata: TargetMetadata | None = None
     response_bytes: int = 0
 
     async def run(self) -> AttemptResult:
@@ -121,7 +124,7 @@
         self, connection: ClientConnection, head: ResponseHead, metadata: TargetMetadata
     ) -> AttemptResult:
         """Receive the response and deliver it, buffered if it is small enough, else streamed."""
-        self.load = metadata.load
+        self.metadata = metadata
         body = bytearray()
         complete = False
         while not complete and len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
@@ -171,6 +174,11 @@
                     )
                 case Ok(data):
                     self.response_bytes += len(data)
+                    if self.response_bytes > self.max_response_bytes:
+                        message = f"more than {self.max_response_bytes} bytes"
+                        return self._handle_error(
+                            connection.make_error(FailureKind.TOO_LARGE, message)
+                        )
                     await self.sink.send(data)
 
     def _handle_error(self, error: TransportError) -> AttemptResult:
--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -20,17 +20,16 @@
 MAX_IDLE_S: Final = 6.0
 # Part of the request's timeout that is reserved for sending the response to the caller.
 RESPONSE_MARGIN_MS: Final = 15.0
-# With an older configuration, a missing key or route may just not have been received yet.
-MAX_CONFIG_AGE_FOR_DENIAL_MS: Final = 7_000.0
+# Added to the time without contact and to that in which a configuration takes effect. With an older
+# configuration, a missing key or route may just not have been received yet.
+DENIAL_MARGIN_MS: Final = 500.0
 STALE_CONFIG_RETRY_AFTER_MS: Final = 1_000
 # Long, because requests that crash targets stay quarantined for a long time.
 QUARANTINE_RETRY_AFTER_MS: Final = 10_000
-# Retries of the fleet for a service must not exceed 20% of its requests. The remaining 5% are left
-# for callers that another VM serves.
-RETRY_RATIO: Final = 0.15
-# Retries for a service that all VMs together may accumulate; the required limit is 60 retries
-# beyond the 20%. Each VM can always accumulate one.
-FLEET_RETRY_CAPACITY: Final = 60.0
+# Fraction of the retries allowed to the fleet for each request that a VM uses for its own requests.
+# The rest is left for callers that another VM serves.
+OWN_RETRY_FRACTION: Final = 0.75
+# Each VM can always accumulate one retry, however small its part of the fleet's.
 MIN_RETRY_CAPACITY: Final = 1.0
 INITIAL_RETRY_TOKENS: Final = 1.0
 # Fraction of a route's latency goal. If requests wait for longer than this before they are read,
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -9,11 +9,10 @@
 
 from wagtailbay.gateway.attempt import TargetAttempt, send_buffered
 from wagtailbay.gateway.const import (
-    FLEET_RETRY_CAPACITY,
     INITIAL_RETRY_TOKENS,
     MIN_RETRY_CAPACITY,
     MIN_RETRY_TIME_MS,
-    RETRY_RATIO,
+    OWN_RETRY_FRACTION,
 )
 from wagtailbay.gateway.models import (
     AttemptResult,
@@ -36,10 +35,12 @@
 )
 from wagtailbay.quarantine import CrashTable, refuses_connections
 from wagtailbay.refusals import Refusal, not_run, outcome_unknown
+from wagtailbay.requirements import FleetRequirements
 from wagtailbay.retries import RetryBudget, RetryBudgets
 from wagtailbay.rollout import VersionSplitter
 from wagtailbay.supervision import run_isolated
 from wagtailbay.transport import CallerDisconnectedError, ConnectionPool, ResponseSink
+from wagtailbay.transport.const import MAX_RESPONSE_BODY_BYTES
 
 
 @define
@@ -81,6 +82,7 @@
     Attributes:
         live_vm_count: Returns the number of VMs that share the fleet's retry capacity.
         has_exited: Returns whether the target process at an address has exited.
+        max_response_bytes: A target's response with a larger body is cut off.
         background_nursery: Runs crash checks, for which the caller does not wait; None disables
             them.
     """
@@ -94,6 +96,8 @@
     metrics: Metrics = field(factory=Metrics)
     live_vm_count: Callable[[], int] = lambda: 1
     exchange_sizes: ExchangeSizes = field(factory=ExchangeSizes)
+    requirements: FleetRequirements = field(factory=FleetRequirements)
+    max_response_bytes: int = MAX_RESPONSE_BODY_BYTES
     retry_budgets: RetryBudgets = field(init=False)
     has_exited: Callable[[str], Awaitable[bool]] = refuses_connections
     background_nursery: trio.Nursery | None = None
@@ -101,11 +105,16 @@
     def __attrs_post_init__(self) -> None:
         """Create the retry budgets with this VM's share of the fleet's retry capacity."""
         self.retry_budgets = RetryBudgets(
-            lambda: RetryBudget(RETRY_RATIO, self._retry_capacity, INITIAL_RETRY_TOKENS)
+            lambda: RetryBudget(
+                OWN_RETRY_FRACTION * self.requirements.retry_ratio,
+                self._retry_capacity,
+                INITIAL_RETRY_TOKENS,
+            )
         )
 
     def _retry_capacity(self) -> float:
-        return max(MIN_RETRY_CAPACITY, FLEET_RETRY_CAPACITY / max(1, self.live_vm_count()))
+        fleet_capacity = self.requirements.retry_extra
+        return max(MIN_RETRY_CAPACITY, fleet_capacity / max(1, self.live_vm_count()))
 
     async def forward(
         self, request: GatewayRequest, sink: ResponseSink, trace: RequestTrace
@@ -150,7 +159,14 @@
         self.version_splitter.record_start(entry.service, entry.version)
         is_last_attempt = len(trace.attempts) + 1 >= request.route.max_targets
         attempt = TargetAttempt(
-            self.pool, self.header_codec, self.clock, request, placement, sink, is_last_attempt
+            self.pool,
+            self.header_codec,
+            self.clock,
+            request,
+            placement,
+            sink,
+            is_last_attempt,
+            self.max_response_bytes,
         )
         result: AttemptResult | None = None
         try:
@@ -182,7 +198,12 @@
         now_s = self.clock()
         entry = placement.target.entry
         latency_ms = (now_s - started_s) * 1000
-        self.selector.finish(placement, outcome, latency_ms, attempt.load, now_s)
+        load, pause_ms = None, None
+        if attempt.metadata is not None:
+            load, pause_ms = attempt.metadata.load, attempt.metadata.pause_ms
+            if attempt.metadata.leaving:
+                self.selector.registry.mark_leaving(entry.target, entry.born_unix_ms, now_s)
+        self.selector.finish(placement, outcome, latency_ms, load, now_s, pause_ms)
         is_warm = not placement.target.is_cold(started_s)
         self.version_splitter.record_finish(
             entry.service, request.route.name, entry.version, outcome, is_warm, now_s
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -7,7 +7,7 @@
 
 from wagtailbay.entry.routing import split_path_and_query
 from wagtailbay.gateway.const import (
-    MAX_CONFIG_AGE_FOR_DENIAL_MS,
+    DENIAL_MARGIN_MS,
     NOT_READY_RETRY_AFTER_MS,
     OVERLOAD_GOAL_FRACTION,
     OVERLOAD_RETRY_AFTER_MS,
@@ -23,6 +23,7 @@
 from wagtailbay.quarantine import request_fingerprint
 from wagtailbay.quota import TokenBorrower, WorkspaceQuota
 from wagtailbay.refusals import Refusal, not_run
+from wagtailbay.requirements import FleetRequirements
 from wagtailbay.routing import ActiveRouting, RouteRule, RoutingTable, ServiceSplitter, Workspace
 from wagtailbay.transport import CallerDisconnectedError, Reply, Request
 
@@ -46,6 +47,7 @@
     clock: Callable[[], float]
     loop_lag: LoopLag = field(factory=LoopLag)
     metrics: Metrics = field(factory=Metrics)
+    requirements: FleetRequirements = field(factory=FleetRequirements)
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Handle one request and send its response."""
@@ -133,7 +135,9 @@
     def _deny(self, status: int, code: str, message: str, now_s: float) -> Refusal:
         """Return a denial, or ask the caller to retry if the configuration may be stale."""
         age_ms = self.config_age_ms(now_s)
-        if age_ms is None or age_ms > MAX_CONFIG_AGE_FOR_DENIAL_MS:
+        required = self.requirements
+        max_age_ms = required.contact_timeout_ms + required.config_apply_ms + DENIAL_MARGIN_MS
+        if age_ms is None or age_ms > max_age_ms:
             message = "the configuration known here may be out of date"
             return not_run(503, "knowledge_stale", message, STALE_CONFIG_RETRY_AFTER_MS)
         return not_run(status, code, message)
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -37,11 +37,15 @@
         request_id: ID of the request that the response belongs to, None if not given.
         not_run: Whether the target states that it has not run the request.
         load: Reported load, None if not given.
+        leaving: Whether the target states that it is leaving and wants no further requests.
+        pause_ms: Time for which the target wants no requests of this VM, None if it does not say.
     """
 
     request_id: str | None
     not_run: bool
     load: LoadReport | None
+    leaving: bool = False
+    pause_ms: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -45,7 +45,9 @@
 MAX_MEMBERS: Final = 2_000
 
 # Facts of these kinds concern every VM and are also relayed by VMs that did not publish them.
-RELAYED_FACT_KINDS: Final = frozenset({"stop", "stop_rollout", "crash", "vm_list"})
+RELAYED_FACT_KINDS: Final = frozenset(
+    {"stop", "stop_rollout", "crash", "vm_list", "target_leaving"}
+)
 VM_LIST_KIND: Final = "vm_list"
 
 # Changes under these prefixes may wait for the next heartbeat; the lease is rewritten every 2 s.
--- a/src/wagtailbay/placement/cold_start.py
+++ b/src/wagtailbay/placement/cold_start.py
@@ -6,7 +6,8 @@
 
 from wagtailbay.limits import TokenBucket
 from wagtailbay.membership.selection import rendezvous_order
-from wagtailbay.placement.const import ASSUMED_MIN_REGION_VMS, MAX_COLD_SENDERS
+from wagtailbay.placement.const import ASSUMED_MIN_REGION_VMS, COLD_BURST_FRACTION
+from wagtailbay.requirements import FleetRequirements
 
 
 @define
@@ -25,12 +26,23 @@
     vm: str
     region_vms: Callable[[], Collection[str]]
     buckets: dict[str, TokenBucket] = field(factory=dict)
+    requirements: FleetRequirements = field(factory=FleetRequirements)
+
+    def max_senders(self, rate_per_s: float) -> int:
+        """Return how many VMs may send to a cold target, each with a burst of one request.
+
+        In any second, the bursts and the rate itself stay below what the target must bear.
+        """
+        required = self.requirements
+        burst = required.cold_slack + (required.cold_overage - 1) * rate_per_s * COLD_BURST_FRACTION
+        return max(1, int(burst))
 
     def take(self, target: str, rate_per_s: float, now_s: float) -> bool:
         """Consume a token for one request; return False if none is left."""
         senders = self.region_vms()
-        if len(senders) > MAX_COLD_SENDERS:
-            senders = rendezvous_order(f"cold\0{target}", senders)[:MAX_COLD_SENDERS]
+        max_senders = self.max_senders(rate_per_s)
+        if len(senders) > max_senders:
+            senders = rendezvous_order(f"cold\0{target}", senders)[:max_senders]
         if self.vm not in senders:
             return False
         own_per_s = rate_per_s / max(ASSUMED_MIN_REGION_VMS, len(senders))
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -53,18 +53,19 @@
 # regions first.
 REMOTE_UTILIZATION_IDLE: Final = 0.6
 REMOTE_UTILIZATION_BUSY: Final = 0.3
-# Maximum change per second of the share of requests sent to other regions. Two consecutive 2 s
-# windows may differ by 15%, which leaves a margin for the randomness of small counts.
-SPILLOVER_STEP_PER_S: Final = 0.04
+# Maximum change per second of the share of requests sent to other regions, as a fraction of the
+# change allowed between two consecutive windows of 2 s. The rest is a margin for the randomness of
+# small counts.
+SPILLOVER_STEP_FRACTION_PER_S: Final = 0.267
 # Without a usable target in the local region, a gradual change has no benefit.
 NO_LOCAL_TARGETS_STEP_PER_S: Final = 10.0
 SPILLOVER_DEMAND_HALF_LIFE_S: Final = 0.7
 # Minimum number of VMs assumed for a region when the rate of a cold target is divided, since the
 # fleet may not be known yet.
 ASSUMED_MIN_REGION_VMS: Final = 3
-# Each sender may start with a burst of one request. Together with the rate itself, this stays below
-# the required bound of 1.5 times the rate plus 5 requests in any second, from 2 requests/s on.
-MAX_COLD_SENDERS: Final = 6
+# Fraction of the rate beyond a cold target's limit that the bursts of its senders may use. The rest
+# is a margin for senders that restart with a full bucket.
+COLD_BURST_FRACTION: Final = 0.5
 MIN_RETRY_AFTER_MS: Final = 150
 MAX_RETRY_AFTER_MS: Final = 1_500
 # A target takes up to three times as long for an object that it handles for the first time. From
--- a/src/wagtailbay/placement/load.py
+++ b/src/wagtailbay/placement/load.py
@@ -44,6 +44,7 @@
         ejections: Number of consecutive ejections.
         ejected_until_s: When the current ejection ends.
         shed_until_s: Until when the target counts as full because it shed a request.
+        paused_until_s: Until when the target wants no requests of this VM.
     """
 
     own_in_flight: int = 0
@@ -60,6 +61,7 @@
     ejections: int = 0
     ejected_until_s: float = float("-inf")
     shed_until_s: float = float("-inf")
+    paused_until_s: float = float("-inf")
 
     def load(self, now_s: float) -> float:
         """Return the estimated number of requests at the target, running and waiting."""
@@ -104,6 +106,14 @@
         """Return whether the target shed a request a moment ago."""
         return now_s < self.shed_until_s
 
+    def pause(self, pause_ms: float, now_s: float) -> None:
+        """Send no requests for a time that the target asked for; a longer pause remains."""
+        self.paused_until_s = max(self.paused_until_s, now_s + pause_ms / 1000)
+
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether the target wants no requests of this VM."""
+        return now_s < self.paused_until_s
+
     def recent_latency_ms(self, now_s: float) -> float | None:
         """Return the average latency; None if there are too few samples or none is recent."""
         recent = now_s - self.last_answer_s < LATENCY_MAX_AGE_S
--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -27,6 +27,7 @@
     REMOTE_UTILIZATION_IDLE,
     SLOW_TARGET_LATENCY_FACTOR,
     SLOW_TARGET_UTILIZATION,
+    SPILLOVER_STEP_FRACTION_PER_S,
 )
 from wagtailbay.placement.load import TargetLoad
 from wagtailbay.placement.models import (
@@ -39,6 +40,7 @@
 )
 from wagtailbay.placement.spillover import SpilloverLimiter
 from wagtailbay.registry import RegisteredTarget, TargetRegistry
+from wagtailbay.requirements import FleetRequirements
 from wagtailbay.routing import ServiceRule
 
 
@@ -88,6 +90,7 @@
     services: Callable[[], Mapping[str, ServiceRule]]
     cold_limiter: ColdStartLimiter
     random: random.Random
+    requirements: FleetRequirements = field(factory=FleetRequirements)
     loads: dict[tuple[str, int], TargetLoad] = field(factory=dict)
     spillover_limiters: dict[str, SpilloverLimiter] = field(factory=dict)
 
@@ -112,9 +115,14 @@
         return selected
 
     def _select(self, query: PlacementQuery, now_s: float) -> Result[Placement, PlacementFailure]:
-        candidates = self._candidates(query, now_s)
-        if not candidates:
+        admissible = self._admissible(query, now_s)
+        if not admissible:
             return Err(PlacementFailure("no usable target", MAX_RETRY_AFTER_MS))
+        candidates = self._candidates(admissible, now_s)
+        if not candidates:
+            paused_until_s = min(self.load_of(target).paused_until_s for target in admissible)
+            pause_ms = max(MIN_RETRY_AFTER_MS, (paused_until_s - now_s) * 1000)
+            return Err(PlacementFailure("all targets asked for a pause", pause_ms))
         median_ms = self._median_ms(candidates, now_s)
         local_targets = [c for c in candidates if self._region_of(c) == self.region]
         remote_targets = [c for c in candidates if self._region_of(c) != self.region]
@@ -145,18 +153,28 @@
         """
         if query.allowed_regions or query.excluded:
             return lacks_capacity
-        limiter = self.spillover_limiters.setdefault(query.service, SpilloverLimiter())
+        limiter = self.spillover_limiters.get(query.service)
+        if limiter is None:
+            step_per_s = SPILLOVER_STEP_FRACTION_PER_S * self.requirements.max_region_shift
+            limiter = self.spillover_limiters[query.service] = SpilloverLimiter(step_per_s)
         limiter.observe(lacks_capacity, not has_local, now_s)
         return limiter.admit() or (lacks_capacity and not has_local)
 
-    def _candidates(self, query: PlacementQuery, now_s: float) -> list[RegisteredTarget]:
-        usable = [
+    def _admissible(self, query: PlacementQuery, now_s: float) -> list[RegisteredTarget]:
+        """Return the targets at which a request may run, whatever their state."""
+        return [
             target
             for target in self.registry.usable(query.service, now_s)
             if target.entry.target not in query.excluded
             and (query.version is None or query.version.admits(target.entry.version))
             and (not query.allowed_regions or self._region_of(target) in query.allowed_regions)
         ]
+
+    def _candidates(
+        self, admissible: list[RegisteredTarget], now_s: float
+    ) -> list[RegisteredTarget]:
+        """Return the targets that accept requests, without ejected ones if most are healthy."""
+        usable = [target for target in admissible if not self.load_of(target).is_paused(now_s)]
         healthy = [target for target in usable if not self.load_of(target).is_ejected(now_s)]
         if len(healthy) < (1 - MAX_EJECTED_SHARE) * len(usable):
             return usable
@@ -349,12 +367,20 @@
         latency_ms: float,
         report: LoadReport | None,
         now_s: float,
+        pause_ms: float | None = None,
     ) -> None:
-        """Record the outcome of a request; called exactly once for each placement."""
+        """Record the outcome of a request; called exactly once for each placement.
+
+        Args:
+            pause_ms: Time for which the target wants no further requests, None if it did not say.
+        """
         target = placement.target
         target_load = self.load_of(target)
         was_ejected = target_load.is_ejected(now_s)
         target_load.finish(outcome, latency_ms, report, now_s)
+        if pause_ms is not None:
+            target_load.pause(pause_ms, now_s)
+            log_event("target_paused", target=target.entry.target, pause_ms=round(pause_ms))
         if target_load.is_ejected(now_s) and not was_ejected:
             log_event("target_ejected", target=target.entry.target, sign=outcome.value)
         if outcome is TargetOutcome.UNREACHABLE:
--- a/src/wagtailbay/placement/spillover.py
+++ b/src/wagtailbay/placement/spillover.py
@@ -5,7 +5,6 @@
 from wagtailbay.placement.const import (
     NO_LOCAL_TARGETS_STEP_PER_S,
     SPILLOVER_DEMAND_HALF_LIFE_S,
-    SPILLOVER_STEP_PER_S,
 )
 
 
@@ -17,12 +16,14 @@
     start.
 
     Attributes:
+        step_per_s: Maximum change of the share per second.
         share: Current share of requests sent to other regions.
         demand: Moving average of the share of requests without local capacity.
         credit: Accumulated fraction of a request to send to another region.
         updated_s: When the last request was observed.
     """
 
+    step_per_s: float = 0.04
     share: float = 0.0
     demand: float = 0.0
     credit: float = 0.0
@@ -34,11 +35,9 @@
         self.updated_s = now_s
         weight = 1 - 0.5 ** (max(elapsed_s, 0.001) / SPILLOVER_DEMAND_HALF_LIFE_S)
         self.demand += weight * ((1.0 if lacks_capacity else 0.0) - self.demand)
-        step = elapsed_s * (
-            NO_LOCAL_TARGETS_STEP_PER_S if no_local_targets else SPILLOVER_STEP_PER_S
-        )
+        step = elapsed_s * (NO_LOCAL_TARGETS_STEP_PER_S if no_local_targets else self.step_per_s)
         goal = 1.0 if no_local_targets else self.demand
-        self.share += max(-elapsed_s * SPILLOVER_STEP_PER_S, min(step, goal - self.share))
+        self.share += max(-elapsed_s * self.step_per_s, min(step, goal - self.share))
 
     def admit(self) -> bool:
         """Return whether the next request goes to another region, and consume the credit for it."""
--- a/src/wagtailbay/platform/const.py
+++ b/src/wagtailbay/platform/const.py
@@ -20,6 +20,8 @@
 WATCH_TIMEOUT_MARGIN_MS: Final = 700
 # A listing with more pages is rejected; the kinds that this product reads never have as many.
 MAX_PAGES: Final = 200
+# A page or a batch of events has about 1 MB; one object may have another 1 MB.
+MAX_RESPONSE_BYTES: Final = 8 * 1_048_576
 
 REQUEST_ID_HEADER: Final = "Request-Id"
 DEADLINE_HEADER: Final = "Deadline-Ms"
@@ -30,3 +32,6 @@
 NOT_RUN_HEADER: Final = "Not-Executed"
 LOAD_HEADER: Final = "Server-Load"
 RETRY_AFTER_HEADER: Final = "Retry-After"
+LEAVING_HEADER: Final = "Server-Leaving"
+# A target that asks for a longer pause gets this one.
+MAX_TARGET_PAUSE_MS: Final = 600_000.0
--- a/src/wagtailbay/platform/headers.py
+++ b/src/wagtailbay/platform/headers.py
@@ -1,17 +1,21 @@
 """Codec for the platform's headers of callers and targets."""
 
 import re
+from math import isnan
 
 from result import Err, Ok, Result
 
 from wagtailbay.gateway import CallerMetadata, TargetMetadata
+from wagtailbay.logs import log_event
 from wagtailbay.placement import LoadReport
 from wagtailbay.platform.const import (
     AFFINITY_COOKIE_NAME,
     AUTHORIZATION_SCHEME,
     DEADLINE_HEADER,
     EXPECTED_TARGET_HEADER,
+    LEAVING_HEADER,
     LOAD_HEADER,
+    MAX_TARGET_PAUSE_MS,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
@@ -32,6 +36,10 @@
         "Host",
     )
 )
+LOAD_PATTERN = re.compile(r"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*")
+SECONDS_PATTERN = re.compile(r"\s*([0-9]{1,12}(?:\.[0-9]{1,12})?)\s*")
+# Statuses with which a target turns a request away and may ask for a pause.
+PAUSE_STATUSES = (429, 503)
 AFFINITY_COOKIE_PATTERN = re.compile(rf"(?:^|;)\s*{AFFINITY_COOKIE_NAME}=([^;]*)")
 
 
@@ -46,6 +54,8 @@
             try:
                 deadline_ms = float(deadline_value)
             except ValueError:
+                deadline_ms = float("nan")
+            if isnan(deadline_ms):
                 return Err(f"{DEADLINE_HEADER} must be a number, got {deadline_value[:20]!r}")
         affinity_cookie = AFFINITY_COOKIE_PATTERN.search(request.header("Cookie") or "")
         scheme, _, key = (request.header("Authorization") or "").partition(" ")
@@ -80,6 +90,8 @@
             request_id=head.header(REQUEST_ID_HEADER),
             not_run=head.status == 421 or head.header(NOT_RUN_HEADER) is not None,
             load=_parse_load(head.header(LOAD_HEADER)),
+            leaving=head.header(LEAVING_HEADER) is not None,
+            pause_ms=_parse_pause_ms(head),
         )
 
     def refusal_headers(self, request_id: str, retry_after_ms: float | None) -> Headers:
@@ -94,7 +106,17 @@
     """Parse ``running,waiting,slots``; return None if the header is missing or malformed."""
     if text is None:
         return None
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    match = LOAD_PATTERN.fullmatch(text)
+    return LoadReport(*(int(number) for number in match.groups())) if match else None
+
+
+def _parse_pause_ms(head: ResponseHead) -> float | None:
+    """Return for how long a target wants no further requests, None if it does not say so."""
+    text = head.header(RETRY_AFTER_HEADER)
+    if text is None or head.status not in PAUSE_STATUSES:
         return None
-    return LoadReport(*(int(part) for part in parts))
+    match = SECONDS_PATTERN.fullmatch(text)
+    pause_ms = float(match[1]) * 1000 if match else None
+    if pause_ms is None or pause_ms > MAX_TARGET_PAUSE_MS:
+        log_event("target_pause_unusable", value=text[:40], max_ms=round(MAX_TARGET_PAUSE_MS))
+    return None if pause_ms is None else min(pause_ms, MAX_TARGET_PAUSE_MS)
--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -12,6 +12,7 @@
 from wagtailbay.platform.const import (
     CALL_TIMEOUT_MS,
     MAX_PAGES,
+    MAX_RESPONSE_BYTES,
     VMS_KIND,
     WATCH_TIMEOUT_MARGIN_MS,
 )
@@ -55,7 +56,10 @@
         payload = b"" if body is None else json.dumps(body).encode()
         headers = () if body is None else JSON_HEADERS
         return await self.pool.fetch(
-            self.address, Request(method, path, headers, payload), timeout_ms
+            self.address,
+            Request(method, path, headers, payload),
+            timeout_ms,
+            max_body_bytes=MAX_RESPONSE_BYTES,
         )
 
     async def _read(
--- a/src/wagtailbay/programs/gateway.py
+++ b/src/wagtailbay/programs/gateway.py
@@ -7,10 +7,14 @@
 
 import trio
 
-from wagtailbay.locate.const import NEAR_TTL_MS
 from wagtailbay.logs import LineQueue, log_event, start_queued_logging
 from wagtailbay.programs.gateway_builder import GatewayBuilder
-from wagtailbay.programs.gateway_node import PROGRAM, GatewayNode, build_endpoints
+from wagtailbay.programs.gateway_node import (
+    PROGRAM,
+    GatewayNode,
+    build_endpoints,
+    lookup_ttl_ms,
+)
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.settings import load_settings_or_exit
 from wagtailbay.settings.checks import split_address
@@ -75,7 +79,7 @@
     await node.fleet.announce_leaving()
     # From now on, each response closes its connection so that the caller reconnects elsewhere.
     node.server.draining.set()
-    await trio.sleep(NEAR_TTL_MS / 1000 + LOOKUP_EXPIRY_MARGIN_S)
+    await trio.sleep(lookup_ttl_ms(node.settings.requirements) / 1000 + LOOKUP_EXPIRY_MARGIN_S)
     accept_scope.cancel()
     deadline_s = started_s + node.settings.grace_ms / 1000 - SHUTDOWN_MARGIN_S
     with trio.move_on_at(deadline_s):
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -22,7 +22,12 @@
 from wagtailbay.quarantine import CrashTable
 from wagtailbay.quota import TokenBorrower, WorkspaceQuota
 from wagtailbay.quota.const import BUDGET_PREFIX
-from wagtailbay.registry import EVACUATION_PREFIX, TARGET_PREFIX, TargetRegistry
+from wagtailbay.registry import (
+    EVACUATION_PREFIX,
+    TARGET_PREFIX,
+    LeavingTracker,
+    TargetRegistry,
+)
 from wagtailbay.replica import PrefixReader
 from wagtailbay.rollout import (
     ROLLOUT_PREFIX,
@@ -41,6 +46,8 @@
 # effect only after 2.9 s, when the other VMs found their replicas stale.
 WATCHERS_PER_REGION = 2
 MAX_IDLE_CONNECTIONS = 32
+# Fraction of the store's read rate that VMs without fresh peers may use to list it.
+MAX_LIST_RATE_FRACTION = 0.25
 
 
 @define
@@ -49,10 +56,14 @@
 
     settings: GatewaySettings
     rng: random.Random = field(factory=random.Random)
-    registry: TargetRegistry = field(factory=TargetRegistry)
+    registry: TargetRegistry = field(init=False)
     routing: ActiveRouting = field(factory=ActiveRouting)
     quota: WorkspaceQuota | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Create the registry with the requirements of the deployment."""
+        self.registry = TargetRegistry(requirements=self.settings.requirements)
+
     def build(self) -> GatewayNode:
         """Build all components."""
         settings = self.settings
@@ -68,7 +79,7 @@
         fleet = self._build_fleet(identity, store, exporter)
         fleet_view = GatewayFleetView(settings, fleet)
         fleet.exchanger.pushes_objects = fleet_view.pushes_objects
-        version_splitter = VersionSplitter(self.rng)
+        version_splitter = VersionSplitter(self.rng, settings.requirements)
         pool = ConnectionPool(MAX_IDLE_CONNECTIONS)
         handler = self._build_handler(fleet_view, version_splitter, pool, exporter)
         return GatewayNode(
@@ -80,6 +91,7 @@
             registrar=VmRegistrar(store, identity, self.rng),
             routing=self.routing,
             registry=self.registry,
+            leaving_tracker=LeavingTracker(self.registry, fleet.facts, boottime_s),
             selector=handler.forwarder.selector,
             occupancy=OccupancyTracker(
                 handler.forwarder.selector,
@@ -123,6 +135,7 @@
             boottime_s,
             exporter.metrics,
             live_vm_count=lambda: len(fleet_view.live_zones()),
+            requirements=self.settings.requirements,
         )
         return GatewayHandler(
             self.routing,
@@ -134,6 +147,7 @@
             fleet.freshness.age_ms,
             boottime_s,
             metrics=exporter.metrics,
+            requirements=self.settings.requirements,
         )
 
     def _build_fleet(self, identity: VmIdentity, store: PlatformStore, exporter: Exporter) -> Fleet:
@@ -158,8 +172,13 @@
                 self.rng,
                 REPLICATED_PREFIXES,
                 on_failure=self.registry.record_store_failure,
+                min_list_interval_s=min_list_interval_s,
             )
 
+        def min_list_interval_s() -> float:
+            lists = len(fleet.roster.members) * len(REPLICATED_PREFIXES)
+            return lists / (MAX_LIST_RATE_FRACTION * settings.requirements.store_reads_per_s)
+
         metered_store = MeteredObjectStore(store, exporter.metrics.record_store_call)
         fleet = build_fleet(
             peer_settings,
@@ -188,8 +207,11 @@
             settings.zones,
             self.registry,
             services,
-            ColdStartLimiter(settings.vm, fleet_view.region_vms),
+            ColdStartLimiter(
+                settings.vm, fleet_view.region_vms, requirements=settings.requirements
+            ),
             self.rng,
+            settings.requirements,
         )
 
     def _lend(self, request: LoanRequest, now_s: float) -> LoanGrant:
@@ -209,6 +231,7 @@
             boottime_s,
             self.rng,
             fleet_view.layout,
+            self.settings.requirements,
         )
 
     def _build_rollout_controller(
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -24,7 +24,8 @@
 from wagtailbay.programs.gateway_fleet_view import build_fleet_document
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.quota import WorkspaceQuota
-from wagtailbay.registry import TargetRegistry
+from wagtailbay.registry import LeavingTracker, TargetRegistry
+from wagtailbay.requirements import FleetRequirements
 from wagtailbay.rollout import (
     RolloutController,
     VersionSplitter,
@@ -49,6 +50,7 @@
     registrar: VmRegistrar
     routing: ActiveRouting
     registry: TargetRegistry
+    leaving_tracker: LeavingTracker
     selector: TargetSelector
     occupancy: OccupancyTracker
     version_splitter: VersionSplitter
@@ -69,6 +71,7 @@
             "registration": self.registrar.run,
             "loop_lag": self.handler.loop_lag.run,
             "occupancy": self.occupancy.run,
+            "leaving_targets": self.leaving_tracker.run,
         }.items():
             nursery.start_soon(keep_running, task, name)
 
@@ -133,4 +136,10 @@
     def find_vms(zone: str):
         return near_vms(zone, node.fleet.roster, fleet_document, boottime_s())
 
-    return LookupEndpoint(find_vms, NEAR_TTL_MS), ReadinessEndpoint(node.is_ready)
+    ttl_ms = lookup_ttl_ms(node.settings.requirements)
+    return LookupEndpoint(find_vms, ttl_ms), ReadinessEndpoint(node.is_ready)
+
+
+def lookup_ttl_ms(requirements: FleetRequirements) -> float:
+    """Return how long clients may cache the response to a lookup."""
+    return min(NEAR_TTL_MS, requirements.max_lookup_ttl_ms)
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -1,10 +1,12 @@
 """Settings of a gateway VM."""
 
 import json
+from functools import partial
 
 from attrs import frozen
 
 from wagtailbay.platform import parse_duration_ms
+from wagtailbay.requirements import FleetRequirements, parse_requirements
 from wagtailbay.settings import setting
 from wagtailbay.settings.checks import parse_address, parse_address_list, parse_optional_address
 
@@ -57,6 +59,11 @@
         default=6000,
         parse=parse_duration_ms,
     )
+    requirements: FleetRequirements = setting(
+        help_text="limits that the deployment requires the fleet to keep, as a JSON object",
+        default=FleetRequirements(),
+        parse=partial(parse_requirements, parse_duration_ms=parse_duration_ms),
+    )
 
     @property
     def region(self) -> str:
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -20,9 +20,9 @@
 # twice while shares move between VMs.
 BURST_FRACTION: Final = 0.6
 # Minimum bucket capacity of a VM, however small its share. It falls to the large-fleet value as the
-# fleet grows, so that all VMs together hold little more than the tolerance of 20 requests.
+# fleet grows, so that all VMs together hold little more than the requests allowed beyond the rate.
 SMALL_FLEET_VM_MIN_BURST: Final = 2.0
-FLEET_MIN_BURST: Final = 24.0
+FLEET_MIN_BURST_FACTOR: Final = 1.2
 LARGE_FLEET_VM_MIN_BURST: Final = 1.0
 # A VM that hears no peer for longer than this keeps its last share.
 CONTACT_TIMEOUT_S: Final = 2.5
--- a/src/wagtailbay/quota/share.py
+++ b/src/wagtailbay/quota/share.py
@@ -20,7 +20,7 @@
     DEMAND_TTL_MS,
     DEMAND_WINDOW_S,
     EQUAL_FRACTION,
-    FLEET_MIN_BURST,
+    FLEET_MIN_BURST_FACTOR,
     LARGE_FLEET_VM_MIN_BURST,
     MAX_BORROW_DEMAND_FRACTION,
     MAX_RETRY_AFTER_MS,
@@ -32,6 +32,7 @@
     SMALL_FLEET_VM_MIN_BURST,
 )
 from wagtailbay.quota.models import DemandFact, RateExceeded, WorkspaceDemand
+from wagtailbay.requirements import FleetRequirements
 from wagtailbay.routing import Workspace
 
 
@@ -61,6 +62,7 @@
     clock: Callable[[], float]
     random: random.Random
     layout: Callable[[], FleetLayout] = lambda: FleetLayout({}, {})
+    requirements: FleetRequirements = field(factory=FleetRequirements)
     aggregator: FleetAggregator = field(init=False)
     demand: dict[str, DecayingRate] = field(factory=dict)
     published: deque[tuple[float, dict[str, float]]] = field(factory=deque)
@@ -136,9 +138,10 @@
         """Return the token bucket of a workspace, resized to this VM's current share."""
         name, share = workspace.workspace, self.share(workspace.workspace, now_s)
         rate_per_s = workspace.rate_per_s * share
+        fleet_min_burst = FLEET_MIN_BURST_FACTOR * self.requirements.quota_slack
         min_capacity = min(
             SMALL_FLEET_VM_MIN_BURST,
-            max(LARGE_FLEET_VM_MIN_BURST, FLEET_MIN_BURST / max(1, self.fleet_size())),
+            max(LARGE_FLEET_VM_MIN_BURST, fleet_min_burst / max(1, self.fleet_size())),
         )
         capacity = max(min_capacity, workspace.burst * BURST_FRACTION * share)
         bucket = self.buckets.get(name)
--- a/src/wagtailbay/registry/registry.py
+++ b/src/wagtailbay/registry/registry.py
@@ -10,11 +10,13 @@
     COLD_MARGIN_S,
     EVACUATION_PREFIX,
     EXPIRED_ENTRY_GRACE_S,
+    LEAVING_RETENTION_S,
     OUTAGE_EXPIRY_WINDOW_S,
     TARGET_PREFIX,
 )
 from wagtailbay.registry.models import TargetEntry
 from wagtailbay.replica import from_value
+from wagtailbay.requirements import FleetRequirements
 from wagtailbay.store import StoredObject
 
 
@@ -46,18 +48,33 @@
         applied_versions: Store version of each object that was last processed.
         last_store_failure_s: When the store last failed to answer this VM, or the VM from which
             this one replicates.
+        leaving_since_s: When a run of a target, given by its name and start time, was first known
+            to be leaving from its own answers. The store may still list it as ready.
     """
 
     targets: dict[str, RegisteredTarget] = field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     applied_versions: dict[str, int] = field(factory=dict)
     last_store_failure_s: float = float("-inf")
+    leaving_since_s: dict[tuple[str, int], float] = field(factory=dict)
+    requirements: FleetRequirements = field(factory=FleetRequirements)
     _by_service: dict[str, tuple[RegisteredTarget, ...]] = field(factory=dict)
 
     def record_store_failure(self, now_s: float) -> None:
         """Record that the store does not answer, since entries may expire meanwhile."""
         self.last_store_failure_s = now_s
 
+    def mark_leaving(self, target: str, born_unix_ms: int, now_s: float) -> None:
+        """Send no further requests to a run of a target, whatever its entry says."""
+        if (target, born_unix_ms) in self.leaving_since_s:
+            return
+        self.leaving_since_s[(target, born_unix_ms)] = now_s
+        log_event("target_leaving", target=target, born_unix_ms=born_unix_ms)
+
+    def is_leaving(self, entry: TargetEntry) -> bool:
+        """Return whether a target is leaving by its entry or by its own answers."""
+        return entry.draining or (entry.target, entry.born_unix_ms) in self.leaving_since_s
+
     def apply(
         self, objects: Mapping[str, StoredObject], cold_ms: Mapping[str, float], now_s: float
     ) -> None:
@@ -127,16 +144,22 @@
 
     def _is_usable(self, target: RegisteredTarget, now_s: float) -> bool:
         entry = target.entry
-        if entry.draining or entry.availability_zone in self.evacuated_zones:
+        if self.is_leaving(entry) or entry.availability_zone in self.evacuated_zones:
             return False
         if target.removed_s is None:
             return True
         # An entry that was removed during a store outage may merely have expired.
         may_have_expired = target.removed_s - self.last_store_failure_s < OUTAGE_EXPIRY_WINDOW_S
-        return may_have_expired and now_s - target.removed_s < EXPIRED_ENTRY_GRACE_S
+        grace_s = min(EXPIRED_ENTRY_GRACE_S, self.requirements.target_drain_ms / 1000)
+        return may_have_expired and now_s - target.removed_s < grace_s
 
     def prune_removed(self, now_s: float) -> None:
-        """Delete targets whose entries were removed longer ago than the grace period."""
+        """Delete targets and leaving marks that are no longer needed."""
+        self.leaving_since_s = {
+            run: since_s
+            for run, since_s in self.leaving_since_s.items()
+            if now_s - since_s < LEAVING_RETENTION_S
+        }
         gone = [
             name
             for name, target in self.targets.items()
--- a/src/wagtailbay/replica/prefix_reader.py
+++ b/src/wagtailbay/replica/prefix_reader.py
@@ -51,6 +51,8 @@
         reachable: Whether the last call succeeded.
         last_success_s: Time at which the last successful call was sent; None before the first.
         on_failure: Called with the current time when a call fails.
+        min_list_interval_s: Returns the shortest interval between two listings of a VM that does
+            not watch, so that the whole fleet stays within the read rate of the store.
         states: Replication state by prefix.
     """
 
@@ -64,6 +66,7 @@
     reachable: bool = False
     last_success_s: float | None = None
     on_failure: Callable[[float], None] = lambda now_s: None
+    min_list_interval_s: Callable[[], float] = lambda: 0.0
     states: dict[str, PrefixState] = field(factory=dict)
 
     async def run(self) -> None:
@@ -88,7 +91,8 @@
             else:
                 await self._list(prefix, state)
                 if not self.is_watcher():
-                    await trio.sleep(LIST_INTERVAL_S * self.random.uniform(0.8, 1.2))
+                    interval_s = max(LIST_INTERVAL_S, self.min_list_interval_s())
+                    await trio.sleep(interval_s * self.random.uniform(0.8, 1.2))
 
     def _should_read_store(self) -> bool:
         """Return whether this VM must call the store instead of relying on its peers."""
--- a/src/wagtailbay/rollout/const.py
+++ b/src/wagtailbay/rollout/const.py
@@ -8,9 +8,9 @@
 EVIDENCE_TTL_MS: Final = 5_000
 VERDICT_TTL_MS: Final = 600_000
 RECONCILE_INTERVAL_S: Final = 0.25
-# Share of the new version until the ramp starts, well below the tenth of all requests that a
+# Share of the new version until the ramp starts, as a fraction of the share of all requests that a
 # failing version may receive.
-CANARY_SHARE: Final = 0.06
+CANARY_EXPOSURE_FRACTION: Final = 0.6
 # Start and end of the ramp as fractions of the order's duration. The rest leaves time for the last
 # requests on the old version and for writing the phase before the deadline.
 RAMP_START_FRACTION: Final = 0.55
--- a/src/wagtailbay/rollout/version_splitter.py
+++ b/src/wagtailbay/rollout/version_splitter.py
@@ -9,8 +9,9 @@
 from wagtailbay.logs import log_event
 from wagtailbay.placement import TargetOutcome, VersionFilter
 from wagtailbay.replica import from_value
+from wagtailbay.requirements import FleetRequirements
 from wagtailbay.rollout.const import (
-    CANARY_SHARE,
+    CANARY_EXPOSURE_FRACTION,
     RAMP_END_FRACTION,
     RAMP_START_FRACTION,
     ROLLOUT_PREFIX,
@@ -29,6 +30,7 @@
 
     Attributes:
         order_started_s: Earliest time at which any VM is known to have learned of the order.
+        canary_share: Share of the new version until the ramp starts.
         share_credit: Accumulated share of the new version, which gets a request when it reaches 1.
         failure_reason: Why the new version is failing, None unless it is.
         old_in_flight: Requests of this VM that are running on the old version.
@@ -38,6 +40,7 @@
     order: RolloutOrder
     order_started_s: float
     share_credit: float
+    canary_share: float
     failure_reason: str | None = None
     old_in_flight: int = 0
     counters: dict[str, RouteCounter] = field(factory=dict)
@@ -57,9 +60,9 @@
             return 0.0
         elapsed_fraction = age_s / duration_s
         if elapsed_fraction < RAMP_START_FRACTION:
-            return CANARY_SHARE
+            return self.canary_share
         ramp = (elapsed_fraction - RAMP_START_FRACTION) / (RAMP_END_FRACTION - RAMP_START_FRACTION)
-        return min(1.0, CANARY_SHARE + ramp * (1 - CANARY_SHARE))
+        return min(1.0, self.canary_share + ramp * (1 - self.canary_share))
 
 
 @define
@@ -72,6 +75,7 @@
     """
 
     random: random.Random
+    requirements: FleetRequirements = field(factory=FleetRequirements)
     progress: dict[str, RolloutProgress] = field(factory=dict)
     applied_versions: dict[str, int] = field(factory=dict)
 
@@ -97,7 +101,8 @@
     def _apply_order(self, order: RolloutOrder, now_s: float) -> None:
         progress = self.progress.get(order.service)
         if progress is None or progress.order.order_id != order.order_id:
-            progress = RolloutProgress(order, now_s, self.random.random())
+            canary_share = CANARY_EXPOSURE_FRACTION * self.requirements.exposure_share
+            progress = RolloutProgress(order, now_s, self.random.random(), canary_share)
             self.progress[order.service] = progress
         progress.order = order
         log_event(
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -10,6 +10,7 @@
 
 from wagtailbay.settings.checks import split_address
 from wagtailbay.transport.const import (
+    MAX_DISCARDED_BYTES,
     MAX_HEADER_BYTES,
     MAX_INFORMATIONAL_RESPONSES,
     MAX_RESPONSE_BODY_BYTES,
@@ -94,12 +95,9 @@
 
     async def skip_response(self) -> Result[ResponseHead, TransportError]:
         """Discard the response to an earlier request and receive the head of the next response."""
-        while True:
-            match await self.receive_chunk():
-                case Err(error):
-                    return Err(error)
-                case Ok(None):
-                    break
+        discarded = await self.discard_body()
+        if isinstance(discarded, Err):
+            return discarded
         unread, closed = self.protocol.trailing_data
         protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         protocol.send(
@@ -156,6 +154,22 @@
         """Receive the next chunk of the response body, or None at its proper end."""
         return self._chunk_from_event(await self._next_event())
 
+    async def discard_body(self) -> Result[None, TransportError]:
+        """Receive the rest of the body without keeping it; fail if it is too large to be worth it.
+
+        Without the limit, a body that never ends would be read until the deadline.
+        """
+        discarded_bytes = 0
+        while discarded_bytes <= MAX_DISCARDED_BYTES:
+            match await self.receive_chunk():
+                case Err(error):
+                    return Err(error)
+                case Ok(None):
+                    return Ok(None)
+                case Ok(data):
+                    discarded_bytes += len(data)
+        return Err(self.make_error(FailureKind.TOO_LARGE, "the response to be discarded"))
+
     def receive_chunk_nowait(self) -> Result[bytes | None, TransportError] | None:
         """Return the next chunk if it has already been received, or None."""
         event = self._next_event_nowait()
@@ -233,7 +247,7 @@
 
 
 async def exchange(
-    connection: ClientConnection, request: Request
+    connection: ClientConnection, request: Request, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
 ) -> Result[Response, TransportError]:
     """Send a request and receive the whole response."""
     head = await connection.send(request)
@@ -248,6 +262,6 @@
                 return Ok(Response(head.ok_value.status, head.ok_value.headers, bytes(body)))
             case Ok(data):
                 body += data
-        if len(body) > MAX_RESPONSE_BODY_BYTES:
-            message = f"more than {MAX_RESPONSE_BODY_BYTES} bytes"
+        if len(body) > max_body_bytes:
+            message = f"more than {max_body_bytes} bytes"
             return Err(TransportError(FailureKind.TOO_LARGE, message, True, True))
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -5,6 +5,8 @@
 RECEIVE_CHUNK_BYTES: Final = 65_536
 MAX_REQUEST_BODY_BYTES: Final = 1_048_576
 MAX_RESPONSE_BODY_BYTES: Final = 64 * 1_048_576
+# A response that nobody waits for is read up to this size, so that its connection can be reused.
+MAX_DISCARDED_BYTES: Final = 262_144
 MAX_HEADER_BYTES: Final = 32_768
 # The body must arrive within this time after the head of the request.
 REQUEST_RECEIVE_TIMEOUT_S: Final = 30.0
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -9,7 +9,11 @@
 
 from wagtailbay.logs import log_event
 from wagtailbay.transport.client import ClientConnection, exchange, open_connection
-from wagtailbay.transport.const import IDLE_LIMIT_TTL_S, IDLE_RESET_WINDOW_S
+from wagtailbay.transport.const import (
+    IDLE_LIMIT_TTL_S,
+    IDLE_RESET_WINDOW_S,
+    MAX_RESPONSE_BODY_BYTES,
+)
 from wagtailbay.transport.models import FailureKind, Request, Response, TransportError
 
 
@@ -98,7 +102,11 @@
                 await connection.close()
 
     async def fetch(
-        self, address: str, request: Request, timeout_ms: int
+        self,
+        address: str,
+        request: Request,
+        timeout_ms: int,
+        max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
     ) -> Result[Response, TransportError]:
         """Send a request on a pooled connection and receive the whole response."""
         connection: ClientConnection | None = None
@@ -108,7 +116,7 @@
                 if isinstance(opened, Err):
                     return opened
                 connection = opened.ok_value
-                return await exchange(connection, request)
+                return await exchange(connection, request, max_body_bytes)
             finally:
                 if connection is not None:
                     await self.release(connection)
