--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from result import Err, Ok
 
-from wagtailbay.entry.const import CONNECT_TIMEOUT_MS, RUN_HEADER
+from wagtailbay.entry.const import CONNECT_TIMEOUT_MS, REQUEST_ID_HEADER, RUN_HEADER
 from wagtailbay.entry.models import AttemptResult, RequestContext, ResponseTruncated
 from wagtailbay.entry.wire import build_response_headers, build_target_request
 from wagtailbay.refusals import not_run, outcome_unknown
@@ -97,7 +97,7 @@
 
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
         request = build_target_request(self.context, self.clock())
-        sent = await connection.send(request)
+        sent = await connection.send_and_match(request, self._is_own_response)
         self._stop_idle_timer()
         if isinstance(sent, Err):
             return self._handle_error(sent.err_value)
@@ -110,6 +110,10 @@
             )
         return await self._stream(connection, head)
 
+    def _is_own_response(self, head: ResponseHead) -> bool:
+        """Return whether a response is not one to an earlier request, as far as the target says."""
+        return head.header(REQUEST_ID_HEADER) in (None, self.context.request_id)
+
     def _start_idle_timer(self) -> None:
         """Set the cancel scope to the idle timeout.
 
--- a/src/wagtailbay/entry/const.py
+++ b/src/wagtailbay/entry/const.py
@@ -34,6 +34,7 @@
 # Bounds the cache of header names, since callers may send any number of distinct names.
 HEADER_NAME_CACHE_SIZE: Final = 512
 RUN_HEADER: Final = "Wagtailbay-Run"
+REQUEST_ID_HEADER: Final = "Wagtailbay-Request-Id"
 REPLAY_HEADER: Final = "Wagtailbay-Replayed"
 # Shorter keys would match ordinary text by chance.
 MIN_SEARCHED_KEY_LENGTH: Final = 8
--- a/src/wagtailbay/entry/wire.py
+++ b/src/wagtailbay/entry/wire.py
@@ -6,6 +6,7 @@
     HEADER_NAME_CACHE_SIZE,
     PRIVATE_REQUEST_HEADERS,
     REPLAY_HEADER,
+    REQUEST_ID_HEADER,
     RESERVED_HEADER_PREFIX,
     RUN_HEADER,
 )
@@ -34,7 +35,7 @@
         ]
     )
     added: Headers = (
-        ("Wagtailbay-Request-Id", context.request_id),
+        (REQUEST_ID_HEADER, context.request_id),
         ("Wagtailbay-Workspace", context.workspace or ""),
         ("Request-Timeout-Ms", str(context.remaining_ms(now_s))),
     )
@@ -55,7 +56,7 @@
     ]
     return (
         *kept,
-        ("Wagtailbay-Request-Id", context.request_id),
+        (REQUEST_ID_HEADER, context.request_id),
         ("Wagtailbay-Vm", vm),
         ("Wagtailbay-Target", assignment.target.target),
     )
@@ -78,7 +79,7 @@
     """Send a refusal to the caller as JSON."""
     error = {"code": refusal.code, "message": refusal.message, "run": refusal.run.value}
     run = "not-run" if refusal.run is RunState.NOT_RUN else "unknown"
-    headers: Headers = ((RUN_HEADER, run), ("Wagtailbay-Request-Id", request_id))
+    headers: Headers = ((RUN_HEADER, run), (REQUEST_ID_HEADER, request_id))
     if refusal.retry_after_ms is not None:
         headers += (("Retry-After", str(max(1, -(-refusal.retry_after_ms // 1000)))),)
         error["retry_after_ms"] = refusal.retry_after_ms
--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -11,7 +11,6 @@
     MAX_BUFFERED_RESPONSE_BYTES,
     MAX_IDLE_NON_IDEMPOTENT_S,
     MAX_IDLE_S,
-    MAX_SKIPPED_RESPONSES,
 )
 from wagtailbay.gateway.models import (
     AttemptResult,
@@ -103,28 +102,20 @@
         return Request(request.method, request.path, headers, request.body, host=caller.host)
 
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
-        received = await connection.send(self._build_request())
-        for _ in range(MAX_SKIPPED_RESPONSES + 1):
-            if isinstance(received, Err):
-                return self._handle_error(received.err_value)
-            head = received.ok_value
-            metadata = self.header_codec.decode_target(head)
-            if metadata.request_id in (None, self.request.caller.request_id):
-                return await self._receive_response(connection, head, metadata)
-            # A late duplicate response to an earlier request; the response to this request may
-            # still follow.
-            received = await connection.skip_response()
-        return self._handle_error(
-            connection.make_error(
-                FailureKind.PROTOCOL, "only responses to other requests were received"
-            )
-        )
+        received = await connection.send_and_match(self._build_request(), self._is_own_response)
+        if isinstance(received, Err):
+            return self._handle_error(received.err_value)
+        return await self._receive_response(connection, received.ok_value)
+
+    def _is_own_response(self, head: ResponseHead) -> bool:
+        """Return whether a response is not one to an earlier request; store its metadata."""
+        self.metadata = self.header_codec.decode_target(head)
+        return self.metadata.request_id in (None, self.request.caller.request_id)
 
     async def _receive_response(
-        self, connection: ClientConnection, head: ResponseHead, metadata: TargetMetadata
+        self, connection: ClientConnection, head: ResponseHead
     ) -> AttemptResult:
         """Receive the response and deliver it, buffered if it is small enough, else streamed."""
-        self.metadata = metadata
         body = bytearray()
         complete = False
         while not complete and len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
@@ -136,7 +127,7 @@
                 case Ok(data):
                     body += data
         self.response_bytes = len(body)
-        if metadata.not_run:
+        if self.metadata.not_run:
             return AttemptResult(TargetOutcome.SHED, None, may_have_run=False)
         headers = end_to_end_headers(head.headers)
         if complete:
--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -10,8 +10,6 @@
 # Responses up to this size are buffered until complete, so that the request can be retried at
 # another target if the response is truncated.
 MAX_BUFFERED_RESPONSE_BYTES: Final = 262_144
-# Responses to earlier requests that are skipped before a connection is abandoned.
-MAX_SKIPPED_RESPONSES: Final = 2
 # Idle time after which a pooled connection is not used for a non-idempotent request. The target
 # may be closing a connection that has been idle for longer, which leaves the outcome of a request
 # sent on it unknown.
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connections, each carrying one request at a time."""
 
 import select
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -14,6 +15,7 @@
     MAX_HEADER_BYTES,
     MAX_INFORMATIONAL_RESPONSES,
     MAX_RESPONSE_BODY_BYTES,
+    MAX_SKIPPED_RESPONSES,
     RECEIVE_CHUNK_BYTES,
 )
 from wagtailbay.transport.models import (
@@ -93,6 +95,24 @@
             return Err(self.make_error(FailureKind.CLOSED, f"while sending: {error}"))
         return await self._receive_head()
 
+    async def send_and_match(
+        self, request: Request, belongs: Callable[[ResponseHead], bool]
+    ) -> Result[ResponseHead, TransportError]:
+        """Send a request and receive the head of the first response that belongs to it.
+
+        A late second copy of the response to an earlier request is skipped; the response to this
+        request may still follow.
+        """
+        received = await self.send(request)
+        for _ in range(MAX_SKIPPED_RESPONSES):
+            if isinstance(received, Err) or belongs(received.ok_value):
+                return received
+            received = await self.skip_response()
+        if isinstance(received, Err) or belongs(received.ok_value):
+            return received
+        message = "only responses to other requests were received"
+        return Err(self.make_error(FailureKind.PROTOCOL, message))
+
     async def skip_response(self) -> Result[ResponseHead, TransportError]:
         """Discard the response to an earlier request and receive the head of the next response."""
         discarded = await self.discard_body()
--- a/src/wagtailbay_standins/target.py
+++ b/src/wagtailbay_standins/target.py
@@ -193,7 +193,8 @@
             await reply.start(200, (("Content-Length", str(len(body))),))
             await reply.send(body[: len(body) // 2])
             raise CallerDisconnectedError
-        await reply.send_json(200, payload)
+        request_id = request.header("Wagtailbay-Request-Id") or ""
+        await reply.send_json(200, payload, (("Wagtailbay-Request-Id", request_id),))
 
     async def _handle_control(self, request: Request, path: str, reply: Reply) -> None:
         if path == "/standin/behaviour":
