Serve the requests that have arrived before a planned stop ends the process

Cause: an entry VM kept its listener open while it announced that it had left, which takes up to 2 s without peers. In both programs, closing the listener reset the connections of its backlog, and closing an idle connection reset it if a request had arrived that was not read yet.

Change: HttpServer.stop_accepting closes the listener after it has accepted its backlog, drain serves what has arrived and closes each connection after its last request; both programs use them, so that nothing is open when a VM announces that it has left. The gateway's own accept loop and drain are gone.

--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -63,9 +63,9 @@
         await node.fleet.announce_leaving()
         await trio.sleep_forever()
     node.server.draining.set()
-    while node.server.open_requests:
-        await trio.sleep(0.05)
-    node.server.close_idle()
+    # A request accepted while this VM announces that it has left would be cut off by the exit.
+    node.server.stop_accepting()
+    await node.server.drain()
     if not await node.outcome_writer.drain(OUTCOME_DRAIN_TIMEOUT_S):
         log_event("outcomes_lost", count=len(node.outcome_writer.pending))
     await node.fleet.announce_left()
--- a/src/wagtailbay/programs/gateway.py
+++ b/src/wagtailbay/programs/gateway.py
@@ -18,11 +18,10 @@
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.settings import load_settings_or_exit
 from wagtailbay.settings.checks import split_address
-from wagtailbay.transport import HttpServer, accept_connections, open_listener
+from wagtailbay.transport import HttpServer
 
 # New connections are accepted for this long after cached lookup responses with this VM expire.
 LOOKUP_EXPIRY_MARGIN_S = 0.8
-OPEN_REQUEST_POLL_INTERVAL_S = 0.02
 # The process exits this long before the end of the grace time, when it would be killed.
 SHUTDOWN_MARGIN_S = 0.3
 
@@ -45,14 +44,14 @@
         if settings.metrics_address:
             metrics_server = HttpServer(node.exporter.handle)
             await nursery.start(metrics_server.serve, split_address(settings.metrics_address))
-        accept_scope = await nursery.start(serve_callers, node)
+        await nursery.start(node.server.serve, split_address(settings.listen_address))
         log_event("listening", address=settings.listen_address, machine=settings.machine)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with trio.open_nursery() as announcement_nursery:
                 announcement_nursery.start_soon(node.become_live)
                 await anext(signals)
                 announcement_nursery.cancel_scope.cancel()
-        await shut_down_gracefully(node, accept_scope)
+        await shut_down_gracefully(node)
         nursery.cancel_scope.cancel()
 
 
@@ -63,16 +62,7 @@
             log_event("reload_asked", changed="nothing")
 
 
-async def serve_callers(node: GatewayNode, *, task_status: trio.TaskStatus) -> None:
-    """Serve callers; report the cancel scope that stops accepting new connections."""
-    address = split_address(node.settings.listen_address)
-    async with trio.open_nursery() as nursery:
-        with open_listener(address) as listener, trio.CancelScope() as scope:
-            task_status.started(scope)
-            await accept_connections(listener, node.server.serve_connection, nursery)
-
-
-async def shut_down_gracefully(node: GatewayNode, accept_scope: trio.CancelScope) -> None:
+async def shut_down_gracefully(node: GatewayNode) -> None:
     """Announce the departure, serve callers until lookups expire, and drain in the grace time."""
     started_s = trio.current_time()
     log_event("stopping", open_requests=node.server.open_requests)
@@ -80,23 +70,14 @@
     # From now on, each response closes its connection so that the caller reconnects elsewhere.
     node.server.draining.set()
     await trio.sleep(lookup_ttl_ms(node.settings.requirements) / 1000 + LOOKUP_EXPIRY_MARGIN_S)
-    accept_scope.cancel()
+    node.server.stop_accepting()
     deadline_s = started_s + node.settings.grace_ms / 1000 - SHUTDOWN_MARGIN_S
     with trio.move_on_at(deadline_s):
-        await drain_requests(node)
+        await node.server.drain()
         await node.fleet.announce_left()
-        # A connection accepted just before may have sent its request in the meantime.
-        await drain_requests(node)
     log_event("stopped", open_requests=node.server.open_requests)
 
 
-async def drain_requests(node: GatewayNode) -> None:
-    """Wait until no request is open, then close idle connections."""
-    while node.server.open_requests:
-        await trio.sleep(OPEN_REQUEST_POLL_INTERVAL_S)
-    node.server.close_idle()
-
-
 def main() -> None:
     """Load the settings and run the gateway VM."""
     # gRPC would otherwise mix lines of its own format into the structured log.
--- a/src/wagtailbay/transport/connection_reader.py
+++ b/src/wagtailbay/transport/connection_reader.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from wagtailbay.transport.const import MAX_HEADER_BYTES, RECEIVE_CHUNK_BYTES
-from wagtailbay.transport.sockets import receive
+from wagtailbay.transport.sockets import receive, receive_nowait
 
 
 @define(eq=False)
@@ -51,6 +51,8 @@
         while not self.closed and not self.timed_out:
             with self.receive_scope:
                 await self._receive_all()
+            if self.closing and not self.closed and self._receive_pending():
+                self.closing = False
             self.timed_out = not self.closed and (
                 self.closing or trio.current_time() >= self.read_deadline_s
             )
@@ -64,8 +66,18 @@
             await self._receive()
             self.data_available.unpark_all()
 
+    def _receive_pending(self) -> bool:
+        """Buffer bytes that arrived before the wait ended; return whether there were any.
+
+        Closing the connection with unread bytes would reset it, and lose a request.
+        """
+        data = receive_nowait(self.stream, RECEIVE_CHUNK_BYTES)
+        self.buffer += data
+        self.data_available.unpark_all()
+        return bool(data)
+
     def close_idle(self) -> None:
-        """Stop waiting for a request if the connection is idle."""
+        """Stop waiting for a request if the connection is idle and none has arrived."""
         if self.idle:
             self.closing = True
             self.receive_scope.cancel()
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -19,6 +19,8 @@
 # with unread input would reset the connection before the caller has read the response.
 LINGER_TIMEOUT_S: Final = 1.0
 MAX_LINGER_BYTES: Final = 4 * 1_048_576
+# How often a server that stops looks for connections that have become idle.
+DRAIN_POLL_INTERVAL_S: Final = 0.02
 # A caller that does not accept one chunk within this time is treated as disconnected.
 SEND_TIMEOUT_S: Final = 60.0
 # A server that has dropped an idle connection resets it one round trip after the next request; a
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -13,8 +13,10 @@
 from wagtailbay.invariants import BrokenInvariantError
 from wagtailbay.logs import log_event
 from wagtailbay.supervision import run_isolated
+from wagtailbay.transport.accept import accept_connections, accept_pending, open_listener
 from wagtailbay.transport.connection_reader import ConnectionReader
 from wagtailbay.transport.const import (
+    DRAIN_POLL_INTERVAL_S,
     IDLE_CONNECTION_TIMEOUT_S,
     LINGER_TIMEOUT_S,
     MAX_HEADER_BYTES,
@@ -39,6 +41,7 @@
         max_body_bytes: Maximum size of a request body.
         idle_timeout_s: Time limit for the head of the next request.
         receive_timeout_s: Time limit for the body after the head.
+        accept_scope: Cancelled to stop accepting connections.
         draining: Set when the server stops; each connection then closes after its current request.
         open_requests: Number of requests being served.
         connections: Number of open connections.
@@ -51,6 +54,7 @@
     max_body_bytes: int = MAX_REQUEST_BODY_BYTES
     idle_timeout_s: float = IDLE_CONNECTION_TIMEOUT_S
     receive_timeout_s: float = REQUEST_RECEIVE_TIMEOUT_S
+    accept_scope: trio.CancelScope = field(factory=trio.CancelScope)
     draining: trio.Event = field(factory=trio.Event)
     open_requests: int = 0
     connections: int = 0
@@ -58,11 +62,32 @@
     readers: set[ConnectionReader] = field(factory=set)
 
     async def serve(self, address: tuple[str, int], *, task_status: Any) -> None:
-        """Listen on an address and report the bound (host, port) to the nursery when ready."""
-        host, port = address
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        task_status.started(listeners[0].socket.getsockname()[:2])
-        await trio.serve_listeners(self.serve_connection, listeners)
+        """Listen on an IP address and report the bound (host, port) to the nursery when ready.
+
+        Returns after ``stop_accepting`` once all connections are closed.
+        """
+        with open_listener(address) as listener:
+            async with trio.open_nursery() as nursery:
+                task_status.started(listener.getsockname()[:2])
+                with self.accept_scope:
+                    await accept_connections(listener, self.serve_connection, nursery)
+                accept_pending(listener, self.serve_connection, nursery)
+                listener.close()
+
+    def stop_accepting(self) -> None:
+        """Close the listener; connections that it has already established are served."""
+        self.accept_scope.cancel()
+
+    async def drain(self) -> None:
+        """Serve the requests that have arrived, and close each connection after its last one.
+
+        To be called once ``draining`` is set and the server has stopped accepting.
+        """
+        # A connection accepted just now is counted once its task has started.
+        await trio.sleep(DRAIN_POLL_INTERVAL_S)
+        while self.connections:
+            self.close_idle()
+            await trio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection; an unexpected error ends this connection only."""
--- a/src/wagtailbay/transport/sockets.py
+++ b/src/wagtailbay/transport/sockets.py
@@ -28,6 +28,16 @@
             continue
 
 
+def receive_nowait(stream: trio.abc.ReceiveStream, max_bytes: int) -> bytes:
+    """Return the bytes that have arrived, without waiting; empty if there are none."""
+    if not isinstance(stream, trio.SocketStream):
+        return b""
+    try:
+        return os.read(stream.socket.fileno(), max_bytes)
+    except OSError:
+        return b""
+
+
 def send_nowait(stream: trio.abc.SendStream, data: bytes) -> int:
     """Send as much as the socket accepts without blocking; return the number of bytes sent.
 
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -4,13 +4,14 @@
 
 import pytest
 import trio
+from result import Err
 from support.gateway import config_spec
 from support.gateway_harness import WAIT_S, GatewayHarness, get_header
 
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway import shut_down_gracefully
 from wagtailbay.programs.gateway_node import build_endpoints
-from wagtailbay.transport import HttpServer, Request
+from wagtailbay.transport import ConnectionPool, FailureKind, HttpServer, Request
 
 
 @pytest.fixture
@@ -111,38 +112,62 @@
 
 
 class TestGracefulShutdown:
-    """A graceful shutdown completes the requests in flight."""
+    """A graceful shutdown completes the requests that have arrived."""
 
-    async def test_request_during_shutdown_announcement_is_served(
-        self, harness, nursery, monkeypatch
-    ):
-        """Guards against losing a request that arrives while the VM announces its departure."""
-        responses, request_seen = [], trio.Event()
+    @pytest.fixture(autouse=True)
+    def without_announcements(self, monkeypatch):
+        """Replace the announcements to other VMs, of which these tests have none."""
+
+        async def announce(fleet) -> None:
+            await trio.lowlevel.checkpoint()
+
+        monkeypatch.setattr(Fleet, "announce_leaving", announce)
+        monkeypatch.setattr(Fleet, "announce_left", announce)
+
+    async def test_request_in_flight_is_served(self, harness, nursery):
+        """Guards against cutting a request that a target is still working on."""
+        responses = []
         for target in harness.targets.values():
-            target.delay_s = 0.3
+            target.delay_s = 4.0
 
         async def send_request() -> None:
             responses.append(await harness.send_request())
 
-        async def announce_left(fleet) -> None:
-            nursery.start_soon(send_request)
+        nursery.start_soon(send_request)
+        with trio.fail_after(WAIT_S):
             while not harness.received_requests():
                 await trio.sleep(0.01)
-            request_seen.set()
-
-        async def announce_leaving(fleet) -> None:
-            pass
-
-        monkeypatch.setattr(Fleet, "announce_left", announce_left)
-        monkeypatch.setattr(Fleet, "announce_leaving", announce_leaving)
-        await shut_down_gracefully(harness.node, trio.CancelScope())
-        assert request_seen.is_set()
-        assert harness.node.server.open_requests == 0
+        await shut_down_gracefully(harness.node)
+        assert (harness.node.server.open_requests, harness.node.server.connections) == (0, 0)
         with trio.fail_after(WAIT_S):
             while not responses:
                 await trio.sleep(0.01)
         assert responses[0].status == 200
 
+    async def test_requests_under_load_are_served_or_not_read(self, harness, nursery):
+        """Guards against requests that are accepted while the VM stops, and then cut off."""
+        outcomes = []
+        stopped = trio.Event()
+
+        async def send_requests(number: int) -> None:
+            pool = ConnectionPool()
+            while not stopped.is_set():
+                headers = (("Request-Id", f"c{number}"), ("Authorization", "Token key-1"))
+                request = Request("GET", f"/b/{number}", headers, host="h.example")
+                outcomes.append(await pool.fetch(harness.address, request, 30_000))
+                await trio.sleep(0.005)
+
+        for target in harness.targets.values():
+            target.delay_s = 0.05
+        for number in range(8):
+            nursery.start_soon(send_requests, number)
+        await trio.sleep(0.2)
+        await shut_down_gracefully(harness.node)
+        stopped.set()
+        errors = [outcome.err_value for outcome in outcomes if isinstance(outcome, Err)]
+        assert {error.kind for error in errors} <= {FailureKind.CONNECT}
+        assert len(outcomes) > len(errors)
+
 
 class TestLookupAndReadiness:
     """The lookup and readiness endpoints reflect the state of the VM."""
