Start with the newest known configuration, and forget what has ended

Cause: a restarted gateway became ready with the first configuration that any peer sent, however old, so during an outage of the store it could use a key or a target that it knew to be withdrawn before. An empty list of VMs, which the platform gives while it starts, counted every VM as unlisted. The write times of ended rollouts and the versions of deleted orders were kept for good.

Change: a configuration older than the contact timeout is accepted 2 s after the start, when every reachable peer has been called. An empty list counts as unreadable. Ended orders are forgotten.

--- a/src/wagtailbay/allotment/coordinator.py
+++ b/src/wagtailbay/allotment/coordinator.py
@@ -105,10 +105,14 @@
             await self._plan_group(group, limits, version, value, snapshot)
 
     async def _read_listed_vms(self) -> frozenset[str] | None:
+        """Return the VMs on the platform's list, None if it cannot be read or is not plausible."""
         response = await self.store.vms()
         if isinstance(response, Err):
             return None
-        return frozenset(record.vm for record in response.ok_value.vms)
+        # This VM runs and is registered. A list without any live VM would release their shares
+        # while they are in use.
+        listed_vms = frozenset(record.vm for record in response.ok_value.vms)
+        return listed_vms or None
 
     def _limits_by_group(self, stored: Mapping[str, Any]) -> dict[str, dict[str, BudgetLimit]]:
         groups: dict[str, dict[str, BudgetLimit]] = {
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 import trio
-from attrs import define
+from attrs import define, field
 
 from wagtailbay.clock import boottime_s
 from wagtailbay.gateway.handler import GatewayHandler
@@ -36,6 +36,8 @@
 
 PROGRAM = "wagtailbay-gateway"
 HOUSEKEEPING_INTERVAL_S = 1.0
+# A VM calls all its neighbours within a second of its start, twice if a call times out.
+STALE_START_DELAY_S = 2.0
 
 
 @define
@@ -59,6 +61,7 @@
     handler: GatewayHandler
     pool: ConnectionPool
     server: HttpServer
+    started_s: float = field(factory=boottime_s)
 
     async def run_tasks(self, nursery: trio.Nursery) -> None:
         """Start all background tasks; the caller starts the servers."""
@@ -111,9 +114,18 @@
             log_event("state", live_vms=live_vm_count, targets=len(self.registry.targets))
 
     def can_become_ready(self, now_s: float) -> bool:
-        """Return whether the configuration was received from the store or from a ready peer."""
+        """Return whether this newly started VM has a configuration that is current.
+
+        An older one, which is all there is during an outage of the store, is accepted only once
+        every peer that can be reached had the time to send a newer one. Otherwise a restarted VM
+        could accept a key that it knew to be withdrawn before.
+        """
         age_ms = self.fleet.freshness.age_ms(now_s)
-        return self.routing.table is not None and age_ms is not None
+        if self.routing.table is None or age_ms is None:
+            return False
+        if age_ms <= self.settings.requirements.contact_timeout_ms:
+            return True
+        return now_s - self.started_s >= STALE_START_DELAY_S
 
     async def become_live(self) -> None:
         """Announce this VM as live once it has a configuration."""
--- a/src/wagtailbay/rollout/controller.py
+++ b/src/wagtailbay/rollout/controller.py
@@ -72,11 +72,23 @@
     async def run(self) -> None:
         """Reconcile all active orders periodically until cancelled."""
         while True:
-            for progress in list(self.splitter.progress.values()):
-                if not progress.order.ended:
-                    await self.reconcile(progress)
+            active = [p for p in self.splitter.progress.values() if not p.order.ended]
+            self.forget_orders_except({progress.order.order_id for progress in active})
+            for progress in active:
+                await self.reconcile(progress)
             await trio.sleep(RECONCILE_INTERVAL_S * self.random.uniform(0.9, 1.1))
 
+    def forget_orders_except(self, order_ids: set[str]) -> None:
+        """Remove the state of orders that have ended."""
+        self.write_due_s = {
+            key: due_s for key, due_s in self.write_due_s.items() if key[0] in order_ids
+        }
+        self.last_reported = {
+            order_id: reported
+            for order_id, reported in self.last_reported.items()
+            if order_id in order_ids
+        }
+
     async def reconcile(self, progress: RolloutProgress) -> None:
         """Exchange evidence of one order, check for failure, and write its phase if due."""
         now_s = self.clock()
--- a/src/wagtailbay/rollout/version_splitter.py
+++ b/src/wagtailbay/rollout/version_splitter.py
@@ -81,6 +81,9 @@
 
     def apply_objects(self, objects: Mapping[str, StoredObject], now_s: float) -> None:
         """Apply new versions of the replicated orders."""
+        self.applied_versions = {
+            key: version for key, version in self.applied_versions.items() if key in objects
+        }
         for key, stored in objects.items():
             if (
                 not key.startswith(ROLLOUT_PREFIX)
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -10,7 +10,7 @@
 
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway import shut_down_gracefully
-from wagtailbay.programs.gateway_node import build_endpoints
+from wagtailbay.programs.gateway_node import STALE_START_DELAY_S, build_endpoints
 from wagtailbay.transport import ConnectionPool, FailureKind, HttpServer, Request
 
 
@@ -216,3 +216,20 @@
         for estimate in harness.node.selector.loads.values():
             estimate.ejected_until_s = float("-inf")
         assert (await harness.send_request("/a/other")).status == 200
+
+
+class TestStart:
+    """A VM becomes ready with a current configuration, or with the newest that its peers have."""
+
+    async def test_old_configuration_is_accepted_after_a_delay_only(self, harness):
+        """Guards against a restarted VM that uses a withdrawn key from the first peer it hears."""
+        node, now_s = harness.node, harness.node.started_s
+        node.fleet.freshness.confirmed_s = now_s - 60
+        assert not node.can_become_ready(now_s + STALE_START_DELAY_S / 2)
+        assert node.can_become_ready(now_s + STALE_START_DELAY_S)
+
+    async def test_current_configuration_is_accepted_at_once(self, harness):
+        """Guards against a VM that stays away longer than needed."""
+        node, now_s = harness.node, harness.node.started_s
+        node.fleet.freshness.confirmed_s = now_s - 1
+        assert node.can_become_ready(now_s)
