Give the rate of each workspace one owner among the VMs

Cause: each VM of a gateway fleet admitted by its share of a workspace's rate, which followed its part of the demand.

Change: rendezvous hashing selects one VM, in a divided fleet a delegate, that holds the only bucket of a workspace. The others request tokens for what waits and for the next 0.4 s. Without an answer a VM goes on with a part of what it was granted before. An owner without contact to most VMs grants nothing. WorkspaceQuota by shares, TokenBorrower and the demand facts are gone.

Tests: tests/quota drives fleets of 4 to 195 VMs in simulated time: demand spread, a surge in one zone, a flood, a flood that moves, a lowered rate, a crashed owner, owners replaced in turn, partitions. They replace the tests of shares and loans, whose subjects are gone.

--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -21,7 +21,7 @@
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
 from wagtailbay.quarantine import request_fingerprint
-from wagtailbay.quota import TokenBorrower, WorkspaceQuota
+from wagtailbay.quota import WorkspaceQuota
 from wagtailbay.refusals import Refusal, not_run
 from wagtailbay.requirements import FleetRequirements
 from wagtailbay.routing import ActiveRouting, RouteRule, RoutingTable, ServiceSplitter, Workspace
@@ -40,7 +40,6 @@
     routing: ActiveRouting
     header_codec: HeaderCodec
     quota: WorkspaceQuota
-    borrower: TokenBorrower
     forwarder: GatewayForwarder
     service_splitter: ServiceSplitter
     config_age_ms: Callable[[float], float | None]
@@ -122,14 +121,11 @@
         if self.forwarder.crashes.is_refused(fingerprint, now_s):
             message = "earlier requests like this one crashed targets"
             return not_run(503, "crashes_targets", message, QUARANTINE_RETRY_AFTER_MS)
-        admitted = Ok(None) if workspace is None else self.quota.admit(workspace, now_s)
-        if isinstance(admitted, Ok) or await self.borrower.borrow(workspace):
+        admitted = Ok(None) if workspace is None else await self.quota.admit(workspace, now_s)
+        if isinstance(admitted, Ok):
             return None
         exceeded = admitted.err_value
-        message = (
-            f"{workspace.workspace} is above its rate: {exceeded.share_per_s:.1f} of"
-            f" {workspace.rate_per_s:g} requests/s at this VM"
-        )
+        message = f"{workspace.workspace} is above its rate of {exceeded.rate_per_s:g} requests/s"
         return not_run(429, "rate_exceeded", message, round(exceeded.retry_after_ms))
 
     def _deny(self, status: int, code: str, message: str, now_s: float) -> Refusal:
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -43,6 +43,8 @@
 MAX_FACTS_PER_MESSAGE: Final = 500
 MAX_FACTS: Final = 20_000
 MAX_MEMBERS: Final = 2_000
+MAX_TOKENS_REQUESTED: Final = 100_000
+MAX_GRANT_WAIT_MS: Final = 60_000
 
 # Facts of these kinds concern every VM and are also relayed by VMs that did not publish them.
 RELAYED_FACT_KINDS: Final = frozenset(
--- a/src/wagtailbay/membership/loans.py
+++ b/src/wagtailbay/membership/loans.py
@@ -23,6 +23,7 @@
         number: Identifies the loan among those of one incarnation of the borrower.
         returned: The number of a loan that the borrower no longer uses, otherwise 0. A request that
             returns a loan requests none itself; its share and term are 0.
+        tokens: Number of tokens requested, if the budget has an owner that grants single tokens.
     """
 
     borrower: str
@@ -32,6 +33,7 @@
     term_ms: int
     number: int = 0
     returned: int = 0
+    tokens: int = 0
 
     @property
     def with_rate(self) -> bool:
@@ -46,8 +48,10 @@
     Attributes:
         tokens: Unspent tokens that move to the borrower with the share.
         left_tokens: Further tokens that the lender could lend now.
+        wait_ms: Time until another token can be expected, if fewer were granted than requested.
     """
 
     share_ppm: int
     tokens: float
     left_tokens: float = 0.0
+    wait_ms: int = 0
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -16,8 +16,10 @@
     MAX_FACT_TTL_MS,
     MAX_FACTS_BYTES,
     MAX_FACTS_PER_MESSAGE,
+    MAX_GRANT_WAIT_MS,
     MAX_MEMBERS,
     MAX_SNAPSHOT_BYTES,
+    MAX_TOKENS_REQUESTED,
 )
 from wagtailbay.membership.facts import Fact, FactBatch
 from wagtailbay.membership.generated import peer_pb2
@@ -266,6 +268,7 @@
         term_ms=max(0, request.term_ms),
         number=request.number,
         returned=request.returned,
+        tokens=max(0, request.tokens),
     ).SerializeToString()
 
 
@@ -288,6 +291,7 @@
             loan.term_ms,
             loan.number,
             loan.returned,
+            min(loan.tokens, MAX_TOKENS_REQUESTED),
         )
     )
 
@@ -295,7 +299,10 @@
 def encode_loan_grant(grant: LoanGrant) -> bytes:
     """Encode the answer to a loan request."""
     return peer_pb2.Grant(
-        share_ppm=grant.share_ppm, tokens=grant.tokens, left_tokens=grant.left_tokens
+        share_ppm=grant.share_ppm,
+        tokens=grant.tokens,
+        left_tokens=grant.left_tokens,
+        wait_ms=max(0, grant.wait_ms),
     ).SerializeToString()
 
 
@@ -309,4 +316,5 @@
     token_amounts = (grant.tokens, grant.left_tokens)
     if grant.share_ppm > 1_000_000 or not all(0 <= n < float("inf") for n in token_amounts):
         return Err("a grant has a share of at most 1,000,000 ppm and finite tokens")
-    return Ok(LoanGrant(grant.share_ppm, grant.tokens, grant.left_tokens))
+    wait_ms = min(grant.wait_ms, MAX_GRANT_WAIT_MS)
+    return Ok(LoanGrant(grant.share_ppm, grant.tokens, grant.left_tokens, wait_ms))
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -20,8 +20,7 @@
 from wagtailbay.programs.gateway_node import PROGRAM, GatewayNode
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.quarantine import CrashTable
-from wagtailbay.quota import TokenBorrower, WorkspaceQuota
-from wagtailbay.quota.const import BUDGET_PREFIX
+from wagtailbay.quota import RateOwners, TokenBank, WorkspaceQuota
 from wagtailbay.registry import (
     EVACUATION_PREFIX,
     TARGET_PREFIX,
@@ -36,7 +35,13 @@
     RolloutPhase,
     VersionSplitter,
 )
-from wagtailbay.routing import ROUTING_PREFIX, ActiveRouting, ServiceRule, ServiceSplitter
+from wagtailbay.routing import (
+    ROUTING_PREFIX,
+    ActiveRouting,
+    ServiceRule,
+    ServiceSplitter,
+    Workspace,
+)
 from wagtailbay.store import MeteredObjectStore, StoreError, StoreUnavailable
 from wagtailbay.transport import ConnectionPool, HttpServer
 
@@ -118,14 +123,6 @@
     ) -> GatewayHandler:
         fleet, header_codec = fleet_view.fleet, PlatformHeaderCodec()
         quota = self.quota = self._build_quota(fleet_view)
-        borrower = TokenBorrower(
-            fleet.roster.own,
-            quota,
-            fleet.client.borrow,
-            fleet_view.loan_candidates,
-            boottime_s,
-            self.rng,
-        )
         forwarder = GatewayForwarder(
             self._build_selector(fleet_view),
             version_splitter,
@@ -141,7 +138,6 @@
             self.routing,
             header_codec,
             quota,
-            borrower,
             forwarder,
             ServiceSplitter(self.rng),
             fleet.freshness.age_ms,
@@ -215,23 +211,21 @@
         )
 
     def _lend(self, request: LoanRequest, now_s: float) -> LoanGrant:
-        """Lend a token of a workspace's rate to another VM; grant nothing if it is unknown."""
-        table = self.routing.table
-        workspace_name = request.budget.removeprefix(BUDGET_PREFIX)
-        workspace = table.workspaces_by_name.get(workspace_name) if table else None
-        if workspace is None or self.quota is None:
-            return LoanGrant(0, 0.0)
-        return LoanGrant(0, self.quota.lend(workspace, now_s))
+        """Grant tokens of a workspace's rate to another VM; nothing before all is built."""
+        return LoanGrant(0, 0.0) if self.quota is None else self.quota.grant(request, now_s)
+
+    def _workspaces(self) -> Mapping[str, Workspace]:
+        return self.routing.table.workspaces_by_name if self.routing.table else {}
 
     def _build_quota(self, fleet_view: GatewayFleetView) -> WorkspaceQuota:
         return WorkspaceQuota(
-            fleet_view.fleet.facts,
-            fleet_view.vm_count,
-            fleet_view.contact_age_s,
+            fleet_view.fleet.roster.own,
+            RateOwners(fleet_view.rate_owner_candidates),
+            fleet_view.fleet.client.borrow,
+            self._workspaces,
+            fleet_view.grant_fraction,
             boottime_s,
-            self.rng,
-            fleet_view.layout,
-            self.settings.requirements,
+            TokenBank(self.settings.requirements),
         )
 
     def _build_rollout_controller(
--- a/src/wagtailbay/programs/gateway_fleet_view.py
+++ b/src/wagtailbay/programs/gateway_fleet_view.py
@@ -6,10 +6,16 @@
 
 from wagtailbay.config import FleetDocument
 from wagtailbay.config.models import AvailabilityZone
-from wagtailbay.membership import FleetLayout, LiveView
+from wagtailbay.membership import FleetLayout, LiveView, VmState
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway_settings import GatewaySettings
 
+# VMs that were in contact within this time may still run in another part of a split fleet.
+KNOWN_LATELY_S = 60.0
+# An owner that hears no other VM for longer than this, for example because it was suspended, grants
+# nothing. The others replace it after 4 s.
+OWNER_CONTACT_TIMEOUT_S = 2.5
+
 
 def build_fleet_document(settings: GatewaySettings) -> FleetDocument:
     """Build a fleet document from the settings, which give the zones but not the VM count."""
@@ -19,7 +25,7 @@
 
 @define
 class GatewayFleetView:
-    """Provides the live VMs, their layout, and the VMs from which to borrow tokens."""
+    """Provides the live VMs, their layout, and the VMs that own the rates of workspaces."""
 
     settings: GatewaySettings
     fleet: Fleet
@@ -37,29 +43,44 @@
         """Return the names of the live VMs, including this one."""
         return list(self.live_zones())
 
-    def vm_count(self) -> int:
-        """Return how many VMs share a rate; at least one per zone, as no VM may be known yet."""
-        return max(len(self.settings.zones), len(self.live_zones()))
-
     def region_vms(self) -> list[str]:
         """Return the names of the live VMs in this VM's region."""
         zones, region = self.settings.zones, self.settings.region
         return [vm for vm, zone in self.live_zones().items() if zones.get(zone) == region]
 
-    def loan_candidates(self) -> tuple[list[str], list[str]]:
-        """Return the VMs to borrow from, as preferred VMs and fallbacks.
+    def rate_owner_candidates(self) -> tuple[str, ...]:
+        """Return the VMs that may own the rate of a workspace, the same on all VMs.
 
-        In a divided fleet, these are the live VMs of this VM's cell and no others; otherwise the
-        reachable VMs of its region, then the other reachable ones.
+        In a divided fleet these are the delegates, so that a VM calls a few others only.
         """
+        vms = self.live_zones().keys()
+        if self.fleet.roster.own_member.state is not VmState.LIVE:
+            vms = vms - {self.settings.vm}
         layout = self.layout()
         if layout.is_divided:
-            return sorted(layout.cell_peers(self.settings.vm) & self.live_zones().keys()), []
-        same_region = set(self.region_vms())
-        reachable = [vm for vm, loop in self.fleet.peers.loops.items() if loop.last_error is None]
-        return [vm for vm in reachable if vm in same_region], [
-            vm for vm in reachable if vm not in same_region
+            vms = [vm for vm in vms if layout.is_delegate(vm)]
+        return tuple(sorted(vms))
+
+    def grant_fraction(self, now_s: float) -> float:
+        """Return which part of a workspace's rate its owner may grant.
+
+        An owner in contact with most of the VMs known lately may grant all of it, because no other
+        part of a split fleet can have such an owner; one without may grant nothing. While no other
+        VM is known at all, each availability zone may have an owner of its own.
+        """
+        others = [
+            member
+            for member in self.fleet.roster.members.values()
+            if member.identity.vm != self.settings.vm
+            and member.state is not VmState.LEFT
+            and member.contact_s is not None
+            and now_s - member.contact_s < KNOWN_LATELY_S
         ]
+        if not others:
+            return 1 / len(self.settings.zones)
+        live = self.live_zones().keys() - {self.settings.vm}
+        has_majority = 2 * (len(live) + 1) > len(others) + 1
+        return 1.0 if has_majority and self.contact_age_s(now_s) < OWNER_CONTACT_TIMEOUT_S else 0.0
 
     def contact_age_s(self, now_s: float) -> float:
         """Return the time since the last direct contact with a peer, infinity if there was none."""
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -66,6 +66,7 @@
     async def run_tasks(self, nursery: trio.Nursery) -> None:
         """Start all background tasks; the caller starts the servers."""
         self.handler.forwarder.background_nursery = nursery
+        self.quota.background_nursery = nursery
         for name, task in {
             "object_updates": self.run_object_updates,
             "housekeeping": self.run_housekeeping,
--- a/src/wagtailbay/quota/__init__.py
+++ b/src/wagtailbay/quota/__init__.py
@@ -1,7 +1,8 @@
-"""Fleet-wide rate limiting of workspaces, with shares that follow the demand at each VM."""
+"""Fleet-wide rate limiting of workspaces, with one owner for the rate of each."""
 
-from wagtailbay.quota.borrow import TokenBorrower
-from wagtailbay.quota.models import RateExceeded, WorkspaceDemand
-from wagtailbay.quota.share import WorkspaceQuota
+from wagtailbay.quota.bank import TokenBank
+from wagtailbay.quota.models import RateExceeded, TokenGrant
+from wagtailbay.quota.owners import RateOwners
+from wagtailbay.quota.quota import WorkspaceQuota
 
-__all__ = ["RateExceeded", "TokenBorrower", "WorkspaceDemand", "WorkspaceQuota"]
+__all__ = ["RateExceeded", "RateOwners", "TokenBank", "TokenGrant", "WorkspaceQuota"]
--- a/src/wagtailbay/quota/models.py
+++ b/src/wagtailbay/quota/models.py
@@ -1,51 +1,33 @@
-"""Facts that VMs exchange on the demand of workspaces, and the result of an exceeded rate."""
-
-from typing import Self
+"""Results of requests for tokens of a workspace's rate."""
 
 from attrs import frozen
 
-from wagtailbay.membership.aggregate import add_counts
-from wagtailbay.membership.codec import register_fact
-from wagtailbay.quota.const import DEMAND_KIND
-
 
 @frozen
-class WorkspaceDemand:
-    """Request rate of each workspace at one or more VMs, including refused requests."""
-
-    per_s: dict[str, float]
-
-    def merge(self, other: Self) -> Self:
-        """Return the sum of both demands."""
-        total = add_counts(self.per_s, other.per_s)
-        return WorkspaceDemand({name: round(per_s, 2) for name, per_s in total.items()})
-
-
-@frozen
-class DemandFact:
-    """Demand at one VM, and at other VMs if it is the delegate of its cell.
+class TokenGrant:
+    """Answer of the owner of a workspace's rate.
 
     Attributes:
-        own: Demand at this VM.
-        cell: Demand at all VMs of the cell, None unless the VM is its delegate.
-        rest: Demand at all VMs outside the cell, None unless the VM is its delegate.
+        tokens: Number of tokens granted, each for one request.
+        wait_ms: Time until another token can be expected, 0 if all requested ones were granted.
+        is_owner: Whether the VM that answers owns the rate; otherwise it grants nothing.
     """
 
-    own: WorkspaceDemand
-    cell: WorkspaceDemand | None = None
-    rest: WorkspaceDemand | None = None
+    tokens: int
+    wait_ms: float
+    is_owner: bool = True
+
+
+NOT_THE_OWNER = TokenGrant(0, 0.0, is_owner=False)
 
 
 @frozen
 class RateExceeded:
-    """Result of a request that exceeds this VM's share of the workspace's rate.
+    """Result of a request that exceeds the workspace's rate.
 
     Attributes:
-        share_per_s: Requests per second that this VM currently admits.
+        rate_per_s: Rate of the workspace over the whole fleet.
     """
 
-    share_per_s: float
+    rate_per_s: float
     retry_after_ms: float
-
-
-register_fact(DEMAND_KIND, DemandFact)
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from support.gateway import PlatformTarget, config_spec, server_fields
+from wagtailbay.clock import boottime_s
 from wagtailbay.gateway.lag import LoopLag
 from wagtailbay.programs.gateway_builder import GatewayBuilder
 from wagtailbay.programs.gateway_node import GatewayNode
@@ -73,6 +74,10 @@
             await node.become_live()
             while len(node.registry.targets) < len(self.targets):
                 await trio.sleep(0.02)
+        # As if the gateway had been running for long enough to collect the whole burst.
+        node.quota.update_ownership(boottime_s())
+        for bucket in node.quota.bank.buckets.values():
+            bucket.level = bucket.capacity
 
     async def send_request(
         self, path: str = "/a/x", method: str = "GET", **headers: str
