Send occupancy within a region only, and make fewer calls to the store

Cause: the counts of requests in flight at each target went to every region, where nobody uses them. Every VM listed each kind when the fleet started, since none knew of another; watches on orders and evacuations returned every 2 s like those on targets.

Change: regional facts are not sent to VMs of other regions. On the first start a VM waits 1 s for peers, 3 s if it does not watch. Watches on rarely changed kinds last 4 s and do not count for the age.

Tests: TestRegionalFacts, TestStoreCallsAtStart.

--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -50,6 +50,8 @@
 RELAYED_FACT_KINDS: Final = frozenset(
     {"stop", "stop_rollout", "crash", "vm_list", "target_leaving"}
 )
+# Facts of these kinds concern the VMs of one region only and are not sent to other regions.
+REGIONAL_FACT_KINDS: Final = frozenset({"occupancy"})
 VM_LIST_KIND: Final = "vm_list"
 
 # Changes under these prefixes may wait for the next heartbeat; the lease is rewritten every 2 s.
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -30,6 +30,7 @@
     Attributes:
         pushes_objects: Returns whether this VM sends new objects to a peer that may get them from
             another VM. Otherwise it waits until the peer's digest shows that it lacks some.
+        is_same_region: Returns whether a peer is in the region of this VM.
         layout: The division of the fleet into cells from which the neighbours were chosen.
         validates_call_age: Test-only switch; False treats a call as if it was built on arrival.
     """
@@ -43,6 +44,7 @@
     isolation: IsolationCheck
     peer_states: dict[str, PeerSyncState] = field(factory=dict)
     pushes_objects: Callable[[], bool] = lambda: True
+    is_same_region: Callable[[str], bool] = lambda vm: True
     layout: FleetLayout = field(factory=lambda: FleetLayout({}, {}))
     validates_call_age: bool = True
 
@@ -58,7 +60,9 @@
             confirmed_age_ms=self.freshness.age_ms(now_s),
             store_reachable=self.reader.reachable,
             batch=batch,
-            facts=self.facts.batch_after(peer.facts_acked, now_s),
+            facts=self.facts.batch_after(
+                peer.facts_acked, now_s, same_region=self.is_same_region(vm)
+            ),
             facts_seen=peer.facts_received,
             facts_seen_incarnation=peer.incarnation,
             members=self._members_for(vm, peer, now_s),
--- a/src/wagtailbay/membership/facts.py
+++ b/src/wagtailbay/membership/facts.py
@@ -6,7 +6,12 @@
 from attrs import define, field, frozen
 
 from wagtailbay.logs import log_event
-from wagtailbay.membership.const import MAX_FACTS, MAX_FACTS_PER_MESSAGE, RELAYED_FACT_KINDS
+from wagtailbay.membership.const import (
+    MAX_FACTS,
+    MAX_FACTS_PER_MESSAGE,
+    REGIONAL_FACT_KINDS,
+    RELAYED_FACT_KINDS,
+)
 from wagtailbay.replica import ChangeSignal
 
 FactId = tuple[str, str, str]
@@ -104,14 +109,20 @@
         self.facts[identity] = fact
         self.positions[identity] = self.position
 
-    def batch_after(self, position: int, now_s: float) -> FactBatch:
-        """Return this VM's own facts and the facts to relay that a peer lacks."""
+    def batch_after(self, position: int, now_s: float, *, same_region: bool = True) -> FactBatch:
+        """Return this VM's own facts and the facts to relay that a peer lacks.
+
+        Args:
+            same_region: Whether the peer is in this VM's region; others get no regional facts.
+        """
         newer: list[tuple[int, Fact]] = []
         for identity in reversed(self.facts):
             if self.positions[identity] <= position:
                 break
             fact = self.facts[identity]
-            if (fact.vm == self.vm or fact.kind in RELAYED_FACT_KINDS) and fact.expires_s > now_s:
+            concerns_peer = same_region or fact.kind not in REGIONAL_FACT_KINDS
+            is_sent = fact.vm == self.vm or fact.kind in RELAYED_FACT_KINDS
+            if is_sent and concerns_peer and fact.expires_s > now_s:
                 newer.append((self.positions[identity], fact))
         newer.reverse()
         kept = newer[:MAX_FACTS_PER_MESSAGE]
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -253,6 +253,13 @@
         ]
         return identity.vm in choose_watchers(live, region_of, watchers_per_region)
 
+    def is_same_region(vm: str) -> bool:
+        fleet_document, member = document(), roster.members.get(vm)
+        if fleet_document is None or member is None:
+            return True
+        own_region = fleet_document.region_of(identity.availability_zone)
+        return fleet_document.region_of(member.identity.availability_zone) == own_region
+
     replica, freshness = Replica(), Freshness()
     exchanger = Exchanger(
         roster,
@@ -266,6 +273,7 @@
             lambda vm: bool((fleet_document := document()) and fleet_document.is_voter(vm)),
         ),
         IsolationCheck.starting(clock()),
+        is_same_region=is_same_region,
     )
     return exchanger
 
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -46,6 +46,10 @@
 from wagtailbay.transport import ConnectionPool, HttpServer
 
 REPLICATED_PREFIXES = (ROUTING_PREFIX, TARGET_PREFIX, ROLLOUT_PREFIX, EVACUATION_PREFIX)
+# Evacuations and rollouts take effect within 5 s, other changes within 2.5 s.
+RARE_PREFIXES = frozenset({ROLLOUT_PREFIX, EVACUATION_PREFIX})
+# Each VM calls its seeds at once and learns from their answers of most other VMs.
+PEER_WAIT_S = 1.0
 # Calls to the platform's store are charged, but the store may reject a third of the VMs while it
 # serves the others. With one watcher per region, all watchers could be rejected; a change then took
 # effect only after 2.9 s, when the other VMs found their replicas stale.
@@ -169,6 +173,8 @@
                 REPLICATED_PREFIXES,
                 on_failure=self.registry.record_store_failure,
                 min_list_interval_s=min_list_interval_s,
+                rare_prefixes=RARE_PREFIXES,
+                peer_wait_s=PEER_WAIT_S if peer_settings.peers else 0.0,
             )
 
         def min_list_interval_s() -> float:
--- a/src/wagtailbay/replica/const.py
+++ b/src/wagtailbay/replica/const.py
@@ -11,6 +11,11 @@
 
 # With one watch for each prefix, watches last longer to keep the number of store calls low.
 PREFIX_WATCH_TIMEOUT_MS: Final = 2_000
+# A watch whose connection has gone silent is noticed after its timeout.
+RARE_PREFIX_WATCH_TIMEOUT_MS: Final = 4_000
+# A VM that does not watch waits for objects from its peers this much longer than a watcher, which
+# must list them first.
+NON_WATCHER_WAIT_FACTOR: Final = 3.0
 # A response confirms the state at the time of its request, so in normal operation a replica is at
 # most two watches and one peer exchange old. A VM with an older replica calls the store itself.
 PREFIX_STALE_AFTER_S: Final = 6.0
--- a/src/wagtailbay/replica/prefix_reader.py
+++ b/src/wagtailbay/replica/prefix_reader.py
@@ -13,9 +13,11 @@
     LIST_INTERVAL_S,
     MAX_PREFIX_BACKOFF_S,
     MIN_PREFIX_BACKOFF_S,
+    NON_WATCHER_WAIT_FACTOR,
     PREFIX_STALE_AFTER_S,
     PREFIX_WATCH_PAUSE_S,
     PREFIX_WATCH_TIMEOUT_MS,
+    RARE_PREFIX_WATCH_TIMEOUT_MS,
 )
 from wagtailbay.replica.replica import Freshness, Replica
 from wagtailbay.store import HistoryLost, ObjectStore, StoreUnavailable
@@ -53,7 +55,12 @@
         on_failure: Called with the current time when a call fails.
         min_list_interval_s: Returns the shortest interval between two listings of a VM that does
             not watch, so that the whole fleet stays within the read rate of the store.
+        rare_prefixes: Prefixes that change rarely. Their watches last longer and do not count for
+            the age of the replica; at least one prefix must not be among them.
+        peer_wait_s: How long to wait after the start for objects from peers, and to learn from them
+            which VMs watch. When a whole fleet starts, every VM would list the store otherwise.
         states: Replication state by prefix.
+        started_s: When this VM started to replicate.
     """
 
     store: ObjectStore
@@ -67,7 +74,14 @@
     last_success_s: float | None = None
     on_failure: Callable[[float], None] = lambda now_s: None
     min_list_interval_s: Callable[[], float] = lambda: 0.0
+    rare_prefixes: frozenset[str] = frozenset()
+    peer_wait_s: float = 0.0
     states: dict[str, PrefixState] = field(factory=dict)
+    started_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Record the start time."""
+        self.started_s = self.clock()
 
     async def run(self) -> None:
         """Replicate all prefixes until cancelled."""
@@ -96,10 +110,15 @@
 
     def _should_read_store(self) -> bool:
         """Return whether this VM must call the store instead of relying on its peers."""
+        now_s = self.clock()
+        if now_s - self.started_s < self.peer_wait_s:
+            return False
         if self.is_watcher():
             return True
-        age_ms = self.freshness.age_ms(self.clock())
-        return age_ms is None or age_ms > PREFIX_STALE_AFTER_S * 1000
+        age_ms = self.freshness.age_ms(now_s)
+        if age_ms is None:
+            return now_s - self.started_s >= NON_WATCHER_WAIT_FACTOR * self.peer_wait_s
+        return age_ms > PREFIX_STALE_AFTER_S * 1000
 
     def _backoff_s(self, state: PrefixState) -> float:
         max_delay_s = min(
@@ -118,7 +137,9 @@
 
     async def _watch(self, prefix: str, state: PrefixState) -> None:
         requested_s = self.clock()
-        match await self.store.watch((prefix,), state.revision, PREFIX_WATCH_TIMEOUT_MS):
+        is_rare = prefix in self.rare_prefixes
+        timeout_ms = RARE_PREFIX_WATCH_TIMEOUT_MS if is_rare else PREFIX_WATCH_TIMEOUT_MS
+        match await self.store.watch((prefix,), state.revision, timeout_ms):
             case Ok(listing):
                 self.replica.apply(listing.objects, self.replica.revision)
                 self._record_response(state, listing.revision, requested_s)
@@ -142,7 +163,8 @@
         if all(other.revision is not None for other in prefix_states):
             lowest = min(other.revision for other in prefix_states if other.revision is not None)
             self.replica.apply((), lowest)
-            self.freshness.confirm(min(other.confirmed_s for other in prefix_states))
+            frequent = [s for p, s in self.states.items() if p not in self.rare_prefixes]
+            self.freshness.confirm(min(other.confirmed_s for other in frequent))
 
     def _record_failure(self, state: PrefixState, error: StoreUnavailable) -> None:
         """Record a failed call and force a listing next, since a response may have been lost."""
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -220,3 +220,19 @@
         assert {"keys/1", "keys/3"} <= set(b.replica.objects)
         assert "keys/4" not in b.replica.objects
         assert "c" not in b.roster.members
+
+
+class TestRegionalFacts:
+    """Facts that concern one region stay there."""
+
+    def test_other_regions_get_no_regional_facts(self) -> None:
+        """Guards against bytes between regions for counts that only one region uses."""
+        a, near, far = exchanger("a"), exchanger("b"), exchanger("c")
+        a.is_same_region = lambda vm: vm == "b"
+        CODEC.classes["occupancy"] = type(VALUE)
+        for kind in ("occupancy", "stop"):
+            a.facts.publish(kind, "x", VALUE, ttl_ms=60_000, now_s=0.0)
+        for peer, kinds in ((near, {"occupancy", "stop"}), (far, {"stop"})):
+            call(a, peer, 1.0)
+            assert {fact.kind for fact in peer.facts.facts.values()} == kinds
+        del CODEC.classes["occupancy"]
--- a/tests/replica/test_prefix_reader.py
+++ b/tests/replica/test_prefix_reader.py
@@ -147,3 +147,45 @@
         assert first.digest == second.digest
         second.apply([StoredObject("a/1", 3, None)], 3)
         assert first.digest != second.digest
+
+
+class TestStoreCallsAtStart:
+    """VMs that start together leave the store to the watchers among them."""
+
+    def start_reader(self, nursery, is_watcher: bool) -> tuple[FakeStore, Freshness]:
+        """Return the store and freshness of a started reader that waits 1 s for peers."""
+        store, freshness = FakeStore(), Freshness()
+        reader = PrefixReader(
+            store,
+            Replica(),
+            freshness,
+            lambda: is_watcher,
+            trio.current_time,
+            random.Random(1),
+            PREFIXES,
+            peer_wait_s=1.0,
+        )
+        nursery.start_soon(reader.run)
+        return store, freshness
+
+    async def test_vm_that_hears_its_peers_does_not_call_the_store(self, autojump_clock, nursery):
+        """Guards against calls that grow with the number of VMs when the whole fleet starts."""
+        store, freshness = self.start_reader(nursery, is_watcher=False)
+        await trio.sleep(2.0)
+        freshness.confirm(trio.current_time())
+        await trio.sleep(3.0)
+        assert store.calls == []
+
+    async def test_vm_without_peers_lists_the_store(self, autojump_clock, nursery):
+        """Guards against a VM that waits for peers that do not answer."""
+        store, _ = self.start_reader(nursery, is_watcher=False)
+        await trio.sleep(4.0)
+        assert set(store.calls) == {"list a/", "list b/"}
+
+    async def test_watcher_waits_only_until_it_can_know_the_others(self, autojump_clock, nursery):
+        """Guards against a fleet that gets its first configuration late."""
+        store, _ = self.start_reader(nursery, is_watcher=True)
+        await trio.sleep(0.9)
+        assert store.calls == []
+        await trio.sleep(0.8)
+        assert "watch a/" in store.calls
