Count VMs that are joining when cells and watchers are chosen

Cause: while a whole fleet starts no VM is live, so each acted as if it were alone: it watched the store and called every VM that it knew.

Change: cells, delegates and watchers are chosen among all VMs that exchange messages.

--- a/src/wagtailbay/membership/__init__.py
+++ b/src/wagtailbay/membership/__init__.py
@@ -13,7 +13,12 @@
 from wagtailbay.membership.peers import PeerLoop, PeerSet
 from wagtailbay.membership.quorum import Quorum
 from wagtailbay.membership.roster import Roster
-from wagtailbay.membership.selection import LiveView, choose_watchers, live_members
+from wagtailbay.membership.selection import (
+    LiveView,
+    choose_watchers,
+    live_members,
+    responsive_members,
+)
 from wagtailbay.membership.server import Lender, PeerServer
 
 __all__ = [
@@ -42,5 +47,6 @@
     "choose_watchers",
     "build_layout",
     "live_members",
+    "responsive_members",
     "register_fact",
 ]
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -18,7 +18,7 @@
 from wagtailbay.membership.layout import build_layout
 from wagtailbay.membership.messages import ExchangeMessage, PeerError, PeerFailure
 from wagtailbay.membership.models import VmState
-from wagtailbay.membership.selection import live_members
+from wagtailbay.membership.selection import responsive_members
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
 from wagtailbay.replica import ChangeSignal
 from wagtailbay.store import VmList
@@ -172,7 +172,7 @@
 
     def _update_loops(self, nursery: trio.Nursery) -> None:
         roster = self.exchanger.roster
-        live_vms = {member.identity.vm for member in live_members(roster, self.clock())}
+        live_vms = {member.identity.vm for member in responsive_members(roster, self.clock())}
         zone_by_vm = self.zone_by_vm() | {roster.own.vm: roster.own.availability_zone}
         self.exchanger.layout = build_layout(zone_by_vm, live_vms)
         neighbours = self.exchanger.layout.neighbours(roster.own.vm)
--- a/src/wagtailbay/membership/selection.py
+++ b/src/wagtailbay/membership/selection.py
@@ -24,17 +24,31 @@
 
 def live_members(roster: Roster, now_s: float) -> tuple[Member, ...]:
     """Return the live VMs with recent contact, and this VM unless it is leaving or has left."""
+    return _members_in_contact(roster, (VmState.LIVE,), now_s)
+
+
+def responsive_members(roster: Roster, now_s: float) -> tuple[Member, ...]:
+    """Return the VMs that exchange messages, also those that do not serve callers yet.
+
+    While a whole fleet starts, no VM is live; the VMs must not all act as if they were alone.
+    """
+    return _members_in_contact(roster, (VmState.JOINING, VmState.LIVE), now_s)
+
+
+def _members_in_contact(
+    roster: Roster, states: tuple[VmState, ...], now_s: float
+) -> tuple[Member, ...]:
     own = roster.own_member
-    live = [
+    members = [
         member
-        for member in roster.with_state(VmState.LIVE)
+        for member in roster.with_state(*states)
         if member.identity.vm != roster.own.vm
         and member.contact_s is not None
         and now_s - member.contact_s < _contact_timeout_s(member)
     ]
     if own.state in (VmState.JOINING, VmState.LIVE):
-        live.append(own)
-    return tuple(live)
+        members.append(own)
+    return tuple(members)
 
 
 def _contact_timeout_s(member: Member) -> float:
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -25,6 +25,7 @@
     VmState,
     choose_watchers,
     live_members,
+    responsive_members,
 )
 from wagtailbay.membership.codec import DEFAULT_CODEC
 from wagtailbay.membership.const import (
@@ -248,7 +249,7 @@
         layout = exchanger.layout
         live = [
             member
-            for member in live_members(roster, clock())
+            for member in responsive_members(roster, clock())
             if not layout.is_divided or layout.is_delegate(member.identity.vm)
         ]
         return identity.vm in choose_watchers(live, region_of, watchers_per_region)
