--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -125,7 +125,10 @@
         if isinstance(admitted, Ok):
             return None
         exceeded = admitted.err_value
-        message = f"{workspace.workspace} is above its rate of {exceeded.rate_per_s:g} requests/s"
+        rate = f"rate of {exceeded.rate_per_s:g} requests/s"
+        message = f"{workspace.workspace} is above its {rate}"
+        if not exceeded.owner_answers:
+            message = f"the VM that owns the {rate} of {workspace.workspace} does not answer"
         return not_run(429, "rate_exceeded", message, round(exceeded.retry_after_ms))
 
     def _deny(self, status: int, code: str, message: str, now_s: float) -> Refusal:
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -48,7 +48,8 @@
 REPLICATED_PREFIXES = (ROUTING_PREFIX, TARGET_PREFIX, ROLLOUT_PREFIX, EVACUATION_PREFIX)
 # Evacuations and rollouts take effect within 5 s, other changes within 2.5 s.
 RARE_PREFIXES = frozenset({ROLLOUT_PREFIX, EVACUATION_PREFIX})
-# Each VM calls its seeds at once and learns from their answers of most other VMs.
+# When the whole fleet starts, each VM calls its seeds at once and learns from their answers of most
+# other VMs. A VM that restarts later lists the store at once.
 PEER_WAIT_S = 1.0
 # Calls to the platform's store are charged, but the store may reject a third of the VMs while it
 # serves the others. With one watcher per region, all watchers could be rejected; a change then took
@@ -174,7 +175,7 @@
                 on_failure=self.registry.record_store_failure,
                 min_list_interval_s=min_list_interval_s,
                 rare_prefixes=RARE_PREFIXES,
-                peer_wait_s=PEER_WAIT_S if peer_settings.peers else 0.0,
+                peer_wait_s=PEER_WAIT_S if settings.first_start and peer_settings.peers else 0.0,
             )
 
         def min_list_interval_s() -> float:
--- a/src/wagtailbay/programs/gateway_fleet_view.py
+++ b/src/wagtailbay/programs/gateway_fleet_view.py
@@ -7,6 +7,7 @@
 from wagtailbay.config import FleetDocument
 from wagtailbay.config.models import AvailabilityZone
 from wagtailbay.membership import FleetLayout, LiveView, VmState
+from wagtailbay.membership.const import INDIRECT_CONTACT_TIMEOUT_S
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway_settings import GatewaySettings
 
@@ -68,18 +69,18 @@
         part of a split fleet can have such an owner; one without may grant nothing. While no other
         VM is known at all, each availability zone may have an owner of its own.
         """
-        others = [
-            member
+        contact_ages_s = [
+            now_s - member.contact_s
             for member in self.fleet.roster.members.values()
             if member.identity.vm != self.settings.vm
             and member.state is not VmState.LEFT
             and member.contact_s is not None
             and now_s - member.contact_s < KNOWN_LATELY_S
         ]
-        if not others:
+        if not contact_ages_s:
             return 1 / len(self.settings.zones)
-        live = self.live_zones().keys() - {self.settings.vm}
-        has_majority = 2 * (len(live) + 1) > len(others) + 1
+        in_contact = sum(age_s < INDIRECT_CONTACT_TIMEOUT_S for age_s in contact_ages_s)
+        has_majority = 2 * (in_contact + 1) > len(contact_ages_s) + 1
         return 1.0 if has_majority and self.contact_age_s(now_s) < OWNER_CONTACT_TIMEOUT_S else 0.0
 
     def contact_age_s(self, now_s: float) -> float:
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -23,6 +23,17 @@
     return {str(zone): str(region) for zone, region in zones.items()}
 
 
+def parse_boolean(text: str) -> bool:
+    """Parse ``true`` or ``false``; an empty text means false.
+
+    Raises:
+        ValueError: The text is none of these.
+    """
+    if text.lower() not in ("true", "false", ""):
+        raise ValueError(f"expected true or false, got {text!r}")
+    return text.lower() == "true"
+
+
 @frozen
 class GatewaySettings:
     """Run a gateway VM that serves callers on the users' platform."""
@@ -59,6 +70,11 @@
         default=6000,
         parse=parse_duration_ms,
     )
+    first_start: bool = setting(
+        help_text="whether the whole fleet starts for the first time: true or false",
+        default=False,
+        parse=parse_boolean,
+    )
     requirements: FleetRequirements = setting(
         help_text="limits that the deployment requires the fleet to keep, as a JSON object",
         default=FleetRequirements(),
--- a/src/wagtailbay/quota/models.py
+++ b/src/wagtailbay/quota/models.py
@@ -27,7 +27,10 @@
 
     Attributes:
         rate_per_s: Rate of the workspace over the whole fleet.
+        owner_answers: Whether the owner of the rate refused. Without its answer, this VM has used
+            up the part that it goes on with.
     """
 
     rate_per_s: float
     retry_after_ms: float
+    owner_answers: bool = True
--- a/src/wagtailbay/quota/quota.py
+++ b/src/wagtailbay/quota/quota.py
@@ -101,7 +101,7 @@
                 self._request_ahead(workspace, wallet, owner)
             if wallet.take_fallback(now_s):
                 return Ok(None)
-            return self._refuse(workspace, MIN_RETRY_AFTER_MS)
+            return self._refuse(workspace, wallet, now_s)
         for _ in range(MAX_ASKS):
             if now_s < max(wallet.refused_until_s, wallet.ask_after_s):
                 break
@@ -111,7 +111,7 @@
                 return Ok(None)
         if wallet.take_fallback(now_s):
             return Ok(None)
-        return self._refuse(workspace, (wallet.available_s - now_s) * 1000)
+        return self._refuse(workspace, wallet, now_s)
 
     def _admit_as_owner(
         self, workspace: Workspace, wallet: Wallet, now_s: float
@@ -120,18 +120,18 @@
         if self.grant_fraction(now_s) > 0:
             grant = self.bank.grant(workspace.workspace, self.identity.vm, 1, now_s)
         if not grant.is_owner:
-            wallet.record_failure(now_s)
+            wallet.record_failure(now_s, now_s)
             if not wallet.take_fallback(now_s):
-                return self._refuse(workspace, MIN_RETRY_AFTER_MS)
+                return self._refuse(workspace, wallet, now_s)
             return Ok(None)
-        wallet.fallback = None
-        wallet.record_spent(grant.tokens, now_s)
-        return Ok(None) if grant.tokens else self._refuse(workspace, grant.wait_ms)
+        wallet.record_grant(grant, now_s, needed=1)
+        return Ok(None) if wallet.take(now_s) else self._refuse(workspace, wallet, now_s)
 
     @staticmethod
-    def _refuse(workspace: Workspace, wait_ms: float) -> Err[RateExceeded]:
+    def _refuse(workspace: Workspace, wallet: Wallet, now_s: float) -> Err[RateExceeded]:
+        wait_ms = (wallet.available_s - now_s) * 1000
         retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
-        return Err(RateExceeded(workspace.rate_per_s, retry_after_ms))
+        return Err(RateExceeded(workspace.rate_per_s, retry_after_ms, wallet.fallback is None))
 
     async def _wait_for_tokens(
         self, workspace: Workspace, wallet: Wallet, owner: str | None
@@ -161,12 +161,13 @@
         """Request tokens of the owner and record its answer."""
         wallet.answered = trio.Event()
         try:
-            wanted = wallet.wanted(self.clock())
+            asked_s = self.clock()
+            wanted = wallet.wanted(asked_s)
             grant = await self._call_owner(workspace.workspace, owner, wanted)
             if grant.is_owner:
-                wallet.record_grant(grant, self.clock())
+                wallet.record_grant(grant, self.clock(), needed=wallet.waiting)
             else:
-                wallet.record_failure(self.clock())
+                wallet.record_failure(asked_s, self.clock())
         finally:
             wallet.answered.set()
             wallet.answered = None
--- a/src/wagtailbay/quota/wallet.py
+++ b/src/wagtailbay/quota/wallet.py
@@ -73,8 +73,8 @@
             return False
         return self.tokens <= expected * REFILL_AHEAD_S
 
-    def record_grant(self, grant: TokenGrant, now_s: float) -> None:
-        """Add granted tokens; refuse requests for a while if there were too few to wait for."""
+    def record_grant(self, grant: TokenGrant, now_s: float, needed: int) -> None:
+        """Add granted tokens; refuse requests for a while if there were fewer than needed."""
         self.fallback = None
         if now_s >= self.expires_s:
             self.tokens = 0
@@ -82,7 +82,7 @@
             self.tokens += grant.tokens
             self.expires_s = now_s + TOKEN_TTL_S
             self.record_spent(grant.tokens, now_s)
-        if grant.tokens < self.waiting:
+        if grant.tokens < needed:
             self.available_s = now_s + grant.wait_ms / 1000
             self.refused_until_s = now_s + min(MAX_REFUSAL_S, grant.wait_ms / 1000)
 
@@ -91,12 +91,16 @@
         self.granted.record(tokens, now_s)
         self.granted_long.record(tokens, now_s)
 
-    def record_failure(self, now_s: float) -> None:
-        """Use the fallback until an owner answers again."""
+    def record_failure(self, asked_s: float, now_s: float) -> None:
+        """Use the fallback until an owner answers again.
+
+        Args:
+            asked_s: When the owner was asked in vain. The fallback collects tokens from then on.
+        """
         self.ask_after_s = now_s + ASK_RETRY_S
         if self.fallback is None:
-            self.fallback, self.owner_lost_s = TokenBucket(0.0, 1.0, 0.0, now_s), now_s
-            self._set_fallback_rate(now_s)
+            self.fallback, self.owner_lost_s = TokenBucket(0.0, 1.0, 0.0, asked_s), asked_s
+            self._set_fallback_rate(asked_s)
 
     def take_fallback(self, now_s: float) -> bool:
         """Spend a token of the fallback; return False if none is left or an owner answers."""
