Let the parts of a split fleet grant parts of a rate

Change: parts grant by their numbers of VMs, which add up to the rate; after 20 s the larger one grants all of it and a smaller one a fifth of its part; after 60 s VMs out of contact are taken to have ended. The fallback of a VM without an owner is half of what it was granted.

--- a/src/wagtailbay/programs/gateway_fleet_view.py
+++ b/src/wagtailbay/programs/gateway_fleet_view.py
@@ -7,12 +7,10 @@
 from wagtailbay.config import FleetDocument
 from wagtailbay.config.models import AvailabilityZone
 from wagtailbay.membership import FleetLayout, LiveView, VmState
-from wagtailbay.membership.const import INDIRECT_CONTACT_TIMEOUT_S
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway_settings import GatewaySettings
+from wagtailbay.quota import grant_fraction
 
-# VMs that were in contact within this time may still run in another part of a split fleet.
-KNOWN_LATELY_S = 60.0
 # An owner that hears no other VM for longer than this, for example because it was suspended, grants
 # nothing. The others replace it after 4 s.
 OWNER_CONTACT_TIMEOUT_S = 2.5
@@ -63,11 +61,9 @@
         return tuple(sorted(vms))
 
     def grant_fraction(self, now_s: float) -> float:
-        """Return which part of a workspace's rate its owner may grant.
+        """Return which part of a workspace's rate this VM may grant as its owner.
 
-        An owner in contact with most of the VMs known lately may grant all of it, because no other
-        part of a split fleet can have such an owner; one without may grant nothing. While no other
-        VM is known at all, each availability zone may have an owner of its own.
+        While no other VM is known at all, each availability zone may have an owner of its own.
         """
         contact_ages_s = [
             now_s - member.contact_s
@@ -75,13 +71,10 @@
             if member.identity.vm != self.settings.vm
             and member.state is not VmState.LEFT
             and member.contact_s is not None
-            and now_s - member.contact_s < KNOWN_LATELY_S
         ]
-        if not contact_ages_s:
-            return 1 / len(self.settings.zones)
-        in_contact = sum(age_s < INDIRECT_CONTACT_TIMEOUT_S for age_s in contact_ages_s)
-        has_majority = 2 * (in_contact + 1) > len(contact_ages_s) + 1
-        return 1.0 if has_majority and self.contact_age_s(now_s) < OWNER_CONTACT_TIMEOUT_S else 0.0
+        if contact_ages_s and min(contact_ages_s) >= OWNER_CONTACT_TIMEOUT_S:
+            return 0.0
+        return grant_fraction(contact_ages_s, alone_fraction=1 / len(self.settings.zones))
 
     def contact_age_s(self, now_s: float) -> float:
         """Return the time since the last direct contact with a peer, infinity if there was none."""
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -33,11 +33,20 @@
 LONG_GRANT_WINDOW_S: Final = 10.0
 # Without an owner, a VM goes on with this fraction of the rate that it was granted before, which
 # halves every FALLBACK_HALF_LIFE_S: the other VMs may have another owner by then.
-FALLBACK_FRACTION: Final = 0.75
+FALLBACK_FRACTION: Final = 0.5
 FALLBACK_HALF_LIFE_S: Final = 4.0
 # The fallback collects the tokens of this time, since requests come irregularly.
 FALLBACK_BURST_S: Final = 1.0
 
+# A VM counts as out of contact after this time; contact with VMs of other cells is relayed.
+IN_CONTACT_S: Final = 5.5
+# A fleet that crashed in part has usually restarted within this time.
+SPLIT_GRACE_S: Final = 20.0
+# Part of its share that the smaller part of a split fleet goes on with. It stays within the tenth
+# by which a workspace may exceed its rate.
+MINORITY_FRACTION: Final = 0.2
+KNOWN_LATELY_S: Final = 60.0
+
 MIN_RETRY_AFTER_MS: Final = 200
 MAX_RETRY_AFTER_MS: Final = 3_000
 # A VM refuses by the owner's last answer for at most this long before it asks again.
