Choose owners and their part of a rate by the same contacts

Cause: a test of a fleet split into three and seven VMs had 722 admissions in 5 s where 680 are allowed. Owners were chosen among VMs heard of within 4 s, but their part counted contacts of 5.5 s, so that both parts granted the whole rate for 1.5 s.

Change: both use is_in_contact.

--- a/src/wagtailbay/membership/__init__.py
+++ b/src/wagtailbay/membership/__init__.py
@@ -16,6 +16,7 @@
 from wagtailbay.membership.selection import (
     LiveView,
     choose_watchers,
+    is_in_contact,
     live_members,
     responsive_members,
 )
@@ -46,6 +47,7 @@
     "VmState",
     "choose_watchers",
     "build_layout",
+    "is_in_contact",
     "live_members",
     "responsive_members",
     "register_fact",
--- a/src/wagtailbay/membership/selection.py
+++ b/src/wagtailbay/membership/selection.py
@@ -42,15 +42,20 @@
     members = [
         member
         for member in roster.with_state(*states)
-        if member.identity.vm != roster.own.vm
-        and member.contact_s is not None
-        and now_s - member.contact_s < _contact_timeout_s(member)
+        if member.identity.vm != roster.own.vm and is_in_contact(member, now_s)
     ]
     if own.state in (VmState.JOINING, VmState.LIVE):
         members.append(own)
     return tuple(members)
 
 
+def is_in_contact(member: Member, now_s: float) -> bool:
+    """Return whether this VM, or one that tells it, has heard of a member lately."""
+    if member.contact_s is None:
+        return False
+    return now_s - member.contact_s < _contact_timeout_s(member)
+
+
 def _contact_timeout_s(member: Member) -> float:
     # While this VM exchanges messages with the member directly, contact that others report is at
     # most about a heartbeat newer than its own.
--- a/src/wagtailbay/programs/gateway_fleet_view.py
+++ b/src/wagtailbay/programs/gateway_fleet_view.py
@@ -6,7 +6,7 @@
 
 from wagtailbay.config import FleetDocument
 from wagtailbay.config.models import AvailabilityZone
-from wagtailbay.membership import FleetLayout, LiveView, VmState
+from wagtailbay.membership import FleetLayout, LiveView, VmState, is_in_contact
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.quota import grant_fraction
@@ -65,16 +65,21 @@
 
         While no other VM is known at all, each availability zone may have an owner of its own.
         """
-        contact_ages_s = [
-            now_s - member.contact_s
-            for member in self.fleet.roster.members.values()
+        roster = self.fleet.roster
+        others = [
+            member
+            for member in roster.members.values()
             if member.identity.vm != self.settings.vm
             and member.state is not VmState.LEFT
             and member.contact_s is not None
         ]
-        if contact_ages_s and min(contact_ages_s) >= OWNER_CONTACT_TIMEOUT_S:
+        if others and self.contact_age_s(now_s) >= OWNER_CONTACT_TIMEOUT_S:
             return 0.0
-        return grant_fraction(contact_ages_s, alone_fraction=1 / len(self.settings.zones))
+        lost_ages_s = [
+            now_s - member.contact_s for member in others if not is_in_contact(member, now_s)
+        ]
+        in_contact = len(others) - len(lost_ages_s)
+        return grant_fraction(in_contact, lost_ages_s, 1 / len(self.settings.zones))
 
     def contact_age_s(self, now_s: float) -> float:
         """Return the time since the last direct contact with a peer, infinity if there was none."""
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -38,8 +38,6 @@
 # The fallback collects the tokens of this time, since requests come irregularly.
 FALLBACK_BURST_S: Final = 1.0
 
-# A VM counts as out of contact after this time; contact with VMs of other cells is relayed.
-IN_CONTACT_S: Final = 5.5
 # A fleet that crashed in part has usually restarted within this time.
 SPLIT_GRACE_S: Final = 20.0
 # Part of its share that the smaller part of a split fleet goes on with. It stays within the tenth
--- a/tests/quota/fleet.py
+++ b/tests/quota/fleet.py
@@ -77,7 +77,8 @@
         ]
         if ages_s and min(ages_s) >= 2.5:
             return 0.0
-        return grant_fraction(ages_s, alone_fraction=1 / 6)
+        lost_ages_s = [age_s for age_s in ages_s if age_s >= self.contact_loss_s]
+        return grant_fraction(len(ages_s) - len(lost_ages_s), lost_ages_s, alone_fraction=1 / 6)
 
     async def _call(self, caller: int, vm: str, request: LoanRequest, timeout_ms: int):
         self.calls += 1
