--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -47,5 +47,7 @@
 
 MIN_RETRY_AFTER_MS: Final = 200
 MAX_RETRY_AFTER_MS: Final = 3_000
-# A VM refuses by the owner's last answer for at most this long before it asks again.
+# A VM refuses by the owner's last answer for at least and at most this long before it asks again.
+# A workspace far above its rate would otherwise cause a call for each token.
+MIN_REFUSAL_S: Final = 0.25
 MAX_REFUSAL_S: Final = 2.0
--- a/src/wagtailbay/quota/wallet.py
+++ b/src/wagtailbay/quota/wallet.py
@@ -14,6 +14,7 @@
     GRANT_WINDOW_S,
     LONG_GRANT_WINDOW_S,
     MAX_REFUSAL_S,
+    MIN_REFUSAL_S,
     REFILL_AHEAD_S,
     TOKEN_TTL_S,
 )
@@ -84,7 +85,8 @@
             self.record_spent(grant.tokens, now_s)
         if grant.tokens < needed:
             self.available_s = now_s + grant.wait_ms / 1000
-            self.refused_until_s = now_s + min(MAX_REFUSAL_S, grant.wait_ms / 1000)
+            refusal_s = min(MAX_REFUSAL_S, max(MIN_REFUSAL_S, grant.wait_ms / 1000))
+            self.refused_until_s = now_s + refusal_s
 
     def record_spent(self, tokens: int, now_s: float) -> None:
         """Count tokens that this VM was granted."""
