Do not take requests that came after the call for a shortage

Cause: a VM refused for a while if its grant was smaller than the number of requests that waited when it arrived, though the owner had granted all that was asked.

Change: only an owner that grants less than was asked causes refusals.

--- a/src/wagtailbay/quota/wallet.py
+++ b/src/wagtailbay/quota/wallet.py
@@ -83,7 +83,8 @@
             self.tokens += grant.tokens
             self.expires_s = now_s + TOKEN_TTL_S
             self.record_spent(grant.tokens, now_s)
-        if grant.tokens < needed:
+        # Requests that came after the call may need more than was asked for.
+        if grant.tokens < needed and grant.wait_ms > 0:
             self.available_s = now_s + grant.wait_ms / 1000
             refusal_s = min(MAX_REFUSAL_S, max(MIN_REFUSAL_S, grant.wait_ms / 1000))
             self.refused_until_s = now_s + refusal_s
