Read the candidates for the owners of rates a few times a second

Cause: each request of a workspace sorted the live VMs, looked up which are delegates and went through all members for the part that may be granted, which grows with the fleet.

Change: candidates and part are read every 0.2 s. A part that was read more than 1 s ago counts as nothing, so a VM that was suspended grants nothing before it has read again.

Tests: TestSuspendedOwner.

--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -8,6 +8,8 @@
 TOKEN_SHARE_PPM: Final = 1
 
 OWNERSHIP_INTERVAL_S: Final = 0.2
+# Several intervals, since a busy VM reads late.
+OWNERSHIP_TERM_S: Final = 1.0
 # Fraction of the requests allowed beyond a workspace's rate and burst with which a new owner
 # starts. Its bucket is otherwise empty, since the previous owner may just have granted the burst.
 INITIAL_SLACK_FRACTION: Final = 0.25
--- a/src/wagtailbay/quota/owners.py
+++ b/src/wagtailbay/quota/owners.py
@@ -15,21 +15,26 @@
 
     Attributes:
         candidates: Returns the names of the VMs that may own a rate.
+        names: The candidates when they were last read.
+        owners: Owners chosen from them, by workspace.
     """
 
     candidates: Callable[[], tuple[str, ...]]
-    _names: tuple[str, ...] = ()
-    _owners: dict[str, str] = field(factory=dict)
+    names: tuple[str, ...] = ()
+    owners: dict[str, str] = field(factory=dict)
+
+    def refresh(self) -> None:
+        """Read the candidates again, which costs too much for each request in a large fleet."""
+        names = self.candidates()
+        if names != self.names:
+            self.names = names
+            self.owners.clear()
 
     def owner_of(self, workspace: str) -> str | None:
         """Return the owner of a workspace's rate, None without candidates."""
-        names = self.candidates()
-        if names != self._names:
-            self._names = names
-            self._owners.clear()
-        owner = self._owners.get(workspace)
-        if owner is None and names:
+        owner = self.owners.get(workspace)
+        if owner is None and self.names:
             prefix = f"rate\0{workspace}\0"
-            owner = min(names, key=lambda vm: (xxh64_intdigest((prefix + vm).encode()), vm))
-            self._owners[workspace] = owner
+            owner = min(self.names, key=lambda vm: (xxh64_intdigest((prefix + vm).encode()), vm))
+            self.owners[workspace] = owner
         return owner
--- a/src/wagtailbay/quota/quota.py
+++ b/src/wagtailbay/quota/quota.py
@@ -17,6 +17,7 @@
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
     OWNERSHIP_INTERVAL_S,
+    OWNERSHIP_TERM_S,
     TOKEN_SHARE_PPM,
 )
 from wagtailbay.quota.models import NOT_THE_OWNER, RateExceeded, TokenGrant
@@ -42,6 +43,8 @@
         request_tokens: Sends a token request to a VM, with a timeout in milliseconds.
         workspaces: Returns the workspaces of the active configuration by name.
         grant_fraction: Returns which part of its rates this VM may grant, given the VMs in contact.
+        may_grant_until_s: Until when this VM may grant tokens by the last reading of
+            grant_fraction. A VM that was suspended must read it again first.
         wallets: Tokens in hand and demand by workspace.
         background_nursery: Runs token requests in advance; None disables them.
     """
@@ -53,6 +56,7 @@
     grant_fraction: Callable[[float], float]
     clock: Callable[[], float]
     bank: TokenBank = field(factory=TokenBank)
+    may_grant_until_s: float = float("-inf")
     wallets: dict[str, Wallet] = field(factory=dict)
     background_nursery: trio.Nursery | None = None
 
@@ -64,13 +68,16 @@
 
     def update_ownership(self, now_s: float) -> None:
         """Own the rates that are assigned to this VM, and forget removed workspaces."""
+        self.owners.refresh()
         workspaces = self.workspaces()
         owned = {
             name: workspace
             for name, workspace in workspaces.items()
             if workspace.rate_per_s > 0 and self.owners.owner_of(name) == self.identity.vm
         }
-        self.bank.own(owned, self.grant_fraction(now_s), now_s)
+        fraction = self.grant_fraction(now_s)
+        self.may_grant_until_s = now_s + OWNERSHIP_TERM_S if fraction > 0 else now_s
+        self.bank.own(owned, fraction, now_s)
         for name in self.wallets.keys() - workspaces.keys():
             del self.wallets[name]
 
@@ -78,7 +85,7 @@
         """Answer the token request of another VM."""
         workspace = request.budget.removeprefix(BUDGET_PREFIX)
         grant = NOT_THE_OWNER
-        if self.grant_fraction(now_s) > 0:
+        if now_s < self.may_grant_until_s:
             grant = self.bank.grant(workspace, request.borrower, request.tokens, now_s)
         share_ppm = TOKEN_SHARE_PPM if grant.is_owner else 0
         return LoanGrant(share_ppm, float(grant.tokens), wait_ms=round(grant.wait_ms))
@@ -117,7 +124,7 @@
         self, workspace: Workspace, wallet: Wallet, now_s: float
     ) -> Result[None, RateExceeded]:
         grant = NOT_THE_OWNER
-        if self.grant_fraction(now_s) > 0:
+        if now_s < self.may_grant_until_s:
             grant = self.bank.grant(workspace.workspace, self.identity.vm, 1, now_s)
         if not grant.is_owner:
             wallet.record_failure(now_s, now_s)
--- a/tests/quota/fleet.py
+++ b/tests/quota/fleet.py
@@ -93,7 +93,9 @@
 
     def owner(self) -> int:
         """Return the VM that owns the workspace's rate."""
-        name = self.quotas[self.live[0]].owners.owner_of(self.workspace.workspace)
+        owners = self.quotas[self.live[0]].owners
+        owners.refresh()
+        name = owners.owner_of(self.workspace.workspace)
         return int(name.removeprefix("vm-"))
 
     async def run(
--- a/tests/quota/test_quota.py
+++ b/tests/quota/test_quota.py
@@ -5,6 +5,8 @@
 from attrs import evolve
 from quota.fleet import QuotaFleet
 
+from wagtailbay.membership import LoanRequest
+from wagtailbay.quota.const import BUDGET_PREFIX
 from wagtailbay.routing import Workspace
 
 LARGE = Workspace("unam", frozenset(), rate_per_s=100.0, burst=100.0)
@@ -181,3 +183,15 @@
         fleet = QuotaFleet(10, LARGE)
         await fleet.run(500.0, 6)
         assert fleet.max_admitted_in_window() <= fleet.max_allowed()
+
+
+class TestSuspendedOwner:
+    """An owner that was suspended learns first whether it still owns the rate."""
+
+    async def test_owner_grants_nothing_right_after_its_suspension(self, autojump_clock):
+        """Guards against a burst from a VM that the others have replaced meanwhile."""
+        fleet = await start_fleet(5, LARGE)
+        quota = fleet.quotas[fleet.owner()]
+        request = LoanRequest("vm-9", 1, BUDGET_PREFIX + "unam", 1, 200, tokens=5)
+        assert quota.grant(request, trio.current_time()).tokens == 5
+        assert quota.grant(request, trio.current_time() + 5).tokens == 0
