--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -2,19 +2,14 @@
 
 import random
 from collections.abc import Callable, Mapping
-from functools import lru_cache
 from statistics import median
 
 from attrs import define, field
 from result import Err, Ok, Result
-from xxhash import xxh64_intdigest
 
 from wagtailbay.logs import log_event
 from wagtailbay.placement.cold_start import ColdStartLimiter
 from wagtailbay.placement.const import (
-    BUSY_UTILIZATION,
-    FALLBACK_UTILIZATION_BUSY,
-    FALLBACK_UTILIZATION_IDLE,
     IDLE_UTILIZATION,
     LATENCY_GOAL_SHARE,
     MAX_EJECTED_SHARE,
@@ -38,40 +33,18 @@
     PlacementReason,
     TargetOutcome,
 )
+from wagtailbay.placement.ranking import (
+    affinity_rank,
+    compute_busy_fraction,
+    max_fallback_utilization,
+    through_first_warm,
+)
 from wagtailbay.placement.spillover import SpilloverLimiter
 from wagtailbay.registry import RegisteredTarget, TargetRegistry
 from wagtailbay.requirements import FleetRequirements
 from wagtailbay.routing import ServiceRule
 
 
-@lru_cache(maxsize=65_536)
-def affinity_rank(affinity: str, target: str) -> int:
-    """Return the rendezvous hash of a target for an object; the lowest is preferred."""
-    return xxh64_intdigest(f"{affinity}\0{target}".encode())
-
-
-def _busy_fraction(mean_utilization: float) -> float:
-    """Return how busy a service is: 0 up to the idle utilization, 1 from the busy one on."""
-    return min(
-        1.0, max(0.0, (mean_utilization - IDLE_UTILIZATION) / (BUSY_UTILIZATION - IDLE_UTILIZATION))
-    )
-
-
-def _fallback_utilization(mean_utilization: float) -> float:
-    """Return the utilization below which a target accepts objects that prefer another target."""
-    return FALLBACK_UTILIZATION_IDLE + _busy_fraction(mean_utilization) * (
-        FALLBACK_UTILIZATION_BUSY - FALLBACK_UTILIZATION_IDLE
-    )
-
-
-def _through_first_warm(targets: list[RegisteredTarget], now_s: float) -> list[RegisteredTarget]:
-    """Return the targets up to and including the first warm one, or all if every one is cold."""
-    for index, target in enumerate(targets):
-        if not target.is_cold(now_s):
-            return targets[: index + 1]
-    return targets
-
-
 @define
 class TargetSelector:
     """Select targets for the requests of one VM.
@@ -252,7 +225,7 @@
     ) -> Placement | None:
         """Return the best-ranked target of this region that has capacity."""
         mean_utilization = self._mean_utilization(targets, now_s)
-        fallback_utilization = _fallback_utilization(mean_utilization)
+        fallback_utilization = max_fallback_utilization(mean_utilization)
         preferred_utilization = (
             self._max_utilization(query, median_ms)
             if query.affinity is not None
@@ -285,13 +258,13 @@
         cached in each zone of the region, which costs less than sending its bytes between zones
         unless the service is busy.
         """
-        first = _through_first_warm(ordered, now_s)
+        first = through_first_warm(ordered, now_s)
         if not prefers_zone:
             return first
         zone_targets = [t for t in ordered if t.entry.availability_zone == self.availability_zone]
         if len(zone_targets) < MIN_TARGETS_PER_ZONE:
             return first
-        zone_targets = _through_first_warm(zone_targets, now_s)
+        zone_targets = through_first_warm(zone_targets, now_s)
         names = {target.entry.target for target in zone_targets}
         return zone_targets + [target for target in first if target.entry.target not in names]
 
@@ -319,7 +292,7 @@
     ) -> Placement | None:
         """Return a warm target of another region that has spare capacity."""
         if has_local:
-            busy_fraction = _busy_fraction(self._mean_utilization(targets, now_s))
+            busy_fraction = compute_busy_fraction(self._mean_utilization(targets, now_s))
             max_utilization = REMOTE_UTILIZATION_IDLE + busy_fraction * (
                 REMOTE_UTILIZATION_BUSY - REMOTE_UTILIZATION_IDLE
             )
