--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases. They need Python's standard library only, so this compiles them.
+# Builds the stand-ins of the cases. They are plain Python of the standard library, so this only checks
+# that they compile; nothing is written.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q harness.py [0-9]*/case.py
+for file in harness.py [0-9]*/case.py; do
+  python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
+done
