Soak: real gateway processes under faults of targets, links and signals

Store, targets, links and callers run in one process, gateways as separate ones. The checks compare what callers were told with what targets ran: REFUSED, TWICE, MIXED, LOST, processes that end by themselves, and memory.

--- a/src/wagtailbay_bench/processes.py
+++ b/src/wagtailbay_bench/processes.py
@@ -1,6 +1,7 @@
 """Start and stop programs as processes on loopback addresses."""
 
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -126,3 +127,9 @@
         program = ProgramProcess(name, process, path, log_file)
         self.processes.append(program)
         return program
+
+    def copy_logs(self, folder: str) -> None:
+        """Copy all logs to a folder, which is created if needed."""
+        Path(folder).mkdir(parents=True, exist_ok=True)
+        for program in self.processes:
+            shutil.copy(program.log_path, folder)
--- /dev/null
+++ b/src/wagtailbay_bench/soak/checks.py
@@ -0,0 +1,98 @@
+"""Check a history against the promises made to callers."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from wagtailbay_bench.soak.const import (
+    GRACE_LAST_FRACTION,
+    GRACE_S,
+    LATE_REQUEST_S,
+    MAX_RESIDENT_MB,
+    PROMISE_STATUSES,
+)
+from wagtailbay_bench.soak.models import Exchange, History, Run, Violation
+
+
+def find_violations(history: History) -> list[Violation]:
+    """Return every broken promise of a history."""
+    runs_by_id: dict[str, list[Run]] = defaultdict(list)
+    for run in history.runs:
+        runs_by_id[run.request_id].append(run)
+    violations = [
+        *_find_false_refusals(history, runs_by_id),
+        *_find_repeated_runs(history, runs_by_id),
+        *_find_foreign_answers(history),
+        *_find_ended_processes(history),
+    ]
+    if history.planned_only:
+        violations += _find_lost_requests(history, runs_by_id)
+    return violations
+
+
+def _describe(exchange: Exchange, runs: list[Run]) -> str:
+    ran_at = ",".join(run.target for run in runs) or "-"
+    return (
+        f"request={exchange.request_id} vm={exchange.vm} status={exchange.status} ran_at={ran_at}"
+    )
+
+
+def _find_false_refusals(history: History, runs_by_id: dict[str, list[Run]]) -> Iterator[Violation]:
+    """Yield requests that ran although their status promises that they did not."""
+    for exchange in history.exchanges:
+        runs = runs_by_id.get(exchange.request_id, [])
+        if not exchange.idempotent and exchange.status in PROMISE_STATUSES and runs:
+            yield Violation("REFUSED", _describe(exchange, runs))
+
+
+def _find_repeated_runs(history: History, runs_by_id: dict[str, list[Run]]) -> Iterator[Violation]:
+    """Yield non-idempotent requests that ran more than once."""
+    for exchange in history.exchanges:
+        runs = runs_by_id.get(exchange.request_id, [])
+        if not exchange.idempotent and len(runs) > 1:
+            yield Violation("TWICE", _describe(exchange, runs))
+
+
+def _find_foreign_answers(history: History) -> Iterator[Violation]:
+    """Yield successes that are not the target's own answer, and seals with another status."""
+    for exchange in history.exchanges:
+        own = exchange.body.startswith(exchange.request_id.encode() + b" ")
+        if exchange.status == 200 and (not own or exchange.request_id not in exchange.seal):
+            yield Violation("MIXED", _describe(exchange, []))
+        if exchange.seal and exchange.seal.rpartition("/")[2] != str(exchange.status):
+            yield Violation("MIXED", f"{_describe(exchange, [])} seal={exchange.seal}")
+
+
+def _find_ended_processes(history: History) -> Iterator[Violation]:
+    """Yield processes that ended without being told to, or used too much memory."""
+    for signal in history.signals:
+        if signal.name.startswith("ended"):
+            yield Violation("ENDED", f"vm={signal.vm} {signal.name} at {signal.at_s:.2f}")
+    for vm, peak_mb in history.peak_resident_mb.items():
+        if peak_mb > MAX_RESIDENT_MB:
+            yield Violation("MEMORY", f"vm={vm} used {peak_mb:.0f} MB")
+
+
+def _find_lost_requests(history: History, runs_by_id: dict[str, list[Run]]) -> Iterator[Violation]:
+    """Yield requests that a planned stop cut after they were passed on, but for long early ones."""
+    stops = defaultdict(list)
+    for signal in history.signals:
+        if signal.name == "SIGTERM":
+            stops[signal.vm].append(signal.at_s)
+    for exchange in history.exchanges:
+        runs = runs_by_id.get(exchange.request_id, [])
+        if exchange.status is not None or not runs:
+            continue
+        started_s = [at_s for at_s in stops[exchange.vm] if at_s <= exchange.ended_s]
+        if started_s:
+            # Signals that follow within the grace belong to the same stop.
+            stop_s = min(at_s for at_s in started_s if exchange.ended_s - at_s < GRACE_S + 1)
+            came_early = exchange.passed_s <= stop_s + LATE_REQUEST_S
+            at_end = exchange.ended_s >= stop_s + GRACE_S * (1 - GRACE_LAST_FRACTION)
+            if came_early and at_end:
+                continue
+            since = (
+                f"sent {exchange.passed_s - stop_s:.2f} s and cut {exchange.ended_s - stop_s:.2f} s"
+            )
+            yield Violation("LOST", f"{_describe(exchange, runs)} {since} after SIGTERM")
+        else:
+            yield Violation("LOST", f"{_describe(exchange, runs)} without a stop")
--- /dev/null
+++ b/src/wagtailbay_bench/soak/disturb.py
@@ -0,0 +1,73 @@
+"""Disturbances of a soak from outside the programs: signals and faults of links."""
+
+import signal
+from collections.abc import Sequence
+from random import Random
+
+import trio
+from attrs import define
+
+from wagtailbay_bench.soak.models import History
+from wagtailbay_bench.soak.vms import SoakVm
+from wagtailbay_standins.link import Link
+
+UNPLANNED = ("stop", "kill", "pause", "reload", "cut_link", "freeze_link", "delay_link")
+PLANNED = ("stop", "stop", "reload")
+
+
+@define
+class Disturber:
+    """Draws overlapping disturbances from a seed.
+
+    Attributes:
+        links: Links between callers, VMs and targets.
+    """
+
+    vms: Sequence[SoakVm]
+    links: Sequence[Link]
+    history: History
+    random: Random
+
+    async def run(self, until_s: float) -> None:
+        """Start disturbances until the given time, and return when all have ended."""
+        kinds = PLANNED if self.history.planned_only else UNPLANNED
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until_s:
+                kind = self.random.choice(kinds)
+                vm = self.random.choice(self.vms)
+                self.history.faults.append(f"{trio.current_time():.1f} {kind} {vm.name}")
+                nursery.start_soon(self._disturb, kind, vm)
+                pause_s = self.random.choice((0.1, 0.5, 1.0, 2.0)) * 10 / max(10, len(self.vms))
+                await trio.sleep(pause_s)
+
+    async def _disturb(self, kind: str, vm: SoakVm) -> None:
+        duration_s = self.random.choice((0.1, 0.5, 1.5))
+        link = self.random.choice(self.links)
+        if kind == "stop":
+            await vm.stop_and_restart(self._draw_extra_signals())
+        elif kind == "kill":
+            await vm.kill_and_restart()
+        elif kind == "reload":
+            vm.send_signal(signal.SIGHUP)
+        elif kind == "pause":
+            vm.send_signal(signal.SIGSTOP)
+            await trio.sleep(duration_s)
+            vm.send_signal(signal.SIGCONT)
+        elif kind == "cut_link":
+            await self._hold(link, duration_s, cut=True)
+        elif kind == "freeze_link":
+            await self._hold(link, duration_s, frozen=True)
+        else:
+            await self._hold(link, duration_s, delay_ms=self.random.choice((5, 80, 400)))
+
+    def _draw_extra_signals(self) -> list[tuple[float, signal.Signals]]:
+        """Return signals that follow a SIGTERM, by their time after it."""
+        numbers = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+        times_s = sorted(self.random.uniform(0.05, 4.0) for _ in range(self.random.randrange(3)))
+        return [(after_s, self.random.choice(numbers)) for after_s in times_s]
+
+    async def _hold(self, link: Link, duration_s: float, **fault: float | bool) -> None:
+        """Apply a fault to a link for a while."""
+        await link.update(**fault)
+        await trio.sleep(duration_s)
+        await link.update(**{name: type(value)(0) for name, value in fault.items()})
--- /dev/null
+++ b/src/wagtailbay_bench/soak/models.py
@@ -0,0 +1,85 @@
+"""What callers sent, targets ran and processes did during a soak."""
+
+from attrs import define, field, frozen
+
+
+@frozen
+class Run:
+    """A request that a target began to work on.
+
+    Attributes:
+        faulty: Whether the target answered it wrongly on purpose.
+    """
+
+    request_id: str
+    target: str
+    started_s: float
+    faulty: bool
+
+
+@define
+class Exchange:
+    """A caller's request and its response.
+
+    Attributes:
+        status: Status of the complete response, None if the connection ended without one.
+        passed_s: When its sending was complete.
+        seal: Seal of the target's response, empty if there is none.
+    """
+
+    request_id: str
+    idempotent: bool
+    vm: str
+    passed_s: float
+    ended_s: float = 0.0
+    status: int | None = None
+    seal: str = ""
+    body: bytes = b""
+
+
+@frozen
+class Signal:
+    """Something done to a VM's process: a signal, or its exit."""
+
+    vm: str
+    name: str
+    at_s: float
+
+
+@frozen
+class Violation:
+    """A promise that was broken, and how it shows."""
+
+    rule: str
+    description: str
+
+    def __str__(self) -> str:
+        """Format the rule and its description."""
+        return f"{self.rule}: {self.description}"
+
+
+@define
+class History:
+    """Everything recorded during one soak; times are on trio's clock.
+
+    Attributes:
+        planned_only: Whether VMs were only stopped as planned, and targets and links were sound.
+        peak_resident_mb: Highest memory of each VM's process.
+    """
+
+    planned_only: bool = False
+    exchanges: list[Exchange] = field(factory=list)
+    runs: list[Run] = field(factory=list)
+    signals: list[Signal] = field(factory=list)
+    faults: list[str] = field(factory=list)
+    peak_resident_mb: dict[str, float] = field(factory=dict)
+
+
+@frozen
+class SoakSize:
+    """Number of processes and callers, and how long they run."""
+
+    vms: int = 3
+    targets: int = 6
+    callers: int = 24
+    duration_s: float = 20.0
--- /dev/null
+++ b/src/wagtailbay_bench/soak/target.py
@@ -0,0 +1,259 @@
+"""Targets that record what they run, and answer wrongly in ways that a seed chooses."""
+
+from collections.abc import Mapping
+from random import Random
+from typing import Final, Protocol
+
+import trio
+from attrs import define, field
+
+from wagtailbay_bench.soak.const import (
+    ENDLESS_S,
+    REFUSAL_SHARE,
+    TARGET_QUEUE,
+    TARGET_SLOTS,
+    WORK_RANGE_S,
+)
+from wagtailbay_bench.soak.models import History, Run
+
+REFUSAL_HEADERS: Final = ("Not-Executed: 1",)
+
+
+@define
+class TargetExchange:
+    """One request at a target, and the connection on which to answer it."""
+
+    stream: trio.SocketStream
+    request_id: str
+    random: Random
+    target: str
+
+    async def send(self, text: str) -> None:
+        """Send text as bytes."""
+        await self.stream.send_all(text.encode("latin-1"))
+
+    def answer(self, status: int = 200, *headers: str, with_id: bool = True) -> str:
+        """Return a complete answer to this request."""
+        body = f"{self.request_id} {self.target}" if status == 200 else "no"
+        lines = [f"HTTP/1.1 {status} Status", *headers]
+        if with_id:
+            lines.append(f"Request-Id: {self.request_id}")
+        if not headers:
+            lines.append(f"Response-Seal: {self.target}.{self.request_id}/{status}")
+        return "\r\n".join((*lines, f"Content-Length: {len(body)}", "", body))
+
+    def refusal(self, with_id: bool = True) -> str:
+        """Return a statement that this request was not run."""
+        status = self.random.choice((503, 503, 429))
+        return self.answer(status, *REFUSAL_HEADERS, with_id=with_id)
+
+    async def close(self, reset: bool = False) -> None:
+        """Close the connection, with a reset if asked."""
+        if reset:
+            linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+            self.stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+        self.stream.socket.close()
+
+    async def send_without_end(self, start: str, chunk: str) -> None:
+        """Send the same text again and again until the peer closes, or for a few seconds."""
+        with trio.move_on_after(ENDLESS_S):
+            await self.send(start)
+            while True:
+                await self.send(chunk)
+        await self.close()
+
+
+class TargetFault(Protocol):
+    """Wrong way to answer a request that has run."""
+
+    async def __call__(self, exchange: TargetExchange) -> None:
+        """Answer the request."""
+
+
+async def promise_without_proof(exchange: TargetExchange) -> None:
+    """Answer with a status that promises 'not run', without the header that states it."""
+    await exchange.send(exchange.answer(exchange.random.choice((503, 429, 408, 421))))
+
+
+async def close_without_answer(exchange: TargetExchange) -> None:
+    """Lose the answer."""
+    await exchange.close()
+
+
+async def reset_without_answer(exchange: TargetExchange) -> None:
+    """Reset the connection in place of an answer."""
+    await exchange.close(reset=True)
+
+
+async def half_close(exchange: TargetExchange) -> None:
+    """Close the sending direction only."""
+    await exchange.stream.send_eof()
+    await trio.sleep(1.0)
+
+
+async def stay_silent(exchange: TargetExchange) -> None:
+    """Never answer."""
+    await trio.sleep_forever()
+
+
+async def truncate(exchange: TargetExchange) -> None:
+    """Break off in the head or in the body."""
+    text = exchange.answer()
+    await exchange.send(text[: exchange.random.randrange(1, len(text))])
+    await exchange.close(reset=exchange.random.random() < 0.5)
+
+
+async def send_garbage(exchange: TargetExchange) -> None:
+    """Send bytes that are no answer."""
+    await exchange.send("\x00\xff garbage \r\n\r\n" * 3)
+
+
+async def answer_twice_without_id(exchange: TargetExchange) -> None:
+    """Write the answer once more, without an ID, at once or a little later."""
+    await exchange.send(exchange.answer())
+    await trio.sleep(exchange.random.choice((0.0, 0.03)))
+    await exchange.send(exchange.answer(with_id=False))
+
+
+async def answer_in_pieces(exchange: TargetExchange) -> None:
+    """Send the answer in small pieces with pauses; it is correct."""
+    text = exchange.answer()
+    for start in range(0, len(text), 40):
+        await exchange.send(text[start : start + 40])
+        await trio.sleep(0.02)
+
+
+async def send_endless_head(exchange: TargetExchange) -> None:
+    """Send a head without end."""
+    await exchange.send_without_end("HTTP/1.1 200 OK\r\n", "X-Odd: 1\r\n" * 500)
+
+
+async def send_endless_body(exchange: TargetExchange) -> None:
+    """Send a body without length and without end."""
+    start = f"HTTP/1.1 200 OK\r\nRequest-Id: {exchange.request_id}\r\n\r\n"
+    await exchange.send_without_end(start, "x" * 16_384)
+
+
+async def send_endless_small_chunks(exchange: TargetExchange) -> None:
+    """Send a body without end in chunks of one byte."""
+    head = f"Request-Id: {exchange.request_id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    await exchange.send_without_end(f"HTTP/1.1 200 OK\r\n{head}", "1\r\nx\r\n" * 2_000)
+
+
+FAULTS: Final[Mapping[str, TargetFault]] = {
+    fault.__name__: fault
+    for fault in (
+        promise_without_proof,
+        close_without_answer,
+        reset_without_answer,
+        half_close,
+        stay_silent,
+        truncate,
+        send_garbage,
+        answer_twice_without_id,
+        answer_in_pieces,
+        send_endless_head,
+        send_endless_body,
+        send_endless_small_chunks,
+    )
+}
+
+
+@define
+class SoakTarget:
+    """Target with slots and a queue that turns some requests away and answers some wrongly.
+
+    Attributes:
+        fault_share: Share of requests answered by one of the faults.
+        repeat_share: Share of refusals that are written once more on the same connection.
+    """
+
+    name: str
+    history: History
+    random: Random
+    faults: tuple[str, ...] = ()
+    fault_share: float = 0.0
+    repeat_share: float = 0.0
+    pending: int = 0
+    slots: trio.CapacityLimiter = field(factory=lambda: trio.CapacityLimiter(TARGET_SLOTS))
+
+    async def serve(self, *, task_status: trio.TaskStatus) -> None:
+        """Serve on a free loopback port; report ``ip:port`` once started."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listeners[0].socket.getsockname()[:2]
+        task_status.started(f"{host}:{port}")
+        await trio.serve_listeners(self._serve_connection, listeners)
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        received, copy = b"", ""
+        try:
+            while True:
+                while b"\r\n\r\n" not in received:
+                    if not (data := await stream.receive_some(65_536)):
+                        return
+                    received += data
+                head, _, received = received.partition(b"\r\n\r\n")
+                fields = _parse_fields(head)
+                length_bytes = int(fields.get("content-length", "0"))
+                while len(received) < length_bytes:
+                    if not (data := await stream.receive_some(65_536)):
+                        return
+                    received += data
+                received = received[length_bytes:]
+                request_id = fields.get("request-id", "")
+                exchange = TargetExchange(stream, request_id, self.random, self.name)
+                copy = await self._answer(exchange, copy)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _answer(self, exchange: TargetExchange, copy: str) -> str:
+        """Run or refuse a request; return the bytes to write while the next one runs."""
+        if self.pending >= TARGET_SLOTS + TARGET_QUEUE or self.random.random() < REFUSAL_SHARE:
+            await exchange.send(copy + exchange.refusal())
+            return await self._repeat_refusal(exchange)
+        self.pending += 1
+        try:
+            async with self.slots:
+                is_faulty = bool(self.faults) and self.random.random() < self.fault_share
+                now_s = trio.current_time()
+                run = Run(exchange.request_id, self.name, now_s, is_faulty or bool(copy))
+                self.history.runs.append(run)
+                work_s = self.random.uniform(*WORK_RANGE_S)
+                await trio.sleep(work_s / 2)
+                if copy:
+                    await exchange.send(copy)
+                await trio.sleep(work_s / 2)
+            if is_faulty:
+                await FAULTS[self.random.choice(self.faults)](exchange)
+            else:
+                await exchange.send(exchange.answer())
+        finally:
+            self.pending -= 1
+        return ""
+
+    async def _repeat_refusal(self, exchange: TargetExchange) -> str:
+        """Write a refusal once more: at once, a little later, or while the next request runs."""
+        if self.random.random() >= self.repeat_share:
+            return ""
+        copy = exchange.refusal(with_id=self.random.random() < 0.5)
+        # The beginning of a refusal, to which the next answer is appended.
+        cut = f"HTTP/1.1 503 Status\r\nNot-Executed: 1\r\nX-Odd: {exchange.request_id}"
+        when = self.random.choice(("at_once", "later", "next", "next", "cut"))
+        if when == "next":
+            return copy
+        if when == "cut":
+            return cut
+        await trio.sleep(0.0 if when == "at_once" else 0.03)
+        await exchange.send(copy)
+        return ""
+
+
+def _parse_fields(head: bytes) -> dict[str, str]:
+    """Return the header fields of a request by lower-case name."""
+    fields = {}
+    for line in head.decode("latin-1").split("\r\n")[1:]:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    return fields
