--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import trio
-from attrs import define
+from attrs import define, field
 from result import Err, Ok
 
 from wagtailbay.gateway.const import (
@@ -18,6 +18,7 @@
     GatewayRequest,
     HeaderCodec,
     ResponseDelivered,
+    ResponseEvidence,
     ResponseTruncated,
     TargetMetadata,
 )
@@ -46,6 +47,7 @@
             any response, also an error.
         max_response_bytes: A response with a larger body is cut off.
         metadata: Metadata of the target's response, None before its head was received.
+        evidence: What each response received, skipped ones included, says about the request.
         response_bytes: Size of the response body received so far.
     """
 
@@ -58,6 +60,7 @@
     is_last_attempt: bool
     max_response_bytes: int = MAX_RESPONSE_BODY_BYTES
     metadata: TargetMetadata | None = None
+    evidence: list[ResponseEvidence] = field(factory=list)
     response_bytes: int = 0
 
     async def run(self) -> AttemptResult:
@@ -102,15 +105,23 @@
         return Request(request.method, request.path, headers, request.body, host=caller.host)
 
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
-        received = await connection.send_and_match(self._build_request(), self._is_own_response)
+        def is_own_response(head: ResponseHead) -> bool:
+            return self._is_own_response(head, connection.responses_received - 1)
+
+        received = await connection.send_and_match(self._build_request(), is_own_response)
         if isinstance(received, Err):
             return self._handle_error(received.err_value)
         return await self._receive_response(connection, received.ok_value)
 
-    def _is_own_response(self, head: ResponseHead) -> bool:
+    def _is_own_response(self, head: ResponseHead, earlier_responses: int) -> bool:
         """Return whether a response is not one to an earlier request; store its metadata."""
-        self.metadata = self.header_codec.decode_target(head)
-        return self.metadata.request_id in (None, self.request.caller.request_id)
+        self.metadata = metadata = self.header_codec.decode_target(head)
+        own_id = self.request.caller.request_id
+        names_request = None if metadata.request_id is None else metadata.request_id == own_id
+        self.evidence.append(
+            ResponseEvidence(head.status, metadata.not_run, names_request, earlier_responses)
+        )
+        return names_request is not False
 
     async def _receive_response(
         self, connection: ClientConnection, head: ResponseHead
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -21,6 +21,7 @@
     GatewayRequest,
     HeaderCodec,
     ResponseDelivered,
+    ResponseEvidence,
 )
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
@@ -50,6 +51,7 @@
     Attributes:
         attempts: Target, placement reason and outcome of each attempt without a delivered
             response, in order.
+        responses: What the responses received in these attempts say about the request.
         excluded: Targets that must not be selected again.
         may_have_run: Whether any target may have run the request.
         fallback: Error response of a target, delivered if no other target does better.
@@ -58,6 +60,7 @@
     """
 
     attempts: list[str] = field(factory=list)
+    responses: list[ResponseEvidence] = field(factory=list)
     excluded: frozenset[str] = frozenset()
     may_have_run: bool = False
     fallback: BufferedResponse | None = None
@@ -182,6 +185,7 @@
                 )
             self._record(request, placement, outcome, attempt, started_s)
         trace.record(placement, result)
+        trace.responses += attempt.evidence
         if result.closed_without_response and self.background_nursery is not None:
             check = partial(self._check_crash, request, placement)
             self.background_nursery.start_soon(run_isolated, check, "crash_check")
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -197,6 +197,7 @@
             service=request.service,
             workspace=request.workspace.workspace if request.workspace else "-",
             tried=",".join(trace.attempts) or "-",
+            responses=",".join(map(str, trace.responses)) or "-",
             load=round(trace.load, 1),
             latency_ms=round(latency_ms),
             version=self.routing.table.version if self.routing.table else 0,
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -108,6 +108,28 @@
     message: str
 
 
+@frozen
+class ResponseEvidence:
+    """What the response of a target proves about a request, for the request's log line.
+
+    Attributes:
+        states_not_run: Whether it states that the target has not run the request.
+        names_request: Whether it carries the ID of the request; None if it carries no ID.
+        earlier_responses: Number of earlier responses on the same connection.
+    """
+
+    status: int
+    states_not_run: bool
+    names_request: bool | None
+    earlier_responses: int
+
+    def __str__(self) -> str:
+        """Format as ``status:statement:ID:earlier responses`` without spaces and commas."""
+        statement = "not_run" if self.states_not_run else "no_statement"
+        named = {True: "own_id", False: "other_id", None: "no_id"}[self.names_request]
+        return f"{self.status}:{statement}:{named}:{self.earlier_responses}"
+
+
 @frozen
 class AttemptResult:
     """Result of an attempt at one target.
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -55,6 +55,8 @@
         released_s: Time at which the connection last returned to the pool, on trio's clock.
         acquired_s: Time at which the connection was last taken from the pool.
         idle_s: How long the connection had been idle in the pool by then; 0 for a new connection.
+        responses_received: Number of responses whose head was received on the connection, skipped
+            ones included.
     """
 
     address: str
@@ -73,6 +75,7 @@
     released_s: float = 0.0
     acquired_s: float = 0.0
     idle_s: float = 0.0
+    responses_received: int = 0
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of its response."""
@@ -147,6 +150,7 @@
             event = await self._next_event()
             kind = type(event)
             if kind is h11.Response:
+                self.responses_received += 1
                 return self._validate_head(event)
             if kind is TransportError:
                 return Err(event)
