Pass on a status that promises 'not run' for a deposit only with proof

Callers saw 503, 429 or 408 for deposits that a target had run, and send a refused request again. The gateway returned the target's status as it was; 421 was even taken as proof without the header that states it, so that the deposit went to a second target as well. The class of fault is a promise made by a component that does not know whether it is true.

Only the header of the target's statement now proves that a request has not run. A deposit that is answered 408, 421, 429 or 503 without it ends with 502 and without the target's seal, which promises nothing, and is not sent on.

test_not_run_is_decoded_from_status_or_header expected that 421 alone states 'not run'.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -138,8 +138,12 @@
                 case Ok(data):
                     body += data
         self.response_bytes = len(body)
-        if self.metadata.not_run:
+        idempotent = self.request.route.idempotent
+        if self.metadata.not_run or (self.metadata.misdirected and idempotent):
             return AttemptResult(TargetOutcome.SHED, None, may_have_run=False)
+        if self.metadata.promises_not_run and not idempotent:
+            # Passed on, the status would tell the caller to send the request again.
+            return AttemptResult(TargetOutcome.FAILED, None, may_have_run=True)
         headers = end_to_end_headers(head.headers)
         if complete:
             return await self._deliver(BufferedResponse(head.status, headers, bytes(body)))
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -36,6 +36,9 @@
     Attributes:
         request_id: ID of the request that the response belongs to, None if not given.
         not_run: Whether the target states that it has not run the request.
+        misdirected: Whether the status says that the target is not the one that was meant.
+        promises_not_run: Whether callers take the status as a promise that the request has not
+            run. Only ``not_run`` proves it.
         load: Reported load, None if not given.
         leaving: Whether the target states that it is leaving and wants no further requests.
         pause_ms: Time for which the target wants no requests of this VM, None if it does not say.
@@ -44,6 +47,8 @@
     request_id: str | None
     not_run: bool
     load: LoadReport | None
+    misdirected: bool = False
+    promises_not_run: bool = False
     leaving: bool = False
     pause_ms: float | None = None
 
--- a/src/wagtailbay/platform/headers.py
+++ b/src/wagtailbay/platform/headers.py
@@ -40,6 +40,9 @@
 SECONDS_PATTERN = re.compile(r"\s*([0-9]{1,12}(?:\.[0-9]{1,12})?)\s*")
 # Statuses with which a target turns a request away and may ask for a pause.
 PAUSE_STATUSES = (429, 503)
+MISDIRECTED_STATUS = 421
+# Statuses that callers take as a promise that the request has not run and never will.
+PROMISE_STATUSES = (408, MISDIRECTED_STATUS, 429, 503)
 AFFINITY_COOKIE_PATTERN = re.compile(rf"(?:^|;)\s*{AFFINITY_COOKIE_NAME}=([^;]*)")
 
 
@@ -88,7 +91,9 @@
         """Decode the metadata of a target's response."""
         return TargetMetadata(
             request_id=head.header(REQUEST_ID_HEADER),
-            not_run=head.status == 421 or head.header(NOT_RUN_HEADER) is not None,
+            not_run=head.header(NOT_RUN_HEADER) is not None,
+            misdirected=head.status == MISDIRECTED_STATUS,
+            promises_not_run=head.status in PROMISE_STATUSES,
             load=_parse_load(head.header(LOAD_HEADER)),
             leaving=head.header(LEAVING_HEADER) is not None,
             pause_ms=_parse_pause_ms(head),
--- /dev/null
+++ b/tests/gateway/test_refusal_evidence.py
@@ -0,0 +1,70 @@
+"""Tests of what proves that a refused request has not run (issue 28)."""
+
+import pytest
+from support.gateway_harness import GatewayHarness, get_header
+from support.raw_target import RawExchange, RawTarget
+
+PROMISES = ["503 Busy", "429 Busy", "408 Busy", "421 Busy"]
+NOT_RUN = "Not-Executed: 1"
+
+
+async def answer(exchange: RawExchange) -> None:
+    """Answer a request with its own ID as the body."""
+    await exchange.answer(exchange.request_id)
+
+
+def answer_with(status: str, *headers: str):
+    """Return a script that answers every request with the same status."""
+
+    async def script(exchange: RawExchange) -> None:
+        await exchange.answer("no", *headers, status=status)
+
+    return script
+
+
+async def start_harness(nursery, *scripts) -> GatewayHarness:
+    """Return a running gateway with raw targets that run the given scripts."""
+    targets = {f"t{number}": RawTarget(script) for number, script in enumerate(scripts, start=1)}
+    harness = GatewayHarness(targets)
+    await harness.start(nursery)
+    return harness
+
+
+class TestStatusWithoutProof:
+    """A status that promises 'not run' reaches a caller only with proof."""
+
+    @pytest.mark.parametrize("status", PROMISES)
+    async def test_unproven_status_of_a_deposit_becomes_502(self, nursery, status):
+        """Guards against a caller that repeats a request which a target has run."""
+        busy = answer_with(status, "Retry-After: 1")
+        harness = await start_harness(nursery, busy, busy)
+        response = await harness.send_request("/b/x")
+        assert response.status == 502
+        assert get_header(response, "Response-Seal") is None
+        assert get_header(response, "Retry-After") is None
+        assert len(harness.received_requests()) == 1
+
+    @pytest.mark.parametrize("status", PROMISES)
+    async def test_proven_refusal_is_sent_to_another_target(self, nursery, status):
+        """Guards against failing a request that has not run."""
+        refuse = answer_with(status, NOT_RUN)
+        harness = await start_harness(nursery, refuse, refuse)
+        response = await harness.send_request("/b/x")
+        assert response.status == 503
+        assert len(harness.received_requests()) == 2
+
+    @pytest.mark.parametrize("status", ["429 Busy", "408 Busy"])
+    async def test_status_of_a_read_is_returned_unchanged(self, nursery, status):
+        """Guards against replacing the answer of a target where a repetition does no harm."""
+        harness = await start_harness(nursery, answer_with(status))
+        response = await harness.send_request()
+        assert response.status == int(status[:3])
+        assert get_header(response, "Response-Seal") == "seal"
+
+    async def test_misdirected_read_is_sent_to_another_target(self, nursery):
+        """Guards against failing a read whose target has a new address."""
+        misdirected = answer_with("421 Busy")
+        harness = await start_harness(nursery, misdirected, misdirected)
+        response = await harness.send_request()
+        assert len(harness.received_requests()) == 2
+        assert response.status == 503
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -41,12 +41,22 @@
 class TestTargetHeaders:
     """Metadata is decoded from the response of a target."""
 
-    def test_not_run_is_decoded_from_status_or_header(self):
+    @pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+    def test_only_the_header_states_that_a_request_has_not_run(self, status):
         """Guards against running a request twice, and not retrying one that has not run."""
-        assert CODEC.decode_target(ResponseHead(503, (("Not-Executed", "1"),))).not_run
-        assert CODEC.decode_target(ResponseHead(421)).not_run
-        assert not CODEC.decode_target(ResponseHead(503)).not_run
-        assert not CODEC.decode_target(ResponseHead(500)).not_run
+        assert CODEC.decode_target(ResponseHead(status, (("Not-Executed", "1"),))).not_run
+        assert not CODEC.decode_target(ResponseHead(status)).not_run
+
+    def test_statuses_that_callers_take_as_a_promise_are_marked(self):
+        """Guards against passing on a promise that no target has made."""
+        promising = [
+            status
+            for status in range(200, 600)
+            if CODEC.decode_target(ResponseHead(status)).promises_not_run
+        ]
+        assert promising == [408, 421, 429, 503]
+        assert CODEC.decode_target(ResponseHead(421)).misdirected
+        assert not CODEC.decode_target(ResponseHead(503)).misdirected
 
     @pytest.mark.parametrize(
         ("text", "load"),
