--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -60,7 +60,7 @@
             await self.send(start)
             while True:
                 await self.send(chunk)
-        await self.close()
+        await self.close(reset=True)
 
 
 class TargetFault(Protocol):
