Accept a response that names no request only as the first on its connection

Callers saw 503 or 429 for deposits that ran, and deposits ran at two targets. A faulty target wrote an earlier refusal once more, without the request's ID, while the next request on the kept connection ran. The gateway took any response without an ID for the answer to the request in flight, so the statement 'not run' of the earlier request was applied to the later one; a copied success went to another caller in the same way. The class of fault is acting on a message that nothing ties to the request.

send_and_match now gets the owner of each response. One that names no request is accepted only as the first response of its connection, where no earlier request exists, and such a connection is not used again. Anything else ends the exchange with an unknown outcome. A request without an ID of its own gets a new connection. Entry VMs, whose targets need not echo the ID, keep their rule; their non-idempotent requests already have a connection of their own.

--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -17,6 +17,7 @@
     ConnectionPool,
     FailureKind,
     ResponseHead,
+    ResponseOwner,
     ResponseSink,
     TransportError,
 )
@@ -97,7 +98,7 @@
 
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
         request = build_target_request(self.context, self.clock())
-        sent = await connection.send_and_match(request, self._is_own_response)
+        sent = await connection.send_and_match(request, self._identify_response)
         self._stop_idle_timer()
         if isinstance(sent, Err):
             return self._handle_error(sent.err_value)
@@ -110,9 +111,15 @@
             )
         return await self._stream(connection, head)
 
-    def _is_own_response(self, head: ResponseHead) -> bool:
-        """Return whether a response is not one to an earlier request, as far as the target says."""
-        return head.header(REQUEST_ID_HEADER) in (None, self.context.request_id)
+    def _identify_response(self, head: ResponseHead) -> ResponseOwner:
+        """Return to which request a response belongs; targets need not echo the request ID.
+
+        Without the ID a response counts as this request's. Requests that must not run twice have a
+        connection of their own.
+        """
+        named = head.header(REQUEST_ID_HEADER)
+        is_own = named in (None, self.context.request_id)
+        return ResponseOwner.THIS if is_own else ResponseOwner.OTHER
 
     def _start_idle_timer(self) -> None:
         """Set the cancel scope to the idle timeout.
--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -30,6 +30,7 @@
     Headers,
     Request,
     ResponseHead,
+    ResponseOwner,
     ResponseSink,
     TransportError,
 )
@@ -73,7 +74,10 @@
         non_idempotent = not self.request.route.idempotent
         max_idle_s = MAX_IDLE_NON_IDEMPOTENT_S if non_idempotent else MAX_IDLE_S
         opened = await self.pool.acquire(
-            entry.address, min(CONNECT_TIMEOUT_MS, remaining_ms), max_idle_s=max_idle_s
+            entry.address,
+            min(CONNECT_TIMEOUT_MS, remaining_ms),
+            fresh=not self.request.caller.request_id,
+            max_idle_s=max_idle_s,
         )
         if isinstance(opened, Err):
             return AttemptResult(TargetOutcome.UNREACHABLE, None, may_have_run=False)
@@ -105,23 +109,28 @@
         return Request(request.method, request.path, headers, request.body, host=caller.host)
 
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
-        def is_own_response(head: ResponseHead) -> bool:
-            return self._is_own_response(head, connection.responses_received - 1)
+        def identify(head: ResponseHead) -> ResponseOwner:
+            return self._identify_response(head, connection.responses_received - 1)
 
-        received = await connection.send_and_match(self._build_request(), is_own_response)
+        received = await connection.send_and_match(self._build_request(), identify)
         if isinstance(received, Err):
             return self._handle_error(received.err_value)
         return await self._receive_response(connection, received.ok_value)
 
-    def _is_own_response(self, head: ResponseHead, earlier_responses: int) -> bool:
-        """Return whether a response is not one to an earlier request; store its metadata."""
+    def _identify_response(self, head: ResponseHead, earlier_responses: int) -> ResponseOwner:
+        """Return to which request a response belongs; store its metadata."""
         self.metadata = metadata = self.header_codec.decode_target(head)
         own_id = self.request.caller.request_id
-        names_request = None if metadata.request_id is None else metadata.request_id == own_id
+        if not own_id or not metadata.request_id:
+            owner = ResponseOwner.UNNAMED
+        elif metadata.request_id == own_id:
+            owner = ResponseOwner.THIS
+        else:
+            owner = ResponseOwner.OTHER
         self.evidence.append(
-            ResponseEvidence(head.status, metadata.not_run, names_request, earlier_responses)
+            ResponseEvidence(head.status, metadata.not_run, owner, earlier_responses)
         )
-        return names_request is not False
+        return owner
 
     async def _receive_response(
         self, connection: ClientConnection, head: ResponseHead
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -1,6 +1,6 @@
 """Models of requests and responses at the gateway, independent of header names."""
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import frozen
 from result import Result
@@ -8,7 +8,7 @@
 from wagtailbay.placement import LoadReport, TargetOutcome
 from wagtailbay.refusals import Refusal
 from wagtailbay.routing import RouteRule, Workspace
-from wagtailbay.transport import Headers, Request, ResponseHead
+from wagtailbay.transport import Headers, Request, ResponseHead, ResponseOwner
 
 
 @frozen
@@ -113,26 +113,32 @@
     message: str
 
 
+OWNER_LABELS: Final = {
+    ResponseOwner.THIS: "own_id",
+    ResponseOwner.OTHER: "other_id",
+    ResponseOwner.UNNAMED: "no_id",
+}
+
+
 @frozen
 class ResponseEvidence:
     """What the response of a target proves about a request, for the request's log line.
 
     Attributes:
         states_not_run: Whether it states that the target has not run the request.
-        names_request: Whether it carries the ID of the request; None if it carries no ID.
+        owner: Request that it belongs to, by its ID.
         earlier_responses: Number of earlier responses on the same connection.
     """
 
     status: int
     states_not_run: bool
-    names_request: bool | None
+    owner: ResponseOwner
     earlier_responses: int
 
     def __str__(self) -> str:
         """Format as ``status:statement:ID:earlier responses`` without spaces and commas."""
         statement = "not_run" if self.states_not_run else "no_statement"
-        named = {True: "own_id", False: "other_id", None: "no_id"}[self.names_request]
-        return f"{self.status}:{statement}:{named}:{self.earlier_responses}"
+        return f"{self.status}:{statement}:{OWNER_LABELS[self.owner]}:{self.earlier_responses}"
 
 
 @frozen
--- a/src/wagtailbay/transport/__init__.py
+++ b/src/wagtailbay/transport/__init__.py
@@ -8,6 +8,7 @@
     Request,
     Response,
     ResponseHead,
+    ResponseOwner,
     TransportError,
 )
 from wagtailbay.transport.pool import ConnectionPool, fetch
@@ -25,6 +26,7 @@
     "Request",
     "Response",
     "ResponseHead",
+    "ResponseOwner",
     "ResponseSink",
     "TransportError",
     "accept_connections",
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -23,6 +23,7 @@
     Request,
     Response,
     ResponseHead,
+    ResponseOwner,
     TransportError,
 )
 from wagtailbay.transport.sockets import receive, send_nowait, send_remaining
@@ -55,6 +56,8 @@
         released_s: Time at which the connection last returned to the pool, on trio's clock.
         acquired_s: Time at which the connection was last taken from the pool.
         idle_s: How long the connection had been idle in the pool by then; 0 for a new connection.
+        attributable: Whether each response so far named its request. Otherwise the connection is
+            not reused, since a late copy could not be told from the next response.
         responses_received: Number of responses whose head was received on the connection, skipped
             ones included.
     """
@@ -75,6 +78,7 @@
     released_s: float = 0.0
     acquired_s: float = 0.0
     idle_s: float = 0.0
+    attributable: bool = True
     responses_received: int = 0
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
@@ -99,21 +103,36 @@
         return await self._receive_head()
 
     async def send_and_match(
-        self, request: Request, belongs: Callable[[ResponseHead], bool]
+        self, request: Request, identify: Callable[[ResponseHead], ResponseOwner]
     ) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of the first response that belongs to it.
 
         A late second copy of the response to an earlier request is skipped; the response to this
-        request may still follow.
+        request may still follow. A response that names no request is accepted only as the first
+        one on its connection, where it cannot be such a copy.
         """
         received = await self.send(request)
-        for _ in range(MAX_SKIPPED_RESPONSES):
-            if isinstance(received, Err) or belongs(received.ok_value):
+        skipped = 0
+        while isinstance(received, Ok):
+            owner = identify(received.ok_value)
+            if owner is ResponseOwner.THIS:
                 return received
+            if owner is ResponseOwner.UNNAMED:
+                return self._accept_unnamed(received)
+            if skipped == MAX_SKIPPED_RESPONSES:
+                message = "only responses to other requests were received"
+                return Err(self.make_error(FailureKind.PROTOCOL, message))
+            skipped += 1
             received = await self.skip_response()
-        if isinstance(received, Err) or belongs(received.ok_value):
+        return received
+
+    def _accept_unnamed(
+        self, received: Result[ResponseHead, TransportError]
+    ) -> Result[ResponseHead, TransportError]:
+        self.attributable = False
+        if self.responses_received == 1:
             return received
-        message = "only responses to other requests were received"
+        message = "a response that names no request follows others on its connection"
         return Err(self.make_error(FailureKind.PROTOCOL, message))
 
     async def skip_response(self) -> Result[ResponseHead, TransportError]:
@@ -244,7 +263,7 @@
         """Reset the state for another request; return whether the connection can be reused."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
-        if not self.framed or self.protocol.trailing_data[0]:
+        if not self.framed or not self.attributable or self.protocol.trailing_data[0]:
             return False
         self.protocol.start_next_cycle()
         self.request_sent = self.response_started = False
--- a/src/wagtailbay/transport/models.py
+++ b/src/wagtailbay/transport/models.py
@@ -59,6 +59,14 @@
         return find_header(self.headers, name)
 
 
+class ResponseOwner(Enum):
+    """Request to which a response belongs, as far as its head says."""
+
+    THIS = "this request"
+    OTHER = "another request"
+    UNNAMED = "no request named"
+
+
 @frozen
 class Response:
     """HTTP response with its complete body."""
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -68,3 +68,62 @@
         response = await harness.send_request()
         assert len(harness.received_requests()) == 2
         assert response.status == 503
+
+
+class TestUnidentifiedResponses:
+    """A response that names no request counts only where it cannot belong to another one."""
+
+    async def test_repeated_refusal_without_an_id_is_no_proof(self, nursery):
+        """Guards against refusing a deposit that runs, or running it at a second target."""
+
+        async def repeat_refusal(exchange: RawExchange) -> None:
+            if exchange.number == 1:
+                await answer(exchange)
+                return
+            # A copy of an earlier refusal arrives while the second request on the connection runs.
+            await exchange.send(f"HTTP/1.1 503 Busy\r\n{NOT_RUN}\r\nContent-Length: 0\r\n\r\n")
+            await answer(exchange)
+
+        harness = await start_harness(nursery, repeat_refusal, repeat_refusal)
+        for number in range(8):
+            received_before = len(harness.received_requests())
+            response = await harness.send_request("/b/x", Request_Id=f"id-{number}")
+            assert response.status in (200, 502)
+            assert len(harness.received_requests()) == received_before + 1
+
+    async def test_repeated_answer_without_an_id_is_not_delivered(self, nursery):
+        """Guards against giving a caller the answer to another caller's request."""
+        previous: list[str] = []
+
+        async def repeat_answer(exchange: RawExchange) -> None:
+            if exchange.number > 1:
+                await exchange.send(previous[-1])
+            previous.append("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+            await answer(exchange)
+
+        harness = await start_harness(nursery, repeat_answer, repeat_answer)
+        for number in range(8):
+            response = await harness.send_request(Request_Id=f"id-{number}")
+            assert response.body != b"old"
+
+    async def test_first_response_on_a_connection_needs_no_id(self, nursery):
+        """Guards against failing all requests at a target that never echoes the ID."""
+
+        async def answer_without_id(exchange: RawExchange) -> None:
+            await exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        harness = await start_harness(nursery, answer_without_id)
+        for number in range(4):
+            response = await harness.send_request("/b/x", Request_Id=f"id-{number}")
+            assert (response.status, response.body) == (200, b"ok")
+        exchanges = harness.targets["t1"].exchanges
+        assert [exchange.number for exchange in exchanges] == [1] * 4
+
+    async def test_request_without_an_id_is_sent_on_a_new_connection(self, nursery):
+        """Guards against taking a late copy for the answer to a request that has no ID."""
+        harness = await start_harness(nursery, answer)
+        await harness.send_request("/b/x", Request_Id="id-1")
+        response = await harness.send_request("/b/x", Request_Id="")
+        assert response.status == 200
+        exchanges = harness.targets["t1"].exchanges
+        assert [exchange.number for exchange in exchanges] == [1, 1]
