Reject a response head that contains a second status line

A refusal that breaks off within a header field, followed by the next answer on the same kept connection, reads as one head: the status and the statement 'not run' of the refusal with the request's ID of the answer. The gateway told the caller 'not run' for a request that had run, and sent it to a second target. The ID alone cannot show it, so a field value that contains a status line is a protocol violation and the outcome unknown.

--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -29,6 +29,7 @@
 from wagtailbay.transport.sockets import receive, send_nowait, send_remaining
 from wagtailbay.transport.wire import (
     END_OF_MESSAGE,
+    contains_status_line,
     decode_headers,
     encode_request_head,
     fits_header_limits,
@@ -181,6 +182,9 @@
         fields = list(event.headers)
         if not fits_header_limits(fields):
             return Err(self.make_error(FailureKind.PROTOCOL, "header fields too large"))
+        if contains_status_line(fields):
+            message = "a header field contains the beginning of another response"
+            return Err(self.make_error(FailureKind.PROTOCOL, message))
         head = ResponseHead(event.status_code, decode_headers(fields))
         names = [name for name, _ in head.headers]
         if "content-length" in names and "transfer-encoding" in names:
--- a/src/wagtailbay/transport/wire.py
+++ b/src/wagtailbay/transport/wire.py
@@ -1,5 +1,6 @@
 """Conversion between HTTP messages and h11 events."""
 
+import re
 from collections.abc import Iterable, Sequence
 
 import h11
@@ -8,6 +9,7 @@
 from wagtailbay.transport.models import Headers, Request, ResponseHead
 
 END_OF_MESSAGE = h11.EndOfMessage()
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}\b")
 # Fields that apply to a single connection and must not be forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -35,6 +37,15 @@
     return len(headers) <= MAX_HEADER_FIELDS and size_bytes <= MAX_HEADER_BYTES
 
 
+def contains_status_line(headers: Sequence[tuple[bytes, bytes]]) -> bool:
+    """Return whether a value contains a status line.
+
+    A response that breaks off within a header field and is followed by another one on the same
+    connection reads as a single head with the status of the first.
+    """
+    return any(b"HTTP/1." in value and STATUS_LINE_PATTERN.search(value) for _, value in headers)
+
+
 def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Encode header names as ASCII and values as Latin-1."""
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
