Keep no metadata of a response to another request

By reading: when a response to another request was skipped and none of its own followed, the load, pause and leaving marks of the skipped one were recorded for the target. A target counted as leaving, or was paused, by a response that could be minutes old. Only the response that is accepted for the request sets the metadata now.

test_skipped_response_tells_nothing_about_the_target failed before.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -47,7 +47,7 @@
         is_last_attempt: Whether no other target is tried afterwards, so that the caller gets
             any response, also an error.
         max_response_bytes: A response with a larger body is cut off.
-        metadata: Metadata of the target's response, None before its head was received.
+        metadata: Metadata of the response to this request, None before its head was received.
         evidence: What each response received, skipped ones included, says about the request.
         response_bytes: Size of the response body received so far.
     """
@@ -118,8 +118,8 @@
         return await self._receive_response(connection, received.ok_value)
 
     def _identify_response(self, head: ResponseHead, earlier_responses: int) -> ResponseOwner:
-        """Return to which request a response belongs; store its metadata."""
-        self.metadata = metadata = self.header_codec.decode_target(head)
+        """Return to which request a response belongs; store its metadata unless it is another."""
+        metadata = self.header_codec.decode_target(head)
         own_id = self.request.caller.request_id
         if not own_id or not metadata.request_id:
             owner = ResponseOwner.UNNAMED
@@ -130,6 +130,10 @@
         self.evidence.append(
             ResponseEvidence(head.status, metadata.not_run, owner, earlier_responses)
         )
+        if owner is ResponseOwner.THIS or (
+            owner is ResponseOwner.UNNAMED and earlier_responses == 0
+        ):
+            self.metadata = metadata
         return owner
 
     async def _receive_response(
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -4,6 +4,8 @@
 from support.gateway_harness import GatewayHarness, get_header
 from support.raw_target import RawExchange, RawTarget
 
+from wagtailbay.clock import boottime_s
+
 PROMISES = ["503 Busy", "429 Busy", "408 Busy", "421 Busy"]
 NOT_RUN = "Not-Executed: 1"
 
@@ -127,3 +129,37 @@
         assert response.status == 200
         exchanges = harness.targets["t1"].exchanges
         assert [exchange.number for exchange in exchanges] == [1, 1]
+
+    async def test_head_of_two_messages_is_no_proof(self, nursery):
+        """Guards against a refusal that breaks off and is continued by the next answer."""
+
+        async def answer_after_broken_refusal(exchange: RawExchange) -> None:
+            if exchange.number > 1:
+                await exchange.send(f"HTTP/1.1 503 Busy\r\n{NOT_RUN}\r\nX-Odd: some")
+            await answer(exchange)
+
+        harness = await start_harness(
+            nursery, answer_after_broken_refusal, answer_after_broken_refusal
+        )
+        for number in range(8):
+            received_before = len(harness.received_requests())
+            response = await harness.send_request("/b/x", Request_Id=f"id-{number}")
+            assert response.status in (200, 502)
+            assert len(harness.received_requests()) == received_before + 1
+
+    async def test_skipped_response_tells_nothing_about_the_target(self, nursery):
+        """Guards against a target that counts as leaving by an answer to another request."""
+
+        async def send_only_other_response(exchange: RawExchange) -> None:
+            await exchange.send(
+                "HTTP/1.1 503 Busy\r\nRequest-Id: other\r\nServer-Leaving: 1\r\n"
+                "Retry-After: 30\r\nContent-Length: 0\r\n\r\n"
+            )
+            await exchange.stream.aclose()
+
+        harness = await start_harness(nursery, send_only_other_response)
+        response = await harness.send_request("/b/x")
+        assert response.status == 502
+        (target,) = harness.node.registry.targets.values()
+        assert not harness.node.registry.is_leaving(target.entry)
+        assert not harness.node.selector.load_of(target).is_paused(boottime_s())
