Go on with a graceful stop whatever signals follow, and survive SIGHUP during the start

Both are default actions of signals that the program handles only part of the time: the receiver of SIGTERM closed before the graceful stop, and SIGHUP had no handler until all imports were done.

watch_stop_signals handles SIGTERM and SIGINT until the process has stopped; entry VMs and the administration server had the same fault and use it too. The entry point of the gateway ignores SIGHUP before it imports anything else.

--- a/src/wagtailbay/programs/admin.py
+++ b/src/wagtailbay/programs/admin.py
@@ -1,7 +1,6 @@
 """Entry point of the administration server."""
 
 import os
-import signal
 import sys
 from functools import partial
 
@@ -14,6 +13,7 @@
 from wagtailbay.clock import boottime_s, unix_time_s
 from wagtailbay.logs import log_event, start_logging
 from wagtailbay.metrics import build_exporter
+from wagtailbay.programs.stop_signals import watch_stop_signals
 from wagtailbay.settings import load_settings_or_exit, setting
 from wagtailbay.settings.checks import (
     at_least,
@@ -101,8 +101,9 @@
             await nursery.start(metrics_server.serve, split_address(settings.metrics_address))
         bound_address = await nursery.start(server.serve, split_address(settings.listen_address))
         log_event("listening", address=f"{bound_address[0]}:{bound_address[1]}")
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await anext(signals)
+        stop_asked = trio.Event()
+        await nursery.start(watch_stop_signals, stop_asked)
+        await stop_asked.wait()
         server.draining.set()
         while server.open_requests:
             await trio.sleep(0.05)
--- a/src/wagtailbay/programs/entry.py
+++ b/src/wagtailbay/programs/entry.py
@@ -1,7 +1,6 @@
 """Entry point of an entry VM."""
 
 import os
-import signal
 import sys
 from functools import partial
 
@@ -18,6 +17,7 @@
 from wagtailbay.programs.entry_node import PROGRAM, EntryNode, EntryNodeBuilder
 from wagtailbay.programs.entry_settings import EntrySettings
 from wagtailbay.programs.mechanisms import GRACEFUL_STOPS
+from wagtailbay.programs.stop_signals import watch_stop_signals
 from wagtailbay.settings import exit_with_errors, load_settings_or_exit
 from wagtailbay.settings.checks import split_address
 from wagtailbay.transport import HttpServer
@@ -47,11 +47,12 @@
             node.server.serve, split_address(settings.listen_address)
         )
         log_event("listening", address=f"{bound_address[0]}:{bound_address[1]}")
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async with trio.open_nursery() as announcement_nursery:
-                announcement_nursery.start_soon(node.fleet.become_live)
-                await anext(signals)
-                announcement_nursery.cancel_scope.cancel()
+        stop_asked = trio.Event()
+        await nursery.start(watch_stop_signals, stop_asked)
+        async with trio.open_nursery() as announcement_nursery:
+            announcement_nursery.start_soon(node.fleet.become_live)
+            await stop_asked.wait()
+            announcement_nursery.cancel_scope.cancel()
         if GRACEFUL_STOPS not in settings.without:
             await shut_down_gracefully(node)
         nursery.cancel_scope.cancel()
--- a/src/wagtailbay_bench/soak/callers.py
+++ b/src/wagtailbay_bench/soak/callers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from random import Random
+from typing import Final
 
 import h11
 import trio
@@ -14,10 +15,14 @@
     DEPOSIT_PREFIX,
     HOST,
     READ_PREFIX,
+    SLOW_BODY_RANGE_S,
+    SLOW_BODY_SHARE,
     THINK_RANGE_S,
 )
 from wagtailbay_bench.soak.models import Exchange, History
 
+BODY: Final = b"thesis"
+
 
 @define
 class SoakCaller:
@@ -67,6 +72,10 @@
         self.history.exchanges.append(exchange)
         try:
             with trio.fail_after(CLIENT_TIMEOUT_S):
+                if data.endswith(BODY) and self.random.random() < SLOW_BODY_SHARE:
+                    await stream.send_all(data[: -len(BODY)])
+                    await trio.sleep(self.random.uniform(*SLOW_BODY_RANGE_S))
+                    data = BODY
                 await stream.send_all(data)
                 exchange.passed_s = trio.current_time()
                 await _receive(stream, protocol, exchange)
@@ -77,7 +86,7 @@
     def _encode(self, protocol: h11.Connection, exchange: Exchange) -> bytes:
         is_read = exchange.idempotent
         prefix = READ_PREFIX if is_read else DEPOSIT_PREFIX
-        body = b"" if is_read else b"thesis"
+        body = b"" if is_read else BODY
         headers = [
             ("Host", HOST),
             ("Request-Id", exchange.request_id),
--- a/src/wagtailbay_bench/soak/const.py
+++ b/src/wagtailbay_bench/soak/const.py
@@ -22,6 +22,9 @@
 REFUSAL_SHARE: Final = 0.08
 WORK_RANGE_S: Final = (0.02, 0.9)
 THINK_RANGE_S: Final = (0.0, 0.15)
+# Share of deposits whose body follows its head after a while; some take longer than allowed.
+SLOW_BODY_SHARE: Final = 0.1
+SLOW_BODY_RANGE_S: Final = (0.2, 3.5)
 # Responses without end are written for at most this long.
 ENDLESS_S: Final = 4.0
 CLIENT_TIMEOUT_S: Final = 20.0
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -97,7 +97,7 @@
                 address = await nursery.start(target.serve)
                 link = await _start_link(nursery, address)
                 links.append(link)
-                fields = _registration(link.listen_address, zones[number % len(zones)])
+                fields = build_registration(link.listen_address, zones[number % len(zones)])
                 api.put_fields("servers", target.name, fields)
             vms = await _start_vms(size.vms, group, history, store_address)
             fronts = []
@@ -114,7 +114,7 @@
     return history
 
 
-def _registration(address: str, zone: str) -> dict:
+def build_registration(address: str, zone: str) -> dict:
     """Return what a target writes about itself."""
     return {
         "address": address,
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -166,6 +166,7 @@
     Attributes:
         fault_share: Share of requests answered by one of the faults.
         repeat_share: Share of refusals that are written once more on the same connection.
+        refusal_share: Share of requests that the target turns away.
     """
 
     name: str
@@ -174,6 +175,8 @@
     faults: tuple[str, ...] = ()
     fault_share: float = 0.0
     repeat_share: float = 0.0
+    refusal_share: float = REFUSAL_SHARE
+    work_range_s: tuple[float, float] = WORK_RANGE_S
     pending: int = 0
     slots: trio.CapacityLimiter = field(factory=lambda: trio.CapacityLimiter(TARGET_SLOTS))
 
@@ -210,7 +213,8 @@
 
     async def _answer(self, exchange: TargetExchange, copy: str) -> str:
         """Run or refuse a request; return the bytes to write while the next one runs."""
-        if self.pending >= TARGET_SLOTS + TARGET_QUEUE or self.random.random() < REFUSAL_SHARE:
+        is_full = self.pending >= TARGET_SLOTS + TARGET_QUEUE
+        if is_full or self.random.random() < self.refusal_share:
             await exchange.send(copy + exchange.refusal())
             return await self._repeat_refusal(exchange)
         self.pending += 1
@@ -220,7 +224,7 @@
                 now_s = trio.current_time()
                 run = Run(exchange.request_id, self.name, now_s, is_faulty or bool(copy))
                 self.history.runs.append(run)
-                work_s = self.random.uniform(*WORK_RANGE_S)
+                work_s = self.random.uniform(*self.work_range_s)
                 await trio.sleep(work_s / 2)
                 if copy:
                     await exchange.send(copy)
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -9,8 +9,8 @@
 from support.gateway_harness import WAIT_S, GatewayHarness, get_header
 
 from wagtailbay.programs.fleet import Fleet
-from wagtailbay.programs.gateway import shut_down_gracefully
 from wagtailbay.programs.gateway_node import STALE_START_DELAY_S, build_endpoints
+from wagtailbay.programs.gateway_process import shut_down_gracefully
 from wagtailbay.transport import ConnectionPool, FailureKind, HttpServer, Request
 
 
