Refuse requests that are complete only after a stopping VM has closed its listener

The head had arrived before, so the connection counted as busy and stayed open, and nothing looked at the time that was left when the body came.

From the moment at which the listener closes, the forwarder starts no further attempt. Such a request gets 503 vm_stopping without a wait, which is true: it was never sent, and another VM serves it at once. A request that a target may already have run keeps its unknown outcome.

test_request_that_is_complete_late_is_refused failed before.

--- a/src/wagtailbay/explain/const.py
+++ b/src/wagtailbay/explain/const.py
@@ -14,6 +14,7 @@
     "key_unknown": "the configuration in force has no such key",
     "knowledge_stale": "the VM had no contact with the store or a peer recently enough to deny",
     "vm_overloaded": "the VM was overloaded and read requests too late to answer them in time",
+    "vm_stopping": "the VM was stopping and passed nothing more on",
     "rate_exceeded": "the workspace had used up its rate, or the VM that owns it did not answer",
     "crashes_targets": "earlier requests like this one crashed targets",
     "no_target": "no target had the capacity to answer in time",
--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -34,3 +34,5 @@
 # the VM refuses them: it would exceed the goal, and its other work would be as late.
 OVERLOAD_GOAL_FRACTION: Final = 0.5
 OVERLOAD_RETRY_AFTER_MS: Final = 400
+# The other VMs can serve the request at once.
+STOPPING_RETRY_AFTER_MS: Final = 0
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from functools import partial
+from math import inf
 
 import trio
 from attrs import define, field
@@ -13,6 +14,7 @@
     MIN_RETRY_CAPACITY,
     MIN_RETRY_TIME_MS,
     OWN_RETRY_FRACTION,
+    STOPPING_RETRY_AFTER_MS,
 )
 from wagtailbay.gateway.models import (
     AttemptResult,
@@ -84,6 +86,7 @@
 
     Attributes:
         live_vm_count: Returns the number of VMs that share the fleet's retry capacity.
+        stops_sending_s: Time from which nothing more is sent to targets, because this VM stops.
         has_exited: Returns whether the target process at an address has exited.
         max_response_bytes: A target's response with a larger body is cut off.
         background_nursery: Runs crash checks, for which the caller does not wait; None disables
@@ -101,6 +104,7 @@
     exchange_sizes: ExchangeSizes = field(factory=ExchangeSizes)
     requirements: FleetRequirements = field(factory=FleetRequirements)
     max_response_bytes: int = MAX_RESPONSE_BODY_BYTES
+    stops_sending_s: float = inf
     retry_budgets: RetryBudgets = field(init=False)
     has_exited: Callable[[str], Awaitable[bool]] = refuses_connections
     background_nursery: trio.Nursery | None = None
@@ -131,6 +135,8 @@
                 # would waste capacity of a target.
                 log_event("caller_left", request_id=request.caller.request_id)
                 raise CallerDisconnectedError
+            if self.clock() >= self.stops_sending_s:
+                return await self._final_result(request, sink, trace, None)
             selected = self._select_target(request, trace, version)
             if isinstance(selected, Err):
                 return await self._final_result(request, sink, trace, selected.err_value)
@@ -259,6 +265,9 @@
             return Ok(ResponseDelivered(trace.fallback.status))
         if trace.may_have_run:
             return Err(_unknown_outcome(trace))
+        if self.clock() >= self.stops_sending_s:
+            message = "this VM is stopping; use another one"
+            return Err(not_run(503, "vm_stopping", message, STOPPING_RETRY_AFTER_MS))
         if failure is None:
             failure = PlacementFailure("the targets turned it away", self.selector.retry_after_ms())
         return Err(not_run(503, "no_target", failure.reason, round(failure.retry_after_ms)))
--- a/src/wagtailbay/programs/gateway_process.py
+++ b/src/wagtailbay/programs/gateway_process.py
@@ -73,6 +73,8 @@
     node.server.draining.set()
     await trio.sleep(lookup_ttl_ms(node.settings.requirements) / 1000 + LOOKUP_EXPIRY_MARGIN_S)
     node.server.stop_accepting()
+    # A request that is complete only now could be cut by the end of the grace time.
+    node.handler.forwarder.stops_sending_s = node.handler.clock()
     deadline_s = started_s + node.settings.grace_ms / 1000 - SHUTDOWN_MARGIN_S
     with trio.move_on_at(deadline_s):
         await node.server.drain()
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -11,6 +11,7 @@
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway_node import STALE_START_DELAY_S, build_endpoints
 from wagtailbay.programs.gateway_process import shut_down_gracefully
+from wagtailbay.settings.checks import split_address
 from wagtailbay.transport import ConnectionPool, FailureKind, HttpServer, Request
 
 
@@ -144,6 +145,28 @@
                 await trio.sleep(0.01)
         assert responses[0].status == 200
 
+    async def test_request_that_is_complete_late_is_refused(self, harness, nursery):
+        """Guards against passing a request on that the end of the grace time cuts (issue 28)."""
+        for target in harness.targets.values():
+            target.delay_s = 5.0
+        stream = await trio.open_tcp_stream(*split_address(harness.address))
+        head = (
+            "POST /b/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\n"
+            "Authorization: Token key-1\r\nContent-Length: 6\r\n\r\n"
+        )
+        await stream.send_all(head.encode())
+        await trio.sleep(0.1)
+        nursery.start_soon(shut_down_gracefully, harness.node)
+        with trio.fail_after(WAIT_S):
+            while not harness.node.server.accept_scope.cancel_called:
+                await trio.sleep(0.01)
+            await trio.sleep(0.05)
+            await stream.send_all(b"thesis")
+            response = await stream.receive_some(65_536)
+        assert b" 503 " in response
+        assert b'"code": "vm_stopping"' in response
+        assert harness.received_requests() == []
+
     async def test_requests_under_load_are_served_or_not_read(self, harness, nursery):
         """Guards against requests that are accepted while the VM stops, and then cut off."""
         outcomes = []
