Let other tasks run while a body in very small chunks is parsed, and cut one without end

Entry VMs, and the bodies of callers, went through the same loops.

After 64 chunks without a wait for bytes the parser pauses for 10 ms. A response that goes on in such groups with a mean below 64 bytes a chunk is cut after 8,192 of them; a stream whose chunks arrive one by one is not.

--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -11,12 +11,16 @@
 
 from wagtailbay.settings.checks import split_address
 from wagtailbay.transport.const import (
+    MAX_CHUNKS_BETWEEN_WAITS,
+    MAX_DENSE_CHUNKS,
     MAX_DISCARDED_BYTES,
     MAX_HEADER_BYTES,
     MAX_INFORMATIONAL_RESPONSES,
     MAX_RESPONSE_BODY_BYTES,
     MAX_SKIPPED_RESPONSES,
+    MIN_DENSE_CHUNK_BYTES,
     RECEIVE_CHUNK_BYTES,
+    SMALL_CHUNKS_PAUSE_S,
 )
 from wagtailbay.transport.models import (
     FailureKind,
@@ -61,6 +65,9 @@
             not reused, since a late copy could not be told from the next response.
         responses_received: Number of responses whose head was received on the connection, skipped
             ones included.
+        chunks_since_wait: Number of chunks parsed since bytes were last waited for.
+        dense_chunks: Number of chunks of the response that came in such groups of many.
+        body_bytes: Number of bytes of the response's body.
     """
 
     address: str
@@ -81,6 +88,9 @@
     idle_s: float = 0.0
     attributable: bool = True
     responses_received: int = 0
+    chunks_since_wait: int = 0
+    dense_chunks: int = 0
+    body_bytes: int = 0
 
     async def send(self, request: Request) -> Result[ResponseHead, TransportError]:
         """Send a request and receive the head of its response."""
@@ -198,7 +208,21 @@
         return Ok(head)
 
     async def receive_chunk(self) -> Result[bytes | None, TransportError]:
-        """Receive the next chunk of the response body, or None at its proper end."""
+        """Receive the next chunk of the response body, or None at its proper end.
+
+        Waits a moment after many chunks that had already been received, and fails if a response
+        goes on in very small ones.
+        """
+        if self.chunks_since_wait >= MAX_CHUNKS_BETWEEN_WAITS:
+            self.dense_chunks += self.chunks_since_wait
+            self.chunks_since_wait = 0
+            if (
+                self.dense_chunks > MAX_DENSE_CHUNKS
+                and self.body_bytes < self.dense_chunks * MIN_DENSE_CHUNK_BYTES
+            ):
+                message = f"{self.dense_chunks} chunks have {self.body_bytes} bytes"
+                return Err(self.make_error(FailureKind.TOO_LARGE, message))
+            await trio.sleep(SMALL_CHUNKS_PAUSE_S)
         return self._chunk_from_event(await self._next_event())
 
     async def discard_body(self) -> Result[None, TransportError]:
@@ -218,13 +242,20 @@
         return Err(self.make_error(FailureKind.TOO_LARGE, "the response to be discarded"))
 
     def receive_chunk_nowait(self) -> Result[bytes | None, TransportError] | None:
-        """Return the next chunk if it has already been received, or None."""
+        """Return the next chunk if it has already been received, or None.
+
+        Also returns None after many chunks without a wait; ``receive_chunk`` then makes a pause.
+        """
+        if self.chunks_since_wait >= MAX_CHUNKS_BETWEEN_WAITS:
+            return None
         event = self._next_event_nowait()
         return None if event is None else self._chunk_from_event(event)
 
     def _chunk_from_event(self, event: Any) -> Result[bytes | None, TransportError]:
         kind = type(event)
         if kind is h11.Data:
+            self.chunks_since_wait += 1
+            self.body_bytes += len(event.data)
             return Ok(bytes(event.data))
         if kind is h11.EndOfMessage:
             return Ok(None)
@@ -244,6 +275,7 @@
     async def _next_event(self) -> Any:
         """Receive bytes until h11 yields an event; return the event or a TransportError."""
         while (event := self._next_event_nowait()) is None:
+            self.chunks_since_wait = 0
             try:
                 data = await receive(self.stream, RECEIVE_CHUNK_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
@@ -271,6 +303,7 @@
             return False
         self.protocol.start_next_cycle()
         self.request_sent = self.response_started = False
+        self.chunks_since_wait = self.dense_chunks = self.body_bytes = 0
         return True
 
     async def close(self) -> None:
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -29,3 +29,10 @@
 # A learned idle limit expires after this time and idle connections are tried again, since opening
 # a new one costs about 1 ms.
 IDLE_LIMIT_TTL_S: Final = 20.0
+# Parsing a chunk takes tens of microseconds, whatever its size. After this many chunks from bytes
+# that had already been received, other tasks run for a while.
+MAX_CHUNKS_BETWEEN_WAITS: Final = 64
+SMALL_CHUNKS_PAUSE_S: Final = 0.01
+# A response is cut after this many such chunks if their mean size is smaller than the second value.
+MAX_DENSE_CHUNKS: Final = 8_192
+MIN_DENSE_CHUNK_BYTES: Final = 64
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -8,9 +8,11 @@
 from wagtailbay.transport.connection_reader import ConnectionReader
 from wagtailbay.transport.const import (
     IDLE_CONNECTION_TIMEOUT_S,
+    MAX_CHUNKS_BETWEEN_WAITS,
     MAX_HEADER_BYTES,
     MAX_HEADER_FIELDS,
     REQUEST_RECEIVE_TIMEOUT_S,
+    SMALL_CHUNKS_PAUSE_S,
 )
 from wagtailbay.transport.models import Request
 from wagtailbay.transport.wire import decode_headers, fits_header_limits
@@ -47,7 +49,7 @@
         fields: HeaderFields = []
         body = bytearray()
         deadline_s = trio.current_time() + self.idle_timeout_s
-        waited = False
+        waited, chunks_since_wait = False, 0
         while True:
             try:
                 event = self.protocol.next_event()
@@ -67,6 +69,10 @@
                 head = event
             elif kind is h11.Data:
                 body += event.data
+                chunks_since_wait += 1
+                if chunks_since_wait >= MAX_CHUNKS_BETWEEN_WAITS:
+                    chunks_since_wait = 0
+                    await trio.sleep(SMALL_CHUNKS_PAUSE_S)
                 if len(body) > self.max_body_bytes:
                     message = f"the body exceeds {self.max_body_bytes} bytes"
                     return Err(BadRequest(413, "body_too_large", message))
@@ -78,7 +84,7 @@
             elif event is not h11.NEED_DATA:
                 return None
             else:
-                waited = True
+                waited, chunks_since_wait = True, 0
                 if not await self._receive_bytes(deadline_s, head is None):
                     return None if head is None else Err(REQUEST_TIMED_OUT)
 
