Bound the memory that request bodies take together

Bodies are held whole, and nothing counted them together; on the way to the target each was copied once more.

BodyBudget counts the bytes of all bodies of a process. A body with a stated length waits for room before it is read, for as long as a body may take to arrive; then, or without a stated length at once, it is refused as not run, with Retry-After. The budget follows the memory that the platform states for the VM (WAGTAILBAY_MEMORY_MB). A large body is sent on without a copy.

--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -43,7 +43,7 @@
     Workspace,
 )
 from wagtailbay.store import MeteredObjectStore, StoreError, StoreUnavailable
-from wagtailbay.transport import ConnectionPool, HttpServer
+from wagtailbay.transport import BodyBudget, ConnectionPool, HttpServer
 
 REPLICATED_PREFIXES = (ROUTING_PREFIX, TARGET_PREFIX, ROLLOUT_PREFIX, EVACUATION_PREFIX)
 # Evacuations and rollouts take effect within 5 s, other changes within 2.5 s.
@@ -56,10 +56,20 @@
 # effect only after 2.9 s, when the other VMs found their replicas stale.
 WATCHERS_PER_REGION = 2
 MAX_IDLE_CONNECTIONS = 32
+# Memory of a process without the bodies of requests, with a large configuration.
+BASE_MEMORY_MB = 120
+# A body is held twice for a moment, when it is complete.
+BODY_COPIES = 2
+BYTES_PER_MB = 1_000_000
 # Fraction of the store's read rate that VMs without fresh peers may use to list it.
 MAX_LIST_RATE_FRACTION = 0.25
 
 
+def build_body_budget(memory_mb: int) -> BodyBudget:
+    """Return the budget for the bodies of requests in a process with the given memory."""
+    return BodyBudget(max(0, memory_mb - BASE_MEMORY_MB) * BYTES_PER_MB / BODY_COPIES)
+
+
 @define
 class GatewayBuilder:
     """Builds the components of a gateway VM without starting any task."""
@@ -116,7 +126,7 @@
             quota=handler.quota,
             handler=handler,
             pool=pool,
-            server=HttpServer(handler.handle),
+            server=HttpServer(handler.handle, body_budget=build_body_budget(settings.memory_mb)),
         )
 
     def _build_handler(
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -70,6 +70,11 @@
         default=6000,
         parse=parse_duration_ms,
     )
+    memory_mb: int = setting(
+        help_text="memory that the process may use, in MB; limits the bodies that it holds",
+        default=300,
+        parse=int,
+    )
     first_start: bool = setting(
         help_text="whether the whole fleet starts for the first time: true or false",
         default=False,
--- a/src/wagtailbay/transport/__init__.py
+++ b/src/wagtailbay/transport/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client and server on trio streams, built on h11."""
 
 from wagtailbay.transport.accept import accept_connections, open_listener
+from wagtailbay.transport.body_budget import BodyBudget
 from wagtailbay.transport.client import ClientConnection, open_connection
 from wagtailbay.transport.models import (
     FailureKind,
@@ -16,6 +17,7 @@
 from wagtailbay.transport.server import HttpServer
 
 __all__ = [
+    "BodyBudget",
     "CallerDisconnectedError",
     "ClientConnection",
     "ConnectionPool",
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -16,6 +16,7 @@
     MAX_DISCARDED_BYTES,
     MAX_HEADER_BYTES,
     MAX_INFORMATIONAL_RESPONSES,
+    MAX_JOINED_BODY_BYTES,
     MAX_RESPONSE_BODY_BYTES,
     MAX_SKIPPED_RESPONSES,
     MIN_DENSE_CHUNK_BYTES,
@@ -102,13 +103,18 @@
             self.request_head = encode_request_head(request, self.address)
             data = self.protocol.send(self.request_head) or b""
             if request.body:
-                data += self.protocol.send(h11.Data(data=request.body)) or b""
-            data += self.protocol.send(END_OF_MESSAGE) or b""
+                # The body follows its stated length unchanged; a copy could be very large.
+                self.protocol.send_with_data_passthrough(h11.Data(data=request.body))
+            self.protocol.send(END_OF_MESSAGE)
         except h11.LocalProtocolError as error:
             return Err(self.make_error(FailureKind.PROTOCOL, str(error)))
         try:
             self.request_sent = True
+            if len(request.body) <= MAX_JOINED_BODY_BYTES:
+                data += request.body
             await send_remaining(self.stream, data, send_nowait(self.stream, data))
+            if len(request.body) > MAX_JOINED_BODY_BYTES:
+                await self.stream.send_all(request.body)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             return Err(self.make_error(FailureKind.CLOSED, f"while sending: {error}"))
         return await self._receive_head()
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -36,3 +36,5 @@
 # A response is cut after this many such chunks if their mean size is smaller than the second value.
 MAX_DENSE_CHUNKS: Final = 8_192
 MIN_DENSE_CHUNK_BYTES: Final = 64
+# A request body up to this size is sent together with its head, in one system call.
+MAX_JOINED_BODY_BYTES: Final = 65_536
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -5,6 +5,7 @@
 from attrs import define, frozen
 from result import Err, Ok, Result
 
+from wagtailbay.transport.body_budget import BodyBudget
 from wagtailbay.transport.connection_reader import ConnectionReader
 from wagtailbay.transport.const import (
     IDLE_CONNECTION_TIMEOUT_S,
@@ -28,20 +29,57 @@
     status: int
     code: str
     message: str
+    retry_after_s: float | None = None
 
 
+BODY_MEMORY_EXHAUSTED = BadRequest(
+    503, "vm_overloaded", "the bodies of other requests use the memory of this VM", 1.0
+)
 REQUEST_TIMED_OUT = BadRequest(408, "request_timeout", "the request did not arrive in time")
 
 
 @define
 class RequestReceiver:
-    """Receiver of successive requests on a caller's connection."""
+    """Receiver of successive requests on a caller's connection.
+
+    Attributes:
+        body_budget: Memory that bodies may take, shared with all connections of the process.
+        reserved_bytes: Part of it that the current request holds, until ``release_body``.
+    """
 
     reader: ConnectionReader
     protocol: h11.Connection
     max_body_bytes: int
+    body_budget: BodyBudget
     idle_timeout_s: float = IDLE_CONNECTION_TIMEOUT_S
     receive_timeout_s: float = REQUEST_RECEIVE_TIMEOUT_S
+    reserved_bytes: int = 0
+
+    def release_body(self) -> None:
+        """Give back the memory of the current request's body."""
+        self.body_budget.release(self.reserved_bytes)
+        self.reserved_bytes = 0
+
+    async def _reserve_stated_length(self, fields: HeaderFields) -> bool:
+        """Wait for the memory of a body whose length is stated; return False after the timeout."""
+        length = next((value for name, value in fields if name == b"content-length"), b"0")
+        size_bytes = min(int(length), self.max_body_bytes)
+        if not await self.body_budget.reserve(size_bytes, self.receive_timeout_s):
+            return False
+        self.reserved_bytes = size_bytes
+        return True
+
+    def _reserve_received(self, received_bytes: int) -> bool:
+        """Reserve the memory of a body in chunks as it grows, without waiting.
+
+        Two such bodies that waited for each other would both time out.
+        """
+        missing_bytes = received_bytes - self.reserved_bytes
+        if missing_bytes > 0:
+            if not self.body_budget.try_reserve(missing_bytes):
+                return False
+            self.reserved_bytes = received_bytes
+        return True
 
     async def receive(self) -> Result[Request, BadRequest] | None:
         """Receive a whole request, or None if the connection closed or stayed idle."""
@@ -66,6 +104,8 @@
                 bad_request = check_request_head(event, fields)
                 if bad_request is not None:
                     return Err(bad_request)
+                if not await self._reserve_stated_length(fields):
+                    return Err(BODY_MEMORY_EXHAUSTED)
                 head = event
             elif kind is h11.Data:
                 body += event.data
@@ -76,6 +116,8 @@
                 if len(body) > self.max_body_bytes:
                     message = f"the body exceeds {self.max_body_bytes} bytes"
                     return Err(BadRequest(413, "body_too_large", message))
+                if not self._reserve_received(len(body)):
+                    return Err(BODY_MEMORY_EXHAUSTED)
             elif kind is h11.EndOfMessage and head is not None:
                 if not waited:
                     # Lets other tasks run while the caller pipelines many requests.
--- a/src/wagtailbay/transport/reply.py
+++ b/src/wagtailbay/transport/reply.py
@@ -113,8 +113,10 @@
         )
 
 
-async def send_error(reply: Reply, status: int, code: str, message: str, run: str) -> None:
+async def send_error(
+    reply: Reply, status: int, code: str, message: str, run: str, headers: Headers = ()
+) -> None:
     """Send an error response that closes the connection; run is ``not_run`` or ``unknown``."""
     error = {"code": code, "message": message, "run": run}
-    headers = (("Wagtailbay-Run", run.replace("_", "-")), ("Connection", "close"))
-    await reply.send_json(status, {"error": error}, headers)
+    common = (("Wagtailbay-Run", run.replace("_", "-")), ("Connection", "close"))
+    await reply.send_json(status, {"error": error}, (*headers, *common))
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -3,6 +3,7 @@
 import traceback
 from collections.abc import Awaitable, Callable
 from functools import partial
+from math import inf
 from typing import Any
 
 import h11
@@ -14,6 +15,7 @@
 from wagtailbay.logs import log_event
 from wagtailbay.supervision import run_isolated
 from wagtailbay.transport.accept import accept_connections, accept_pending, open_listener
+from wagtailbay.transport.body_budget import BodyBudget
 from wagtailbay.transport.connection_reader import ConnectionReader
 from wagtailbay.transport.const import (
     DRAIN_POLL_INTERVAL_S,
@@ -24,7 +26,7 @@
     MAX_REQUEST_BODY_BYTES,
     REQUEST_RECEIVE_TIMEOUT_S,
 )
-from wagtailbay.transport.models import Request
+from wagtailbay.transport.models import Headers, Request
 from wagtailbay.transport.receive import BadRequest, RequestReceiver
 from wagtailbay.transport.reply import CallerDisconnectedError, Reply, send_error
 
@@ -41,6 +43,7 @@
         max_body_bytes: Maximum size of a request body.
         idle_timeout_s: Time limit for the head of the next request.
         receive_timeout_s: Time limit for the body after the head.
+        body_budget: Memory that the bodies of all requests may take together.
         accept_scope: Cancelled to stop accepting connections.
         draining: Set when the server stops; each connection then closes after its current request.
         open_requests: Number of requests being served.
@@ -54,6 +57,7 @@
     max_body_bytes: int = MAX_REQUEST_BODY_BYTES
     idle_timeout_s: float = IDLE_CONNECTION_TIMEOUT_S
     receive_timeout_s: float = REQUEST_RECEIVE_TIMEOUT_S
+    body_budget: BodyBudget = field(factory=lambda: BodyBudget(inf))
     accept_scope: trio.CancelScope = field(factory=trio.CancelScope)
     draining: trio.Event = field(factory=trio.Event)
     open_requests: int = 0
@@ -123,7 +127,12 @@
     async def _serve_requests(self, reader: ConnectionReader) -> None:
         protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
         receiver = RequestReceiver(
-            reader, protocol, self.max_body_bytes, self.idle_timeout_s, self.receive_timeout_s
+            reader,
+            protocol,
+            self.max_body_bytes,
+            self.body_budget,
+            self.idle_timeout_s,
+            self.receive_timeout_s,
         )
         try:
             while await self._serve_request(receiver):
@@ -135,20 +144,33 @@
         """Serve one request; return whether the connection can carry another."""
         reader, protocol = receiver.reader, receiver.protocol
         reply = Reply(reader.stream, protocol, self.draining.is_set)
-        received = await receiver.receive()
-        if received is None:
-            return False
-        match received:
-            case Err(BadRequest(status=status, code=code, message=message)):
-                await send_error(reply, status, code, message, "not_run")
-                await lingering_close(reader)
+        try:
+            received = await receiver.receive()
+            if received is None:
                 return False
-            case Ok(request):
-                reply.bodiless = request.method == "HEAD"
-                await self._handle(request, reply, reader)
+            match received:
+                case Err(bad_request):
+                    await self._reject(bad_request, reply, reader)
+                    return False
+                case Ok(request):
+                    reply.bodiless = request.method == "HEAD"
+                    await self._handle(request, reply, reader)
+        finally:
+            receiver.release_body()
         reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         return reply.finished and reusable and not self.draining.is_set()
 
+    @staticmethod
+    async def _reject(bad_request: BadRequest, reply: Reply, reader: ConnectionReader) -> None:
+        """Send the error response to a request that was not passed to the handler."""
+        headers: Headers = ()
+        if bad_request.retry_after_s is not None:
+            headers = (("Retry-After", f"{bad_request.retry_after_s:g}"),)
+        await send_error(
+            reply, bad_request.status, bad_request.code, bad_request.message, "not_run", headers
+        )
+        await lingering_close(reader)
+
     async def _handle(self, request: Request, reply: Reply, reader: ConnectionReader) -> None:
         """Run the handler until it returns or the caller disconnects, which cancels the connection.
 
