Close connections to targets once they are too old to be used again

Connections to targets that had left stayed in the pool for good: a connection was looked at only when a request for its address came. Housekeeping now closes each second what has been idle for longer than a request may reuse it, so that nothing changes for requests.

--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from wagtailbay.clock import boottime_s
+from wagtailbay.gateway.const import MAX_IDLE_S
 from wagtailbay.gateway.handler import GatewayHandler
 from wagtailbay.locate import near_vms
 from wagtailbay.locate.const import NEAR_TTL_MS
@@ -111,6 +112,7 @@
             now_s = boottime_s()
             self.registry.prune_removed(now_s)
             self.selector.prune()
+            await self.pool.close_idle(MAX_IDLE_S)
             live_vm_count = len(live_members(self.fleet.roster, now_s))
             log_event("state", live_vms=live_vm_count, targets=len(self.registry.targets))
 
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -123,6 +123,20 @@
         sent = connection is not None and connection.request_sent
         return Err(TransportError(FailureKind.TIMEOUT, f"{address}: {timeout_ms} ms", sent))
 
+    async def close_idle(self, max_idle_s: float) -> None:
+        """Close the connections that were unused for longer, also to servers that are gone."""
+        now_s = trio.current_time()
+        expired: list[ClientConnection] = []
+        for address, connections in list(self.idle.items()):
+            kept = [item for item in connections if now_s - item.released_s <= max_idle_s]
+            expired += [item for item in connections if now_s - item.released_s > max_idle_s]
+            if kept:
+                self.idle[address] = kept
+            else:
+                del self.idle[address]
+        for connection in expired:
+            await connection.close()
+
     async def close(self) -> None:
         """Close all idle connections."""
         for idle_connections in self.idle.values():
--- a/tests/transport/test_dropped_connections.py
+++ b/tests/transport/test_dropped_connections.py
@@ -66,3 +66,39 @@
         assert pool.idle_limit_expires_s == 0.0
         await connection.close()
         await listener.aclose()
+
+
+class TestIdleConnections:
+    """Connections that nobody uses any more are closed."""
+
+    async def test_connections_to_servers_that_left_are_closed(self, nursery):
+        """Guards against using up all descriptors while targets are replaced (KNOWN-RED 8)."""
+        pool, ended = ConnectionPool(), []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            async for _ in stream:
+                await stream.send_all(RESPONSE)
+            ended.append(stream)
+
+        for _ in range(3):
+            listeners = await nursery.start(trio.serve_tcp, serve, 0)
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            assert (await pool.fetch(address, REQUEST, 5_000)).is_ok()
+        await pool.close_idle(max_idle_s=60.0)
+        assert sum(len(connections) for connections in pool.idle.values()) == 3
+        await trio.sleep(0.05)
+        await pool.close_idle(max_idle_s=0.02)
+        assert pool.idle == {}
+        with trio.fail_after(30):
+            while len(ended) < 3:
+                await trio.sleep(0.01)
+
+    async def test_used_connection_is_kept(self, nursery):
+        """Guards against closing a connection that the next request could use."""
+        pool = ConnectionPool()
+        listeners = await nursery.start(trio.serve_tcp, IdleResettingServer().serve, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        for _ in range(2):
+            assert (await pool.fetch(address, REQUEST, 5_000)).is_ok()
+        await pool.close_idle(max_idle_s=5.0)
+        assert [len(connections) for connections in pool.idle.values()] == [1]
