Refuse tied crashing requests for longer after each further crash

A bystander is cleared by its first answer, so requests that go on crashing targets together are all guilty. The time now grows fourfold with each crash beyond the second, up to the term of the quarantine.

--- a/src/wagtailbay/quarantine/const.py
+++ b/src/wagtailbay/quarantine/const.py
@@ -9,6 +9,8 @@
 CRASH_DEDUPLICATION_S: Final = 2.0
 # Refusal time of requests whose crashed targets are identical, since one of them may be harmless.
 TIED_QUARANTINE_S: Final = 5.0
+# The refusal time is multiplied by this with each further crash.
+TIED_QUARANTINE_FACTOR: Final = 4.0
 # Maximum wait of a suspect for another suspect that is running on this VM.
 MAX_SUSPECT_WAIT_S: Final = 1.0
 # Interval at which the facts of other VMs are counted. With 0.1 s, a request that was resent to
--- a/src/wagtailbay/quarantine/table.py
+++ b/src/wagtailbay/quarantine/table.py
@@ -2,7 +2,8 @@
 
 Every request in flight on a crashing target loses its connection. Three rules separate the request
 that caused the crash from the bystanders: a complete answer clears a request, suspects run one
-after another on each VM, and requests that crashed identical targets are refused only briefly.
+after another on each VM, and requests that crashed identical targets are refused only briefly, but
+for longer after each further crash.
 """
 
 from collections import Counter
@@ -18,6 +19,7 @@
     MAX_DESCRIPTION_LENGTH,
     MAX_OWN_SUSPECTS,
     QUARANTINE_TERM_S,
+    TIED_QUARANTINE_FACTOR,
     TIED_QUARANTINE_S,
 )
 from wagtailbay.quarantine.models import CrashCount, QuarantinedRequest
@@ -103,7 +105,10 @@
         left_s = count.expires_s - now_s
         if not self._is_tied(fingerprint, count):
             return left_s
-        return min(left_s, self.crash_count_since[fingerprint][1] + TIED_QUARANTINE_S - now_s)
+        # Requests that go on crashing the same targets are all guilty, however often they are tied.
+        repeated = count.crashes - CRASHES_TO_REFUSE
+        tied_s = min(QUARANTINE_TERM_S, TIED_QUARANTINE_S * TIED_QUARANTINE_FACTOR**repeated)
+        return min(left_s, self.crash_count_since[fingerprint][1] + tied_s - now_s)
 
     def _is_tied(self, fingerprint: str, count: FleetCrashCount) -> bool:
         return any(
--- a/tests/quarantine/test_crash_table.py
+++ b/tests/quarantine/test_crash_table.py
@@ -85,6 +85,22 @@
         crashes.record_answer("bystander", later_s)
         assert crashes.is_refused("crashing", later_s), "the crashing request is no longer tied"
 
+    def test_tied_requests_that_go_on_crashing_are_refused_for_longer(self) -> None:
+        """Guards against two crashing requests that are let through again and again (KNOWN-RED 10).
+
+        Each is repeated every second, and crashes the same target as the other one.
+        """
+        crashes = create_table()
+        crashed_s = []
+        for now_s in map(float, range(10, 310)):
+            if crashes.is_refused("first", now_s):
+                assert crashes.is_refused("second", now_s)
+                continue
+            crashed_s.append(now_s)
+            for name in ("first", "second"):
+                crashes.record_crash(name, f"t{len(crashed_s)}", "", now_s)
+        assert len([at_s for at_s in crashed_s if at_s > crashed_s[2]]) <= 3
+
     def test_table_is_bounded(self) -> None:
         """Guards against unbounded memory use by crash counts."""
         crashes = create_table()
