--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -15,6 +15,7 @@
     WORK_RANGE_S,
 )
 from wagtailbay_bench.soak.models import History, Run
+from wagtailbay_standins.link import reset_on_close
 
 REFUSAL_HEADERS: Final = ("Not-Executed: 1",)
 
@@ -50,8 +51,7 @@
     async def close(self, reset: bool = False) -> None:
         """Close the connection, with a reset if asked."""
         if reset:
-            linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
-            self.stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+            reset_on_close(self.stream)
         self.stream.socket.close()
 
     async def send_without_end(self, start: str, chunk: str) -> None:
--- a/src/wagtailbay_standins/link.py
+++ b/src/wagtailbay_standins/link.py
@@ -2,13 +2,14 @@
 
 Each link listens on one address and forwards bytes to an upstream address. ``PUT /standin/links``
 at the control address with ``{"<name>": {...}}`` changes several links together: ``delay_ms`` sets
-the one-way delay, ``cut`` refuses new connections and closes existing ones, and ``frozen`` accepts
+the one-way delay, ``cut`` refuses new connections and resets existing ones, and ``frozen`` accepts
 and keeps connections but forwards nothing. A link also refuses connections while its upstream
 does, except the first one after the upstream stops listening, which is accepted and closed.
 """
 
 import json
 import os
+import struct
 import sys
 from functools import partial
 
@@ -101,6 +102,10 @@
             nursery.start_soon(self._cancel_when_cut, nursery.cancel_scope)
             nursery.start_soon(self._forward, client, upstream, nursery.cancel_scope)
             nursery.start_soon(self._forward, upstream, client, nursery.cancel_scope)
+        if nursery.cancel_scope.cancelled_caught:
+            # A clean end would make a response without a length look complete.
+            reset_on_close(client)
+            reset_on_close(upstream)
         await trio.aclose_forcefully(client)
         await trio.aclose_forcefully(upstream)
 
@@ -136,6 +141,12 @@
         await destination.send_eof()
 
 
+def reset_on_close(stream: trio.SocketStream) -> None:
+    """Let the close of a connection reset it."""
+    linger = struct.pack("ii", 1, 0)
+    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+
+
 @frozen
 class LinkSettings:
     """Run proxies that stand in for the network between processes."""
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,80 @@
+"""Short seeded soaks of real gateway processes, and tests that their checks can fail."""
+
+import pytest
+from attrs import evolve
+
+from wagtailbay_bench.soak.checks import find_violations
+from wagtailbay_bench.soak.models import Exchange, History, Run, Signal, SoakSize
+from wagtailbay_bench.soak.scenario import record_history
+
+SIZE = SoakSize(duration_s=12.0)
+SOUND = Exchange("c0-1", False, "vm-1", 10.0, 10.5, 200, "t1.c0-1/200", b"c0-1 t1")
+RUN = Run("c0-1", "t1", 10.1, False)
+
+
+def find_rules(history: History) -> list[str]:
+    """Return the rules that a history breaks."""
+    return [violation.rule for violation in find_violations(history)]
+
+
+class TestSeededSoak:
+    """Callers are told the truth while targets, links and processes misbehave."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3, 6])
+    async def test_no_promise_is_broken(self, seed):
+        """Guards against the faults of issue 28, which these seeds found.
+
+        1: REFUSED and TWICE, statuses without proof and repeated refusals. 2: MIXED, an answer
+        to another request. 3: LOST, a second SIGTERM. 6: LOST, a request complete late in the
+        grace.
+        """
+        history = await record_history(seed, SIZE)
+        assert find_violations(history) == [], f"seed={seed} faults={history.faults}"
+        assert sum(exchange.status == 200 for exchange in history.exchanges) > 50
+
+
+class TestChecks:
+    """Each check finds a history that breaks its promise."""
+
+    def test_sound_history_has_no_violation(self):
+        """Guards against checks that always fail."""
+        assert find_rules(History(exchanges=[SOUND], runs=[RUN])) == []
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_refused_request_that_ran(self, status):
+        """Guards against missing a promise that is not true."""
+        refused = evolve(SOUND, status=status, seal="", body=b"")
+        assert find_rules(History(exchanges=[refused], runs=[RUN])) == ["REFUSED"]
+        assert find_rules(History(exchanges=[refused])) == []
+
+    def test_deposit_that_ran_twice(self):
+        """Guards against missing a second run."""
+        runs = [RUN, evolve(RUN, target="t2")]
+        assert find_rules(History(exchanges=[SOUND], runs=runs)) == ["TWICE"]
+        read = evolve(SOUND, idempotent=True)
+        assert find_rules(History(exchanges=[read], runs=runs)) == []
+
+    def test_answer_of_another_request(self):
+        """Guards against missing a foreign or changed answer."""
+        foreign = evolve(SOUND, body=b"c0-10 t1")
+        assert find_rules(History(exchanges=[foreign], runs=[RUN])) == ["MIXED"]
+        changed = evolve(SOUND, status=502)
+        assert find_rules(History(exchanges=[changed], runs=[RUN])) == ["MIXED"]
+
+    def test_process_that_ended_or_grew(self):
+        """Guards against missing a process that ends by itself or uses too much memory."""
+        ended = Signal("vm-1", "ended with status 1", 3.0)
+        assert find_rules(History(signals=[ended])) == ["ENDED"]
+        assert find_rules(History(peak_resident_mb={"vm-1": 250.0})) == ["MEMORY"]
+
+    @pytest.mark.parametrize(
+        ("sent_s", "cut_s", "rules"),
+        [(8.0, 9.0, ["LOST"]), (12.0, 12.4, ["LOST"]), (9.0, 12.8, []), (11.5, 12.8, ["LOST"])],
+    )
+    def test_request_that_a_planned_stop_cut(self, sent_s, cut_s, rules):
+        """Guards against missing a cut request; long ones that came early may be cut at the end."""
+        cut = evolve(SOUND, passed_s=sent_s, ended_s=cut_s, status=None, body=b"", seal="")
+        stop = Signal("vm-1", "SIGTERM", 7.0)
+        history = History(planned_only=True, exchanges=[cut], runs=[RUN], signals=[stop])
+        assert find_rules(history) == rules
+        assert find_rules(History(exchanges=[cut], runs=[RUN], signals=[stop])) == []
