--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,9 +24,8 @@
     async def test_no_promise_is_broken(self, seed):
         """Guards against the faults of issue 28, which these seeds found.
 
-        1: REFUSED and TWICE, statuses without proof and repeated refusals. 2: MIXED, an answer
-        to another request. 3: LOST, a second SIGTERM. 6: LOST, a request complete late in the
-        grace.
+        1: REFUSED and TWICE, 503 and 429 for deposits that ran. 2: REFUSED, 408 and 503. 3: LOST, a
+        second SIGTERM. 6: LOST, a request that was complete only late in the grace.
         """
         history = await record_history(seed, SIZE)
         assert find_violations(history) == [], f"seed={seed} faults={history.faults}"
