Do not let requests with small bodies wait for the memory of large ones

BodyBudget counted every body, so that a request without one waited, and was refused after the time for a body, while an upload larger than the budget was held. Bodies up to 16 KiB are not counted; 4,100 connections hold 67 MB of them at most.

test_small_requests_do_not_wait_for_large_ones failed before.

--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -38,3 +38,5 @@
 MIN_DENSE_CHUNK_BYTES: Final = 64
 # A request body up to this size is sent together with its head, in one system call.
 MAX_JOINED_BODY_BYTES: Final = 65_536
+# Requests with small bodies do not wait for the memory that large ones hold.
+MAX_UNCOUNTED_BODY_BYTES: Final = 16_384
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -12,6 +12,7 @@
     MAX_CHUNKS_BETWEEN_WAITS,
     MAX_HEADER_BYTES,
     MAX_HEADER_FIELDS,
+    MAX_UNCOUNTED_BODY_BYTES,
     REQUEST_RECEIVE_TIMEOUT_S,
     SMALL_CHUNKS_PAUSE_S,
 )
@@ -64,6 +65,8 @@
         """Wait for the memory of a body whose length is stated; return False after the timeout."""
         length = next((value for name, value in fields if name == b"content-length"), b"0")
         size_bytes = min(int(length), self.max_body_bytes)
+        if size_bytes <= MAX_UNCOUNTED_BODY_BYTES:
+            return True
         if not await self.body_budget.reserve(size_bytes, self.receive_timeout_s):
             return False
         self.reserved_bytes = size_bytes
@@ -75,7 +78,7 @@
         Two such bodies that waited for each other would both time out.
         """
         missing_bytes = received_bytes - self.reserved_bytes
-        if missing_bytes > 0:
+        if received_bytes > MAX_UNCOUNTED_BODY_BYTES and missing_bytes > 0:
             if not self.body_budget.try_reserve(missing_bytes):
                 return False
             self.reserved_bytes = received_bytes
--- a/tests/transport/test_body_budget.py
+++ b/tests/transport/test_body_budget.py
@@ -107,6 +107,21 @@
         assert statuses == [200]
         assert server.body_budget.held_bytes == 0
 
+    async def test_small_requests_do_not_wait_for_large_ones(self, nursery):
+        """Guards against one large upload that delays or refuses all other callers."""
+        held = HeldRequests()
+        server, address = await start_server(nursery, held.handle, receive_timeout_s=0.2)
+        with trio.fail_after(WAIT_S):
+            nursery.start_soon(upload, address, False, [], 1_000_000)
+            while not held.running:
+                await trio.sleep(0.01)
+            for chunked in (False, True):
+                nursery.start_soon(upload, address, chunked, [], 1_000)
+            nursery.start_soon(upload, address, False, [], 0)
+            while held.running < 4:
+                await trio.sleep(0.01)
+            held.released.set()
+
     async def test_memory_is_given_back_when_a_caller_leaves(self, nursery):
         """Guards against a budget that shrinks with each broken upload."""
         held = HeldRequests()
