--- a/src/wagtailbay_bench/soak/callers.py
+++ b/src/wagtailbay_bench/soak/callers.py
@@ -77,7 +77,7 @@
                     await trio.sleep(self.random.uniform(*SLOW_BODY_RANGE_S))
                     data = BODY
                 await stream.send_all(data)
-                exchange.passed_s = trio.current_time()
+                exchange.sent_s = trio.current_time()
                 await _receive(stream, protocol, exchange)
         except (trio.BrokenResourceError, trio.TooSlowError, OSError, h11.RemoteProtocolError):
             exchange.status = None
--- a/src/wagtailbay_bench/soak/checks.py
+++ b/src/wagtailbay_bench/soak/checks.py
@@ -9,6 +9,7 @@
     LATE_REQUEST_S,
     MAX_RESIDENT_MB,
     PROMISE_STATUSES,
+    STOP_S,
 )
 from wagtailbay_bench.soak.models import Exchange, History, Run, Violation
 
@@ -82,16 +83,16 @@
         runs = runs_by_id.get(exchange.request_id, [])
         if exchange.status is not None or not runs:
             continue
-        started_s = [at_s for at_s in stops[exchange.vm] if at_s <= exchange.ended_s]
-        if started_s:
-            # Signals that follow within the grace belong to the same stop.
-            stop_s = min(at_s for at_s in started_s if exchange.ended_s - at_s < GRACE_S + 1)
-            came_early = exchange.passed_s <= stop_s + LATE_REQUEST_S
+        # Signals that follow within the grace belong to the same stop.
+        recent_s = [at_s for at_s in stops[exchange.vm] if 0 <= exchange.ended_s - at_s < STOP_S]
+        if recent_s:
+            stop_s = min(recent_s)
+            came_early = exchange.sent_s <= stop_s + LATE_REQUEST_S
             at_end = exchange.ended_s >= stop_s + GRACE_S * (1 - GRACE_LAST_FRACTION)
             if came_early and at_end:
                 continue
             since = (
-                f"sent {exchange.passed_s - stop_s:.2f} s and cut {exchange.ended_s - stop_s:.2f} s"
+                f"sent {exchange.sent_s - stop_s:.2f} s and cut {exchange.ended_s - stop_s:.2f} s"
             )
             yield Violation("LOST", f"{_describe(exchange, runs)} {since} after SIGTERM")
         else:
--- a/src/wagtailbay_bench/soak/const.py
+++ b/src/wagtailbay_bench/soak/const.py
@@ -14,6 +14,8 @@
 GRACE_END_SLACK_S: Final = 0.1
 # A gateway may cut what a target still works on in this last part of the grace.
 GRACE_LAST_FRACTION: Final = 1 / 6
+# From SIGTERM until the process is certainly gone.
+STOP_S: Final = GRACE_S + 1.0
 # Requests sent later than this after SIGTERM must not be passed on and cut.
 LATE_REQUEST_S: Final = 3.0
 TARGET_SLOTS: Final = 9
--- a/src/wagtailbay_bench/soak/models.py
+++ b/src/wagtailbay_bench/soak/models.py
@@ -5,16 +5,11 @@
 
 @frozen
 class Run:
-    """A request that a target began to work on.
-
-    Attributes:
-        faulty: Whether the target answered it wrongly on purpose.
-    """
+    """A request that a target began to work on."""
 
     request_id: str
     target: str
     started_s: float
-    faulty: bool
 
 
 @define
@@ -23,14 +18,14 @@
 
     Attributes:
         status: Status of the complete response, None if the connection ended without one.
-        passed_s: When its sending was complete.
+        sent_s: When its last byte was sent.
         seal: Seal of the target's response, empty if there is none.
     """
 
     request_id: str
     idempotent: bool
     vm: str
-    passed_s: float
+    sent_s: float
     ended_s: float = 0.0
     status: int | None = None
     seal: str = ""
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -221,8 +221,7 @@
         try:
             async with self.slots:
                 is_faulty = bool(self.faults) and self.random.random() < self.fault_share
-                now_s = trio.current_time()
-                run = Run(exchange.request_id, self.name, now_s, is_faulty or bool(copy))
+                run = Run(exchange.request_id, self.name, trio.current_time())
                 self.history.runs.append(run)
                 work_s = self.random.uniform(*self.work_range_s)
                 await trio.sleep(work_s / 2)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 
 SIZE = SoakSize(duration_s=12.0)
 SOUND = Exchange("c0-1", False, "vm-1", 10.0, 10.5, 200, "t1.c0-1/200", b"c0-1 t1")
-RUN = Run("c0-1", "t1", 10.1, False)
+RUN = Run("c0-1", "t1", 10.1)
 
 
 def find_rules(history: History) -> list[str]:
@@ -72,7 +72,7 @@
     )
     def test_request_that_a_planned_stop_cut(self, sent_s, cut_s, rules):
         """Guards against missing a cut request; long ones that came early may be cut at the end."""
-        cut = evolve(SOUND, passed_s=sent_s, ended_s=cut_s, status=None, body=b"", seal="")
+        cut = evolve(SOUND, sent_s=sent_s, ended_s=cut_s, status=None, body=b"", seal="")
         stop = Signal("vm-1", "SIGTERM", 7.0)
         history = History(planned_only=True, exchanges=[cut], runs=[RUN], signals=[stop])
         assert find_rules(history) == rules
