--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -84,21 +84,10 @@
     random = Random(seed)
     api = ObjectApiStandin()
     api.put_spec("config", "main", build_config())
-    zones = list(ZONES)
     with ProcessGroup() as group:
         async with trio.open_nursery() as nursery:
             store_address = await nursery.start(api.serve)
-            links = []
-            for number in range(size.targets):
-                target = SoakTarget(f"t{number}", history, Random(random.random()))
-                if not history.planned_only:
-                    target.faults, target.fault_share = faults, FAULT_SHARE
-                    target.repeat_share = REPEAT_SHARE
-                address = await nursery.start(target.serve)
-                link = await _start_link(nursery, address)
-                links.append(link)
-                fields = build_registration(link.listen_address, zones[number % len(zones)])
-                api.put_fields("servers", target.name, fields)
+            links = await _start_targets(nursery, size, history, random, faults, api)
             vms = await _start_vms(size.vms, group, history, store_address)
             fronts = []
             for vm in vms:
@@ -124,6 +113,27 @@
     }
 
 
+async def _start_targets(
+    nursery: trio.Nursery,
+    size: SoakSize,
+    history: History,
+    random: Random,
+    faults: tuple[str, ...],
+    api: ObjectApiStandin,
+) -> list[Link]:
+    """Start and register the targets; return the links that lead to them."""
+    zones, links = list(ZONES), []
+    for number in range(size.targets):
+        target = SoakTarget(f"t{number}", history, Random(random.random()))
+        if not history.planned_only:
+            target.faults, target.fault_share = faults, FAULT_SHARE
+            target.repeat_share = REPEAT_SHARE
+        links.append(await _start_link(nursery, await nursery.start(target.serve)))
+        fields = build_registration(links[-1].listen_address, zones[number % len(zones)])
+        api.put_fields("servers", target.name, fields)
+    return links
+
+
 async def _start_link(nursery: trio.Nursery, upstream_address: str) -> Link:
     link = Link(free_address("127.0.0.1"), upstream_address)
     await nursery.start(link.run)
