Keep the rule for responses without an ID in one place, and call what exists

TargetAttempt repeated the condition under which ClientConnection accepts a response that names no request; it now takes the metadata after send_and_match has accepted one. Idle connections are dropped from the front of their list, which is ordered by release. Three test modules started raw targets apart (start_raw_harness), and one reset connections by hand (reset_on_close). Behaviour and assertions stay.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -109,32 +109,31 @@
         return Request(request.method, request.path, headers, request.body, host=caller.host)
 
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
+        metadata: TargetMetadata | None = None
+
         def identify(head: ResponseHead) -> ResponseOwner:
-            return self._identify_response(head, connection.responses_received - 1)
+            nonlocal metadata
+            metadata = self.header_codec.decode_target(head)
+            owner = self._find_owner(metadata)
+            earlier_responses = connection.responses_received - 1
+            self.evidence.append(
+                ResponseEvidence(head.status, metadata.not_run, owner, earlier_responses)
+            )
+            return owner
 
         received = await connection.send_and_match(self._build_request(), identify)
         if isinstance(received, Err):
             return self._handle_error(received.err_value)
+        # Only now is it known that the last response belongs to this request.
+        self.metadata = metadata
         return await self._receive_response(connection, received.ok_value)
 
-    def _identify_response(self, head: ResponseHead, earlier_responses: int) -> ResponseOwner:
-        """Return to which request a response belongs; store its metadata unless it is another."""
-        metadata = self.header_codec.decode_target(head)
+    def _find_owner(self, metadata: TargetMetadata) -> ResponseOwner:
+        """Return to which request a response belongs."""
         own_id = self.request.caller.request_id
         if not own_id or not metadata.request_id:
-            owner = ResponseOwner.UNNAMED
-        elif metadata.request_id == own_id:
-            owner = ResponseOwner.THIS
-        else:
-            owner = ResponseOwner.OTHER
-        self.evidence.append(
-            ResponseEvidence(head.status, metadata.not_run, owner, earlier_responses)
-        )
-        if owner is ResponseOwner.THIS or (
-            owner is ResponseOwner.UNNAMED and earlier_responses == 0
-        ):
-            self.metadata = metadata
-        return owner
+            return ResponseOwner.UNNAMED
+        return ResponseOwner.THIS if metadata.request_id == own_id else ResponseOwner.OTHER
 
     async def _receive_response(
         self, connection: ClientConnection, head: ResponseHead
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -128,11 +128,9 @@
         now_s = trio.current_time()
         expired: list[ClientConnection] = []
         for address, connections in list(self.idle.items()):
-            kept = [item for item in connections if now_s - item.released_s <= max_idle_s]
-            expired += [item for item in connections if now_s - item.released_s > max_idle_s]
-            if kept:
-                self.idle[address] = kept
-            else:
+            while connections and now_s - connections[0].released_s > max_idle_s:
+                expired.append(connections.pop(0))
+            if not connections:
                 del self.idle[address]
         for connection in expired:
             await connection.close()
--- a/tests/gateway/test_gateway_target_faults.py
+++ b/tests/gateway/test_gateway_target_faults.py
@@ -6,8 +6,8 @@
 import pytest
 import trio
 from result import Ok
-from support.gateway_harness import WAIT_S, GatewayHarness
-from support.raw_target import RawExchange, RawTarget
+from support.gateway_harness import WAIT_S, GatewayHarness, start_raw_harness
+from support.raw_target import RawExchange
 
 from wagtailbay.gateway.const import MAX_BUFFERED_RESPONSE_BYTES
 from wagtailbay.transport import FailureKind, Request
@@ -46,10 +46,8 @@
 
 
 async def start_harness(nursery, *scripts) -> GatewayHarness:
-    """Return a running gateway with raw targets that run the given scripts."""
-    targets = {f"t{number}": RawTarget(script) for number, script in enumerate(scripts, start=1)}
-    harness = GatewayHarness(targets)
-    await harness.start(nursery)
+    """Return a running gateway with raw targets and a small limit for their responses."""
+    harness = await start_raw_harness(nursery, *scripts)
     harness.node.handler.forwarder.max_response_bytes = MAX_RESPONSE_BYTES
     return harness
 
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -1,8 +1,8 @@
 """Tests of what proves that a refused request has not run (issue 28)."""
 
 import pytest
-from support.gateway_harness import GatewayHarness, get_header
-from support.raw_target import RawExchange, RawTarget
+from support.gateway_harness import get_header, start_raw_harness
+from support.raw_target import RawExchange
 
 from wagtailbay.clock import boottime_s
 
@@ -24,14 +24,6 @@
     return script
 
 
-async def start_harness(nursery, *scripts) -> GatewayHarness:
-    """Return a running gateway with raw targets that run the given scripts."""
-    targets = {f"t{number}": RawTarget(script) for number, script in enumerate(scripts, start=1)}
-    harness = GatewayHarness(targets)
-    await harness.start(nursery)
-    return harness
-
-
 class TestStatusWithoutProof:
     """A status that promises 'not run' reaches a caller only with proof."""
 
@@ -39,7 +31,7 @@
     async def test_unproven_status_of_a_deposit_becomes_502(self, nursery, status):
         """Guards against a caller that repeats a request which a target has run."""
         busy = answer_with(status, "Retry-After: 1")
-        harness = await start_harness(nursery, busy, busy)
+        harness = await start_raw_harness(nursery, busy, busy)
         response = await harness.send_request("/b/x")
         assert response.status == 502
         assert get_header(response, "Response-Seal") is None
@@ -50,7 +42,7 @@
     async def test_proven_refusal_is_sent_to_another_target(self, nursery, status):
         """Guards against failing a request that has not run."""
         refuse = answer_with(status, NOT_RUN)
-        harness = await start_harness(nursery, refuse, refuse)
+        harness = await start_raw_harness(nursery, refuse, refuse)
         response = await harness.send_request("/b/x")
         assert response.status == 503
         assert len(harness.received_requests()) == 2
@@ -58,7 +50,7 @@
     @pytest.mark.parametrize("status", ["429 Busy", "408 Busy"])
     async def test_status_of_a_read_is_returned_unchanged(self, nursery, status):
         """Guards against replacing the answer of a target where a repetition does no harm."""
-        harness = await start_harness(nursery, answer_with(status))
+        harness = await start_raw_harness(nursery, answer_with(status))
         response = await harness.send_request()
         assert response.status == int(status[:3])
         assert get_header(response, "Response-Seal") == "seal"
@@ -66,7 +58,7 @@
     async def test_misdirected_read_is_sent_to_another_target(self, nursery):
         """Guards against failing a read whose target has a new address."""
         misdirected = answer_with("421 Busy")
-        harness = await start_harness(nursery, misdirected, misdirected)
+        harness = await start_raw_harness(nursery, misdirected, misdirected)
         response = await harness.send_request()
         assert len(harness.received_requests()) == 2
         assert response.status == 503
@@ -86,7 +78,7 @@
             await exchange.send(f"HTTP/1.1 503 Busy\r\n{NOT_RUN}\r\nContent-Length: 0\r\n\r\n")
             await answer(exchange)
 
-        harness = await start_harness(nursery, repeat_refusal, repeat_refusal)
+        harness = await start_raw_harness(nursery, repeat_refusal, repeat_refusal)
         for number in range(8):
             received_before = len(harness.received_requests())
             response = await harness.send_request("/b/x", Request_Id=f"id-{number}")
@@ -103,7 +95,7 @@
             previous.append("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
             await answer(exchange)
 
-        harness = await start_harness(nursery, repeat_answer, repeat_answer)
+        harness = await start_raw_harness(nursery, repeat_answer, repeat_answer)
         for number in range(8):
             response = await harness.send_request(Request_Id=f"id-{number}")
             assert response.body != b"old"
@@ -114,7 +106,7 @@
         async def answer_without_id(exchange: RawExchange) -> None:
             await exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
-        harness = await start_harness(nursery, answer_without_id)
+        harness = await start_raw_harness(nursery, answer_without_id)
         for number in range(4):
             response = await harness.send_request("/b/x", Request_Id=f"id-{number}")
             assert (response.status, response.body) == (200, b"ok")
@@ -123,7 +115,7 @@
 
     async def test_request_without_an_id_is_sent_on_a_new_connection(self, nursery):
         """Guards against taking a late copy for the answer to a request that has no ID."""
-        harness = await start_harness(nursery, answer)
+        harness = await start_raw_harness(nursery, answer)
         await harness.send_request("/b/x", Request_Id="id-1")
         response = await harness.send_request("/b/x", Request_Id="")
         assert response.status == 200
@@ -138,7 +130,7 @@
                 await exchange.send(f"HTTP/1.1 503 Busy\r\n{NOT_RUN}\r\nX-Odd: some")
             await answer(exchange)
 
-        harness = await start_harness(
+        harness = await start_raw_harness(
             nursery, answer_after_broken_refusal, answer_after_broken_refusal
         )
         for number in range(8):
@@ -157,7 +149,7 @@
             )
             await exchange.stream.aclose()
 
-        harness = await start_harness(nursery, send_only_other_response)
+        harness = await start_raw_harness(nursery, send_only_other_response)
         response = await harness.send_request("/b/x")
         assert response.status == 502
         (target,) = harness.node.registry.targets.values()
--- a/tests/gateway/test_target_signals.py
+++ b/tests/gateway/test_target_signals.py
@@ -4,8 +4,8 @@
 
 import pytest
 import trio
-from support.gateway_harness import WAIT_S, GatewayHarness, get_header
-from support.raw_target import RawExchange, RawTarget
+from support.gateway_harness import WAIT_S, GatewayHarness, get_header, start_raw_harness
+from support.raw_target import RawExchange
 
 from wagtailbay.placement.const import SHED_HOLD_S
 from wagtailbay.registry.const import LEAVING_KIND
@@ -30,9 +30,7 @@
 
 async def start_harness(nursery, first, second=answer) -> GatewayHarness:
     """Return a running gateway with two raw targets."""
-    harness = GatewayHarness({"t1": RawTarget(first), "t2": RawTarget(second)})
-    await harness.start(nursery)
-    return harness
+    return await start_raw_harness(nursery, first, second)
 
 
 class TestLeavingTarget:
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from support.gateway import PlatformTarget, config_spec, server_fields
+from support.raw_target import RawTarget, Script
 from wagtailbay.clock import boottime_s
 from wagtailbay.gateway.lag import LoopLag
 from wagtailbay.programs.gateway_builder import GatewayBuilder
@@ -99,6 +100,14 @@
         return [request for target in self.targets.values() for request in target.requests]
 
 
+async def start_raw_harness(nursery: trio.Nursery, *scripts: Script) -> GatewayHarness:
+    """Return a running gateway with raw targets t1, t2 and so on that run the given scripts."""
+    targets = {f"t{number}": RawTarget(script) for number, script in enumerate(scripts, start=1)}
+    harness = GatewayHarness(targets)
+    await harness.start(nursery)
+    return harness
+
+
 def get_header(response: Response, name: str) -> str | None:
     """Return the first value of a response header, None if it is missing."""
     return next((value for key, value in response.headers if key.lower() == name.lower()), None)
--- a/tests/transport/test_late_responses.py
+++ b/tests/transport/test_late_responses.py
@@ -6,6 +6,7 @@
 
 from wagtailbay.transport import Request, accept_connections, open_connection, open_listener
 from wagtailbay.transport.sockets import is_closed_by_peer, receive
+from wagtailbay_standins.link import reset_on_close
 
 
 async def serve_bytes(nursery: trio.Nursery, responses: list[bytes], abort: bool = False) -> str:
@@ -19,8 +20,7 @@
             await stream.aclose()
             return
         await trio.sleep(0.05)
-        linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
-        stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+        reset_on_close(stream)
         stream.socket.close()
 
     listener = open_listener(("127.0.0.1", 0))
