--- a/src/wagtailbay_bench/soak/callers.py
+++ b/src/wagtailbay_bench/soak/callers.py
@@ -12,13 +12,13 @@
 from wagtailbay_bench.soak.const import (
     CLIENT_TIMEOUT_S,
     DEADLINE_MS,
-    DEPOSIT_PREFIX,
     HOST,
-    READ_PREFIX,
+    LEAVE_RANGE_S,
     SLOW_BODY_RANGE_S,
     SLOW_BODY_SHARE,
     THINK_RANGE_S,
 )
+from wagtailbay_bench.soak.documents import RECORD_ROUTES, SoakRoute
 from wagtailbay_bench.soak.models import Exchange, History
 
 BODY: Final = b"thesis"
@@ -29,13 +29,18 @@
     """Sends one request after another, and reconnects to any VM after its connection has ended.
 
     Attributes:
-        vms: Name and address of each VM.
+        vms: Name and address of each VM; VMs may be added.
+        keys: API keys of the workspaces, empty if requests need none.
+        leave_share: Share of requests whose caller leaves before the response.
     """
 
     name: str
-    vms: Sequence[tuple[str, str]]
+    vms: list[tuple[str, str]]
     history: History
     random: Random
+    routes: Sequence[SoakRoute] = RECORD_ROUTES
+    keys: Sequence[str] = ()
+    leave_share: float = 0.0
     sent: int = 0
 
     async def run(self, until_s: float) -> None:
@@ -78,23 +83,28 @@
                     data = BODY
                 await stream.send_all(data)
                 exchange.sent_s = trio.current_time()
+                if self.leave_share and self.random.random() < self.leave_share:
+                    await trio.sleep(self.random.uniform(*LEAVE_RANGE_S))
+                    return exchange
                 await _receive(stream, protocol, exchange)
         except (trio.BrokenResourceError, trio.TooSlowError, OSError, h11.RemoteProtocolError):
             exchange.status = None
         return exchange
 
     def _encode(self, protocol: h11.Connection, exchange: Exchange) -> bytes:
-        is_read = exchange.idempotent
-        prefix = READ_PREFIX if is_read else DEPOSIT_PREFIX
-        body = b"" if is_read else BODY
+        fitting = [route for route in self.routes if route.idempotent is exchange.idempotent]
+        route = fitting[0] if len(fitting) == 1 else self.random.choice(fitting)
+        body = b"" if route.idempotent else BODY
         headers = [
             ("Host", HOST),
             ("Request-Id", exchange.request_id),
             ("Deadline-Ms", str(DEADLINE_MS)),
             ("Content-Length", str(len(body))),
         ]
-        method = "GET" if is_read else "POST"
-        path = f"{prefix}{self.random.randrange(200)}"
+        if self.keys:
+            headers.append(("Authorization", f"Token {self.random.choice(self.keys)}"))
+        method = "GET" if route.idempotent else "POST"
+        path = f"{route.path_prefix}{self.random.randrange(200)}"
         data = protocol.send(h11.Request(method=method, target=path, headers=headers))
         data += protocol.send(h11.Data(data=body)) if body else b""
         return data + protocol.send(h11.EndOfMessage())
--- a/src/wagtailbay_bench/soak/const.py
+++ b/src/wagtailbay_bench/soak/const.py
@@ -38,3 +38,5 @@
 # Pooled connections to targets are older than this when faults begin.
 WARM_UP_S: Final = 2.0
 SETTLE_S: Final = 2.0
+# Callers that leave do so this long after sending a request.
+LEAVE_RANGE_S: Final = (0.0, 0.6)
--- a/src/wagtailbay_bench/soak/disturb.py
+++ b/src/wagtailbay_bench/soak/disturb.py
@@ -1,11 +1,11 @@
 """Disturbances of a soak from outside the programs: signals and faults of links."""
 
 import signal
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from random import Random
 
 import trio
-from attrs import define
+from attrs import define, field
 
 from wagtailbay_bench.soak.models import History
 from wagtailbay_bench.soak.vms import SoakVm
@@ -21,16 +21,18 @@
 
     Attributes:
         links: Links between callers, VMs and targets.
+        happenings: What else can happen, by name.
     """
 
     vms: Sequence[SoakVm]
     links: Sequence[Link]
     history: History
     random: Random
+    happenings: Mapping[str, Callable[[], Awaitable[None]]] = field(factory=dict)
 
     async def run(self, until_s: float) -> None:
         """Start disturbances until the given time, and return when all have ended."""
-        kinds = PLANNED if self.history.planned_only else UNPLANNED
+        kinds = (*(PLANNED if self.history.planned_only else UNPLANNED), *self.happenings)
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until_s:
                 kind = self.random.choice(kinds)
@@ -43,7 +45,9 @@
     async def _disturb(self, kind: str, vm: SoakVm) -> None:
         duration_s = self.random.choice((0.1, 0.5, 1.5))
         link = self.random.choice(self.links)
-        if kind == "stop":
+        if kind in self.happenings:
+            await self.happenings[kind]()
+        elif kind == "stop":
             await vm.stop_and_restart(self._draw_extra_signals())
         elif kind == "kill":
             await vm.kill_and_restart()
--- a/src/wagtailbay_bench/soak/models.py
+++ b/src/wagtailbay_bench/soak/models.py
@@ -72,9 +72,14 @@
 
 @frozen
 class SoakSize:
-    """Number of processes and callers, and how long they run."""
+    """Number of processes and callers, and how long they run.
+
+    Attributes:
+        is_site: Whether the soak has four services, whose targets come and go.
+    """
 
     vms: int = 3
     targets: int = 6
     callers: int = 24
     duration_s: float = 20.0
+    is_site: bool = False
--- a/src/wagtailbay_bench/soak/program.py
+++ b/src/wagtailbay_bench/soak/program.py
@@ -26,6 +26,11 @@
     parser.add_argument("--vms", type=int, default=3, help="number of gateway processes")
     parser.add_argument("--targets", type=int, default=6, help="number of targets")
     parser.add_argument("--callers", type=int, default=24, help="number of callers")
+    parser.add_argument(
+        "--site",
+        action="store_true",
+        help="four services with workspaces, whose targets, VMs, store and configuration change",
+    )
     parser.add_argument(
         "--fault",
         choices=sorted(FAULTS),
@@ -42,7 +47,9 @@
 def main() -> int:
     """Run the soaks and return the exit status, 1 if any promise was broken."""
     arguments = build_parser().parse_args()
-    size = SoakSize(arguments.vms, arguments.targets, arguments.callers, arguments.seconds)
+    size = SoakSize(
+        arguments.vms, arguments.targets, arguments.callers, arguments.seconds, arguments.site
+    )
     faults = tuple(arguments.fault or FAULTS)
     seeds = range(arguments.seed, arguments.seed + arguments.seeds)
     soaks = [Soak(seed, arguments.seconds, faults=faults) for seed in seeds]
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -1,24 +1,36 @@
 """Run one soak: store, targets, links, gateway processes and callers."""
 
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
+from typing import Final
 
 import trio
+from attrs import define, field
 
 from wagtailbay_bench.processes import ProcessGroup, free_address
 from wagtailbay_bench.soak.callers import SoakCaller
 from wagtailbay_bench.soak.const import (
     CLIENT_TIMEOUT_S,
     CONFIG_VERSION,
-    DEPOSIT_PREFIX,
-    HOST,
-    READ_PREFIX,
-    SERVICE,
     SETTLE_S,
-    TARGET_SLOTS,
     WARM_UP_S,
 )
 from wagtailbay_bench.soak.disturb import Disturber
+from wagtailbay_bench.soak.documents import (
+    RECORD_ROUTES,
+    SoakRoute,
+    build_config,
+    build_registration,
+)
 from wagtailbay_bench.soak.models import History, SoakSize
+from wagtailbay_bench.soak.site import (
+    FIRST_VERSION,
+    ROUTES,
+    SoakSite,
+    TargetPlace,
+    assign_services,
+    build_workspaces,
+)
 from wagtailbay_bench.soak.target import FAULTS, SoakTarget
 from wagtailbay_bench.soak.vms import ZONES, SoakVm
 from wagtailbay_standins.link import Link
@@ -28,47 +40,133 @@
 PLANNED_SEED_INTERVAL = 3
 FAULT_SHARE = 0.15
 REPEAT_SHARE = 0.5
+# At a site, share of the requests that are answered wrongly, and of callers that leave early.
+SITE_FAULT_SHARE: Final = 0.03
+SITE_LEAVE_SHARE: Final = 0.03
+
+
+@define
+class SoakRun:
+    """Processes and callers of one soak.
 
+    Attributes:
+        fronts: Name and address of each VM's link for callers.
+    """
 
-def build_config() -> dict:
-    """Return the configuration of the soak in the platform's format."""
-    common = {
-        "host": HOST,
-        "timeout": "6s",
-        "latency_goal": "2s",
-        "priority": 1,
-        "service": SERVICE,
-        "max_attempts": 2,
-        "public": True,
-        "sticky": False,
-        "home_regions": [],
-    }
-    routes = [
-        common | {"name": "read", "path_prefix": READ_PREFIX, "kind": "safe"},
-        common | {"name": "deposit", "path_prefix": DEPOSIT_PREFIX, "kind": "unsafe"},
-    ]
-    service = {
-        "name": SERVICE,
-        "health_path": "/health",
-        "max_conns": 1_000,
-        "protocol": "h1",
-        "tls": False,
-        "cold": "1s",
-        "cold_per_s": 50,
-    }
-    limits = {
-        "max_header_bytes": 16_384,
-        "max_body_bytes": 1_000_000,
-        "header_timeout": "3s",
-        "idle_timeout": "15s",
-    }
-    return {
-        "version": CONFIG_VERSION,
-        "routes": routes,
-        "services": [service],
-        "limits": limits,
-        "tenants": [],
-    }
+    size: SoakSize
+    history: History
+    random: Random
+    faults: tuple[str, ...]
+    group: ProcessGroup
+    nursery: trio.Nursery
+    api: ObjectApiStandin = field(factory=ObjectApiStandin)
+    store_address: str = ""
+    links: list[Link] = field(factory=list)
+    vms: list[SoakVm] = field(factory=list)
+    fronts: list[tuple[str, str]] = field(factory=list)
+
+    def configure_target(self, target: SoakTarget) -> None:
+        """Let a target answer wrongly, unless everything but planned stops is sound."""
+        if self.history.planned_only:
+            return
+        target.faults, target.fault_share = self.faults, FAULT_SHARE
+        target.repeat_share = REPEAT_SHARE
+        if self.size.is_site:
+            target.fault_share = SITE_FAULT_SHARE
+            target.names_refusals = self.random.random() < 0.5
+
+    async def start_link(self, upstream_address: str) -> Link:
+        """Start a link in front of an address."""
+        link = Link(free_address("127.0.0.1"), upstream_address)
+        await self.nursery.start(link.run)
+        return link
+
+    async def start_targets(self) -> None:
+        """Start and register the targets, each behind a link."""
+        zones = list(ZONES)
+        for number in range(self.size.targets):
+            target = SoakTarget(f"t{number}", self.history, Random(self.random.random()))
+            self.configure_target(target)
+            self.links.append(await self.start_link(await self.nursery.start(target.serve)))
+            fields = build_registration(self.links[-1].listen_address, zones[number % len(zones)])
+            self.api.put_fields("servers", target.name, fields)
+
+    async def start_places(self) -> list[TargetPlace]:
+        """Start and register the targets of a site."""
+        zones, places = list(ZONES), []
+        for number, service in enumerate(assign_services(self.size.targets)):
+            place = TargetPlace(
+                number,
+                zones[number % len(zones)],
+                service,
+                self.api,
+                self.history,
+                self.random,
+                self.configure_target,
+            )
+            await place.start(self.nursery, cold_left="0ms")
+            places.append(place)
+        return places
+
+    async def start_vms(self) -> None:
+        """Start all VMs and wait until they are ready."""
+        for _ in range(self.size.vms):
+            self.build_vm().start(first_start=True)
+        for vm in self.vms:
+            await vm.wait_ready()
+        for vm in self.vms:
+            await self.open_front(vm)
+
+    def build_vm(self) -> SoakVm:
+        """Add a VM that is not started yet."""
+        number, zones = len(self.vms), list(ZONES)
+        name, zone = f"127.3.0.{number + 1}", zones[number % len(zones)]
+        vm = SoakVm(name, zone, self.group, self.history, self.store_address)
+        self.vms.append(vm)
+        for each in self.vms:
+            each.seeds = [other.peer for other in self.vms[:3]]
+        return vm
+
+    async def open_front(self, vm: SoakVm) -> None:
+        """Let callers reach a VM through a link."""
+        link = await self.start_link(vm.front)
+        self.links.append(link)
+        self.fronts.append((vm.name, link.listen_address))
+        self.nursery.start_soon(vm.monitor)
+
+    async def add_vm(self) -> None:
+        """Add a VM to the running site."""
+        vm = self.build_vm()
+        async with vm.lock:
+            vm.start(first_start=False)
+            await vm.wait_ready()
+        await self.open_front(vm)
+
+    async def run_traffic(
+        self,
+        routes: tuple[SoakRoute, ...],
+        keys: tuple[str, ...],
+        happenings: Mapping[str, Callable[[], Awaitable[None]]],
+    ) -> None:
+        """Send requests during the disturbances and until all VMs have settled."""
+        started_s = trio.current_time()
+        until_s = started_s + self.size.duration_s
+        disturber = Disturber(self.vms, self.links, self.history, self.random, happenings)
+        with trio.move_on_after(self.size.duration_s + CLIENT_TIMEOUT_S + SETTLE_S):
+            async with trio.open_nursery() as nursery:
+                for number in range(self.size.callers):
+                    caller = SoakCaller(
+                        f"c{number}",
+                        self.fronts,
+                        self.history,
+                        Random(self.random.random()),
+                        routes,
+                        keys,
+                        SITE_LEAVE_SHARE if self.size.is_site else 0.0,
+                    )
+                    nursery.start_soon(caller.run, until_s)
+                await trio.sleep(WARM_UP_S)
+                nursery.start_soon(disturber.run, until_s - SETTLE_S)
 
 
 async def record_history(
@@ -77,100 +175,41 @@
     """Run a soak and return what was seen.
 
     Args:
-        faults: Faults of targets; seeds divisible by three use none.
+        faults: Faults of targets; seeds divisible by three use none, unless the soak has a site.
         keep_logs: Folder to which the logs of the VMs are copied, empty for none.
     """
-    history = History(planned_only=seed % PLANNED_SEED_INTERVAL == 0)
-    random = Random(seed)
-    api = ObjectApiStandin()
-    api.put_spec("config", "main", build_config())
+    planned_only = seed % PLANNED_SEED_INTERVAL == 0 and not size.is_site
+    history = History(planned_only=planned_only)
     with ProcessGroup() as group:
         async with trio.open_nursery() as nursery:
-            store_address = await nursery.start(api.serve)
-            links = await _start_targets(nursery, size, history, random, faults, api)
-            vms = await _start_vms(size.vms, group, history, store_address)
-            fronts = []
-            for vm in vms:
-                links.append(await _start_link(nursery, vm.front))
-                fronts.append((vm.name, links[-1].listen_address))
-                nursery.start_soon(vm.monitor)
-            await _run_traffic(
-                size, history, random, fronts, Disturber(vms, links, history, random)
-            )
+            run = SoakRun(size, history, Random(seed), faults, group, nursery)
+            if size.is_site:
+                await _run_site(run)
+            else:
+                await _run_service(run)
             nursery.cancel_scope.cancel()
         if keep_logs:
             group.copy_logs(keep_logs)
     return history
 
 
-def build_registration(address: str, zone: str) -> dict:
-    """Return what a target writes about itself."""
-    return {
-        "address": address,
-        "born": 1_700_000_000_000,
-        "info": {"service": SERVICE, "version": "v1", "zone": zone, "slots": TARGET_SLOTS},
-        "status": {"state": "ready", "seq": 1, "cold_left": "0ms"},
-    }
-
-
-async def _start_targets(
-    nursery: trio.Nursery,
-    size: SoakSize,
-    history: History,
-    random: Random,
-    faults: tuple[str, ...],
-    api: ObjectApiStandin,
-) -> list[Link]:
-    """Start and register the targets; return the links that lead to them."""
-    zones, links = list(ZONES), []
-    for number in range(size.targets):
-        target = SoakTarget(f"t{number}", history, Random(random.random()))
-        if not history.planned_only:
-            target.faults, target.fault_share = faults, FAULT_SHARE
-            target.repeat_share = REPEAT_SHARE
-        links.append(await _start_link(nursery, await nursery.start(target.serve)))
-        fields = build_registration(links[-1].listen_address, zones[number % len(zones)])
-        api.put_fields("servers", target.name, fields)
-    return links
-
-
-async def _start_link(nursery: trio.Nursery, upstream_address: str) -> Link:
-    link = Link(free_address("127.0.0.1"), upstream_address)
-    await nursery.start(link.run)
-    return link
-
-
-async def _start_vms(
-    count: int, group: ProcessGroup, history: History, store_address: str
-) -> list[SoakVm]:
-    """Start all VMs and wait until they are ready."""
-    zones = list(ZONES)
-    vms = [
-        SoakVm(f"127.3.0.{number + 1}", zones[number % len(zones)], group, history, store_address)
-        for number in range(count)
-    ]
-    for vm in vms:
-        vm.seeds = [other.peer for other in vms[:3]]
-        vm.start(first_start=True)
-    for vm in vms:
-        await vm.wait_ready()
-    return vms
-
-
-async def _run_traffic(
-    size: SoakSize,
-    history: History,
-    random: Random,
-    fronts: list[tuple[str, str]],
-    disturber: Disturber,
-) -> None:
-    """Send requests during the disturbances and until all VMs have settled."""
-    started_s = trio.current_time()
-    until_s = started_s + size.duration_s
-    with trio.move_on_after(size.duration_s + CLIENT_TIMEOUT_S + SETTLE_S):
-        async with trio.open_nursery() as nursery:
-            for number in range(size.callers):
-                caller = SoakCaller(f"c{number}", fronts, history, Random(random.random()))
-                nursery.start_soon(caller.run, until_s)
-            await trio.sleep(WARM_UP_S)
-            nursery.start_soon(disturber.run, until_s - SETTLE_S)
+async def _run_service(run: SoakRun) -> None:
+    """Run a soak of one service whose targets stay."""
+    run.api.put_spec("config", "main", build_config(CONFIG_VERSION, RECORD_ROUTES))
+    run.store_address = await run.nursery.start(run.api.serve)
+    await run.start_targets()
+    await run.start_vms()
+    await run.run_traffic(RECORD_ROUTES, (), {})
+
+
+async def _run_site(run: SoakRun) -> None:
+    """Run a soak of a site."""
+    workspaces = build_workspaces()
+    run.api.put_spec("config", "main", build_config(f"{FIRST_VERSION:08x}", ROUTES, workspaces))
+    store_link = await run.start_link(await run.nursery.start(run.api.serve))
+    run.store_address = store_link.listen_address
+    places = await run.start_places()
+    await run.start_vms()
+    site = SoakSite(run.api, store_link, places, run.vms, run.random, run.nursery, run.add_vm)
+    keys = tuple(workspace.key for workspace in workspaces)
+    await run.run_traffic(ROUTES, keys, site.disturbances())
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -1,6 +1,7 @@
 """Targets that record what they run, and answer wrongly in ways that a seed chooses."""
 
 from collections.abc import Mapping
+from math import inf
 from random import Random
 from typing import Final, Protocol
 
@@ -28,6 +29,7 @@
     request_id: str
     random: Random
     target: str
+    names_refusals: bool = True
 
     async def send(self, text: str) -> None:
         """Send text as bytes."""
@@ -46,7 +48,7 @@
     def refusal(self, with_id: bool = True) -> str:
         """Return a statement that this request was not run."""
         status = self.random.choice((503, 503, 429))
-        return self.answer(status, *REFUSAL_HEADERS, with_id=with_id)
+        return self.answer(status, *REFUSAL_HEADERS, with_id=with_id and self.names_refusals)
 
     async def close(self, reset: bool = False) -> None:
         """Close the connection, with a reset if asked."""
@@ -167,6 +169,9 @@
         fault_share: Share of requests answered by one of the faults.
         repeat_share: Share of refusals that are written once more on the same connection.
         refusal_share: Share of requests that the target turns away.
+        names_refusals: Whether refusals carry the ID of their request.
+        max_idle_s: Connections that were idle for longer are reset by their next request.
+        streams: Open connections.
     """
 
     name: str
@@ -177,24 +182,38 @@
     repeat_share: float = 0.0
     refusal_share: float = REFUSAL_SHARE
     work_range_s: tuple[float, float] = WORK_RANGE_S
+    names_refusals: bool = True
+    max_idle_s: float = inf
+    streams: set[trio.SocketStream] = field(factory=set)
     pending: int = 0
     slots: trio.CapacityLimiter = field(factory=lambda: trio.CapacityLimiter(TARGET_SLOTS))
 
-    async def serve(self, *, task_status: trio.TaskStatus) -> None:
-        """Serve on a free loopback port; report ``ip:port`` once started."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    def reset_connections(self) -> None:
+        """Let the end of the target reset its connections."""
+        for stream in self.streams:
+            if stream.socket.fileno() >= 0:
+                reset_on_close(stream)
+
+    async def serve(self, port: int = 0, *, task_status: trio.TaskStatus) -> None:
+        """Serve on a loopback port, 0 for a free one; report ``ip:port`` once started."""
+        listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
         host, port = listeners[0].socket.getsockname()[:2]
         task_status.started(f"{host}:{port}")
         await trio.serve_listeners(self._serve_connection, listeners)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         received, copy = b"", ""
+        self.streams.add(stream)
         try:
             while True:
+                idle_since_s = trio.current_time()
                 while b"\r\n\r\n" not in received:
                     if not (data := await stream.receive_some(65_536)):
                         return
                     received += data
+                if trio.current_time() - idle_since_s > self.max_idle_s:
+                    reset_on_close(stream)
+                    return
                 head, _, received = received.partition(b"\r\n\r\n")
                 fields = _parse_fields(head)
                 length_bytes = int(fields.get("content-length", "0"))
@@ -204,11 +223,17 @@
                     received += data
                 received = received[length_bytes:]
                 request_id = fields.get("request-id", "")
-                exchange = TargetExchange(stream, request_id, self.random, self.name)
+                exchange = TargetExchange(
+                    stream, request_id, self.random, self.name, self.names_refusals
+                )
+                if fields.get("expect-instance") != self.name:
+                    await exchange.send(exchange.answer(421, *REFUSAL_HEADERS))
+                    continue
                 copy = await self._answer(exchange, copy)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
         finally:
+            self.streams.discard(stream)
             await trio.aclose_forcefully(stream)
 
     async def _answer(self, exchange: TargetExchange, copy: str) -> str:
--- a/tests/programs/test_stop_signals.py
+++ b/tests/programs/test_stop_signals.py
@@ -9,9 +9,9 @@
 
 from wagtailbay.transport import Request, fetch
 from wagtailbay_bench.processes import ProcessGroup
-from wagtailbay_bench.soak.const import HOST
+from wagtailbay_bench.soak.const import CONFIG_VERSION, HOST
+from wagtailbay_bench.soak.documents import RECORD_ROUTES, build_config, build_registration
 from wagtailbay_bench.soak.models import History
-from wagtailbay_bench.soak.scenario import build_config, build_registration
 from wagtailbay_bench.soak.target import SoakTarget
 from wagtailbay_bench.soak.vms import ZONES, SoakVm
 from wagtailbay_standins.objects import ObjectApiStandin
@@ -36,7 +36,7 @@
         """Guards against cutting deposits in progress when SIGTERM comes twice."""
         history, responses = History(), []
         api = ObjectApiStandin()
-        api.put_spec("config", "main", build_config())
+        api.put_spec("config", "main", build_config(CONFIG_VERSION, RECORD_ROUTES))
         store_address = await nursery.start(api.serve)
         target = SoakTarget("t1", history, Random(1), refusal_share=0.0, work_range_s=(1.5, 1.5))
         address = await nursery.start(target.serve)
