Reject a response head whose reason phrase contains a second status line

Callers of reads got the status of one answer with the ID, seal and body of another: 200 for a request that its target had answered with 500, or 503 for one that it had answered. A target that breaks off within a status line (or writes bytes after a complete response) and answers the next request on the same line sends what parses as one head.

The reason phrase is searched as well, and so are informational responses: one that swallows the head of the answer left the request waiting until its deadline. Such an exchange ends with an unknown outcome, as any other protocol violation.

--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -34,7 +34,7 @@
 from wagtailbay.transport.sockets import receive, send_nowait, send_remaining
 from wagtailbay.transport.wire import (
     END_OF_MESSAGE,
-    contains_status_line,
+    contains_second_status_line,
     decode_headers,
     encode_request_head,
     fits_header_limits,
@@ -185,23 +185,25 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             event = await self._next_event()
             kind = type(event)
-            if kind is h11.Response:
-                self.responses_received += 1
-                return self._validate_head(event)
             if kind is TransportError:
                 return Err(event)
-            if kind is not h11.InformationalResponse:
+            if kind not in (h11.Response, h11.InformationalResponse):
                 return Err(self.make_error(FailureKind.CLOSED, f"got {kind.__name__}"))
+            fields = list(event.headers)
+            if contains_second_status_line(event.reason, fields):
+                message = "the head contains the beginning of another response"
+                return Err(self.make_error(FailureKind.PROTOCOL, message))
+            if kind is h11.Response:
+                self.responses_received += 1
+                return self._validate_head(event.status_code, fields)
         return Err(self.make_error(FailureKind.PROTOCOL, "too many informational responses"))
 
-    def _validate_head(self, event: h11.Response) -> Result[ResponseHead, TransportError]:
-        fields = list(event.headers)
+    def _validate_head(
+        self, status: int, fields: list[tuple[bytes, bytes]]
+    ) -> Result[ResponseHead, TransportError]:
         if not fits_header_limits(fields):
             return Err(self.make_error(FailureKind.PROTOCOL, "header fields too large"))
-        if contains_status_line(fields):
-            message = "a header field contains the beginning of another response"
-            return Err(self.make_error(FailureKind.PROTOCOL, message))
-        head = ResponseHead(event.status_code, decode_headers(fields))
+        head = ResponseHead(status, decode_headers(fields))
         names = [name for name, _ in head.headers]
         if "content-length" in names and "transfer-encoding" in names:
             message = "both Content-Length and Transfer-Encoding"
--- a/src/wagtailbay/transport/wire.py
+++ b/src/wagtailbay/transport/wire.py
@@ -37,13 +37,14 @@
     return len(headers) <= MAX_HEADER_FIELDS and size_bytes <= MAX_HEADER_BYTES
 
 
-def contains_status_line(headers: Sequence[tuple[bytes, bytes]]) -> bool:
-    """Return whether a value contains a status line.
+def contains_second_status_line(reason: bytes, headers: Sequence[tuple[bytes, bytes]]) -> bool:
+    """Return whether the reason phrase or a header value of a head contains a status line.
 
-    A response that breaks off within a header field and is followed by another one on the same
-    connection reads as a single head with the status of the first.
+    A response that breaks off there and is followed by another one on the same connection reads as
+    a single head, with the status of the first and the rest of the second.
     """
-    return any(b"HTTP/1." in value and STATUS_LINE_PATTERN.search(value) for _, value in headers)
+    texts = (reason, *(value for _, value in headers))
+    return any(b"HTTP/1." in text and STATUS_LINE_PATTERN.search(text) for text in texts)
 
 
 def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -1,6 +1,7 @@
 """Tests of what proves that a refused request has not run (issue 28)."""
 
 import pytest
+import trio
 from support.gateway_harness import get_header, start_raw_harness
 from support.raw_target import RawExchange
 
@@ -139,6 +140,38 @@
             assert response.status in (200, 502)
             assert len(harness.received_requests()) == received_before + 1
 
+    # Guards against issue 31: a read that got the status of one answer with the body of another.
+    @pytest.mark.parametrize("beginning", ["HTTP/1.1 200 Sta", "HTTP/1.1 503 Ser", "HTTP/1.1 200 "])
+    @pytest.mark.parametrize("status", ["200 OK", "500 Error"])
+    @pytest.mark.parametrize("path", ["/a/x", "/b/x"])
+    async def test_status_line_of_two_messages_is_no_answer(self, nursery, beginning, status, path):
+        """Guards against a status line that breaks off and is continued by the next answer."""
+
+        async def answer_after_broken_status_line(exchange: RawExchange) -> None:
+            if exchange.number > 1:
+                await exchange.send(beginning)
+            await exchange.answer(exchange.request_id, status=status)
+
+        harness = await start_raw_harness(
+            nursery, answer_after_broken_status_line, answer_after_broken_status_line
+        )
+        for number in range(6):
+            response = await harness.send_request(path, Request_Id=f"id-{number}")
+            assert response.status in (int(status[:3]), 502)
+            sealed = get_header(response, "Response-Seal") is not None
+            assert sealed is (response.status != 502)
+
+    async def test_informational_response_that_swallows_an_answer_fails_at_once(self, nursery):
+        """Guards against waiting until the deadline for an answer that has been read over."""
+
+        async def answer_after_broken_continue(exchange: RawExchange) -> None:
+            await exchange.send("HTTP/1.1 100 Con")
+            await exchange.answer("")
+
+        harness = await start_raw_harness(nursery, answer_after_broken_continue)
+        with trio.fail_after(10):
+            assert (await harness.send_request("/b/x")).status == 502
+
     async def test_skipped_response_tells_nothing_about_the_target(self, nursery):
         """Guards against a target that counts as leaving by an answer to another request."""
 
