State no end of a response that its target has not stated

Callers got a 200 with a Content-Length that called five bytes whole, when the target had sent a head without Content-Length and Transfer-Encoding, five bytes, and the end of its connection. The target had stated no length, so the gateway made up an end.

A response without a length now reaches the caller without one: its end is the end of the caller's connection. Since that end must not come by itself, the connection is set to be reset when it closes (SO_LINGER), also by the end of the process, until the target's own end has come; a reset, a timeout or a limit on the way resets it. h11 would send such a response in chunks, so its head is encoded by a protocol object whose caller speaks HTTP/1.0.

--- a/src/wagtailbay/entry/at_most_once.py
+++ b/src/wagtailbay/entry/at_most_once.py
@@ -42,14 +42,15 @@
     caller_disconnected: bool = False
     status: int = 0
     headers: Headers = ()
+    until_close: bool = False
     buffer: bytearray = field(factory=bytearray)
     body_bytes: int = 0
     hasher: Any = field(factory=hashlib.sha256)
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(self, status: int, headers: Headers, until_close: bool = False) -> None:
         """Buffer the head."""
         self.started = True
-        self.status, self.headers = status, headers
+        self.status, self.headers, self.until_close = status, headers, until_close
 
     async def send(self, data: bytes) -> None:
         """Buffer a chunk of the body, or stream it if the body is too large to record."""
@@ -75,7 +76,7 @@
         try:
             if not self.streaming and not self.caller_disconnected:
                 self.streaming = True
-                await self.sink.start(self.status, self.headers)
+                await self.sink.start(self.status, self.headers, self.until_close)
             if data and not self.caller_disconnected:
                 await self.sink.send(data)
         except CallerDisconnectedError:
--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -158,7 +158,8 @@
             return AttemptResult(TargetOutcome.FAILED, None, may_have_run=True)
         headers = end_to_end_headers(head.headers)
         if complete:
-            return await self._deliver(BufferedResponse(head.status, headers, bytes(body)))
+            response = BufferedResponse(head.status, headers, bytes(body), connection.framed)
+            return await self._deliver(response)
         return await self._stream(connection, head.status, headers, bytes(body))
 
     async def _deliver(self, response: BufferedResponse) -> AttemptResult:
@@ -176,7 +177,7 @@
         self, connection: ClientConnection, status: int, headers: Headers, prefix: bytes
     ) -> AttemptResult:
         """Stream a response that is too large to buffer."""
-        await self.sink.start(status, headers)
+        await self.sink.start(status, headers, until_close=not connection.framed)
         await self.sink.send(prefix)
         while True:
             match await connection.receive_chunk():
@@ -216,11 +217,11 @@
 
 
 async def send_buffered(sink: ResponseSink, response: BufferedResponse) -> None:
-    """Send a buffered response to the caller."""
+    """Send a buffered response to the caller, with its length unless the target stated no end."""
     headers = tuple((n, v) for n, v in response.headers if n.lower() != "content-length")
-    if response.status not in (204, 304):
+    if response.framed and response.status not in (204, 304):
         headers += (("Content-Length", str(len(response.body))),)
-    await sink.start(response.status, headers)
+    await sink.start(response.status, headers, until_close=not response.framed)
     if response.body:
         await sink.send(response.body)
     await sink.finish()
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -163,11 +163,17 @@
 
 @frozen
 class BufferedResponse:
-    """A complete response of a target."""
+    """A complete response of a target.
+
+    Attributes:
+        framed: Whether the target stated where the body ends, so that it is known to be whole.
+            Otherwise the body ended with the connection.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    framed: bool = True
 
 
 ForwardResult = Result[ResponseDelivered | ResponseTruncated, Refusal]
--- a/src/wagtailbay/transport/reply.py
+++ b/src/wagtailbay/transport/reply.py
@@ -10,8 +10,17 @@
 
 from wagtailbay.transport.const import SEND_TIMEOUT_S
 from wagtailbay.transport.models import Headers, ResponseHead
-from wagtailbay.transport.sockets import is_closed_by_peer, send_nowait, send_remaining
-from wagtailbay.transport.wire import END_OF_MESSAGE, encode_response_head
+from wagtailbay.transport.sockets import (
+    is_closed_by_peer,
+    reset_on_close,
+    send_nowait,
+    send_remaining,
+)
+from wagtailbay.transport.wire import (
+    END_OF_MESSAGE,
+    build_unframed_protocol,
+    encode_response_head,
+)
 
 
 class CallerDisconnectedError(Exception):
@@ -26,8 +35,12 @@
     def is_disconnected(self) -> bool:
         """Return whether the caller has closed its connection."""
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Accept the head of the response."""
+    async def start(self, status: int, headers: Headers, until_close: bool = False) -> None:
+        """Accept the head of the response.
+
+        Args:
+            until_close: Whether the end of the connection is to be the only end of the response.
+        """
 
     async def send(self, data: bytes) -> None:
         """Accept a chunk of the body."""
@@ -47,6 +60,8 @@
         finished: Whether the whole response has been sent.
         pending_head: Encoded head, sent together with the first chunk of the body.
         on_finish: Called when the whole response has been sent.
+        until_close: Whether only the end of the connection ends the response. Until the response
+            is finished, the connection is reset whenever it closes, even by the end of the process.
     """
 
     stream: trio.abc.Stream
@@ -57,13 +72,22 @@
     finished: bool = False
     pending_head: bytes = b""
     on_finish: Callable[[], None] = lambda: None
+    until_close: bool = False
 
     def is_disconnected(self) -> bool:
         """Return whether the caller has closed the connection, even before its end is read."""
         return is_closed_by_peer(self.stream)
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Encode the head of the response, which is sent with the first chunk of the body."""
+    async def start(self, status: int, headers: Headers, until_close: bool = False) -> None:
+        """Encode the head of the response, which is sent with the first chunk of the body.
+
+        Args:
+            until_close: Whether to state no length, so that the response ends with the connection.
+        """
+        if until_close:
+            self.until_close = True
+            self.protocol = build_unframed_protocol()
+            reset_on_close(self.stream)
         if self.closing():
             headers = (*headers, ("Connection", "close"))
         self.started = True
@@ -80,6 +104,8 @@
     async def finish(self) -> None:
         """Send the end of the body and complete the response."""
         await self._send(END_OF_MESSAGE)
+        if self.until_close:
+            reset_on_close(self.stream, enabled=False)
         self.finished = True
         self.on_finish()
 
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -157,6 +157,9 @@
                     await self._handle(request, reply, reader)
         finally:
             receiver.release_body()
+        if reply.finished and reply.until_close:
+            await lingering_close(reader)
+            return False
         reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         return reply.finished and reusable and not self.draining.is_set()
 
--- a/src/wagtailbay/transport/sockets.py
+++ b/src/wagtailbay/transport/sockets.py
@@ -7,6 +7,8 @@
 
 import os
 import select
+import socket
+import struct
 
 import trio
 
@@ -68,3 +70,10 @@
     poller = select.poll()
     poller.register(stream.socket.fileno(), select.POLLRDHUP)
     return bool(poller.poll(0))
+
+
+def reset_on_close(stream: trio.abc.Stream, enabled: bool = True) -> None:
+    """Choose whether the close of a connection, also by the end of the process, resets it."""
+    if isinstance(stream, trio.SocketStream):
+        linger = struct.pack("ii", int(enabled), 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/src/wagtailbay/transport/wire.py
+++ b/src/wagtailbay/transport/wire.py
@@ -82,3 +82,15 @@
 def encode_response_head(head: ResponseHead) -> h11.Response:
     """Encode the head of a response."""
     return h11.Response(status_code=head.status, headers=encode_headers(head.headers))
+
+
+def build_unframed_protocol() -> h11.Connection:
+    """Return a server protocol whose response, if it states no length, ends with the connection.
+
+    h11 sends such a response in chunks to a caller of HTTP/1.1, which states an end of its own.
+    """
+    protocol = h11.Connection(h11.SERVER)
+    protocol.receive_data(b"GET / HTTP/1.0\r\n\r\n")
+    protocol.next_event()
+    protocol.next_event()
+    return protocol
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define, field
 
+from wagtailbay.transport.sockets import reset_on_close
 from wagtailbay_bench.soak.const import (
     ENDLESS_S,
     REFUSAL_SHARE,
@@ -16,7 +17,6 @@
     WORK_RANGE_S,
 )
 from wagtailbay_bench.soak.models import History, Run
-from wagtailbay_standins.link import reset_on_close
 
 REFUSAL_HEADERS: Final = ("Not-Executed: 1",)
 
--- a/src/wagtailbay_standins/link.py
+++ b/src/wagtailbay_standins/link.py
@@ -9,7 +9,6 @@
 
 import json
 import os
-import struct
 import sys
 from functools import partial
 
@@ -21,6 +20,7 @@
 from wagtailbay.settings import load_settings_or_exit, setting
 from wagtailbay.settings.checks import parse_address, split_address
 from wagtailbay.transport import HttpServer, Reply, Request
+from wagtailbay.transport.sockets import reset_on_close
 
 PROGRAM = "wagtailbay-standin-link"
 CHUNK_BYTES = 65_536
@@ -141,12 +141,6 @@
         await destination.send_eof()
 
 
-def reset_on_close(stream: trio.SocketStream) -> None:
-    """Let the close of a connection reset it."""
-    linger = struct.pack("ii", 1, 0)
-    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
-
-
 @frozen
 class LinkSettings:
     """Run proxies that stand in for the network between processes."""
--- a/tests/transport/test_late_responses.py
+++ b/tests/transport/test_late_responses.py
@@ -5,8 +5,7 @@
 from result import Err, Ok
 
 from wagtailbay.transport import Request, accept_connections, open_connection, open_listener
-from wagtailbay.transport.sockets import is_closed_by_peer, receive
-from wagtailbay_standins.link import reset_on_close
+from wagtailbay.transport.sockets import is_closed_by_peer, receive, reset_on_close
 
 
 async def serve_bytes(nursery: trio.Nursery, responses: list[bytes], abort: bool = False) -> str:
