Do not pass on a success that no target has signed

Found by asking for each status what proves it.

The codec decodes whether the seal is missing. Such a response ends the try with an unknown outcome: a read goes to another target, a deposit gets 502.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -156,6 +156,8 @@
         if self.metadata.promises_not_run and not idempotent:
             # Passed on, the status would tell the caller to send the request again.
             return AttemptResult(TargetOutcome.FAILED, None, may_have_run=True)
+        if self.metadata.lacks_signature:
+            return AttemptResult(TargetOutcome.FAILED, None, may_have_run=True)
         headers = end_to_end_headers(head.headers)
         if complete:
             response = BufferedResponse(head.status, headers, bytes(body), connection.framed)
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -40,6 +40,8 @@
         promises_not_run: Whether callers take the status as a promise that the request has not
             run. Only ``not_run`` proves it.
         load: Reported load, None if not given.
+        lacks_signature: Whether the response claims a success without the signature that callers
+            need to accept it.
         leaving: Whether the target states that it is leaving and wants no further requests.
         pause_ms: Time for which the target wants no requests of this VM, None if it does not say.
     """
@@ -49,6 +51,7 @@
     load: LoadReport | None
     misdirected: bool = False
     promises_not_run: bool = False
+    lacks_signature: bool = False
     leaving: bool = False
     pause_ms: float | None = None
 
--- a/src/wagtailbay/platform/headers.py
+++ b/src/wagtailbay/platform/headers.py
@@ -19,6 +19,7 @@
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
+    SEAL_HEADER,
     WORKSPACE_HEADER,
 )
 from wagtailbay.transport import Headers, Request, ResponseHead
@@ -94,6 +95,7 @@
             not_run=head.header(NOT_RUN_HEADER) is not None,
             misdirected=head.status == MISDIRECTED_STATUS,
             promises_not_run=head.status in PROMISE_STATUSES,
+            lacks_signature=200 <= head.status < 300 and head.header(SEAL_HEADER) is None,
             load=_parse_load(head.header(LOAD_HEADER)),
             leaving=head.header(LEAVING_HEADER) is not None,
             pause_ms=_parse_pause_ms(head),
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -65,6 +65,36 @@
         assert response.status == 503
 
 
+class TestUnsignedSuccesses:
+    """A success reaches a caller only with the signature of its target."""
+
+    # Guards against issue 31: a caller that is told of a success that no target has signed.
+    @pytest.mark.parametrize("path", ["/a/x", "/b/x"])
+    @pytest.mark.parametrize("status", ["200 OK", "204 No Content"])
+    async def test_success_without_a_signature_becomes_502(self, nursery, path, status):
+        """Guards against passing on bytes that only look like the answer of a target."""
+
+        async def answer_unsigned(exchange: RawExchange) -> None:
+            length = "Content-Length: 0\r\n" if status.startswith("200") else ""
+            await exchange.send(
+                f"HTTP/1.1 {status}\r\nRequest-Id: {exchange.request_id}\r\n{length}\r\n"
+            )
+
+        harness = await start_raw_harness(nursery, answer_unsigned, answer_unsigned)
+        assert (await harness.send_request(path)).status == 502
+        # A read is sent to a second target, a deposit may have run.
+        assert len(harness.received_requests()) == (2 if path == "/a/x" else 1)
+
+    async def test_failure_needs_no_signature(self, nursery):
+        """Guards against hiding how a target failed."""
+
+        async def fail_unsigned(exchange: RawExchange) -> None:
+            await exchange.send("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+
+        harness = await start_raw_harness(nursery, fail_unsigned)
+        assert (await harness.send_request("/b/x")).status == 500
+
+
 class TestUnidentifiedResponses:
     """A response that names no request counts only where it cannot belong to another one."""
 
@@ -105,7 +135,8 @@
         """Guards against failing all requests at a target that never echoes the ID."""
 
         async def answer_without_id(exchange: RawExchange) -> None:
-            await exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            seal = "Response-Seal: seal"
+            await exchange.send(f"HTTP/1.1 200 OK\r\n{seal}\r\nContent-Length: 2\r\n\r\nok")
 
         harness = await start_raw_harness(nursery, answer_without_id)
         for number in range(4):
