Log why an attempt at a target gave no usable response

It now has failures: the kind and the details of each attempt without a usable response, 300 characters at most.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -80,7 +80,10 @@
             max_idle_s=max_idle_s,
         )
         if isinstance(opened, Err):
-            return AttemptResult(TargetOutcome.UNREACHABLE, None, may_have_run=False)
+            failure = str(opened.err_value)
+            return AttemptResult(
+                TargetOutcome.UNREACHABLE, None, may_have_run=False, failure=failure
+            )
         connection = opened.ok_value
         connection.allow_unframed = True
         try:
@@ -97,7 +100,9 @@
         if self.sink.started:
             truncated = ResponseTruncated("deadline exceeded while streaming the response")
             return AttemptResult(TargetOutcome.TIMED_OUT, truncated, may_have_run=True)
-        return AttemptResult(TargetOutcome.TIMED_OUT, None, may_have_run=True)
+        return AttemptResult(
+            TargetOutcome.TIMED_OUT, None, may_have_run=True, failure="no answer in time"
+        )
 
     def _build_request(self) -> Request:
         """Build the request for the target, with its headers set by the header codec."""
@@ -155,15 +160,19 @@
             return AttemptResult(TargetOutcome.SHED, None, may_have_run=False)
         if self.metadata.promises_not_run and not idempotent:
             # Passed on, the status would tell the caller to send the request again.
-            return AttemptResult(TargetOutcome.FAILED, None, may_have_run=True)
+            return self._reject_response("a promise without proof")
         if self.metadata.lacks_signature:
-            return AttemptResult(TargetOutcome.FAILED, None, may_have_run=True)
+            return self._reject_response("a success without a signature")
         headers = end_to_end_headers(head.headers)
         if complete:
             response = BufferedResponse(head.status, headers, bytes(body), connection.framed)
             return await self._deliver(response)
         return await self._stream(connection, head.status, headers, bytes(body))
 
+    @staticmethod
+    def _reject_response(failure: str) -> AttemptResult:
+        return AttemptResult(TargetOutcome.FAILED, None, may_have_run=True, failure=failure)
+
     async def _deliver(self, response: BufferedResponse) -> AttemptResult:
         target_outcome = TargetOutcome.FAILED if response.status >= 500 else TargetOutcome.ANSWERED
         if (
@@ -215,6 +224,7 @@
             None,
             may_have_run=error.request_sent,
             closed_without_response=closed,
+            failure=str(error),
         )
 
 
--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -36,3 +36,5 @@
 OVERLOAD_RETRY_AFTER_MS: Final = 400
 # The other VMs can serve the request at once.
 STOPPING_RETRY_AFTER_MS: Final = 0
+# Messages of h11 contain what a target sent.
+MAX_LOGGED_FAILURE_CHARACTERS: Final = 300
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -54,6 +54,7 @@
         attempts: Target, placement reason and outcome of each attempt without a delivered
             response, in order.
         responses: What the responses received in these attempts say about the request.
+        failures: Why attempts gave no usable response, in order.
         excluded: Targets that must not be selected again.
         may_have_run: Whether any target may have run the request.
         fallback: Error response of a target, delivered if no other target does better.
@@ -63,6 +64,7 @@
 
     attempts: list[str] = field(factory=list)
     responses: list[ResponseEvidence] = field(factory=list)
+    failures: list[str] = field(factory=list)
     excluded: frozenset[str] = frozenset()
     may_have_run: bool = False
     fallback: BufferedResponse | None = None
@@ -73,6 +75,8 @@
         """Record an attempt and exclude its target from further attempts."""
         target = placement.target.entry.target
         self.attempts.append(f"{target}:{placement.reason.value}:{result.outcome.value}")
+        if result.failure:
+            self.failures.append(result.failure)
         self.excluded |= {target}
         self.may_have_run = self.may_have_run or result.may_have_run
         self.fallback = result.fallback or self.fallback
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -8,6 +8,7 @@
 from wagtailbay.entry.routing import split_path_and_query
 from wagtailbay.gateway.const import (
     DENIAL_MARGIN_MS,
+    MAX_LOGGED_FAILURE_CHARACTERS,
     NOT_READY_RETRY_AFTER_MS,
     OVERLOAD_GOAL_FRACTION,
     OVERLOAD_RETRY_AFTER_MS,
@@ -198,6 +199,7 @@
             workspace=request.workspace.workspace if request.workspace else "-",
             tried=",".join(trace.attempts) or "-",
             responses=",".join(map(str, trace.responses)) or "-",
+            failures="; ".join(trace.failures)[:MAX_LOGGED_FAILURE_CHARACTERS] or "-",
             load=round(trace.load, 1),
             latency_ms=round(latency_ms),
             version=self.routing.table.version if self.routing.table else 0,
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -155,6 +155,7 @@
         closed_without_response: Whether the target closed the connection before the first byte
             of a response.
         fallback: Error response that is not delivered yet, because another target may succeed.
+        failure: Why the exchange gave no usable response, empty if it gave one.
     """
 
     outcome: TargetOutcome
@@ -162,6 +163,7 @@
     may_have_run: bool
     closed_without_response: bool = False
     fallback: "BufferedResponse | None" = None
+    failure: str = ""
 
 
 @frozen
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -31,7 +31,7 @@
     assign_services,
     build_workspaces,
 )
-from wagtailbay_bench.soak.target import FAULTS, SoakTarget
+from wagtailbay_bench.soak.target import BROKEN_HEADS, FAULTS, SITE_FAULTS, SoakTarget
 from wagtailbay_bench.soak.vms import ZONES, SoakVm
 from wagtailbay_standins.link import Link
 from wagtailbay_standins.objects import ObjectApiStandin
@@ -73,7 +73,9 @@
         target.repeat_share = REPEAT_SHARE
         if self.size.is_site:
             target.fault_share = SITE_FAULT_SHARE
+            target.faults = (*self.faults, *SITE_FAULTS)
             target.names_refusals = self.random.random() < 0.5
+            target.broken_head = self.random.choice(BROKEN_HEADS)
 
     async def start_link(self, upstream_address: str) -> Link:
         """Start a link in front of an address."""
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -19,6 +19,15 @@
 from wagtailbay_bench.soak.models import History, Run
 
 REFUSAL_HEADERS: Final = ("Not-Executed: 1",)
+# Heads that break off, to which the next answer is appended.
+BROKEN_IN_FIELD: Final = "HTTP/1.1 503 Status\r\nNot-Executed: 1\r\nX-Odd: "
+BROKEN_HEADS: Final = (
+    BROKEN_IN_FIELD,
+    "HTTP/1.1 503 Sta",
+    "HTTP/1.1 200 Sta",
+    "HTTP/1.1 100 Con",
+    "HTTP/1.1 503 Status\r\nNot-Executed: 1\r\n",
+)
 
 
 @define
@@ -105,6 +114,21 @@
     await exchange.close(reset=exchange.random.random() < 0.5)
 
 
+async def answer_without_length(exchange: TargetExchange) -> None:
+    """Answer without a length, and close or reset the connection somewhere in the body."""
+    head, _, body = exchange.answer().partition("\r\n\r\n")
+    head = head.rpartition("\r\n")[0]
+    is_cut = exchange.random.random() < 0.5
+    sent = body[: exchange.random.randrange(len(body))] if is_cut else body
+    await exchange.send(f"{head}\r\n\r\n{sent}")
+    await exchange.close(reset=is_cut)
+
+
+async def answer_without_seal(exchange: TargetExchange) -> None:
+    """Send a success that has no seal."""
+    await exchange.send(exchange.answer(200, "X-Odd: 1"))
+
+
 async def send_garbage(exchange: TargetExchange) -> None:
     """Send bytes that are no answer."""
     await exchange.send("\x00\xff garbage \r\n\r\n" * 3)
@@ -142,6 +166,10 @@
     await exchange.send_without_end(f"HTTP/1.1 200 OK\r\n{head}", "1\r\nx\r\n" * 2_000)
 
 
+# Faults that only the targets of a site have; the seeds of a service draw from the others.
+SITE_FAULTS: Final[Mapping[str, TargetFault]] = {
+    fault.__name__: fault for fault in (answer_without_length, answer_without_seal)
+}
 FAULTS: Final[Mapping[str, TargetFault]] = {
     fault.__name__: fault
     for fault in (
@@ -170,6 +198,7 @@
         repeat_share: Share of refusals that are written once more on the same connection.
         refusal_share: Share of requests that the target turns away.
         names_refusals: Whether refusals carry the ID of their request.
+        broken_head: Beginning of a head that is written before some answers.
         max_idle_s: Connections that were idle for longer are reset by their next request.
         streams: Open connections.
     """
@@ -183,6 +212,7 @@
     refusal_share: float = REFUSAL_SHARE
     work_range_s: tuple[float, float] = WORK_RANGE_S
     names_refusals: bool = True
+    broken_head: str = BROKEN_IN_FIELD
     max_idle_s: float = inf
     streams: set[trio.SocketStream] = field(factory=set)
     pending: int = 0
@@ -254,7 +284,7 @@
                     await exchange.send(copy)
                 await trio.sleep(work_s / 2)
             if is_faulty:
-                await FAULTS[self.random.choice(self.faults)](exchange)
+                await (FAULTS | SITE_FAULTS)[self.random.choice(self.faults)](exchange)
             else:
                 await exchange.send(exchange.answer())
         finally:
@@ -266,13 +296,11 @@
         if self.random.random() >= self.repeat_share:
             return ""
         copy = exchange.refusal(with_id=self.random.random() < 0.5)
-        # The beginning of a refusal, to which the next answer is appended.
-        cut = f"HTTP/1.1 503 Status\r\nNot-Executed: 1\r\nX-Odd: {exchange.request_id}"
         when = self.random.choice(("at_once", "later", "next", "next", "cut"))
         if when == "next":
             return copy
         if when == "cut":
-            return cut
+            return self.broken_head
         await trio.sleep(0.0 if when == "at_once" else 0.03)
         await exchange.send(copy)
         return ""
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from eliot import add_destinations, remove_destination
 from support.gateway_harness import get_header, start_raw_harness
 from support.raw_target import RawExchange
 
@@ -200,8 +201,16 @@
             await exchange.answer("")
 
         harness = await start_raw_harness(nursery, answer_after_broken_continue)
-        with trio.fail_after(10):
-            assert (await harness.send_request("/b/x")).status == 502
+        messages: list[dict] = []
+        add_destinations(messages.append)
+        try:
+            with trio.fail_after(10):
+                assert (await harness.send_request("/b/x")).status == 502
+        finally:
+            remove_destination(messages.append)
+        # The log says why, although no response was accepted. Eliot also sends earlier messages.
+        failures = [message["failures"] for message in messages if "failures" in message]
+        assert "beginning of another response" in failures[-1]
 
     async def test_skipped_response_tells_nothing_about_the_target(self, nursery):
         """Guards against a target that counts as leaving by an answer to another request."""
