Keep the length that a target states in its response to HEAD

Callers of HEAD were told that each object is empty: the gateway replaced the target's Content-Length by the length of the body that it had received, which is 0.

The headers of a response to HEAD are passed on as they are. tests/gateway/test_head_requests.py failed before (0 where the target stated 5) and passes.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -165,7 +165,10 @@
             return self._reject_response("a success without a signature")
         headers = end_to_end_headers(head.headers)
         if complete:
-            response = BufferedResponse(head.status, headers, bytes(body), connection.framed)
+            bodiless = self.request.request.method == "HEAD"
+            response = BufferedResponse(
+                head.status, headers, bytes(body), connection.framed, bodiless
+            )
             return await self._deliver(response)
         return await self._stream(connection, head.status, headers, bytes(body))
 
@@ -230,9 +233,11 @@
 
 async def send_buffered(sink: ResponseSink, response: BufferedResponse) -> None:
     """Send a buffered response to the caller, with its length unless the target stated no end."""
-    headers = tuple((n, v) for n, v in response.headers if n.lower() != "content-length")
-    if response.framed and response.status not in (204, 304):
-        headers += (("Content-Length", str(len(response.body))),)
+    headers = response.headers
+    if not response.bodiless:
+        headers = tuple((n, v) for n, v in headers if n.lower() != "content-length")
+        if response.framed and response.status not in (204, 304):
+            headers += (("Content-Length", str(len(response.body))),)
     await sink.start(response.status, headers, until_close=not response.framed)
     if response.body:
         await sink.send(response.body)
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -173,12 +173,14 @@
     Attributes:
         framed: Whether the target stated where the body ends, so that it is known to be whole.
             Otherwise the body ended with the connection.
+        bodiless: Whether the headers state the length of a body that is not sent, as after HEAD.
     """
 
     status: int
     headers: Headers
     body: bytes
     framed: bool = True
+    bodiless: bool = False
 
 
 ForwardResult = Result[ResponseDelivered | ResponseTruncated, Refusal]
