--- a/src/wagtailbay_bench/soak/program.py
+++ b/src/wagtailbay_bench/soak/program.py
@@ -9,10 +9,10 @@
 from attrs import evolve
 
 from wagtailbay_bench.soak.checks import find_violations
-from wagtailbay_bench.soak.models import SoakSize
+from wagtailbay_bench.soak.models import History, SoakSize, Violation
 from wagtailbay_bench.soak.regressions import REGRESSIONS, Soak
 from wagtailbay_bench.soak.scenario import record_history
-from wagtailbay_bench.soak.target import FAULTS
+from wagtailbay_bench.soak.target import ALL_FAULTS
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -33,7 +33,7 @@
     )
     parser.add_argument(
         "--fault",
-        choices=sorted(FAULTS),
+        choices=sorted(ALL_FAULTS),
         action="append",
         help="use this fault of targets only (can be repeated)",
     )
@@ -44,37 +44,45 @@
     return parser
 
 
+def choose_soaks(arguments: argparse.Namespace) -> list[Soak]:
+    """Return the soaks that the arguments ask for."""
+    if arguments.regressions:
+        return list(REGRESSIONS)
+    size = SoakSize(arguments.vms, arguments.targets, arguments.callers, is_site=arguments.site)
+    faults = tuple(arguments.fault or ())
+    seeds = range(arguments.seed, arguments.seed + arguments.seeds)
+    return [Soak(seed, arguments.seconds, faults=faults, size=size) for seed in seeds]
+
+
+def print_result(seed: int, history: History, violations: list[Violation]) -> None:
+    """Print what was seen in one soak, with the first violations."""
+    statuses = Counter(exchange.status for exchange in history.exchanges)
+    counts = " ".join(f"{status}={count}" for status, count in statuses.most_common())
+    print(
+        f"seed={seed} planned_only={history.planned_only} runs={len(history.runs)}"
+        f" disturbances={len(history.faults)} {counts}"
+        f" peak_mb={max(history.peak_resident_mb.values(), default=0):.0f}"
+        f" violations={len(violations)}",
+        flush=True,
+    )
+    for rule, count in Counter(violation.rule for violation in violations).items():
+        print(f"  {rule}: {count}")
+    for violation in violations[:8]:
+        print(f"  {violation}")
+
+
 def main() -> int:
     """Run the soaks and return the exit status, 1 if any promise was broken."""
     arguments = build_parser().parse_args()
-    size = SoakSize(
-        arguments.vms, arguments.targets, arguments.callers, arguments.seconds, arguments.site
-    )
-    faults = tuple(arguments.fault or FAULTS)
-    seeds = range(arguments.seed, arguments.seed + arguments.seeds)
-    soaks = [Soak(seed, arguments.seconds, faults=faults) for seed in seeds]
-    if arguments.regressions:
-        soaks = list(REGRESSIONS)
+    soaks = choose_soaks(arguments)
     failed_seeds = []
     for soak in soaks:
-        seed, size = soak.seed, evolve(size, duration_s=soak.duration_s)
-        history = trio.run(record_history, seed, size, soak.faults, arguments.keep_logs)
+        size = evolve(soak.size, duration_s=soak.duration_s)
+        history = trio.run(record_history, soak.seed, size, soak.faults, arguments.keep_logs)
         violations = find_violations(history)
-        statuses = Counter(exchange.status for exchange in history.exchanges)
-        counts = " ".join(f"{status}={count}" for status, count in statuses.most_common())
-        print(
-            f"seed={seed} planned_only={history.planned_only} runs={len(history.runs)}"
-            f" disturbances={len(history.faults)} {counts}"
-            f" peak_mb={max(history.peak_resident_mb.values(), default=0):.0f}"
-            f" violations={len(violations)}",
-            flush=True,
-        )
-        for rule, count in Counter(violation.rule for violation in violations).items():
-            print(f"  {rule}: {count}")
-        for violation in violations[:8]:
-            print(f"  {violation}")
+        print_result(soak.seed, history, violations)
         if violations:
-            failed_seeds.append(seed)
+            failed_seeds.append(soak.seed)
     print(f"seeds={len(soaks)} failed={len(failed_seeds)} {failed_seeds or ''}")
     return 1 if failed_seeds else 0
 
--- a/src/wagtailbay_bench/soak/regressions.py
+++ b/src/wagtailbay_bench/soak/regressions.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from wagtailbay_bench.soak.target import FAULTS
+from wagtailbay_bench.soak.models import SoakSize
 
 
 @frozen
@@ -12,18 +12,22 @@
     """What one soak runs, and why it failed once, if it did.
 
     Attributes:
-        faults: Faults of targets that were in use.
+        faults: Faults of targets that were in use, empty for all.
     """
 
     seed: int
     duration_s: float
     cause: str = ""
-    faults: tuple[str, ...] = tuple(FAULTS)
+    faults: tuple[str, ...] = ()
+    size: SoakSize = SoakSize()
 
 
 REPEATED_REFUSAL: Final = "a repeated refusal without an ID counted for the next request"
 NO_PROOF: Final = "a status without proof was passed on"
 LATE_BODY: Final = "a request that became complete late in the grace was passed on and cut"
+BROKEN_STATUS_LINE: Final = "a status line that broke off was continued by the next answer"
+NO_SEAL: Final = "a success without a seal was passed on"
+SITE_SIZE: Final = SoakSize(vms=6, targets=24, callers=40, is_site=True)
 REGRESSIONS: Final = (
     Soak(1, 15.0, f"{NO_PROOF}; {REPEATED_REFUSAL}"),
     Soak(2, 15.0, NO_PROOF),
@@ -36,4 +40,6 @@
     Soak(12, 20.0, LATE_BODY),
     Soak(1000, 12.0, "a link of the soak ended a reset connection cleanly"),
     Soak(1001, 12.0, "a link of the soak ended a reset connection cleanly"),
+    Soak(100, 15.0, f"{BROKEN_STATUS_LINE}, or {NO_SEAL}", size=SITE_SIZE),
+    Soak(101, 15.0, f"{BROKEN_STATUS_LINE}, or {NO_SEAL}", size=SITE_SIZE),
 )
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -31,7 +31,7 @@
     assign_services,
     build_workspaces,
 )
-from wagtailbay_bench.soak.target import BROKEN_HEADS, FAULTS, SITE_FAULTS, SoakTarget
+from wagtailbay_bench.soak.target import ALL_FAULTS, BROKEN_HEADS, FAULTS, SoakTarget
 from wagtailbay_bench.soak.vms import ZONES, SoakVm
 from wagtailbay_standins.link import Link
 from wagtailbay_standins.objects import ObjectApiStandin
@@ -73,7 +73,6 @@
         target.repeat_share = REPEAT_SHARE
         if self.size.is_site:
             target.fault_share = SITE_FAULT_SHARE
-            target.faults = (*self.faults, *SITE_FAULTS)
             target.names_refusals = self.random.random() < 0.5
             target.broken_head = self.random.choice(BROKEN_HEADS)
 
@@ -172,16 +171,18 @@
 
 
 async def record_history(
-    seed: int, size: SoakSize, faults: tuple[str, ...] = tuple(FAULTS), keep_logs: str = ""
+    seed: int, size: SoakSize, faults: tuple[str, ...] = (), keep_logs: str = ""
 ) -> History:
     """Run a soak and return what was seen.
 
     Args:
-        faults: Faults of targets; seeds divisible by three use none, unless the soak has a site.
+        faults: Faults of targets, empty for all that the soak has; seeds divisible by three use
+            none, unless the soak has a site.
         keep_logs: Folder to which the logs of the VMs are copied, empty for none.
     """
     planned_only = seed % PLANNED_SEED_INTERVAL == 0 and not size.is_site
     history = History(planned_only=planned_only)
+    faults = faults or tuple(ALL_FAULTS if size.is_site else FAULTS)
     with ProcessGroup() as group:
         async with trio.open_nursery() as nursery:
             run = SoakRun(size, history, Random(seed), faults, group, nursery)
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -166,10 +166,6 @@
     await exchange.send_without_end(f"HTTP/1.1 200 OK\r\n{head}", "1\r\nx\r\n" * 2_000)
 
 
-# Faults that only the targets of a site have; the seeds of a service draw from the others.
-SITE_FAULTS: Final[Mapping[str, TargetFault]] = {
-    fault.__name__: fault for fault in (answer_without_length, answer_without_seal)
-}
 FAULTS: Final[Mapping[str, TargetFault]] = {
     fault.__name__: fault
     for fault in (
@@ -189,6 +185,13 @@
 }
 
 
+# The seeds of a soak without a site draw from the faults above only.
+SITE_FAULTS: Final[Mapping[str, TargetFault]] = {
+    fault.__name__: fault for fault in (answer_without_length, answer_without_seal)
+}
+ALL_FAULTS: Final = FAULTS | SITE_FAULTS
+
+
 @define
 class SoakTarget:
     """Target with slots and a queue that turns some requests away and answers some wrongly.
@@ -284,7 +287,7 @@
                     await exchange.send(copy)
                 await trio.sleep(work_s / 2)
             if is_faulty:
-                await (FAULTS | SITE_FAULTS)[self.random.choice(self.faults)](exchange)
+                await ALL_FAULTS[self.random.choice(self.faults)](exchange)
             else:
                 await exchange.send(exchange.answer())
         finally:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,10 +5,10 @@
 
 from wagtailbay_bench.soak.checks import find_violations
 from wagtailbay_bench.soak.models import Exchange, History, Run, Signal, SoakSize
+from wagtailbay_bench.soak.regressions import SITE_SIZE
 from wagtailbay_bench.soak.scenario import record_history
 
 SIZE = SoakSize(duration_s=12.0)
-SITE_SIZE = SoakSize(vms=6, targets=24, callers=40, duration_s=15.0, is_site=True)
 SOUND = Exchange("c0-1", False, "vm-1", 10.0, 10.5, 200, "t1.c0-1/200", b"c0-1 t1")
 RUN = Run("c0-1", "t1", 10.1)
 
@@ -42,7 +42,7 @@
 
         A status line that broke off was continued by the next answer, or a success had no seal.
         """
-        history = await record_history(seed, SITE_SIZE)
+        history = await record_history(seed, evolve(SITE_SIZE, duration_s=15.0))
         assert find_violations(history) == [], f"seed={seed} faults={history.faults}"
         assert sum(exchange.status == 200 for exchange in history.exchanges) > 50
 
