Tests: keep endless and repeated answers sealed, and show what a killed VM tells its caller

Since a success needs a seal, some tests would have passed by that check alone; their answers have one now, so that the limits on size, the framing and the ID still decide. Bodies without a length are checked on the caller's socket: at the limit and when the VM is killed, they end with a reset.

--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -28,7 +28,7 @@
     SoakRoute("harvest", "/harvest/", "feed", True),
     SoakRoute("download", "/download/", "files", True),
 )
-ADDED_ROUTE: Final = SoakRoute("urgent", "/submission/1", "intake", False)
+ADDED_ROUTE: Final = SoakRoute("urgent", "/submission/1/", "intake", False)
 WORKSPACE_COUNT: Final = 8
 # Every fourth workspace has a rate, which its callers exceed now and then.
 LIMITED_RATE_PER_S: Final = 20.0
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -44,6 +44,11 @@
         """Send text as bytes."""
         await self.stream.send_all(text.encode("latin-1"))
 
+    def sealed_head(self) -> str:
+        """Return the head of a success, to which framing and the end of the head are missing."""
+        seal = f"{self.target}.{self.request_id}/200"
+        return f"HTTP/1.1 200 OK\r\nRequest-Id: {self.request_id}\r\nResponse-Seal: {seal}\r\n"
+
     def answer(self, status: int = 200, *headers: str, with_id: bool = True) -> str:
         """Return a complete answer to this request."""
         body = f"{self.request_id} {self.target}" if status == 200 else "no"
@@ -116,11 +121,10 @@
 
 async def answer_without_length(exchange: TargetExchange) -> None:
     """Answer without a length, and close or reset the connection somewhere in the body."""
-    head, _, body = exchange.answer().partition("\r\n\r\n")
-    head = head.rpartition("\r\n")[0]
+    body = exchange.answer().partition("\r\n\r\n")[2]
     is_cut = exchange.random.random() < 0.5
     sent = body[: exchange.random.randrange(len(body))] if is_cut else body
-    await exchange.send(f"{head}\r\n\r\n{sent}")
+    await exchange.send(f"{exchange.sealed_head()}\r\n{sent}")
     await exchange.close(reset=is_cut)
 
 
@@ -156,14 +160,14 @@
 
 async def send_endless_body(exchange: TargetExchange) -> None:
     """Send a body without length and without end."""
-    start = f"HTTP/1.1 200 OK\r\nRequest-Id: {exchange.request_id}\r\n\r\n"
+    start = f"{exchange.sealed_head()}\r\n"
     await exchange.send_without_end(start, "x" * 16_384)
 
 
 async def send_endless_small_chunks(exchange: TargetExchange) -> None:
     """Send a body without end in chunks of one byte."""
-    head = f"Request-Id: {exchange.request_id}\r\nTransfer-Encoding: chunked\r\n\r\n"
-    await exchange.send_without_end(f"HTTP/1.1 200 OK\r\n{head}", "1\r\nx\r\n" * 2_000)
+    start = f"{exchange.sealed_head()}Transfer-Encoding: chunked\r\n\r\n"
+    await exchange.send_without_end(start, "1\r\nx\r\n" * 2_000)
 
 
 FAULTS: Final[Mapping[str, TargetFault]] = {
--- a/tests/gateway/test_gateway_target_faults.py
+++ b/tests/gateway/test_gateway_target_faults.py
@@ -21,12 +21,13 @@
     "no_protocol": ("", CHUNK),
     "informational": ("", "HTTP/1.1 100 Continue\r\n\r\n" * 500),
 }
+SEALED_OK = "HTTP/1.1 200 OK\r\nResponse-Seal: seal\r\n"
 ENDLESS_BODIES = {
-    "until_close": ("HTTP/1.1 200 OK\r\n\r\n", CHUNK),
-    "chunks": ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", f"4000\r\n{CHUNK}\r\n"),
-    "chunk_header": ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=", CHUNK),
-    "long_length": (f"HTTP/1.1 200 OK\r\nContent-Length: {10**15}\r\n\r\n", CHUNK),
-    "other_request": ("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", CHUNK),
+    "until_close": (f"{SEALED_OK}\r\n", CHUNK),
+    "chunks": (f"{SEALED_OK}Transfer-Encoding: chunked\r\n\r\n", f"4000\r\n{CHUNK}\r\n"),
+    "chunk_header": (f"{SEALED_OK}Transfer-Encoding: chunked\r\n\r\n5;a=", CHUNK),
+    "long_length": (f"{SEALED_OK}Content-Length: {10**15}\r\n\r\n", CHUNK),
+    "other_request": (f"{SEALED_OK}Request-Id: other\r\n\r\n", CHUNK),
 }
 MAX_RESPONSE_BYTES = 2 * MAX_BUFFERED_RESPONSE_BYTES
 
@@ -174,7 +175,7 @@
             if "chunked" in framing:
                 body = f"{body_bytes:x}\r\n{body}\r\n"
             await exchange.send(
-                f"HTTP/1.1 200 OK\r\nRequest-Id: {exchange.request_id}\r\n{framing}\r\n\r\n", body
+                f"{SEALED_OK}Request-Id: {exchange.request_id}\r\n{framing}\r\n\r\n", body
             )
             await exchange.stream.aclose()
 
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -124,7 +124,8 @@
         async def repeat_answer(exchange: RawExchange) -> None:
             if exchange.number > 1:
                 await exchange.send(previous[-1])
-            previous.append("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+            head = "HTTP/1.1 200 OK\r\nResponse-Seal: seal\r\nContent-Length: 3"
+            previous.append(f"{head}\r\n\r\nold")
             await answer(exchange)
 
         harness = await start_raw_harness(nursery, repeat_answer, repeat_answer)
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -87,6 +87,19 @@
         assert head.startswith(b"HTTP/1.1 200 ")
         assert was_reset
 
+    async def test_body_above_the_limit_ends_with_a_reset(self, nursery):
+        """Guards against a body that is cut at the limit and looks whole."""
+
+        async def answer_endlessly(exchange: RawExchange) -> None:
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {exchange.request_id}\r\nResponse-Seal: seal"
+            await exchange.send_without_end(f"{head}\r\n\r\n", "x" * 16_384)
+
+        harness = await start_raw_harness(nursery, answer_endlessly)
+        harness.node.handler.forwarder.max_response_bytes = len(LARGE_BODY)
+        head, _, was_reset = await read_response(harness, "/b/x")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert was_reset
+
     async def test_reset_before_anything_was_passed_on_is_a_failure(self, nursery):
         """Guards against taking the beginning of a small body for all of it."""
         harness = await start_raw_harness(nursery, answer_with(SMALL_BODY, reset=True))
--- a/tests/programs/test_stop_signals.py
+++ b/tests/programs/test_stop_signals.py
@@ -5,8 +5,10 @@
 import sys
 from random import Random
 
+import pytest
 import trio
 
+from wagtailbay.settings.checks import split_address
 from wagtailbay.transport import Request, fetch
 from wagtailbay_bench.processes import ProcessGroup
 from wagtailbay_bench.soak.const import CONFIG_VERSION, HOST
@@ -29,23 +31,34 @@
 """
 
 
+async def start_vm(nursery: trio.Nursery, group: ProcessGroup, target: SoakTarget) -> SoakVm:
+    """Return a gateway process that is ready, with a store and one target."""
+    api, zone = ObjectApiStandin(), next(iter(ZONES))
+    api.put_spec("config", "main", build_config(CONFIG_VERSION, RECORD_ROUTES))
+    store_address = await nursery.start(api.serve)
+    address = await nursery.start(target.serve)
+    api.put_fields("servers", target.name, build_registration(address, zone))
+    vm = SoakVm("127.3.1.1", zone, group, target.history, store_address)
+    vm.start(first_start=True)
+    await vm.wait_ready()
+    return vm
+
+
+async def read_to_end(stream: trio.SocketStream) -> None:
+    """Read until the peer ends the connection."""
+    while await stream.receive_some(65_536):
+        pass
+
+
 class TestSignalsInSeries:
     """A planned stop goes on whatever signals follow."""
 
     async def test_second_sigterm_does_not_cut_requests(self, nursery):
         """Guards against cutting deposits in progress when SIGTERM comes twice."""
         history, responses = History(), []
-        api = ObjectApiStandin()
-        api.put_spec("config", "main", build_config(CONFIG_VERSION, RECORD_ROUTES))
-        store_address = await nursery.start(api.serve)
         target = SoakTarget("t1", history, Random(1), refusal_share=0.0, work_range_s=(1.5, 1.5))
-        address = await nursery.start(target.serve)
-        zone = next(iter(ZONES))
-        api.put_fields("servers", "t1", build_registration(address, zone))
         with ProcessGroup() as group:
-            vm = SoakVm("127.3.1.1", zone, group, history, store_address)
-            vm.start(first_start=True)
-            await vm.wait_ready()
+            vm = await start_vm(nursery, group, target)
 
             async def send_deposit(number: int) -> None:
                 headers = (("Request-Id", f"id-{number}"), ("Deadline-Ms", "6000"))
@@ -66,6 +79,27 @@
         assert exit_status == 0
 
 
+class TestKilledDuringResponse:
+    """The end of a process does not look like the end of a response."""
+
+    # Guards against issue 31: the beginning of a body without a length that looks whole.
+    async def test_body_without_a_length_ends_with_a_reset(self, nursery):
+        """Guards against a clean end of the caller's connection when a VM is killed."""
+        target = SoakTarget("t1", History(), Random(1), refusal_share=0.0)
+        target.faults, target.fault_share = ("send_endless_body",), 1.0
+        with ProcessGroup() as group:
+            vm = await start_vm(nursery, group, target)
+            with trio.fail_after(WAIT_S):
+                stream = await trio.open_tcp_stream(*split_address(vm.front))
+                await stream.send_all(
+                    f"GET /read/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: id-1\r\n\r\n".encode()
+                )
+                assert (await stream.receive_some(12)) == b"HTTP/1.1 200"
+                vm.send_signal(signal.SIGKILL)
+                with pytest.raises(trio.BrokenResourceError):
+                    await read_to_end(stream)
+
+
 class TestReloadDuringStart:
     """A reload signal does not end a process that is still starting."""
 
