--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -223,7 +223,7 @@
         self.api.put_spec("config", "main", build_config(f"{self.version:08x}", routes, workspaces))
 
     async def _roll_out(self) -> None:
-        """Order a new version of a service whose targets start beside the old ones."""
+        """Restart some targets of a service with a new version, and order its roll-out."""
         service = self.random.choice(sorted(SERVICE_SHARES))
         places = [place for place in self._pick_places() if place.service == service]
         version = f"v{self.random.randrange(2, 1_000)}"
