Soak: one function that holds a fault of a link, and one that crashes targets and starts them again

The site's slow and silent store repeated what the disturbances of links do, and replacing targets repeated the crash of targets. Times of the site have names.

--- a/src/wagtailbay_bench/soak/disturb.py
+++ b/src/wagtailbay_bench/soak/disturb.py
@@ -58,11 +58,11 @@
             await trio.sleep(duration_s)
             vm.send_signal(signal.SIGCONT)
         elif kind == "cut_link":
-            await self._hold(link, duration_s, cut=True)
+            await hold_fault(link, duration_s, cut=True)
         elif kind == "freeze_link":
-            await self._hold(link, duration_s, frozen=True)
+            await hold_fault(link, duration_s, frozen=True)
         else:
-            await self._hold(link, duration_s, delay_ms=self.random.choice((5, 80, 400)))
+            await hold_fault(link, duration_s, delay_ms=self.random.choice((5, 80, 400)))
 
     def _draw_extra_signals(self) -> list[tuple[float, signal.Signals]]:
         """Return signals that follow a SIGTERM, by their time after it."""
@@ -70,8 +70,9 @@
         times_s = sorted(self.random.uniform(0.05, 4.0) for _ in range(self.random.randrange(3)))
         return [(after_s, self.random.choice(numbers)) for after_s in times_s]
 
-    async def _hold(self, link: Link, duration_s: float, **fault: float | bool) -> None:
-        """Apply a fault to a link for a while."""
-        await link.update(**fault)
-        await trio.sleep(duration_s)
-        await link.update(**{name: type(value)(0) for name, value in fault.items()})
+
+async def hold_fault(link: Link, duration_s: float, **fault: float | bool) -> None:
+    """Apply a fault to a link for a while."""
+    await link.update(**fault)
+    await trio.sleep(duration_s)
+    await link.update(**{name: type(value)(0) for name, value in fault.items()})
--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define, evolve, field
 
+from wagtailbay_bench.soak.disturb import hold_fault
 from wagtailbay_bench.soak.documents import (
     SoakRoute,
     SoakWorkspace,
@@ -40,6 +41,9 @@
 COLD_LEFT: Final = "1s"
 IDLE_DROP_S: Final = 0.3
 FLAP_COUNT: Final = 3
+FLAP_PERIOD_S: Final = 1.4
+REGION_DOWN_S: Final = 1.5
+SLOW_STORE_DELAY_MS: Final = 120.0
 FAULT_RANGE_S: Final = (1.5, 6.0)
 # Targets that one disturbance concerns.
 MAX_TARGETS_AT_ONCE: Final = 6
@@ -177,20 +181,16 @@
         places = self._pick_places()
         for _ in range(FLAP_COUNT):
             running = [place for place in places if place.running]
-            await self._crash_and_return(running, 0.7)
-            await trio.sleep(0.7)
+            await self._crash_and_return(running, FLAP_PERIOD_S / 2)
+            await trio.sleep(FLAP_PERIOD_S / 2)
 
     async def _replace_targets(self) -> None:
         """Give the addresses of crashed targets to another service."""
         places = self._pick_places()
         service = self.random.choice(sorted(SERVICE_SHARES))
-        for place in places:
-            place.crash()
-            self._forget_later(place.target.name)
-        await trio.sleep(ADDRESS_REUSE_S)
         for place in places:
             place.service = service
-            await place.start(self.nursery)
+        await self._crash_and_return(places, ADDRESS_REUSE_S)
 
     async def _drain_targets(self) -> None:
         places = self._pick_places()
@@ -240,14 +240,11 @@
         self.api.error_status = None
 
     async def _slow_store(self) -> None:
-        await self.store_link.update(delay_ms=120.0)
-        await trio.sleep(self.random.uniform(*FAULT_RANGE_S))
-        await self.store_link.update(delay_ms=0.0)
+        duration_s = self.random.uniform(*FAULT_RANGE_S)
+        await hold_fault(self.store_link, duration_s, delay_ms=SLOW_STORE_DELAY_MS)
 
     async def _silent_store(self) -> None:
-        await self.store_link.update(frozen=True)
-        await trio.sleep(self.random.uniform(*FAULT_RANGE_S))
-        await self.store_link.update(frozen=False)
+        await hold_fault(self.store_link, self.random.uniform(*FAULT_RANGE_S), frozen=True)
 
     async def _lose_region(self) -> None:
         """Kill all VMs and targets of a region; they come back one after the other."""
@@ -257,7 +254,7 @@
             for vm in self.vms:
                 if ZONES[vm.zone] == region:
                     nursery.start_soon(vm.kill_and_restart)
-            nursery.start_soon(self._crash_and_return, places, 1.5)
+            nursery.start_soon(self._crash_and_return, places, REGION_DOWN_S)
 
 
 def build_workspaces(limited_rate_per_s: float = LIMITED_RATE_PER_S) -> list[SoakWorkspace]:
