--- a/src/wagtailbay_bench/soak/disturb.py
+++ b/src/wagtailbay_bench/soak/disturb.py
@@ -22,6 +22,7 @@
     Attributes:
         links: Links between callers, VMs and targets.
         happenings: What else can happen, by name.
+        only: What is drawn, by name; empty for everything.
     """
 
     vms: Sequence[SoakVm]
@@ -29,10 +30,12 @@
     history: History
     random: Random
     happenings: Mapping[str, Callable[[], Awaitable[None]]] = field(factory=dict)
+    only: tuple[str, ...] = ()
 
     async def run(self, until_s: float) -> None:
         """Start disturbances until the given time, and return when all have ended."""
-        kinds = (*(PLANNED if self.history.planned_only else UNPLANNED), *self.happenings)
+        signals = PLANNED if self.history.planned_only else UNPLANNED
+        kinds = self.only or (*signals, *self.happenings)
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until_s:
                 kind = self.random.choice(kinds)
--- a/src/wagtailbay_bench/soak/models.py
+++ b/src/wagtailbay_bench/soak/models.py
@@ -12,6 +12,19 @@
     started_s: float
 
 
+@frozen
+class ReturnedRequest:
+    """A request that came back to a target that has written its refusal more than once.
+
+    Attributes:
+        same_connection: Whether it came on the connection that carried its refusals.
+    """
+
+    request_id: str
+    target: str
+    same_connection: bool
+
+
 @define
 class Exchange:
     """A caller's request and its response.
@@ -65,6 +78,7 @@
     planned_only: bool = False
     exchanges: list[Exchange] = field(factory=list)
     runs: list[Run] = field(factory=list)
+    returned: list[ReturnedRequest] = field(factory=list)
     signals: list[Signal] = field(factory=list)
     faults: list[str] = field(factory=list)
     peak_resident_mb: dict[str, float] = field(factory=dict)
@@ -76,6 +90,8 @@
 
     Attributes:
         is_site: Whether the soak has four services, whose targets come and go.
+        disturbances: What may happen, by name; empty for everything.
+        conforming: Whether each copy of a refusal is whole and names its request.
     """
 
     vms: int = 3
@@ -83,3 +99,5 @@
     callers: int = 24
     duration_s: float = 20.0
     is_site: bool = False
+    disturbances: tuple[str, ...] = ()
+    conforming: bool = False
--- a/src/wagtailbay_bench/soak/program.py
+++ b/src/wagtailbay_bench/soak/program.py
@@ -37,6 +37,17 @@
         action="append",
         help="use this fault of targets only (can be repeated)",
     )
+    parser.add_argument(
+        "--disturbance",
+        action="append",
+        metavar="NAME",
+        help="draw this disturbance only, for example restart_targets (can be repeated)",
+    )
+    parser.add_argument(
+        "--conforming",
+        action="store_true",
+        help="each copy of a refusal is whole and names its request",
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="run the seeds that failed once, nothing else"
     )
@@ -48,7 +59,14 @@
     """Return the soaks that the arguments ask for."""
     if arguments.regressions:
         return list(REGRESSIONS)
-    size = SoakSize(arguments.vms, arguments.targets, arguments.callers, is_site=arguments.site)
+    size = SoakSize(
+        arguments.vms,
+        arguments.targets,
+        arguments.callers,
+        is_site=arguments.site,
+        disturbances=tuple(arguments.disturbance or ()),
+        conforming=arguments.conforming,
+    )
     faults = tuple(arguments.fault or ())
     seeds = range(arguments.seed, arguments.seed + arguments.seeds)
     return [Soak(seed, arguments.seconds, faults=faults, size=size) for seed in seeds]
@@ -57,9 +75,11 @@
 def print_result(seed: int, history: History, violations: list[Violation]) -> None:
     """Print what was seen in one soak, with the first violations."""
     statuses = Counter(exchange.status for exchange in history.exchanges)
+    same_connection = sum(returned.same_connection for returned in history.returned)
     counts = " ".join(f"{status}={count}" for status, count in statuses.most_common())
     print(
         f"seed={seed} planned_only={history.planned_only} runs={len(history.runs)}"
+        f" returned={len(history.returned)} same_connection={same_connection}"
         f" disturbances={len(history.faults)} {counts}"
         f" peak_mb={max(history.peak_resident_mb.values(), default=0):.0f}"
         f" violations={len(violations)}",
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -75,6 +75,8 @@
             target.fault_share = SITE_FAULT_SHARE
             target.names_refusals = self.random.random() < 0.5
             target.broken_head = self.random.choice(BROKEN_HEADS)
+        if self.size.conforming:
+            target.names_refusals, target.unnamed_copy_share, target.broken_head = True, 0.0, ""
 
     async def start_link(self, upstream_address: str) -> Link:
         """Start a link in front of an address."""
@@ -152,7 +154,9 @@
         """Send requests during the disturbances and until all VMs have settled."""
         started_s = trio.current_time()
         until_s = started_s + self.size.duration_s
-        disturber = Disturber(self.vms, self.links, self.history, self.random, happenings)
+        disturber = Disturber(
+            self.vms, self.links, self.history, self.random, happenings, self.size.disturbances
+        )
         with trio.move_on_after(self.size.duration_s + CLIENT_TIMEOUT_S + SETTLE_S):
             async with trio.open_nursery() as nursery:
                 for number in range(self.size.callers):
--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -38,6 +38,7 @@
 DRAIN_S: Final = 3.5
 ADDRESS_REUSE_S: Final = 2.0
 DOWN_RANGE_S: Final = (0.5, 4.0)
+QUICK_RESTART_S: Final = 0.1
 COLD_LEFT: Final = "1s"
 IDLE_DROP_S: Final = 0.3
 FLAP_COUNT: Final = 3
@@ -141,6 +142,7 @@
         """Return what can happen to the site."""
         return {
             "crash_targets": self._crash_targets,
+            "restart_targets": self._restart_targets,
             "flap_targets": self._flap_targets,
             "replace_targets": self._replace_targets,
             "drain_targets": self._drain_targets,
@@ -177,6 +179,10 @@
     async def _crash_targets(self) -> None:
         await self._crash_and_return(self._pick_places(), self.random.uniform(*DOWN_RANGE_S))
 
+    async def _restart_targets(self) -> None:
+        """Restart targets at once, so that two entries name each address for a while."""
+        await self._crash_and_return(self._pick_places(), QUICK_RESTART_S)
+
     async def _flap_targets(self) -> None:
         places = self._pick_places()
         for _ in range(FLAP_COUNT):
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -1,6 +1,6 @@
 """Targets that record what they run, and answer wrongly in ways that a seed chooses."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from math import inf
 from random import Random
 from typing import Final, Protocol
@@ -16,7 +16,7 @@
     TARGET_SLOTS,
     WORK_RANGE_S,
 )
-from wagtailbay_bench.soak.models import History, Run
+from wagtailbay_bench.soak.models import History, ReturnedRequest, Run
 
 REFUSAL_HEADERS: Final = ("Not-Executed: 1",)
 # Heads that break off, to which the next answer is appended.
@@ -32,14 +32,25 @@
 
 @define
 class TargetExchange:
-    """One request at a target, and the connection on which to answer it."""
+    """One request at a target, and the connection on which to answer it.
+
+    Attributes:
+        is_meant: Whether the request names this target as its receiver.
+        names_refusals: Whether refusals carry the ID of their request.
+    """
 
     stream: trio.SocketStream
     request_id: str
     random: Random
     target: str
+    is_meant: bool = True
     names_refusals: bool = True
 
+    @property
+    def misdirection(self) -> str:
+        """Return a statement that the request is meant for another target."""
+        return self.answer(421, *REFUSAL_HEADERS)
+
     async def send(self, text: str) -> None:
         """Send text as bytes."""
         await self.stream.send_all(text.encode("latin-1"))
@@ -140,9 +151,18 @@
 
 async def answer_twice_without_id(exchange: TargetExchange) -> None:
     """Write the answer once more, without an ID, at once or a little later."""
+    await _answer_twice(exchange, with_id=False)
+
+
+async def answer_twice(exchange: TargetExchange) -> None:
+    """Write the answer once more, with its ID, at once or a little later."""
+    await _answer_twice(exchange, with_id=True)
+
+
+async def _answer_twice(exchange: TargetExchange, with_id: bool) -> None:
     await exchange.send(exchange.answer())
     await trio.sleep(exchange.random.choice((0.0, 0.03)))
-    await exchange.send(exchange.answer(with_id=False))
+    await exchange.send(exchange.answer(with_id=with_id))
 
 
 async def answer_in_pieces(exchange: TargetExchange) -> None:
@@ -191,11 +211,27 @@
 
 # The seeds of a soak without a site draw from the faults above only.
 SITE_FAULTS: Final[Mapping[str, TargetFault]] = {
-    fault.__name__: fault for fault in (answer_without_length, answer_without_seal)
+    fault.__name__: fault for fault in (answer_without_length, answer_without_seal, answer_twice)
 }
 ALL_FAULTS: Final = FAULTS | SITE_FAULTS
 
 
+@define
+class TargetConnection:
+    """Connection of a gateway to a target.
+
+    Attributes:
+        received: Bytes of requests that are not read yet.
+        copy: Second copy of a refusal, to be written while the next request runs.
+        refused_ids: IDs of the requests whose refusals were written once more.
+    """
+
+    stream: trio.SocketStream
+    received: bytes = b""
+    copy: str = ""
+    refused_ids: set[str] = field(factory=set)
+
+
 @define
 class SoakTarget:
     """Target with slots and a queue that turns some requests away and answers some wrongly.
@@ -205,9 +241,11 @@
         repeat_share: Share of refusals that are written once more on the same connection.
         refusal_share: Share of requests that the target turns away.
         names_refusals: Whether refusals carry the ID of their request.
+        unnamed_copy_share: Share of the second copies of refusals that carry no ID.
         broken_head: Beginning of a head that is written before some answers.
         max_idle_s: Connections that were idle for longer are reset by their next request.
         streams: Open connections.
+        refused_ids: IDs of the requests whose refusals were written once more.
     """
 
     name: str
@@ -219,9 +257,11 @@
     refusal_share: float = REFUSAL_SHARE
     work_range_s: tuple[float, float] = WORK_RANGE_S
     names_refusals: bool = True
+    unnamed_copy_share: float = 0.5
     broken_head: str = BROKEN_IN_FIELD
     max_idle_s: float = inf
     streams: set[trio.SocketStream] = field(factory=set)
+    refused_ids: set[str] = field(factory=set)
     pending: int = 0
     slots: trio.CapacityLimiter = field(factory=lambda: trio.CapacityLimiter(TARGET_SLOTS))
 
@@ -239,46 +279,68 @@
         await trio.serve_listeners(self._serve_connection, listeners)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        received, copy = b"", ""
+        connection = TargetConnection(stream)
         self.streams.add(stream)
         try:
-            while True:
-                idle_since_s = trio.current_time()
-                while b"\r\n\r\n" not in received:
-                    if not (data := await stream.receive_some(65_536)):
-                        return
-                    received += data
-                if trio.current_time() - idle_since_s > self.max_idle_s:
-                    reset_on_close(stream)
-                    return
-                head, _, received = received.partition(b"\r\n\r\n")
-                fields = _parse_fields(head)
-                length_bytes = int(fields.get("content-length", "0"))
-                while len(received) < length_bytes:
-                    if not (data := await stream.receive_some(65_536)):
-                        return
-                    received += data
-                received = received[length_bytes:]
-                request_id = fields.get("request-id", "")
-                exchange = TargetExchange(
-                    stream, request_id, self.random, self.name, self.names_refusals
-                )
-                if fields.get("expect-instance") != self.name:
-                    await exchange.send(exchange.answer(421, *REFUSAL_HEADERS))
-                    continue
-                copy = await self._answer(exchange, copy)
+            while (exchange := await self._receive_request(connection)) is not None:
+                await self._answer(exchange, connection)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
         finally:
             self.streams.discard(stream)
             await trio.aclose_forcefully(stream)
 
-    async def _answer(self, exchange: TargetExchange, copy: str) -> str:
-        """Run or refuse a request; return the bytes to write while the next one runs."""
+    async def _receive_request(self, connection: TargetConnection) -> TargetExchange | None:
+        """Receive a request; return None if the connection has ended or is reset."""
+        idle_since_s = trio.current_time()
+        while b"\r\n\r\n" not in connection.received:
+            if not (data := await connection.stream.receive_some(65_536)):
+                return None
+            connection.received += data
+        if trio.current_time() - idle_since_s > self.max_idle_s:
+            reset_on_close(connection.stream)
+            return None
+        head, _, connection.received = connection.received.partition(b"\r\n\r\n")
+        fields = _parse_fields(head)
+        length_bytes = int(fields.get("content-length", "0"))
+        while len(connection.received) < length_bytes:
+            if not (data := await connection.stream.receive_some(65_536)):
+                return None
+            connection.received += data
+        connection.received = connection.received[length_bytes:]
+        return TargetExchange(
+            connection.stream,
+            fields.get("request-id", ""),
+            self.random,
+            self.name,
+            fields.get("expect-instance") == self.name,
+            self.names_refusals,
+        )
+
+    async def _answer(self, exchange: TargetExchange, connection: TargetConnection) -> None:
+        """Run or refuse a request."""
+        if exchange.request_id in self.refused_ids:
+            same_connection = exchange.request_id in connection.refused_ids
+            returned = ReturnedRequest(exchange.request_id, self.name, same_connection)
+            self.history.returned.append(returned)
+        copy, connection.copy = connection.copy, ""
+        if not exchange.is_meant:
+            await exchange.send(copy + exchange.misdirection)
+            await self._repeat_refusal(exchange, connection, lambda: exchange.misdirection)
+            return
         is_full = self.pending >= TARGET_SLOTS + TARGET_QUEUE
         if is_full or self.random.random() < self.refusal_share:
             await exchange.send(copy + exchange.refusal())
-            return await self._repeat_refusal(exchange)
+            await self._repeat_refusal(
+                exchange,
+                connection,
+                lambda: exchange.refusal(with_id=self.random.random() >= self.unnamed_copy_share),
+            )
+            return
+        await self._run(exchange, copy)
+
+    async def _run(self, exchange: TargetExchange, copy: str) -> None:
+        """Run a request, and write bytes of an earlier one while it runs."""
         self.pending += 1
         try:
             async with self.slots:
@@ -296,21 +358,29 @@
                 await exchange.send(exchange.answer())
         finally:
             self.pending -= 1
-        return ""
 
-    async def _repeat_refusal(self, exchange: TargetExchange) -> str:
+    async def _repeat_refusal(
+        self,
+        exchange: TargetExchange,
+        connection: TargetConnection,
+        build_copy: Callable[[], str],
+    ) -> None:
         """Write a refusal once more: at once, a little later, or while the next request runs."""
         if self.random.random() >= self.repeat_share:
-            return ""
-        copy = exchange.refusal(with_id=self.random.random() < 0.5)
+            return
+        copy = build_copy()
         when = self.random.choice(("at_once", "later", "next", "next", "cut"))
-        if when == "next":
-            return copy
         if when == "cut":
-            return self.broken_head
+            connection.copy = self.broken_head
+            return
+        if "Request-Id:" in copy:
+            self.refused_ids.add(exchange.request_id)
+            connection.refused_ids.add(exchange.request_id)
+        if when == "next":
+            connection.copy = copy
+            return
         await trio.sleep(0.0 if when == "at_once" else 0.03)
         await exchange.send(copy)
-        return ""
 
 
 def _parse_fields(head: bytes) -> dict[str, str]:
