Log the connection of each response of a target

Two refusals in request_finished read the same whether a second target refused as well or a copy of the first refusal was taken for the answer to the second try. Each entry of responses now ends with the number of its connection.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -122,7 +122,9 @@
             owner = self._find_owner(metadata)
             earlier_responses = connection.responses_received - 1
             self.evidence.append(
-                ResponseEvidence(head.status, metadata.not_run, owner, earlier_responses)
+                ResponseEvidence(
+                    head.status, metadata.not_run, owner, earlier_responses, connection.number
+                )
             )
             return owner
 
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -131,17 +131,20 @@
         states_not_run: Whether it states that the target has not run the request.
         owner: Request that it belongs to, by its ID.
         earlier_responses: Number of earlier responses on the same connection.
+        connection: Number of the connection in this process.
     """
 
     status: int
     states_not_run: bool
     owner: ResponseOwner
     earlier_responses: int
+    connection: int
 
     def __str__(self) -> str:
-        """Format as ``status:statement:ID:earlier responses`` without spaces and commas."""
+        """Format as ``status:statement:ID:earlier responses:connection``, without spaces."""
         statement = "not_run" if self.states_not_run else "no_statement"
-        return f"{self.status}:{statement}:{OWNER_LABELS[self.owner]}:{self.earlier_responses}"
+        owner = OWNER_LABELS[self.owner]
+        return f"{self.status}:{statement}:{owner}:{self.earlier_responses}:{self.connection}"
 
 
 @frozen
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -2,6 +2,8 @@
 
 import select
 from collections.abc import Callable
+from functools import partial
+from itertools import count
 from typing import Any
 
 import h11
@@ -40,6 +42,8 @@
     fits_header_limits,
 )
 
+connection_numbers = count(1)
+
 
 @define
 class ClientConnection:
@@ -64,6 +68,7 @@
         idle_s: How long the connection had been idle in the pool by then; 0 for a new connection.
         attributable: Whether each response so far named its request. Otherwise the connection is
             not reused, since a late copy could not be told from the next response.
+        number: Identifies the connection in this process, for log lines.
         responses_received: Number of responses whose head was received on the connection, skipped
             ones included.
         chunks_since_wait: Number of chunks parsed since bytes were last waited for.
@@ -88,6 +93,7 @@
     acquired_s: float = 0.0
     idle_s: float = 0.0
     attributable: bool = True
+    number: int = field(factory=partial(next, connection_numbers))
     responses_received: int = 0
     chunks_since_wait: int = 0
     dense_chunks: int = 0
