Never send a request ID twice on one connection

Callers saw 503 for deposits that ran (REFUSED), and old answers in place of new ones (MIXED). A response was matched to a request by its ID alone. A copy of the answer to an earlier try, or to an earlier request with the same ID, has that ID and comes on the connection that carried it. After a restart two entries name one address: the first try gets 421, and the pool handed the connection just released to the second try.

The pool now knows which IDs a connection has carried and takes another one for an ID that is among them, or opens one. The ID then identifies a response on its connection. This holds for both users of the pool, the gateway and the entry VMs, for tries of one request and for callers that use an ID again. A connection records 256 IDs as 8-byte hashes and is then closed, so that nothing is forgotten. No connection is given up after a refusal.

--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -59,7 +59,7 @@
         connect_ms = min(CONNECT_TIMEOUT_MS, remaining_ms)
         address = self.assignment.target.address
         fresh = not self.context.route.idempotent
-        opened = await self.pool.acquire(address, connect_ms, fresh)
+        opened = await self.pool.acquire(address, connect_ms, self.context.request_id, fresh)
         if isinstance(opened, Err):
             refusal = not_run(502, "target_unreachable", "the target cannot be reached")
             report = self.build_report(AttemptOutcome.CONNECT_FAILED)
--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -76,7 +76,7 @@
         opened = await self.pool.acquire(
             entry.address,
             min(CONNECT_TIMEOUT_MS, remaining_ms),
-            fresh=not self.request.caller.request_id,
+            self.request.caller.request_id,
             max_idle_s=max_idle_s,
         )
         if isinstance(opened, Err):
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from wagtailbay.settings.checks import split_address
+from wagtailbay.transport.carried import CarriedRequests
 from wagtailbay.transport.const import (
     MAX_CHUNKS_BETWEEN_WAITS,
     MAX_DENSE_CHUNKS,
@@ -68,6 +69,7 @@
         idle_s: How long the connection had been idle in the pool by then; 0 for a new connection.
         attributable: Whether each response so far named its request. Otherwise the connection is
             not reused, since a late copy could not be told from the next response.
+        carried: IDs of the requests that the connection has carried.
         number: Identifies the connection in this process, for log lines.
         responses_received: Number of responses whose head was received on the connection, skipped
             ones included.
@@ -93,6 +95,7 @@
     acquired_s: float = 0.0
     idle_s: float = 0.0
     attributable: bool = True
+    carried: CarriedRequests = field(factory=CarriedRequests)
     number: int = field(factory=partial(next, connection_numbers))
     responses_received: int = 0
     chunks_since_wait: int = 0
@@ -131,8 +134,9 @@
         """Send a request and receive the head of the first response that belongs to it.
 
         A late second copy of the response to an earlier request is skipped; the response to this
-        request may still follow. A response that names no request is accepted only as the first
-        one on its connection, where it cannot be such a copy.
+        request may still follow. The pool sees to it that no earlier request on the connection had
+        the same ID. A response that names no request is accepted only as the first one on its
+        connection, where it cannot be such a copy.
         """
         received = await self.send(request)
         skipped = 0
@@ -315,6 +319,8 @@
             return False
         if not self.framed or not self.attributable or self.protocol.trailing_data[0]:
             return False
+        if self.carried.is_full:
+            return False
         self.protocol.start_next_cycle()
         self.request_sent = self.response_started = False
         self.chunks_since_wait = self.dense_chunks = self.body_bytes = 0
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -13,6 +13,8 @@
 IDLE_CONNECTION_TIMEOUT_S: Final = 75.0
 MAX_HEADER_FIELDS: Final = 100
 MAX_INFORMATIONAL_RESPONSES: Final = 16
+# The IDs of all requests on a connection are kept, 8 bytes each.
+MAX_REQUESTS_PER_CONNECTION: Final = 256
 # Responses to earlier requests that are skipped before a connection is abandoned.
 MAX_SKIPPED_RESPONSES: Final = 2
 # Lingering close: after an error response, input is read and discarded up to these limits. Closing
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -1,6 +1,7 @@
 """Pool of idle client connections."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from itertools import count
 from math import inf
 
 import trio
@@ -25,12 +26,16 @@
     request. After such a reset, the pool temporarily stops using connections that have been idle
     for more than half as long.
 
+    A connection carries no two requests with the same ID, whether they are tries of one request or
+    come from different callers. A copy of the response to the first one would have the right ID.
+
     Attributes:
         max_idle_per_address: Maximum number of idle connections for each address.
         routes: Overrides of the address to connect to, by the server's own address.
         idle: Idle connections by address, most recently used last.
         idle_limit_s: Connections idle for longer than this are assumed to be dropped.
         idle_limit_expires_s: Time at which this limit expires, on trio's clock.
+        fetch_numbers: IDs of the requests that ``fetch`` sends, which do not leave the process.
     """
 
     max_idle_per_address: int = 16
@@ -38,31 +43,51 @@
     idle: dict[str, list[ClientConnection]] = field(factory=dict)
     idle_limit_s: float = inf
     idle_limit_expires_s: float = 0.0
+    fetch_numbers: Iterator[int] = field(factory=count)
 
     async def acquire(
-        self, address: str, timeout_ms: float, fresh: bool = False, max_idle_s: float = inf
+        self,
+        address: str,
+        timeout_ms: float,
+        request_id: str,
+        fresh: bool = False,
+        max_idle_s: float = inf,
     ) -> Result[ClientConnection, TransportError]:
-        """Return an idle connection, or open a new one.
+        """Return an idle connection that has not carried this request ID, or open a new one.
 
         Args:
             address: Address of the server.
             timeout_ms: Time limit for opening a connection.
+            request_id: ID by which the response is recognized; empty if it cannot be, which needs
+                a new connection.
             fresh: Whether to always open a new connection, which the server cannot have closed as
                 idle.
             max_idle_s: Idle connections that were unused for longer are closed instead of reused.
         """
         address = self.routes.get(address, address)
-        idle_connections = [] if fresh else self.idle.get(address, [])
-        while idle_connections:
-            connection, now_s = idle_connections.pop(), trio.current_time()
+        reusable = not fresh and bool(request_id)
+        while reusable and (connection := self._take_idle(address, request_id)) is not None:
+            now_s = trio.current_time()
             idle_s = now_s - connection.released_s
             allowed_idle_s = min(max_idle_s, self._current_idle_limit_s(now_s))
             if idle_s <= allowed_idle_s and not connection.has_unread_bytes():
                 connection.known_clean = True
                 connection.acquired_s, connection.idle_s = now_s, idle_s
+                connection.carried.add(request_id)
                 return Ok(connection)
             await connection.close()
-        return await open_connection(address, timeout_ms)
+        opened = await open_connection(address, timeout_ms)
+        if isinstance(opened, Ok):
+            opened.ok_value.carried.add(request_id)
+        return opened
+
+    def _take_idle(self, address: str, request_id: str) -> ClientConnection | None:
+        """Remove and return the last used idle connection that has not carried this ID."""
+        idle_connections = self.idle.get(address, [])
+        for index in reversed(range(len(idle_connections))):
+            if request_id not in idle_connections[index].carried:
+                return idle_connections.pop(index)
+        return None
 
     def _current_idle_limit_s(self, now_s: float) -> float:
         return self.idle_limit_s if now_s < self.idle_limit_expires_s else inf
@@ -112,7 +137,7 @@
         connection: ClientConnection | None = None
         with trio.move_on_after(timeout_ms / 1000):
             try:
-                opened = await self.acquire(address, timeout_ms)
+                opened = await self.acquire(address, timeout_ms, str(next(self.fetch_numbers)))
                 if isinstance(opened, Err):
                     return opened
                 connection = opened.ok_value
--- a/tests/entry/test_entry_target_faults.py
+++ b/tests/entry/test_entry_target_faults.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from contextlib import suppress
 
 import pytest
 import trio
@@ -29,11 +30,14 @@
 }
 
 
-async def start_vm(nursery: trio.Nursery, target: RawTarget) -> RigVm:
-    """Return an entry VM with one raw target."""
+async def start_vm(
+    nursery: trio.Nursery, target: RawTarget, names: tuple[str, ...] = ("t0",)
+) -> RigVm:
+    """Return an entry VM with one raw target, registered under each of the names."""
     rig = Rig(nursery)
     host, port = await nursery.start(target.serve)
-    rig.register_target("t0", f"{host}:{port}")
+    for name in names:
+        rig.register_target(name, f"{host}:{port}")
     return await rig.add_vm()
 
 
@@ -65,6 +69,38 @@
             assert response.endswith(f"/{number}".encode())
 
 
+class TestCopiesOfRefusals:
+    """A copy of a refusal is no answer to the same request when it is sent once more."""
+
+    # Guards against issue 34: a refusal of the first try, taken for the answer to the second one.
+    async def test_address_with_two_registrations(self, nursery) -> None:
+        """Guards against telling a caller that a request has not run although it does."""
+        first_exchanges: dict[str, RawExchange] = {}
+        returned: list[str] = []
+
+        def refusal_text(exchange: RawExchange) -> str:
+            return (
+                f"HTTP/1.1 503 Busy\r\nWagtailbay-Request-Id: {exchange.request_id}\r\n"
+                "Wagtailbay-Run: not-run\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        async def refuse_once(exchange: RawExchange) -> None:
+            first = first_exchanges.setdefault(exchange.request_id, exchange)
+            if first is exchange:
+                await exchange.send(refusal_text(exchange))
+                return
+            returned.append(exchange.request_id)
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await first.send(refusal_text(first))
+            await trio.sleep(0.05)
+            await exchange.send(answer_text(exchange))
+
+        vm = await start_vm(nursery, RawTarget(refuse_once), ("t0", "t1"))
+        statuses = [(await vm.session(get(f"/records/{number}")))[9:12] for number in range(6)]
+        assert len(returned) > 0
+        assert statuses.count(b"200") == len(returned)
+
+
 class TestEndlessAnswers:
     """An answer that never ends is cut at a limit in bytes, long before the deadline."""
 
--- a/tests/transport/test_client_faults.py
+++ b/tests/transport/test_client_faults.py
@@ -32,7 +32,7 @@
 async def connect(nursery, *responses: bytes) -> ClientConnection:
     """Open a connection to a server that sends the given responses."""
     return (
-        await ConnectionPool().acquire(await start_server(nursery, list(responses)), 500)
+        await ConnectionPool().acquire(await start_server(nursery, list(responses)), 500, "id-1")
     ).ok_value
 
 
@@ -135,12 +135,12 @@
         """Guards against losing a request on a connection with unexpected bytes."""
         address = await start_server(nursery, [OK_RESPONSE, OK_RESPONSE])
         pool = ConnectionPool()
-        first = (await pool.acquire(address, 500)).ok_value
+        first = (await pool.acquire(address, 500, "id-1")).ok_value
         await exchange(first)
         await pool.release(first)
         await first.stream.send_all(b"provoke")
         await trio.sleep(0.02)
-        second = (await pool.acquire(address, 500)).ok_value
+        second = (await pool.acquire(address, 500, "id-2")).ok_value
         assert second is not first
 
     async def test_timed_out_connection_is_not_pooled(self, nursery) -> None:
@@ -155,7 +155,7 @@
         nursery.start_soon(trio.serve_listeners, serve_late, listeners)
         address = "127.0.0.1:" + str(listeners[0].socket.getsockname()[1])
         pool = ConnectionPool()
-        first = (await pool.acquire(address, 500)).ok_value
+        first = (await pool.acquire(address, 500, "id-1")).ok_value
         with trio.move_on_after(0.05):
             await first.send(Request("GET", "/first"))
         await pool.release(first)
@@ -165,7 +165,7 @@
         """Guards against sending a deposit on a connection that the server closed as idle."""
         address = await start_server(nursery, [OK_RESPONSE, OK_RESPONSE])
         pool = ConnectionPool()
-        first = (await pool.acquire(address, 500)).ok_value
+        first = (await pool.acquire(address, 500, "id-1")).ok_value
         await exchange(first)
         await pool.release(first)
-        assert (await pool.acquire(address, 500, fresh=True)).ok_value is not first
+        assert (await pool.acquire(address, 500, "id-2", fresh=True)).ok_value is not first
--- a/tests/transport/test_dropped_connections.py
+++ b/tests/transport/test_dropped_connections.py
@@ -1,5 +1,7 @@
 """Test pooled connections to a server that silently drops idle connections."""
 
+from itertools import count
+
 import trio
 
 from wagtailbay.transport import ConnectionPool, Request
@@ -7,6 +9,7 @@
 REQUEST = Request("GET", "/")
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 IDLE_TIMEOUT_S = 0.15
+request_numbers = count()
 
 
 class IdleResettingServer:
@@ -32,7 +35,7 @@
 
     async def send_request(self, pool: ConnectionPool, address: str) -> bool:
         """Send a request like the gateway and return whether it was answered."""
-        connection = (await pool.acquire(address, 1_000)).unwrap()
+        connection = (await pool.acquire(address, 1_000, f"id-{next(request_numbers)}")).unwrap()
         response = await connection.send(REQUEST)
         if response.is_ok():
             await connection.receive_chunk()
@@ -60,7 +63,7 @@
         pool = ConnectionPool()
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listener.socket.getsockname()[1]
-        connection = (await pool.acquire(f"127.0.0.1:{port}", 1_000)).unwrap()
+        connection = (await pool.acquire(f"127.0.0.1:{port}", 1_000, "id-1")).unwrap()
         connection.idle_s, connection.acquired_s = 1.0, trio.current_time() - 0.5
         pool.record_reset(connection)
         assert pool.idle_limit_expires_s == 0.0
