Do not take a response without an ID for the next caller's at an entry VM

An entry VM accepted any response that names no request, also on a connection that had carried others. A late second copy of an answer, from a target that does not repeat the ID, reached the next caller. The stand-in for targets repeats the ID in every response.

--- a/src/wagtailbay/entry/attempt.py
+++ b/src/wagtailbay/entry/attempt.py
@@ -112,14 +112,11 @@
         return await self._stream(connection, head)
 
     def _identify_response(self, head: ResponseHead) -> ResponseOwner:
-        """Return to which request a response belongs; targets need not echo the request ID.
-
-        Without the ID a response counts as this request's. Requests that must not run twice have a
-        connection of their own.
-        """
+        """Return to which request a response belongs."""
         named = head.header(REQUEST_ID_HEADER)
-        is_own = named in (None, self.context.request_id)
-        return ResponseOwner.THIS if is_own else ResponseOwner.OTHER
+        if named is None:
+            return ResponseOwner.UNNAMED
+        return ResponseOwner.THIS if named == self.context.request_id else ResponseOwner.OTHER
 
     def _start_idle_timer(self) -> None:
         """Set the cancel scope to the idle timeout.
--- a/src/wagtailbay_standins/target.py
+++ b/src/wagtailbay_standins/target.py
@@ -19,7 +19,7 @@
 from wagtailbay.logs import log_event, start_logging
 from wagtailbay.settings import load_settings_or_exit, setting
 from wagtailbay.settings.checks import split_address
-from wagtailbay.transport import HttpServer, Reply, Request
+from wagtailbay.transport import Headers, HttpServer, Reply, Request
 from wagtailbay.transport.server import CallerDisconnectedError
 
 PROGRAM = "wagtailbay-standin-target"
@@ -113,7 +113,8 @@
             await reply.send_json(200, self._load_report())
         elif self.in_flight >= self.behaviour.slots + self.behaviour.queue:
             self.shed += 1
-            await reply.send_json(503, {"error": "overloaded"}, (("Wagtailbay-Run", "not-run"),))
+            headers = (("Wagtailbay-Run", "not-run"), *_request_id_header(request))
+            await reply.send_json(503, {"error": "overloaded"}, headers)
         else:
             await self._run(request, path, reply)
 
@@ -173,7 +174,7 @@
         self.error_accumulator_ppm += self.behaviour.error_ppm if is_degraded else 0
         if self.error_accumulator_ppm >= 1_000_000:
             self.error_accumulator_ppm -= 1_000_000
-            await reply.send_json(500, {"error": "internal"})
+            await reply.send_json(500, {"error": "internal"}, _request_id_header(request))
             return
         payload = {
             "target": self.target,
@@ -190,11 +191,11 @@
             self.truncate_accumulator_ppm -= 1_000_000
             self.cut_traces.add(request.header("X-Trace") or "")
             body = json.dumps(payload).encode()
-            await reply.start(200, (("Content-Length", str(len(body))),))
+            headers = (("Content-Length", str(len(body))), *_request_id_header(request))
+            await reply.start(200, headers)
             await reply.send(body[: len(body) // 2])
             raise CallerDisconnectedError
-        request_id = request.header("Wagtailbay-Request-Id") or ""
-        await reply.send_json(200, payload, (("Wagtailbay-Request-Id", request_id),))
+        await reply.send_json(200, payload, _request_id_header(request))
 
     async def _handle_control(self, request: Request, path: str, reply: Reply) -> None:
         if path == "/standin/behaviour":
@@ -210,6 +211,10 @@
         await reply.send_json(200, payload)
 
 
+def _request_id_header(request: Request) -> Headers:
+    return (("Wagtailbay-Request-Id", request.header("Wagtailbay-Request-Id") or ""),)
+
+
 async def run_target(
     standin: TargetStandin, address: str, restart_delay_ms: int, *, task_status
 ) -> None:
--- a/tests/entry/test_entry_target_faults.py
+++ b/tests/entry/test_entry_target_faults.py
@@ -68,6 +68,25 @@
             assert response.startswith(b"HTTP/1.1 200")
             assert response.endswith(f"/{number}".encode())
 
+    # Guards against issue 34: nothing in such an answer tells it from the one that is due.
+    async def test_late_second_copy_without_an_id(self, nursery) -> None:
+        """Guards against the answer to another caller, from a target that echoes no ID."""
+        previous: list[str] = []
+
+        async def answer_twice(exchange: RawExchange) -> None:
+            path = exchange.head.split(" ")[1]
+            own = f"HTTP/1.1 200 OK\r\nContent-Length: {len(path)}\r\n\r\n{path}"
+            if exchange.number > 1:
+                await exchange.send(*previous)
+                await trio.sleep(0.05)
+            await exchange.send(own)
+            previous[:] = [own]
+
+        vm = await start_vm(nursery, RawTarget(answer_twice))
+        for number in range(6):
+            response = await vm.session(get(f"/records/{number}"))
+            assert response.endswith(f"/{number}".encode())
+
 
 class TestCopiesOfRefusals:
     """A copy of a refusal is no answer to the same request when it is sent once more."""
