Give each request without an ID a connection of its own

Responses of the platform's store and of probes name no request. A late second copy of one, on a connection that was in use again, was taken for the answer to the next call: the object of another key, or the health that a target had before. ConnectionPool.fetch now opens a connection for each request, as the object API's client did already, and the connection of a request without an ID is never pooled. Callers of the load tool, of script/prove and of tests keep their connections through CallerPool, since VMs answer each request once.

--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -5,7 +5,7 @@
 from typing import Any
 from urllib.parse import quote
 
-from attrs import define, field
+from attrs import frozen
 from result import Err, Ok, Result
 
 from wagtailbay.decoding import DECODE_ERRORS, parse_json, require_count
@@ -36,26 +36,28 @@
     VmList,
     classify_write_failure,
 )
-from wagtailbay.transport import ConnectionPool, Request, Response, TransportError
+from wagtailbay.transport import Request, Response, TransportError, fetch
 
 ObjectItems = list[dict[str, Any]]
 StoredObjects = list[StoredObject]
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
-@define
+@frozen
 class PlatformStore:
-    """Reads and writes the product's objects in the platform's store."""
+    """Reads and writes the product's objects in the platform's store.
+
+    Each call has a connection of its own, because the store's responses do not name their call.
+    """
 
     address: str
-    pool: ConnectionPool = field(factory=ConnectionPool)
 
     async def _call(
         self, method: str, path: str, body: Any = None, timeout_ms: int = CALL_TIMEOUT_MS
     ) -> Result[Response, TransportError]:
         payload = b"" if body is None else json.dumps(body).encode()
         headers = () if body is None else JSON_HEADERS
-        return await self.pool.fetch(
+        return await fetch(
             self.address,
             Request(method, path, headers, payload),
             timeout_ms,
--- a/src/wagtailbay/programs/entry_node.py
+++ b/src/wagtailbay/programs/entry_node.py
@@ -216,7 +216,7 @@
             health_aggregator,
             boottime_s,
             self.rng,
-            fetch=ConnectionPool(1, self.settings.target_routes).fetch,
+            fetch=ConnectionPool(routes=self.settings.target_routes).fetch,
         )
 
     def _build_idempotency_manager(self, outcome_writer: OutcomeWriter) -> IdempotencyManager:
--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -67,8 +67,8 @@
         released_s: Time at which the connection last returned to the pool, on trio's clock.
         acquired_s: Time at which the connection was last taken from the pool.
         idle_s: How long the connection had been idle in the pool by then; 0 for a new connection.
-        attributable: Whether each response so far named its request. Otherwise the connection is
-            not reused, since a late copy could not be told from the next response.
+        attributable: Whether each request so far had an ID and each response named it. Otherwise
+            the connection is not reused, since a late copy could not be told from a response.
         carried: IDs of the requests that the connection has carried.
         number: Identifies the connection in this process, for log lines.
         responses_received: Number of responses whose head was received on the connection, skipped
--- a/src/wagtailbay/transport/pool.py
+++ b/src/wagtailbay/transport/pool.py
@@ -1,7 +1,6 @@
 """Pool of idle client connections."""
 
-from collections.abc import Iterator, Mapping
-from itertools import count
+from collections.abc import Mapping
 from math import inf
 
 import trio
@@ -35,7 +34,6 @@
         idle: Idle connections by address, most recently used last.
         idle_limit_s: Connections idle for longer than this are assumed to be dropped.
         idle_limit_expires_s: Time at which this limit expires, on trio's clock.
-        fetch_numbers: IDs of the requests that ``fetch`` sends, which do not leave the process.
     """
 
     max_idle_per_address: int = 16
@@ -43,7 +41,6 @@
     idle: dict[str, list[ClientConnection]] = field(factory=dict)
     idle_limit_s: float = inf
     idle_limit_expires_s: float = 0.0
-    fetch_numbers: Iterator[int] = field(factory=count)
 
     async def acquire(
         self,
@@ -79,6 +76,7 @@
         opened = await open_connection(address, timeout_ms)
         if isinstance(opened, Ok):
             opened.ok_value.carried.add(request_id)
+            opened.ok_value.attributable = bool(request_id)
         return opened
 
     def _take_idle(self, address: str, request_id: str) -> ClientConnection | None:
@@ -133,11 +131,15 @@
         timeout_ms: int,
         max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
     ) -> Result[Response, TransportError]:
-        """Send a request on a pooled connection and receive the whole response."""
+        """Send a request on a connection of its own and receive the whole response.
+
+        Without an ID that the response repeats, only the connection proves that a response is not a
+        late copy of another one.
+        """
         connection: ClientConnection | None = None
         with trio.move_on_after(timeout_ms / 1000):
             try:
-                opened = await self.acquire(address, timeout_ms, str(next(self.fetch_numbers)))
+                opened = await self.acquire(address, timeout_ms, request_id="")
                 if isinstance(opened, Err):
                     return opened
                 connection = opened.ok_value
@@ -168,7 +170,10 @@
 
 
 async def fetch(
-    address: str, request: Request, timeout_ms: int
+    address: str,
+    request: Request,
+    timeout_ms: int,
+    max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
 ) -> Result[Response, TransportError]:
     """Send a request on a new connection and receive the whole response."""
-    return await ConnectionPool(max_idle_per_address=0).fetch(address, request, timeout_ms)
+    return await ConnectionPool().fetch(address, request, timeout_ms, max_body_bytes)
--- a/src/wagtailbay_bench/load/client.py
+++ b/src/wagtailbay_bench/load/client.py
@@ -6,7 +6,8 @@
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
-from wagtailbay.transport import ConnectionPool, FailureKind, Request, Response, TransportError
+from wagtailbay.transport import FailureKind, Request, Response, TransportError
+from wagtailbay_bench.caller_pool import CallerPool
 
 LOCATE_TIMEOUT_MS = 1_000
 MAX_ATTEMPTS = 3
@@ -39,7 +40,7 @@
     availability_zone: str
     seeds: Sequence[str]
     clock: Callable[[], float]
-    pool: ConnectionPool = field(factory=ConnectionPool)
+    pool: CallerPool = field(factory=CallerPool)
     addresses: list[str] = field(factory=list)
     valid_until_s: float = 0.0
 
--- a/src/wagtailbay_bench/log_cost.py
+++ b/src/wagtailbay_bench/log_cost.py
@@ -21,7 +21,8 @@
     Workspace,
 )
 from wagtailbay.store import StoredObject
-from wagtailbay.transport import ConnectionPool, HttpServer, Request
+from wagtailbay.transport import HttpServer, Request
+from wagtailbay_bench.caller_pool import CallerPool
 
 REQUESTS = 1_000
 ROUNDS = 7
@@ -34,7 +35,7 @@
 )
 
 
-async def time_requests(address: str, pool: ConnectionPool) -> float:
+async def time_requests(address: str, pool: CallerPool) -> float:
     """Return the mean time in us of a request that is refused because no target exists."""
     fields = (("Request-Id", "id-1"), ("Authorization", "Token key-1"))
     request = Request("GET", "/x", fields, host="h.example")
@@ -74,7 +75,7 @@
 
     async with trio.open_nursery() as nursery:
         host, port = await nursery.start(HttpServer(gateway.handler.handle).serve, ("127.0.0.1", 0))
-        pool = ConnectionPool()
+        pool = CallerPool()
         queue = LineQueue(write, lambda event, count: None)
         nursery.start_soon(queue.run)
         for _ in range(ROUNDS):
--- a/src/wagtailbay_bench/prove/callers.py
+++ b/src/wagtailbay_bench/prove/callers.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from wagtailbay.transport import ConnectionPool, Request
+from wagtailbay_bench.caller_pool import CallerPool
 from wagtailbay_bench.deployment import Deployment
 from wagtailbay_bench.prove.const import (
     CATALOG_CALLERS,
@@ -38,7 +39,7 @@
     history: History
     traffic: Traffic
     rng: random.Random
-    pool: ConnectionPool = field(factory=lambda: ConnectionPool(max_idle_per_address=1))
+    pool: CallerPool = field(factory=lambda: CallerPool(ConnectionPool(max_idle_per_address=1)))
     request_count: int = 0
 
     async def run(self, until_s: float) -> None:
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -12,7 +12,8 @@
 from wagtailbay.programs.gateway_node import STALE_START_DELAY_S, build_endpoints
 from wagtailbay.programs.gateway_process import shut_down_gracefully
 from wagtailbay.settings.checks import split_address
-from wagtailbay.transport import ConnectionPool, FailureKind, HttpServer, Request
+from wagtailbay.transport import FailureKind, HttpServer, Request
+from wagtailbay_bench.caller_pool import CallerPool
 
 
 @pytest.fixture
@@ -173,7 +174,7 @@
         stopped = trio.Event()
 
         async def send_requests(number: int) -> None:
-            pool = ConnectionPool()
+            pool = CallerPool()
             while not stopped.is_set():
                 headers = (("Request-Id", f"c{number}"), ("Authorization", "Token key-1"))
                 request = Request("GET", f"/b/{number}", headers, host="h.example")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,12 @@
 """Tests of the client of the platform's store against a stand-in."""
 
+import json
+
 import pytest
+import trio
 from result import Err, Ok
 from support.gateway import config_spec
+from support.raw_target import RawExchange, RawTarget
 
 from wagtailbay.platform import PlatformStore
 from wagtailbay.rollout import RolloutOrder, RolloutPhase
@@ -91,3 +95,32 @@
         stand_in.put_spec("config", "main", config_spec())
         listing = (await store.list(("routing/",))).ok_value
         assert [stored.key for stored in listing.objects] == ["routing/main"]
+
+
+class TestRepeatedAnswers:
+    """The store's answers carry no ID, so only its connection proves to which call one belongs."""
+
+    # Guards against issue 34: a copy of an answer, late, on a connection that is in use again.
+    async def test_late_copy_is_not_the_answer_to_the_next_call(self, nursery):
+        """Guards against an object, revision or conflict that belongs to an earlier call."""
+        previous: list[str] = []
+        connections_used_again = 0
+
+        async def answer_twice(exchange: RawExchange) -> None:
+            nonlocal connections_used_again
+            name = exchange.head.split(" ")[1].rpartition("/")[2]
+            body = json.dumps({"meta": {"name": name, "revision": 7}, "spec": {"address": name}})
+            own = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+            if exchange.number > 1:
+                connections_used_again += 1
+                await exchange.send(*previous)
+                await trio.sleep(0.05)
+            await exchange.send(own)
+            previous[:] = [own]
+
+        host, port = await nursery.start(RawTarget(answer_twice).serve)
+        store = PlatformStore(f"{host}:{port}")
+        for name in ("a", "b", "c"):
+            stored = (await store.get(f"vms/{name}")).ok_value
+            assert (stored.key, stored.value) == (f"vms/{name}", {"address": name})
+        assert connections_used_again == 0
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -15,7 +15,8 @@
 from wagtailbay.programs.gateway_builder import GatewayBuilder
 from wagtailbay.programs.gateway_node import GatewayNode
 from wagtailbay.programs.gateway_settings import GatewaySettings
-from wagtailbay.transport import ConnectionPool, Request, Response
+from wagtailbay.transport import Request, Response
+from wagtailbay_bench.caller_pool import CallerPool
 from wagtailbay_standins.objects import ObjectApiStandin
 
 WAIT_S = 60
@@ -48,7 +49,7 @@
     def __init__(self, targets: Mapping[str, Any] | None = None) -> None:
         self.api = ObjectApiStandin()
         self.targets = targets or {name: PlatformTarget(name) for name in ("t1", "t2")}
-        self.pool = ConnectionPool()
+        self.pool = CallerPool()
         self.node: GatewayNode | None = None
         self.address = ""
 
--- a/tests/transport/test_dropped_connections.py
+++ b/tests/transport/test_dropped_connections.py
@@ -5,6 +5,7 @@
 import trio
 
 from wagtailbay.transport import ConnectionPool, Request
+from wagtailbay_bench.caller_pool import CallerPool
 
 REQUEST = Request("GET", "/")
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -76,7 +77,8 @@
 
     async def test_connections_to_servers_that_left_are_closed(self, nursery):
         """Guards against using up all descriptors while targets are replaced (KNOWN-RED 8)."""
-        pool, ended = ConnectionPool(), []
+        callers, ended = CallerPool(), []
+        pool = callers.pool
 
         async def serve(stream: trio.SocketStream) -> None:
             async for _ in stream:
@@ -86,7 +88,7 @@
         for _ in range(3):
             listeners = await nursery.start(trio.serve_tcp, serve, 0)
             address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-            assert (await pool.fetch(address, REQUEST, 5_000)).is_ok()
+            assert (await callers.fetch(address, REQUEST, 5_000)).is_ok()
         await pool.close_idle(max_idle_s=60.0)
         assert sum(len(connections) for connections in pool.idle.values()) == 3
         await trio.sleep(0.05)
@@ -98,10 +100,11 @@
 
     async def test_used_connection_is_kept(self, nursery):
         """Guards against closing a connection that the next request could use."""
-        pool = ConnectionPool()
+        callers = CallerPool()
+        pool = callers.pool
         listeners = await nursery.start(trio.serve_tcp, IdleResettingServer().serve, 0)
         address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
         for _ in range(2):
-            assert (await pool.fetch(address, REQUEST, 5_000)).is_ok()
+            assert (await callers.fetch(address, REQUEST, 5_000)).is_ok()
         await pool.close_idle(max_idle_s=5.0)
         assert [len(connections) for connections in pool.idle.values()] == [1]
