--- a/src/wagtailbay_bench/prove/faults.py
+++ b/src/wagtailbay_bench/prove/faults.py
@@ -9,7 +9,7 @@
 from wagtailbay_bench.prove.context import FaultContext
 from wagtailbay_bench.prove.network_faults import NETWORK_FAULTS
 from wagtailbay_bench.prove.operator_faults import OPERATOR_FAULTS
-from wagtailbay_bench.prove.scenario import SECONDARY_KEYS
+from wagtailbay_bench.prove.scenario import DEFAULT_BEHAVIOUR, SECONDARY_KEYS
 
 
 async def kill_vm(context: FaultContext) -> None:
@@ -106,6 +106,14 @@
     await context.controls.set_behaviour(target, reported_load=None, slots=4)
 
 
+async def repeat_refusals(context: FaultContext) -> None:
+    """Make a target with a single slot write each refusal twice for a random time."""
+    target = context.choose_target()
+    await context.controls.set_behaviour(target, repeat_refusal_after_ms=30.0, slots=1, queue=0)
+    await trio.sleep(context.rng.uniform(0.5, 3.0))
+    await context.controls.set_behaviour(target, repeat_refusal_after_ms=None, **DEFAULT_BEHAVIOUR)
+
+
 FAULTS: dict[str, Callable[[FaultContext], Awaitable[None]]] = {
     "kill-vm": kill_vm,
     "stop-vm": stop_vm,
@@ -121,3 +129,8 @@
     **NETWORK_FAULTS,
     **OPERATOR_FAULTS,
 }
+# The seeds of histories draw from the faults above only.
+EXTRA_FAULTS: dict[str, Callable[[FaultContext], Awaitable[None]]] = {
+    "repeat-refusals": repeat_refusals,
+}
+ALL_FAULTS = FAULTS | EXTRA_FAULTS
--- a/src/wagtailbay_bench/prove/history_recorder.py
+++ b/src/wagtailbay_bench/prove/history_recorder.py
@@ -26,7 +26,7 @@
     TLS_SEED_INTERVAL,
 )
 from wagtailbay_bench.prove.context import FaultContext
-from wagtailbay_bench.prove.faults import FAULTS
+from wagtailbay_bench.prove.faults import ALL_FAULTS
 from wagtailbay_bench.prove.isolation import record_isolated_vms
 from wagtailbay_bench.prove.models import History, ObservedRevision
 from wagtailbay_bench.prove.moves import record_move_steps
@@ -129,7 +129,7 @@
             pair = context.rng.random() < FAULT_PAIR_PROBABILITY
             for name in context.rng.choices(list(fault_names), k=2 if pair else 1):
                 context.history.faults.append(f"{time.monotonic() - start_s:.2f} {name}")
-                nursery.start_soon(FAULTS[name], context)
+                nursery.start_soon(ALL_FAULTS[name], context)
 
 
 async def record_revisions(context: FaultContext, until_s: float) -> None:
--- a/src/wagtailbay_bench/prove/program.py
+++ b/src/wagtailbay_bench/prove/program.py
@@ -10,7 +10,7 @@
 from wagtailbay.programs.mechanisms import MECHANISM_NAMES, parse_mechanisms
 from wagtailbay_bench.prove.checks import CHECKS, check_history
 from wagtailbay_bench.prove.const import HISTORY_DURATION_S
-from wagtailbay_bench.prove.faults import FAULTS
+from wagtailbay_bench.prove.faults import ALL_FAULTS, FAULTS
 from wagtailbay_bench.prove.history_recorder import record_history
 from wagtailbay_bench.prove.models import History, Violation
 
@@ -36,7 +36,7 @@
     )
     parser.add_argument(
         "--fault",
-        choices=sorted(FAULTS),
+        choices=sorted(ALL_FAULTS),
         action="append",
         help="inject this fault only (can be repeated)",
     )
--- a/src/wagtailbay_standins/target.py
+++ b/src/wagtailbay_standins/target.py
@@ -21,6 +21,7 @@
 from wagtailbay.settings.checks import split_address
 from wagtailbay.transport import Headers, HttpServer, Reply, Request
 from wagtailbay.transport.server import CallerDisconnectedError
+from wagtailbay_standins.copies import write_again
 
 PROGRAM = "wagtailbay-standin-target"
 MAX_RECORDED_RUNS = 200_000
@@ -54,6 +55,8 @@
         load_in_health: Whether health responses include the load.
         frozen_answers: Whether requests are accepted but never answered.
         truncate_ppm: Share of responses that are truncated in the middle of the body.
+        repeat_refusal_after_ms: Time after which each refusal is written once more on its
+            connection, with the ID of its request; None writes it once.
     """
 
     slots: int = 6
@@ -74,6 +77,7 @@
     draining: bool = False
     frozen_answers: bool = False
     truncate_ppm: int = 0
+    repeat_refusal_after_ms: float | None = None
     body_bytes: int = 0
     version: str | None = None
 
@@ -112,12 +116,19 @@
         elif path == "/load":
             await reply.send_json(200, self._load_report())
         elif self.in_flight >= self.behaviour.slots + self.behaviour.queue:
-            self.shed += 1
-            headers = (("Wagtailbay-Run", "not-run"), *_request_id_header(request))
-            await reply.send_json(503, {"error": "overloaded"}, headers)
+            await self._refuse(request, reply)
         else:
             await self._run(request, path, reply)
 
+    async def _refuse(self, request: Request, reply: Reply) -> None:
+        self.shed += 1
+        refusal = {"error": "overloaded"}
+        headers = (("Wagtailbay-Run", "not-run"), *_request_id_header(request))
+        await reply.send_json(503, refusal, headers)
+        if self.behaviour.repeat_refusal_after_ms is not None:
+            await trio.sleep(self.behaviour.repeat_refusal_after_ms / 1000)
+            await write_again(reply, 503, headers, refusal)
+
     def _load_report(self) -> dict[str, float]:
         reported = self.behaviour.reported_load
         in_flight = self.in_flight if reported is None else reported
--- a/tests/entry/test_entry_target_faults.py
+++ b/tests/entry/test_entry_target_faults.py
@@ -10,6 +10,7 @@
 
 from wagtailbay.entry import attempt
 from wagtailbay_bench.rig import Rig, RigVm, get, post
+from wagtailbay_standins.target import Behaviour
 
 CHUNK = "x" * 16_384
 MAX_RESPONSE_BYTES = 1_048_576
@@ -119,6 +120,32 @@
         assert len(returned) > 0
         assert statuses.count(b"200") == len(returned)
 
+    async def test_concurrent_refusals_are_true(self, nursery) -> None:
+        """Guards against a caller that is told "not run" while a busy target repeats refusals."""
+        rig = Rig(nursery)
+        busy = Behaviour(slots=1, queue=0, service_time_ms=10, repeat_refusal_after_ms=20)
+        standin = await rig.add_target("t0", busy)
+        rig.register_target("t1", rig.targets["t0"].address)
+        vm = await rig.add_vm()
+        false_refusals: list[str] = []
+
+        async def send_requests(caller: int) -> None:
+            for number in range(20):
+                trace = f"{caller}-{number}"
+                request = get(f"/records/{trace}").replace(
+                    b"\r\n\r\n", f"\r\nX-Trace: {trace}\r\n\r\n".encode(), 1
+                )
+                response = await vm.session(request)
+                ran = any(run.trace == trace for run in standin.history)
+                if b"Wagtailbay-Run: not-run" in response and ran:
+                    false_refusals.append(trace)
+
+        async with trio.open_nursery() as callers:
+            for caller in range(6):
+                callers.start_soon(send_requests, caller)
+        assert standin.shed > 0
+        assert false_refusals == []
+
 
 class TestEndlessAnswers:
     """An answer that never ends is cut at a limit in bytes, long before the deadline."""
