--- a/src/wagtailbay_bench/soak/regressions.py
+++ b/src/wagtailbay_bench/soak/regressions.py
@@ -28,6 +28,15 @@
 BROKEN_STATUS_LINE: Final = "a status line that broke off was continued by the next answer"
 NO_SEAL: Final = "a success without a seal was passed on"
 SITE_SIZE: Final = SoakSize(vms=6, targets=24, callers=40, is_site=True)
+COPY_OF_REFUSAL: Final = "a copy of the first try's refusal counted for the second try"
+RESTART_SIZE: Final = SoakSize(
+    vms=4,
+    targets=8,
+    callers=24,
+    is_site=True,
+    disturbances=("restart_targets",),
+    conforming=True,
+)
 REGRESSIONS: Final = (
     Soak(1, 15.0, f"{NO_PROOF}; {REPEATED_REFUSAL}"),
     Soak(2, 15.0, NO_PROOF),
@@ -42,4 +51,7 @@
     Soak(1001, 12.0, "a link of the soak ended a reset connection cleanly"),
     Soak(100, 15.0, f"{BROKEN_STATUS_LINE}, or {NO_SEAL}", size=SITE_SIZE),
     Soak(101, 15.0, f"{BROKEN_STATUS_LINE}, or {NO_SEAL}", size=SITE_SIZE),
+    Soak(340, 15.0, COPY_OF_REFUSAL, ("answer_in_pieces",), RESTART_SIZE),
+    Soak(341, 15.0, COPY_OF_REFUSAL, ("answer_in_pieces",), RESTART_SIZE),
+    Soak(342, 15.0, COPY_OF_REFUSAL, ("answer_in_pieces",), RESTART_SIZE),
 )
--- a/tests/gateway/test_returning_requests.py
+++ b/tests/gateway/test_returning_requests.py
@@ -97,6 +97,29 @@
         assert (response.status, response.body) == (200, b"second id-1")
         assert target.returned == ["id-1"]
 
+    async def test_ids_that_differ_in_case_are_different(self, nursery):
+        """Guards against a copy of the refusal of "id-a" that refuses "ID-A"."""
+        copies: list[RawExchange] = []
+
+        async def refuse_lower_case(exchange: RawExchange) -> None:
+            if exchange.request_id.islower():
+                await exchange.answer("no", NOT_RUN, status="503 Busy")
+                copies.append(exchange)
+                return
+            for copy in copies:
+                with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                    await copy.answer("no", NOT_RUN, status="503 Busy")
+            await trio.sleep(COPY_LEAD_S)
+            await exchange.answer("ran")
+
+        harness = await start_raw_harness(nursery, refuse_lower_case)
+        assert (await harness.send_request("/b/x", Request_Id="id-a")).status == 503
+        with trio.fail_after(WAIT_S):
+            while (response := await harness.send_request("/b/x", Request_Id="ID-A")).status == 503:
+                assert response.body != b"no"
+                await trio.sleep(0.01)
+        assert (response.status, response.body) == (200, b"ran")
+
 
 class TestCopiesOfAnswers:
     """A copy of an answer is no answer to the same request when it is sent once more."""
--- a/tests/membership/test_peer_calls.py
+++ b/tests/membership/test_peer_calls.py
@@ -2,10 +2,13 @@
 
 import json
 import os
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+import time
+from collections.abc import AsyncIterator, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import asynccontextmanager, contextmanager
 from pathlib import Path
 
+import grpc
 import pytest
 import trio
 import trustme
@@ -15,10 +18,11 @@
 
 from wagtailbay.clock import boottime_s
 from wagtailbay.membership import Exchanger, PeerClient, PeerFailure, PeerLoop, PeerServer
-from wagtailbay.membership.const import CERTIFICATE_NAME
+from wagtailbay.membership.const import BORROW_METHOD, CERTIFICATE_NAME, SERVICE_NAME
 from wagtailbay.membership.credentials import CertificateReloader, CertificateSource
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
 from wagtailbay.membership.settings import PeerSettings, certificate_source
+from wagtailbay.membership.wire import decode_loan_request, encode_loan_grant
 from wagtailbay.settings.checks import split_address
 from wagtailbay.store import StoredObject
 from wagtailbay_bench.processes import free_address
@@ -174,6 +178,58 @@
         client.close_all()
 
 
+@contextmanager
+def serve_loans(delays_s: Sequence[float]) -> Iterator[str]:
+    """Serve loans, each after the next delay and of the requested share; yield the address."""
+    remaining_s = iter(delays_s)
+
+    def lend(data: bytes, _context: grpc.ServicerContext) -> bytes:
+        request = decode_loan_request(data).unwrap()
+        time.sleep(next(remaining_s))
+        return encode_loan_grant(LoanGrant(request.share_ppm, 0.0))
+
+    methods = {BORROW_METHOD: grpc.unary_unary_rpc_method_handler(lend)}
+    server = grpc.server(ThreadPoolExecutor(len(delays_s)))
+    server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE_NAME, methods),))
+    port = server.add_insecure_port("127.0.0.1:0")
+    server.start()
+    yield f"127.0.0.1:{port}"
+    server.stop(None)
+
+
+class TestAnswersInAnotherOrder:
+    """gRPC gives each call a stream of its own, whose number a connection never uses again."""
+
+    # Guards against issue 34 between VMs: loan requests and grants carry no ID of the call.
+    async def test_late_grant_is_not_the_answer_to_the_next_call(self) -> None:
+        """Guards against a grant of an earlier call that the borrower has given up."""
+        with serve_loans([0.3, 0.6]) as address:
+            client = PeerClient(lambda vm: address, None)
+            first = await client.borrow("b", evolve(LOAN, share_ppm=1_000), 100)
+            assert first.err_value.kind is PeerFailure.TIMEOUT
+            second = await client.borrow("b", evolve(LOAN, share_ppm=2_000), 10_000)
+            assert second.unwrap().share_ppm == 2_000
+            client.close_all()
+
+    async def test_grants_in_reverse_order_reach_their_calls(self) -> None:
+        """Guards against matching answers to calls by their order."""
+        grants: dict[int, int] = {}
+        with serve_loans([1.5, 1.0, 0.5]) as address:
+            client = PeerClient(lambda vm: address, None)
+
+            async def borrow(share_ppm: int) -> None:
+                request = evolve(LOAN, share_ppm=share_ppm)
+                grants[share_ppm] = (await client.borrow("b", request, 10_000)).unwrap().share_ppm
+
+            async with trio.open_nursery() as nursery:
+                for share_ppm in (1_000, 2_000, 3_000):
+                    nursery.start_soon(borrow, share_ppm)
+                    await trio.sleep(0.05)
+            client.close_all()
+        assert grants == {1_000: 1_000, 2_000: 2_000, 3_000: 3_000}
+        assert list(grants) != sorted(grants)
+
+
 class TestMutualTls:
     """Only processes with a certificate of the CA are accepted as peers."""
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,8 +4,15 @@
 from attrs import evolve
 
 from wagtailbay_bench.soak.checks import find_violations
-from wagtailbay_bench.soak.models import Exchange, History, Run, Signal, SoakSize
-from wagtailbay_bench.soak.regressions import SITE_SIZE
+from wagtailbay_bench.soak.models import (
+    Exchange,
+    History,
+    ReturnedRequest,
+    Run,
+    Signal,
+    SoakSize,
+)
+from wagtailbay_bench.soak.regressions import RESTART_SIZE, SITE_SIZE
 from wagtailbay_bench.soak.scenario import record_history
 
 SIZE = SoakSize(duration_s=12.0)
@@ -47,6 +54,24 @@
         assert sum(exchange.status == 200 for exchange in history.exchanges) > 50
 
 
+class TestSeededRestarts:
+    """Callers are told the truth while targets restart at addresses with an older entry."""
+
+    async def test_no_promise_is_broken(self):
+        """Guards against the fault of issue 34, which both seeds found: REFUSED.
+
+        A copy of the 421 to the first try of a deposit was taken for the answer to the second one.
+        """
+        returned: list[ReturnedRequest] = []
+        for seed in (341, 342):
+            size = evolve(RESTART_SIZE, duration_s=12.0)
+            history = await record_history(seed, size, ("answer_in_pieces",))
+            assert find_violations(history) == [], f"seed={seed} faults={history.faults}"
+            returned += history.returned
+        assert len(returned) > 0, "the condition was never met"
+        assert not any(request.same_connection for request in returned)
+
+
 class TestChecks:
     """Each check finds a history that breaks its promise."""
 
