Soak: targets 35 ms away, and targets that return under their own name

--target-delay-ms delays what a target reads and writes; the disturbance return_targets restarts targets under the name that they had. The answers of targets move to a module of their own.

--- a/src/wagtailbay_bench/soak/documents.py
+++ b/src/wagtailbay_bench/soak/documents.py
@@ -34,6 +34,7 @@
     rate_per_s: float = 0.0
 
 
+FIRST_BORN_UNIX_MS: Final = 1_700_000_000_000
 RECORD_ROUTES: Final = (
     SoakRoute("read", READ_PREFIX, SERVICE, True),
     SoakRoute("deposit", DEPOSIT_PREFIX, SERVICE, False),
@@ -107,11 +108,12 @@
     version: str = "v1",
     state: str = "ready",
     cold_left: str = "0ms",
+    born_unix_ms: int = FIRST_BORN_UNIX_MS,
 ) -> dict:
     """Return what a target writes about itself."""
     return {
         "address": address,
-        "born": 1_700_000_000_000,
+        "born": born_unix_ms,
         "info": {"service": service, "version": version, "zone": zone, "slots": TARGET_SLOTS},
         "status": {"state": state, "seq": 1, "cold_left": cold_left},
     }
--- a/src/wagtailbay_bench/soak/models.py
+++ b/src/wagtailbay_bench/soak/models.py
@@ -91,6 +91,7 @@
     Attributes:
         is_site: Whether the soak has four services, whose targets come and go.
         disturbances: What may happen, by name; empty for everything.
+        target_delay_s: Time that bytes take between a target and any VM, in each direction.
         conforming: Whether each copy of a refusal is whole and names its request.
     """
 
@@ -100,4 +101,5 @@
     duration_s: float = 20.0
     is_site: bool = False
     disturbances: tuple[str, ...] = ()
+    target_delay_s: float = 0.0
     conforming: bool = False
--- a/src/wagtailbay_bench/soak/program.py
+++ b/src/wagtailbay_bench/soak/program.py
@@ -9,10 +9,10 @@
 from attrs import evolve
 
 from wagtailbay_bench.soak.checks import find_violations
+from wagtailbay_bench.soak.faults import ALL_FAULTS
 from wagtailbay_bench.soak.models import History, SoakSize, Violation
 from wagtailbay_bench.soak.regressions import REGRESSIONS, Soak
 from wagtailbay_bench.soak.scenario import record_history
-from wagtailbay_bench.soak.target import ALL_FAULTS
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -43,6 +43,12 @@
         metavar="NAME",
         help="draw this disturbance only, for example restart_targets (can be repeated)",
     )
+    parser.add_argument(
+        "--target-delay-ms",
+        type=float,
+        default=0.0,
+        help="time that bytes take between a target and any VM, in each direction",
+    )
     parser.add_argument(
         "--conforming",
         action="store_true",
@@ -65,6 +71,7 @@
         arguments.callers,
         is_site=arguments.site,
         disturbances=tuple(arguments.disturbance or ()),
+        target_delay_s=arguments.target_delay_ms / 1000,
         conforming=arguments.conforming,
     )
     faults = tuple(arguments.fault or ())
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -22,6 +22,7 @@
     build_config,
     build_registration,
 )
+from wagtailbay_bench.soak.faults import ALL_FAULTS, BROKEN_HEADS, FAULTS
 from wagtailbay_bench.soak.models import History, SoakSize
 from wagtailbay_bench.soak.site import (
     FIRST_VERSION,
@@ -31,7 +32,7 @@
     assign_services,
     build_workspaces,
 )
-from wagtailbay_bench.soak.target import ALL_FAULTS, BROKEN_HEADS, FAULTS, SoakTarget
+from wagtailbay_bench.soak.target import SoakTarget
 from wagtailbay_bench.soak.vms import ZONES, SoakVm
 from wagtailbay_standins.link import Link
 from wagtailbay_standins.objects import ObjectApiStandin
@@ -67,6 +68,7 @@
 
     def configure_target(self, target: SoakTarget) -> None:
         """Let a target answer wrongly, unless everything but planned stops is sound."""
+        target.link_delay_s = self.size.target_delay_s
         if self.history.planned_only:
             return
         target.faults, target.fault_share = self.faults, FAULT_SHARE
--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -10,6 +10,7 @@
 
 from wagtailbay_bench.soak.disturb import hold_fault
 from wagtailbay_bench.soak.documents import (
+    FIRST_BORN_UNIX_MS,
     SoakRoute,
     SoakWorkspace,
     build_config,
@@ -57,6 +58,7 @@
 
     Attributes:
         configure: Sets the faults of a new target.
+        incarnation: Number of targets that were started here.
         target: The last target that was started here.
         running: Whether it serves.
     """
@@ -77,16 +79,26 @@
     lock: trio.Lock = field(factory=trio.Lock)
 
     async def start(
-        self, nursery: trio.Nursery, version: str = "v1", cold_left: str = COLD_LEFT
+        self,
+        nursery: trio.Nursery,
+        version: str = "v1",
+        cold_left: str = COLD_LEFT,
+        keep_name: bool = False,
     ) -> None:
-        """Start a target with a name of its own and register it, unless one is running."""
+        """Start a target and register it, unless one is running.
+
+        Args:
+            keep_name: Whether it has the name of the last one, not one of its own.
+        """
         async with self.lock:
             if not self.running:
-                await self._start(nursery, version, cold_left)
+                self.incarnation += 1
+                name = f"t{self.number}.{self.incarnation}"
+                if keep_name and self.target is not None:
+                    name = self.target.name
+                await self._start(nursery, name, version, cold_left)
 
-    async def _start(self, nursery: trio.Nursery, version: str, cold_left: str) -> None:
-        self.incarnation += 1
-        name = f"t{self.number}.{self.incarnation}"
+    async def _start(self, nursery: trio.Nursery, name: str, version: str, cold_left: str) -> None:
         self.target = SoakTarget(name, self.history, Random(self.random.random()))
         self.configure(self.target)
         try:
@@ -105,7 +117,10 @@
 
     def register(self, **fields: str) -> None:
         """Write the entry of the running target."""
-        entry = build_registration(self.address, self.zone, self.service, **fields)
+        born_unix_ms = FIRST_BORN_UNIX_MS + self.incarnation
+        entry = build_registration(
+            self.address, self.zone, self.service, born_unix_ms=born_unix_ms, **fields
+        )
         self.api.put_fields("servers", self.target.name, entry)
 
     def crash(self) -> None:
@@ -143,6 +158,7 @@
         return {
             "crash_targets": self._crash_targets,
             "restart_targets": self._restart_targets,
+            "return_targets": self._return_targets,
             "flap_targets": self._flap_targets,
             "replace_targets": self._replace_targets,
             "drain_targets": self._drain_targets,
@@ -183,6 +199,15 @@
         """Restart targets at once, so that two entries name each address for a while."""
         await self._crash_and_return(self._pick_places(), QUICK_RESTART_S)
 
+    async def _return_targets(self) -> None:
+        """Restart targets at once under the names that they had."""
+        places = self._pick_places()
+        for place in places:
+            place.crash()
+        await trio.sleep(QUICK_RESTART_S)
+        for place in places:
+            await place.start(self.nursery, keep_name=True)
+
     async def _flap_targets(self) -> None:
         places = self._pick_places()
         for _ in range(FLAP_COUNT):
