--- a/tests/entry/test_entry_target_faults.py
+++ b/tests/entry/test_entry_target_faults.py
@@ -6,7 +6,7 @@
 
 import pytest
 import trio
-from support.raw_target import RawExchange, RawTarget
+from support.raw_target import RawExchange, RawTarget, repeat_late
 
 from wagtailbay.entry import attempt
 from wagtailbay_bench.rig import Rig, RigVm, get, post
@@ -72,18 +72,12 @@
     # Guards against issue 34: nothing in such an answer tells it from the one that is due.
     async def test_late_second_copy_without_an_id(self, nursery) -> None:
         """Guards against the answer to another caller, from a target that echoes no ID."""
-        previous: list[str] = []
 
-        async def answer_twice(exchange: RawExchange) -> None:
+        def answer_without_id(exchange: RawExchange) -> str:
             path = exchange.head.split(" ")[1]
-            own = f"HTTP/1.1 200 OK\r\nContent-Length: {len(path)}\r\n\r\n{path}"
-            if exchange.number > 1:
-                await exchange.send(*previous)
-                await trio.sleep(0.05)
-            await exchange.send(own)
-            previous[:] = [own]
+            return f"HTTP/1.1 200 OK\r\nContent-Length: {len(path)}\r\n\r\n{path}"
 
-        vm = await start_vm(nursery, RawTarget(answer_twice))
+        vm = await start_vm(nursery, RawTarget(repeat_late(answer_without_id)))
         for number in range(6):
             response = await vm.session(get(f"/records/{number}"))
             assert response.endswith(f"/{number}".encode())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,10 +3,9 @@
 import json
 
 import pytest
-import trio
 from result import Err, Ok
 from support.gateway import config_spec
-from support.raw_target import RawExchange, RawTarget
+from support.raw_target import RawExchange, RawTarget, repeat_late
 
 from wagtailbay.platform import PlatformStore
 from wagtailbay.rollout import RolloutOrder, RolloutPhase
@@ -103,24 +102,16 @@
     # Guards against issue 34: a copy of an answer, late, on a connection that is in use again.
     async def test_late_copy_is_not_the_answer_to_the_next_call(self, nursery):
         """Guards against an object, revision or conflict that belongs to an earlier call."""
-        previous: list[str] = []
-        connections_used_again = 0
 
-        async def answer_twice(exchange: RawExchange) -> None:
-            nonlocal connections_used_again
+        def answer_with_name(exchange: RawExchange) -> str:
             name = exchange.head.split(" ")[1].rpartition("/")[2]
             body = json.dumps({"meta": {"name": name, "revision": 7}, "spec": {"address": name}})
-            own = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}"
-            if exchange.number > 1:
-                connections_used_again += 1
-                await exchange.send(*previous)
-                await trio.sleep(0.05)
-            await exchange.send(own)
-            previous[:] = [own]
-
-        host, port = await nursery.start(RawTarget(answer_twice).serve)
+            return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+
+        target = RawTarget(repeat_late(answer_with_name))
+        host, port = await nursery.start(target.serve)
         store = PlatformStore(f"{host}:{port}")
         for name in ("a", "b", "c"):
             stored = (await store.get(f"vms/{name}")).ok_value
             assert (stored.key, stored.value) == (f"vms/{name}", {"address": name})
-        assert connections_used_again == 0
+        assert [exchange.number for exchange in target.exchanges] == [1, 1, 1]
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -57,6 +57,25 @@
             pass
 
 
+def repeat_late(build_answer: Callable[[RawExchange], str], lead_s: float = 0.05) -> Script:
+    """Return a script that repeats its previous answer on a connection that is in use again.
+
+    Args:
+        lead_s: Time from the repeated answer to the one that is due.
+    """
+    previous: list[str] = []
+
+    async def answer(exchange: RawExchange) -> None:
+        own = build_answer(exchange)
+        if exchange.number > 1:
+            await exchange.send(*previous)
+            await trio.sleep(lead_s)
+        await exchange.send(own)
+        previous[:] = [own]
+
+    return answer
+
+
 @define
 class RawTarget:
     """Serves connections and runs a script for each request; requests must have no body.
--- a/tests/transport/test_carried_requests.py
+++ b/tests/transport/test_carried_requests.py
@@ -1,7 +1,7 @@
 """Tests of the rule that a connection carries no request ID twice."""
 
 import trio
-from support.raw_target import RawExchange, RawTarget
+from support.raw_target import RawExchange, RawTarget, repeat_late
 
 from wagtailbay.transport import ConnectionPool, Request
 from wagtailbay.transport.carried import CarriedRequests
@@ -74,18 +74,12 @@
     # Guards against issue 34, here for probes of targets: their responses carry no ID.
     async def test_late_copy_is_not_the_response_to_the_next_request(self, nursery):
         """Guards against the health or the load that a target reported before."""
-        previous: list[str] = []
 
-        async def answer_twice(exchange: RawExchange) -> None:
+        def answer_path(exchange: RawExchange) -> str:
             path = exchange.head.split(" ")[1]
-            own = f"HTTP/1.1 200 OK\r\nContent-Length: {len(path)}\r\n\r\n{path}"
-            if exchange.number > 1:
-                await exchange.send(*previous)
-                await trio.sleep(0.05)
-            await exchange.send(own)
-            previous[:] = [own]
-
-        host, port = await nursery.start(RawTarget(answer_twice).serve)
+            return f"HTTP/1.1 200 OK\r\nContent-Length: {len(path)}\r\n\r\n{path}"
+
+        host, port = await nursery.start(RawTarget(repeat_late(answer_path)).serve)
         pool = ConnectionPool()
         for path in ("/health", "/load", "/health"):
             response = (await pool.fetch(f"{host}:{port}", Request("GET", path), 1_000)).unwrap()
