--- a/src/wagtailbay_bench/soak/program.py
+++ b/src/wagtailbay_bench/soak/program.py
@@ -9,10 +9,12 @@
 from attrs import evolve
 
 from wagtailbay_bench.soak.checks import find_violations
+from wagtailbay_bench.soak.disturb import UNPLANNED
 from wagtailbay_bench.soak.faults import ALL_FAULTS
 from wagtailbay_bench.soak.models import History, SoakSize, Violation
 from wagtailbay_bench.soak.regressions import REGRESSIONS, Soak
 from wagtailbay_bench.soak.scenario import record_history
+from wagtailbay_bench.soak.site import SITE_DISTURBANCES
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -39,9 +41,9 @@
     )
     parser.add_argument(
         "--disturbance",
+        choices=sorted((*UNPLANNED, *SITE_DISTURBANCES)),
         action="append",
-        metavar="NAME",
-        help="draw this disturbance only, for example restart_targets (can be repeated)",
+        help="draw this disturbance only (can be repeated); some need --site",
     )
     parser.add_argument(
         "--target-delay-ms",
@@ -100,7 +102,10 @@
 
 def main() -> int:
     """Run the soaks and return the exit status, 1 if any promise was broken."""
-    arguments = build_parser().parse_args()
+    parser = build_parser()
+    arguments = parser.parse_args()
+    if not arguments.site and set(arguments.disturbance or ()) - set(UNPLANNED):
+        parser.error(f"without --site, --disturbance is one of {', '.join(UNPLANNED)}")
     soaks = choose_soaks(arguments)
     failed_seeds = []
     for soak in soaks:
--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -50,6 +50,23 @@
 # Targets that one disturbance concerns.
 MAX_TARGETS_AT_ONCE: Final = 6
 FIRST_VERSION: Final = 7
+# Names of the methods of a site, without their underscore.
+OWN_DISTURBANCES: Final = (
+    "crash_targets",
+    "restart_targets",
+    "return_targets",
+    "flap_targets",
+    "replace_targets",
+    "drain_targets",
+    "drop_idle",
+    "change_config",
+    "roll_out",
+    "stop_store",
+    "slow_store",
+    "silent_store",
+    "lose_region",
+)
+SITE_DISTURBANCES: Final = (*OWN_DISTURBANCES, "add_vm")
 
 
 @define
@@ -155,22 +172,8 @@
 
     def disturbances(self) -> Mapping[str, Callable[[], Awaitable[None]]]:
         """Return what can happen to the site."""
-        return {
-            "crash_targets": self._crash_targets,
-            "restart_targets": self._restart_targets,
-            "return_targets": self._return_targets,
-            "flap_targets": self._flap_targets,
-            "replace_targets": self._replace_targets,
-            "drain_targets": self._drain_targets,
-            "drop_idle": self._drop_idle,
-            "change_config": self._change_config,
-            "roll_out": self._roll_out,
-            "stop_store": self._stop_store,
-            "slow_store": self._slow_store,
-            "silent_store": self._silent_store,
-            "lose_region": self._lose_region,
-            "add_vm": self.add_vm,
-        }
+        own = {name: getattr(self, f"_{name}") for name in OWN_DISTURBANCES}
+        return own | {"add_vm": self.add_vm}
 
     def _pick_places(self) -> list[TargetPlace]:
         running = [place for place in self.places if place.running]
--- a/tests/gateway/test_refusal_evidence.py
+++ b/tests/gateway/test_refusal_evidence.py
@@ -1,5 +1,8 @@
 """Tests of what proves that a refused request has not run (issue 28)."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import pytest
 import trio
 from eliot import add_destinations, remove_destination
@@ -26,6 +29,17 @@
     return script
 
 
+@contextmanager
+def collect_messages() -> Iterator[list[dict]]:
+    """Collect the messages that are logged, and the latest earlier ones."""
+    messages: list[dict] = []
+    add_destinations(messages.append)
+    try:
+        yield messages
+    finally:
+        remove_destination(messages.append)
+
+
 class TestStatusWithoutProof:
     """A status that promises 'not run' reaches a caller only with proof."""
 
@@ -66,6 +80,23 @@
         assert response.status == 503
 
 
+class TestLoggedConnections:
+    """The log tells on which connection each response came."""
+
+    # Guards against issue 34: a copy of a refusal read like the refusal of another target.
+    async def test_tries_at_two_targets_have_two_connections(self, nursery):
+        """Guards against a log that cannot tell two refusals from a refusal and its copy."""
+        refuse = answer_with("503 Busy", NOT_RUN)
+        harness = await start_raw_harness(nursery, refuse, refuse)
+        with collect_messages() as messages:
+            assert (await harness.send_request("/b/x")).status == 503
+        logged = [message["responses"] for message in messages if "responses" in message][-1]
+        evidence = [response.rpartition(":") for response in logged.split(",")]
+        assert [text for text, _, _ in evidence] == ["503:not_run:own_id:0"] * 2
+        first, second = (int(connection) for _, _, connection in evidence)
+        assert first != second
+
+
 class TestUnsignedSuccesses:
     """A success reaches a caller only with the signature of its target."""
 
@@ -202,13 +233,8 @@
             await exchange.answer("")
 
         harness = await start_raw_harness(nursery, answer_after_broken_continue)
-        messages: list[dict] = []
-        add_destinations(messages.append)
-        try:
-            with trio.fail_after(10):
-                assert (await harness.send_request("/b/x")).status == 502
-        finally:
-            remove_destination(messages.append)
+        with collect_messages() as messages, trio.fail_after(10):
+            assert (await harness.send_request("/b/x")).status == 502
         # The log says why, although no response was accepted. Eliot also sends earlier messages.
         failures = [message["failures"] for message in messages if "failures" in message]
         assert "beginning of another response" in failures[-1]
