Replace watchers of the store that are silent or do not reach it

Cause: the other VMs relied on the lost watchers until these no longer counted as live (4 s) or their replica was 6 s old. The choice of watchers also ignored that a watcher's store calls fail, and a watcher noticed a silent path only when its watch timed out.

Change: WatcherSelection drops a VM without direct contact for 0.6 of the stated time for changes, and prefers VMs whose store calls do not fail. VMs announce at once that their calls begin to fail, and watchers probe the store. In a divided fleet each region has a watcher of each rank, since only delegates of one rank are in contact; a cell without delegates reads the store itself. The new event store_role says when and why a VM begins to read the store.

--- a/src/wagtailbay/membership/__init__.py
+++ b/src/wagtailbay/membership/__init__.py
@@ -21,6 +21,7 @@
     responsive_members,
 )
 from wagtailbay.membership.server import Lender, PeerServer
+from wagtailbay.membership.watchers import WatcherSelection
 
 __all__ = [
     "Exchanger",
@@ -45,6 +46,7 @@
     "Roster",
     "VmIdentity",
     "VmState",
+    "WatcherSelection",
     "choose_watchers",
     "build_layout",
     "is_in_contact",
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -10,6 +10,9 @@
 # With two delegates a cell stays connected while one of them is replaced.
 DELEGATES_PER_CELL: Final = 2
 WATCHERS_PER_REGION: Final = 2
+# A watcher without direct contact for this long is replaced; an entry VM must refuse a withdrawn
+# key within 5 s.
+WATCHER_SILENCE_S: Final = 1.5
 
 HEARTBEAT_S: Final = 1.0
 # The called VM of a pair starts to call too once its last proven contact is this old. With regular
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -58,7 +58,7 @@
             sender=self.roster.own_member,
             replica_revision=self.replica.revision,
             confirmed_age_ms=self.freshness.age_ms(now_s),
-            store_reachable=self.reader.reachable,
+            store_reachable=not self.reader.contact.is_failing,
             batch=batch,
             facts=self.facts.batch_after(
                 peer.facts_acked, now_s, same_region=self.is_same_region(vm)
@@ -127,6 +127,13 @@
                 contacts.append(Contact(name, member.identity.incarnation, member.contact_s))
         return tuple(contacts)
 
+    def is_store_failing(self, vm: str) -> bool:
+        """Return whether the last store call of a VM failed, as far as this VM knows."""
+        if vm == self.roster.own.vm:
+            return self.reader.contact.is_failing
+        peer = self.peer_states.get(vm)
+        return peer is not None and peer.store_reachable is False
+
     def record_answered_call(self, vm: str, sent: ExchangeMessage) -> None:
         """Record that a peer has answered a call, which proves that it received the message."""
         peer = self.peer_states.setdefault(vm, PeerSyncState())
--- a/src/wagtailbay/membership/layout.py
+++ b/src/wagtailbay/membership/layout.py
@@ -44,6 +44,11 @@
         """Return whether a VM is a delegate of its cell."""
         return vm in self.delegates.get(self.cell_by_vm.get(vm, ""), ())
 
+    def delegate_rank(self, vm: str) -> int | None:
+        """Return the rank of a VM among the delegates of its cell, None if it is not one."""
+        names = self.delegates.get(self.cell_by_vm.get(vm, ""), ())
+        return names.index(vm) if vm in names else None
+
     def neighbours(self, vm: str) -> frozenset[str]:
         """Return the VMs with which a VM exchanges messages directly."""
         own = self.cell_by_vm.get(vm, "")
--- a/src/wagtailbay/membership/peer_sync.py
+++ b/src/wagtailbay/membership/peer_sync.py
@@ -23,6 +23,8 @@
         digest_position: This VM's replica position after that message was applied.
         replica_received: This VM has the peer's objects up to this position.
         members_acked: The peer has this VM's roster up to this position.
+        store_reachable: False if the peer's last call to the store failed, True if it succeeded or
+            there was none; None before the first message.
         contacts_sent_s: When the directly contacted members were last sent to the peer.
         mark_ms: The mark in the peer's newest answer, 0 if there was none.
         mark_received_s: When that answer arrived.
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -164,6 +164,7 @@
                 self.exchanger.facts.changed,
                 self.exchanger.replica.changed,
                 self.exchanger.roster.announced,
+                self.exchanger.reader.contact.failed,
             ):
                 nursery.start_soon(self._wake_loops_on_change, signal)
             while True:
--- a/src/wagtailbay/membership/selection.py
+++ b/src/wagtailbay/membership/selection.py
@@ -92,10 +92,12 @@
     members: Iterable[Member],
     region_of: Callable[[str], str | None],
     per_region: int = WATCHERS_PER_REGION,
+    is_store_failing: Callable[[str], bool] = lambda vm: False,
 ) -> frozenset[str]:
     """Return the names of the VMs that watch the store, per_region of them in each region.
 
-    An availability zone without a known region counts as a region of its own.
+    An availability zone without a known region counts as a region of its own. VMs whose store calls
+    fail are chosen only where there are not enough others.
     """
     by_region: dict[str, list[str]] = {}
     for member in members:
@@ -104,7 +106,9 @@
     return frozenset(
         vm
         for region, vms in by_region.items()
-        for vm in rendezvous_order(f"watch\0{region}", vms)[:per_region]
+        for vm in sorted(rendezvous_order(f"watch\0{region}", vms), key=is_store_failing)[
+            :per_region
+        ]
     )
 
 
--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -207,6 +207,18 @@
             case Err(error):
                 return Err(classify_write_failure(key, error))
 
+    async def probe(self, timeout_ms: int) -> Result[None, StoreUnavailable]:
+        """Check that the store answers this VM.
+
+        The call names no object. Calls with ``stale_ok`` are cheap and do not count for the read
+        rate.
+        """
+        match await self._read(f"/objects/{VMS_KIND}/-?stale_ok=1", timeout_ms):
+            case Err(error):
+                return Err(StoreUnavailable(str(error)))
+            case _:
+                return Ok(None)
+
     async def vms(self) -> Result[VmList, StoreUnavailable]:
         """Return the list of VMs that registered themselves."""
         list_result = await self._list_kind(VMS_KIND)
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -23,15 +23,15 @@
     Roster,
     VmIdentity,
     VmState,
-    choose_watchers,
+    WatcherSelection,
     live_members,
-    responsive_members,
 )
 from wagtailbay.membership.codec import DEFAULT_CODEC
 from wagtailbay.membership.const import (
     EXCHANGE_TIMEOUT_MS,
     EXPIRY_INTERVAL_S,
     HOUSEKEEPING_INTERVAL_S,
+    WATCHER_SILENCE_S,
     WATCHERS_PER_REGION,
 )
 from wagtailbay.membership.credentials import CertificateSource
@@ -120,8 +120,8 @@
         while True:
             now_s = self.clock()
             self.isolation.tick(now_s)
-            if self.reader.last_success_s is not None:
-                self.isolation.record_contact(self.reader.last_success_s, now_s)
+            if self.reader.contact.last_success_s is not None:
+                self.isolation.record_contact(self.reader.contact.last_success_s, now_s)
             if now_s >= next_expiry_s:
                 self.exchanger.remove_expired(now_s)
                 next_expiry_s = now_s + EXPIRY_INTERVAL_S
@@ -172,7 +172,7 @@
             "superseded": self.roster.superseded,
             "revision": self.replica.revision,
             "confirmed_age_ms": self.freshness.age_ms(now_s),
-            "store_reachable": self.reader.reachable,
+            "store_reachable": self.reader.contact.reachable,
             "store_watcher": self.reader.is_watcher(),
             "lease_holder": self.lease.holder() if self.lease else None,
             "holds_lease": self.lease is not None and self.lease.is_holder(now_s),
@@ -213,10 +213,21 @@
     has_lease: bool = True,
     watchers_per_region: int = WATCHERS_PER_REGION,
     publishes_list: bool = True,
+    watcher_silence_s: float = WATCHER_SILENCE_S,
 ) -> Fleet:
-    """Build the fleet components of a VM without starting any task."""
+    """Build the fleet components of a VM without starting any task.
+
+    Args:
+        watcher_silence_s: A VM without direct contact for this long does not count as a watcher.
+    """
     exchanger = build_exchanger(
-        identity, store, document, clock, make_reader or build_reader, watchers_per_region
+        identity,
+        store,
+        document,
+        clock,
+        make_reader or build_reader,
+        watchers_per_region,
+        watcher_silence_s,
     )
     vm_list_reader = VmListReader(
         store, exchanger.facts, exchanger.reader.is_watcher, clock, publishes_list
@@ -239,20 +250,23 @@
     clock: Clock,
     make_reader: ReaderFactory,
     watchers_per_region: int,
+    watcher_silence_s: float,
 ) -> Exchanger:
     """Build the state that a VM exchanges with its peers, and its store reader."""
     roster = Roster(identity)
 
-    def is_watcher() -> bool:
+    def region_of(zone: str) -> str | None:
         fleet_document = document()
-        region_of = fleet_document.region_of if fleet_document else lambda zone: None
-        layout = exchanger.layout
-        live = [
-            member
-            for member in responsive_members(roster, clock())
-            if not layout.is_divided or layout.is_delegate(member.identity.vm)
-        ]
-        return identity.vm in choose_watchers(live, region_of, watchers_per_region)
+        return fleet_document.region_of(zone) if fleet_document else None
+
+    selection = WatcherSelection(
+        roster,
+        region_of,
+        lambda: exchanger.layout,
+        lambda vm: exchanger.is_store_failing(vm),
+        watcher_silence_s,
+        watchers_per_region,
+    )
 
     def is_same_region(vm: str) -> bool:
         fleet_document, member = document(), roster.members.get(vm)
@@ -267,7 +281,7 @@
         FactTable(identity.vm, identity.incarnation),
         replica,
         freshness,
-        make_reader(store, replica, freshness, is_watcher, clock),
+        make_reader(store, replica, freshness, lambda: selection.is_watcher(clock()), clock),
         Quorum(
             roster,
             lambda: fleet_document.voter_count if (fleet_document := document()) else None,
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -55,6 +55,13 @@
 # serves the others. With one watcher per region, all watchers could be rejected; a change then took
 # effect only after 2.9 s, when the other VMs found their replicas stale.
 WATCHERS_PER_REGION = 2
+# A change that is accepted when all watchers are lost must still take effect in time. In fractions
+# of that time: when a watcher that does not answer is replaced, and how often watchers probe the
+# store. A probe fails after two intervals at most.
+WATCHER_SILENCE_FRACTION = 0.6
+STORE_PROBE_FRACTION = 0.2
+# Regular heartbeats are a second apart.
+MIN_WATCHER_SILENCE_S = 1.3
 MAX_IDLE_CONNECTIONS = 32
 # Memory of a process without the bodies of requests, with a large configuration.
 BASE_MEMORY_MB = 120
@@ -173,6 +180,9 @@
             },
         )
 
+        requirements = settings.requirements
+        change_deadline_s = min(requirements.config_apply_ms, requirements.target_drain_ms) / 1000
+
         def build_prefix_reader(store, replica, freshness, is_watcher, clock) -> PrefixReader:
             return PrefixReader(
                 store,
@@ -186,6 +196,7 @@
                 min_list_interval_s=min_list_interval_s,
                 rare_prefixes=RARE_PREFIXES,
                 peer_wait_s=PEER_WAIT_S if settings.first_start and peer_settings.peers else 0.0,
+                probe_interval_s=STORE_PROBE_FRACTION * change_deadline_s,
             )
 
         def min_list_interval_s() -> float:
@@ -204,6 +215,9 @@
             has_lease=False,
             watchers_per_region=WATCHERS_PER_REGION,
             publishes_list=False,
+            watcher_silence_s=max(
+                MIN_WATCHER_SILENCE_S, WATCHER_SILENCE_FRACTION * change_deadline_s
+            ),
             lender=self._lend,
         )
         fleet.peers.record_call = exporter.metrics.record_peer_exchange
--- a/src/wagtailbay/replica/__init__.py
+++ b/src/wagtailbay/replica/__init__.py
@@ -4,6 +4,7 @@
 from wagtailbay.replica.prefix_reader import PrefixReader
 from wagtailbay.replica.replica import Freshness, Replica
 from wagtailbay.replica.signal import ChangeSignal
+from wagtailbay.replica.store_contact import StoreContact
 from wagtailbay.replica.store_reader import StoreReader
 from wagtailbay.replica.values import from_value, to_value
 
@@ -13,6 +14,7 @@
     "Freshness",
     "PrefixReader",
     "Replica",
+    "StoreContact",
     "StoreReader",
     "from_value",
     "to_value",
--- a/src/wagtailbay/replica/const.py
+++ b/src/wagtailbay/replica/const.py
@@ -19,6 +19,8 @@
 # A response confirms the state at the time of its request, so in normal operation a replica is at
 # most two watches and one peer exchange old. A VM with an older replica calls the store itself.
 PREFIX_STALE_AFTER_S: Final = 6.0
+# How often a VM checks whether it has to call the store.
+ROLE_CHECK_INTERVAL_S: Final = 0.1
 MIN_PREFIX_BACKOFF_S: Final = 0.2
 MAX_PREFIX_BACKOFF_S: Final = 1.5
 # Pause after a response with changes; far below the seconds allowed for a change to take effect.
--- a/src/wagtailbay/replica/prefix_reader.py
+++ b/src/wagtailbay/replica/prefix_reader.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from functools import partial
+from math import inf
 
 import trio
 from attrs import define, field
@@ -18,8 +19,11 @@
     PREFIX_WATCH_PAUSE_S,
     PREFIX_WATCH_TIMEOUT_MS,
     RARE_PREFIX_WATCH_TIMEOUT_MS,
+    ROLE_CHECK_INTERVAL_S,
 )
 from wagtailbay.replica.replica import Freshness, Replica
+from wagtailbay.replica.signal import ChangeSignal
+from wagtailbay.replica.store_contact import StoreContact
 from wagtailbay.store import HistoryLost, ObjectStore, StoreUnavailable
 from wagtailbay.supervision import keep_running
 
@@ -46,12 +50,12 @@
 
     The replica's revision is the lowest revision of all prefixes, and its age that of the oldest
     response. Only the VMs selected as watchers watch the store. Other VMs receive changes from
-    their peers, and list the store themselves if no recent update arrives.
+    their peers, and list the store themselves if no recent update arrives. A watch whose connection
+    is cut fails only after its timeout, so a watcher also probes the store in short intervals.
 
     Attributes:
         is_watcher: Returns whether this VM is currently a watcher.
-        reachable: Whether the last call succeeded.
-        last_success_s: Time at which the last successful call was sent; None before the first.
+        contact: Outcome of the latest calls.
         on_failure: Called with the current time when a call fails.
         min_list_interval_s: Returns the shortest interval between two listings of a VM that does
             not watch, so that the whole fleet stays within the read rate of the store.
@@ -59,7 +63,11 @@
             the age of the replica; at least one prefix must not be among them.
         peer_wait_s: How long to wait after the start for objects from peers, and to learn from them
             which VMs watch. When a whole fleet starts, every VM would list the store otherwise.
+        probe_interval_s: How often a watcher probes the store, which is also the time allowed for
+            an answer; infinity for never.
         states: Replication state by prefix.
+        reads_store: Whether this VM calls the store, as of the last check.
+        began_reading: Notified when this VM begins to call the store.
         started_s: When this VM started to replicate.
     """
 
@@ -70,12 +78,14 @@
     clock: Callable[[], float]
     random: random.Random
     prefixes: tuple[str, ...]
-    reachable: bool = False
-    last_success_s: float | None = None
+    contact: StoreContact = field(factory=StoreContact)
     on_failure: Callable[[float], None] = lambda now_s: None
     min_list_interval_s: Callable[[], float] = lambda: 0.0
     rare_prefixes: frozenset[str] = frozenset()
     peer_wait_s: float = 0.0
+    probe_interval_s: float = inf
+    reads_store: bool = False
+    began_reading: ChangeSignal = field(factory=ChangeSignal)
     states: dict[str, PrefixState] = field(factory=dict)
     started_s: float = field(init=False)
 
@@ -90,6 +100,33 @@
             for prefix, state in self.states.items():
                 task = partial(self._run_prefix, prefix, state)
                 nursery.start_soon(keep_running, task, f"replicate {prefix}")
+            nursery.start_soon(keep_running, self._follow_role, "store_role")
+            nursery.start_soon(keep_running, self._probe_store, "store_probe")
+
+    async def _follow_role(self) -> None:
+        """Wake the tasks of the prefixes when this VM has to call the store."""
+        while True:
+            reads_store = self._should_read_store()
+            if reads_store != self.reads_store:
+                self.reads_store = reads_store
+                log_event(
+                    "store_role",
+                    reads_store=reads_store,
+                    is_watcher=self.is_watcher(),
+                    confirmed_age_ms=self.freshness.age_ms(self.clock()),
+                )
+                if reads_store:
+                    self.began_reading.notify()
+            await trio.sleep(ROLE_CHECK_INTERVAL_S)
+
+    async def _probe_store(self) -> None:
+        """Notice early that a watcher no longer reaches the store."""
+        while True:
+            await trio.sleep(self.probe_interval_s)
+            if self.is_watcher() and not self.contact.is_failing:
+                probed = await self.store.probe(round(self.probe_interval_s * 1000))
+                if isinstance(probed, Err):
+                    self.contact.record_failure(probed.err_value.message)
 
     async def _run_prefix(self, prefix: str, state: PrefixState) -> None:
         # After an unexpected error, changes since the last listing may be missing.
@@ -99,7 +136,8 @@
                 await trio.sleep(self._backoff_s(state))
             if not self._should_read_store():
                 state.revision = None
-                await trio.sleep(LIST_INTERVAL_S * self.random.uniform(0.4, 0.6))
+                with trio.move_on_after(LIST_INTERVAL_S * self.random.uniform(0.4, 0.6)):
+                    await self.began_reading.wait()
             elif state.revision is not None and self.is_watcher():
                 await self._watch(prefix, state)
             else:
@@ -156,9 +194,7 @@
         """Record a response, which confirms the state at the time its request was sent."""
         state.revision = max(revision, state.revision or 0)
         state.confirmed_s, state.failures = requested_s, 0
-        if not self.reachable:
-            log_event("store_reachable", revision=revision)
-        self.reachable, self.last_success_s = True, requested_s
+        self.contact.record_success(requested_s, revision)
         prefix_states = self.states.values()
         if all(other.revision is not None for other in prefix_states):
             lowest = min(other.revision for other in prefix_states if other.revision is not None)
@@ -168,9 +204,7 @@
 
     def _record_failure(self, state: PrefixState, error: StoreUnavailable) -> None:
         """Record a failed call and force a listing next, since a response may have been lost."""
-        if self.reachable:
-            log_event("store_unreachable", reason=error.message)
-        self.reachable = False
+        self.contact.record_failure(error.message)
         state.failures += 1
         state.revision = None
         self.on_failure(self.clock())
--- a/src/wagtailbay/replica/store_reader.py
+++ b/src/wagtailbay/replica/store_reader.py
@@ -4,10 +4,9 @@
 from collections.abc import Callable
 
 import trio
-from attrs import define
+from attrs import define, field
 from result import Err, Ok
 
-from wagtailbay.logs import log_event
 from wagtailbay.replica.const import (
     LIST_INTERVAL_S,
     MAX_BACKOFF_S,
@@ -16,6 +15,7 @@
     WATCH_TIMEOUT_MS,
 )
 from wagtailbay.replica.replica import Freshness, Replica
+from wagtailbay.replica.store_contact import StoreContact
 from wagtailbay.store import ObjectStore, StoreUnavailable
 
 
@@ -28,9 +28,8 @@
 
     Attributes:
         is_watcher: Returns whether this VM is currently a watcher.
-        reachable: Whether the last call succeeded.
+        contact: Outcome of the latest calls.
         failures: Number of consecutive failed calls.
-        last_success_s: Time at which the last successful call was sent; None before the first.
     """
 
     store: ObjectStore
@@ -39,15 +38,14 @@
     is_watcher: Callable[[], bool]
     clock: Callable[[], float]
     random: random.Random
-    reachable: bool = False
+    contact: StoreContact = field(factory=StoreContact)
     failures: int = 0
-    last_success_s: float | None = None
 
     async def run(self) -> None:
         """Replicate the store until cancelled."""
         await self._list()
         while True:
-            if not self.reachable:
+            if not self.contact.reachable:
                 await trio.sleep(self._backoff_s())
                 if self.is_watcher() or self._is_stale():
                     await self._list()
@@ -87,11 +85,9 @@
     def _record_response(self, revision: int, requested_s: float) -> None:
         """Record a response, which confirms the state at the time its request was sent."""
         self.freshness.confirm(requested_s)
-        if not self.reachable:
-            log_event("store_reachable", revision=revision)
-        self.reachable, self.failures, self.last_success_s = True, 0, requested_s
+        self.contact.record_success(requested_s, revision)
+        self.failures = 0
 
     def _record_failure(self, error: StoreUnavailable) -> None:
-        if self.reachable or self.failures == 0:
-            log_event("store_unreachable", reason=str(error))
-        self.reachable, self.failures = False, self.failures + 1
+        self.contact.record_failure(str(error))
+        self.failures += 1
--- a/src/wagtailbay/store/client.py
+++ b/src/wagtailbay/store/client.py
@@ -72,6 +72,10 @@
         )
         return _decode_response(read_result, decode_listing)
 
+    async def probe(self, timeout_ms: int) -> Result[None, StoreUnavailable]:
+        """Check that the store answers this VM."""
+        return (await self._read("/v1/vms", timeout_ms)).map(lambda _: None)
+
     async def vms(self) -> Result[VmList, StoreUnavailable]:
         """Read the platform's list of live and leaving VMs."""
         read_result = await self._read("/v1/vms")
--- a/src/wagtailbay/store/metered.py
+++ b/src/wagtailbay/store/metered.py
@@ -62,6 +62,10 @@
         """Wait for changes after a revision; the listing is empty after the timeout."""
         return self._record("watch", await self.store.watch(prefixes, since_revision, timeout_ms))
 
+    async def probe(self, timeout_ms: int) -> Result[None, StoreUnavailable]:
+        """Check that the store answers this VM."""
+        return self._record("probe", await self.store.probe(timeout_ms))
+
     async def vms(self) -> Result[VmList, StoreUnavailable]:
         """Read the platform's list of live and leaving VMs."""
         return self._record("vms", await self.store.vms())
--- a/src/wagtailbay/store/models.py
+++ b/src/wagtailbay/store/models.py
@@ -105,5 +105,8 @@
     ) -> Result[Listing, StoreUnavailable | HistoryLost]:
         """Wait for changes after a revision; the listing is empty after the timeout."""
 
+    async def probe(self, timeout_ms: int) -> Result[None, StoreUnavailable]:
+        """Check that the store answers this VM; the answer may come from an outdated copy."""
+
     async def vms(self) -> Result[VmList, StoreUnavailable]:
         """Read the platform's list of live and leaving VMs."""
--- a/src/wagtailbay_bench/memory_store.py
+++ b/src/wagtailbay_bench/memory_store.py
@@ -88,6 +88,10 @@
         stored = self.objects.get(key)
         return stored.version if stored and stored.value is not None else 0
 
+    async def probe(self, timeout_ms: int) -> Result[None, StoreUnavailable]:
+        """Check that the store answers."""
+        return await self._begin_call("probe")
+
     def add_vm(self, vm: str) -> None:
         """Add a VM to the platform's list unless it is already listed."""
         if all(record.vm != vm for record in self.vm_records):
--- a/tests/replica/test_prefix_reader.py
+++ b/tests/replica/test_prefix_reader.py
@@ -108,7 +108,7 @@
         harness.store.put("a/1", "x")
         await harness.wait_until(lambda: harness.replica.value("a/1") == "x")
         harness.store.unavailable = True
-        await harness.wait_until(lambda: harness.failed and not harness.reader.reachable)
+        await harness.wait_until(lambda: harness.failed and not harness.reader.contact.reachable)
         harness.store.unavailable = False
         harness.store.put("a/1", "z")
         await harness.wait_until(lambda: harness.replica.value("a/1") == "z")
