Keep the counts of requests that crash targets in the store

Cause: the counts lived in facts only, which end with the VMs.

Change: CrashRecorder keeps the counts of the fleet in one object of the store, crashes/fleet, which is replicated like the configuration and applied before a VM becomes ready. The first live VM in rendezvous order writes what the store lacks. Entry VMs use the same recorder.

--- a/src/wagtailbay/programs/entry_node.py
+++ b/src/wagtailbay/programs/entry_node.py
@@ -19,7 +19,7 @@
 from wagtailbay.limits import ShareSource, WorkspaceLimiter
 from wagtailbay.locate import VmRanker
 from wagtailbay.logs import format_line
-from wagtailbay.membership import VmIdentity
+from wagtailbay.membership import VmIdentity, live_members
 from wagtailbay.membership.credentials import CertificateSource
 from wagtailbay.metrics import Exporter, build_exporter
 from wagtailbay.once import IdempotencyManager, OutcomeWriter, StoreCallLimiter
@@ -28,7 +28,7 @@
 from wagtailbay.programs.fleet import Fleet, build_fleet
 from wagtailbay.programs.fleet_view import FleetView
 from wagtailbay.programs.mechanisms import SwitchableComponents, disable_mechanisms
-from wagtailbay.quarantine import CrashTable
+from wagtailbay.quarantine import CrashRecorder, CrashTable
 from wagtailbay.replica import ChangeSignal
 from wagtailbay.shift import DrainWeights, SharedVersionCaps, build_shift_controller
 from wagtailbay.shift.controller import ShiftController
@@ -66,6 +66,7 @@
     chooser: Chooser
     config: "ActiveConfig"
     ranker: VmRanker
+    crash_recorder: CrashRecorder
 
     async def run_tasks(self, nursery: trio.Nursery) -> None:
         """Start all background tasks; the caller starts the servers."""
@@ -78,6 +79,7 @@
             "audit": self.audit_writer.run,
             "metrics": self._run_metrics_updates,
             "claim_sweep": self._run_claim_sweeps,
+            "crash_records": self.crash_recorder.run,
         }
         if self.allotment is not None:
             tasks["allotment"] = self.allotment.run
@@ -91,6 +93,8 @@
         """Rebuild the configuration view after each change of the replicated documents."""
         replica = self.fleet.replica
         while True:
+            # This VM becomes ready with its first configuration, so crashes come before it.
+            self.crash_recorder.apply_replica(boottime_s())
             self.config.view = build_view(self.config.view, replica.objects)
             self.chooser.fleet = self.config.view.fleet
             self.config.changed.notify()
@@ -183,6 +187,16 @@
         forwarder = Forwarder(
             chooser, shift.picker, pool, CrashTable(fleet.facts), boottime_s, self.settings.vm
         )
+        crash_recorder = CrashRecorder(
+            self.settings.vm,
+            forwarder.crashes,
+            self.store,
+            fleet.replica,
+            lambda: [member.identity.vm for member in live_members(fleet.roster, boottime_s())],
+            boottime_s,
+            unix_time_s,
+            self.rng,
+        )
         forwarder.metrics = self.exporter.metrics
         idempotency_manager = self._build_idempotency_manager(outcome_writer)
         handler = self._build_handler(
@@ -204,6 +218,7 @@
             chooser=chooser,
             config=config,
             ranker=handler.ranker,
+            crash_recorder=crash_recorder,
         )
 
     def _build_health_monitor(self, health_aggregator: HealthAggregator) -> HealthMonitor:
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -19,7 +19,7 @@
 from wagtailbay.programs.gateway_fleet_view import GatewayFleetView, build_fleet_document
 from wagtailbay.programs.gateway_node import PROGRAM, GatewayNode
 from wagtailbay.programs.gateway_settings import GatewaySettings
-from wagtailbay.quarantine import CrashTable
+from wagtailbay.quarantine import CRASH_PREFIX, CrashRecorder, CrashTable
 from wagtailbay.quota import RateOwners, TokenBank, WorkspaceQuota
 from wagtailbay.registry import (
     EVACUATION_PREFIX,
@@ -45,9 +45,16 @@
 from wagtailbay.store import MeteredObjectStore, StoreError, StoreUnavailable
 from wagtailbay.transport import BodyBudget, ConnectionPool, HttpServer
 
-REPLICATED_PREFIXES = (ROUTING_PREFIX, TARGET_PREFIX, ROLLOUT_PREFIX, EVACUATION_PREFIX)
-# Evacuations and rollouts take effect within 5 s, other changes within 2.5 s.
-RARE_PREFIXES = frozenset({ROLLOUT_PREFIX, EVACUATION_PREFIX})
+REPLICATED_PREFIXES = (
+    ROUTING_PREFIX,
+    TARGET_PREFIX,
+    ROLLOUT_PREFIX,
+    EVACUATION_PREFIX,
+    CRASH_PREFIX,
+)
+# Evacuations and rollouts take effect within 5 s, other changes within 2.5 s. Running VMs tell each
+# other of crashes without the store.
+RARE_PREFIXES = frozenset({ROLLOUT_PREFIX, EVACUATION_PREFIX, CRASH_PREFIX})
 # When the whole fleet starts, each VM calls its seeds at once and learns from their answers of most
 # other VMs. A VM that restarts later lists the store at once.
 PEER_WAIT_S = 1.0
@@ -131,6 +138,16 @@
             version_splitter=version_splitter,
             rollout_controller=self._build_rollout_controller(fleet_view, store, version_splitter),
             quota=handler.quota,
+            crash_recorder=CrashRecorder(
+                settings.vm,
+                handler.forwarder.crashes,
+                store,
+                fleet.replica,
+                fleet_view.live_vms,
+                boottime_s,
+                unix_time_s,
+                self.rng,
+            ),
             handler=handler,
             pool=pool,
             server=HttpServer(handler.handle, body_budget=build_body_budget(settings.memory_mb)),
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -24,6 +24,7 @@
 from wagtailbay.programs.fleet import Fleet
 from wagtailbay.programs.gateway_fleet_view import build_fleet_document
 from wagtailbay.programs.gateway_settings import GatewaySettings
+from wagtailbay.quarantine import CrashRecorder
 from wagtailbay.quota import WorkspaceQuota
 from wagtailbay.registry import LeavingTracker, TargetRegistry
 from wagtailbay.requirements import FleetRequirements
@@ -59,6 +60,7 @@
     version_splitter: VersionSplitter
     rollout_controller: RolloutController
     quota: WorkspaceQuota
+    crash_recorder: CrashRecorder
     handler: GatewayHandler
     pool: ConnectionPool
     server: HttpServer
@@ -73,6 +75,7 @@
             "housekeeping": self.run_housekeeping,
             "quota": self.quota.run,
             "rollouts": self.rollout_controller.run,
+            "crash_records": self.crash_recorder.run,
             "registration": self.registrar.run,
             "loop_lag": self.handler.loop_lag.run,
             "occupancy": self.occupancy.run,
@@ -85,6 +88,8 @@
         replica = self.fleet.replica
         while True:
             now_s = boottime_s()
+            # This VM becomes ready with its first configuration, so crashes come before it.
+            self.crash_recorder.apply_replica(now_s)
             self.routing.apply(replica.objects)
             self._apply_limits()
             services_by_name = self.services_by_name()
--- a/src/wagtailbay/quarantine/const.py
+++ b/src/wagtailbay/quarantine/const.py
@@ -20,4 +20,16 @@
 # A terminating process may close its connections shortly before its listening socket.
 CONNECT_DELAYS_S: Final = (0.0, 0.03, 0.1)
 CONNECT_TIMEOUT_MS: Final = 200
+CRASH_PREFIX: Final = "crashes/"
+CRASH_RECORDS_KEY: Final = "crashes/fleet"
+# The newest and most frequent crashes are stored, a few hundred bytes each; the store's limit for
+# an object is 1 MB.
+MAX_STORED_REQUESTS: Final = 500
+RECORD_INTERVAL_S: Final = 1.0
+COLLECT_CRASHES_S: Final = 0.05
+# A VM writes if the VMs before it in the order have not.
+WRITER_STAGGER_S: Final = 1.0
+MAX_WRITE_DELAY_S: Final = 5.0
+# Requests that were answered stay in the store for this long, so that several share a write.
+CLEANUP_DELAY_S: Final = 10.0
 MAX_DESCRIPTION_LENGTH: Final = 120
--- a/src/wagtailbay/quarantine/table.py
+++ b/src/wagtailbay/quarantine/table.py
@@ -7,6 +7,8 @@
 """
 
 from collections import Counter
+from collections.abc import Mapping
+from typing import Self
 
 from attrs import define, field, frozen
 
@@ -18,11 +20,13 @@
     CRASHES_TO_REFUSE,
     MAX_DESCRIPTION_LENGTH,
     MAX_OWN_SUSPECTS,
+    MAX_STORED_REQUESTS,
     QUARANTINE_TERM_S,
     TIED_QUARANTINE_FACTOR,
     TIED_QUARANTINE_S,
 )
 from wagtailbay.quarantine.models import CrashCount, QuarantinedRequest
+from wagtailbay.quarantine.records import CrashRecord
 
 
 @frozen
@@ -38,13 +42,23 @@
         """Return the total number of crashes."""
         return self.targets.total()
 
+    def merge(self, other: Self | None) -> Self:
+        """Return the crashes of both reports; those of one target are the same crashes."""
+        if other is None:
+            return self
+        expires_s = max(self.expires_s, other.expires_s)
+        return FleetCrashCount(self.targets | other.targets, self.description, expires_s)
+
 
 @define
 class CrashTable:
-    """Combines this VM's crash counts with those that other VMs publish as facts.
+    """Combines this VM's crash counts with those that other VMs publish and those of the store.
 
     Attributes:
         own_counts: Crashes seen by this VM, by fingerprint.
+        stored_counts: Crashes that the store has, also those seen by VMs that have ended.
+        reported: Requests of which a running VM reports crashes.
+        cleared: Requests that a VM has cleared, whose stored crashes no longer count.
         last_crash_s: Time of the last crash of each (fingerprint, target) on this VM.
         fleet_counts: Crashes reported by all VMs, by fingerprint.
         crash_count_since: Current number of crashes of each request and when it was reached.
@@ -55,6 +69,9 @@
 
     facts: FactTable
     own_counts: dict[str, CrashCount] = field(factory=dict)
+    stored_counts: dict[str, FleetCrashCount] = field(factory=dict)
+    reported: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
     last_crash_s: dict[tuple[str, str], float] = field(factory=dict)
     fleet_counts: dict[str, FleetCrashCount] = field(factory=dict)
     crash_count_since: dict[str, tuple[int, float]] = field(factory=dict)
@@ -72,16 +89,64 @@
         known = self.own_counts.get(fingerprint)
         if known is None and len(self.own_counts) >= MAX_OWN_SUSPECTS:
             return
-        targets = (*(known.targets if known else ()), target)
+        earlier = known.targets if known else self._unreported_targets(fingerprint, now_s)
+        targets = (*earlier, target)
         self._publish(fingerprint, CrashCount(targets, description[:MAX_DESCRIPTION_LENGTH]), now_s)
 
     def record_answer(self, fingerprint: str, now_s: float) -> None:
         """Clear an answered request, since a crashing one never gets a complete answer."""
-        if not self.clear_on_answer or fingerprint not in self.own_counts:
+        known = self.own_counts.get(fingerprint) or self._stored_count(fingerprint, now_s)
+        if not self.clear_on_answer or known is None:
             return
-        self._publish(fingerprint, CrashCount((), self.own_counts[fingerprint].description), now_s)
+        self._publish(fingerprint, CrashCount((), known.description), now_s)
         del self.own_counts[fingerprint]
 
+    def _stored_count(self, fingerprint: str, now_s: float) -> FleetCrashCount | None:
+        """Return the crashes of a request that the store has, None if they no longer count."""
+        if fingerprint not in self.stored_counts:
+            return None
+        self._refresh_counts(now_s)
+        stored = self.stored_counts[fingerprint]
+        return None if fingerprint in self.cleared or stored.expires_s <= now_s else stored
+
+    def _unreported_targets(self, fingerprint: str, now_s: float) -> tuple[str, ...]:
+        """Return the stored crashes of a request that only VMs of the past have seen."""
+        stored = self._stored_count(fingerprint, now_s)
+        if stored is None or fingerprint in self.reported:
+            return ()
+        return tuple(stored.targets.elements())
+
+    def apply_stored(
+        self, records: Mapping[str, CrashRecord], now_s: float, now_unix_ms: int
+    ) -> None:
+        """Replace the crashes that the store has, by fingerprint."""
+        self.stored_counts = {
+            fingerprint: FleetCrashCount(
+                Counter(record.targets),
+                record.description,
+                now_s + min(QUARANTINE_TERM_S, (record.expires_unix_ms - now_unix_ms) / 1000),
+            )
+            for fingerprint, record in records.items()
+        }
+        self.last_count_s = float("-inf")
+
+    def records(self, now_s: float, now_unix_ms: int) -> dict[str, CrashRecord]:
+        """Return the crashes that the store should have, by fingerprint."""
+        self._refresh_counts(now_s)
+        ordered = sorted(
+            self.fleet_counts.items(),
+            key=lambda item: (item[1].crashes, item[1].expires_s),
+            reverse=True,
+        )
+        return {
+            fingerprint: CrashRecord(
+                tuple(sorted(count.targets.elements())),
+                count.description,
+                now_unix_ms + round((count.expires_s - now_s) * 1000),
+            )
+            for fingerprint, count in ordered[:MAX_STORED_REQUESTS]
+        }
+
     def _publish(self, fingerprint: str, count: CrashCount, now_s: float) -> None:
         self.own_counts[fingerprint] = count
         ttl_ms = round(QUARANTINE_TERM_S * 1000)
@@ -143,16 +208,19 @@
             return
         self.last_count_s = now_s
         fleet_counts: dict[str, FleetCrashCount] = {}
+        cleared: set[str] = set()
         for fact in self.facts.of_kind(CRASH_KIND, now_s):
             if not fact.value.targets:
+                cleared.add(fact.key)
                 continue
-            known = fleet_counts.get(fact.key)
-            targets = Counter(fact.value.targets)
-            expires_s = fact.expires_s
-            if known is not None:
-                targets |= known.targets
-                expires_s = max(expires_s, known.expires_s)
-            fleet_counts[fact.key] = FleetCrashCount(targets, fact.value.description, expires_s)
+            count = FleetCrashCount(
+                Counter(fact.value.targets), fact.value.description, fact.expires_s
+            )
+            fleet_counts[fact.key] = count.merge(fleet_counts.get(fact.key))
+        self.reported, self.cleared = frozenset(fleet_counts), frozenset(cleared)
+        for fingerprint, stored in self.stored_counts.items():
+            if fingerprint not in cleared and stored.expires_s > now_s:
+                fleet_counts[fingerprint] = stored.merge(fleet_counts.get(fingerprint))
         self.fleet_counts = fleet_counts
         self._update_count_times(now_s)
 
--- a/src/wagtailbay/replica/const.py
+++ b/src/wagtailbay/replica/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-REPLICATED_PREFIXES: Final = ("documents/", "keys/", "ledgers/", "moves/", "leases/")
+REPLICATED_PREFIXES: Final = ("documents/", "keys/", "ledgers/", "moves/", "leases/", "crashes/")
 # A watch returns at least this often, which bounds the age of a watching VM's replica.
 WATCH_TIMEOUT_MS: Final = 1_000
 STALE_AFTER_S: Final = 3.0
