Tell VMs of deletions that no running watcher has seen

An object that was deleted could stay on some VMs for good: a removed target stayed usable, a zone stayed evacuated.

Cause: a watcher that has restarted lists the store without knowing what was deleted before, so it has nothing to tell its peers. Their digests differed from then on, but digests also differed for old deletions, so nothing acted.

Change: the digest covers existing objects only, and a peer that has all objects and states another digest in three messages gets a complete listing.

--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -37,6 +37,9 @@
 # Total size of the entries in one message; an object has up to 1 MB, and at least one must fit.
 MAX_DELTA_BYTES: Final = 1_500_000
 MAX_SNAPSHOT_BYTES: Final = 6_000_000
+# A peer that states another digest in this many messages although it has all objects gets all of
+# them at once, which tells it what no longer exists.
+DIGESTS_BEFORE_SNAPSHOT: Final = 3
 MAX_FACT_BYTES: Final = 65_536
 MAX_FACTS_BYTES: Final = 1_500_000
 # Fact values cached with their encoding: at most about 0.5 MB for each direction.
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -7,6 +7,7 @@
 
 from wagtailbay.membership.const import (
     CONTACTS_INTERVAL_S,
+    DIGESTS_BEFORE_SNAPSHOT,
     INDIRECT_CONTACT_TIMEOUT_S,
     MEMBER_RETENTION_S,
     NON_URGENT_PREFIXES,
@@ -79,9 +80,11 @@
     def _batch_for(self, peer: PeerSyncState, is_answer: bool) -> EntryBatch:
         """Return the objects that a peer lacks, without those that it has acknowledged."""
         own, revision = self.replica.revision, peer.revision
-        if peer.replica_digest == self.replica.digest:
-            return EntryBatch(revision, own, False, ())
+        # A digest returns to an earlier value when a new object is deleted again.
         unchanged_since_digest = peer.digest_position == self.replica.position
+        if unchanged_since_digest and peer.replica_digest == self.replica.digest:
+            peer.unexplained_digests = 0
+            return EntryBatch(revision, own, False, ())
         if not is_answer and not unchanged_since_digest and not self.pushes_objects():
             return EntryBatch(0, 0, False, ())
         if revision < self.replica.deletions_since and revision < own:
@@ -90,8 +93,21 @@
         newer = self.replica.delta_since(revision)
         positions, sent = self.replica.positions, peer.replica_acked
         lacking = tuple(stored for stored in newer if positions.get(stored.key, 0) > sent)
+        if not lacking and unchanged_since_digest and self._has_missed_deletion(peer):
+            return EntryBatch(0, own, True, self.replica.existing_objects())
         return EntryBatch(revision, own, False, lacking)
 
+    def _has_missed_deletion(self, peer: PeerSyncState) -> bool:
+        """Return whether a peer has all objects of this VM and keeps stating another digest.
+
+        It then has an object that was deleted before this VM knew it, for example because this VM
+        has restarted since. Digests also differ while changes are under way.
+        """
+        if peer.replica_acked < self.replica.position or peer.revision > self.replica.revision:
+            return False
+        peer.unexplained_digests += 1
+        return peer.unexplained_digests % DIGESTS_BEFORE_SNAPSHOT == 0
+
     def _members_for(self, vm: str, peer: PeerSyncState, now_s: float) -> tuple[Member, ...]:
         """Return the changed members and, every CONTACTS_INTERVAL_S, those in direct contact.
 
--- a/src/wagtailbay/membership/peer_sync.py
+++ b/src/wagtailbay/membership/peer_sync.py
@@ -21,6 +21,8 @@
         replica_acked: The peer has this VM's objects up to this position.
         replica_digest: Digest of the keys and versions that the peer's last message stated.
         digest_position: This VM's replica position after that message was applied.
+        unexplained_digests: Consecutive messages in which the peer stated another digest although
+            it has all objects of this VM.
         replica_received: This VM has the peer's objects up to this position.
         members_acked: The peer has this VM's roster up to this position.
         store_reachable: False if the peer's last call to the store failed, True if it succeeded or
@@ -42,6 +44,7 @@
     replica_received: int = 0
     replica_digest: int | None = None
     digest_position: int = -1
+    unexplained_digests: int = 0
     members_acked: int = 0
     contacts_sent_s: float = float("-inf")
     store_reachable: bool | None = None
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -19,7 +19,8 @@
         objects: Objects by key, including deleted ones with value None.
         position: Counter that increases with each applied object.
         positions: Position at which the newest version of each object was applied, by key.
-        digest: Hash of all keys and versions; equal for two replicas with the same objects.
+        digest: Hash of the keys and versions of all existing objects; equal for two replicas with
+            the same objects.
         changed: Notified when any object has changed.
         accepts_updates: Whether objects are applied after the first ones; tests set it to False.
     """
@@ -47,9 +48,7 @@
         for stored in objects:
             known = self.objects.get(stored.key)
             if stored.version > (self.revision if known is None else known.version):
-                if known is not None and known.version:
-                    self.digest ^= _version_hash(known)
-                self.digest ^= _version_hash(stored)
+                self.digest ^= _version_hash(known) ^ _version_hash(stored)
                 self.objects[stored.key] = stored
                 self.position += 1
                 self.positions[stored.key] = self.position
@@ -128,7 +127,10 @@
         }
 
 
-def _version_hash(stored: StoredObject) -> int:
+def _version_hash(stored: StoredObject | None) -> int:
+    """Return the part of an object in the digest, 0 if it does not exist."""
+    if stored is None or stored.value is None:
+        return 0
     return xxh64_intdigest(f"{stored.key}\0{stored.version}".encode())
 
 
