Order states of the store by era, then revision

Cause: everything that compares revisions took the higher one for the newer.

Change: StorePosition packs era and revision into the integer that versions and revisions are everywhere. A replica ignores objects of an older era and sends a complete listing to peers that have not reached it. Registrations and crash counts are written again, entries that the copy lacks stay usable for the drain time, an older configuration takes effect after 2 s unless the newer one returns, and an order that has ended stays ended.

--- a/src/wagtailbay/platform/const.py
+++ b/src/wagtailbay/platform/const.py
@@ -23,6 +23,7 @@
 # A page or a batch of events has about 1 MB; one object may have another 1 MB.
 MAX_RESPONSE_BYTES: Final = 8 * 1_048_576
 
+ERA_HEADER: Final = "Store-Era"
 REQUEST_ID_HEADER: Final = "Request-Id"
 DEADLINE_HEADER: Final = "Deadline-Ms"
 AFFINITY_COOKIE_NAME: Final = "Affinity-Key"
--- a/src/wagtailbay/platform/objects.py
+++ b/src/wagtailbay/platform/objects.py
@@ -12,7 +12,7 @@
     require_address,
 )
 from wagtailbay.replica import to_value
-from wagtailbay.store import StoredObject, VmRecord
+from wagtailbay.store import MAX_REVISION, StoredObject, VmRecord
 
 
 def kind_for_prefix(prefix: str) -> str:
@@ -58,7 +58,7 @@
 def _decode_identity(item: dict[str, Any]) -> tuple[str, int]:
     """Return the name and the version of an object; raise one of DECODE_ERRORS if malformed."""
     meta = item["meta"]
-    return require_text(meta["name"]), require_count(meta["revision"], minimum=1)
+    return require_text(meta["name"]), require_count(meta["revision"], 1, MAX_REVISION)
 
 
 def _decode_value(prefix: str, name: str, item: dict[str, Any]) -> Any:
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -122,7 +122,7 @@
             exporter=exporter,
             store=store,
             fleet=fleet,
-            registrar=VmRegistrar(store, identity, self.rng),
+            registrar=VmRegistrar(store, identity, self.rng, fleet.replica),
             routing=self.routing,
             registry=self.registry,
             leaving_tracker=LeavingTracker(self.registry, fleet.facts, boottime_s),
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -90,13 +90,14 @@
             now_s = boottime_s()
             # This VM becomes ready with its first configuration, so crashes come before it.
             self.crash_recorder.apply_replica(now_s)
-            self.routing.apply(replica.objects)
+            self.routing.apply(replica.objects, now_s)
             self._apply_limits()
             services_by_name = self.services_by_name()
             cold_ms = {name: rule.cold_ms for name, rule in services_by_name.items()}
             self.registry.apply(replica.objects, cold_ms, now_s)
             self.version_splitter.apply_objects(replica.objects, now_s)
-            await replica.changed.wait()
+            with trio.move_on_after(self.routing.wait_s(now_s)):
+                await replica.changed.wait()
 
     def services_by_name(self) -> Mapping[str, ServiceRule]:
         """Return the active service rules, keyed by service name."""
--- a/src/wagtailbay/registry/registry.py
+++ b/src/wagtailbay/registry/registry.py
@@ -17,7 +17,7 @@
 from wagtailbay.registry.models import TargetEntry
 from wagtailbay.replica import from_value
 from wagtailbay.requirements import FleetRequirements
-from wagtailbay.store import StoredObject
+from wagtailbay.store import StoredObject, StorePosition
 
 
 @define(eq=False)
@@ -46,6 +46,7 @@
 
     Attributes:
         applied_versions: Store version of each object that was last processed.
+        era: Highest era of the store among these versions.
         last_store_failure_s: When the store last failed to answer this VM, or the VM from which
             this one replicates.
         leaving_since_s: When a run of a target, given by its name and start time, was first known
@@ -55,6 +56,7 @@
     targets: dict[str, RegisteredTarget] = field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     applied_versions: dict[str, int] = field(factory=dict)
+    era: int = 0
     last_store_failure_s: float = float("-inf")
     leaving_since_s: dict[tuple[str, int], float] = field(factory=dict)
     requirements: FleetRequirements = field(factory=FleetRequirements)
@@ -89,8 +91,11 @@
                 or self.applied_versions.get(key, 0) >= stored.version
             ):
                 continue
+            era = StorePosition.era_of(stored.version)
+            is_restored = era > StorePosition.era_of(self.applied_versions.get(key, stored.version))
+            self._enter_era(era, now_s)
             self.applied_versions[key] = stored.version
-            self._apply_entry(key.removeprefix(TARGET_PREFIX), stored, now_s)
+            self._apply_entry(key.removeprefix(TARGET_PREFIX), stored, is_restored, now_s)
         zones = frozenset(
             key.removeprefix(EVACUATION_PREFIX)
             for key, stored in objects.items()
@@ -100,7 +105,20 @@
             self._apply_evacuations(zones, cold_ms, now_s)
         self._by_service.clear()
 
-    def _apply_entry(self, name: str, stored: StoredObject, now_s: float) -> None:
+    def _enter_era(self, era: int, now_s: float) -> None:
+        """Treat the return of the store from an older copy like an outage.
+
+        The entries that the copy lacks are written again if their targets live.
+        """
+        if era <= self.era:
+            return
+        if self.applied_versions:
+            self.record_store_failure(now_s)
+        self.era = era
+
+    def _apply_entry(
+        self, name: str, stored: StoredObject, is_restored: bool, now_s: float
+    ) -> None:
         known = self.targets.get(name)
         if stored.value is None:
             if known is not None and known.removed_s is None:
@@ -115,6 +133,9 @@
         if known is None or known.entry.born_unix_ms != entry.born_unix_ms:
             known = self.targets[name] = RegisteredTarget(entry, now_s)
             log_event("target_added", target=name, service=entry.service, version=entry.version)
+        if is_restored and known.entry.draining and not entry.draining:
+            # The older copy of the store lacks what this run of the target has said.
+            self.mark_leaving(name, entry.born_unix_ms, now_s)
         if entry.draining and not known.entry.draining:
             log_event("target_draining", target=name, revision=stored.version)
         known.entry, known.removed_s = entry, None
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -5,8 +5,9 @@
 from attrs import define, field
 from xxhash import xxh64_intdigest
 
+from wagtailbay.logs import log_event
 from wagtailbay.replica.signal import ChangeSignal
-from wagtailbay.store import StoredObject
+from wagtailbay.store import StoredObject, StorePosition
 
 
 @define
@@ -15,6 +16,7 @@
 
     Attributes:
         revision: Store revision up to which every change is included.
+        era: Highest era of the store that any object or revision belongs to.
         deletions_since: Store revision after which every deletion is included in ``objects``.
         objects: Objects by key, including deleted ones with value None.
         position: Counter that increases with each applied object.
@@ -26,6 +28,7 @@
     """
 
     revision: int = 0
+    era: int = 0
     deletions_since: int = 0
     objects: dict[str, StoredObject] = field(factory=dict)
     position: int = 0
@@ -39,14 +42,18 @@
 
         An object is ignored if its version is not higher than the known one. An unknown object
         whose version is not higher than the replica's revision is also ignored, since it must have
-        been deleted since. An outdated source therefore never reverts a change. Returns whether any
-        object changed.
+        been deleted since. So are objects of an earlier era. An outdated source therefore never
+        reverts a change. Returns whether any object changed.
         """
         if self.objects and not self.accepts_updates:
             return False
         changed = False
+        objects = tuple(objects)
+        self._enter_era(max((revision, *(stored.version for stored in objects))))
         for stored in objects:
             known = self.objects.get(stored.key)
+            if StorePosition.era_of(stored.version) < self.era:
+                continue
             if stored.version > (self.revision if known is None else known.version):
                 self.digest ^= _version_hash(known) ^ _version_hash(stored)
                 self.objects[stored.key] = stored
@@ -58,6 +65,27 @@
             self.changed.notify()
         return changed
 
+    def _enter_era(self, version: int) -> None:
+        """Note that the store came back from an older copy if a version shows it.
+
+        Objects that the store lost then are found by complete listings only, so peers that have not
+        reached the era get such a listing.
+        """
+        position = StorePosition.from_version(version)
+        if position.era <= self.era:
+            return
+        if self.revision:
+            known = StorePosition.from_version(self.revision)
+            log_event(
+                "store_era_changed",
+                era=position.era,
+                revision=position.revision,
+                previous_era=known.era,
+                previous_revision=known.revision,
+            )
+        self.era = position.era
+        self.deletions_since = max(self.deletions_since, StorePosition(self.era, 0).version)
+
     def replace_prefix(self, prefix: str, objects: Iterable[StoredObject], revision: int) -> bool:
         """Apply a complete listing of the objects under one prefix at a revision.
 
@@ -65,6 +93,8 @@
         Returns whether any object changed.
         """
         listed = tuple(objects)
+        if StorePosition.era_of(revision) < self.era:
+            return False
         keys = {stored.key for stored in listed}
         deleted = tuple(
             StoredObject(key, revision, None)
--- a/src/wagtailbay/rollout/const.py
+++ b/src/wagtailbay/rollout/const.py
@@ -29,3 +29,5 @@
 # Completion is written this long before the deadline, even if a VM has not confirmed that it no
 # longer uses the old version.
 COMPLETION_MARGIN_S: Final = 0.8
+# An order that the store lost by coming back from an older copy is written again within this time.
+LOST_ORDER_RETURN_S: Final = 5.0
--- a/src/wagtailbay/rollout/controller.py
+++ b/src/wagtailbay/rollout/controller.py
@@ -72,7 +72,11 @@
     async def run(self) -> None:
         """Reconcile all active orders periodically until cancelled."""
         while True:
-            active = [p for p in self.splitter.progress.values() if not p.order.ended]
+            active = [
+                p
+                for p in self.splitter.progress.values()
+                if not p.order.ended or p.lost_phase is not None
+            ]
             self.forget_orders_except({progress.order.order_id for progress in active})
             for progress in active:
                 await self.reconcile(progress)
@@ -154,6 +158,8 @@
     ) -> RolloutPhase | None:
         """Return the phase to write now, None if the stored one is current."""
         order = progress.order
+        if progress.lost_phase is not None:
+            return progress.lost_phase
         if progress.failure_reason is not None:
             return RolloutPhase.ROLLED_BACK
         age_s = progress.age_s(now_s)
--- a/src/wagtailbay/rollout/version_splitter.py
+++ b/src/wagtailbay/rollout/version_splitter.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Mapping
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err
 
 from wagtailbay.logs import log_event
@@ -12,6 +12,7 @@
 from wagtailbay.requirements import FleetRequirements
 from wagtailbay.rollout.const import (
     CANARY_EXPOSURE_FRACTION,
+    LOST_ORDER_RETURN_S,
     RAMP_END_FRACTION,
     RAMP_START_FRACTION,
     ROLLOUT_PREFIX,
@@ -19,7 +20,7 @@
 )
 from wagtailbay.rollout.failure_detector import RouteCounter
 from wagtailbay.rollout.models import RolloutOrder, RolloutPhase
-from wagtailbay.store import StoredObject
+from wagtailbay.store import StoredObject, StorePosition
 
 FAILURE_OUTCOMES = (TargetOutcome.FAILED, TargetOutcome.TIMED_OUT, TargetOutcome.BROKEN)
 
@@ -32,6 +33,10 @@
         order_started_s: Earliest time at which any VM is known to have learned of the order.
         canary_share: Share of the new version until the ramp starts.
         share_credit: Accumulated share of the new version, which gets a request when it reaches 1.
+        lost_phase: Phase in which the order had ended, if the store came back without it; it has to
+            be written again.
+        returns_until_s: Until when the order may be written again, if the store came back without
+            it; it is the same order then.
         failure_reason: Why the new version is failing, None unless it is.
         old_in_flight: Requests of this VM that are running on the old version.
         counters: Answer counts of each route.
@@ -41,6 +46,8 @@
     order_started_s: float
     share_credit: float
     canary_share: float
+    lost_phase: RolloutPhase | None = None
+    returns_until_s: float = float("-inf")
     failure_reason: str | None = None
     old_in_flight: int = 0
     counters: dict[str, RouteCounter] = field(factory=dict)
@@ -90,19 +97,29 @@
                 or self.applied_versions.get(key, 0) >= stored.version
             ):
                 continue
+            known_era = StorePosition.era_of(self.applied_versions.get(key, stored.version))
+            is_restored = StorePosition.era_of(stored.version) > known_era
             self.applied_versions[key] = stored.version
             service = key.removeprefix(ROLLOUT_PREFIX)
             if stored.value is None:
-                self._drop_order(service)
+                self._drop_order(service, is_restored, now_s)
                 continue
             structured = from_value(stored.value, RolloutOrder)
             if isinstance(structured, Err):
                 log_event("rollout_unusable", service=service, reason=structured.err_value)
                 continue
-            self._apply_order(structured.ok_value, now_s)
+            self._apply_order(structured.ok_value, is_restored, now_s)
 
-    def _apply_order(self, order: RolloutOrder, now_s: float) -> None:
+    def _apply_order(self, order: RolloutOrder, is_restored: bool, now_s: float) -> None:
+        """Apply an order.
+
+        Args:
+            is_restored: Whether the store came back from an older copy since the order was known.
+        """
         progress = self.progress.get(order.service)
+        if progress is not None:
+            may_be_lost = is_restored or now_s < progress.returns_until_s
+            order = self._keep_ended(progress, order, may_be_lost)
         if progress is None or progress.order.order_id != order.order_id:
             canary_share = CANARY_EXPOSURE_FRACTION * self.requirements.exposure_share
             progress = RolloutProgress(order, now_s, self.random.random(), canary_share)
@@ -116,11 +133,33 @@
             duration_s=order.duration_s,
         )
 
-    def _drop_order(self, service: str) -> None:
+    @staticmethod
+    def _keep_ended(
+        progress: RolloutProgress, order: RolloutOrder, may_be_lost: bool
+    ) -> RolloutOrder:
+        """Return an order in the phase in which it had ended before the store lost that.
+
+        An order that ran to its end must not run again; its old targets have been stopped.
+        """
+        known = progress.order
+        is_same = known.target_version == order.target_version
+        may_be_lost = may_be_lost or progress.lost_phase is not None
+        if order.ended or not known.ended or not is_same or not may_be_lost:
+            progress.lost_phase = None
+            return order
+        progress.lost_phase = known.phase
+        progress.order = evolve(order, phase=known.phase)
+        return progress.order
+
+    def _drop_order(self, service: str, is_restored: bool, now_s: float) -> None:
         """Remove a deleted order unless it has ended, so that its final version stays in use."""
         progress = self.progress.get(service)
-        if progress is not None and not progress.order.ended:
+        if progress is None:
+            return
+        if not progress.order.ended:
             del self.progress[service]
+        elif is_restored:
+            progress.lost_phase, progress.returns_until_s = None, now_s + LOST_ORDER_RETURN_S
 
     def pick_version(self, service: str, now_s: float) -> VersionFilter | None:
         """Return which version may serve the next request, None for any."""
--- a/src/wagtailbay/store/__init__.py
+++ b/src/wagtailbay/store/__init__.py
@@ -14,8 +14,11 @@
     VmList,
     VmRecord,
 )
+from wagtailbay.store.position import MAX_ERA, MAX_REVISION, StorePosition
 
 __all__ = [
+    "MAX_ERA",
+    "MAX_REVISION",
     "HistoryLost",
     "HttpObjectStore",
     "Listing",
@@ -23,6 +26,7 @@
     "ObjectStore",
     "OutcomeUnknown",
     "StoreError",
+    "StorePosition",
     "StoreUnavailable",
     "StoredObject",
     "VersionConflict",
--- a/src/wagtailbay_standins/objects.py
+++ b/src/wagtailbay_standins/objects.py
@@ -2,7 +2,8 @@
 
 Tests inject faults through attributes: with ``error_status``, every call is answered with that
 status; a watch that starts before ``oldest_revision`` gets status 410, as if the history before
-that revision had been dropped.
+that revision had been dropped. While ``is_away``, connections end without an answer. ``restore``
+brings back an older copy and raises the era.
 """
 
 import json
@@ -12,7 +13,7 @@
 import trio
 from attrs import define, field
 
-from wagtailbay.transport import HttpServer, Reply, Request
+from wagtailbay.transport import CallerDisconnectedError, HttpServer, Reply, Request
 from wagtailbay_standins.platform import ObjectTable
 
 PAGE_ITEMS = 50
@@ -25,8 +26,28 @@
     table: ObjectTable = field(factory=ObjectTable)
     error_status: int | None = None
     oldest_revision: int = 0
+    is_away: bool = False
+    era: int | None = None
     calls: list[str] = field(factory=list)
 
+    def copy(self) -> tuple[int, dict[str, tuple[int, Any]]]:
+        """Return a copy of all objects with the current revision."""
+        return self.table.revision, dict(self.table.objects)
+
+    def restore(self, copy: tuple[int, dict[str, tuple[int, Any]]]) -> int:
+        """Replace all objects by those of a copy; return how many objects changed or got lost."""
+        revision, objects = copy
+        known = self.table.objects
+        lost = sum(known.get(key) != objects.get(key) for key in known.keys() | objects.keys())
+        self.table.revision, self.table.objects = revision, dict(objects)
+        self.era = (self.era or 0) + 1
+        self.table.changed.notify()
+        return lost
+
+    async def _send(self, reply: Reply, status: int, value: Any) -> None:
+        headers = () if self.era is None else (("Store-Era", str(self.era)),)
+        await reply.send_json(status, value, headers)
+
     def put_spec(self, kind: str, name: str, spec: Any) -> int:
         """Write the spec of an object as an operator would, and return the new revision."""
         return self._write(f"{kind}/{name}", {"spec": spec})
@@ -63,8 +84,10 @@
     async def handle(self, request: Request, reply: Reply) -> None:
         """Record a call and dispatch it by method and path."""
         self.calls.append(f"{request.method} {request.path}")
+        if self.is_away:
+            raise CallerDisconnectedError
         if self.error_status is not None:
-            await reply.send_json(self.error_status, {"error": "refused"})
+            await self._send(reply, self.error_status, {"error": "refused"})
             return
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -78,9 +101,9 @@
 
     async def _get(self, reply: Reply, key: str) -> None:
         if not self.table.version(key):
-            await reply.send_json(404, {"error": "not found"})
+            await self._send(reply, 404, {"error": "not found"})
             return
-        await reply.send_json(200, self._object_json(key))
+        await self._send(reply, 200, self._object_json(key))
 
     async def _list(self, reply: Reply, kind: str, query: dict[str, str]) -> None:
         if "watch" in query:
@@ -94,20 +117,25 @@
             "has_more": len(keys) > PAGE_ITEMS,
             "at": self.table.revision,
         }
-        await reply.send_json(200, page)
+        await self._send(reply, 200, page)
 
     async def _watch(self, reply: Reply, kind: str, since_revision: int, wait_ms: int) -> None:
-        if since_revision < self.oldest_revision:
-            await reply.send_json(410, {"error": "this history is gone"})
+        if since_revision < self.oldest_revision or since_revision > self.table.revision:
+            await self._send(reply, 410, {"error": "this history is gone"})
             return
+        era = self.era
         with trio.move_on_after(wait_ms / 1000):
-            while not self.table.select((f"{kind}/",), since_revision, deleted=True):
+            while era == self.era and not self.table.select(
+                (f"{kind}/",), since_revision, deleted=True
+            ):
                 await self.table.changed.wait()
+        if self.is_away or era != self.era:
+            raise CallerDisconnectedError
         events = [
             {"object": self._object_json(item["key"]), "deleted": item["value"] is None}
             for item in self.table.select((f"{kind}/",), since_revision, deleted=True)
         ]
-        await reply.send_json(200, {"events": events, "at": self.table.revision})
+        await self._send(reply, 200, {"events": events, "at": self.table.revision})
 
     async def _handle_write(
         self, request: Request, reply: Reply, kind: str, names: list[str], query: dict[str, str]
@@ -120,9 +148,9 @@
         exists = version > 0
         conflict = expected_version is not None and int(expected_version) != version
         if (request.method == "POST" and exists) or conflict:
-            await reply.send_json(409, self._object_json(key))
+            await self._send(reply, 409, self._object_json(key))
         elif request.method in ("PUT", "DELETE") and not exists:
-            await reply.send_json(404, {"error": "not found"})
+            await self._send(reply, 404, {"error": "not found"})
         else:
             if request.method == "DELETE":
                 self.table.write(key, None, None)
@@ -130,7 +158,7 @@
                 self._write(key, {"status": body.get("status")})
             else:
                 self._write(key, {"spec": body.get("spec")})
-            await reply.send_json(200, self._object_json(key))
+            await self._send(reply, 200, self._object_json(key))
 
     async def serve(self, *, task_status: trio.TaskStatus) -> None:
         """Serve on a free loopback port; report ``ip:port`` once started."""
--- /dev/null
+++ b/tests/gateway/test_store_drill.py
@@ -0,0 +1,136 @@
+"""Tests of a gateway whose store comes back from an older copy, as in a drill."""
+
+import trio
+from support.gateway import config_spec, server_fields
+from support.gateway_harness import GatewayHarness
+
+from wagtailbay.quarantine import CRASH_PREFIX
+from wagtailbay.store import StorePosition
+
+AWAY_S = 0.5
+# A change must take effect within this time, also after a drill.
+CONFIG_APPLY_S = 2.5
+WAIT_S = 10.0
+UNRELATED_WRITES = 30
+
+
+def spec_with_keys(version: int, *keys: str) -> dict:
+    """Return a configuration in which a workspace has the given keys."""
+    spec = config_spec(version=f"{version:08x}")
+    spec["tenants"][0]["api_keys"] = list(keys)
+    for route in spec["routes"]:
+        route |= {"weighted_services": [], "service": "records", "home_regions": []}
+        route["timeout"] = "20s"
+    return spec
+
+
+class Drill:
+    """A gateway and its store, which can come back from a copy."""
+
+    def __init__(self, harness: GatewayHarness) -> None:
+        self.harness, self.api = harness, harness.api
+        self.lost = 0
+
+    async def run(self, copy: tuple) -> None:
+        """Take the store away, and bring it back from a copy."""
+        self.api.is_away = True
+        self.api.table.changed.notify()
+        await trio.sleep(AWAY_S)
+        self.lost = self.api.restore(copy)
+        self.api.is_away = False
+
+    async def status_of(self, key: str) -> int:
+        """Return the status of a request with a key."""
+        response = await self.harness.send_request(Authorization=f"Token {key}")
+        return response.status
+
+    async def wait_for_status(self, key: str, status: int) -> float:
+        """Return how long it takes until requests with a key get a status."""
+        started_s = trio.current_time()
+        with trio.fail_after(WAIT_S):
+            while await self.status_of(key) != status:
+                await trio.sleep(0.02)
+        return trio.current_time() - started_s
+
+
+async def start_drill(nursery: trio.Nursery) -> Drill:
+    """Return a running gateway after some writes, so that revisions can go back."""
+    harness = GatewayHarness()
+    await harness.start(nursery)
+    for number in range(UNRELATED_WRITES):
+        harness.api.put_spec("other-kind", "x", {"n": number})
+    return Drill(harness)
+
+
+class TestDrill:
+    """After the return, the gateway follows the store as if it had never known more."""
+
+    async def test_changes_at_lower_revisions_take_effect(self, nursery):
+        """Guards against changes that are ignored while revisions are lower than known ones."""
+        drill = await start_drill(nursery)
+        api = drill.api
+        api.put_spec("config", "main", spec_with_keys(8, "key-1", "key-2"))
+        copy = api.copy()
+        for number in range(UNRELATED_WRITES):
+            api.put_spec("config", "main", spec_with_keys(9 + number, "key-1", "key-2", "key-3"))
+        await drill.wait_for_status("key-3", 200)
+        known = api.table.revision
+        await drill.run(copy)
+        await trio.sleep(1.0)
+        api.put_spec("config", "main", spec_with_keys(90, "key-2"))
+        assert await drill.wait_for_status("key-1", 401) < CONFIG_APPLY_S
+        assert await drill.status_of("key-2") == 200
+        api.remove("servers", "t1")
+        with trio.fail_after(CONFIG_APPLY_S):
+            while drill.harness.node.registry.targets["t1"].removed_s is None:
+                await trio.sleep(0.02)
+        assert drill.lost >= 1
+        assert api.table.revision < known, "revisions did not stay behind"
+
+    async def test_requests_go_on_while_lost_objects_are_written_again(self, nursery):
+        """Guards against a key or target that is refused while the operator writes it again."""
+        drill = await start_drill(nursery)
+        api = drill.api
+        copy = api.copy()
+        api.put_spec("config", "main", spec_with_keys(8, "key-1", "key-3"))
+        host, _, port = next(
+            iter(drill.harness.node.registry.targets.values())
+        ).entry.address.partition(":")
+        api.put_fields("servers", "t9", server_fields(f"{host}:{port}"))
+        await drill.wait_for_status("key-3", 200)
+        await drill.run(copy)
+        statuses = set()
+        for _ in range(15):
+            statuses.add(await drill.status_of("key-3"))
+            await trio.sleep(0.1)
+        api.put_spec("config", "main", spec_with_keys(8, "key-1", "key-3"))
+        api.put_fields("servers", "t9", server_fields(f"{host}:{port}"))
+        for _ in range(20):
+            statuses.add(await drill.status_of("key-3"))
+            await trio.sleep(0.1)
+        assert statuses == {200}
+        assert drill.harness.node.registry.targets["t9"].removed_s is None
+        assert await drill.status_of("key-2") == 401
+        assert drill.lost >= 2
+
+    async def test_what_the_gateway_had_written_is_written_again(self, nursery):
+        """Guards against a registration and crash counts that stay lost."""
+        drill = await start_drill(nursery)
+        node, api = drill.harness.node, drill.api
+        copy = (1, {})
+        crashes = node.handler.forwarder.crashes
+        for target in ("t1", "t2"):
+            crashes.record_crash("crashing", target, "GET /x", node.fleet.clock())
+        kind = f"wagtailbay-{CRASH_PREFIX.rstrip('/')}"
+        with trio.fail_after(WAIT_S):
+            while not api.table.version(f"{kind}/fleet"):
+                await trio.sleep(0.02)
+        await drill.run(copy)
+        assert not api.table.version(f"{kind}/fleet")
+        with trio.fail_after(WAIT_S):
+            while not api.table.version(f"{kind}/fleet"):
+                await trio.sleep(0.02)
+            while not api.table.version(f"wagtailbay-vms/{node.settings.vm}"):
+                await trio.sleep(0.02)
+        assert StorePosition.era_of(node.fleet.replica.revision) == 1
+        assert drill.lost >= 4
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -7,13 +7,14 @@
 from wagtailbay.membership import VmIdentity
 from wagtailbay.membership.registration import VmRegistrar
 from wagtailbay.platform import PlatformStore
+from wagtailbay.replica import Replica
 from wagtailbay_standins.objects import ObjectApiStandin
 
 
 def registrar(store: PlatformStore, peer_address: str) -> VmRegistrar:
     """Return the registrar of a VM that listens for peers on an address."""
     identity = VmIdentity("10.0.0.9", 5, "10.0.0.9:1", peer_address, "z1")
-    return VmRegistrar(store, identity, random.Random(1))
+    return VmRegistrar(store, identity, random.Random(1), Replica())
 
 
 class TestVmRegistrar:
--- a/tests/quarantine/test_crash_records.py
+++ b/tests/quarantine/test_crash_records.py
@@ -2,18 +2,20 @@
 
 import random
 
+import pytest
 import trio
 
 from wagtailbay.membership import FactTable
 from wagtailbay.quarantine import CrashRecorder, CrashTable
 from wagtailbay.quarantine.const import (
     CLEANUP_DELAY_S,
+    CRASH_PREFIX,
     CRASH_RECORDS_KEY,
     QUARANTINE_TERM_S,
     WRITER_STAGGER_S,
 )
 from wagtailbay.replica import Replica
-from wagtailbay.store import StoredObject
+from wagtailbay.store import StoredObject, StorePosition
 from wagtailbay_bench.memory_store import MemoryStore
 
 UNIX_S = 1_700_000_000.0
@@ -153,6 +155,35 @@
         assert store.version(CRASH_RECORDS_KEY)
 
 
+class TestRestoredStore:
+    """Counts that the store lost by coming back from an older copy are written again."""
+
+    @pytest.mark.parametrize("copied_crashes", [0, 1])
+    async def test_lost_counts_are_written_again(self, copied_crashes: int) -> None:
+        """Guards against a crashing request that is let through after a drill and a restart.
+
+        The replica's version of the lost object is higher than that of the store.
+        """
+        store = MemoryStore()
+        vm = Vm(store)
+        for number in range(2):
+            if number == copied_crashes:
+                copy = dict(store.objects)
+            vm.crash(f"t{number}", 10.0 + number * 3)
+            await vm.run_at(10.1 + number * 3)
+        store.objects, store.revision = copy, StorePosition(2, 1).version
+        listed = [
+            StoredObject(o.key, StorePosition(2, o.version).version, o.value) for o in copy.values()
+        ]
+        store.objects = {stored.key: stored for stored in listed}
+        vm.replica.replace_prefix(CRASH_PREFIX, listed, StorePosition(2, 1).version)
+        for step in range(3):
+            await vm.run_at(14.0 + step * WRITER_STAGGER_S)
+        restarted = Vm(store)
+        await restarted.run_at(30.0)
+        assert restarted.crashes.is_refused(CRASHING, 30.0)
+
+
 class TestWriters:
     """The fleet writes once, and another VM writes if the first cannot."""
 
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -3,6 +3,7 @@
 from support.gateway import make_entry, make_objects, make_registry
 
 from wagtailbay.replica import to_value
+from wagtailbay.store import StorePosition
 
 
 def usable(registry, now_s: float) -> list[str]:
@@ -67,3 +68,39 @@
         registry.apply(make_objects("targets/", "a", 9, to_value(restarted)), {}, 1.0)
         assert registry.targets["a"].added_s == 1.0
         assert registry.targets["a"].is_cold(4.0)
+
+
+class TestRestoredStore:
+    """After the store came back from an older copy, targets that live stay in use."""
+
+    @staticmethod
+    def version(era: int, revision: int) -> int:
+        """Return the version of an object."""
+        return StorePosition(era, revision).version
+
+    def test_entry_that_the_copy_lacks_may_be_written_again(self):
+        """Guards against a living target that gets nothing while its entry is away."""
+        registry = make_registry(make_entry("a"))
+        registry.apply(make_objects("targets/", "a", self.version(2, 5), None), {}, 10.0)
+        assert usable(registry, 12.0) == ["a"]
+        assert usable(registry, 12.6) == []
+
+    def test_removal_at_a_lower_revision_takes_effect(self):
+        """Guards against requests to a target that was removed after the return."""
+        registry = make_registry(make_entry("a"))
+        entry = to_value(make_entry("a"))
+        registry.apply(make_objects("targets/", "a", self.version(1, 50), entry), {}, 1.0)
+        registry.apply(make_objects("targets/", "a", self.version(2, 20), entry), {}, 10.0)
+        registry.apply(make_objects("targets/", "a", self.version(2, 21), None), {}, 20.0)
+        assert usable(registry, 20.0) == []
+        registry.apply(make_objects("targets/", "a", self.version(1, 60), entry), {}, 21.0)
+        assert usable(registry, 21.0) == [], "an older era changes nothing"
+
+    def test_target_that_was_draining_gets_nothing(self):
+        """Guards against requests to a leaving target whose report the copy lacks."""
+        registry = make_registry(make_entry("a"), make_entry("b"))
+        draining = to_value(make_entry("a", draining=True))
+        registry.apply(make_objects("targets/", "a", self.version(1, 50), draining), {}, 1.0)
+        entry = to_value(make_entry("a"))
+        registry.apply(make_objects("targets/", "a", self.version(2, 20), entry), {}, 10.0)
+        assert usable(registry, 10.0) == ["b"]
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from attrs import evolve
 from result import Err, Ok
 from support.gateway import make_objects
@@ -16,7 +17,7 @@
     VersionSplitter,
 )
 from wagtailbay.rollout.failure_detector import RouteCounter, find_failure_reason
-from wagtailbay.store import StoreUnavailable
+from wagtailbay.store import StorePosition, StoreUnavailable
 
 ORDER = RolloutOrder("records", "v2", 16.0, 5)
 
@@ -87,7 +88,7 @@
                 if other is not controller:
                     controller.facts.merge(other.facts.facts.values())
             progress = controller.splitter.progress["records"]
-            if not progress.order.ended:
+            if not progress.order.ended or progress.lost_phase is not None:
                 await controller.reconcile(progress)
 
 
@@ -248,3 +249,46 @@
         """Guards against sending traffic to a rolled-back version."""
         splitter = create_splitter(evolve(ORDER, phase=RolloutPhase.ROLLED_BACK))
         assert not any(splitter.pick_version("records", t / 10).include for t in range(300))
+
+
+class TestRestoredStore:
+    """An order that has ended does not run again when the store came back from an older copy."""
+
+    @staticmethod
+    def apply(splitter: VersionSplitter, order: RolloutOrder | None, revision: int) -> None:
+        """Apply an order of the second era, None for its deletion, at 20 s."""
+        version = StorePosition(2, revision).version
+        value = None if order is None else to_value(order)
+        splitter.apply_objects(make_objects("rollouts/", "records", version, value), 20.0)
+
+    @pytest.mark.parametrize("is_written_again", [False, True])
+    @pytest.mark.parametrize("phase", [RolloutPhase.COMPLETE, RolloutPhase.ROLLED_BACK])
+    async def test_ended_order_stays_ended_and_its_phase_is_written(self, phase, is_written_again):
+        """Guards against a canary share beside targets that have been stopped."""
+        fleet = Fleet()
+        for controller in fleet.controllers:
+            splitter = controller.splitter = create_splitter(evolve(ORDER, phase=phase))
+            order = ORDER
+            if is_written_again:
+                self.apply(splitter, None, 3)
+                order = evolve(ORDER, created_revision=4)
+            self.apply(splitter, order, 4)
+            share = splitter.progress["records"].share(25.0)
+            assert share == (1.0 if phase is RolloutPhase.COMPLETE else 0.0)
+        fleet.now_s = 25.0
+        await fleet.reconcile()
+        assert fleet.written[0] is phase
+        written = evolve(order, phase=phase)
+        for controller in fleet.controllers:
+            self.apply(controller.splitter, written, 5)
+            assert controller.splitter.progress["records"].lost_phase is None
+
+    def test_new_order_for_the_version_runs_later(self):
+        """Guards against an order that never runs because one with its version was lost."""
+        splitter = create_splitter(evolve(ORDER, phase=RolloutPhase.ROLLED_BACK))
+        self.apply(splitter, None, 3)
+        later = evolve(ORDER, created_revision=9)
+        version = StorePosition(2, 9).version
+        splitter.apply_objects(make_objects("rollouts/", "records", version, to_value(later)), 60.0)
+        assert splitter.progress["records"].lost_phase is None
+        assert splitter.progress["records"].share(64.0) > 0
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -13,6 +13,8 @@
     ServiceSplitter,
     Workspace,
 )
+from wagtailbay.routing.const import RESTORED_TABLE_DELAY_S
+from wagtailbay.store import StorePosition
 
 
 class TestRoutingTable:
@@ -57,17 +59,17 @@
     def test_older_table_is_ignored(self):
         """Guards against reverting to an older configuration while a VM runs."""
         active = ActiveRouting()
-        active.apply(make_objects("routing/", "main", 5, to_value(make_table(version=7))))
-        active.apply(make_objects("routing/", "main", 6, to_value(make_table(version=6))))
+        active.apply(make_objects("routing/", "main", 5, to_value(make_table(version=7))), 0.0)
+        active.apply(make_objects("routing/", "main", 6, to_value(make_table(version=6))), 0.0)
         assert active.table.version == 7
 
     def test_invalid_table_keeps_the_previous_one_active(self):
         """Guards against losing the configuration after invalid input."""
         active = ActiveRouting()
-        active.apply(make_objects("routing/", "main", 5, to_value(make_table(version=7))))
-        active.apply(make_objects("routing/", "main", 6, {"version": 8}))
+        active.apply(make_objects("routing/", "main", 5, to_value(make_table(version=7))), 0.0)
+        active.apply(make_objects("routing/", "main", 6, {"version": 8}), 0.0)
         assert active.table.version == 7
-        active.apply(make_objects("routing/", "main", 7, to_value(make_table(version=9))))
+        active.apply(make_objects("routing/", "main", 7, to_value(make_table(version=9))), 0.0)
         assert active.table.version == 9
 
 
@@ -90,3 +92,42 @@
         picks = [splitter.pick(make_route(parts=parts)) for _ in range(100)]
         assert abs(picks.count("d") - 90) <= 1
         assert "b" not in picks
+
+
+class TestRestoredStore:
+    """After the store came back from an older copy, its configuration counts in the end."""
+
+    @staticmethod
+    def stored(era: int, revision: int, table: RoutingTable) -> dict:
+        """Return the replicated configuration."""
+        version = StorePosition(era, revision).version
+        return make_objects("routing/", "main", version, to_value(table))
+
+    def test_lost_configuration_stays_until_it_is_written_again(self):
+        """Guards against a VM that reverts for the moment in which the newer one is away."""
+        active = ActiveRouting()
+        active.apply(self.stored(1, 50, make_table(version=7)), 0.0)
+        active.apply(self.stored(2, 20, make_table(version=6)), 10.0)
+        assert active.table.version == 7
+        active.apply(self.stored(2, 30, make_table(version=7)), 11.0)
+        active.apply(self.stored(2, 30, make_table(version=7)), 60.0)
+        assert active.table.version == 7
+
+    def test_configuration_that_is_not_written_again_ends(self):
+        """Guards against a lost configuration that stays in force for good."""
+        active = ActiveRouting()
+        active.apply(self.stored(1, 50, make_table(version=7)), 0.0)
+        objects = self.stored(2, 20, make_table(version=6))
+        active.apply(objects, 10.0)
+        assert 0 < active.wait_s(10.0) <= RESTORED_TABLE_DELAY_S
+        active.apply(objects, 10.0 + RESTORED_TABLE_DELAY_S)
+        assert active.table.version == 6
+        active.apply(self.stored(1, 60, make_table(version=8)), 20.0)
+        assert active.table.version == 6, "an older era changes nothing"
+
+    def test_new_configuration_at_a_lower_revision_takes_effect_at_once(self):
+        """Guards against changes that are ignored until the old revision is reached again."""
+        active = ActiveRouting()
+        active.apply(self.stored(1, 50, make_table(version=7)), 0.0)
+        active.apply(self.stored(2, 21, make_table(version=9)), 10.0)
+        assert active.table.version == 9
