Soak: let the store come back from older copies

The disturbance restore_store takes the store away, brings it back from a copy some seconds old and lets operator and targets write again within 2 s. Each run prints drills, lost objects and reissued revisions.

--- a/src/wagtailbay_bench/soak/disturb.py
+++ b/src/wagtailbay_bench/soak/disturb.py
@@ -22,7 +22,8 @@
     Attributes:
         links: Links between callers, VMs and targets.
         happenings: What else can happen, by name.
-        only: What is drawn, by name; empty for everything.
+        only: What is drawn, by name; empty for everything that is not optional.
+        optional: What is drawn only if it is named.
     """
 
     vms: Sequence[SoakVm]
@@ -31,11 +32,13 @@
     random: Random
     happenings: Mapping[str, Callable[[], Awaitable[None]]] = field(factory=dict)
     only: tuple[str, ...] = ()
+    optional: tuple[str, ...] = ()
 
     async def run(self, until_s: float) -> None:
         """Start disturbances until the given time, and return when all have ended."""
         signals = PLANNED if self.history.planned_only else UNPLANNED
-        kinds = self.only or (*signals, *self.happenings)
+        usual = (name for name in self.happenings if name not in self.optional)
+        kinds = self.only or (*signals, *usual)
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until_s:
                 kind = self.random.choice(kinds)
--- a/src/wagtailbay_bench/soak/models.py
+++ b/src/wagtailbay_bench/soak/models.py
@@ -54,6 +54,19 @@
     at_s: float
 
 
+@frozen
+class Drill:
+    """Return of the store from an older copy.
+
+    Attributes:
+        lost_objects: Objects that the copy has in another state, or lacks, or has in excess.
+        reissued_revisions: Revisions after the copy, which are given out again.
+    """
+
+    lost_objects: int
+    reissued_revisions: int
+
+
 @frozen
 class Violation:
     """A promise that was broken, and how it shows."""
@@ -81,6 +94,7 @@
     returned: list[ReturnedRequest] = field(factory=list)
     signals: list[Signal] = field(factory=list)
     faults: list[str] = field(factory=list)
+    drills: list[Drill] = field(factory=list)
     peak_resident_mb: dict[str, float] = field(factory=dict)
 
 
--- a/src/wagtailbay_bench/soak/program.py
+++ b/src/wagtailbay_bench/soak/program.py
@@ -14,7 +14,7 @@
 from wagtailbay_bench.soak.models import History, SoakSize, Violation
 from wagtailbay_bench.soak.regressions import REGRESSIONS, Soak
 from wagtailbay_bench.soak.scenario import record_history
-from wagtailbay_bench.soak.site import SITE_DISTURBANCES
+from wagtailbay_bench.soak.site import OPTIONAL_DISTURBANCES, SITE_DISTURBANCES
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -41,7 +41,7 @@
     )
     parser.add_argument(
         "--disturbance",
-        choices=sorted((*UNPLANNED, *SITE_DISTURBANCES)),
+        choices=sorted((*UNPLANNED, *SITE_DISTURBANCES, *OPTIONAL_DISTURBANCES)),
         action="append",
         help="draw this disturbance only (can be repeated); some need --site",
     )
@@ -89,7 +89,9 @@
     print(
         f"seed={seed} planned_only={history.planned_only} runs={len(history.runs)}"
         f" returned={len(history.returned)} same_connection={same_connection}"
-        f" disturbances={len(history.faults)} {counts}"
+        f" disturbances={len(history.faults)} drills={len(history.drills)}"
+        f" lost_objects={sum(drill.lost_objects for drill in history.drills)}"
+        f" reissued_revisions={sum(drill.reissued_revisions for drill in history.drills)} {counts}"
         f" peak_mb={max(history.peak_resident_mb.values(), default=0):.0f}"
         f" violations={len(violations)}",
         flush=True,
--- a/src/wagtailbay_bench/soak/regressions.py
+++ b/src/wagtailbay_bench/soak/regressions.py
@@ -37,6 +37,13 @@
     disturbances=("restart_targets",),
     conforming=True,
 )
+DRILL_SIZE: Final = SoakSize(
+    vms=4,
+    targets=12,
+    callers=24,
+    is_site=True,
+    disturbances=("restore_store", "change_config", "drain_targets", "kill", "pause", "reload"),
+)
 REGRESSIONS: Final = (
     Soak(1, 15.0, f"{NO_PROOF}; {REPEATED_REFUSAL}"),
     Soak(2, 15.0, NO_PROOF),
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -26,6 +26,7 @@
 from wagtailbay_bench.soak.models import History, SoakSize
 from wagtailbay_bench.soak.site import (
     FIRST_VERSION,
+    OPTIONAL_DISTURBANCES,
     ROUTES,
     SoakSite,
     TargetPlace,
@@ -157,7 +158,13 @@
         started_s = trio.current_time()
         until_s = started_s + self.size.duration_s
         disturber = Disturber(
-            self.vms, self.links, self.history, self.random, happenings, self.size.disturbances
+            self.vms,
+            self.links,
+            self.history,
+            self.random,
+            happenings,
+            self.size.disturbances,
+            OPTIONAL_DISTURBANCES,
         )
         with trio.move_on_after(self.size.duration_s + CLIENT_TIMEOUT_S + SETTLE_S):
             async with trio.open_nursery() as nursery:
@@ -219,6 +226,9 @@
     run.store_address = store_link.listen_address
     places = await run.start_places()
     await run.start_vms()
-    site = SoakSite(run.api, store_link, places, run.vms, run.random, run.nursery, run.add_vm)
+    site = SoakSite(
+        run.api, store_link, places, run.vms, run.random, run.nursery, run.add_vm, run.history
+    )
+    run.nursery.start_soon(site.copy_store)
     keys = tuple(workspace.key for workspace in workspaces)
     await run.run_traffic(ROUTES, keys, site.disturbances())
--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -1,5 +1,6 @@
 """Deployment of four services whose targets, VMs, configuration and store change during a soak."""
 
+from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from math import inf
 from random import Random
@@ -16,7 +17,7 @@
     build_config,
     build_registration,
 )
-from wagtailbay_bench.soak.models import History
+from wagtailbay_bench.soak.models import Drill, History
 from wagtailbay_bench.soak.target import SoakTarget
 from wagtailbay_bench.soak.vms import ZONES, SoakVm
 from wagtailbay_standins.link import Link
@@ -67,6 +68,13 @@
     "lose_region",
 )
 SITE_DISTURBANCES: Final = (*OWN_DISTURBANCES, "add_vm")
+# Drawn only where a soak names them, so that the seeds of others keep their meaning.
+OPTIONAL_DISTURBANCES: Final = ("restore_store",)
+COPY_INTERVAL_S: Final = 0.5
+COPIES_KEPT: Final = 18
+STORE_AWAY_RANGE_S: Final = (0.2, 2.0)
+# After the return, the operator and the targets write again within this time.
+REWRITE_RANGE_S: Final = (0.0, 2.0)
 
 
 @define
@@ -159,6 +167,8 @@
         store_link: Link in front of the store.
         add_vm: Adds a VM.
         version: Version of the last configuration.
+        config: The last configuration; None before the first change.
+        copies: Copies of the store, the oldest first.
     """
 
     api: ObjectApiStandin
@@ -168,11 +178,22 @@
     random: Random
     nursery: trio.Nursery
     add_vm: Callable[[], Awaitable[None]]
+    history: History
     version: int = FIRST_VERSION
+    config: dict | None = None
+    copies: deque = field(factory=lambda: deque(maxlen=COPIES_KEPT))
+
+    async def copy_store(self) -> None:
+        """Copy the store periodically until cancelled."""
+        while True:
+            if not self.api.is_away:
+                self.copies.append(self.api.copy())
+            await trio.sleep(COPY_INTERVAL_S)
 
     def disturbances(self) -> Mapping[str, Callable[[], Awaitable[None]]]:
         """Return what can happen to the site."""
-        own = {name: getattr(self, f"_{name}") for name in OWN_DISTURBANCES}
+        names = (*OWN_DISTURBANCES, *OPTIONAL_DISTURBANCES)
+        own = {name: getattr(self, f"_{name}") for name in names}
         return own | {"add_vm": self.add_vm}
 
     def _pick_places(self) -> list[TargetPlace]:
@@ -254,7 +275,37 @@
             routes.append(ADDED_ROUTE)
         rate_per_s = self.random.choice((LIMITED_RATE_PER_S, LIMITED_RATE_PER_S / 4))
         workspaces = build_workspaces(rate_per_s)
-        self.api.put_spec("config", "main", build_config(f"{self.version:08x}", routes, workspaces))
+        self.config = build_config(f"{self.version:08x}", routes, workspaces)
+        self.api.put_spec("config", "main", self.config)
+
+    async def _restore_store(self) -> None:
+        """Take the store away and bring it back from an older copy."""
+        if self.api.is_away:
+            return
+        self.api.is_away = True
+        self.api.table.changed.notify()
+        await trio.sleep(self.random.uniform(*STORE_AWAY_RANGE_S))
+        copy = self.random.choice(self.copies)
+        reissued = self.api.table.revision - copy[0]
+        self.history.drills.append(Drill(self.api.restore(copy), reissued))
+        self.copies.clear()
+        self.copies.append(copy)
+        self.api.is_away = False
+        for place in self.places:
+            self.nursery.start_soon(self._register_again, place)
+        listed = [key.partition("/") for key in self.api.table.objects]
+        names = {place.target.name for place in self.places}
+        for kind, _, name in listed:
+            if kind == "servers" and name not in names:
+                self._forget_later(name)
+        if self.config is not None:
+            await trio.sleep(self.random.uniform(*REWRITE_RANGE_S))
+            self.api.put_spec("config", "main", self.config)
+
+    async def _register_again(self, place: TargetPlace) -> None:
+        await trio.sleep(self.random.uniform(*REWRITE_RANGE_S))
+        if place.running:
+            place.register()
 
     async def _roll_out(self) -> None:
         """Restart some targets of a service with a new version, and order its roll-out."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,7 +12,7 @@
     Signal,
     SoakSize,
 )
-from wagtailbay_bench.soak.regressions import RESTART_SIZE, SITE_SIZE
+from wagtailbay_bench.soak.regressions import DRILL_SIZE, RESTART_SIZE, SITE_SIZE
 from wagtailbay_bench.soak.scenario import record_history
 
 SIZE = SoakSize(duration_s=12.0)
@@ -72,6 +72,18 @@
         assert not any(request.same_connection for request in returned)
 
 
+class TestSeededDrills:
+    """Callers are told the truth while the store comes back from older copies."""
+
+    async def test_no_promise_is_broken(self):
+        """Guards against requests that run twice, or a process that ends, after a drill."""
+        history = await record_history(500, evolve(DRILL_SIZE, duration_s=15.0))
+        assert find_violations(history) == [], f"faults={history.faults}"
+        assert sum(drill.lost_objects for drill in history.drills) > 0, "nothing was lost"
+        assert sum(drill.reissued_revisions for drill in history.drills) > 0
+        assert sum(exchange.status == 200 for exchange in history.exchanges) > 50
+
+
 class TestChecks:
     """Each check finds a history that breaks its promise."""
 
