Let one VM remove answered requests from the stored crash counts

After an answer had cleared a request, all VMs wrote the counts at the same moment, of which one succeeded: 5 calls of put for 4 VMs in the test, 2 now.

Cause: the delay of a clean-up was the same on each VM. It now adds to the delay by rendezvous order that other writes have.

Test: test_one_write_removes_cleared_requests fails before the change.

--- a/src/wagtailbay/quarantine/recorder.py
+++ b/src/wagtailbay/quarantine/recorder.py
@@ -79,11 +79,11 @@
         if not self._differs(records):
             self.write_due_s = None
             return
-        if self.write_due_s is None:
-            delay_s = self._write_delay_s() if self._lacks(records) else CLEANUP_DELAY_S
+        delay_s = self._write_delay_s()
+        if not self._lacks(records):
+            delay_s += CLEANUP_DELAY_S
+        if self.write_due_s is None or now_s + delay_s < self.write_due_s:
             self.write_due_s = now_s + delay_s
-        elif self._lacks(records):
-            self.write_due_s = min(self.write_due_s, now_s + self._write_delay_s())
         if now_s >= self.write_due_s:
             await self._write(records, now_s)
 
--- a/tests/quarantine/test_crash_records.py
+++ b/tests/quarantine/test_crash_records.py
@@ -42,12 +42,16 @@
 
     async def run_at(self, now_s: float, *others: "Vm") -> None:
         """Replicate the store, merge the facts of other VMs and write what is due."""
+        self.replicate(now_s, *others)
+        await self.recorder.write_if_due(now_s)
+
+    def replicate(self, now_s: float, *others: "Vm") -> None:
+        """Replicate the store, and merge the facts of other VMs."""
         self.now_s = now_s
         self.replica.apply(tuple(self.store.objects.values()), self.store.revision)
         for other in others:
             self.crashes.facts.merge(other.crashes.facts.own(now_s))
         self.recorder.apply_replica(now_s)
-        await self.recorder.write_if_due(now_s)
 
     def crash(self, target: str, now_s: float, fingerprint: str = CRASHING) -> None:
         """Record a crash."""
@@ -199,6 +203,24 @@
                 await vm.run_at(10.1 + step * 0.1, *vms)
         assert store.calls["put"] == 1
 
+    async def test_one_write_removes_cleared_requests(self) -> None:
+        """Guards against writes of all VMs at the same moment after an answer."""
+        names = ("vm-1", "vm-2", "vm-3", "vm-4")
+        store = MemoryStore()
+        vms = [Vm(store, name, names) for name in names]
+        vms[0].crash("t1", 10.0)
+        for step in range(20):
+            for vm in vms:
+                await vm.run_at(10.1 + step * 0.1, *vms)
+        vms[0].crashes.record_answer(CRASHING, 13.0)
+        for step in range(200):
+            for vm in vms:
+                vm.replicate(13.1 + step * 0.1, *vms)
+            for vm in vms:
+                await vm.recorder.write_if_due(13.1 + step * 0.1)
+        assert store.calls["put"] == 2
+        assert store.objects[CRASH_RECORDS_KEY].value["requests"] == {}
+
     async def test_crash_is_stored_without_the_first_writer(self) -> None:
         """Guards against a crash that nobody stores while the first VM in the order is gone."""
         names = ("vm-1", "vm-2", "vm-3", "vm-4")
