--- a/src/wagtailbay_bench/soak/regressions.py
+++ b/src/wagtailbay_bench/soak/regressions.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from wagtailbay_bench.soak.models import SoakSize
 
@@ -44,6 +44,10 @@
     is_site=True,
     disturbances=("restore_store", "change_config", "drain_targets", "kill", "pause", "reload"),
 )
+CLEAN_END: Final = "a drained target of the soak ended a body without length cleanly"
+RESTARTS_AND_DRILLS: Final = evolve(
+    DRILL_SIZE, disturbances=(*DRILL_SIZE.disturbances, "cut_link", "stop")
+)
 REGRESSIONS: Final = (
     Soak(1, 15.0, f"{NO_PROOF}; {REPEATED_REFUSAL}"),
     Soak(2, 15.0, NO_PROOF),
@@ -61,4 +65,6 @@
     Soak(340, 15.0, COPY_OF_REFUSAL, ("answer_in_pieces",), RESTART_SIZE),
     Soak(341, 15.0, COPY_OF_REFUSAL, ("answer_in_pieces",), RESTART_SIZE),
     Soak(342, 15.0, COPY_OF_REFUSAL, ("answer_in_pieces",), RESTART_SIZE),
+    Soak(40012, 12.0, CLEAN_END, size=RESTARTS_AND_DRILLS),
+    Soak(40048, 12.0, CLEAN_END, size=RESTARTS_AND_DRILLS),
 )
--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -256,7 +256,8 @@
         for place, name in zip(places, names, strict=True):
             self.api.remove("servers", name)
             if place.running and place.target.name == name:
-                place.end()
+                # A clean end in the middle of a body without length would make it complete.
+                place.crash()
                 await place.start(self.nursery)
 
     async def _drop_idle(self) -> None:
