Keep orders in force that a restore of the store lost

Cause: a replica shows what the copy lacks as deleted, and nothing told such a deletion from one by the operator.

Change: LostObjectHold passes the last known version of an object on for 3 s if its deletion belongs to a later era. An order that is written again in that time keeps its progress and verdict. The counter wagtailbay_store_restores counts the returns that a VM has seen.

--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -28,6 +28,7 @@
     _latency_ms: Histogram = field(init=False)
     _counts: dict[str, dict[tuple[str, ...], int]] = field(factory=dict)
     _store_calls: Counter = field(init=False)
+    _store_restores: Counter = field(init=False)
     _peer_exchanges: Counter = field(init=False)
     _budget_share: Gauge = field(init=False)
     _last_budget_shares: dict[str, int] = field(factory=dict, init=False)
@@ -79,6 +80,9 @@
         self._store_calls = meter.create_counter(
             "wagtailbay.store.calls", description="Calls of the object API"
         )
+        self._store_restores = meter.create_counter(
+            "wagtailbay.store.restores", description="Returns of the store from an older copy"
+        )
         self._peer_exchanges = meter.create_counter(
             "wagtailbay.peer.exchanges", description="Exchanges with other entry VMs"
         )
@@ -116,6 +120,10 @@
         """Count a call of the object API; outcome is ok, conflict, unavailable or unknown."""
         self._store_calls.add(1, {"call": call, "outcome": outcome})
 
+    def record_store_restore(self) -> None:
+        """Count a return of the store from an older copy that this VM has seen."""
+        self._store_restores.add(1)
+
     def record_peer_exchange(self, outcome: str) -> None:
         """Count an exchange that this VM started with a peer; outcome is ok or failed."""
         self._peer_exchanges.add(1, {"outcome": outcome})
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -27,7 +27,7 @@
     LeavingTracker,
     TargetRegistry,
 )
-from wagtailbay.replica import PrefixReader
+from wagtailbay.replica import LostObjectHold, PrefixReader
 from wagtailbay.rollout import (
     ROLLOUT_PREFIX,
     RolloutController,
@@ -52,6 +52,8 @@
     EVACUATION_PREFIX,
     CRASH_PREFIX,
 )
+# The operator's orders; the registry and the routing hold what else the store may lose.
+HELD_PREFIXES = (ROLLOUT_PREFIX, EVACUATION_PREFIX)
 # Evacuations and rollouts take effect within 5 s, other changes within 2.5 s. Running VMs tell each
 # other of crashes without the store.
 RARE_PREFIXES = frozenset({ROLLOUT_PREFIX, EVACUATION_PREFIX, CRASH_PREFIX})
@@ -151,6 +153,7 @@
             handler=handler,
             pool=pool,
             server=HttpServer(handler.handle, body_budget=build_body_budget(settings.memory_mb)),
+            lost_objects=LostObjectHold(HELD_PREFIXES),
         )
 
     def _build_handler(
@@ -237,6 +240,7 @@
             ),
             lender=self._lend,
         )
+        fleet.replica.on_restore = exporter.metrics.record_store_restore
         fleet.peers.record_call = exporter.metrics.record_peer_exchange
         return fleet
 
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -27,6 +27,7 @@
 from wagtailbay.quarantine import CrashRecorder
 from wagtailbay.quota import WorkspaceQuota
 from wagtailbay.registry import LeavingTracker, TargetRegistry
+from wagtailbay.replica import LostObjectHold
 from wagtailbay.requirements import FleetRequirements
 from wagtailbay.rollout import (
     RolloutController,
@@ -64,6 +65,7 @@
     handler: GatewayHandler
     pool: ConnectionPool
     server: HttpServer
+    lost_objects: LostObjectHold
     started_s: float = field(factory=boottime_s)
 
     async def run_tasks(self, nursery: trio.Nursery) -> None:
@@ -94,9 +96,11 @@
             self._apply_limits()
             services_by_name = self.services_by_name()
             cold_ms = {name: rule.cold_ms for name, rule in services_by_name.items()}
-            self.registry.apply(replica.objects, cold_ms, now_s)
-            self.version_splitter.apply_objects(replica.objects, now_s)
-            with trio.move_on_after(self.routing.wait_s(now_s)):
+            objects = self.lost_objects.apply(replica.objects, now_s)
+            self.registry.apply(objects, cold_ms, now_s)
+            self.version_splitter.apply_objects(objects, now_s)
+            wait_s = min(self.routing.wait_s(now_s), self.lost_objects.wait_s(now_s))
+            with trio.move_on_after(wait_s):
                 await replica.changed.wait()
 
     def services_by_name(self) -> Mapping[str, ServiceRule]:
--- a/src/wagtailbay/replica/__init__.py
+++ b/src/wagtailbay/replica/__init__.py
@@ -1,6 +1,7 @@
 """Local replica of the store's replicated objects, whose versions never decrease."""
 
 from wagtailbay.replica.const import REPLICATED_PREFIXES
+from wagtailbay.replica.lost_objects import LostObjectHold
 from wagtailbay.replica.prefix_reader import PrefixReader
 from wagtailbay.replica.replica import Freshness, Replica
 from wagtailbay.replica.signal import ChangeSignal
@@ -12,6 +13,7 @@
     "REPLICATED_PREFIXES",
     "ChangeSignal",
     "Freshness",
+    "LostObjectHold",
     "PrefixReader",
     "Replica",
     "StoreContact",
--- a/src/wagtailbay/replica/const.py
+++ b/src/wagtailbay/replica/const.py
@@ -25,3 +25,6 @@
 MAX_PREFIX_BACKOFF_S: Final = 1.5
 # Pause after a response with changes; far below the seconds allowed for a change to take effect.
 PREFIX_WATCH_PAUSE_S: Final = 0.2
+# After the store came back from an older copy, what it lost is written again within about 2 s. VMs
+# learn of it a moment later.
+LOST_OBJECT_HOLD_S: Final = 3.0
--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -1,6 +1,6 @@
 """Replica of the store's objects and its freshness."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 from xxhash import xxh64_intdigest
@@ -24,6 +24,7 @@
         digest: Hash of the keys and versions of all existing objects; equal for two replicas with
             the same objects.
         changed: Notified when any object has changed.
+        on_restore: Called when the store is known to have come back from an older copy.
         accepts_updates: Whether objects are applied after the first ones; tests set it to False.
     """
 
@@ -35,6 +36,7 @@
     positions: dict[str, int] = field(factory=dict)
     digest: int = 0
     changed: ChangeSignal = field(factory=ChangeSignal)
+    on_restore: Callable[[], None] = lambda: None
     accepts_updates: bool = True
 
     def apply(self, objects: Iterable[StoredObject], revision: int) -> bool:
@@ -83,6 +85,7 @@
                 previous_era=known.era,
                 previous_revision=known.revision,
             )
+            self.on_restore()
         self.era = position.era
         self.deletions_since = max(self.deletions_since, StorePosition(self.era, 0).version)
 
--- a/src/wagtailbay/rollout/version_splitter.py
+++ b/src/wagtailbay/rollout/version_splitter.py
@@ -117,10 +117,14 @@
             is_restored: Whether the store came back from an older copy since the order was known.
         """
         progress = self.progress.get(order.service)
+        is_same = False
         if progress is not None:
             may_be_lost = is_restored or now_s < progress.returns_until_s
+            is_same = progress.order.order_id == order.order_id or (
+                may_be_lost and progress.order.target_version == order.target_version
+            )
             order = self._keep_ended(progress, order, may_be_lost)
-        if progress is None or progress.order.order_id != order.order_id:
+        if progress is None or not is_same:
             canary_share = CANARY_EXPOSURE_FRACTION * self.requirements.exposure_share
             progress = RolloutProgress(order, now_s, self.random.random(), canary_share)
             self.progress[order.service] = progress
--- a/tests/gateway/test_store_drill.py
+++ b/tests/gateway/test_store_drill.py
@@ -10,6 +10,7 @@
 AWAY_S = 0.5
 # A change must take effect within this time, also after a drill.
 CONFIG_APPLY_S = 2.5
+EVACUATE_S = 5.0
 WAIT_S = 10.0
 UNRELATED_WRITES = 30
 
@@ -113,6 +114,56 @@
         assert await drill.status_of("key-2") == 401
         assert drill.lost >= 2
 
+    async def test_orders_hold_until_they_are_written_again(self, nursery):
+        """Guards against requests to an evacuated zone, and a roll-out that starts anew."""
+        drill = await start_drill(nursery)
+        node, api = drill.harness.node, drill.api
+        copy = api.copy()
+        order = {"service": "records", "target_version": "v2", "duration": "60s"}
+        api.put_spec("evacuations", "z1", {})
+        api.put_spec("rollouts", "records", order)
+        with trio.fail_after(WAIT_S):
+            while not node.registry.evacuated_zones or not node.version_splitter.progress:
+                await trio.sleep(0.02)
+        progress = node.version_splitter.progress["records"]
+        await drill.run(copy)
+        zones, same_order = set(), set()
+
+        async def observe(duration_s: float) -> None:
+            with trio.move_on_after(duration_s):
+                while True:
+                    zones.add(node.registry.evacuated_zones)
+                    same_order.add(node.version_splitter.progress.get("records") is progress)
+                    await trio.sleep(0.02)
+
+        await observe(2.0)
+        assert node.fleet.replica.value("evacuations/z1") is None, "the store lost nothing"
+        api.put_spec("evacuations", "z1", {})
+        api.put_spec("rollouts", "records", order)
+        await observe(3.0)
+        assert zones == {frozenset({"z1"})}
+        assert same_order == {True}
+        api.remove("evacuations", "z1")
+        with trio.fail_after(CONFIG_APPLY_S):
+            while node.registry.evacuated_zones:
+                await trio.sleep(0.02)
+        assert drill.lost >= 2
+
+    async def test_order_that_is_not_written_again_ends(self, nursery):
+        """Guards against an evacuation that stays in force although the store has lost it."""
+        drill = await start_drill(nursery)
+        node, api = drill.harness.node, drill.api
+        copy = api.copy()
+        api.put_spec("evacuations", "z1", {})
+        with trio.fail_after(WAIT_S):
+            while not node.registry.evacuated_zones:
+                await trio.sleep(0.02)
+        await drill.run(copy)
+        with trio.fail_after(EVACUATE_S):
+            while node.registry.evacuated_zones:
+                await trio.sleep(0.02)
+        assert b"wagtailbay_store_restores_total 1" in drill.harness.node.exporter.render_text()
+
     async def test_what_the_gateway_had_written_is_written_again(self, nursery):
         """Guards against a registration and crash counts that stay lost."""
         drill = await start_drill(nursery)
--- /dev/null
+++ b/tests/replica/test_lost_objects.py
@@ -0,0 +1,70 @@
+"""Test that objects which a restore of the store lost stay in force for a while."""
+
+from math import inf
+
+from support.gateway import make_objects
+
+from wagtailbay.replica import LostObjectHold
+from wagtailbay.replica.const import LOST_OBJECT_HOLD_S
+from wagtailbay.store import StoredObject, StorePosition
+
+KEY = "evacuations/z1"
+
+
+def objects_at(era: int, revision: int, value: object | None) -> dict[str, StoredObject]:
+    """Return an evacuation, or its deletion, at a position of the store."""
+    version = StorePosition(era, revision).version
+    return make_objects("evacuations/", "z1", version, value)
+
+
+def create_hold() -> LostObjectHold:
+    """Return a hold that knows an evacuation of the first era."""
+    hold = LostObjectHold(("evacuations/",))
+    hold.apply(objects_at(1, 30, {}), 0.0)
+    return hold
+
+
+class TestLostObjectHold:
+    """Lost objects stay in force until their writers had time to write them again."""
+
+    def test_lost_object_is_held_until_due(self):
+        """Guards against an order of the operator that ends because the store lost it."""
+        hold, lost = create_hold(), objects_at(2, 9, None)
+        assert hold.apply(lost, 5.0)[KEY].value == {}
+        assert hold.wait_s(6.0) == LOST_OBJECT_HOLD_S - 1.0
+        assert hold.apply(lost, 5.0 + LOST_OBJECT_HOLD_S - 0.1)[KEY].value == {}
+
+    def test_object_that_is_not_written_again_ends(self):
+        """Guards against an order that stays in force although the store no longer has it."""
+        hold, lost = create_hold(), objects_at(2, 9, None)
+        hold.apply(lost, 5.0)
+        assert hold.apply(lost, 5.0 + LOST_OBJECT_HOLD_S)[KEY].value is None
+        assert hold.apply(lost, 5.0 + LOST_OBJECT_HOLD_S)[KEY].value is None
+        assert hold.wait_s(9.0) == inf
+
+    def test_deletion_takes_effect_at_once(self):
+        """Guards against holding an order that its operator has taken back."""
+        hold = create_hold()
+        assert hold.apply(objects_at(1, 31, None), 5.0)[KEY].value is None
+
+    def test_object_that_was_written_again_can_be_deleted(self):
+        """Guards against holding an order that was written again and then taken back."""
+        hold = create_hold()
+        hold.apply(objects_at(2, 9, None), 5.0)
+        assert hold.apply(objects_at(2, 10, {}), 6.0)[KEY].value == {}
+        assert hold.wait_s(6.0) == inf
+        assert hold.apply(objects_at(2, 11, None), 6.5)[KEY].value is None
+
+    def test_second_restore_does_not_prolong_the_hold(self):
+        """Guards against a series of restores that keeps a lost order in force."""
+        hold = create_hold()
+        hold.apply(objects_at(2, 9, None), 5.0)
+        hold.apply(objects_at(3, 4, None), 7.0)
+        assert hold.apply(objects_at(3, 4, None), 5.0 + LOST_OBJECT_HOLD_S)[KEY].value is None
+
+    def test_other_objects_are_not_held(self):
+        """Guards against targets whose removal takes effect later than stated."""
+        hold = LostObjectHold(("evacuations/",))
+        hold.apply(make_objects("targets/", "a", StorePosition(1, 30).version, {}), 0.0)
+        lost = make_objects("targets/", "a", StorePosition(2, 9).version, None)
+        assert hold.apply(lost, 5.0) is lost
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -283,6 +283,16 @@
             self.apply(controller.splitter, written, 5)
             assert controller.splitter.progress["records"].lost_phase is None
 
+    def test_running_order_that_is_written_again_goes_on(self):
+        """Guards against a failing version that gets requests again after a restore."""
+        splitter = create_splitter(evolve(ORDER, phase=RolloutPhase.RUNNING))
+        progress = splitter.progress["records"]
+        progress.failure_reason = "failures"
+        self.apply(splitter, evolve(ORDER, created_revision=4), 4)
+        assert splitter.progress["records"] is progress
+        assert progress.order.created_revision == 4
+        assert progress.share(25.0) == 0.0
+
     def test_new_order_for_the_version_runs_later(self):
         """Guards against an order that never runs because one with its version was lost."""
         splitter = create_splitter(evolve(ORDER, phase=RolloutPhase.ROLLED_BACK))
