Soak: check that VMs follow the store after drills

restore_store_and_change writes a configuration and entries that no copy has, lets the store come back up to three times in a row, and 6 s later withdraws a key and removes a target. Requests that use them later than allowed are CONFIG and DRAIN. Each run prints lost objects, those of the VMs among them, reissued revisions, the store's busiest second after a return and how long changes took.

--- a/src/wagtailbay_bench/soak/callers.py
+++ b/src/wagtailbay_bench/soak/callers.py
@@ -102,7 +102,8 @@
             ("Content-Length", str(len(body))),
         ]
         if self.keys:
-            headers.append(("Authorization", f"Token {self.random.choice(self.keys)}"))
+            exchange.key = self.random.choice(self.keys)
+            headers.append(("Authorization", f"Token {exchange.key}"))
         method = "GET" if route.idempotent else "POST"
         path = f"{route.path_prefix}{self.random.randrange(200)}"
         data = protocol.send(h11.Request(method=method, target=path, headers=headers))
--- a/src/wagtailbay_bench/soak/const.py
+++ b/src/wagtailbay_bench/soak/const.py
@@ -38,5 +38,9 @@
 # Pooled connections to targets are older than this when faults begin.
 WARM_UP_S: Final = 2.0
 SETTLE_S: Final = 2.0
+# A change of the configuration must take effect within this time.
+CONFIG_APPLY_S: Final = 2.5
+# Requests must not reach a target later than this after its removal.
+TARGET_DRAIN_S: Final = 2.5
 # Callers that leave do so this long after sending a request.
 LEAVE_RANGE_S: Final = (0.0, 0.6)
--- a/src/wagtailbay_bench/soak/models.py
+++ b/src/wagtailbay_bench/soak/models.py
@@ -10,6 +10,7 @@
     request_id: str
     target: str
     started_s: float
+    arrived_s: float = 0.0
 
 
 @frozen
@@ -43,6 +44,7 @@
     status: int | None = None
     seal: str = ""
     body: bytes = b""
+    key: str = ""
 
 
 @frozen
@@ -59,14 +61,35 @@
     """Return of the store from an older copy.
 
     Attributes:
+        returned_s: When the store came back.
         lost_objects: Objects that the copy has in another state, or lacks, or has in excess.
+        lost_own_objects: Those of them that VMs had written.
         reissued_revisions: Revisions after the copy, which are given out again.
     """
 
+    returned_s: float
     lost_objects: int
+    lost_own_objects: int
     reissued_revisions: int
 
 
+@frozen
+class FollowedChange:
+    """A change of the store that all VMs must follow.
+
+    Attributes:
+        kind: ``key`` for a withdrawn key, ``target`` for a removed target.
+        name: The key, or the name of the target.
+        acknowledged_s: When the store accepted it.
+        until_s: When it was taken back.
+    """
+
+    kind: str
+    name: str
+    acknowledged_s: float
+    until_s: float
+
+
 @frozen
 class Violation:
     """A promise that was broken, and how it shows."""
@@ -85,6 +108,9 @@
 
     Attributes:
         planned_only: Whether VMs were only stopped as planned, and targets and links were sound.
+        changes: Changes after drills of a soak in which nothing else happens.
+        store_calls: Time of each call of the store that counts for its rates, and whether it
+            writes.
         peak_resident_mb: Highest memory of each VM's process.
     """
 
@@ -95,6 +121,8 @@
     signals: list[Signal] = field(factory=list)
     faults: list[str] = field(factory=list)
     drills: list[Drill] = field(factory=list)
+    changes: list[FollowedChange] = field(factory=list)
+    store_calls: list[tuple[float, bool]] = field(factory=list)
     peak_resident_mb: dict[str, float] = field(factory=dict)
 
 
--- a/src/wagtailbay_bench/soak/program.py
+++ b/src/wagtailbay_bench/soak/program.py
@@ -3,12 +3,13 @@
 import argparse
 import sys
 import time
+from bisect import bisect_left, bisect_right
 from collections import Counter
 
 import trio
 from attrs import evolve
 
-from wagtailbay_bench.soak.checks import find_violations
+from wagtailbay_bench.soak.checks import find_uses, find_violations, group_runs
 from wagtailbay_bench.soak.disturb import UNPLANNED
 from wagtailbay_bench.soak.faults import ALL_FAULTS
 from wagtailbay_bench.soak.models import History, SoakSize, Violation
@@ -16,6 +17,8 @@
 from wagtailbay_bench.soak.scenario import record_history
 from wagtailbay_bench.soak.site import OPTIONAL_DISTURBANCES, SITE_DISTURBANCES
 
+AFTER_RETURN_S = 10.0
+
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the argument parser."""
@@ -91,17 +94,53 @@
         f" returned={len(history.returned)} same_connection={same_connection}"
         f" disturbances={len(history.faults)} drills={len(history.drills)}"
         f" lost_objects={sum(drill.lost_objects for drill in history.drills)}"
+        f" lost_own_objects={sum(drill.lost_own_objects for drill in history.drills)}"
         f" reissued_revisions={sum(drill.reissued_revisions for drill in history.drills)} {counts}"
         f" peak_mb={max(history.peak_resident_mb.values(), default=0):.0f}"
         f" violations={len(violations)}",
         flush=True,
     )
+    if history.drills:
+        print(f"  {describe_drills(history)}")
     for rule, count in Counter(violation.rule for violation in violations).items():
         print(f"  {rule}: {count}")
     for violation in violations[:8]:
         print(f"  {violation}")
 
 
+def describe_drills(history: History) -> str:
+    """Describe how the VMs followed the store after drills.
+
+    That is the highest number of its calls in any second that begins within 10 s after a return,
+    and how long after its acknowledgement a change still had no effect on some request.
+    """
+    runs_by_id = group_runs(history)
+    followed_s = [
+        max((used_s - change.acknowledged_s for used_s, _ in uses), default=0.0)
+        for change in history.changes
+        for uses in [list(find_uses(history, runs_by_id, change))]
+    ]
+    rates = [peak_rate_per_s(history, writes) for writes in (False, True)]
+    return (
+        f"reads_per_s={rates[0]} writes_per_s={rates[1]} changes={len(history.changes)}"
+        f" followed_s={', '.join(f'{value:.2f}' for value in followed_s)}"
+    )
+
+
+def peak_rate_per_s(history: History, writes: bool) -> int:
+    """Return the highest number of calls of the store in a second after a return."""
+    times_s = [at_s for at_s, is_write in history.store_calls if is_write is writes]
+    return max(
+        (
+            bisect_right(times_s, start_s + 1.0) - bisect_left(times_s, start_s)
+            for drill in history.drills
+            for start_s in times_s
+            if 0.0 <= start_s - drill.returned_s < AFTER_RETURN_S
+        ),
+        default=0,
+    )
+
+
 def main() -> int:
     """Run the soaks and return the exit status, 1 if any promise was broken."""
     parser = build_parser()
--- a/src/wagtailbay_bench/soak/scenario.py
+++ b/src/wagtailbay_bench/soak/scenario.py
@@ -22,6 +22,7 @@
     build_config,
     build_registration,
 )
+from wagtailbay_bench.soak.drills import DrillRunner
 from wagtailbay_bench.soak.faults import ALL_FAULTS, BROKEN_HEADS, FAULTS
 from wagtailbay_bench.soak.models import History, SoakSize
 from wagtailbay_bench.soak.site import (
@@ -81,6 +82,11 @@
         if self.size.conforming:
             target.names_refusals, target.unnamed_copy_share, target.broken_head = True, 0.0, ""
 
+    def record_store_call(self, method: str, path: str) -> None:
+        """Record a call of the store unless it does not count for its rates."""
+        if "stale_ok" not in path:
+            self.history.store_calls.append((trio.current_time(), method != "GET"))
+
     async def start_link(self, upstream_address: str) -> Link:
         """Start a link in front of an address."""
         link = Link(free_address("127.0.0.1"), upstream_address)
@@ -221,14 +227,21 @@
 async def _run_site(run: SoakRun) -> None:
     """Run a soak of a site."""
     workspaces = build_workspaces()
+    run.api.on_call = run.record_store_call
     run.api.put_spec("config", "main", build_config(f"{FIRST_VERSION:08x}", ROUTES, workspaces))
     store_link = await run.start_link(await run.nursery.start(run.api.serve))
     run.store_address = store_link.listen_address
     places = await run.start_places()
-    await run.start_vms()
     site = SoakSite(
         run.api, store_link, places, run.vms, run.random, run.nursery, run.add_vm, run.history
     )
-    run.nursery.start_soon(site.copy_store)
+    drills = DrillRunner(site)
+    # The first copies lack what the VMs write when they start.
+    run.nursery.start_soon(drills.copy_store)
+    await run.start_vms()
+    happenings = {
+        "restore_store": drills.run_drill,
+        "restore_store_and_change": drills.run_series,
+    }
     keys = tuple(workspace.key for workspace in workspaces)
-    await run.run_traffic(ROUTES, keys, site.disturbances())
+    await run.run_traffic(ROUTES, keys, site.disturbances() | happenings)
--- a/src/wagtailbay_bench/soak/site.py
+++ b/src/wagtailbay_bench/soak/site.py
@@ -1,6 +1,5 @@
 """Deployment of four services whose targets, VMs, configuration and store change during a soak."""
 
-from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from math import inf
 from random import Random
@@ -17,7 +16,7 @@
     build_config,
     build_registration,
 )
-from wagtailbay_bench.soak.models import Drill, History
+from wagtailbay_bench.soak.models import History
 from wagtailbay_bench.soak.target import SoakTarget
 from wagtailbay_bench.soak.vms import ZONES, SoakVm
 from wagtailbay_standins.link import Link
@@ -69,12 +68,7 @@
 )
 SITE_DISTURBANCES: Final = (*OWN_DISTURBANCES, "add_vm")
 # Drawn only where a soak names them, so that the seeds of others keep their meaning.
-OPTIONAL_DISTURBANCES: Final = ("restore_store",)
-COPY_INTERVAL_S: Final = 0.5
-COPIES_KEPT: Final = 18
-STORE_AWAY_RANGE_S: Final = (0.2, 2.0)
-# After the return, the operator and the targets write again within this time.
-REWRITE_RANGE_S: Final = (0.0, 2.0)
+OPTIONAL_DISTURBANCES: Final = ("restore_store", "restore_store_and_change")
 
 
 @define
@@ -168,7 +162,6 @@
         add_vm: Adds a VM.
         version: Version of the last configuration.
         config: The last configuration; None before the first change.
-        copies: Copies of the store, the oldest first.
     """
 
     api: ObjectApiStandin
@@ -181,19 +174,10 @@
     history: History
     version: int = FIRST_VERSION
     config: dict | None = None
-    copies: deque = field(factory=lambda: deque(maxlen=COPIES_KEPT))
-
-    async def copy_store(self) -> None:
-        """Copy the store periodically until cancelled."""
-        while True:
-            if not self.api.is_away:
-                self.copies.append(self.api.copy())
-            await trio.sleep(COPY_INTERVAL_S)
 
     def disturbances(self) -> Mapping[str, Callable[[], Awaitable[None]]]:
         """Return what can happen to the site."""
-        names = (*OWN_DISTURBANCES, *OPTIONAL_DISTURBANCES)
-        own = {name: getattr(self, f"_{name}") for name in names}
+        own = {name: getattr(self, f"_{name}") for name in OWN_DISTURBANCES}
         return own | {"add_vm": self.add_vm}
 
     def _pick_places(self) -> list[TargetPlace]:
@@ -201,7 +185,9 @@
         count = min(len(running), self.random.randint(1, MAX_TARGETS_AT_ONCE))
         return self.random.sample(running, count)
 
-    def _forget_later(self, name: str, delay_s: float = ENTRY_LAPSE_S) -> None:
+    def forget_later(self, name: str, delay_s: float = ENTRY_LAPSE_S) -> None:
+        """Remove the entry of a target after a while."""
+
         async def forget() -> None:
             await trio.sleep(delay_s)
             self.api.remove("servers", name)
@@ -211,7 +197,7 @@
     async def _crash_and_return(self, places: list[TargetPlace], down_s: float) -> None:
         for place in places:
             place.crash()
-            self._forget_later(place.target.name)
+            self.forget_later(place.target.name)
         await trio.sleep(down_s)
         for place in places:
             await place.start(self.nursery)
@@ -279,35 +265,6 @@
         self.config = build_config(f"{self.version:08x}", routes, workspaces)
         self.api.put_spec("config", "main", self.config)
 
-    async def _restore_store(self) -> None:
-        """Take the store away and bring it back from an older copy."""
-        if self.api.is_away:
-            return
-        self.api.is_away = True
-        self.api.table.changed.notify()
-        await trio.sleep(self.random.uniform(*STORE_AWAY_RANGE_S))
-        copy = self.random.choice(self.copies)
-        reissued = self.api.table.revision - copy[0]
-        self.history.drills.append(Drill(self.api.restore(copy), reissued))
-        self.copies.clear()
-        self.copies.append(copy)
-        self.api.is_away = False
-        for place in self.places:
-            self.nursery.start_soon(self._register_again, place)
-        listed = [key.partition("/") for key in self.api.table.objects]
-        names = {place.target.name for place in self.places}
-        for kind, _, name in listed:
-            if kind == "servers" and name not in names:
-                self._forget_later(name)
-        if self.config is not None:
-            await trio.sleep(self.random.uniform(*REWRITE_RANGE_S))
-            self.api.put_spec("config", "main", self.config)
-
-    async def _register_again(self, place: TargetPlace) -> None:
-        await trio.sleep(self.random.uniform(*REWRITE_RANGE_S))
-        if place.running:
-            place.register()
-
     async def _roll_out(self) -> None:
         """Restart some targets of a service with a new version, and order its roll-out."""
         service = self.random.choice(sorted(SERVICE_SHARES))
@@ -315,7 +272,7 @@
         version = f"v{self.random.randrange(2, 1_000)}"
         for place in places:
             place.crash()
-            self._forget_later(place.target.name, 0.0)
+            self.forget_later(place.target.name, 0.0)
             await place.start(self.nursery, version=version)
         order = {"service": service, "target_version": version, "duration": "8s"}
         self.api.put_spec("rollouts", service, order)
--- a/src/wagtailbay_bench/soak/target.py
+++ b/src/wagtailbay_bench/soak/target.py
@@ -148,10 +148,11 @@
     async def _run(self, exchange: TargetExchange, copy: str) -> None:
         """Run a request, and write bytes of an earlier one while it runs."""
         self.pending += 1
+        arrived_s = trio.current_time()
         try:
             async with self.slots:
                 is_faulty = bool(self.faults) and self.random.random() < self.fault_share
-                run = Run(exchange.request_id, self.name, trio.current_time())
+                run = Run(exchange.request_id, self.name, trio.current_time(), arrived_s)
                 self.history.runs.append(run)
                 work_s = self.random.uniform(*self.work_range_s)
                 await trio.sleep(work_s / 2)
--- a/src/wagtailbay_standins/objects.py
+++ b/src/wagtailbay_standins/objects.py
@@ -3,10 +3,11 @@
 Tests inject faults through attributes: with ``error_status``, every call is answered with that
 status; a watch that starts before ``oldest_revision`` gets status 410, as if the history before
 that revision had been dropped. While ``is_away``, connections end without an answer. ``restore``
-brings back an older copy and raises the era.
+brings back an older copy and raises the era. ``on_call`` is told of each call.
 """
 
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -17,6 +18,8 @@
 from wagtailbay_standins.platform import ObjectTable
 
 PAGE_ITEMS = 50
+ObjectCopy = tuple[int, dict[str, tuple[int, Any]]]
+"""Revision of a copy, and the revision and value of each object, by key."""
 
 
 @define
@@ -29,16 +32,18 @@
     is_away: bool = False
     era: int | None = None
     calls: list[str] = field(factory=list)
+    on_call: Callable[[str, str], None] = lambda method, path: None
 
-    def copy(self) -> tuple[int, dict[str, tuple[int, Any]]]:
+    def copy(self) -> ObjectCopy:
         """Return a copy of all objects with the current revision."""
         return self.table.revision, dict(self.table.objects)
 
-    def restore(self, copy: tuple[int, dict[str, tuple[int, Any]]]) -> int:
-        """Replace all objects by those of a copy; return how many objects changed or got lost."""
+    def restore(self, copy: ObjectCopy) -> set[str]:
+        """Replace all objects by those of a copy; return the keys that changed or got lost."""
         revision, objects = copy
         known = self.table.objects
-        lost = sum(known.get(key) != objects.get(key) for key in known.keys() | objects.keys())
+        keys = known.keys() | objects.keys()
+        lost = {key for key in keys if known.get(key) != objects.get(key)}
         self.table.revision, self.table.objects = revision, dict(objects)
         self.era = (self.era or 0) + 1
         self.table.changed.notify()
@@ -84,6 +89,7 @@
     async def handle(self, request: Request, reply: Reply) -> None:
         """Record a call and dispatch it by method and path."""
         self.calls.append(f"{request.method} {request.path}")
+        self.on_call(request.method, request.path)
         if self.is_away:
             raise CallerDisconnectedError
         if self.error_status is not None:
--- a/tests/gateway/test_store_drill.py
+++ b/tests/gateway/test_store_drill.py
@@ -37,7 +37,7 @@
         self.api.is_away = True
         self.api.table.changed.notify()
         await trio.sleep(AWAY_S)
-        self.lost = self.api.restore(copy)
+        self.lost = len(self.api.restore(copy))
         self.api.is_away = False
 
     async def status_of(self, key: str) -> int:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 from wagtailbay_bench.soak.checks import find_violations
 from wagtailbay_bench.soak.models import (
     Exchange,
+    FollowedChange,
     History,
     ReturnedRequest,
     Run,
@@ -16,6 +17,14 @@
 from wagtailbay_bench.soak.scenario import record_history
 
 SIZE = SoakSize(duration_s=12.0)
+CHANGE_SIZE = SoakSize(
+    vms=4,
+    targets=12,
+    callers=24,
+    duration_s=24.0,
+    is_site=True,
+    disturbances=("restore_store_and_change",),
+)
 SOUND = Exchange("c0-1", False, "vm-1", 10.0, 10.5, 200, "t1.c0-1/200", b"c0-1 t1")
 RUN = Run("c0-1", "t1", 10.1)
 
@@ -84,6 +93,22 @@
         assert sum(exchange.status == 200 for exchange in history.exchanges) > 50
 
 
+class TestSeededDrillsWithChanges:
+    """VMs follow the store after it came back from older copies, one drill or several in a row."""
+
+    async def test_changes_take_effect(self):
+        """Guards against the fault of issue 41, which this seed found at 3fcfef8: CONFIG, DRAIN.
+
+        Changes were ignored while revisions stayed below those known before.
+        """
+        history = await record_history(50001, CHANGE_SIZE)
+        assert find_violations(history) == [], f"faults={history.faults}"
+        assert len(history.changes) >= 2, "no change was made"
+        assert sum(drill.lost_objects for drill in history.drills) > 0, "nothing was lost"
+        assert max(drill.reissued_revisions for drill in history.drills) > 100
+        assert any(exchange.status == 401 for exchange in history.exchanges)
+
+
 class TestChecks:
     """Each check finds a history that breaks its promise."""
 
@@ -112,6 +137,21 @@
         changed = evolve(SOUND, status=502)
         assert find_rules(History(exchanges=[changed], runs=[RUN])) == ["MIXED"]
 
+    @pytest.mark.parametrize(("sent_s", "rules"), [(12.4, []), (12.6, ["CONFIG"]), (17.0, [])])
+    def test_request_with_a_withdrawn_key(self, sent_s, rules):
+        """Guards against missing a key in use too late; later on it is valid again."""
+        change = FollowedChange("key", "key-1", 10.0, 16.0)
+        late = evolve(SOUND, sent_s=sent_s, key="key-1")
+        assert find_rules(History(exchanges=[late], runs=[RUN], changes=[change])) == rules
+        assert find_rules(History(exchanges=[late], changes=[change])) == []
+
+    @pytest.mark.parametrize(("arrived_s", "rules"), [(12.4, []), (12.6, ["DRAIN"])])
+    def test_request_at_a_removed_target(self, arrived_s, rules):
+        """Guards against missing a target in use too late."""
+        change = FollowedChange("target", "t1", 10.0, 16.0)
+        run = evolve(RUN, arrived_s=arrived_s)
+        assert find_rules(History(exchanges=[SOUND], runs=[run], changes=[change])) == rules
+
     def test_process_that_ended_or_grew(self):
         """Guards against missing a process that ends by itself or uses too much memory."""
         ended = Signal("vm-1", "ended with status 1", 3.0)
