Continue a watch whose connection ends instead of assuming an outage

Cause: a watch whose connection ended counted as an outage of the store. Entries may lapse in an outage, so a removal within 4 s of it left the target in use for the drain time, counted from when the VM heard of the removal.

Change: such a watch is WatchInterrupted. It continues at the same revision on another connection; if that is interrupted too, the prefix is listed, and a listing that fails is an outage. The watch alone no longer makes peers replace this VM as a watcher.

--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -39,9 +39,11 @@
     StoreUnavailable,
     VersionConflict,
     VmList,
+    WatchError,
+    WatchInterrupted,
     classify_write_failure,
 )
-from wagtailbay.transport import Request, Response, TransportError, fetch
+from wagtailbay.transport import FailureKind, Request, Response, TransportError, fetch
 from wagtailbay.transport.models import find_header
 
 ObjectItems = list[dict[str, Any]]
@@ -100,7 +102,12 @@
             case Err(error):
                 return Err(StoreUnavailable(str(error)))
             case Ok(response):
-                era = self._read_era(response)
+                return self._decode_read(response)
+
+    def _decode_read(
+        self, response: Response
+    ) -> Result[tuple[int, dict[str, Any] | None], StoreUnavailable | HistoryLost]:
+        era = self._read_era(response)
         match response.status:
             case 200:
                 return _decode_response(response.body).map(lambda value: (era, value))
@@ -180,14 +187,17 @@
 
     async def watch(
         self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
-    ) -> Result[Listing, StoreUnavailable | HistoryLost]:
+    ) -> Result[Listing, WatchError]:
         """Wait for changes under exactly one prefix; return an empty listing on timeout."""
         (prefix,) = prefixes
         since = StorePosition.from_version(since_revision)
         if since.era < self.era:
             return Err(HistoryLost())
         path = f"/objects/{kind_for_prefix(prefix)}?watch={since.revision}&wait_ms={timeout_ms}"
-        read_result = await self._read(path, timeout_ms + WATCH_TIMEOUT_MARGIN_MS)
+        call_result = await self._call("GET", path, timeout_ms=timeout_ms + WATCH_TIMEOUT_MARGIN_MS)
+        if isinstance(call_result, Err):
+            return Err(_classify_watch_failure(call_result.err_value))
+        read_result = self._decode_read(call_result.ok_value)
         if isinstance(read_result, Err):
             return read_result
         era, page = read_result.ok_value
@@ -297,6 +307,13 @@
     return era if (era := int(text)) <= MAX_ERA else None
 
 
+def _classify_watch_failure(error: TransportError) -> StoreUnavailable | WatchInterrupted:
+    """Return whether the store did not answer, or the connection ended while the watch waited."""
+    if error.kind is FailureKind.CLOSED and error.request_sent and not error.response_started:
+        return WatchInterrupted(str(error))
+    return StoreUnavailable(str(error))
+
+
 def _in_era(stored: StoredObject, era: int) -> StoredObject:
     return evolve(stored, version=StorePosition(era, stored.version).version)
 
--- a/src/wagtailbay/replica/prefix_reader.py
+++ b/src/wagtailbay/replica/prefix_reader.py
@@ -24,7 +24,7 @@
 from wagtailbay.replica.replica import Freshness, Replica
 from wagtailbay.replica.signal import ChangeSignal
 from wagtailbay.replica.store_contact import StoreContact
-from wagtailbay.store import HistoryLost, ObjectStore, StoreUnavailable
+from wagtailbay.store import HistoryLost, ObjectStore, StoreUnavailable, WatchInterrupted
 from wagtailbay.supervision import keep_running
 
 
@@ -37,11 +37,13 @@
             prefix must be listed first.
         confirmed_s: Time at which the request with the latest response was sent.
         failures: Number of consecutive failed calls.
+        interruptions: Number of watches that were interrupted since the last response.
     """
 
     revision: int | None = None
     confirmed_s: float = float("-inf")
     failures: int = 0
+    interruptions: int = 0
 
 
 @define
@@ -132,7 +134,7 @@
         # After an unexpected error, changes since the last listing may be missing.
         state.revision = None
         while True:
-            if state.failures:
+            if state.failures or state.interruptions:
                 await trio.sleep(self._backoff_s(state))
             if not self._should_read_store():
                 state.revision = None
@@ -160,7 +162,7 @@
 
     def _backoff_s(self, state: PrefixState) -> float:
         max_delay_s = min(
-            MAX_PREFIX_BACKOFF_S, MIN_PREFIX_BACKOFF_S * 2 ** min(state.failures - 1, 6)
+            MAX_PREFIX_BACKOFF_S, MIN_PREFIX_BACKOFF_S * 2 ** min(max(0, state.failures - 1), 6)
         )
         return max_delay_s * self.random.uniform(0.5, 1.0)
 
@@ -187,13 +189,20 @@
             case Err(HistoryLost()):
                 log_event("store_history_lost", prefix=prefix, revision=state.revision)
                 state.revision = None
+            case Err(WatchInterrupted(message)):
+                # The store may be well, so the next watch continues at the same revision. If that
+                # is interrupted too, a listing shows whether the store answers.
+                log_event("store_watch_interrupted", prefix=prefix, reason=message)
+                state.interruptions += 1
+                if state.interruptions > 1:
+                    state.revision = None
             case Err(error):
                 self._record_failure(state, error)
 
     def _record_response(self, state: PrefixState, revision: int, requested_s: float) -> None:
         """Record a response, which confirms the state at the time its request was sent."""
         state.revision = max(revision, state.revision or 0)
-        state.confirmed_s, state.failures = requested_s, 0
+        state.confirmed_s, state.failures, state.interruptions = requested_s, 0, 0
         self.contact.record_success(requested_s, revision)
         prefix_states = self.states.values()
         if all(other.revision is not None for other in prefix_states):
--- a/src/wagtailbay/store/__init__.py
+++ b/src/wagtailbay/store/__init__.py
@@ -13,6 +13,8 @@
     VersionConflict,
     VmList,
     VmRecord,
+    WatchError,
+    WatchInterrupted,
 )
 from wagtailbay.store.position import MAX_ERA, MAX_REVISION, StorePosition
 
@@ -32,5 +34,7 @@
     "VersionConflict",
     "VmList",
     "VmRecord",
+    "WatchError",
+    "WatchInterrupted",
     "classify_write_failure",
 ]
--- a/src/wagtailbay/store/metered.py
+++ b/src/wagtailbay/store/metered.py
@@ -16,6 +16,8 @@
     StoreUnavailable,
     VersionConflict,
     VmList,
+    WatchError,
+    WatchInterrupted,
 )
 
 T = TypeVar("T")
@@ -23,6 +25,7 @@
 OUTCOME_NAMES = {
     StoreUnavailable: "unavailable",
     HistoryLost: "history_lost",
+    WatchInterrupted: "interrupted",
     VersionConflict: "conflict",
     OutcomeUnknown: "unknown",
 }
@@ -35,7 +38,7 @@
     Attributes:
         store: The store that carries out the calls.
         record_call: Called with the name of each call and its outcome: ``ok``, ``conflict``,
-            ``unavailable``, ``history_lost`` or ``unknown``.
+            ``unavailable``, ``history_lost``, ``interrupted`` or ``unknown``.
     """
 
     store: ObjectStore
@@ -58,7 +61,7 @@
 
     async def watch(
         self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
-    ) -> Result[Listing, StoreUnavailable | HistoryLost]:
+    ) -> Result[Listing, WatchError]:
         """Wait for changes after a revision; the listing is empty after the timeout."""
         return self._record("watch", await self.store.watch(prefixes, since_revision, timeout_ms))
 
--- a/src/wagtailbay/store/models.py
+++ b/src/wagtailbay/store/models.py
@@ -60,6 +60,13 @@
     """Error: a watch cannot continue, since the store has discarded changes after its revision."""
 
 
+@frozen
+class WatchInterrupted:
+    """Error: the connection of a waiting watch ended; the watch can continue on another one."""
+
+    message: str
+
+
 @frozen
 class OutcomeUnknown:
     """Error: a write may or may not have taken effect."""
@@ -77,6 +84,7 @@
 
 
 StoreError = StoreUnavailable | OutcomeUnknown | VersionConflict
+WatchError = StoreUnavailable | HistoryLost | WatchInterrupted
 
 
 class ObjectStore(Protocol):
@@ -102,7 +110,7 @@
 
     async def watch(
         self, prefixes: Sequence[str], since_revision: int, timeout_ms: int
-    ) -> Result[Listing, StoreUnavailable | HistoryLost]:
+    ) -> Result[Listing, WatchError]:
         """Wait for changes after a revision; the listing is empty after the timeout."""
 
     async def probe(self, timeout_ms: int) -> Result[None, StoreUnavailable]:
--- a/src/wagtailbay_standins/objects.py
+++ b/src/wagtailbay_standins/objects.py
@@ -31,6 +31,7 @@
     oldest_revision: int = 0
     is_away: bool = False
     era: int | None = None
+    watch_cuts: int = 0
     calls: list[str] = field(factory=list)
     on_call: Callable[[str, str], None] = lambda method, path: None
 
@@ -53,6 +54,11 @@
         headers = () if self.era is None else (("Store-Era", str(self.era)),)
         await reply.send_json(status, value, headers)
 
+    def cut_watches(self) -> None:
+        """End the connections of all waiting watches without an answer."""
+        self.watch_cuts += 1
+        self.table.changed.notify()
+
     def put_spec(self, kind: str, name: str, spec: Any) -> int:
         """Write the spec of an object as an operator would, and return the new revision."""
         return self._write(f"{kind}/{name}", {"spec": spec})
@@ -129,13 +135,13 @@
         if since_revision < self.oldest_revision or since_revision > self.table.revision:
             await self._send(reply, 410, {"error": "this history is gone"})
             return
-        era = self.era
+        era, cuts = self.era, self.watch_cuts
         with trio.move_on_after(wait_ms / 1000):
-            while era == self.era and not self.table.select(
+            while (era, cuts) == (self.era, self.watch_cuts) and not self.table.select(
                 (f"{kind}/",), since_revision, deleted=True
             ):
                 await self.table.changed.wait()
-        if self.is_away or era != self.era:
+        if self.is_away or (era, cuts) != (self.era, self.watch_cuts):
             raise CallerDisconnectedError
         events = [
             {"object": self._object_json(item["key"]), "deleted": item["value"] is None}
--- a/tests/replica/test_prefix_reader.py
+++ b/tests/replica/test_prefix_reader.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from wagtailbay.replica import Freshness, PrefixReader, Replica
-from wagtailbay.store import HistoryLost, Listing, StoredObject, StoreUnavailable
+from wagtailbay.store import HistoryLost, Listing, StoredObject, StoreUnavailable, WatchInterrupted
 
 PREFIXES = ("a/", "b/")
 
@@ -19,6 +19,8 @@
         self.revision = 0
         self.unavailable = False
         self.history_lost: set[str] = set()
+        self.interruptions = 0
+        self.unavailable_lists = False
         self.calls: list[str] = []
 
     def put(self, key: str, value: object) -> None:
@@ -34,7 +36,7 @@
         """List the existing objects under the first prefix."""
         self.calls.append(f"list {prefixes[0]}")
         await trio.sleep(0.001)
-        if self.unavailable:
+        if self.unavailable or self.unavailable_lists:
             return Err(StoreUnavailable("down"))
         existing = (o for o in self._of(prefixes[0]) if o.value is not None)
         return Ok(Listing(self.revision, tuple(existing)))
@@ -45,6 +47,9 @@
         await trio.sleep(0.01)
         if self.unavailable:
             return Err(StoreUnavailable("down"))
+        if self.interruptions:
+            self.interruptions -= 1
+            return Err(WatchInterrupted("closed"))
         if prefixes[0] in self.history_lost:
             self.history_lost.discard(prefixes[0])
             return Err(HistoryLost())
@@ -113,6 +118,31 @@
         harness.store.put("a/1", "z")
         await harness.wait_until(lambda: harness.replica.value("a/1") == "z")
 
+    async def test_interrupted_watch_continues(self, nursery):
+        """Guards against one cut watch that counts as an outage of the store."""
+        harness = ReaderHarness(nursery)
+        harness.store.put("a/1", "one")
+        await harness.wait_until(lambda: harness.replica.value("a/1") == "one")
+        lists = sum(call.startswith("list") for call in harness.store.calls)
+        harness.store.interruptions = 1
+        await harness.wait_until(lambda: not harness.store.interruptions)
+        harness.store.put("a/1", "two")
+        await harness.wait_until(lambda: harness.replica.value("a/1") == "two")
+        assert harness.failed == []
+        assert harness.reader.contact.reachable
+        assert sum(call.startswith("list") for call in harness.store.calls) == lists
+
+    async def test_watches_that_are_interrupted_again_are_replaced_by_listings(self, nursery):
+        """Guards against a store that ends each watch and whose changes stay unknown."""
+        harness = ReaderHarness(nursery)
+        await harness.wait_until(lambda: harness.reader.contact.reachable)
+        harness.store.interruptions = 1_000_000
+        harness.store.put("b/1", "two")
+        await harness.wait_until(lambda: harness.replica.value("b/1") == "two")
+        harness.store.unavailable_lists = True
+        await harness.wait_until(lambda: harness.failed)
+        assert harness.reader.contact.is_failing
+
     async def test_vm_updated_by_peers_makes_no_calls(self, nursery):
         """Guards against store calls that grow with the fleet."""
         harness = ReaderHarness(nursery)
