Let a run that started after its clock went back take a higher number

Cause: runs are numbered by the time of day of their start, and nothing told a refused run that peers know a higher number.

Change: a refusal names that number in its metadata. A run that peers have not accepted for long takes the next one, for its entry, facts and loan requests. The gateway does so; the entry VM does not, as its stored records name runs.

--- a/src/wagtailbay/membership/client.py
+++ b/src/wagtailbay/membership/client.py
@@ -15,6 +15,8 @@
     EXCHANGE_METHOD,
     EXCHANGE_THREADS,
     EXCHANGE_TIMEOUT_MS,
+    KNOWN_INCARNATION_KEY,
+    MAX_INCARNATION,
     MAX_MESSAGE_BYTES,
     RECONNECT_AFTER_FAILURES,
     SERVICE_NAME,
@@ -116,7 +118,17 @@
         grpc.StatusCode.INVALID_ARGUMENT: PeerFailure.REFUSED,
         grpc.StatusCode.RESOURCE_EXHAUSTED: PeerFailure.REFUSED,
     }
-    return PeerError(vm, failures_by_code.get(code, PeerFailure.UNREACHABLE), details[:300])
+    kind = failures_by_code.get(code, PeerFailure.UNREACHABLE)
+    return PeerError(vm, kind, details[:300], _known_incarnation(error))
+
+
+def _known_incarnation(error: grpc.RpcError) -> int:
+    """Return the newest run of this VM that a refusal names, 0 if it names none."""
+    metadata = error.trailing_metadata() if isinstance(error, grpc.Call) else None
+    text = str(dict(metadata or ()).get(KNOWN_INCARNATION_KEY, ""))
+    if not text.isascii() or not text.isdecimal() or len(text) > len(str(MAX_INCARNATION)):
+        return 0
+    return number if (number := int(text)) <= MAX_INCARNATION else 0
 
 
 @define
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -96,3 +96,9 @@
 REGISTRATION_PREFIX: Final = "vms/"
 REGISTRATION_RETRY_S: Final = 1.0
 REGISTRATION_SPREAD_S: Final = 2.0
+# Metadata of a refusal: the newest run of the caller that the callee knows.
+KNOWN_INCARNATION_KEY: Final = "known-incarnation"
+# A run that peers have accepted for longer than this does not renumber itself: a later run with its
+# name is another process.
+RENUMBER_WINDOW_S: Final = 10.0
+MAX_INCARNATION: Final = 2**63 - 2
--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -5,12 +5,14 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
+from wagtailbay.logs import log_event
 from wagtailbay.membership.const import (
     CONTACTS_INTERVAL_S,
     DIGESTS_BEFORE_SNAPSHOT,
     INDIRECT_CONTACT_TIMEOUT_S,
     MEMBER_RETENTION_S,
     NON_URGENT_PREFIXES,
+    RENUMBER_WINDOW_S,
 )
 from wagtailbay.membership.facts import FactTable
 from wagtailbay.membership.isolation import IsolationCheck
@@ -33,6 +35,9 @@
             another VM. Otherwise it waits until the peer's digest shows that it lacks some.
         is_same_region: Returns whether a peer is in the region of this VM.
         layout: The division of the fleet into cells from which the neighbours were chosen.
+        may_renumber: Whether this run takes a higher number if a peer knows a newer one. Runs are
+            numbered by the time of day of their start, which may have gone back meanwhile.
+        accepted_since_s: When a peer first answered this run, None before.
         validates_call_age: Test-only switch; False treats a call as if it was built on arrival.
     """
 
@@ -47,6 +52,8 @@
     pushes_objects: Callable[[], bool] = lambda: True
     is_same_region: Callable[[str], bool] = lambda vm: True
     layout: FleetLayout = field(factory=lambda: FleetLayout({}, {}))
+    may_renumber: bool = False
+    accepted_since_s: float | None = None
     validates_call_age: bool = True
 
     def build_message(self, vm: str, now_s: float, *, is_answer: bool = False) -> ExchangeMessage:
@@ -150,8 +157,10 @@
         peer = self.peer_states.get(vm)
         return peer is not None and peer.store_reachable is False
 
-    def record_answered_call(self, vm: str, sent: ExchangeMessage) -> None:
+    def record_answered_call(self, vm: str, sent: ExchangeMessage, now_s: float) -> None:
         """Record that a peer has answered a call, which proves that it received the message."""
+        if self.accepted_since_s is None:
+            self.accepted_since_s = now_s
         peer = self.peer_states.setdefault(vm, PeerSyncState())
         # 0 stands for a peer that has not answered yet; all members are sent to it.
         if sent.facts_seen_incarnation in (0, peer.incarnation):
@@ -161,6 +170,17 @@
         """Record that a call to a peer may not have arrived; its contacts are sent again."""
         self.peer_states.setdefault(vm, PeerSyncState()).contacts_sent_s = float("-inf")
 
+    def record_newer_run(self, incarnation: int, now_s: float) -> None:
+        """Take a higher number than a run of this VM that a peer knows, if this one is newer."""
+        own = self.roster.own
+        since_s = now_s if self.accepted_since_s is None else self.accepted_since_s
+        is_newer = now_s - since_s < RENUMBER_WINDOW_S
+        if not self.may_renumber or not is_newer or incarnation <= own.incarnation:
+            return
+        log_event("run_renumbered", previous=own.incarnation, incarnation=incarnation + 1)
+        self.facts.renumber(incarnation + 1)
+        self.roster.renumber(incarnation + 1)
+
     def apply_message(
         self, message: ExchangeMessage, now_s: float, call_sent_s: float | None = None
     ) -> Result[None, str]:
--- a/src/wagtailbay/membership/facts.py
+++ b/src/wagtailbay/membership/facts.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from wagtailbay.logs import log_event
 from wagtailbay.membership.const import (
@@ -82,6 +82,14 @@
         if urgent:
             self.changed.notify()
 
+    def renumber(self, incarnation: int) -> None:
+        """Publish this run's facts again as those of a run with a higher number."""
+        run = (self.vm, self.incarnation)
+        own = [fact for fact in self.facts.values() if (fact.vm, fact.incarnation) == run]
+        self.incarnation = incarnation
+        for fact in own:
+            self._store(evolve(fact, incarnation=incarnation))
+
     def merge(self, facts: Iterable[Fact]) -> tuple[Fact, ...]:
         """Store newer facts of other VMs and return them; those to be relayed are sent at once."""
         fresh = []
--- a/src/wagtailbay/membership/messages.py
+++ b/src/wagtailbay/membership/messages.py
@@ -100,11 +100,17 @@
 
 @frozen
 class PeerError:
-    """A failed call to a peer; unless refused, a requested loan may have been granted."""
+    """A failed call to a peer; unless refused, a requested loan may have been granted.
+
+    Attributes:
+        known_incarnation: Newest run of this VM that the peer knows, if it refused this one as an
+            older one; else 0.
+    """
 
     vm: str
     kind: PeerFailure
     message: str
+    known_incarnation: int = 0
 
     def __str__(self) -> str:
         """Return the VM, the kind of failure and its details."""
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -78,6 +78,7 @@
                 self._record_result(self._apply_answer(data, call_sent_s, message))
             case Err(error):
                 self.exchanger.record_failed_call(self.vm)
+                self.exchanger.record_newer_run(error.known_incarnation, self.clock())
                 self._record_result(error)
 
     def _apply_answer(
@@ -94,7 +95,7 @@
                 applied = self.exchanger.apply_message(message, now_s, call_sent_s)
         if isinstance(applied, Err):
             return PeerError(self.vm, PeerFailure.REFUSED, applied.err_value)
-        self.exchanger.record_answered_call(self.vm, sent)
+        self.exchanger.record_answered_call(self.vm, sent, now_s)
         return None
 
     def _record_result(self, error: PeerError | None) -> None:
--- a/src/wagtailbay/membership/roster.py
+++ b/src/wagtailbay/membership/roster.py
@@ -43,6 +43,19 @@
         self.members[self.own.vm] = evolve(member, state=state, sequence=member.sequence + 1)
         self.announced.notify()
 
+    def renumber(self, incarnation: int) -> None:
+        """Continue as a run with a higher number."""
+        self.own, self.superseded = evolve(self.own, incarnation=incarnation), False
+        self.members[self.own.vm] = evolve(self.own_member, identity=self.own)
+        self.announced.notify()
+
+    def newer_incarnation(self, identity: VmIdentity) -> int:
+        """Return the newest known run of a VM if it is newer than the given one, else 0."""
+        known = self.members.get(identity.vm)
+        if known is None or known.identity.incarnation <= identity.incarnation:
+            return 0
+        return known.identity.incarnation
+
     def _record_change(self, vm: str) -> None:
         self.position += 1
         # Reinserting keeps the dict ordered by position, so changed_after can read it from the end.
--- a/src/wagtailbay/membership/server.py
+++ b/src/wagtailbay/membership/server.py
@@ -6,7 +6,7 @@
 
 import grpc
 import trio
-from attrs import define, field
+from attrs import define, field, frozen
 from result import Err, Ok, Result
 
 from wagtailbay.logs import log_event
@@ -15,6 +15,7 @@
 from wagtailbay.membership.const import (
     BORROW_METHOD,
     EXCHANGE_METHOD,
+    KNOWN_INCARNATION_KEY,
     MAX_CONCURRENT_CALLS,
     MAX_MESSAGE_BYTES,
     SERVER_THREADS,
@@ -30,7 +31,6 @@
     encode_loan_grant,
 )
 
-Answer = Result[bytes, tuple[grpc.StatusCode, str]]
 Lender = Callable[[LoanRequest, float], LoanGrant]
 
 SERVER_OPTIONS = (
@@ -44,11 +44,35 @@
 )
 
 
+@frozen
+class Refusal:
+    """Status with which a call is refused.
+
+    Attributes:
+        known_incarnation: Newest known run of the caller, if it is refused as an older one; else 0.
+    """
+
+    code: grpc.StatusCode
+    reason: str
+    known_incarnation: int = 0
+
+
+Answer = Result[bytes, Refusal]
+
+
 def refuse_loan(request: LoanRequest, now_s: float) -> LoanGrant:
     """Refuse a loan request."""
     return LoanGrant(0, 0.0)
 
 
+def _abort(context: grpc.ServicerContext, refusal: Refusal) -> None:
+    """End a call with a refusal; raises an exception that gRPC handles."""
+    if refusal.known_incarnation:
+        metadata = ((KNOWN_INCARNATION_KEY, str(refusal.known_incarnation)),)
+        context.set_trailing_metadata(metadata)
+    context.abort(refusal.code, refusal.reason)
+
+
 @define
 class PeerServer:
     """Answers peers' calls.
@@ -118,9 +142,9 @@
             try:
                 answer = trio.from_thread.run_sync(handler, data, trio_token=self._trio_token)
             except trio.RunFinishedError:
-                answer = Err((grpc.StatusCode.UNAVAILABLE, "the VM is ending"))
+                answer = Err(Refusal(grpc.StatusCode.UNAVAILABLE, "the VM is ending"))
             if isinstance(answer, Err):
-                context.abort(*answer.err_value)
+                _abort(context, answer.err_value)
             return answer.ok_value
 
         return handle
@@ -131,13 +155,14 @@
         match decode_exchange(data, self.codec, now_s):
             case Err(reason):
                 log_event("peer_message_malformed", reason=reason[:200], body_bytes=len(data))
-                return Err((grpc.StatusCode.INVALID_ARGUMENT, reason))
+                return Err(Refusal(grpc.StatusCode.INVALID_ARGUMENT, reason))
             case Ok(message):
                 vm = message.sender.identity.vm
                 applied = self.exchanger.apply_message(message, now_s)
         if isinstance(applied, Err):
             log_event("peer_message_dropped", peer=vm, reason=applied.err_value)
-            return Err((grpc.StatusCode.FAILED_PRECONDITION, applied.err_value))
+            newer = self.exchanger.roster.newer_incarnation(message.sender.identity)
+            return Err(Refusal(grpc.StatusCode.FAILED_PRECONDITION, applied.err_value, newer))
         return Ok(
             encode_exchange(
                 self.exchanger.build_message(vm, now_s, is_answer=True), self.codec, now_s
@@ -149,10 +174,10 @@
         match decode_loan_request(data):
             case Err(reason):
                 log_event("peer_message_malformed", reason=reason[:200], body_bytes=len(data))
-                return Err((grpc.StatusCode.INVALID_ARGUMENT, reason))
+                return Err(Refusal(grpc.StatusCode.INVALID_ARGUMENT, reason))
             case Ok(request):
                 member = self.exchanger.roster.members.get(request.borrower)
                 if member is None or member.identity.incarnation != request.incarnation:
                     reason = f"{request.borrower} is not a known run"
-                    return Err((grpc.StatusCode.FAILED_PRECONDITION, reason))
+                    return Err(Refusal(grpc.StatusCode.FAILED_PRECONDITION, reason))
                 return Ok(encode_loan_grant(self.lender(request, self.clock())))
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -240,6 +240,8 @@
             ),
             lender=self._lend,
         )
+        # Nothing that the gateway stores names its run.
+        fleet.exchanger.may_renumber = True
         fleet.replica.on_restore = exporter.metrics.record_store_restore
         fleet.peers.record_call = exporter.metrics.record_peer_exchange
         return fleet
@@ -271,7 +273,7 @@
 
     def _build_quota(self, fleet_view: GatewayFleetView) -> WorkspaceQuota:
         return WorkspaceQuota(
-            fleet_view.fleet.roster.own,
+            lambda: fleet_view.fleet.roster.own,
             RateOwners(fleet_view.rate_owner_candidates),
             fleet_view.fleet.client.borrow,
             self._workspaces,
--- a/src/wagtailbay/quota/quota.py
+++ b/src/wagtailbay/quota/quota.py
@@ -39,6 +39,7 @@
     what it was granted before.
 
     Attributes:
+        own: Returns this VM's identity, whose run may be renumbered.
         owners: Selects the owner of each workspace's rate.
         request_tokens: Sends a token request to a VM, with a timeout in milliseconds.
         workspaces: Returns the workspaces of the active configuration by name.
@@ -49,7 +50,7 @@
         background_nursery: Runs token requests in advance; None disables them.
     """
 
-    identity: VmIdentity
+    own: Callable[[], VmIdentity]
     owners: RateOwners
     request_tokens: RequestTokens
     workspaces: Callable[[], Mapping[str, Workspace]]
@@ -73,7 +74,7 @@
         owned = {
             name: workspace
             for name, workspace in workspaces.items()
-            if workspace.rate_per_s > 0 and self.owners.owner_of(name) == self.identity.vm
+            if workspace.rate_per_s > 0 and self.owners.owner_of(name) == self.own().vm
         }
         fraction = self.grant_fraction(now_s)
         self.may_grant_until_s = now_s + OWNERSHIP_TERM_S if fraction > 0 else now_s
@@ -97,7 +98,7 @@
         wallet = self.wallets.setdefault(workspace.workspace, Wallet())
         wallet.demand.record(1.0, now_s)
         owner = self.owners.owner_of(workspace.workspace)
-        if owner == self.identity.vm:
+        if owner == self.own().vm:
             return self._admit_as_owner(workspace, wallet, now_s)
         if wallet.take(now_s):
             if wallet.needs_refill(now_s):
@@ -125,7 +126,7 @@
     ) -> Result[None, RateExceeded]:
         grant = NOT_THE_OWNER
         if now_s < self.may_grant_until_s:
-            grant = self.bank.grant(workspace.workspace, self.identity.vm, 1, now_s)
+            grant = self.bank.grant(workspace.workspace, self.own().vm, 1, now_s)
         if not grant.is_owner:
             wallet.record_failure(now_s, now_s)
             if not wallet.take_fallback(now_s):
@@ -183,8 +184,8 @@
         if owner is None:
             return NOT_THE_OWNER
         request = LoanRequest(
-            self.identity.vm,
-            self.identity.incarnation,
+            self.own().vm,
+            self.own().incarnation,
             BUDGET_PREFIX + workspace,
             TOKEN_SHARE_PPM,
             TOKEN_LOAN_TERM_MS,
--- a/src/wagtailbay_bench/slopes.py
+++ b/src/wagtailbay_bench/slopes.py
@@ -165,7 +165,7 @@
     )
     message = decode_exchange(answer, DEFAULT_CODEC, now_s).ok_value
     caller.apply_message(message, now_s, call_sent_s=now_s)
-    caller.record_answered_call(callee.roster.own.vm, call)
+    caller.record_answered_call(callee.roster.own.vm, call, now_s)
     return len(sent) + len(answer)
 
 
--- a/tests/membership/factories.py
+++ b/tests/membership/factories.py
@@ -63,5 +63,5 @@
     message = decode_exchange(answer, CODEC, now_s).ok_value
     if not isinstance(caller.apply_message(message, now_s, call_sent_s=now_s), Ok):
         return False
-    caller.record_answered_call(callee.roster.own.vm, request)
+    caller.record_answered_call(callee.roster.own.vm, request, now_s)
     return True
--- a/tests/membership/test_peer_calls.py
+++ b/tests/membership/test_peer_calls.py
@@ -13,12 +13,26 @@
 import trio
 import trustme
 from attrs import evolve
-from membership.factories import CODEC, exchanger
+from membership.factories import CODEC, VALUE, exchanger, member
 from result import Err, Ok
 
 from wagtailbay.clock import boottime_s
-from wagtailbay.membership import Exchanger, PeerClient, PeerFailure, PeerLoop, PeerServer
-from wagtailbay.membership.const import BORROW_METHOD, CERTIFICATE_NAME, SERVICE_NAME
+from wagtailbay.membership import (
+    Exchanger,
+    PeerClient,
+    PeerFailure,
+    PeerLoop,
+    PeerServer,
+    VmState,
+)
+from wagtailbay.membership.const import (
+    BORROW_METHOD,
+    CERTIFICATE_NAME,
+    EXCHANGE_METHOD,
+    KNOWN_INCARNATION_KEY,
+    RENUMBER_WINDOW_S,
+    SERVICE_NAME,
+)
 from wagtailbay.membership.credentials import CertificateReloader, CertificateSource
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
 from wagtailbay.membership.settings import PeerSettings, certificate_source
@@ -101,6 +115,67 @@
             assert "b" not in loop.exchanger.roster.members
 
 
+class TestRestartWithAnEarlierClock:
+    """A process that started after the clock went back is the newest run of its VM."""
+
+    @staticmethod
+    def knows_later_run(callee: Exchanger) -> None:
+        """Let VM b know a run of VM a that started at a later time of day."""
+        callee.roster.record_message(member("a", incarnation=5), boottime_s())
+
+    async def test_refused_run_continues_as_the_newest_one(self) -> None:
+        """Guards against a VM that all others refuse and that owns rates beside their owners.
+
+        Its facts and its requests for tokens must count as those of the newest run as well.
+        """
+        async with running_server(lender=lambda request, now_s: LoanGrant(1, 1.0)) as (
+            callee,
+            address,
+        ):
+            self.knows_later_run(callee)
+            loop = make_peer_loop(address)
+            own = loop.exchanger
+            own.may_renumber = True
+            own.facts.publish("stop", "x", VALUE, ttl_ms=60_000, now_s=boottime_s())
+            await loop.exchange()
+            await loop.exchange()
+            assert loop.last_error is None
+            assert callee.roster.members["a"].identity.incarnation == 6
+            assert callee.roster.members["a"].state is VmState.LIVE
+            assert [fact.incarnation for fact in callee.facts.of_kind("stop", boottime_s())] == [6]
+            loan = evolve(LOAN, incarnation=own.roster.own.incarnation)
+            assert (await loop.client.borrow("b", loan, 1_000)).is_ok()
+
+    async def test_replaced_process_stays_refused(self) -> None:
+        """Guards against a process that was suspended while another one took its name."""
+        async with running_server() as (callee, address):
+            loop = make_peer_loop(address)
+            loop.exchanger.may_renumber = True
+            await loop.exchange()
+            loop.exchanger.accepted_since_s -= RENUMBER_WINDOW_S
+            self.knows_later_run(callee)
+            await loop.exchange()
+            await loop.exchange()
+            assert loop.last_error.kind is PeerFailure.REFUSED
+            assert callee.roster.members["a"].identity.incarnation == 5
+
+    @pytest.mark.parametrize("known", ["", "x", "-3", "9" * 30])
+    async def test_odd_number_changes_nothing(self, known: str) -> None:
+        """Guards against a refusal whose number is unusable."""
+
+        def refuse(data: bytes, context: grpc.ServicerContext) -> bytes:
+            context.set_trailing_metadata(((KNOWN_INCARNATION_KEY, known),))
+            context.abort(grpc.StatusCode.FAILED_PRECONDITION, "refused")
+
+        methods = {EXCHANGE_METHOD: grpc.unary_unary_rpc_method_handler(refuse)}
+        with serve_methods(methods, threads=1) as address:
+            loop = make_peer_loop(address)
+            loop.exchanger.may_renumber = True
+            await loop.exchange()
+            assert loop.last_error.kind is PeerFailure.REFUSED
+            assert loop.exchanger.roster.own.incarnation == 1
+
+
 class CountingProxy:
     """Proxy to an address that counts the bytes of requests."""
 
@@ -189,7 +264,14 @@
         return encode_loan_grant(LoanGrant(request.share_ppm, 0.0))
 
     methods = {BORROW_METHOD: grpc.unary_unary_rpc_method_handler(lend)}
-    server = grpc.server(ThreadPoolExecutor(len(delays_s)))
+    with serve_methods(methods, len(delays_s)) as address:
+        yield address
+
+
+@contextmanager
+def serve_methods(methods: dict[str, grpc.RpcMethodHandler], threads: int) -> Iterator[str]:
+    """Serve methods of a peer; yield the address."""
+    server = grpc.server(ThreadPoolExecutor(threads))
     server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE_NAME, methods),))
     port = server.add_insecure_port("127.0.0.1:0")
     server.start()
--- a/tests/quota/fleet.py
+++ b/tests/quota/fleet.py
@@ -51,7 +51,7 @@
 
     def _quota(self, number: int) -> WorkspaceQuota:
         return WorkspaceQuota(
-            VmIdentity(f"vm-{number}", 1, "", "", "z1"),
+            lambda: VmIdentity(f"vm-{number}", 1, "", "", "z1"),
             RateOwners(lambda: self._candidates(number)),
             lambda vm, request, timeout_ms: self._call(number, vm, request, timeout_ms),
             lambda: {self.workspace.workspace: self.workspace},
