--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -294,10 +294,10 @@
         list_result = await self._list_kind(VMS_KIND)
         if isinstance(list_result, Err):
             return list_result
-        _, items = list_result.ok_value
+        position, items = list_result.ok_value
         decoded = [record for record in map(decode_vm_record, items) if record is not None]
-        revision = max((version for _, version in decoded), default=0)
-        return Ok(VmList(revision, tuple(record for record, _ in decoded)))
+        latest = StorePosition(position.era, max((version for _, version in decoded), default=0))
+        return Ok(VmList(latest.version, tuple(record for record, _ in decoded)))
 
 
 def _parse_era(text: str) -> int | None:
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -64,6 +64,19 @@
         assert isinstance(refused.err_value, VersionConflict)
         assert (await store.get("vms/a")).ok_value.value == {"by": "late"}
 
+    async def test_list_of_vms_after_a_restore_is_newer(self, api):
+        """Guards against VMs that follow a list which the store has lost."""
+        stand_in, store = api
+        registration = {"address": "127.0.0.1:1", "zone": "z1"}
+        await store.put("vms/a", registration, 0)
+        copy = stand_in.copy()
+        await store.put("vms/b", registration, 0)
+        before = (await store.vms()).ok_value
+        stand_in.restore(copy)
+        after = (await store.vms()).ok_value
+        assert [record.vm for record in after.vms] == ["a"]
+        assert after.revision > before.revision
+
     @pytest.mark.parametrize("header", ["x", "-1", "1.5", "", "９", "9" * 40])
     async def test_unusable_era_counts_as_absent(self, api, header):
         """Guards against an odd header that hides or reverts the store's objects."""
