Give the operator time to write again after each return of the store

Cause: the time for writing again ran from the first return, and went on while the store was away again.

Change: the time begins anew when the era rises, and what is due waits while this VM or a peer says that its calls of the store fail. The same holds for lost evacuations and roll-outs.

Tests: test_configuration_stays_during_a_series_of_restores, both cases seen to fail before; tests/routing and tests/replica/test_lost_objects.py.

--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -157,6 +157,20 @@
         peer = self.peer_states.get(vm)
         return peer is not None and peer.store_reachable is False
 
+    def store_answered_s(self, now_s: float) -> float:
+        """Return until when the store is taken to have answered.
+
+        That is the present time unless this VM or a peer says that its calls fail, and then the
+        time at which the replica was last known to match the store; minus infinity if never.
+        """
+        is_failing = self.reader.contact.is_failing or any(
+            peer.store_reachable is False for peer in self.peer_states.values()
+        )
+        if not is_failing:
+            return now_s
+        confirmed_s = self.freshness.confirmed_s
+        return float("-inf") if confirmed_s is None else confirmed_s
+
     def record_answered_call(self, vm: str, sent: ExchangeMessage, now_s: float) -> None:
         """Record that a peer has answered a call, which proves that it received the message."""
         if self.accepted_since_s is None:
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -90,13 +90,14 @@
         replica = self.fleet.replica
         while True:
             now_s = boottime_s()
+            answered_s = self.fleet.exchanger.store_answered_s(now_s)
             # This VM becomes ready with its first configuration, so crashes come before it.
             self.crash_recorder.apply_replica(now_s)
-            self.routing.apply(replica.objects, now_s)
+            self.routing.apply(replica.objects, replica.era, now_s, answered_s)
             self._apply_limits()
             services_by_name = self.services_by_name()
             cold_ms = {name: rule.cold_ms for name, rule in services_by_name.items()}
-            objects = self.lost_objects.apply(replica.objects, now_s)
+            objects = self.lost_objects.apply(replica.objects, replica.era, now_s, answered_s)
             self.registry.apply(objects, cold_ms, now_s)
             self.version_splitter.apply_objects(objects, now_s)
             wait_s = min(self.routing.wait_s(now_s), self.lost_objects.wait_s(now_s))
--- a/src/wagtailbay/replica/__init__.py
+++ b/src/wagtailbay/replica/__init__.py
@@ -1,7 +1,7 @@
 """Local replica of the store's replicated objects, whose versions never decrease."""
 
 from wagtailbay.replica.const import REPLICATED_PREFIXES
-from wagtailbay.replica.lost_objects import LostObjectHold
+from wagtailbay.replica.lost_objects import LostObjectHold, wait_until_due_s
 from wagtailbay.replica.prefix_reader import PrefixReader
 from wagtailbay.replica.replica import Freshness, Replica
 from wagtailbay.replica.signal import ChangeSignal
@@ -20,4 +20,5 @@
     "StoreReader",
     "from_value",
     "to_value",
+    "wait_until_due_s",
 ]
--- a/src/wagtailbay/replica/const.py
+++ b/src/wagtailbay/replica/const.py
@@ -28,3 +28,5 @@
 # After the store came back from an older copy, what it lost is written again within about 2 s. VMs
 # learn of it a moment later.
 LOST_OBJECT_HOLD_S: Final = 3.0
+# How often a VM checks whether the store answers once a loss is due.
+LOSS_CHECK_INTERVAL_S: Final = 0.2
--- a/src/wagtailbay_bench/log_cost.py
+++ b/src/wagtailbay_bench/log_cost.py
@@ -64,7 +64,7 @@
     )
     gateway = GatewayBuilder(settings).build()
     gateway.routing.apply(
-        {"routing/main": StoredObject("routing/main", 1, to_value(ROUTING_TABLE))}, 0.0
+        {"routing/main": StoredObject("routing/main", 1, to_value(ROUTING_TABLE))}, 0, 0.0, 0.0
     )
     times_without_log, times_with_log = [], []
     release_writer = trio.Event()
--- a/tests/gateway/test_store_drill.py
+++ b/tests/gateway/test_store_drill.py
@@ -1,11 +1,13 @@
 """Tests of a gateway whose store comes back from an older copy, as in a drill."""
 
+import pytest
 import trio
 from support.gateway import config_spec, server_fields
 from support.gateway_harness import GatewayHarness
 
 from wagtailbay.quarantine import CRASH_PREFIX
 from wagtailbay.store import StorePosition
+from wagtailbay_standins.objects import ObjectCopy
 
 AWAY_S = 0.5
 # A change must take effect within this time, also after a drill.
@@ -32,11 +34,11 @@
         self.harness, self.api = harness, harness.api
         self.lost = 0
 
-    async def run(self, copy: tuple) -> None:
+    async def run(self, copy: ObjectCopy, away_s: float = AWAY_S) -> None:
         """Take the store away, and bring it back from a copy."""
         self.api.is_away = True
         self.api.table.changed.notify()
-        await trio.sleep(AWAY_S)
+        await trio.sleep(away_s)
         self.lost = len(self.api.restore(copy))
         self.api.is_away = False
 
@@ -114,6 +116,38 @@
         assert await drill.status_of("key-2") == 401
         assert drill.lost >= 2
 
+    @pytest.mark.parametrize("second_away_s", [AWAY_S, 2.0])
+    async def test_configuration_stays_during_a_series_of_restores(self, nursery, second_away_s):
+        """Guards against a withdrawn key in use, since the operator had no time to write again.
+
+        The time began with the first return, and went on while the store was away again.
+        """
+        drill = await start_drill(nursery)
+        api = drill.api
+        api.put_spec("config", "main", spec_with_keys(8, "key-1", "key-2"))
+        copy = api.copy()
+        api.put_spec("config", "main", spec_with_keys(9, "key-2"))
+        await drill.wait_for_status("key-1", 401)
+        statuses = set()
+
+        async def observe() -> None:
+            while True:
+                statuses.add(await drill.status_of("key-1"))
+                await trio.sleep(0.02)
+
+        async with trio.open_nursery() as observers:
+            observers.start_soon(observe)
+            await drill.run(copy)
+            await trio.sleep(1.2)
+            await drill.run(copy, second_away_s)
+            await trio.sleep(1.0)
+            api.put_spec("config", "main", spec_with_keys(9, "key-2"))
+            await trio.sleep(2.5)
+            observers.cancel_scope.cancel()
+        assert statuses == {401}
+        assert await drill.status_of("key-2") == 200
+        assert drill.harness.node.fleet.replica.era == 2
+
     async def test_orders_hold_until_they_are_written_again(self, nursery):
         """Guards against requests to an evacuated zone, and a roll-out that starts anew."""
         drill = await start_drill(nursery)
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -59,17 +59,25 @@
     def test_older_table_is_ignored(self):
         """Guards against reverting to an older configuration while a VM runs."""
         active = ActiveRouting()
-        active.apply(make_objects("routing/", "main", 5, to_value(make_table(version=7))), 0.0)
-        active.apply(make_objects("routing/", "main", 6, to_value(make_table(version=6))), 0.0)
+        active.apply(
+            make_objects("routing/", "main", 5, to_value(make_table(version=7))), 0, 0.0, 0.0
+        )
+        active.apply(
+            make_objects("routing/", "main", 6, to_value(make_table(version=6))), 0, 0.0, 0.0
+        )
         assert active.table.version == 7
 
     def test_invalid_table_keeps_the_previous_one_active(self):
         """Guards against losing the configuration after invalid input."""
         active = ActiveRouting()
-        active.apply(make_objects("routing/", "main", 5, to_value(make_table(version=7))), 0.0)
-        active.apply(make_objects("routing/", "main", 6, {"version": 8}), 0.0)
+        active.apply(
+            make_objects("routing/", "main", 5, to_value(make_table(version=7))), 0, 0.0, 0.0
+        )
+        active.apply(make_objects("routing/", "main", 6, {"version": 8}), 0, 0.0, 0.0)
         assert active.table.version == 7
-        active.apply(make_objects("routing/", "main", 7, to_value(make_table(version=9))), 0.0)
+        active.apply(
+            make_objects("routing/", "main", 7, to_value(make_table(version=9))), 0, 0.0, 0.0
+        )
         assert active.table.version == 9
 
 
@@ -106,28 +114,52 @@
     def test_lost_configuration_stays_until_it_is_written_again(self):
         """Guards against a VM that reverts for the moment in which the newer one is away."""
         active = ActiveRouting()
-        active.apply(self.stored(1, 50, make_table(version=7)), 0.0)
-        active.apply(self.stored(2, 20, make_table(version=6)), 10.0)
+        active.apply(self.stored(1, 50, make_table(version=7)), 1, 0.0, 0.0)
+        active.apply(self.stored(2, 20, make_table(version=6)), 2, 10.0, 10.0)
         assert active.table.version == 7
-        active.apply(self.stored(2, 30, make_table(version=7)), 11.0)
-        active.apply(self.stored(2, 30, make_table(version=7)), 60.0)
+        active.apply(self.stored(2, 30, make_table(version=7)), 2, 11.0, 11.0)
+        active.apply(self.stored(2, 30, make_table(version=7)), 2, 60.0, 60.0)
         assert active.table.version == 7
 
     def test_configuration_that_is_not_written_again_ends(self):
         """Guards against a lost configuration that stays in force for good."""
         active = ActiveRouting()
-        active.apply(self.stored(1, 50, make_table(version=7)), 0.0)
+        active.apply(self.stored(1, 50, make_table(version=7)), 1, 0.0, 0.0)
         objects = self.stored(2, 20, make_table(version=6))
-        active.apply(objects, 10.0)
+        active.apply(objects, 2, 10.0, 10.0)
         assert 0 < active.wait_s(10.0) <= RESTORED_TABLE_DELAY_S
-        active.apply(objects, 10.0 + RESTORED_TABLE_DELAY_S)
+        active.apply(objects, 2, 10.0 + RESTORED_TABLE_DELAY_S, 10.0 + RESTORED_TABLE_DELAY_S)
         assert active.table.version == 6
-        active.apply(self.stored(1, 60, make_table(version=8)), 20.0)
+        active.apply(self.stored(1, 60, make_table(version=8)), 1, 20.0, 20.0)
         assert active.table.version == 6, "an older era changes nothing"
 
+    def test_restored_configuration_waits_for_a_store_that_is_away(self):
+        """Guards against a withdrawn key in use while the operator cannot write anything."""
+        active = ActiveRouting()
+        active.apply(self.stored(1, 50, make_table(version=7)), 1, 0.0, 0.0)
+        objects = self.stored(2, 20, make_table(version=6))
+        active.apply(objects, 2, 10.0, 10.0)
+        active.apply(objects, 2, 30.0, 10.9)
+        assert active.table.version == 7
+        assert 0 < active.wait_s(30.0) < 1.0
+        active.apply(objects, 2, 31.0, 30.9)
+        assert active.table.version == 6
+
+    def test_second_restore_gives_the_operator_time_again(self):
+        """Guards against an older configuration in force after a series of restores."""
+        active = ActiveRouting()
+        active.apply(self.stored(1, 50, make_table(version=7)), 1, 0.0, 0.0)
+        active.apply(self.stored(2, 20, make_table(version=6)), 2, 10.0, 10.0)
+        objects = self.stored(3, 20, make_table(version=6))
+        active.apply(objects, 3, 11.5, 11.5)
+        active.apply(objects, 3, 10.0 + RESTORED_TABLE_DELAY_S, 10.0 + RESTORED_TABLE_DELAY_S)
+        assert active.table.version == 7
+        active.apply(objects, 3, 11.5 + RESTORED_TABLE_DELAY_S, 11.5 + RESTORED_TABLE_DELAY_S)
+        assert active.table.version == 6
+
     def test_new_configuration_at_a_lower_revision_takes_effect_at_once(self):
         """Guards against changes that are ignored until the old revision is reached again."""
         active = ActiveRouting()
-        active.apply(self.stored(1, 50, make_table(version=7)), 0.0)
-        active.apply(self.stored(2, 21, make_table(version=9)), 10.0)
+        active.apply(self.stored(1, 50, make_table(version=7)), 1, 0.0, 0.0)
+        active.apply(self.stored(2, 21, make_table(version=9)), 2, 10.0, 10.0)
         assert active.table.version == 9
