Share the order of writers and the comparison of eras

CrashRecorder and RolloutController each worked out a VM's turn to write, and the registry, the version splitter and LostObjectHold each compared the eras of two versions. PlatformStore._write matched a result that it had unpacked. One function serves each now; behaviour is the same.

--- a/src/wagtailbay/membership/selection.py
+++ b/src/wagtailbay/membership/selection.py
@@ -22,6 +22,12 @@
     return sorted(vms, key=lambda vm: (xxh64_intdigest(f"{subject}\0{vm}".encode()), vm))
 
 
+def writer_position(subject: str, vm: str, vms: Iterable[str]) -> int:
+    """Return how many of the VMs write a subject before a VM; all of them if it is none of them."""
+    names = rendezvous_order(subject, vms)
+    return names.index(vm) if vm in names else len(names)
+
+
 def live_members(roster: Roster, now_s: float) -> tuple[Member, ...]:
     """Return the live VMs with recent contact, and this VM unless it is leaving or has left."""
     return _members_in_contact(roster, (VmState.LIVE,), now_s)
--- a/src/wagtailbay/platform/store.py
+++ b/src/wagtailbay/platform/store.py
@@ -268,13 +268,12 @@
         version = StorePosition(era, _parse_revision(response.body) or 0).version
         if expected_version and era > expected.era and response.status < 300:
             return Err(OutcomeUnknown(key, "the store came back from an older copy"))
-        match call_result:
-            case Ok(response) if 200 <= response.status < 300:
-                return Ok(version)
-            case Ok(response) if response.status in (404, 409):
-                return Err(VersionConflict(key, version))
-            case Ok(response) if response.status in (429, 503):
-                return Err(StoreUnavailable(f"status {response.status}"))
+        if 200 <= response.status < 300:
+            return Ok(version)
+        if response.status in (404, 409):
+            return Err(VersionConflict(key, version))
+        if response.status in (429, 503):
+            return Err(StoreUnavailable(f"status {response.status}"))
         return Err(OutcomeUnknown(key, f"status {response.status}"))
 
     async def probe(self, timeout_ms: int) -> Result[None, StoreUnavailable]:
--- a/src/wagtailbay/quarantine/recorder.py
+++ b/src/wagtailbay/quarantine/recorder.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from wagtailbay.logs import log_event
-from wagtailbay.membership.selection import rendezvous_order
+from wagtailbay.membership.selection import writer_position
 from wagtailbay.quarantine.const import (
     CLEANUP_DELAY_S,
     COLLECT_CRASHES_S,
@@ -99,8 +99,7 @@
         return self._lacks(records) or bool(self.stored.keys() - records.keys())
 
     def _write_delay_s(self) -> float:
-        names = rendezvous_order(CRASH_RECORDS_KEY, self.live_vms())
-        position = names.index(self.vm) if self.vm in names else len(names)
+        position = writer_position(CRASH_RECORDS_KEY, self.vm, self.live_vms())
         return min(MAX_WRITE_DELAY_S, position * WRITER_STAGGER_S)
 
     async def _write(self, records: dict[str, CrashRecord], now_s: float) -> None:
--- a/src/wagtailbay/registry/registry.py
+++ b/src/wagtailbay/registry/registry.py
@@ -91,9 +91,9 @@
                 or self.applied_versions.get(key, 0) >= stored.version
             ):
                 continue
-            era = StorePosition.era_of(stored.version)
-            is_restored = era > StorePosition.era_of(self.applied_versions.get(key, stored.version))
-            self._enter_era(era, now_s)
+            known_version = self.applied_versions.get(key, stored.version)
+            is_restored = StorePosition.is_in_later_era(stored.version, known_version)
+            self._enter_era(StorePosition.era_of(stored.version), now_s)
             self.applied_versions[key] = stored.version
             self._apply_entry(key.removeprefix(TARGET_PREFIX), stored, is_restored, now_s)
         zones = frozenset(
--- a/src/wagtailbay/replica/lost_objects.py
+++ b/src/wagtailbay/replica/lost_objects.py
@@ -58,7 +58,7 @@
         known = self.known.get(key)
         if known is None:
             return False
-        if StorePosition.era_of(deletion.version) > StorePosition.era_of(known.version):
+        if StorePosition.is_in_later_era(deletion.version, known.version):
             if key not in self.due_s:
                 self.due_s[key] = now_s + LOST_OBJECT_HOLD_S
                 log_event("lost_object_held", key=key, revision=deletion.version)
--- a/src/wagtailbay/rollout/controller.py
+++ b/src/wagtailbay/rollout/controller.py
@@ -9,7 +9,7 @@
 
 from wagtailbay.logs import log_event
 from wagtailbay.membership import FactTable, FleetAggregator, FleetLayout
-from wagtailbay.membership.selection import rendezvous_order
+from wagtailbay.membership.selection import writer_position
 from wagtailbay.rollout.const import (
     COMPLETION_MARGIN_S,
     EVIDENCE_KIND,
@@ -186,8 +186,7 @@
     def _may_write(self, progress: RolloutProgress, phase: RolloutPhase, now_s: float) -> bool:
         key = (progress.order.order_id, phase)
         if key not in self.write_due_s:
-            names = rendezvous_order(progress.order.order_id, self.live_vms())
-            position = names.index(self.vm) if self.vm in names else len(names)
+            position = writer_position(progress.order.order_id, self.vm, self.live_vms())
             self.write_due_s[key] = now_s + position * WRITER_STAGGER_S
         return now_s >= self.write_due_s[key]
 
--- a/src/wagtailbay/rollout/version_splitter.py
+++ b/src/wagtailbay/rollout/version_splitter.py
@@ -97,8 +97,8 @@
                 or self.applied_versions.get(key, 0) >= stored.version
             ):
                 continue
-            known_era = StorePosition.era_of(self.applied_versions.get(key, stored.version))
-            is_restored = StorePosition.era_of(stored.version) > known_era
+            known_version = self.applied_versions.get(key, stored.version)
+            is_restored = StorePosition.is_in_later_era(stored.version, known_version)
             self.applied_versions[key] = stored.version
             service = key.removeprefix(ROLLOUT_PREFIX)
             if stored.value is None:
--- a/src/wagtailbay/store/position.py
+++ b/src/wagtailbay/store/position.py
@@ -31,6 +31,11 @@
         """Return the era of a version."""
         return version >> REVISION_BITS
 
+    @classmethod
+    def is_in_later_era(cls, version: int, known_version: int) -> bool:
+        """Return whether the store came back from an older copy between two versions."""
+        return cls.era_of(version) > cls.era_of(known_version)
+
     @classmethod
     def from_version(cls, version: int) -> Self:
         """Return the position that was packed into an integer."""
