Enter the store's era also with an empty listing

Kinds without objects are listed first at times; their answer ended the state in which a due loss waits, 0.1 s before the era was known.

Change: Replica.replace_prefix enters the era of the listing's revision.

Tests: test_empty_listing_shows_the_new_era, seen to fail before.

--- a/src/wagtailbay/replica/replica.py
+++ b/src/wagtailbay/replica/replica.py
@@ -98,6 +98,8 @@
         listed = tuple(objects)
         if StorePosition.era_of(revision) < self.era:
             return False
+        # An empty listing has no object that shows the era.
+        self._enter_era(revision)
         keys = {stored.key for stored in listed}
         deleted = tuple(
             StoredObject(key, revision, None)
--- a/tests/replica/test_restored_store.py
+++ b/tests/replica/test_restored_store.py
@@ -123,6 +123,17 @@
         exchange_all([reader, paused], 2.0)
         assert values(paused.replica) == {}
 
+    def test_empty_listing_shows_the_new_era(self) -> None:
+        """Guards against a loss that is due before the replica knows of the next restore."""
+        store, replica = Store(), Replica()
+        store.write("a/1", "kept")
+        store.copy()
+        store.list_into(replica)
+        store.restore(1)
+        store.list_into(replica, PREFIXES[1:])
+        assert replica.era == store.position.era
+        assert values(replica) == {"a/1": "kept"}
+
     def test_late_listing_of_an_older_era_changes_nothing(self) -> None:
         """Guards against an answer that was under way during the restore."""
         store, replica = Store(), Replica()
