Prefer VMs with much capacity in lookups, for delegates and as owners of rates

Cause: nothing read a VM's processor share, cores and link, so lookups, delegates and owners of rates treated a VM with 6 Mbit/s like one with 100. Bodies of uploads and control traffic shared the narrow links.

Change: the settings state the capacity, each VM announces it, and where VMs differ by a factor of two or more, callers and control duties go to the strong ones. Fleets of equal VMs are unchanged.

--- a/src/wagtailbay/locate/near.py
+++ b/src/wagtailbay/locate/near.py
@@ -1,9 +1,10 @@
 """Select the entry VMs for clients that pick among them uniformly at random."""
 
+from wagtailbay.capacity import high_capacity_vms
 from wagtailbay.config import FleetDocument
 from wagtailbay.locate.const import MAX_NEAR_VMS, MIN_NEAR_VMS
 from wagtailbay.locate.groups import RankedVm, group_vms, live_vms
-from wagtailbay.membership import Roster
+from wagtailbay.membership import Roster, live_members
 
 
 def near_vms(
@@ -12,10 +13,32 @@
     """Return the VMs of the client's zone, and more distant ones only if these are too few.
 
     These clients ignore the order of the answer, so a distant VM would get as many requests as a
-    near one.
+    near one. In a fleet of unequal VMs, the weak ones are named only where no others are left.
     """
+    selected = _near_high_capacity_vms(availability_zone, roster, fleet, now_s)
+    if selected:
+        return selected[:MAX_NEAR_VMS]
     groups = group_vms(availability_zone, live_vms(roster, now_s), fleet)
     selected = groups.same_zone.vms
     if len(selected) < MIN_NEAR_VMS:
         selected += groups.same_region.vms
     return (selected or groups.others.vms)[:MAX_NEAR_VMS]
+
+
+def _near_high_capacity_vms(
+    availability_zone: str, roster: Roster, fleet: FleetDocument, now_s: float
+) -> tuple[RankedVm, ...]:
+    """Return the high-capacity VMs near a client; none if all VMs are equal or too few are left.
+
+    A VM that is no delegate hears of other zones through its delegates only, so contact that they
+    report counts as well.
+    """
+    live = {member.identity.vm: member.identity for member in live_members(roster, now_s)}
+    strong = high_capacity_vms({vm: identity.capacity for vm, identity in live.items()})
+    if len(strong) == len(live):
+        return ()
+    groups = group_vms(availability_zone, (live[vm] for vm in sorted(strong)), fleet)
+    selected = groups.same_zone.vms
+    if len(selected) < MIN_NEAR_VMS:
+        selected += groups.same_region.vms
+    return selected if len(selected) >= MIN_NEAR_VMS else ()
--- a/src/wagtailbay/membership/layout.py
+++ b/src/wagtailbay/membership/layout.py
@@ -64,13 +64,19 @@
         return self.cell_peers(vm) | peers
 
 
-def build_layout(zones: Mapping[str, str | None], live: Collection[str]) -> FleetLayout:
+def build_layout(
+    zones: Mapping[str, str | None],
+    live: Collection[str],
+    preferred: Collection[str] = (),
+) -> FleetLayout:
     """Divide VMs into cells.
 
     Args:
         zones: The availability zone of each known VM by its name, including this VM.
         live: The VMs that answer. Their number decides whether the fleet is divided, and the
             delegates are chosen from them.
+        preferred: The VMs from which a cell chooses its delegates as long as it has any. The others
+            follow if there are too few.
     """
     if len(live) <= FULL_MESH_VMS:
         return FleetLayout({"": tuple(sorted(zones))}, {})
@@ -85,11 +91,15 @@
             cells.setdefault(f"{zone}/{part}", []).append(vm)
     return FleetLayout(
         {cell: tuple(vms) for cell, vms in cells.items()},
-        {cell: _delegates(cell, vms, live) for cell, vms in cells.items()},
+        {cell: _delegates(cell, vms, live, preferred) for cell, vms in cells.items()},
     )
 
 
-def _delegates(cell: str, vms: list[str], live: Collection[str]) -> tuple[str, ...]:
+def _delegates(
+    cell: str, vms: list[str], live: Collection[str], preferred: Collection[str]
+) -> tuple[str, ...]:
     """Return the delegates of a cell; if none of its VMs is live, the VMs to call in it."""
     live_vms = [vm for vm in vms if vm in live]
-    return tuple(rendezvous_order(f"delegate\0{cell}", live_vms or vms)[:DELEGATES_PER_CELL])
+    ordered = rendezvous_order(f"delegate\0{cell}", live_vms or vms)
+    ordered.sort(key=lambda vm: vm not in preferred)
+    return tuple(ordered[:DELEGATES_PER_CELL])
--- a/src/wagtailbay/membership/models.py
+++ b/src/wagtailbay/membership/models.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+from wagtailbay.capacity import VmCapacity
+
 
 class VmState(Enum):
     """States of an entry process, in the order of its life cycle."""
@@ -24,6 +26,7 @@
             milliseconds.
         address: Address for callers.
         peer_address: Address for the other VMs.
+        capacity: Processor and link of the VM, as far as they are stated.
     """
 
     vm: str
@@ -31,6 +34,7 @@
     address: str
     peer_address: str
     availability_zone: str
+    capacity: VmCapacity = VmCapacity()
 
 
 @frozen
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from result import Err, Ok
 
+from wagtailbay.capacity import high_capacity_vms
 from wagtailbay.logs import log_event
 from wagtailbay.membership.client import PeerClient
 from wagtailbay.membership.codec import FactCodec
@@ -174,9 +175,10 @@
 
     def _update_loops(self, nursery: trio.Nursery) -> None:
         roster = self.exchanger.roster
-        live_vms = {member.identity.vm for member in responsive_members(roster, self.clock())}
+        live = {m.identity.vm: m.identity for m in responsive_members(roster, self.clock())}
         zone_by_vm = self.zone_by_vm() | {roster.own.vm: roster.own.availability_zone}
-        self.exchanger.layout = build_layout(zone_by_vm, live_vms)
+        capacities = {vm: identity.capacity for vm, identity in live.items()}
+        self.exchanger.layout = build_layout(zone_by_vm, live, high_capacity_vms(capacities))
         neighbours = self.exchanger.layout.neighbours(roster.own.vm)
         for vm in self.loops.keys() - neighbours:
             self.cancel_scopes.pop(vm).cancel()
--- a/src/wagtailbay/membership/selection.py
+++ b/src/wagtailbay/membership/selection.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from xxhash import xxh64_intdigest
 
+from wagtailbay.capacity import high_capacity_vms
 from wagtailbay.membership.const import (
     CONTACT_TIMEOUT_S,
     HEARTBEAT_S,
@@ -78,11 +79,13 @@
 
     Attributes:
         zones: Availability zone of each live VM by its name, this VM included.
+        high_capacity: The live VMs that carry callers in a fleet of unequal VMs, else all.
         refreshed_s: When the roster was last read.
     """
 
     roster: Roster
     zones: dict[str, str] = field(factory=dict)
+    high_capacity: frozenset[str] = frozenset()
     refreshed_s: float = float("-inf")
 
     def refresh(self, now_s: float) -> "LiveView":
@@ -91,6 +94,9 @@
             self.refreshed_s = now_s
             members = live_members(self.roster, now_s)
             self.zones = {m.identity.vm: m.identity.availability_zone for m in members}
+            self.high_capacity = high_capacity_vms(
+                {m.identity.vm: m.identity.capacity for m in members}
+            )
         return self
 
 
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -7,6 +7,7 @@
 from google.protobuf.message import DecodeError
 from result import Err, Ok, Result
 
+from wagtailbay.capacity import VmCapacity
 from wagtailbay.decoding import parse_json
 from wagtailbay.logs import log_event
 from wagtailbay.membership.codec import FactCodec
@@ -118,6 +119,8 @@
         state=member.state.value,
         sequence=member.sequence,
         contact_age_ms=max(0, int((now_s - contact_s) * 1000)),
+        cpu_millicores=round(identity.capacity.cpu_cores * 1000),
+        link_kbps=round(identity.capacity.link_mbps * 1000),
     )
 
 
@@ -136,6 +139,7 @@
         encoded.address,
         encoded.peer_address,
         encoded.availability_zone,
+        VmCapacity(encoded.cpu_millicores / 1000, encoded.link_kbps / 1000),
     )
     contact_s = now_s - encoded.contact_age_ms / 1000
     return Member(identity, VmState(encoded.state), encoded.sequence, contact_s=contact_s)
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -111,6 +111,7 @@
             settings.listen_address,
             settings.peer_address,
             settings.availability_zone,
+            settings.capacity,
         )
         fleet = self._build_fleet(identity, store, exporter)
         fleet_view = GatewayFleetView(settings, fleet)
@@ -131,7 +132,7 @@
             selector=handler.forwarder.selector,
             occupancy=OccupancyTracker(
                 handler.forwarder.selector,
-                lambda: len(fleet_view.region_vms()),
+                lambda: len(fleet_view.region_serving_vms()),
                 fleet.facts,
                 fleet_view.layout,
                 boottime_s,
@@ -173,7 +174,7 @@
             CrashTable(fleet.facts),
             boottime_s,
             exporter.metrics,
-            live_vm_count=lambda: len(fleet_view.live_zones()),
+            live_vm_count=lambda: len(fleet_view.serving_vms()),
             requirements=self.settings.requirements,
         )
         return GatewayHandler(
@@ -258,7 +259,7 @@
             self.registry,
             services,
             ColdStartLimiter(
-                settings.vm, fleet_view.region_vms, requirements=settings.requirements
+                settings.vm, fleet_view.region_serving_vms, requirements=settings.requirements
             ),
             self.rng,
             settings.requirements,
--- a/src/wagtailbay/programs/gateway_fleet_view.py
+++ b/src/wagtailbay/programs/gateway_fleet_view.py
@@ -42,10 +42,19 @@
         """Return the names of the live VMs, including this one."""
         return list(self.live_zones())
 
-    def region_vms(self) -> list[str]:
-        """Return the names of the live VMs in this VM's region."""
+    def serving_vms(self) -> frozenset[str]:
+        """Return the live VMs that lookups name: in a fleet of unequal VMs, the strong ones."""
+        return self.live_view.refresh(self.fleet.clock()).high_capacity
+
+    def region_serving_vms(self) -> list[str]:
+        """Return the names of the live VMs in this VM's region that serve callers."""
         zones, region = self.settings.zones, self.settings.region
-        return [vm for vm, zone in self.live_zones().items() if zones.get(zone) == region]
+        serving = self.serving_vms()
+        return [
+            vm
+            for vm, zone in self.live_zones().items()
+            if zones.get(zone) == region and vm in serving
+        ]
 
     def rate_owner_candidates(self) -> tuple[str, ...]:
         """Return the VMs that may own the rate of a workspace, the same on all VMs.
@@ -58,6 +67,8 @@
         layout = self.layout()
         if layout.is_divided:
             vms = [vm for vm in vms if layout.is_delegate(vm)]
+        else:
+            vms = (vms & self.serving_vms()) or vms
         return tuple(sorted(vms))
 
     def grant_fraction(self, now_s: float) -> float:
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -5,6 +5,8 @@
 
 from attrs import frozen
 
+from wagtailbay.capacity import VmCapacity
+from wagtailbay.capacity.const import MAX_CAPACITY
 from wagtailbay.platform import parse_duration_ms
 from wagtailbay.requirements import FleetRequirements, parse_requirements
 from wagtailbay.settings import setting
@@ -34,6 +36,18 @@
     return text.lower() == "true"
 
 
+def parse_capacity(text: str) -> float:
+    """Parse a number from 0 to MAX_CAPACITY; an empty text means 0, not known.
+
+    Raises:
+        ValueError: The text is no such number.
+    """
+    number = float(text or 0)
+    if not 0 <= number <= MAX_CAPACITY:
+        raise ValueError(f"expected a number from 0 to {MAX_CAPACITY:,.0f}, got {text!r}")
+    return number
+
+
 @frozen
 class GatewaySettings:
     """Run a gateway VM that serves callers on the users' platform."""
@@ -75,6 +89,21 @@
         default=300,
         parse=int,
     )
+    cpu_share: float = setting(
+        help_text="part of a core that this VM may use; 0 if it is not known",
+        default=0.0,
+        parse=parse_capacity,
+    )
+    cores: float = setting(
+        help_text="speed of the core, as a multiple of the usual one",
+        default=1.0,
+        parse=parse_capacity,
+    )
+    link_mbps: float = setting(
+        help_text="bandwidth of this VM's link in Mbit/s; 0 if it is not known",
+        default=0.0,
+        parse=parse_capacity,
+    )
     first_start: bool = setting(
         help_text="whether the whole fleet starts for the first time: true or false",
         default=False,
@@ -86,6 +115,11 @@
         parse=partial(parse_requirements, parse_duration_ms=parse_duration_ms),
     )
 
+    @property
+    def capacity(self) -> VmCapacity:
+        """Return what this VM can carry, by its settings."""
+        return VmCapacity(self.cpu_share * self.cores, self.link_mbps)
+
     @property
     def region(self) -> str:
         """Return the region of this VM, empty if its availability zone is unknown."""
