Treat a response with a status above 599 as broken

Cause: h11 accepts final statuses up to 999, and the client checked no range. A target's response with 600 or 999 reached the caller. Change: ClientConnection rejects a final status above 599 as a protocol violation, as h11 already does for 000, 099 and an unexpected 101. A request that may be repeated goes to another target; else the caller gets 502.

--- a/src/wagtailbay/transport/client.py
+++ b/src/wagtailbay/transport/client.py
@@ -22,6 +22,7 @@
     MAX_JOINED_BODY_BYTES,
     MAX_RESPONSE_BODY_BYTES,
     MAX_SKIPPED_RESPONSES,
+    MAX_STATUS,
     MIN_DENSE_CHUNK_BYTES,
     RECEIVE_CHUNK_BYTES,
     SMALL_CHUNKS_PAUSE_S,
@@ -211,6 +212,8 @@
     def _validate_head(
         self, status: int, fields: list[tuple[bytes, bytes]]
     ) -> Result[ResponseHead, TransportError]:
+        if status > MAX_STATUS:  # h11 itself rejects a final status below 200.
+            return Err(self.make_error(FailureKind.PROTOCOL, f"status {status} is not defined"))
         if not fits_header_limits(fields):
             return Err(self.make_error(FailureKind.PROTOCOL, "header fields too large"))
         head = ResponseHead(status, decode_headers(fields))
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -12,6 +12,8 @@
 REQUEST_RECEIVE_TIMEOUT_S: Final = 30.0
 IDLE_CONNECTION_TIMEOUT_S: Final = 75.0
 MAX_HEADER_FIELDS: Final = 100
+# RFC 9110 defines no status above this one; h11 accepts them up to 999.
+MAX_STATUS: Final = 599
 MAX_INFORMATIONAL_RESPONSES: Final = 16
 # The IDs of all requests on a connection are kept, 8 bytes each.
 MAX_REQUESTS_PER_CONNECTION: Final = 256
--- a/tests/gateway/test_gateway_target_faults.py
+++ b/tests/gateway/test_gateway_target_faults.py
@@ -32,6 +32,18 @@
 MAX_RESPONSE_BYTES = 2 * MAX_BUFFERED_RESPONSE_BYTES
 
 
+def respond_with_status(status: int):
+    """Return a script that sends a whole response with a status."""
+
+    async def script(exchange: RawExchange) -> None:
+        await exchange.send(
+            f"HTTP/1.1 {status:03d} Odd\r\nResponse-Seal: seal\r\nRequest-Id: {exchange.request_id}"
+            "\r\nContent-Length: 2\r\n\r\nok"
+        )
+
+    return script
+
+
 def endless(start: str, chunk: str):
     """Return a script that answers without end."""
 
@@ -60,6 +72,23 @@
             await trio.sleep(0.01)
 
 
+class TestInvalidStatuses:
+    """A status outside 200 to 599 is a broken response."""
+
+    @pytest.mark.parametrize("status", [0, 99, 101, 600, 999])
+    async def test_unsafe_request_gets_502(self, nursery, status):
+        """Guards against a caller that gets a status which HTTP does not define."""
+        harness = await start_harness(nursery, respond_with_status(status))
+        assert (await harness.send_request("/b/x", "POST")).status == 502
+
+    async def test_safe_request_is_retried(self, nursery):
+        """Guards against a request that fails although another target could serve it."""
+        harness = await start_harness(nursery, respond_with_status(999), answer)
+        for number in range(6):
+            response = await harness.send_request("/a/x", Cookie=f"Affinity-Key={number}")
+            assert response.status == 200
+
+
 class TestEndlessAnswers:
     """An answer that never ends is cut at a limit in bytes, long before the deadline."""
 
--- a/tests/transport/test_client_faults.py
+++ b/tests/transport/test_client_faults.py
@@ -118,6 +118,27 @@
         assert not connection.prepare_for_reuse()
 
 
+class TestStatuses:
+    """Only a final status from 200 to 599 is a response."""
+
+    @pytest.mark.parametrize("status", [200, 299, 499, 599])
+    async def test_valid_status_is_accepted(self, nursery, status: int) -> None:
+        """Guards against a status check that rejects the first or last valid status."""
+        response = OK_RESPONSE.replace(b"200", str(status).encode())
+        assert await exchange(await connect(nursery, response)) == (status, b"ok")
+
+    @pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+    async def test_invalid_status_is_a_broken_response(self, nursery, status: bytes) -> None:
+        """Guards against passing a status to a caller that HTTP does not define."""
+        connection = await connect(nursery, OK_RESPONSE.replace(b"200", status))
+        assert await exchange(connection) is FailureKind.PROTOCOL
+
+    async def test_invalid_status_after_an_informational_one(self, nursery) -> None:
+        """Guards against a check that is passed over once an interim response was skipped."""
+        response = b"HTTP/1.1 100 Continue\r\n\r\n" + OK_RESPONSE.replace(b"200", b"600")
+        assert await exchange(await connect(nursery, response)) is FailureKind.PROTOCOL
+
+
 class TestPooledConnection:
     """A pooled connection delivers a response only to its own request."""
 
