Run pipelined requests ahead on one connection

Cause: requests that a caller sends ahead were read only after the response to the one before, so four requests of 0.5 s took 2 s. Change: HttpServer takes a RunAhead with a RunAheadPolicy. GET and HEAD requests without a body that the policy allows run as child tasks of the connection, at most 8 on a connection and 256 in the process. Each has an h11 connection of its own. Without a RunAhead nothing changes.

--- a/src/wagtailbay/transport/__init__.py
+++ b/src/wagtailbay/transport/__init__.py
@@ -12,6 +12,7 @@
     ResponseOwner,
     TransportError,
 )
+from wagtailbay.transport.pipeline import RunAhead, RunAheadPolicy
 from wagtailbay.transport.pool import ConnectionPool, fetch
 from wagtailbay.transport.reply import CallerDisconnectedError, Reply, ResponseSink
 from wagtailbay.transport.server import HttpServer
@@ -30,6 +31,8 @@
     "ResponseHead",
     "ResponseOwner",
     "ResponseSink",
+    "RunAhead",
+    "RunAheadPolicy",
     "TransportError",
     "accept_connections",
     "fetch",
--- a/src/wagtailbay/transport/connection_reader.py
+++ b/src/wagtailbay/transport/connection_reader.py
@@ -18,6 +18,7 @@
 
     Attributes:
         on_disconnect: Called when the caller closes the connection during a request.
+        on_data: Called when bytes arrive during a request, None to leave them in the buffer.
         read_deadline_s: Time at which the current wait for bytes ends.
         receive_scope: Cancel scope of the receiving loop. Its deadline is ``read_deadline_s`` or
             earlier and is moved back only when it expires, since most waits end long before.
@@ -34,6 +35,7 @@
 
     stream: trio.SocketStream
     on_disconnect: Callable[[], None]
+    on_data: Callable[[], None] | None = None
     read_deadline_s: float = float("inf")
     receive_scope: trio.CancelScope = field(factory=trio.CancelScope)
     buffer: bytearray = field(factory=bytearray)
@@ -64,6 +66,8 @@
             while len(self.buffer) >= MAX_HEADER_BYTES:
                 await self.space_available.park()
             await self._receive()
+            if self.on_data is not None and self.serving and self.buffer:
+                self.on_data()
             self.data_available.unpark_all()
 
     def _receive_pending(self) -> bool:
@@ -127,6 +131,10 @@
             self.idle = False
         if not self.buffer:
             return b"" if self.closed else None
+        return self.take_buffered()
+
+    def take_buffered(self) -> bytes:
+        """Return and clear the buffered bytes, which may be none."""
         data = bytes(self.buffer)
         self.buffer.clear()
         self.space_available.unpark_all()
--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -37,6 +37,11 @@
 # that had already been received, other tasks run for a while.
 MAX_CHUNKS_BETWEEN_WAITS: Final = 64
 SMALL_CHUNKS_PAUSE_S: Final = 0.01
+# Requests on one connection that run at the same time, and in the whole process those of them that
+# run ahead of earlier ones. Each of these may hold a response of the third size.
+MAX_PIPELINED_PER_CONNECTION: Final = 8
+MAX_PIPELINED_REQUESTS: Final = 256
+MAX_HELD_RESPONSE_BYTES: Final = 262_144
 # A response is cut after this many such chunks if their mean size is smaller than the second value.
 MAX_DENSE_CHUNKS: Final = 8_192
 MIN_DENSE_CHUNK_BYTES: Final = 64
--- a/src/wagtailbay/transport/receive.py
+++ b/src/wagtailbay/transport/receive.py
@@ -178,6 +178,22 @@
     return BadRequest(400, "malformed_request", message)
 
 
+def parse_bodiless_request(protocol: h11.Connection) -> Request | None:
+    """Return the request in received bytes if it is whole, acceptable and has no body."""
+    try:
+        head = protocol.next_event()
+        if type(head) is not h11.Request or protocol.they_are_waiting_for_100_continue:
+            return None
+        fields = list(head.headers)
+        if check_request_head(head, fields) is not None:
+            return None
+        if type(protocol.next_event()) is not h11.EndOfMessage:
+            return None
+    except h11.RemoteProtocolError:
+        return None
+    return build_request(head, fields, b"")
+
+
 def build_request(head: h11.Request, fields: HeaderFields, body: bytes) -> Request:
     """Build a request; h11 allows only visible ASCII in the method and the target."""
     method, path = head.method.decode("ascii"), head.target.decode("ascii")
--- a/src/wagtailbay/transport/reply.py
+++ b/src/wagtailbay/transport/reply.py
@@ -140,9 +140,21 @@
 
 
 async def send_error(
-    reply: Reply, status: int, code: str, message: str, run: str, headers: Headers = ()
+    reply: Reply,
+    status: int,
+    code: str,
+    message: str,
+    run: str,
+    headers: Headers = (),
+    closes: bool = True,
 ) -> None:
-    """Send an error response that closes the connection; run is ``not_run`` or ``unknown``."""
+    """Send an error response; run is ``not_run`` or ``unknown``.
+
+    Args:
+        closes: Whether the connection closes after the response.
+    """
     error = {"code": code, "message": message, "run": run}
-    common = (("Wagtailbay-Run", run.replace("_", "-")), ("Connection", "close"))
+    common: Headers = (("Wagtailbay-Run", run.replace("_", "-")),)
+    if closes:
+        common += (("Connection", "close"),)
     await reply.send_json(status, {"error": error}, (*headers, *common))
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -21,14 +21,15 @@
     DRAIN_POLL_INTERVAL_S,
     IDLE_CONNECTION_TIMEOUT_S,
     LINGER_TIMEOUT_S,
-    MAX_HEADER_BYTES,
     MAX_LINGER_BYTES,
     MAX_REQUEST_BODY_BYTES,
     REQUEST_RECEIVE_TIMEOUT_S,
 )
 from wagtailbay.transport.models import Headers, Request
+from wagtailbay.transport.pipeline import Pipeline, PipelinedRequest, RunAhead
 from wagtailbay.transport.receive import BadRequest, RequestReceiver
 from wagtailbay.transport.reply import CallerDisconnectedError, Reply, send_error
+from wagtailbay.transport.wire import build_server_protocol
 
 Handler = Callable[[Request, Reply], Awaitable[None]]
 
@@ -51,6 +52,8 @@
         aborted_requests: Number of requests whose caller closed the connection before the response
             was complete.
         readers: Readers of the open connections.
+        run_ahead: Lets requests that a caller sends ahead run while earlier ones are served; None
+            to serve each connection's requests one after another.
     """
 
     handler: Handler
@@ -64,6 +67,7 @@
     connections: int = 0
     aborted_requests: int = 0
     readers: set[ConnectionReader] = field(factory=set)
+    run_ahead: RunAhead | None = None
 
     async def serve(self, address: tuple[str, int], *, task_status: Any) -> None:
         """Listen on an IP address and report the bound (host, port) to the nursery when ready.
@@ -103,10 +107,11 @@
         self.connections += 1
         async with trio.open_nursery() as nursery:
             reader = ConnectionReader(stream, nursery.cancel_scope.cancel)
+            pipeline = self._build_pipeline(reader, nursery)
             self.readers.add(reader)
             nursery.start_soon(reader.run)
             try:
-                await self._serve_requests(reader)
+                await self._serve_requests(reader, pipeline)
             except (
                 CallerDisconnectedError,
                 trio.BrokenResourceError,
@@ -121,11 +126,21 @@
                 self.connections -= 1
                 nursery.cancel_scope.cancel()
                 await trio.aclose_forcefully(stream)
+        if pipeline is not None:
+            self.aborted_requests += pipeline.close() * reader.aborted
         for error in errors:
             raise error
 
-    async def _serve_requests(self, reader: ConnectionReader) -> None:
-        protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+    def _build_pipeline(self, reader: ConnectionReader, nursery: trio.Nursery) -> Pipeline | None:
+        if self.run_ahead is None:
+            return None
+        run = partial(self._handle_ahead, reader)
+        return Pipeline(
+            reader, nursery, self.run_ahead, self.body_budget, self.draining.is_set, run
+        )
+
+    async def _serve_requests(self, reader: ConnectionReader, pipeline: Pipeline | None) -> None:
+        protocol = build_server_protocol()
         receiver = RequestReceiver(
             reader,
             protocol,
@@ -135,15 +150,43 @@
             self.receive_timeout_s,
         )
         try:
-            while await self._serve_request(receiver):
-                protocol.start_next_cycle()
+            if pipeline is None:
+                while await self._serve_request(receiver, None):
+                    protocol.start_next_cycle()
+            else:
+                while await self._serve_pipelined(receiver, pipeline):
+                    receiver.protocol = pipeline.next_protocol(receiver.protocol)
+                await self._end_pipeline(pipeline)
         except (h11.LocalProtocolError, h11.RemoteProtocolError) as error:
             log_event("connection_failed", reason=str(error))
 
-    async def _serve_request(self, receiver: RequestReceiver) -> bool:
+    async def _serve_pipelined(self, receiver: RequestReceiver, pipeline: Pipeline) -> bool:
+        """Serve one request and those that run ahead behind it, with responses in order."""
+        reusable = await self._serve_request(receiver, pipeline)
+        while reusable and pipeline.waiting:
+            pipelined = pipeline.take_next()
+            if pipelined.error is None:
+                await pipelined.reply.release()
+                await pipelined.done.wait()
+            if pipelined.error is not None:
+                raise pipelined.error
+            reusable = await self._is_reusable(pipelined.reply, receiver.reader, pipeline)
+        return reusable
+
+    @staticmethod
+    async def _end_pipeline(pipeline: Pipeline) -> None:
+        """End the requests behind the last response without losing that one by a reset."""
+        if pipeline.stopped:
+            return
+        pipeline.stop()
+        if pipeline.has_unread() and not pipeline.reader.closed:
+            await lingering_close(pipeline.reader)
+
+    async def _serve_request(self, receiver: RequestReceiver, pipeline: Pipeline | None) -> bool:
         """Serve one request; return whether the connection can carry another."""
         reader, protocol = receiver.reader, receiver.protocol
-        reply = Reply(reader.stream, protocol, self.draining.is_set)
+        closing = self.draining.is_set if pipeline is None else pipeline.closes_after_response
+        reply = Reply(reader.stream, protocol, closing)
         try:
             received = await receiver.receive()
             if received is None:
@@ -154,14 +197,26 @@
                     return False
                 case Ok(request):
                     reply.bodiless = request.method == "HEAD"
-                    await self._handle(request, reply, reader)
+                    await self._handle(request, reply, reader, pipeline)
         finally:
             receiver.release_body()
+        return await self._is_reusable(reply, reader, pipeline)
+
+    async def _is_reusable(
+        self, reply: Reply, reader: ConnectionReader, pipeline: Pipeline | None
+    ) -> bool:
+        """Return whether another response can follow; end a connection that ends this one."""
         if reply.finished and reply.until_close:
+            if pipeline is not None:
+                pipeline.stop()
             await lingering_close(reader)
             return False
-        reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-        return reply.finished and reusable and not self.draining.is_set()
+        protocol = reply.protocol
+        if not reply.finished or protocol.our_state is not h11.DONE:
+            return False
+        if pipeline is not None and pipeline.waiting:
+            return True
+        return protocol.their_state is h11.DONE and not self.draining.is_set()
 
     @staticmethod
     async def _reject(bad_request: BadRequest, reply: Reply, reader: ConnectionReader) -> None:
@@ -174,7 +229,9 @@
         )
         await lingering_close(reader)
 
-    async def _handle(self, request: Request, reply: Reply, reader: ConnectionReader) -> None:
+    async def _handle(
+        self, request: Request, reply: Reply, reader: ConnectionReader, pipeline: Pipeline | None
+    ) -> None:
         """Run the handler until it returns or the caller disconnects, which cancels the connection.
 
         Raises:
@@ -182,19 +239,44 @@
         """
         self.open_requests += 1
         # A caller may close once it has the whole response, while the handler still records it.
-        reply.on_finish = reader.end_request
+        reply.on_finish = end_request = pipeline.end_request if pipeline else reader.end_request
         try:
             reader.begin_request()
+            if pipeline is not None:
+                pipeline.begin(request, reply.protocol)
             await self.handler(request, reply)
         except Exception as error:  # One failed request must not stop other connections.
-            await self._handle_failure(error, reply, reader)
+            has_next = pipeline is not None and bool(pipeline.waiting)
+            await self._handle_failure(error, reply, has_next)
+            if not has_next:
+                await lingering_close(reader)
+                raise CallerDisconnectedError from error
         finally:
             self.open_requests -= 1
             self.aborted_requests += reader.aborted
-            reader.end_request()
+            end_request()
+
+    async def _handle_ahead(self, reader: ConnectionReader, pipelined: PipelinedRequest) -> None:
+        """Run the handler of a request that runs ahead, until it returns or is cancelled."""
+        self.open_requests += 1
+        try:
+            with pipelined.scope:
+                try:
+                    await self.handler(pipelined.request, pipelined.reply)
+                except Exception as error:
+                    if not pipelined.reply.releasing:
+                        pipelined.reply.discard()
+                    await self._handle_failure(error, pipelined.reply, True)
+        except Exception as error:  # Ends the connection after the earlier responses.
+            pipelined.error = error
+        finally:
+            self.open_requests -= 1
+            self.aborted_requests += reader.aborted
+            pipelined.done.set()
 
     @staticmethod
-    async def _handle_failure(error: Exception, reply: Reply, reader: ConnectionReader) -> None:
+    async def _handle_failure(error: Exception, reply: Reply, has_next: bool) -> None:
+        """Send the error response; it closes the connection unless other responses follow."""
         if isinstance(error, CallerDisconnectedError | BrokenInvariantError):
             raise error
         log_event(
@@ -205,9 +287,7 @@
         if reply.started:
             raise CallerDisconnectedError
         message = "the request failed inside the system and may have run"
-        await send_error(reply, 500, "internal_error", message, "unknown")
-        await lingering_close(reader)
-        raise CallerDisconnectedError
+        await send_error(reply, 500, "internal_error", message, "unknown", closes=not has_next)
 
     def close_idle(self) -> None:
         """Close the connections that are waiting for a request."""
--- a/src/wagtailbay/transport/wire.py
+++ b/src/wagtailbay/transport/wire.py
@@ -84,6 +84,11 @@
     return h11.Response(status_code=head.status, headers=encode_headers(head.headers))
 
 
+def build_server_protocol() -> h11.Connection:
+    """Return a server protocol with the limit for the size of a request's head."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+
 def build_unframed_protocol() -> h11.Connection:
     """Return a server protocol whose response, if it states no length, ends with the connection.
 
