--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -42,6 +42,8 @@
 MAX_PIPELINED_PER_CONNECTION: Final = 8
 MAX_PIPELINED_REQUESTS: Final = 256
 MAX_HELD_RESPONSE_BYTES: Final = 262_144
+# Callers that read slowly must not keep all memory from the bodies of requests.
+MAX_HELD_BUDGET_FRACTION: Final = 0.5
 # A response is cut after this many such chunks if their mean size is smaller than the second value.
 MAX_DENSE_CHUNKS: Final = 8_192
 MIN_DENSE_CHUNK_BYTES: Final = 64
--- a/src/wagtailbay/transport/held_reply.py
+++ b/src/wagtailbay/transport/held_reply.py
@@ -6,7 +6,11 @@
 from attrs import define, field
 
 from wagtailbay.transport.body_budget import BodyBudget
-from wagtailbay.transport.const import MAX_HELD_RESPONSE_BYTES, MAX_UNCOUNTED_BODY_BYTES
+from wagtailbay.transport.const import (
+    MAX_HELD_BUDGET_FRACTION,
+    MAX_HELD_RESPONSE_BYTES,
+    MAX_UNCOUNTED_BODY_BYTES,
+)
 from wagtailbay.transport.models import Headers
 from wagtailbay.transport.reply import Reply
 
@@ -90,7 +94,10 @@
         if held_bytes > MAX_HELD_RESPONSE_BYTES:
             return False
         if held_bytes > MAX_UNCOUNTED_BODY_BYTES:
-            if not self.body_budget.try_reserve(held_bytes - self.reserved_bytes):
+            budget, added_bytes = self.body_budget, held_bytes - self.reserved_bytes
+            if budget.held_bytes + added_bytes > MAX_HELD_BUDGET_FRACTION * budget.max_bytes:
+                return False
+            if not budget.try_reserve(added_bytes):
                 return False
             self.reserved_bytes = held_bytes
         self.held_bytes = held_bytes
--- a/src/wagtailbay/transport/pipeline.py
+++ b/src/wagtailbay/transport/pipeline.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from wagtailbay.invariants import BrokenInvariantError
+from wagtailbay.logs import log_event
 from wagtailbay.transport.body_budget import BodyBudget
 from wagtailbay.transport.connection_reader import ConnectionReader
 from wagtailbay.transport.const import (
@@ -213,6 +214,8 @@
         self.reader.on_data = None
         self.blocked = self.stopped = True
         self.reader.end_request()
+        if self.waiting:
+            log_event("pipelined_requests_dropped", count=len(self.waiting))
         for pipelined in self.waiting:
             pipelined.scope.cancel()
 
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -26,6 +26,7 @@
     """Call every recording method once."""
     metrics.record_finished_request("records", "read", 200, "answered", 12.5)
     metrics.record_refusal("rate_exceeded")
+    metrics.record_run_ahead("started")
     metrics.record_attempt("records", "shed")
     metrics.record_store_call("put", "conflict")
     metrics.record_peer_exchange("ok")
