--- a/src/wagtailbay/transport/const.py
+++ b/src/wagtailbay/transport/const.py
@@ -12,6 +12,8 @@
 REQUEST_RECEIVE_TIMEOUT_S: Final = 30.0
 IDLE_CONNECTION_TIMEOUT_S: Final = 75.0
 MAX_HEADER_FIELDS: Final = 100
+# RFC 9110 defines no status above this one; h11 accepts them up to 999.
+MAX_STATUS: Final = 599
 MAX_INFORMATIONAL_RESPONSES: Final = 16
 # The IDs of all requests on a connection are kept, 8 bytes each.
 MAX_REQUESTS_PER_CONNECTION: Final = 256
@@ -35,6 +37,13 @@
 # that had already been received, other tasks run for a while.
 MAX_CHUNKS_BETWEEN_WAITS: Final = 64
 SMALL_CHUNKS_PAUSE_S: Final = 0.01
+# Requests on one connection that run at the same time, and in the whole process those of them that
+# run ahead of earlier ones. Each of these may hold a response of the third size.
+MAX_PIPELINED_PER_CONNECTION: Final = 8
+MAX_PIPELINED_REQUESTS: Final = 256
+MAX_HELD_RESPONSE_BYTES: Final = 262_144
+# Callers that read slowly must not keep all memory from the bodies of requests.
+MAX_HELD_BUDGET_FRACTION: Final = 0.5
 # A response is cut after this many such chunks if their mean size is smaller than the second value.
 MAX_DENSE_CHUNKS: Final = 8_192
 MIN_DENSE_CHUNK_BYTES: Final = 64
