Call owners and lenders without a thread for each call

Token requests and loans held one of 4 threads for a whole round trip. At 70 ms a VM could make about 50 calls/s and requests for tokens queued until 400 ms were over. Calls now use gRPC futures whose end enters trio; a call is cancelled with the task that waits for it, and its timeout covers all of it.

--- a/src/wagtailbay/membership/client.py
+++ b/src/wagtailbay/membership/client.py
@@ -1,6 +1,7 @@
 """gRPC client for calls to peers from trio."""
 
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from functools import partial
 
 import grpc
@@ -10,7 +11,6 @@
 
 from wagtailbay.membership.const import (
     BORROW_METHOD,
-    BORROW_THREADS,
     CERTIFICATE_NAME,
     EXCHANGE_METHOD,
     EXCHANGE_THREADS,
@@ -101,6 +101,16 @@
         except ValueError as error:  # The channel was closed during the call.
             return Err(PeerError(self.vm, PeerFailure.UNREACHABLE, str(error)))
 
+    def start_call(
+        self, method: str, data: bytes, timeout_ms: float
+    ) -> Result[grpc.Future, PeerError]:
+        """Start one call, which ends after at most timeout_ms and holds no thread meanwhile."""
+        invoke = self.channel.unary_unary(f"/{SERVICE_NAME}/{method}")
+        try:
+            return Ok(invoke.future(data, timeout=timeout_ms / 1000))
+        except ValueError as error:  # The channel has been closed.
+            return Err(PeerError(self.vm, PeerFailure.UNREACHABLE, str(error)))
+
     def record_outcome(self, succeeded: bool) -> None:
         """Record whether a call succeeded; reopen the channel after several failures in a row."""
         self.consecutive_failures = 0 if succeeded else self.consecutive_failures + 1
@@ -117,11 +127,22 @@
         grpc.StatusCode.FAILED_PRECONDITION: PeerFailure.REFUSED,
         grpc.StatusCode.INVALID_ARGUMENT: PeerFailure.REFUSED,
         grpc.StatusCode.RESOURCE_EXHAUSTED: PeerFailure.REFUSED,
+        grpc.StatusCode.UNIMPLEMENTED: PeerFailure.UNIMPLEMENTED,
     }
     kind = failures_by_code.get(code, PeerFailure.UNREACHABLE)
     return PeerError(vm, kind, details[:300], _known_incarnation(error))
 
 
+def _call_result(vm: str, call: grpc.Future) -> Result[bytes, PeerError]:
+    """Return the result of a call that has ended."""
+    try:
+        return Ok(call.result())
+    except grpc.FutureCancelledError:
+        return Err(PeerError(vm, PeerFailure.UNREACHABLE, "the call was cancelled"))
+    except grpc.RpcError as error:
+        return Err(_peer_error(vm, error))
+
+
 def _known_incarnation(error: grpc.RpcError) -> int:
     """Return the newest run of this VM that a refusal names, 0 if it names none."""
     metadata = error.trailing_metadata() if isinstance(error, grpc.Call) else None
@@ -131,6 +152,19 @@
     return number if (number := int(text)) <= MAX_INCARNATION else 0
 
 
+async def _wait_for_end(call: grpc.Future) -> None:
+    """Wait until a call has ended."""
+    ended, trio_token = trio.Event(), trio.lowlevel.current_trio_token()
+
+    def notify(_: grpc.Future) -> None:
+        # gRPC calls this in its own thread, perhaps after trio has ended.
+        with suppress(trio.RunFinishedError):
+            trio_token.run_sync_soon(ended.set)
+
+    call.add_done_callback(notify)
+    await ended.wait()
+
+
 @define
 class PeerClient:
     """Client that calls peers by the name of their VM.
@@ -149,43 +183,59 @@
     exchange_limiter: trio.CapacityLimiter = field(
         factory=lambda: trio.CapacityLimiter(EXCHANGE_THREADS)
     )
-    borrow_limiter: trio.CapacityLimiter = field(
-        factory=lambda: trio.CapacityLimiter(BORROW_THREADS)
-    )
 
     async def exchange(self, vm: str, data: bytes) -> Result[bytes, PeerError]:
         """Send an encoded exchange message to a peer and return the encoded answer."""
-        return await self._call(
-            vm, EXCHANGE_METHOD, data, EXCHANGE_TIMEOUT_MS, self.exchange_limiter
+        channel = self._get_channel(vm)
+        if isinstance(channel, Err):
+            return channel
+        call = partial(channel.ok_value.call, EXCHANGE_METHOD, data, EXCHANGE_TIMEOUT_MS)
+        answer = await trio.to_thread.run_sync(
+            call, abandon_on_cancel=True, limiter=self.exchange_limiter
         )
+        self._record_outcome(channel.ok_value, answer)
+        return answer
 
     async def borrow(
         self, vm: str, request: LoanRequest, timeout_ms: int
     ) -> Result[LoanGrant, PeerError]:
         """Request a loan from a peer; after any error but REFUSED it may have been granted."""
-        data = encode_loan_request(request)
-        with trio.move_on_after(timeout_ms / 1000):
-            answer = await self._call(vm, BORROW_METHOD, data, timeout_ms, self.borrow_limiter)
-            if isinstance(answer, Err):
-                return answer
-            return decode_loan_grant(answer.ok_value).map_err(
-                lambda reason: PeerError(vm, PeerFailure.MALFORMED, reason)
-            )
-        return Err(PeerError(vm, PeerFailure.TIMEOUT, f"{timeout_ms} ms"))
+        answer = await self._call(vm, BORROW_METHOD, encode_loan_request(request), timeout_ms)
+        if isinstance(answer, Err):
+            return answer
+        return decode_loan_grant(answer.ok_value).map_err(
+            lambda reason: PeerError(vm, PeerFailure.MALFORMED, reason)
+        )
 
     async def _call(
-        self, vm: str, method: str, data: bytes, timeout_ms: int, limiter: trio.CapacityLimiter
+        self, vm: str, method: str, data: bytes, timeout_ms: int
     ) -> Result[bytes, PeerError]:
+        """Make one call without a thread that waits; it is cancelled with the calling task."""
         channel = self._get_channel(vm)
         if isinstance(channel, Err):
             return channel
-        call = partial(channel.ok_value.call, method, data, timeout_ms)
-        answer = await trio.to_thread.run_sync(call, abandon_on_cancel=True, limiter=limiter)
-        if self.channels.get(vm) is channel.ok_value:
-            refused = isinstance(answer, Err) and answer.err_value.kind is PeerFailure.REFUSED
-            channel.ok_value.record_outcome(isinstance(answer, Ok) or refused)
+        started = channel.ok_value.start_call(method, data, timeout_ms)
+        if isinstance(started, Err):
+            return started
+        call = started.ok_value
+        try:
+            await _wait_for_end(call)
+        finally:
+            # No effect on a call that has ended.
+            call.cancel()
+        answer = _call_result(vm, call)
+        self._record_outcome(channel.ok_value, answer)
         return answer
 
+    def _record_outcome(self, channel: PeerChannel, answer: Result[bytes, PeerError]) -> None:
+        """Record the outcome of a call, unless its channel was replaced meanwhile."""
+        if self.channels.get(channel.vm) is channel:
+            answered = isinstance(answer, Ok) or answer.err_value.kind in (
+                PeerFailure.REFUSED,
+                PeerFailure.UNIMPLEMENTED,
+            )
+            channel.record_outcome(answered)
+
     def _get_channel(self, vm: str) -> Result[PeerChannel, PeerError]:
         address = self.address_overrides.get(vm) or self.resolve_address(vm)
         if not address:
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -29,7 +29,6 @@
 
 SERVER_THREADS: Final = 4
 EXCHANGE_THREADS: Final = 16
-BORROW_THREADS: Final = 4
 # Calls that run or wait for a server thread; gRPC rejects further calls at once.
 MAX_CONCURRENT_CALLS: Final = 64
 
--- a/src/wagtailbay/membership/messages.py
+++ b/src/wagtailbay/membership/messages.py
@@ -96,6 +96,7 @@
     TIMEOUT = "no answer in time"
     REFUSED = "refused"
     MALFORMED = "malformed answer"
+    UNIMPLEMENTED = "the VM does not have this method"
 
 
 @frozen
--- a/tests/membership/test_peer_calls.py
+++ b/tests/membership/test_peer_calls.py
@@ -2,10 +2,6 @@
 
 import json
 import os
-import time
-from collections.abc import AsyncIterator, Iterator, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from contextlib import asynccontextmanager, contextmanager
 from pathlib import Path
 
 import grpc
@@ -14,6 +10,7 @@
 import trustme
 from attrs import evolve
 from membership.factories import CODEC, VALUE, exchanger, member
+from membership.served_peers import running_server, serve_loans, serve_methods
 from result import Err, Ok
 
 from wagtailbay.clock import boottime_s
@@ -22,24 +19,19 @@
     PeerClient,
     PeerFailure,
     PeerLoop,
-    PeerServer,
     VmState,
 )
 from wagtailbay.membership.const import (
-    BORROW_METHOD,
     CERTIFICATE_NAME,
     EXCHANGE_METHOD,
     KNOWN_INCARNATION_KEY,
     RENUMBER_WINDOW_S,
-    SERVICE_NAME,
 )
 from wagtailbay.membership.credentials import CertificateReloader, CertificateSource
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
 from wagtailbay.membership.settings import PeerSettings, certificate_source
-from wagtailbay.membership.wire import decode_loan_request, encode_loan_grant
 from wagtailbay.settings.checks import split_address
 from wagtailbay.store import StoredObject
-from wagtailbay_bench.processes import free_address
 
 LOAN = LoanRequest("a", 1, "workspace:records/unam", 10_000, 2_000)
 
@@ -56,19 +48,6 @@
     return CertificateSource(*map(str, paths))
 
 
-@asynccontextmanager
-async def running_server(
-    source: CertificateSource | None = None, **server_options: object
-) -> AsyncIterator[tuple[Exchanger, str]]:
-    """Run the server of VM b and yield its exchanger and address."""
-    address, callee = free_address("127.0.0.9"), exchanger("b")
-    server = PeerServer(callee, CODEC, boottime_s, source, **server_options)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(server.serve, address)
-        yield callee, address
-        nursery.cancel_scope.cancel()
-
-
 def make_peer_loop(address: str, source: CertificateSource | None = None) -> PeerLoop:
     """Return VM a's peer loop to VM b."""
     client = PeerClient(lambda vm: address, source)
@@ -253,32 +232,6 @@
         client.close_all()
 
 
-@contextmanager
-def serve_loans(delays_s: Sequence[float]) -> Iterator[str]:
-    """Serve loans, each after the next delay and of the requested share; yield the address."""
-    remaining_s = iter(delays_s)
-
-    def lend(data: bytes, _context: grpc.ServicerContext) -> bytes:
-        request = decode_loan_request(data).unwrap()
-        time.sleep(next(remaining_s))
-        return encode_loan_grant(LoanGrant(request.share_ppm, 0.0))
-
-    methods = {BORROW_METHOD: grpc.unary_unary_rpc_method_handler(lend)}
-    with serve_methods(methods, len(delays_s)) as address:
-        yield address
-
-
-@contextmanager
-def serve_methods(methods: dict[str, grpc.RpcMethodHandler], threads: int) -> Iterator[str]:
-    """Serve methods of a peer; yield the address."""
-    server = grpc.server(ThreadPoolExecutor(threads))
-    server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE_NAME, methods),))
-    port = server.add_insecure_port("127.0.0.1:0")
-    server.start()
-    yield f"127.0.0.1:{port}"
-    server.stop(None)
-
-
 class TestAnswersInAnotherOrder:
     """gRPC gives each call a stream of its own, whose number a connection never uses again."""
 
