Request tokens of all workspaces of an owner in one call

A VM made a call for each workspace that ran low and took an owner for lost after 400 ms. New method RequestTokens: one call at most in flight for each owner, with the demand of all its workspaces that wait or run low; demand that comes meanwhile goes with the next call. A peer without the method is asked for single loans. A late answer is still recorded. An owner is lost after a connection error or after no answer for a bound that follows the round trips (1 to 3 s). Owners grant spare tokens from a well-filled bucket in even parts. They are charged when granted, and the bucket and the tokens that VMs report as unspent stay together within the burst and half of the allowed excess, so the bound of a workspace holds whenever they are spent.

--- a/src/wagtailbay/gateway/const.py
+++ b/src/wagtailbay/gateway/const.py
@@ -38,3 +38,10 @@
 STOPPING_RETRY_AFTER_MS: Final = 0
 # Messages of h11 contain what a target sent.
 MAX_LOGGED_FAILURE_CHARACTERS: Final = 300
+
+# A request waits for a token of its workspace's rate for this fraction of its latency goal. Holding
+# it for an eighth of its goal does no harm, and two round trips between regions take 140 ms.
+TOKEN_WAIT_FRACTION: Final = 0.125
+MIN_TOKEN_WAIT_MS: Final = 200.0
+MAX_TOKEN_WAIT_MS: Final = 1_000.0
+MAX_TOKEN_WAIT_DEADLINE_FRACTION: Final = 0.1
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -9,12 +9,16 @@
 from wagtailbay.gateway.const import (
     DENIAL_MARGIN_MS,
     MAX_LOGGED_FAILURE_CHARACTERS,
+    MAX_TOKEN_WAIT_DEADLINE_FRACTION,
+    MAX_TOKEN_WAIT_MS,
+    MIN_TOKEN_WAIT_MS,
     NOT_READY_RETRY_AFTER_MS,
     OVERLOAD_GOAL_FRACTION,
     OVERLOAD_RETRY_AFTER_MS,
     QUARANTINE_RETRY_AFTER_MS,
     RESPONSE_MARGIN_MS,
     STALE_CONFIG_RETRY_AFTER_MS,
+    TOKEN_WAIT_FRACTION,
 )
 from wagtailbay.gateway.forward import GatewayForwarder, RequestTrace
 from wagtailbay.gateway.lag import LoopLag
@@ -29,6 +33,14 @@
 from wagtailbay.transport import CallerDisconnectedError, Reply, Request
 
 
+def token_wait_s(latency_goal_ms: float, deadline_ms: float | None) -> float:
+    """Return how long a request may wait for a token of its workspace's rate."""
+    wait_ms = min(MAX_TOKEN_WAIT_MS, max(MIN_TOKEN_WAIT_MS, TOKEN_WAIT_FRACTION * latency_goal_ms))
+    if deadline_ms is not None:
+        wait_ms = min(wait_ms, MAX_TOKEN_WAIT_DEADLINE_FRACTION * max(0.0, deadline_ms))
+    return wait_ms / 1000
+
+
 @define
 class GatewayHandler:
     """Handles the requests of callers on one VM.
@@ -86,7 +98,8 @@
         workspace = authenticated.ok_value
         name = workspace.workspace if workspace else None
         fingerprint = request_fingerprint(name, request.method, request.path, request.body)
-        refusal = await self._check_limits(workspace, fingerprint, now_s)
+        max_wait_s = token_wait_s(route.latency_goal_ms, caller.deadline_ms)
+        refusal = await self._check_limits(workspace, fingerprint, now_s, max_wait_s)
         if refusal is not None:
             return Err(refusal)
         # Without a deadline of the caller, the route's timeout applies.
@@ -116,13 +129,15 @@
         return Ok(found)
 
     async def _check_limits(
-        self, workspace: Workspace | None, fingerprint: str, now_s: float
+        self, workspace: Workspace | None, fingerprint: str, now_s: float, max_wait_s: float
     ) -> Refusal | None:
         """Refuse quarantined requests and requests above the rate of their workspace."""
         if self.forwarder.crashes.is_refused(fingerprint, now_s):
             message = "earlier requests like this one crashed targets"
             return not_run(503, "crashes_targets", message, QUARANTINE_RETRY_AFTER_MS)
-        admitted = Ok(None) if workspace is None else await self.quota.admit(workspace, now_s)
+        if workspace is None:
+            return None
+        admitted = await self.quota.admit(workspace, now_s, max_wait_s)
         if isinstance(admitted, Ok):
             return None
         exceeded = admitted.err_value
--- a/src/wagtailbay/membership/__init__.py
+++ b/src/wagtailbay/membership/__init__.py
@@ -20,7 +20,13 @@
     live_members,
     responsive_members,
 )
-from wagtailbay.membership.server import Lender, PeerServer
+from wagtailbay.membership.server import Lender, PeerServer, TokenGranter
+from wagtailbay.membership.tokens import (
+    TokenDemand,
+    TokenGrant,
+    TokenGrants,
+    TokenRequests,
+)
 from wagtailbay.membership.watchers import WatcherSelection
 
 __all__ = [
@@ -44,6 +50,11 @@
     "PeerSet",
     "Quorum",
     "Roster",
+    "TokenDemand",
+    "TokenGrant",
+    "TokenGranter",
+    "TokenGrants",
+    "TokenRequests",
     "VmIdentity",
     "VmState",
     "WatcherSelection",
--- a/src/wagtailbay/membership/client.py
+++ b/src/wagtailbay/membership/client.py
@@ -20,6 +20,7 @@
     MAX_MESSAGE_BYTES,
     RECONNECT_AFTER_FAILURES,
     SERVICE_NAME,
+    TOKENS_METHOD,
 )
 from wagtailbay.membership.credentials import (
     CertificateSource,
@@ -28,7 +29,12 @@
 )
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
 from wagtailbay.membership.messages import PeerError, PeerFailure
-from wagtailbay.membership.wire import decode_loan_grant, encode_loan_request
+from wagtailbay.membership.token_wire import decode_token_grants, encode_token_requests
+from wagtailbay.membership.tokens import TokenGrants, TokenRequests
+from wagtailbay.membership.wire import (
+    decode_loan_grant,
+    encode_loan_request,
+)
 
 CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -207,6 +213,17 @@
             lambda reason: PeerError(vm, PeerFailure.MALFORMED, reason)
         )
 
+    async def request_tokens(
+        self, vm: str, requests: TokenRequests, timeout_ms: int
+    ) -> Result[TokenGrants, PeerError]:
+        """Request tokens of several workspaces from the owner of their rates in one call."""
+        answer = await self._call(vm, TOKENS_METHOD, encode_token_requests(requests), timeout_ms)
+        if isinstance(answer, Err):
+            return answer
+        return decode_token_grants(answer.ok_value, requests).map_err(
+            lambda reason: PeerError(vm, PeerFailure.MALFORMED, reason)
+        )
+
     async def _call(
         self, vm: str, method: str, data: bytes, timeout_ms: int
     ) -> Result[bytes, PeerError]:
--- a/src/wagtailbay/membership/const.py
+++ b/src/wagtailbay/membership/const.py
@@ -29,8 +29,9 @@
 
 SERVER_THREADS: Final = 4
 EXCHANGE_THREADS: Final = 16
-# Calls that run or wait for a server thread; gRPC rejects further calls at once.
-MAX_CONCURRENT_CALLS: Final = 64
+# Calls that run or wait for a server thread; gRPC rejects further calls at once. After a freeze of
+# some seconds, an owner finds an exchange and a token request of each of up to 88 VMs.
+MAX_CONCURRENT_CALLS: Final = 256
 
 MAX_MESSAGE_BYTES: Final = 8_000_000
 # Total size of the entries in one message; an object has up to 1 MB, and at least one must fit.
@@ -50,6 +51,7 @@
 MAX_MEMBERS: Final = 2_000
 MAX_TOKENS_REQUESTED: Final = 100_000
 MAX_GRANT_WAIT_MS: Final = 60_000
+MAX_TOKEN_DEMANDS: Final = 2_000
 
 # Facts of these kinds concern every VM and are also relayed by VMs that did not publish them.
 RELAYED_FACT_KINDS: Final = frozenset(
@@ -92,6 +94,7 @@
 SERVICE_NAME: Final = "wagtailbay.Peer"
 EXCHANGE_METHOD: Final = "Exchange"
 BORROW_METHOD: Final = "Borrow"
+TOKENS_METHOD: Final = "RequestTokens"
 REGISTRATION_PREFIX: Final = "vms/"
 REGISTRATION_RETRY_S: Final = 1.0
 REGISTRATION_SPREAD_S: Final = 2.0
--- a/src/wagtailbay/membership/server.py
+++ b/src/wagtailbay/membership/server.py
@@ -20,10 +20,13 @@
     MAX_MESSAGE_BYTES,
     SERVER_THREADS,
     SERVICE_NAME,
+    TOKENS_METHOD,
 )
 from wagtailbay.membership.credentials import CertificateSource, server_credentials
 from wagtailbay.membership.exchange import Exchanger
 from wagtailbay.membership.loans import LoanGrant, LoanRequest
+from wagtailbay.membership.token_wire import decode_token_requests, encode_token_grants
+from wagtailbay.membership.tokens import TokenGrants, TokenRequests
 from wagtailbay.membership.wire import (
     decode_exchange,
     decode_loan_request,
@@ -32,6 +35,7 @@
 )
 
 Lender = Callable[[LoanRequest, float], LoanGrant]
+TokenGranter = Callable[[TokenRequests, float], TokenGrants]
 
 SERVER_OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -80,6 +84,8 @@
     Attributes:
         source: Source of the certificates; None serves without TLS, on loopback only.
         lender: Decides on loan requests, in the trio thread.
+        token_granter: Grants tokens to another VM, in the trio thread; None at VMs that own no
+            rates, which do not have the method.
     """
 
     exchanger: Exchanger
@@ -87,6 +93,7 @@
     clock: Callable[[], float]
     source: CertificateSource | None
     lender: Lender = refuse_loan
+    token_granter: TokenGranter | None = None
     _trio_token: Any = field(default=None, init=False)
 
     async def serve(self, address: str, *, task_status: Any) -> None:
@@ -125,6 +132,8 @@
 
     def _handlers(self) -> grpc.GenericRpcHandler:
         handlers = {EXCHANGE_METHOD: self.handle_exchange, BORROW_METHOD: self.handle_loan}
+        if self.token_granter is not None:
+            handlers[TOKENS_METHOD] = self.handle_tokens
         return grpc.method_handlers_generic_handler(
             SERVICE_NAME,
             {
@@ -176,8 +185,24 @@
                 log_event("peer_message_malformed", reason=reason[:200], body_bytes=len(data))
                 return Err(Refusal(grpc.StatusCode.INVALID_ARGUMENT, reason))
             case Ok(request):
-                member = self.exchanger.roster.members.get(request.borrower)
-                if member is None or member.identity.incarnation != request.incarnation:
-                    reason = f"{request.borrower} is not a known run"
-                    return Err(Refusal(grpc.StatusCode.FAILED_PRECONDITION, reason))
-                return Ok(encode_loan_grant(self.lender(request, self.clock())))
+                answer = self._check_run(request.borrower, request.incarnation)
+                return answer.map(lambda _: encode_loan_grant(self.lender(request, self.clock())))
+
+    def handle_tokens(self, data: bytes) -> Answer:
+        """Answer token requests, which are rejected unless the borrower's run is known."""
+        match decode_token_requests(data):
+            case Err(reason):
+                log_event("peer_message_malformed", reason=reason[:200], body_bytes=len(data))
+                return Err(Refusal(grpc.StatusCode.INVALID_ARGUMENT, reason))
+            case Ok(requests):
+                answer = self._check_run(requests.borrower, requests.incarnation)
+                return answer.map(
+                    lambda _: encode_token_grants(self.token_granter(requests, self.clock()))
+                )
+
+    def _check_run(self, vm: str, incarnation: int) -> Result[None, Refusal]:
+        member = self.exchanger.roster.members.get(vm)
+        if member is None or member.identity.incarnation != incarnation:
+            reason = f"{vm} is not a known run"
+            return Err(Refusal(grpc.StatusCode.FAILED_PRECONDITION, reason))
+        return Ok(None)
--- a/src/wagtailbay/membership/wire.py
+++ b/src/wagtailbay/membership/wire.py
@@ -1,4 +1,4 @@
-"""Protobuf encoding of the messages between entry VMs; no other module uses protobuf."""
+"""Protobuf encoding of exchanges and loans; only this module and token_wire use protobuf."""
 
 import json
 from collections.abc import Iterable
--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -26,6 +26,7 @@
 
     meter: Meter = field(factory=lambda: NoOpMeter(METER_NAME))
     _latency_ms: Histogram = field(init=False)
+    _token_wait_ms: Histogram = field(init=False)
     _counts: dict[str, dict[tuple[str, ...], int]] = field(factory=dict)
     _store_calls: Counter = field(init=False)
     _store_restores: Counter = field(init=False)
@@ -54,6 +55,7 @@
         self._create_observable_counter(
             "attempts", ("service", "outcome"), "Tries at targets by outcome"
         )
+        self._create_token_instruments()
         self._create_control_instruments(meter)
 
     def _create_observable_counter(
@@ -72,9 +74,26 @@
             f"wagtailbay.{name}", callbacks=[observe], description=description
         )
 
-    def _increment(self, name: str, *values: str) -> None:
+    def _increment(self, name: str, *values: str, amount: int = 1) -> None:
         counts = self._counts[name]
-        counts[values] = counts.get(values, 0) + 1
+        counts[values] = counts.get(values, 0) + amount
+
+    def _create_token_instruments(self) -> None:
+        self._create_observable_counter(
+            "token_calls", ("outcome",), "Calls for tokens to owners of rates"
+        )
+        self._create_observable_counter(
+            "tokens_requested", ("outcome",), "Tokens that these calls requested"
+        )
+        self._create_observable_counter(
+            "spare_tokens_used", (), "Requests admitted with a spare token"
+        )
+        self._token_wait_ms = self.meter.create_histogram(
+            "wagtailbay.token.wait",
+            unit="ms",
+            description="Time for which requests waited for a token of their workspace's rate",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
 
     def _create_control_instruments(self, meter: Meter) -> None:
         self._store_calls = meter.create_counter(
@@ -116,6 +135,19 @@
         """Count an attempt at a target by the value of its AttemptOutcome."""
         self._increment("attempts", service, outcome)
 
+    def record_token_call(self, outcome: str, tokens: int) -> None:
+        """Count a call for tokens and the tokens it requested; outcome is ok, late or failed."""
+        self._increment("token_calls", outcome)
+        self._increment("tokens_requested", outcome, amount=tokens)
+
+    def record_token_wait(self, wait_ms: float) -> None:
+        """Record for how long a request waited for a token."""
+        self._token_wait_ms.record(wait_ms)
+
+    def record_spare_token(self) -> None:
+        """Count a request that was admitted with a spare token."""
+        self._increment("spare_tokens_used")
+
     def record_store_call(self, call: str, outcome: str) -> None:
         """Count a call of the object API; outcome is ok, conflict, unavailable or unknown."""
         self._store_calls.add(1, {"call": call, "outcome": outcome})
--- a/src/wagtailbay/programs/fleet.py
+++ b/src/wagtailbay/programs/fleet.py
@@ -21,6 +21,7 @@
     PeerSet,
     Quorum,
     Roster,
+    TokenGranter,
     VmIdentity,
     VmState,
     WatcherSelection,
@@ -209,6 +210,7 @@
     document: Callable[[], FleetDocument | None],
     clock: Clock,
     lender: Lender = refuse_loan,
+    token_granter: TokenGranter | None = None,
     make_reader: ReaderFactory | None = None,
     has_lease: bool = True,
     watchers_per_region: int = WATCHERS_PER_REGION,
@@ -238,7 +240,7 @@
     )
     # The server gets its own copy, because gRPC reads it from other threads.
     server_certificates = None if certificates is None else evolve(certificates)
-    server = PeerServer(exchanger, DEFAULT_CODEC, clock, server_certificates, lender)
+    server = PeerServer(exchanger, DEFAULT_CODEC, clock, server_certificates, lender, token_granter)
     lease = build_lease(store, exchanger, clock) if has_lease else None
     return Fleet(exchanger, vm_list_reader, peers, client, server, lease, document, clock)
 
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -9,10 +9,16 @@
 from wagtailbay.clock import boottime_s, unix_time_s
 from wagtailbay.gateway.forward import GatewayForwarder
 from wagtailbay.gateway.handler import GatewayHandler
-from wagtailbay.membership import LoanGrant, LoanRequest, VmIdentity
+from wagtailbay.membership import (
+    LoanGrant,
+    LoanRequest,
+    TokenGrants,
+    TokenRequests,
+    VmIdentity,
+)
 from wagtailbay.membership.registration import VmRegistrar
 from wagtailbay.membership.settings import PeerSettings
-from wagtailbay.metrics import Exporter, build_exporter
+from wagtailbay.metrics import Exporter, Metrics, build_exporter
 from wagtailbay.placement import ColdStartLimiter, OccupancyTracker, TargetSelector
 from wagtailbay.platform import PlatformHeaderCodec, PlatformStore
 from wagtailbay.programs.fleet import Fleet, build_fleet
@@ -20,7 +26,7 @@
 from wagtailbay.programs.gateway_node import PROGRAM, GatewayNode
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.quarantine import CRASH_PREFIX, CrashRecorder, CrashTable
-from wagtailbay.quota import RateOwners, TokenBank, WorkspaceQuota
+from wagtailbay.quota import NOT_THE_OWNER, RateOwners, TokenBank, TokenCaller, WorkspaceQuota
 from wagtailbay.registry import (
     EVACUATION_PREFIX,
     TARGET_PREFIX,
@@ -165,7 +171,7 @@
         exporter: Exporter,
     ) -> GatewayHandler:
         fleet, header_codec = fleet_view.fleet, PlatformHeaderCodec()
-        quota = self.quota = self._build_quota(fleet_view)
+        quota = self.quota = self._build_quota(fleet_view, exporter.metrics)
         forwarder = GatewayForwarder(
             self._build_selector(fleet_view),
             version_splitter,
@@ -240,6 +246,7 @@
                 MIN_WATCHER_SILENCE_S, WATCHER_SILENCE_FRACTION * change_deadline_s
             ),
             lender=self._lend,
+            token_granter=self._grant_tokens,
         )
         # Nothing that the gateway stores names its run.
         fleet.exchanger.may_renumber = True
@@ -269,18 +276,25 @@
         """Grant tokens of a workspace's rate to another VM; nothing before all is built."""
         return LoanGrant(0, 0.0) if self.quota is None else self.quota.grant(request, now_s)
 
+    def _grant_tokens(self, requests: TokenRequests, now_s: float) -> TokenGrants:
+        """Grant tokens of several workspaces to another VM; nothing before all is built."""
+        if self.quota is None:
+            return TokenGrants((NOT_THE_OWNER,) * len(requests.demands))
+        return self.quota.grant_tokens(requests, now_s)
+
     def _workspaces(self) -> Mapping[str, Workspace]:
         return self.routing.table.workspaces_by_name if self.routing.table else {}
 
-    def _build_quota(self, fleet_view: GatewayFleetView) -> WorkspaceQuota:
+    def _build_quota(self, fleet_view: GatewayFleetView, metrics: Metrics) -> WorkspaceQuota:
         return WorkspaceQuota(
             lambda: fleet_view.fleet.roster.own,
             RateOwners(fleet_view.rate_owner_candidates),
-            fleet_view.fleet.client.borrow,
+            TokenCaller(fleet_view.fleet.client, boottime_s).request,
             self._workspaces,
             fleet_view.grant_fraction,
             boottime_s,
             TokenBank(self.settings.requirements),
+            metrics=metrics,
         )
 
     def _build_rollout_controller(
--- a/src/wagtailbay/quota/bank.py
+++ b/src/wagtailbay/quota/bank.py
@@ -3,30 +3,49 @@
 from collections.abc import Mapping
 from math import isfinite
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 from wagtailbay.limits import TokenBucket
+from wagtailbay.membership import TokenDemand, TokenGrant
 from wagtailbay.quota.const import (
     ASKING_WINDOW_S,
     INITIAL_SLACK_FRACTION,
+    MAX_CLOCK_RATE,
     MAX_RETRY_AFTER_MS,
+    QUOTA_OVERAGE,
+    QUOTA_WINDOW_S,
+    SPARE_FRACTION,
+    TOKEN_TTL_S,
+    UNSPENT_FRACTION,
 )
-from wagtailbay.quota.models import NOT_THE_OWNER, TokenGrant
+from wagtailbay.quota.models import NOT_THE_OWNER
 from wagtailbay.requirements import FleetRequirements
 from wagtailbay.routing import Workspace
 
 
+@frozen
+class Unspent:
+    """Tokens that a VM may not have spent yet, which expire at a time of this VM's clock."""
+
+    tokens: int
+    expires_s: float
+
+
 @define
 class TokenBank:
     """Holds one token bucket for each workspace whose rate this VM owns.
 
     Attributes:
+        fraction: Part of each rate that may be granted.
         asked_s: When each VM last asked for tokens of a workspace.
+        unspent: Tokens of a workspace that each VM may not have spent yet.
     """
 
     requirements: FleetRequirements = field(factory=FleetRequirements)
     buckets: dict[str, TokenBucket] = field(factory=dict)
+    fraction: float = 0.0
     asked_s: dict[str, dict[str, float]] = field(factory=dict)
+    unspent: dict[str, dict[str, Unspent]] = field(factory=dict)
 
     def own(self, workspaces: Mapping[str, Workspace], fraction: float, now_s: float) -> None:
         """Own the rates of exactly these workspaces.
@@ -35,8 +54,10 @@
             fraction: Part of each rate that may be granted. It is 0 while another part of the fleet
                 may have another owner; the bucket is then emptied, and fills again afterwards.
         """
+        self.fraction = fraction
         for name in self.buckets.keys() - workspaces.keys():
             del self.buckets[name]
+            self.unspent.pop(name, None)
             self.asked_s.pop(name, None)
         for name, workspace in workspaces.items():
             rate_per_s, burst = workspace.rate_per_s * fraction, workspace.burst * fraction
@@ -62,6 +83,41 @@
         wait_ms = 0.0 if tokens >= wanted else self._wait_ms(bucket, askers, now_s)
         return TokenGrant(tokens, wait_ms)
 
+    def grant_demand(self, demand: TokenDemand, vm: str, now_s: float) -> TokenGrant:
+        """Grant tokens to a VM that keeps them in hand, and spare ones from a well-filled bucket.
+
+        In a window, a workspace gets at most what the bucket and the VMs hold at its start and the
+        rate of the window. Both together are therefore kept within the burst and a part of the
+        excess that is allowed. All tokens are charged when they are granted, so a VM that is lost
+        with unspent ones costs a part of the burst and never more than the rate is admitted.
+        """
+        bucket = self.buckets.get(demand.workspace)
+        if bucket is None or bucket.capacity <= 0:
+            return NOT_THE_OWNER
+        unspent = self.unspent.setdefault(demand.workspace, {})
+        expires_s = now_s + TOKEN_TTL_S * MAX_CLOCK_RATE
+        unspent[vm] = Unspent(demand.held, expires_s)
+        for name in [name for name, kept in unspent.items() if kept.expires_s <= now_s]:
+            del unspent[name]
+        bucket.refill(now_s)
+        held = sum(kept.tokens for kept in unspent.values())
+        bucket.level = min(bucket.level, max(0.0, self._max_unspent(bucket) - held))
+        grant = self.grant(demand.workspace, vm, demand.tokens, now_s)
+        spare = 0
+        if grant.tokens == demand.tokens:
+            spare = min(demand.spare, _even_part(bucket.level, len(unspent)) - demand.held)
+        grant = evolve(grant, spare=max(0, spare))
+        bucket.charge(grant.spare, now_s)
+        ahead = max(0, grant.tokens - demand.waiting)
+        unspent[vm] = Unspent(demand.held + ahead + grant.spare, expires_s)
+        return grant
+
+    def _max_unspent(self, bucket: TokenBucket) -> float:
+        """Return how many tokens the bucket and the VMs together may hold."""
+        in_window = bucket.capacity + bucket.rate_per_s * QUOTA_WINDOW_S
+        excess = QUOTA_OVERAGE * in_window + self.requirements.quota_slack * self.fraction
+        return bucket.capacity + UNSPENT_FRACTION * excess
+
     def _wait_ms(self, bucket: TokenBucket, askers: dict[str, float], now_s: float) -> float:
         """Return when a VM may expect a token, given the others that wait for one.
 
@@ -74,3 +130,8 @@
             return MAX_RETRY_AFTER_MS
         queued_s = (len(askers) - 1) / bucket.rate_per_s
         return min(MAX_RETRY_AFTER_MS, (wait_s + queued_s) * 1000)
+
+
+def _even_part(level: float, vms: int) -> int:
+    """Return how many spare tokens each VM may hold, given the level of the bucket."""
+    return max(int(SPARE_FRACTION * level / vms), int(level >= vms))
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -16,20 +16,46 @@
 # VMs that asked within this time compete for the next tokens.
 ASKING_WINDOW_S: Final = 1.0
 
-# The first request to an owner also opens a connection, which takes three round trips of 70 ms
-# between two regions.
-ASK_TIMEOUT_MS: Final = 400
-# A request that came after its VM had asked waits for the answer and asks once more.
-MAX_ASKS: Final = 2
-# After a request to the owner failed, only the fallback is used for this time.
+# A request waits this long for tokens unless its caller states another time. A call that opens a
+# connection takes three more round trips, which are 70 ms between two regions.
+DEFAULT_MAX_WAIT_S: Final = 0.4
+# A frozen VM runs again after some seconds; its answer tells what it granted and refused.
+CALL_TIMEOUT_MS: Final = 4_000
+# An owner counts as lost when it has not answered for this many times the longest usual round trip,
+# within these bounds. Answers that took over 400 ms counted as lost before, and a fallback refused
+# 51,767 requests of a day within their rates.
+LOST_ROUND_TRIPS: Final = 2.0
+MIN_LOST_S: Final = 1.0
+MAX_LOST_S: Final = 3.0
+INITIAL_ROUND_TRIP_S: Final = 0.1
+# Weight of a new round trip in their mean, as TCP has it.
+ROUND_TRIP_WEIGHT: Final = 0.125
+# An answer that took longer is counted as late.
+LATE_ANSWER_S: Final = 0.4
+# After a call to the owner failed, only the fallback is used for this time.
 ASK_RETRY_S: Final = 0.25
+# A peer without batches is asked for single loans for this time.
+SINGLE_CALLS_S: Final = 10.0
 # One request to the owner covers the demand of this time.
 BATCH_S: Final = 0.4
 # More tokens are requested in advance when those in hand cover less than this.
 REFILL_AHEAD_S: Final = 0.1
-# Unspent tokens expire, so that those of a VM whose callers have moved away are not spent much
-# later than the owner counted them.
-TOKEN_TTL_S: Final = 1.0
+# Spare tokens alone cause a call to their owner at most this often. Calls go to up to 12 owners.
+SPARE_INTERVAL_S: Final = 0.25
+# Spare tokens are granted from this fraction of what the bucket holds, in even parts to the VMs.
+SPARE_FRACTION: Final = 0.5
+# Unspent tokens expire after this time since they were requested. The owner counts them as unspent
+# for that time of its own clock, which may run faster by MAX_CLOCK_RATE.
+TOKEN_TTL_S: Final = 3.0
+MAX_CLOCK_RATE: Final = 1.1
+# The same for owners that do not count them.
+UNTRACKED_TOKEN_TTL_S: Final = 1.4
+# In any QUOTA_WINDOW_S, a workspace may exceed its rate and burst by this part of them and by
+# FleetRequirements.quota_slack. Unspent tokens use this fraction of the excess; the rest is for
+# changes of owners and the fallback.
+QUOTA_WINDOW_S: Final = 5.0
+QUOTA_OVERAGE: Final = 0.1
+UNSPENT_FRACTION: Final = 0.5
 DEMAND_WINDOW_S: Final = 2.0
 GRANT_WINDOW_S: Final = 3.0
 LONG_GRANT_WINDOW_S: Final = 10.0
--- a/src/wagtailbay/quota/models.py
+++ b/src/wagtailbay/quota/models.py
@@ -2,21 +2,7 @@
 
 from attrs import frozen
 
-
-@frozen
-class TokenGrant:
-    """Answer of the owner of a workspace's rate.
-
-    Attributes:
-        tokens: Number of tokens granted, each for one request.
-        wait_ms: Time until another token can be expected, 0 if all requested ones were granted.
-        is_owner: Whether the VM that answers owns the rate; otherwise it grants nothing.
-    """
-
-    tokens: int
-    wait_ms: float
-    is_owner: bool = True
-
+from wagtailbay.membership import TokenGrant
 
 NOT_THE_OWNER = TokenGrant(0, 0.0, is_owner=False)
 
--- a/src/wagtailbay/quota/quota.py
+++ b/src/wagtailbay/quota/quota.py
@@ -7,26 +7,40 @@
 from result import Err, Ok, Result
 
 from wagtailbay.logs import log_event
-from wagtailbay.membership import LoanGrant, LoanRequest, PeerError, VmIdentity
-from wagtailbay.membership.loans import TOKEN_LOAN_TERM_MS
+from wagtailbay.membership import (
+    LoanGrant,
+    LoanRequest,
+    PeerError,
+    TokenDemand,
+    TokenGrants,
+    TokenRequests,
+    VmIdentity,
+)
+from wagtailbay.metrics import Metrics
 from wagtailbay.quota.bank import TokenBank
 from wagtailbay.quota.const import (
-    ASK_TIMEOUT_MS,
+    ASK_RETRY_S,
     BUDGET_PREFIX,
-    MAX_ASKS,
+    CALL_TIMEOUT_MS,
+    DEFAULT_MAX_WAIT_S,
+    LATE_ANSWER_S,
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
     OWNERSHIP_INTERVAL_S,
     OWNERSHIP_TERM_S,
+    SPARE_INTERVAL_S,
     TOKEN_SHARE_PPM,
+    TOKEN_TTL_S,
+    UNTRACKED_TOKEN_TTL_S,
 )
-from wagtailbay.quota.models import NOT_THE_OWNER, RateExceeded, TokenGrant
+from wagtailbay.quota.link import OwnerLink
+from wagtailbay.quota.models import NOT_THE_OWNER, RateExceeded
 from wagtailbay.quota.owners import RateOwners
-from wagtailbay.quota.wallet import Wallet
+from wagtailbay.quota.wallet import Waiter, Wallet
 from wagtailbay.routing import Workspace
 from wagtailbay.supervision import run_isolated
 
-RequestTokens = Callable[[str, LoanRequest, int], Awaitable[Result[LoanGrant, PeerError]]]
+RequestTokens = Callable[[str, TokenRequests, int], Awaitable[Result[TokenGrants, PeerError]]]
 
 
 @define
@@ -34,8 +48,9 @@
     """Admits requests with tokens of the VM that owns the workspace's rate.
 
     The owner has the only bucket of a workspace, so that no request within its rate is refused,
-    wherever it arrives, and none beyond it is admitted. A VM requests tokens for the requests that
-    wait and for those of the next moment. Without an owner that answers, it goes on with a part of
+    wherever it arrives, and none beyond it is admitted. A VM requests tokens of all workspaces of
+    an owner in one call, for the requests that wait, for those of the next moment, and spare ones
+    for the time until the next answer. Without an owner that answers, it goes on with a part of
     what it was granted before.
 
     Attributes:
@@ -47,7 +62,8 @@
         may_grant_until_s: Until when this VM may grant tokens by the last reading of
             grant_fraction. A VM that was suspended must read it again first.
         wallets: Tokens in hand and demand by workspace.
-        background_nursery: Runs token requests in advance; None disables them.
+        links: Calls to each owner.
+        background_nursery: Runs the calls to owners; None disables them.
     """
 
     own: Callable[[], VmIdentity]
@@ -59,6 +75,8 @@
     bank: TokenBank = field(factory=TokenBank)
     may_grant_until_s: float = float("-inf")
     wallets: dict[str, Wallet] = field(factory=dict)
+    links: dict[str, OwnerLink] = field(factory=dict)
+    metrics: Metrics = field(factory=Metrics)
     background_nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -81,9 +99,24 @@
         self.bank.own(owned, fraction, now_s)
         for name in self.wallets.keys() - workspaces.keys():
             del self.wallets[name]
+        for owner, link in tuple(self.links.items()):
+            for name in tuple(link.wallets):
+                if name not in self.wallets or self.owners.owner_of(name) != owner:
+                    link.wallets.pop(name).release_waiters()
+            if not link.wallets and not link.is_running:
+                del self.links[owner]
+
+    def grant_tokens(self, requests: TokenRequests, now_s: float) -> TokenGrants:
+        """Answer the token requests of another VM."""
+        if now_s >= self.may_grant_until_s:
+            return TokenGrants((NOT_THE_OWNER,) * len(requests.demands))
+        grants = (
+            self.bank.grant_demand(demand, requests.borrower, now_s) for demand in requests.demands
+        )
+        return TokenGrants(tuple(grants))
 
     def grant(self, request: LoanRequest, now_s: float) -> LoanGrant:
-        """Answer the token request of another VM."""
+        """Answer the token request of a VM that makes a call for each workspace."""
         workspace = request.budget.removeprefix(BUDGET_PREFIX)
         grant = NOT_THE_OWNER
         if now_s < self.may_grant_until_s:
@@ -91,8 +124,14 @@
         share_ppm = TOKEN_SHARE_PPM if grant.is_owner else 0
         return LoanGrant(share_ppm, float(grant.tokens), wait_ms=round(grant.wait_ms))
 
-    async def admit(self, workspace: Workspace, now_s: float) -> Result[None, RateExceeded]:
-        """Admit a request if its workspace has a token left; may wait for the owner's answer."""
+    async def admit(
+        self, workspace: Workspace, now_s: float, max_wait_s: float = DEFAULT_MAX_WAIT_S
+    ) -> Result[None, RateExceeded]:
+        """Admit a request if its workspace has a token left; may wait for the owner's answer.
+
+        Args:
+            max_wait_s: Longest time for which the request may wait.
+        """
         if workspace.rate_per_s <= 0:
             return Ok(None)
         wallet = self.wallets.setdefault(workspace.workspace, Wallet())
@@ -100,27 +139,63 @@
         owner = self.owners.owner_of(workspace.workspace)
         if owner == self.own().vm:
             return self._admit_as_owner(workspace, wallet, now_s)
-        if wallet.take(now_s):
-            if wallet.needs_refill(now_s):
-                self._request_ahead(workspace, wallet, owner)
+        link = self._get_link(owner, workspace.workspace, wallet, now_s)
+        if wallet.held(now_s) > len(wallet.waiters) and self._take(wallet, now_s):
+            self._start_calls(link, now_s)
             return Ok(None)
-        if wallet.fallback is not None and self.background_nursery is not None:
-            if now_s >= wallet.ask_after_s:
-                self._request_ahead(workspace, wallet, owner)
-            if wallet.take_fallback(now_s):
+        if link is not None and now_s >= wallet.refused_until_s and wallet.fallback is None:
+            if await self._wait_for_token(wallet, link, max_wait_s):
                 return Ok(None)
-            return self._refuse(workspace, wallet, now_s)
-        for _ in range(MAX_ASKS):
-            if now_s < max(wallet.refused_until_s, wallet.ask_after_s):
-                break
-            await self._wait_for_tokens(workspace, wallet, owner)
             now_s = self.clock()
-            if wallet.take(now_s):
-                return Ok(None)
+            self._check_lost(link, wallet, now_s)
+        self._start_calls(link, now_s)
         if wallet.take_fallback(now_s):
             return Ok(None)
         return self._refuse(workspace, wallet, now_s)
 
+    def _take(self, wallet: Wallet, now_s: float) -> bool:
+        """Spend a token in hand; return False if none is left."""
+        spare = wallet.spare
+        taken = wallet.take(now_s)
+        if wallet.spare < spare:
+            self.metrics.record_spare_token()
+        return taken
+
+    def _get_link(
+        self, owner: str | None, workspace: str, wallet: Wallet, now_s: float
+    ) -> OwnerLink | None:
+        """Return the link to a workspace's owner; without an answer, the wallet falls back."""
+        if owner is None:
+            wallet.record_failure(now_s, now_s)
+            return None
+        link = self.links.get(owner)
+        if link is None:
+            link = self.links[owner] = OwnerLink(owner)
+        link.wallets[workspace] = wallet
+        self._check_lost(link, wallet, now_s)
+        return link
+
+    @staticmethod
+    def _check_lost(link: OwnerLink, wallet: Wallet, now_s: float) -> None:
+        """Let a wallet fall back if its owner is lost."""
+        unanswered_since_s = link.unanswered_since_s(now_s)
+        if unanswered_since_s is not None:
+            wallet.record_failure(unanswered_since_s, now_s)
+
+    async def _wait_for_token(self, wallet: Wallet, link: OwnerLink, max_wait_s: float) -> bool:
+        """Wait for a token of the owner; return whether the request got one."""
+        waiter, started_s = Waiter(), self.clock()
+        wallet.waiters.append(waiter)
+        self._start_calls(link, started_s)
+        try:
+            with trio.move_on_after(max_wait_s):
+                await waiter.done.wait()
+        finally:
+            if waiter in wallet.waiters:
+                wallet.waiters.remove(waiter)
+        self.metrics.record_token_wait((self.clock() - started_s) * 1000)
+        return waiter.is_admitted
+
     def _admit_as_owner(
         self, workspace: Workspace, wallet: Wallet, now_s: float
     ) -> Result[None, RateExceeded]:
@@ -132,8 +207,12 @@
             if not wallet.take_fallback(now_s):
                 return self._refuse(workspace, wallet, now_s)
             return Ok(None)
-        wallet.record_grant(grant, now_s, needed=1)
-        return Ok(None) if wallet.take(now_s) else self._refuse(workspace, wallet, now_s)
+        wallet.fallback = None
+        if grant.tokens:
+            wallet.record_spent(1, now_s)
+            return Ok(None)
+        wallet.record_refusal(grant, now_s)
+        return self._refuse(workspace, wallet, now_s)
 
     @staticmethod
     def _refuse(workspace: Workspace, wallet: Wallet, now_s: float) -> Err[RateExceeded]:
@@ -141,61 +220,73 @@
         retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
         return Err(RateExceeded(workspace.rate_per_s, retry_after_ms, wallet.fallback is None))
 
-    async def _wait_for_tokens(
-        self, workspace: Workspace, wallet: Wallet, owner: str | None
-    ) -> None:
-        """Request tokens, or wait for the answer to the request that is on its way."""
-        wallet.waiting += 1
-        try:
-            if wallet.answered is not None:
-                await wallet.answered.wait()
-            else:
-                await self._request(workspace, wallet, owner)
-        finally:
-            wallet.waiting -= 1
-
-    def _request_ahead(self, workspace: Workspace, wallet: Wallet, owner: str | None) -> None:
-        """Request tokens in the background, without a request that waits for them."""
-        if self.background_nursery is None or wallet.answered is not None:
+    def _start_calls(self, link: OwnerLink | None, now_s: float) -> None:
+        """Start to call an owner if tokens are needed and no call is in flight."""
+        if self.background_nursery is None or link is None or link.is_running:
+            return
+        if not self._demands(link, now_s):
             return
 
-        async def request() -> None:
-            if wallet.answered is None:
-                await self._request(workspace, wallet, owner)
+        async def run_calls() -> None:
+            await self._run_calls(link)
 
-        self.background_nursery.start_soon(run_isolated, request, "token_refill")
+        link.is_running = True
+        self.background_nursery.start_soon(run_isolated, run_calls, "token_calls")
 
-    async def _request(self, workspace: Workspace, wallet: Wallet, owner: str | None) -> None:
-        """Request tokens of the owner and record its answer."""
-        wallet.answered = trio.Event()
+    async def _run_calls(self, link: OwnerLink) -> None:
+        """Call an owner, one call after another, while tokens are needed."""
         try:
-            asked_s = self.clock()
-            wanted = wallet.wanted(asked_s)
-            grant = await self._call_owner(workspace.workspace, owner, wanted)
-            if grant.is_owner:
-                wallet.record_grant(grant, self.clock(), needed=wallet.waiting)
-            else:
-                wallet.record_failure(asked_s, self.clock())
+            while demands := self._demands(link, self.clock()):
+                await self._call_owner(link, demands)
         finally:
-            wallet.answered.set()
-            wallet.answered = None
+            link.is_running, link.asked_s = False, None
 
-    async def _call_owner(self, workspace: str, owner: str | None, wanted: int) -> TokenGrant:
-        if owner is None:
-            return NOT_THE_OWNER
-        request = LoanRequest(
-            self.own().vm,
-            self.own().incarnation,
-            BUDGET_PREFIX + workspace,
-            TOKEN_SHARE_PPM,
-            TOKEN_LOAN_TERM_MS,
-            tokens=wanted,
+    def _demands(self, link: OwnerLink, now_s: float) -> tuple[TokenDemand, ...]:
+        """Return the demands of the next call to an owner, empty if none is due."""
+        if now_s < link.ask_after_s:
+            return ()
+        round_trip_s, horizon_s = link.round_trip.mean_s, link.horizon_s()
+        demands = tuple(
+            demand
+            for name, wallet in link.wallets.items()
+            if now_s >= max(wallet.refused_until_s, wallet.ask_after_s)
+            and (demand := wallet.demand_at(name, now_s, round_trip_s, horizon_s))
+            and (demand.tokens or demand.spare)
         )
-        match await self.request_tokens(owner, request, ASK_TIMEOUT_MS):
-            case Ok(LoanGrant(share_ppm=share_ppm, tokens=tokens, wait_ms=wait_ms)) if share_ppm:
-                return TokenGrant(min(wanted, int(tokens)), wait_ms)
-            case Ok(_):
-                log_event("rate_owner_differs", workspace=workspace, owner=owner)
-            case Err(error):
-                log_event("rate_owner_lost", workspace=workspace, owner=owner, reason=str(error))
-        return NOT_THE_OWNER
+        is_due = now_s >= link.called_s + SPARE_INTERVAL_S
+        if is_due or any(
+            link.wallets[demand.workspace].needs_call(now_s, round_trip_s) for demand in demands
+        ):
+            return demands
+        return ()
+
+    async def _call_owner(self, link: OwnerLink, demands: tuple[TokenDemand, ...]) -> None:
+        """Request tokens of an owner and record its answer, also a late one."""
+        wallets = [link.wallets[demand.workspace] for demand in demands]
+        own, asked_s = self.own(), self.clock()
+        link.record_call(asked_s)
+        requests = TokenRequests(own.vm, own.incarnation, demands)
+        answer = await self.request_tokens(link.owner, requests, CALL_TIMEOUT_MS)
+        now_s = self.clock()
+        tokens = sum(demand.tokens + demand.spare for demand in demands)
+        if isinstance(answer, Err):
+            log_event("rate_owner_lost", owner=link.owner, reason=str(answer.err_value))
+            self.metrics.record_token_call("failed", tokens)
+            link.record_failure(now_s)
+            for wallet in wallets:
+                wallet.record_failure(link.lost_since_s, now_s)
+            for wallet in link.wallets.values():
+                wallet.release_waiters()
+            return
+        is_late = now_s - asked_s > LATE_ANSWER_S
+        self.metrics.record_token_call("late" if is_late else "ok", tokens)
+        link.record_answer(now_s)
+        ttl_s = TOKEN_TTL_S if answer.ok_value.is_tracked else UNTRACKED_TOKEN_TTL_S
+        for wallet, demand, grant in zip(wallets, demands, answer.ok_value.grants, strict=True):
+            if grant.is_owner:
+                wallet.record_grant(demand, grant, asked_s, now_s, ttl_s)
+                continue
+            log_event("rate_owner_differs", workspace=demand.workspace, owner=link.owner)
+            wallet.ask_after_s = now_s + ASK_RETRY_S
+            wallet.record_failure(asked_s, now_s)
+            wallet.release_waiters()
--- a/src/wagtailbay/quota/wallet.py
+++ b/src/wagtailbay/quota/wallet.py
@@ -1,24 +1,35 @@
 """Tokens of one workspace that a VM holds, and what it does without an owner."""
 
+from collections import deque
+from math import sqrt
+
 import trio
 from attrs import define, field
 
 from wagtailbay.limits import DecayingRate, TokenBucket
+from wagtailbay.membership import TokenDemand, TokenGrant
 from wagtailbay.quota.const import (
-    ASK_RETRY_S,
     BATCH_S,
     DEMAND_WINDOW_S,
     FALLBACK_BURST_S,
     FALLBACK_FRACTION,
     FALLBACK_HALF_LIFE_S,
     GRANT_WINDOW_S,
+    LATE_ANSWER_S,
     LONG_GRANT_WINDOW_S,
     MAX_REFUSAL_S,
     MIN_REFUSAL_S,
     REFILL_AHEAD_S,
     TOKEN_TTL_S,
 )
-from wagtailbay.quota.models import TokenGrant
+
+
+@define(eq=False)
+class Waiter:
+    """A request that waits for a token."""
+
+    done: trio.Event = field(factory=trio.Event)
+    is_admitted: bool = False
 
 
 @define
@@ -27,67 +38,115 @@
 
     Attributes:
         tokens: Unspent tokens, which expire at expires_s.
+        spare: Further ones, which are spent when there are no others.
         demand: Rate of the workspace's requests at this VM.
         granted: Rate of the tokens that owners granted to this VM.
         granted_long: The same over a longer time. In a small part of a split fleet, an owner grants
             the whole rate to a few VMs until it knows, which must not raise what they use later.
-        waiting: Number of requests that wait for tokens.
-        answered: Set when the request to the owner that is on its way has ended; None if there is
-            none.
+        waiters: Requests that wait for tokens, the oldest first.
         refused_until_s: Until when requests are refused by the owner's last answer.
         available_s: When another token can be expected, from that answer.
-        ask_after_s: Earliest time of the next request to an owner, after a failed one.
+        ask_after_s: Earliest time of the next request to a VM that denied to be the owner.
         fallback: Bucket used without an owner; None while an owner answers.
         owner_lost_s: When the owner stopped answering.
     """
 
     tokens: int = 0
+    spare: int = 0
     expires_s: float = float("-inf")
     demand: DecayingRate = field(factory=lambda: DecayingRate(DEMAND_WINDOW_S))
     granted: DecayingRate = field(factory=lambda: DecayingRate(GRANT_WINDOW_S))
     granted_long: DecayingRate = field(factory=lambda: DecayingRate(LONG_GRANT_WINDOW_S))
-    waiting: int = 0
-    answered: trio.Event | None = None
+    waiters: deque[Waiter] = field(factory=deque)
     refused_until_s: float = float("-inf")
     available_s: float = float("-inf")
     ask_after_s: float = float("-inf")
     fallback: TokenBucket | None = None
     owner_lost_s: float = float("-inf")
 
+    def held(self, now_s: float) -> int:
+        """Return the number of tokens in hand."""
+        if now_s >= self.expires_s:
+            self.tokens = self.spare = 0
+        return self.tokens + self.spare
+
     def take(self, now_s: float) -> bool:
         """Spend a token; return False if none is left."""
-        if now_s >= self.expires_s:
-            self.tokens = 0
-        if self.tokens < 1:
+        if self.held(now_s) < 1:
             return False
-        self.tokens -= 1
+        if self.tokens:
+            self.tokens -= 1
+        else:
+            self.spare -= 1
         return True
 
-    def wanted(self, now_s: float) -> int:
-        """Return how many tokens to request: for the waiting requests and the next ones."""
-        return self.waiting + int(self.demand.at(now_s) * BATCH_S)
+    def demand_at(
+        self, workspace: str, now_s: float, round_trip_s: float, horizon_s: float
+    ) -> TokenDemand:
+        """Return what to request: for the waiting requests, the next ones and a spare."""
+        expected_per_s = self.demand.at(now_s)
+        held = self.held(now_s)
+        ahead = int(expected_per_s * (BATCH_S + round_trip_s))
+        tokens = max(0, len(self.waiters) + ahead - self.tokens)
+        if self.fallback is not None:
+            tokens = max(1, tokens)
+        usual = expected_per_s * horizon_s
+        # Twice the standard deviation of requests that come independently.
+        target = int(1 + usual + 2 * sqrt(usual)) if expected_per_s * DEMAND_WINDOW_S > 0.1 else 0
+        waiting = min(tokens, len(self.waiters))
+        return TokenDemand(workspace, tokens, max(0, target - self.spare), held, waiting)
 
-    def needs_refill(self, now_s: float) -> bool:
-        """Return whether to request tokens before those in hand are spent."""
-        expected = self.demand.at(now_s)
-        if expected * BATCH_S < 1 or now_s < max(self.refused_until_s, self.ask_after_s):
+    def needs_call(self, now_s: float, round_trip_s: float) -> bool:
+        """Return whether to request tokens at once."""
+        if now_s < max(self.refused_until_s, self.ask_after_s):
             return False
-        return self.tokens <= expected * REFILL_AHEAD_S
+        if self.waiters or self.fallback is not None:
+            return True
+        expected_per_s = self.demand.at(now_s)
+        if expected_per_s * BATCH_S < 1:
+            return False
+        return self.held(now_s) <= expected_per_s * max(REFILL_AHEAD_S, round_trip_s)
+
+    def record_grant(
+        self,
+        demand: TokenDemand,
+        grant: TokenGrant,
+        asked_s: float,
+        now_s: float,
+        ttl_s: float = TOKEN_TTL_S,
+    ) -> None:
+        """Add granted tokens; refuse requests for a while if there were too few.
 
-    def record_grant(self, grant: TokenGrant, now_s: float, needed: int) -> None:
-        """Add granted tokens; refuse requests for a while if there were fewer than needed."""
+        The owner does not count tokens for waiting requests as unspent. If these requests have
+        ended before a late answer, their tokens expire.
+        """
         self.fallback = None
-        if now_s >= self.expires_s:
-            self.tokens = 0
-        if grant.tokens:
-            self.tokens += grant.tokens
-            self.expires_s = now_s + TOKEN_TTL_S
-            self.record_spent(grant.tokens, now_s)
+        self.held(now_s)
+        self.record_spent(grant.tokens + grant.spare, now_s)
+        self.expires_s = max(self.expires_s, asked_s + ttl_s)
+        self.tokens += grant.tokens
+        self.spare += grant.spare
+        while self.waiters and self.take(now_s):
+            waiter = self.waiters.popleft()
+            waiter.is_admitted = True
+            waiter.done.set()
+        if now_s - asked_s > LATE_ANSWER_S:
+            self.tokens = min(self.tokens, max(0, grant.tokens - demand.waiting))
         # Requests that came after the call may need more than was asked for.
-        if grant.tokens < needed and grant.wait_ms > 0:
-            self.available_s = now_s + grant.wait_ms / 1000
-            refusal_s = min(MAX_REFUSAL_S, max(MIN_REFUSAL_S, grant.wait_ms / 1000))
-            self.refused_until_s = now_s + refusal_s
+        if grant.wait_ms > 0 and not self.held(now_s):
+            self.record_refusal(grant, now_s)
+
+    def record_refusal(self, grant: TokenGrant, now_s: float) -> None:
+        """Refuse requests until the owner may have more tokens."""
+        self.available_s = now_s + grant.wait_ms / 1000
+        refusal_s = min(MAX_REFUSAL_S, max(MIN_REFUSAL_S, grant.wait_ms / 1000))
+        self.refused_until_s = now_s + refusal_s
+        self.release_waiters()
+
+    def release_waiters(self) -> None:
+        """End the waiting of all requests without a token."""
+        while self.waiters:
+            self.waiters.popleft().done.set()
 
     def record_spent(self, tokens: int, now_s: float) -> None:
         """Count tokens that this VM was granted."""
@@ -100,7 +159,6 @@
         Args:
             asked_s: When the owner was asked in vain. The fallback collects tokens from then on.
         """
-        self.ask_after_s = now_s + ASK_RETRY_S
         if self.fallback is None:
             self.fallback, self.owner_lost_s = TokenBucket(0.0, 1.0, 0.0, asked_s), asked_s
             self._set_fallback_rate(asked_s)
--- a/tests/quota/fleet.py
+++ b/tests/quota/fleet.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from wagtailbay.limits import TokenBucket
-from wagtailbay.membership import LoanGrant, LoanRequest, PeerError, PeerFailure, VmIdentity
+from wagtailbay.membership import PeerError, PeerFailure, TokenRequests, VmIdentity
 from wagtailbay.quota import RateOwners, TokenBank, WorkspaceQuota, grant_fraction
 from wagtailbay.routing import Workspace
 
@@ -53,7 +53,7 @@
         return WorkspaceQuota(
             lambda: VmIdentity(f"vm-{number}", 1, "", "", "z1"),
             RateOwners(lambda: self._candidates(number)),
-            lambda vm, request, timeout_ms: self._call(number, vm, request, timeout_ms),
+            lambda vm, requests, timeout_ms: self._call(number, vm, requests, timeout_ms),
             lambda: {self.workspace.workspace: self.workspace},
             lambda now_s: self._grant_fraction(number, now_s),
             trio.current_time,
@@ -80,16 +80,16 @@
         lost_ages_s = [age_s for age_s in ages_s if age_s >= self.contact_loss_s]
         return grant_fraction(len(ages_s) - len(lost_ages_s), lost_ages_s, alone_fraction=1 / 6)
 
-    async def _call(self, caller: int, vm: str, request: LoanRequest, timeout_ms: int):
+    async def _call(self, caller: int, vm: str, requests: TokenRequests, timeout_ms: int):
         self.calls += 1
         callee = int(vm.removeprefix("vm-"))
         if callee in self.crashed or (caller in self.cut_off) != (callee in self.cut_off):
             await trio.sleep(timeout_ms / 1000)
             return Err(PeerError(vm, PeerFailure.TIMEOUT, "no answer"))
         await trio.sleep(self.round_trip_s / 2)
-        grant: LoanGrant = self.quotas[callee].grant(request, trio.current_time())
+        grants = self.quotas[callee].grant_tokens(requests, trio.current_time())
         await trio.sleep(self.round_trip_s / 2)
-        return Ok(grant)
+        return Ok(grants)
 
     def owner(self) -> int:
         """Return the VM that owns the workspace's rate."""
