Make fewer and cheaper calls for tokens

A call took 1.7 ms of processor time at both ends together, half of it for compressing messages of some 100 bytes. Result: tests/membership and tests/quota pass (177).

--- a/src/wagtailbay/membership/client.py
+++ b/src/wagtailbay/membership/client.py
@@ -110,10 +110,14 @@
     def start_call(
         self, method: str, data: bytes, timeout_ms: float
     ) -> Result[grpc.Future, PeerError]:
-        """Start one call, which ends after at most timeout_ms and holds no thread meanwhile."""
+        """Start one call, which ends after at most timeout_ms and holds no thread meanwhile.
+
+        Token requests and loans are some 100 bytes; compressing them took half of a call's time.
+        """
         invoke = self.channel.unary_unary(f"/{SERVICE_NAME}/{method}")
         try:
-            return Ok(invoke.future(data, timeout=timeout_ms / 1000))
+            compression = grpc.Compression.NoCompression
+            return Ok(invoke.future(data, timeout=timeout_ms / 1000, compression=compression))
         except ValueError as error:  # The channel has been closed.
             return Err(PeerError(self.vm, PeerFailure.UNREACHABLE, str(error)))
 
--- a/src/wagtailbay/membership/server.py
+++ b/src/wagtailbay/membership/server.py
@@ -137,13 +137,15 @@
         return grpc.method_handlers_generic_handler(
             SERVICE_NAME,
             {
-                name: grpc.unary_unary_rpc_method_handler(self._run_in_trio(handler))
+                name: grpc.unary_unary_rpc_method_handler(
+                    self._run_in_trio(handler, name == EXCHANGE_METHOD)
+                )
                 for name, handler in handlers.items()
             },
         )
 
     def _run_in_trio(
-        self, handler: Callable[[bytes], Answer]
+        self, handler: Callable[[bytes], Answer], compresses: bool
     ) -> Callable[[bytes, grpc.ServicerContext], bytes]:
         """Return a gRPC handler that runs the given handler in the trio thread."""
 
@@ -154,6 +156,8 @@
                 answer = Err(Refusal(grpc.StatusCode.UNAVAILABLE, "the VM is ending"))
             if isinstance(answer, Err):
                 _abort(context, answer.err_value)
+            if not compresses:
+                context.set_compression(grpc.Compression.NoCompression)
             return answer.ok_value
 
         return handle
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -43,7 +43,7 @@
 # More tokens are requested in advance when those in hand cover less than this.
 REFILL_AHEAD_S: Final = 0.1
 # Spare tokens alone cause a call to their owner at most this often. Calls go to up to 12 owners.
-SPARE_INTERVAL_S: Final = 0.25
+SPARE_INTERVAL_S: Final = 0.5
 # Spare tokens are granted from this fraction of what the bucket holds, in even parts to the VMs.
 SPARE_FRACTION: Final = 1.0
 # Unspent tokens expire after this time since they were requested. The owner counts them as unspent
