--- a/src/wagtailbay/quota/models.py
+++ b/src/wagtailbay/quota/models.py
@@ -14,7 +14,7 @@
     Attributes:
         rate_per_s: Rate of the workspace over the whole fleet.
         owner_answers: Whether the owner of the rate refused. Without its answer, this VM has used
-            up the part that it goes on with.
+            up the part that it goes on with, or the request has waited for as long as it may.
     """
 
     rate_per_s: float
--- a/src/wagtailbay/quota/quota.py
+++ b/src/wagtailbay/quota/quota.py
@@ -218,7 +218,8 @@
     def _refuse(workspace: Workspace, wallet: Wallet, now_s: float) -> Err[RateExceeded]:
         wait_ms = (wallet.available_s - now_s) * 1000
         retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
-        return Err(RateExceeded(workspace.rate_per_s, retry_after_ms, wallet.fallback is None))
+        owner_answers = wallet.fallback is None and now_s < wallet.refused_until_s
+        return Err(RateExceeded(workspace.rate_per_s, retry_after_ms, owner_answers))
 
     def _start_calls(self, link: OwnerLink | None, now_s: float) -> None:
         """Start to call an owner if tokens are needed and no call is in flight."""
@@ -278,7 +279,10 @@
             for wallet in link.wallets.values():
                 wallet.release_waiters()
             return
-        is_late = now_s - asked_s > LATE_ANSWER_S
+        round_trip_s = now_s - asked_s
+        is_late = round_trip_s > LATE_ANSWER_S
+        if link.unanswered_since_s(now_s) is not None:
+            log_event("rate_owner_late", owner=link.owner, round_trip_ms=round(round_trip_s * 1000))
         self.metrics.record_token_call("late" if is_late else "ok", tokens)
         link.record_answer(now_s)
         ttl_s = TOKEN_TTL_S if answer.ok_value.is_tracked else UNTRACKED_TOKEN_TTL_S
