Add usage reports: counting, exchange, lease and sending

Cause: a customer needs one report for each window of true time, with the requests of each workspace that targets began to run. Rejected facts name the field.

--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -17,6 +17,7 @@
     STOPPING_RETRY_AFTER_MS,
 )
 from wagtailbay.gateway.models import (
+    AttemptMeter,
     AttemptResult,
     BufferedResponse,
     ForwardResult,
@@ -95,6 +96,7 @@
         max_response_bytes: A target's response with a larger body is cut off.
         background_nursery: Runs crash checks, for which the caller does not wait; None disables
             them.
+        meter: Counts the attempts that targets began to run; None if nobody wants to know.
     """
 
     selector: TargetSelector
@@ -112,6 +114,7 @@
     retry_budgets: RetryBudgets = field(init=False)
     has_exited: Callable[[str], Awaitable[bool]] = refuses_connections
     background_nursery: trio.Nursery | None = None
+    meter: AttemptMeter | None = None
 
     def __attrs_post_init__(self) -> None:
         """Create the retry budgets with this VM's share of the fleet's retry capacity."""
@@ -182,8 +185,11 @@
             self.max_response_bytes,
         )
         result: AttemptResult | None = None
+        retract = self._record_begun(request, started_s)
         try:
             result = await attempt.run()
+            if not result.may_have_run:
+                retract()
         finally:
             outcome = result.outcome if result else TargetOutcome.GIVEN_UP
             if result is None:
@@ -201,6 +207,13 @@
             self.background_nursery.start_soon(run_isolated, check, "crash_check")
         return result
 
+    def _record_begun(self, request: GatewayRequest, now_s: float) -> Callable[[], None]:
+        """Count an attempt for its workspace; return what removes it again."""
+        if self.meter is None or request.workspace is None:
+            return lambda: None
+        workspace = request.workspace.workspace
+        return partial(self.meter.retract, workspace, self.meter.record_begun(workspace, now_s))
+
     def _record(
         self,
         request: GatewayRequest,
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -56,6 +56,16 @@
     pause_ms: float | None = None
 
 
+class AttemptMeter(Protocol):
+    """Counts the attempts that targets began to run, by workspace."""
+
+    def record_begun(self, workspace: str, now_s: float) -> int:
+        """Count an attempt that is sent now and return its window."""
+
+    def retract(self, workspace: str, window: int) -> None:
+        """Remove an attempt that no target began to run."""
+
+
 class HeaderCodec(Protocol):
     """Translates request and response metadata to and from the headers of one platform."""
 
--- a/src/wagtailbay/membership/codec.py
+++ b/src/wagtailbay/membership/codec.py
@@ -4,7 +4,9 @@
 from typing import Any
 
 from attrs import define, field, frozen
-from cattrs import Converter
+from cattrs import Converter, transform_error
+from cattrs.errors import BaseValidationError
+from cattrs.v import format_exception
 from result import Err, Ok, Result
 
 from wagtailbay.decoding import DECODE_ERRORS
@@ -79,6 +81,8 @@
             return Ok(cached)
         try:
             value = self.converter.structure(json.loads(data, parse_constant=_reject_constant), cls)
+        except BaseValidationError as error:
+            return Err("; ".join(transform_error(error, format_exception=_describe)))
         except DECODE_ERRORS as error:
             return Err(f"{type(error).__name__}: {error}")
         if len(data) <= MAX_CACHED_FACT_BYTES:
@@ -93,6 +97,13 @@
     cache[key] = value
 
 
+def _describe(error: BaseException, expected_type: type | None) -> str:
+    """Describe one fault; the message of a validator names the field."""
+    text = format_exception(error, expected_type)
+    message = str(error.args[0]) if error.args else ""
+    return f"{message}, {text}" if message and message not in text else text
+
+
 def _reject_constant(constant: str) -> None:
     raise ValueError(f"{constant} is not a JSON number")
 
--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -35,6 +35,8 @@
     _move_share: Gauge = field(init=False)
     _confirmed_age_ms: Gauge = field(init=False)
     _lost_audit_records: Counter = field(init=False)
+    _usage_windows: Counter = field(init=False)
+    _usage_holder: Gauge = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create all instruments."""
@@ -100,6 +102,12 @@
         self._lost_audit_records = meter.create_counter(
             "wagtailbay.audit.lost", description="Audit records that did not reach the store"
         )
+        self._usage_windows = meter.create_counter(
+            "wagtailbay.usage.reports", description="Usage reports and windows without one"
+        )
+        self._usage_holder = meter.create_gauge(
+            "wagtailbay.usage.holder", description="Whether this VM sends the usage reports"
+        )
 
     def record_finished_request(
         self, service: str, route: str, status: int, outcome: str, latency_ms: float
@@ -145,3 +153,11 @@
     def record_lost_audit_record(self) -> None:
         """Count an audit record that did not reach the store."""
         self._lost_audit_records.add(1)
+
+    def record_usage(self, outcome: str) -> None:
+        """Count a call that sent a usage report, or a window that is not reported as usual."""
+        self._usage_windows.add(1, {"outcome": outcome})
+
+    def set_usage_holder(self, is_holder: bool) -> None:
+        """Set whether this VM holds the duty to report usage."""
+        self._usage_holder.set(int(is_holder))
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -19,6 +19,7 @@
 from wagtailbay.programs.gateway_fleet_view import GatewayFleetView, build_fleet_document
 from wagtailbay.programs.gateway_node import PROGRAM, GatewayNode
 from wagtailbay.programs.gateway_settings import GatewaySettings
+from wagtailbay.programs.gateway_usage import build_gateway_usage
 from wagtailbay.quarantine import CRASH_PREFIX, CrashRecorder, CrashTable
 from wagtailbay.quota import RateOwners, TokenBank, WorkspaceQuota
 from wagtailbay.registry import (
@@ -119,6 +120,8 @@
         version_splitter = VersionSplitter(self.rng, settings.requirements)
         pool = ConnectionPool(MAX_IDLE_CONNECTIONS)
         handler = self._build_handler(fleet_view, version_splitter, pool, exporter)
+        usage = build_gateway_usage(settings, fleet_view, store, exporter.metrics)
+        handler.forwarder.meter = usage.meter if usage else None
         return GatewayNode(
             settings=settings,
             identity=identity,
@@ -155,6 +158,7 @@
             pool=pool,
             server=HttpServer(handler.handle, body_budget=build_body_budget(settings.memory_mb)),
             lost_objects=LostObjectHold(HELD_PREFIXES),
+            usage=usage,
         )
 
     def _build_handler(
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -36,6 +36,7 @@
 from wagtailbay.routing import ActiveRouting, ServiceRule
 from wagtailbay.supervision import keep_running
 from wagtailbay.transport import ConnectionPool, HttpServer
+from wagtailbay.usage import UsageParts
 
 PROGRAM = "wagtailbay-gateway"
 HOUSEKEEPING_INTERVAL_S = 1.0
@@ -66,6 +67,7 @@
     pool: ConnectionPool
     server: HttpServer
     lost_objects: LostObjectHold
+    usage: UsageParts | None = None
     started_s: float = field(factory=boottime_s)
 
     async def run_tasks(self, nursery: trio.Nursery) -> None:
@@ -82,6 +84,7 @@
             "loop_lag": self.handler.loop_lag.run,
             "occupancy": self.occupancy.run,
             "leaving_targets": self.leaving_tracker.run,
+            **(self.usage.tasks() if self.usage else {}),
         }.items():
             nursery.start_soon(keep_running, task, name)
 
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -11,6 +11,7 @@
 from wagtailbay.requirements import FleetRequirements, parse_requirements
 from wagtailbay.settings import setting
 from wagtailbay.settings.checks import parse_address, parse_address_list, parse_optional_address
+from wagtailbay.usage import UsageSettings, parse_usage_settings
 
 
 def parse_zones(text: str) -> dict[str, str]:
@@ -115,6 +116,22 @@
         parse=partial(parse_requirements, parse_duration_ms=parse_duration_ms),
     )
 
+    usage_api_address: str = setting(
+        help_text="address that usage reports are sent to; empty disables them",
+        default="",
+        parse=parse_optional_address,
+    )
+    usage: UsageSettings = setting(
+        help_text="rules of the deployment for usage reports, as a JSON object",
+        default=UsageSettings(),
+        parse=partial(parse_usage_settings, parse_duration_ms=parse_duration_ms),
+    )
+
+    @property
+    def reports_usage(self) -> bool:
+        """Return whether this deployment wants usage reports."""
+        return bool(self.usage_api_address) and self.usage.report_window_ms > 0
+
     @property
     def capacity(self) -> VmCapacity:
         """Return what this VM can carry, by its settings."""
--- /dev/null
+++ b/src/wagtailbay/usage/const.py
@@ -0,0 +1,51 @@
+"""Constants of the usage slice."""
+
+from typing import Final
+
+USAGE_KIND: Final = "usage"
+USAGE_CELL_KIND: Final = "usage_cell"
+USAGE_CLOCK_KIND: Final = "usage_clock"
+USAGE_LEASE_KIND: Final = "usage_lease"
+DUTY_KEY: Final = "usage/duty"
+
+EXCHANGE_INTERVAL_S: Final = 0.5
+# Counts of the running window are published this often. A VM that is killed loses at most this
+# much of its own counts.
+RUNNING_INTERVAL_S: Final = 1.0
+# A window is closed this long after its end, since attempts are recorded with a small delay.
+CLOSE_DELAY_S: Final = 0.1
+CLOCK_TTL_MS: Final = 5_000
+# A change of the estimated offset by more than MAX_OFFSET_STEP_S takes effect only after this many
+# estimates in a row. A VM that resumes after a freeze reads messages that have waited, and for one
+# interval these make all other clocks appear late.
+MAX_OFFSET_STEP_S: Final = 0.2
+STEP_CONFIRMATIONS: Final = 3
+OFFSET_CALIBRATION_S: Final = 5.0
+
+# Fractions of the time from a window's end until its report is due.
+SETTLE_FRACTION: Final = 0.25
+LATEST_FRACTION: Final = 0.6
+# Counts are kept for this many windows beyond the time until the report is due.
+KEPT_WINDOWS: Final = 2
+MAX_OPEN_WINDOWS: Final = 12
+MAX_LOGGED_VMS: Final = 8
+
+# Fractions of the lease time. A renewal may take 0.27 of the lease before no call can be started:
+# 1 - RENEW - CALL_TIMEOUT leaves 0.27, less thaw_slack.
+RENEW_FRACTION: Final = 1 / 3
+CALL_TIMEOUT_FRACTION: Final = 0.4
+SILENCE_FRACTION: Final = 0.75
+LEASE_TICK_S: Final = 0.2
+WRITE_RETRY_S: Final = 0.25
+READ_RETRY_S: Final = 1.0
+# VMs that may take the duty over; each one waits this much longer than the one before it.
+MAX_CANDIDATES: Final = 3
+CANDIDATE_STAGGER_S: Final = 1.0
+# A VM that has just become live may not know the others yet and would take itself for the first.
+CANDIDATE_DELAY_S: Final = 2.0
+
+REPORT_TICK_S: Final = 0.1
+# Part of the calls per second that the deployment allows that this duty uses.
+CALL_RATE_FRACTION: Final = 0.2
+MIN_BACKOFF_S: Final = 0.3
+MAX_BACKOFF_S: Final = 2.0
--- /dev/null
+++ b/src/wagtailbay/usage/exchange.py
@@ -0,0 +1,164 @@
+"""Exchange the counts of windows between VMs and add them up."""
+
+from collections.abc import Callable, Iterable
+from math import inf
+
+import trio
+from attrs import define, evolve, field, frozen
+
+from wagtailbay.membership import FactTable, FleetLayout
+from wagtailbay.membership.aggregate import add_counts
+from wagtailbay.usage.const import (
+    CLOSE_DELAY_S,
+    EXCHANGE_INTERVAL_S,
+    KEPT_WINDOWS,
+    RUNNING_INTERVAL_S,
+    USAGE_CELL_KIND,
+    USAGE_KIND,
+)
+from wagtailbay.usage.counter import UsageCounter
+from wagtailbay.usage.models import CellUsage, UsageSettings, WindowUsage
+from wagtailbay.usage.true_time import TrueTime
+
+
+@frozen
+class Publication:
+    """What was published last for a window, and when."""
+
+    value: WindowUsage | CellUsage
+    published_s: float
+
+
+@define
+class UsageExchange:
+    """Publishes this VM's counts, and the sum of its cell if it is a delegate.
+
+    Facts of each run of a VM have keys of their own, so that the counts of a run that has ended
+    remain. Each sum names the VMs in it. A total never adds two sums that have a VM in common, so
+    changes of delegates and cells count no VM twice.
+
+    Attributes:
+        run: Identifies this process.
+        started_s: From when on this process has counted, on the steady clock.
+    """
+
+    settings: UsageSettings
+    run_id: str
+    counter: UsageCounter
+    true_time: TrueTime
+    facts: FactTable
+    layout: Callable[[], FleetLayout]
+    clock: Callable[[], float]
+    started_s: float
+    published: dict[tuple[str, int], Publication] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Publish counts periodically until cancelled."""
+        while True:
+            self.exchange(self.clock())
+            await trio.sleep(EXCHANGE_INTERVAL_S)
+
+    @property
+    def ttl_ms(self) -> int:
+        """Return how long facts are kept: until the report is due, and for some windows more."""
+        window_ms = (1 + KEPT_WINDOWS) * self.settings.report_window_ms
+        return round(window_ms + self.settings.due_after_ms)
+
+    def exchange(self, now_s: float) -> None:
+        """Publish what has changed since the last time."""
+        self.true_time.update(now_s)
+        unix_s = self.true_time.unix_s(now_s)
+        self.counter.prune(unix_s)
+        first, last = self.counter.first_kept(unix_s), self.settings.window_at(unix_s)
+        started_unix_s = self.true_time.unix_s(self.started_s)
+        is_delegate = self.layout().is_delegate(self.facts.vm)
+        for window in range(first, last + 1):
+            if self.settings.end_s(window) <= started_unix_s:
+                continue
+            usage = self._own_usage(window, now_s)
+            if usage.closed or usage.counts:
+                self._publish(USAGE_KIND, usage, now_s)
+            if is_delegate and usage.closed:
+                cell_usage = self._cell_usage(window, now_s)
+                if cell_usage is not None:
+                    self._publish(USAGE_CELL_KIND, cell_usage, now_s)
+        self.published = {k: p for k, p in self.published.items() if k[1] >= first}
+
+    def _own_usage(self, window: int, now_s: float) -> WindowUsage:
+        closed_s = self.settings.end_s(window) + CLOSE_DELAY_S
+        since_ms = max(0, round(self.true_time.unix_s(self.started_s) * 1000))
+        closed = self.true_time.unix_s(now_s) >= closed_s
+        return WindowUsage(window, since_ms, closed, self.counter.counts(window))
+
+    def _publish(self, kind: str, usage: WindowUsage | CellUsage, now_s: float) -> None:
+        last = self.published.get((kind, usage.window))
+        if last is not None:
+            if evolve(last.value, since_ms=usage.since_ms) == usage:
+                return
+            is_running = isinstance(usage, WindowUsage) and not usage.closed
+            if is_running and now_s - last.published_s < RUNNING_INTERVAL_S:
+                return
+        key = f"{usage.window}/{self.run_id}"
+        self.facts.publish(kind, key, usage, ttl_ms=self.ttl_ms, now_s=now_s)
+        self.published[(kind, usage.window)] = Publication(usage, now_s)
+
+    def _cell_usage(self, window: int, now_s: float) -> CellUsage | None:
+        """Return the sum over this VM's cell, including this VM."""
+        cell = self.layout().cell_peers(self.facts.vm) | {self.facts.vm}
+        return _sum_runs(
+            window, [item for item in self._window_usages(window, now_s) if item[0] in cell]
+        )
+
+    def _window_usages(self, window: int, now_s: float) -> list[tuple[str, WindowUsage]]:
+        """Return what each run is known to have counted in a window."""
+        return [
+            (fact.vm, fact.value)
+            for fact in self.facts.of_kind(USAGE_KIND, now_s)
+            if fact.value.window == window
+        ]
+
+    def total(self, window: int, now_s: float) -> CellUsage | None:
+        """Return the total over the fleet as far as it is known here; None if nothing is.
+
+        Larger sums go first, and among sums over the same VMs those with more closed VMs and the
+        newest one.
+        """
+        usages = self._window_usages(window, now_s)
+        sums: list[tuple[float, CellUsage]] = []
+        own_cell = self._cell_usage(window, now_s)
+        if own_cell is not None:
+            sums.append((inf, own_cell))
+        for vm in {vm for vm, _ in usages}:
+            sums.append((0.0, _sum_runs(window, [item for item in usages if item[0] == vm])))
+        for fact in self.facts.of_kind(USAGE_CELL_KIND, now_s):
+            if fact.value.window == window and fact.vm != self.facts.vm:
+                sums.append((fact.expires_s, fact.value))
+        sums.sort(key=lambda item: (len(item[1].vms), len(item[1].closed_vms), item[0]))
+        total: CellUsage | None = None
+        for _, usage in reversed(sums):
+            if total is None:
+                total = usage
+            elif not total.vms & usage.vms:
+                total = _add(total, usage)
+        return total
+
+
+def _sum_runs(window: int, usages: Iterable[tuple[str, WindowUsage]]) -> CellUsage | None:
+    """Add up what several runs have counted; a VM is closed once any of its runs is."""
+    total: CellUsage | None = None
+    for vm, usage in usages:
+        closed, still_open = ((vm,), ()) if usage.closed else ((), (vm,))
+        part = CellUsage(window, usage.since_ms, closed, still_open, usage.counts)
+        total = part if total is None else _add(total, part)
+    return total
+
+
+def _add(some: CellUsage, other: CellUsage) -> CellUsage:
+    closed = set(some.closed_vms) | set(other.closed_vms)
+    return CellUsage(
+        some.window,
+        min(some.since_ms, other.since_ms),
+        tuple(sorted(closed)),
+        tuple(sorted((some.vms | other.vms) - closed)),
+        add_counts(some.counts, other.counts),
+    )
