--- /dev/null
+++ b/tests/usage/test_lease.py
@@ -0,0 +1,185 @@
+"""Tests of the holder's lease: frozen holders, lost answers and returns of the store."""
+
+import pytest
+from usage.fleet import SETTINGS, UsageFleet, check_whole, holder, start
+
+from wagtailbay.store import StorePosition
+from wagtailbay.usage.const import DUTY_KEY
+
+
+def tokens(fleet: UsageFleet) -> list[int]:
+    """Return the tokens of all calls in their order."""
+    return [call.token for call in fleet.standin.calls]
+
+
+class TestFrozenHolder:
+    """A holder that was stopped does not act beside its successor."""
+
+    @pytest.mark.parametrize("frozen_s", [1.0, 2.5, 3.0, 3.3, 4.0, 6.0, 9.0])
+    async def test_successor_and_resumed_holder_break_no_rule(self, frozen_s: float) -> None:
+        """Guards against a resumed holder that sends with its old token or other counts."""
+        fleet, truth, send = await start()
+        await fleet.run(13, send)
+        first = holder(fleet)
+        first.is_frozen = True
+        await fleet.run(frozen_s, send)
+        first.is_frozen = False
+        await fleet.run(30, send)
+        assert not fleet.standin.violations
+        assert len(fleet.holders()) == 1
+        missed = set(range(min(truth), fleet.window() - 2)) - fleet.standin.reports.keys()
+        assert not missed
+
+    async def test_call_that_was_checked_before_a_freeze_is_not_sent(self) -> None:
+        """Guards against a freeze between the choice of a report and its sending."""
+        fleet, _, send = await start()
+        await fleet.run(13, send)
+        first = holder(fleet)
+        before = len(fleet.standin.calls)
+
+        def freeze() -> None:
+            first.is_frozen = True
+            fleet.now_s += SETTINGS.lease_s
+
+        first.api.before_check = freeze
+        while not first.is_frozen:
+            await fleet.run(0.1, send)
+        assert len(fleet.standin.calls) == before
+        first.api.before_check = lambda: None
+        await fleet.run(8, send)
+        first.is_frozen = False
+        await fleet.run(15, send)
+        assert fleet.holders() != [first.name]
+        assert not fleet.standin.violations
+
+    async def test_no_call_starts_that_may_end_after_the_lease(self) -> None:
+        """Guards against a call in flight while the successor already acts."""
+        fleet, _, _ = await start()
+        lease = holder(fleet).parts.lease
+        margin_s = SETTINGS.call_timeout_s + SETTINGS.thaw_slack_s
+        last_s = lease.written_s + SETTINGS.lease_s - margin_s
+        assert lease.may_send(last_s - 0.001)
+        assert not lease.may_send(last_s + 0.001)
+
+    async def test_killed_holder_is_replaced_in_time(self) -> None:
+        """Guards against missing reports after the loss of the holder."""
+        fleet, truth, send = await start()
+        await fleet.run(13, send)
+        fleet.kill(holder(fleet).name)
+        await fleet.run(30, send)
+        check_whole(fleet, truth, tolerance=0.1)
+        assert len(set(tokens(fleet))) == 2
+
+    async def test_holders_in_turn_keep_their_order(self) -> None:
+        """Guards against holders that act in the order A, B, A within the lease time."""
+        fleet, _, send = await start()
+        for _ in range(6):
+            first = holder(fleet)
+            first.is_frozen = True
+            await fleet.run(5.5, send)
+            first.is_frozen = False
+            await fleet.run(2, send)
+        assert not fleet.standin.violations
+        assert tokens(fleet) == sorted(tokens(fleet))
+
+
+class TestStoreFaults:
+    """The lease is neither doubled nor lost when the store fails."""
+
+    async def test_write_without_answer_is_read_back(self) -> None:
+        """Guards against reports from a record that may not be stored."""
+        fleet, truth, send = await start()
+        await fleet.run(10, send)
+        fleet.store.lose_answers = 1
+        await fleet.run(2, send)
+        fleet.store.lose_writes = 1
+        await fleet.run(20, send)
+        check_whole(fleet, truth)
+        assert len(set(tokens(fleet))) == 1
+
+    async def test_takeover_without_answer_breaks_no_rule(self) -> None:
+        """Guards against a successor that takes over twice, or with an equal token."""
+        fleet, truth, send = await start()
+        await fleet.run(13, send)
+        fleet.kill(holder(fleet).name)
+        fleet.store.lose_answers = 1
+        await fleet.run(30, send)
+        check_whole(fleet, truth, tolerance=0.1)
+
+    async def test_nothing_is_sent_once_the_lease_ends_during_an_outage(self) -> None:
+        """Guards against a holder that goes on without the store."""
+        fleet, _, send = await start()
+        await fleet.run(13, send)
+        fleet.store.down = True
+        await fleet.run(SETTINGS.lease_s, send)
+        before = len(fleet.standin.calls)
+        await fleet.run(20, send)
+        assert len(fleet.standin.calls) == before
+        fleet.store.down = False
+        await fleet.run(20, send)
+        assert not fleet.standin.violations
+        assert len(fleet.standin.calls) > before
+
+    async def test_all_vms_lose_power(self) -> None:
+        """Guards against equal tokens or other counts after a start of all VMs at once."""
+        fleet, _, send = await start()
+        await fleet.run(13, send)
+        for name in tuple(fleet.vms):
+            fleet.kill(name)
+        await fleet.run(1)
+        for name in tuple(fleet.vms):
+            fleet.add(name)
+        await fleet.run(40, send)
+        assert not fleet.standin.violations
+        assert len(set(tokens(fleet))) == 2
+        assert fleet.window() - 3 in fleet.standin.reports
+
+
+class TestStoreReturn:
+    """Tokens rise and reports stay what they were when the store returns from a copy."""
+
+    @pytest.mark.parametrize("age_s", [1.0, 7.0, 14.0])
+    async def test_holder_continues_after_a_return(self, age_s: float) -> None:
+        """Guards against a record that has lost reports which were sent."""
+        fleet, truth, send = await start()
+        await fleet.run(10, send)
+        copy = fleet.store.copy()
+        await fleet.run(age_s, send)
+        fleet.store.restore(copy)
+        await fleet.run(25, send)
+        check_whole(fleet, truth)
+
+    async def test_successor_after_a_return_repeats_no_window_with_other_counts(self) -> None:
+        """Guards against a successor that decides windows again that the copy lacks."""
+        fleet, _, send = await start()
+        await fleet.run(10, send)
+        copy = fleet.store.copy()
+        await fleet.run(9, send)
+        fleet.kill(holder(fleet).name)
+        fleet.store.restore(copy)
+        await fleet.run(30, send)
+        assert not fleet.standin.violations
+        assert len(set(tokens(fleet))) == 2
+        assert fleet.window() - 3 in fleet.standin.reports
+
+    async def test_write_that_replaces_a_successor_gives_no_lease(self) -> None:
+        """Guards against a resumed holder whose write fits a revision that was given out again."""
+        fleet, _, send = await start()
+        await fleet.run(10, send)
+        first = holder(fleet)
+        first.is_frozen = True
+        revision = fleet.store.revision
+        _, objects = fleet.store.copy()
+        fleet.store.restore((revision - 6, objects))
+        while (
+            StorePosition.from_version(fleet.store.objects[DUTY_KEY].version).revision != revision
+            or fleet.store.objects[DUTY_KEY].value["vm"] == first.name
+        ):
+            await fleet.run(0.1, send)
+        first.is_frozen = False
+        await fleet.run(0.1, send)
+        assert fleet.store.objects[DUTY_KEY].value["vm"] == first.name
+        assert first.parts.lease.record is None
+        await fleet.run(25, send)
+        assert not fleet.standin.violations
+        assert len(fleet.holders()) == 1
