Test usage reports with gateway processes and over HTTP

Cause: the lease, the facts and the call must hold together in real processes. Change: three gateways around a stopped holder, the sender against the stand-in, the outcomes that the gateway counts, settings and malformed facts. A VM that counted in a window and has not closed it is waited for, also when it is frozen.

--- a/src/wagtailbay/usage/planner.py
+++ b/src/wagtailbay/usage/planner.py
@@ -86,7 +86,14 @@
         if unix_s >= self.settings.latest_s(window):
             return True
         total = self.exchange.total(window, now_s)
-        return self._is_whole(window, total) and self.expected_vms() <= set(total.closed_vms)
+        return self._is_whole(window, total) and not self._missing(total)
+
+    def _missing(self, total: CellUsage) -> set[str]:
+        """Return the VMs that have not closed a window: live ones, and those that counted in it.
+
+        A VM that was frozen no longer counts as live, but may still come back with its counts.
+        """
+        return (self.expected_vms() | set(total.open_vms)) - set(total.closed_vms)
 
     def _count(self, window: int, now_s: float) -> dict[str, int] | None:
         """Return the counts to report for a window, None to report nothing."""
@@ -94,9 +101,8 @@
         if not self._is_whole(window, total):
             self._note(window, "skipped", "the fleet started after the window did")
             return None
-        expected = self.expected_vms()
-        missing = expected - set(total.closed_vms)
-        if len(missing) > self.settings.tolerance * len(expected):
+        missing = self._missing(total)
+        if len(missing) > self.settings.tolerance * len(total.vms):
             names = ", ".join(sorted(missing)[:MAX_LOGGED_VMS])
             self._note(window, "incomplete", f"{len(missing)} VMs are missing: {names}")
         return total.counts
--- a/src/wagtailbay_bench/soak/vms.py
+++ b/src/wagtailbay_bench/soak/vms.py
@@ -3,7 +3,7 @@
 import json
 import os
 import signal
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import trio
@@ -34,6 +34,7 @@
     Attributes:
         front: Address on which the process listens for callers.
         stopping: Whether the process was told to end, so that its end is no failure.
+        more_flags: Further settings of the process, by flag name.
     """
 
     name: str
@@ -48,6 +49,7 @@
     seeds: Sequence[str] = ()
     program: ProgramProcess | None = None
     stopping: bool = False
+    more_flags: Mapping[str, str] = field(factory=dict)
     lock: trio.Lock = field(factory=trio.Lock)
 
     def __attrs_post_init__(self) -> None:
@@ -69,6 +71,7 @@
             "platform-address": self.platform_address,
             "grace-ms": f"{GRACE_S:g}s",
             "first-start": "true" if first_start else "false",
+            **self.more_flags,
         }
         flags = [part for name, value in arguments.items() for part in (f"--{name}", value)]
         self.program = self.group.start(self.name, "wagtailbay.programs.gateway", flags)
