--- a/src/wagtailbay/usage/const.py
+++ b/src/wagtailbay/usage/const.py
@@ -8,10 +8,10 @@
 USAGE_LEASE_KIND: Final = "usage_lease"
 DUTY_KEY: Final = "usage/duty"
 
+# Counts are published this often and sent with the next heartbeat, which is at most a second later.
+# A VM that is killed loses what it counted in that time. The newest fact replaces the one before,
+# so the interval does not change the size of the messages.
 EXCHANGE_INTERVAL_S: Final = 0.5
-# Counts of the running window are published this often. A VM that is killed loses at most this
-# much of its own counts.
-RUNNING_INTERVAL_S: Final = 1.0
 # A window is closed this long after its end, since attempts are recorded with a small delay.
 CLOSE_DELAY_S: Final = 0.1
 CLOCK_TTL_MS: Final = 5_000
--- a/src/wagtailbay/usage/exchange.py
+++ b/src/wagtailbay/usage/exchange.py
@@ -4,7 +4,7 @@
 from math import inf
 
 import trio
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from wagtailbay.membership import FactTable, FleetLayout
 from wagtailbay.membership.aggregate import add_counts
@@ -12,7 +12,6 @@
     CLOSE_DELAY_S,
     EXCHANGE_INTERVAL_S,
     KEPT_WINDOWS,
-    RUNNING_INTERVAL_S,
     USAGE_CELL_KIND,
     USAGE_KIND,
 )
@@ -21,14 +20,6 @@
 from wagtailbay.usage.true_time import TrueTime
 
 
-@frozen
-class Publication:
-    """What was published last for a window, and when."""
-
-    value: WindowUsage | CellUsage
-    published_s: float
-
-
 @define
 class UsageExchange:
     """Publishes this VM's counts, and the sum of its cell if it is a delegate.
@@ -40,6 +31,7 @@
     Attributes:
         run: Identifies this process.
         started_s: From when on this process has counted, on the steady clock.
+        published: What was published last, by kind and window.
     """
 
     settings: UsageSettings
@@ -50,7 +42,7 @@
     layout: Callable[[], FleetLayout]
     clock: Callable[[], float]
     started_s: float
-    published: dict[tuple[str, int], Publication] = field(factory=dict)
+    published: dict[tuple[str, int], WindowUsage | CellUsage] = field(factory=dict)
 
     async def run(self) -> None:
         """Publish counts periodically until cancelled."""
@@ -82,7 +74,7 @@
                 cell_usage = self._cell_usage(window, now_s)
                 if cell_usage is not None:
                     self._publish(USAGE_CELL_KIND, cell_usage, now_s)
-        self.published = {k: p for k, p in self.published.items() if k[1] >= first}
+        self.published = {k: u for k, u in self.published.items() if k[1] >= first}
 
     def _own_usage(self, window: int, now_s: float) -> WindowUsage:
         closed_s = self.settings.end_s(window) + CLOSE_DELAY_S
@@ -92,15 +84,11 @@
 
     def _publish(self, kind: str, usage: WindowUsage | CellUsage, now_s: float) -> None:
         last = self.published.get((kind, usage.window))
-        if last is not None:
-            if evolve(last.value, since_ms=usage.since_ms) == usage:
-                return
-            is_running = isinstance(usage, WindowUsage) and not usage.closed
-            if is_running and now_s - last.published_s < RUNNING_INTERVAL_S:
-                return
+        if last is not None and evolve(last, since_ms=usage.since_ms) == usage:
+            return
         key = f"{usage.window}/{self.run_id}"
         self.facts.publish(kind, key, usage, ttl_ms=self.ttl_ms, now_s=now_s)
-        self.published[(kind, usage.window)] = Publication(usage, now_s)
+        self.published[(kind, usage.window)] = usage
 
     def _cell_usage(self, window: int, now_s: float) -> CellUsage | None:
         """Return the sum over this VM's cell, including this VM."""
