Docs: usage reports; reset a call that got no response

Cause: the kernel repeats unconfirmed bytes after a plain close, so a call could arrive after the lease. Change: the connection is reset unless a response came. Result: python -m pytest -q tests/docs tests/platform tests/usage: 173 passed in 32 s.

--- a/src/wagtailbay/usage/sender.py
+++ b/src/wagtailbay/usage/sender.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from wagtailbay.transport import open_connection
+from wagtailbay.transport.sockets import reset_on_close
 from wagtailbay.usage.models import ReportOutcome, UsageReport
 from wagtailbay.usage.ports import ReportCodec
 
@@ -15,7 +16,8 @@
 class UsageSender:
     """Sends reports to the platform.
 
-    After the time-out the connection is closed, so nothing of a call is written later.
+    A connection without a response is reset, so the kernel sends nothing of the call later. A plain
+    close would leave unconfirmed bytes to be repeated until the link is back.
     """
 
     address: str
@@ -32,9 +34,11 @@
             try:
                 if not may_send():
                     return ReportOutcome.NOT_SENT
+                reset_on_close(connection.stream)
                 response = await connection.send(self.codec.encode(report))
                 if isinstance(response, Err):
                     return ReportOutcome.FAILED
+                reset_on_close(connection.stream, False)
                 return self.codec.outcome(response.ok_value.status)
             finally:
                 await connection.close()
