--- a/src/wagtailbay/usage/const.py
+++ b/src/wagtailbay/usage/const.py
@@ -30,10 +30,11 @@
 MAX_OPEN_WINDOWS: Final = 12
 MAX_LOGGED_VMS: Final = 8
 
-# Fractions of the lease time. A renewal may take 0.27 of the lease before no call can be started:
-# 1 - RENEW - CALL_TIMEOUT leaves 0.27, less thaw_slack.
+# Fractions of the lease time less the margin for freezes. A renewal that takes longer than the
+# remaining 0.27 delays the calls.
 RENEW_FRACTION: Final = 1 / 3
 CALL_TIMEOUT_FRACTION: Final = 0.4
+# Fraction of the lease time after which a holder that was not heard of counts as silent.
 SILENCE_FRACTION: Final = 0.75
 LEASE_TICK_S: Final = 0.2
 WRITE_RETRY_S: Final = 0.25
--- a/src/wagtailbay/usage/lease.py
+++ b/src/wagtailbay/usage/lease.py
@@ -25,7 +25,6 @@
     LEASE_TICK_S,
     MAX_CANDIDATES,
     READ_RETRY_S,
-    RENEW_FRACTION,
     SILENCE_FRACTION,
     USAGE_LEASE_KIND,
     WRITE_RETRY_S,
@@ -184,7 +183,7 @@
     async def _renew(self, now_s: float) -> None:
         planned = self.planner.plan(self.record, now_s)
         era = StorePosition.era_of(self.version)
-        self.renew_at_s = now_s + RENEW_FRACTION * self.settings.lease_s
+        self.renew_at_s = now_s + self.settings.renew_interval_s
         await self._write(evolve(planned, mark=self.new_mark(), era=era), self.version)
 
     async def _write(self, record: DutyRecord, expected_version: int) -> bool:
@@ -205,7 +204,7 @@
         """Act on a record that is certainly stored."""
         now_s = self.clock()
         self.record, self.version, self.written_s = record, version, sent_s
-        self.renew_at_s = sent_s + RENEW_FRACTION * self.settings.lease_s
+        self.renew_at_s = sent_s + self.settings.renew_interval_s
         self.known_token = max(self.known_token, record.token)
         held = HeldLease(record.token, version)
         ttl_ms = round(4 * self.settings.lease_ms)
--- a/src/wagtailbay/usage/planner.py
+++ b/src/wagtailbay/usage/planner.py
@@ -86,14 +86,17 @@
         if unix_s >= self.settings.latest_s(window):
             return True
         total = self.exchange.total(window, now_s)
-        return self._is_whole(window, total) and not self._missing(total)
+        return self._is_whole(window, total) and not self._missing(total, now_s)
 
-    def _missing(self, total: CellUsage) -> set[str]:
-        """Return the VMs that have not closed a window: live ones, and those that counted in it.
+    def _missing(self, total: CellUsage, now_s: float) -> set[str]:
+        """Return the VMs that have not closed a window.
 
-        A VM that was frozen no longer counts as live, but may still come back with its counts.
+        Besides live VMs, those that counted in it or in the window before are waited for: one that
+        was frozen or partitioned no longer counts as live, but may come back with its counts.
         """
-        return (self.expected_vms() | set(total.open_vms)) - set(total.closed_vms)
+        before = self.exchange.total(total.window - 1, now_s)
+        counted = total.vms if before is None else total.vms | before.vms
+        return set(self.expected_vms() | counted) - set(total.closed_vms)
 
     def _count(self, window: int, now_s: float) -> dict[str, int] | None:
         """Return the counts to report for a window, None to report nothing."""
@@ -101,7 +104,7 @@
         if not self._is_whole(window, total):
             self._note(window, "skipped", "the fleet started after the window did")
             return None
-        missing = self._missing(total)
+        missing = self._missing(total, now_s)
         if len(missing) > self.settings.tolerance * len(total.vms):
             names = ", ".join(sorted(missing)[:MAX_LOGGED_VMS])
             self._note(window, "incomplete", f"{len(missing)} VMs are missing: {names}")
--- a/src/wagtailbay/usage/settings.py
+++ b/src/wagtailbay/usage/settings.py
@@ -21,12 +21,16 @@
 def parse_usage_settings(text: str, parse_duration_ms: Callable[[str], float]) -> UsageSettings:
     """Parse a JSON object of settings by name; an empty value leaves the default in place.
 
+    Without a window there are no reports, and what the other values say does not matter.
+
     Raises:
         ValueError: The text is not such an object; the message names all faults.
     """
     values = json.loads(text)
     if not isinstance(values, dict):
         raise ValueError("expected a JSON object of settings")
+    if values.get("report_window_ms") in (None, ""):
+        return UsageSettings()
     names = {attribute.name for attribute in fields(UsageSettings)}
     errors = [f"{name} is unknown" for name in values.keys() - names]
     parsed: dict[str, float] = {}
@@ -43,8 +47,9 @@
             parsed[name] = number
         except DECODE_ERRORS as error:
             errors.append(f"{name}: {error}")
-    if parsed.get("thaw_slack_ms", 300.0) > parsed.get("lease_ms", 3_000.0) / 5:
-        errors.append("thaw_slack_ms: must be at most a fifth of lease_ms")
+    settings = UsageSettings(**parsed)
+    if settings.thaw_slack_ms > settings.lease_ms / 2:
+        errors.append("thaw_slack_ms: must be at most half of lease_ms")
     if errors:
         raise ValueError("; ".join(sorted(errors)))
-    return UsageSettings(**parsed)
+    return settings
