Let a resumed holder hear of the others before it decides a window

Cause: with 18 processes, a holder that was stopped for 5 s decided a window at once on old facts and reported 354 of 436 requests. Successors also waited a second for the lost holder's rank. Change: no window is decided for 2.5 s after a gap of over 1 s between exchanges. The last holder is left out of the order of its successors. The new test fails without the change.

--- a/src/wagtailbay/programs/gateway_usage.py
+++ b/src/wagtailbay/programs/gateway_usage.py
@@ -21,11 +21,14 @@
 DUTY_SUBJECT = "usage-duty"
 
 
-def duty_rank(fleet_view: GatewayFleetView, vm: str) -> int | None:
+def duty_rank(fleet_view: GatewayFleetView, vm: str, last_holder: str = "") -> int | None:
     """Return this VM's rank among the candidates for the duty, None if it may not hold it.
 
     Only delegates hear of all VMs in a divided fleet; those of the first rank hear of each other's
     leases directly. A holder that is no candidate any more keeps the duty while it is a delegate.
+
+    Args:
+        last_holder: Is left out, so that its successors do not wait for it.
     """
     if fleet_view.fleet.roster.own_member.state is not VmState.LIVE:
         return None
@@ -35,6 +38,7 @@
             return None
         live = frozenset(name for name in live if layout.delegate_rank(name) == 0)
     candidates = (live & fleet_view.serving_vms()) or live
+    candidates -= {last_holder} - {vm}
     if vm not in candidates:
         return MAX_CANDIDATES
     return rendezvous_order(DUTY_SUBJECT, candidates).index(vm)
@@ -52,7 +56,7 @@
         fleet_view.fleet.facts,
         fleet_view.layout,
         lambda: frozenset(fleet_view.live_vms()),
-        lambda: duty_rank(fleet_view, settings.vm),
+        lambda last_holder: duty_rank(fleet_view, settings.vm, last_holder),
         boottime_s,
         unix_time_s,
         metrics,
--- a/src/wagtailbay/usage/assembly.py
+++ b/src/wagtailbay/usage/assembly.py
@@ -24,7 +24,8 @@
 
     Attributes:
         expected_vms: Returns the VMs whose counts are waited for.
-        rank: Returns this VM's rank among the candidates for the duty, None if it may not hold it.
+        rank: Returns this VM's rank among the candidates without the given one, the last holder;
+            None if this VM may not hold the duty.
         run_id: Identifies this process.
     """
 
@@ -33,7 +34,7 @@
     facts: FactTable
     layout: Callable[[], FleetLayout]
     expected_vms: Callable[[], frozenset[str]]
-    rank: Callable[[], int | None]
+    rank: Callable[[str], int | None]
     clock: Callable[[], float]
     unix_clock: Callable[[], float]
     metrics: Metrics
--- a/src/wagtailbay/usage/const.py
+++ b/src/wagtailbay/usage/const.py
@@ -37,6 +37,10 @@
 # Fraction of the lease time after which a holder that was not heard of counts as silent.
 SILENCE_FRACTION: Final = 0.75
 LEASE_TICK_S: Final = 0.2
+# A process whose exchanges were further apart than this was stopped, or its machine is overloaded.
+# It gets the counts of the others within two heartbeats and one exchange.
+RESUME_GAP_S: Final = 1.0
+CATCH_UP_S: Final = 2.5
 WRITE_RETRY_S: Final = 0.25
 READ_RETRY_S: Final = 1.0
 # VMs that may take the duty over; each one waits this much longer than the one before it.
--- a/src/wagtailbay/usage/exchange.py
+++ b/src/wagtailbay/usage/exchange.py
@@ -9,9 +9,11 @@
 from wagtailbay.membership import FactTable, FleetLayout
 from wagtailbay.membership.aggregate import add_counts
 from wagtailbay.usage.const import (
+    CATCH_UP_S,
     CLOSE_DELAY_S,
     EXCHANGE_INTERVAL_S,
     KEPT_WINDOWS,
+    RESUME_GAP_S,
     USAGE_CELL_KIND,
     USAGE_KIND,
 )
@@ -31,6 +33,8 @@
     Attributes:
         run: Identifies this process.
         started_s: From when on this process has counted, on the steady clock.
+        exchanged_s: When counts were last published.
+        current_from_s: From when on this process has heard of the others since it was stopped.
         published: What was published last, by kind and window.
     """
 
@@ -42,8 +46,14 @@
     layout: Callable[[], FleetLayout]
     clock: Callable[[], float]
     started_s: float
+    exchanged_s: float = float("-inf")
+    current_from_s: float = 0.0
     published: dict[tuple[str, int], WindowUsage | CellUsage] = field(factory=dict)
 
+    def is_current(self, now_s: float) -> bool:
+        """Return whether this process has run for long enough to have the counts of the others."""
+        return now_s - self.exchanged_s <= RESUME_GAP_S and now_s >= self.current_from_s
+
     async def run(self) -> None:
         """Publish counts periodically until cancelled."""
         while True:
@@ -58,6 +68,9 @@
 
     def exchange(self, now_s: float) -> None:
         """Publish what has changed since the last time."""
+        if now_s - self.exchanged_s > RESUME_GAP_S:
+            self.current_from_s = now_s + CATCH_UP_S
+        self.exchanged_s = now_s
         self.true_time.update(now_s)
         unix_s = self.true_time.unix_s(now_s)
         self.counter.prune(unix_s)
--- a/src/wagtailbay/usage/lease.py
+++ b/src/wagtailbay/usage/lease.py
@@ -44,7 +44,8 @@
     to its neighbours as a fact, so that candidates read the store only when the facts stop.
 
     Attributes:
-        rank: Returns this VM's rank among the candidates, None if it may not hold the duty.
+        rank: Returns this VM's rank among the candidates without the given one, the last holder;
+            None if this VM may not hold the duty.
         unix_s: Returns true time at a time of the steady clock.
         record: This VM's last confirmed record as the holder; None if it is not the holder.
         version: Version of the record in the store.
@@ -52,6 +53,7 @@
         known_token: Highest token that this VM has heard of.
         heard_version: Newest version that the holder has announced.
         heard_s: When that version was first heard of.
+        heard_vm: The VM that announced it.
         observed: Record that was read from the store; ``has_read`` tells None from not read.
         observed_s: Since when the record is known to have this version.
         eligible_s: Since when this VM is a candidate.
@@ -63,7 +65,7 @@
     store: ObjectStore
     facts: FactTable
     planner: DutyPlanner
-    rank: Callable[[], int | None]
+    rank: Callable[[str], int | None]
     clock: Callable[[], float]
     unix_s: Callable[[float], float]
     new_mark: Callable[[], str] = lambda: uuid.uuid4().hex
@@ -75,6 +77,7 @@
     known_token: int = 0
     heard_version: int = 0
     heard_s: float = float("-inf")
+    heard_vm: str = ""
     has_read: bool = False
     observed: StoredObject | None = None
     observed_s: float = 0.0
@@ -103,7 +106,7 @@
     async def tick(self, now_s: float) -> None:
         """Renew the lease if it is due, or take it over if that is allowed."""
         self._hear(now_s)
-        rank = self.rank()
+        rank = self.rank(self.heard_vm)
         if self.record is not None:
             if rank is None:
                 self.yield_duty("this VM is leaving")
@@ -124,6 +127,7 @@
             self.known_token = max(self.known_token, held.token)
             if fact.vm != self.vm and held.version > self.heard_version:
                 self.heard_version, self.heard_s = held.version, now_s
+                self.heard_vm = fact.vm
                 self.has_read = False
 
     async def _contend(self, rank: int, now_s: float) -> None:
--- a/src/wagtailbay/usage/planner.py
+++ b/src/wagtailbay/usage/planner.py
@@ -81,7 +81,7 @@
 
     def _can_decide(self, window: int, unix_s: float, now_s: float) -> bool:
         """Return whether a window's counts are complete, or can be waited for no longer."""
-        if unix_s < self.settings.settled_s(window):
+        if unix_s < self.settings.settled_s(window) or not self.exchange.is_current(now_s):
             return False
         if unix_s >= self.settings.latest_s(window):
             return True
--- a/tests/usage/fleet.py
+++ b/tests/usage/fleet.py
@@ -144,7 +144,7 @@
             facts,
             self.layout,
             lambda: frozenset(self.vms) - self.dead,
-            lambda: self.rank(name),
+            lambda last_holder: self.rank(name, last_holder),
             lambda: self.now_s,
             lambda: self.unix_s + (unix_step_s if vm is None else vm.unix_step_s),
             Metrics(),
@@ -155,9 +155,9 @@
         vm.unix_step_s = unix_step_s
         return vm
 
-    def rank(self, name: str) -> int | None:
+    def rank(self, name: str, last_holder: str) -> int | None:
         """Return the rank among the VMs that live, as any VM sees it."""
-        live = sorted(frozenset(self.vms) - self.dead)
+        live = sorted(frozenset(self.vms) - self.dead - ({last_holder} - {name}))
         return live.index(name) if name in live else None
 
     def kill(self, name: str) -> None:
--- a/tests/usage/test_lease.py
+++ b/tests/usage/test_lease.py
@@ -31,6 +31,22 @@
         missed = set(range(min(truth), fleet.window() - 2)) - fleet.standin.reports.keys()
         assert not missed
 
+    async def test_resumed_holder_decides_nothing_from_old_facts(self) -> None:
+        """Guards against a low report by a holder that has not heard of the others since."""
+        fleet, _, send = await start()
+        await fleet.run(13, send)
+        parts, record = holder(fleet).parts, holder(fleet).parts.lease.record
+        last = record.floor
+        # Stopped for so long that no VM could be waited for any more.
+        fleet.now_s += SETTINGS.latest_s(last + 1) - fleet.unix_s + 0.1
+        assert parts.planner.plan(record, fleet.now_s).floor == last
+        parts.exchange.exchange(fleet.now_s)
+        assert parts.planner.plan(record, fleet.now_s).floor == last
+        for _ in range(6):
+            fleet.now_s += 0.5
+            parts.exchange.exchange(fleet.now_s)
+        assert parts.planner.plan(record, fleet.now_s).floor > last
+
     async def test_call_that_was_checked_before_a_freeze_is_not_sent(self) -> None:
         """Guards against a freeze between the choice of a report and its sending."""
         fleet, _, send = await start()
