--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -25,6 +25,7 @@
 from wagtailbay.programs.gateway_fleet_view import GatewayFleetView, build_fleet_document
 from wagtailbay.programs.gateway_node import PROGRAM, GatewayNode
 from wagtailbay.programs.gateway_settings import GatewaySettings
+from wagtailbay.programs.gateway_usage import build_gateway_usage
 from wagtailbay.quarantine import CRASH_PREFIX, CrashRecorder, CrashTable
 from wagtailbay.quota import NOT_THE_OWNER, RateOwners, TokenBank, TokenCaller, WorkspaceQuota
 from wagtailbay.registry import (
@@ -125,6 +126,8 @@
         version_splitter = VersionSplitter(self.rng, settings.requirements)
         pool = ConnectionPool(MAX_IDLE_CONNECTIONS)
         handler = self._build_handler(fleet_view, version_splitter, pool, exporter)
+        usage = build_gateway_usage(settings, fleet_view, store, exporter.metrics)
+        handler.forwarder.meter = usage.meter if usage else None
         return GatewayNode(
             settings=settings,
             identity=identity,
@@ -165,6 +168,7 @@
                 run_ahead=RunAhead(handler, exporter.metrics.record_run_ahead),
             ),
             lost_objects=LostObjectHold(HELD_PREFIXES),
+            usage=usage,
         )
 
     def _build_handler(
