Let a plan decide in which region a request runs

Each VM decides by its own view when to use other regions. A plan for uneven regions needs a place in the selection of a target.

TargetSelector asks a RegionPlan (a Protocol; by default one that is never in force) before it places a first attempt that may run anywhere. Without a plan, requests are placed as before.

--- a/src/wagtailbay/placement/__init__.py
+++ b/src/wagtailbay/placement/__init__.py
@@ -12,6 +12,7 @@
     VersionFilter,
 )
 from wagtailbay.placement.occupancy import OccupancyTracker
+from wagtailbay.placement.regional import RegionPlan
 from wagtailbay.placement.selector import TargetSelector
 from wagtailbay.placement.sizes import ExchangeSizes
 from wagtailbay.placement.spillover import SpilloverLimiter
@@ -25,6 +26,7 @@
     "PlacementFailure",
     "PlacementQuery",
     "PlacementReason",
+    "RegionPlan",
     "SpilloverLimiter",
     "TargetLoad",
     "TargetOutcome",
--- a/src/wagtailbay/placement/load.py
+++ b/src/wagtailbay/placement/load.py
@@ -1,5 +1,7 @@
 """Estimate the load of a target and track its latency and failures."""
 
+from collections.abc import Callable
+
 from attrs import define
 
 from wagtailbay.placement.const import (
@@ -9,12 +11,14 @@
     LATENCY_MAX_AGE_S,
     LATENCY_WEIGHT,
     MAX_EJECT_S,
+    MAX_EJECTED_SHARE,
     MIN_LATENCIES,
     REPORT_HALF_LIFE_S,
     SENDER_SHARE_FACTOR,
     SHED_HOLD_S,
 )
 from wagtailbay.placement.models import LoadReport, TargetOutcome
+from wagtailbay.registry import RegisteredTarget
 
 FAILURE_OUTCOMES = (
     TargetOutcome.FAILED,
@@ -160,3 +164,16 @@
             self.ejections += 1
             # Resets the share so that outcomes after the return decide about the next ejection.
             self.failure_share = EJECT_FAILURE_SHARE / 2
+
+
+def accepting_targets(
+    targets: list[RegisteredTarget],
+    load_of: Callable[[RegisteredTarget], TargetLoad],
+    now_s: float,
+) -> list[RegisteredTarget]:
+    """Return the targets that accept requests, without ejected ones if most are healthy."""
+    usable = [target for target in targets if not load_of(target).is_paused(now_s)]
+    healthy = [target for target in usable if not load_of(target).is_ejected(now_s)]
+    if len(healthy) < (1 - MAX_EJECTED_SHARE) * len(usable):
+        return usable
+    return healthy
--- a/src/wagtailbay/placement/models.py
+++ b/src/wagtailbay/placement/models.py
@@ -44,6 +44,14 @@
     version: VersionFilter | None = None
     is_large: bool = False
 
+    def admits(self, target: RegisteredTarget, region: str) -> bool:
+        """Return whether the request may run at a target in a region, whatever its state."""
+        if target.entry.target in self.excluded:
+            return False
+        if self.version is not None and not self.version.admits(target.entry.version):
+            return False
+        return not self.allowed_regions or region in self.allowed_regions
+
 
 class PlacementReason(Enum):
     """Why a target was selected, as logged."""
--- a/src/wagtailbay/placement/occupancy.py
+++ b/src/wagtailbay/placement/occupancy.py
@@ -1,7 +1,7 @@
 """Exchange the number of requests in flight at each target with the other VMs."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Self
 
 import trio
@@ -81,12 +81,33 @@
         """
         senders = self.region_vms()
         if senders < OCCUPANCY_MIN_VMS:
-            self.selector.clear_peer_in_flight()
+            self._clear_peer_in_flight()
             return
-        own = Occupancy(self.selector.in_flight())
+        own = Occupancy(self._in_flight())
         total = self.aggregator.publish_and_merge("all", own, now_s)
         others = {
             target: max(0, count - own.in_flight.get(target, 0))
             for target, count in total.in_flight.items()
         }
-        self.selector.update_peer_in_flight(others, senders)
+        self._update_peer_in_flight(others, senders)
+
+    def _in_flight(self) -> dict[str, int]:
+        """Return the number of requests that this VM has in flight at each target."""
+        counts: dict[str, int] = {}
+        for (name, _), target_load in self.selector.loads.items():
+            if target_load.own_in_flight:
+                counts[name] = counts.get(name, 0) + target_load.own_in_flight
+        return counts
+
+    def _update_peer_in_flight(self, in_flight: Mapping[str, int], senders: int) -> None:
+        """Store the number of requests that the other VMs have in flight at each target."""
+        for target in self.selector.registry.targets.values():
+            peer_in_flight = in_flight.get(target.entry.target, 0)
+            self.selector.load_of(target).record_peer_in_flight(
+                peer_in_flight, self.selector.random.random(), senders
+            )
+
+    def _clear_peer_in_flight(self) -> None:
+        """Discard the counts of the other VMs, so that only load reports of targets are used."""
+        for target_load in self.selector.loads.values():
+            target_load.peer_in_flight = None
--- a/src/wagtailbay/placement/ranking.py
+++ b/src/wagtailbay/placement/ranking.py
@@ -9,6 +9,8 @@
     FALLBACK_UTILIZATION_BUSY,
     FALLBACK_UTILIZATION_IDLE,
     IDLE_UTILIZATION,
+    REMOTE_UTILIZATION_BUSY,
+    REMOTE_UTILIZATION_IDLE,
 )
 from wagtailbay.registry import RegisteredTarget
 
@@ -33,6 +35,13 @@
     )
 
 
+def max_remote_utilization(mean_utilization: float) -> float:
+    """Return the utilization up to which targets of other regions are used without a plan."""
+    return REMOTE_UTILIZATION_IDLE + compute_busy_fraction(mean_utilization) * (
+        REMOTE_UTILIZATION_BUSY - REMOTE_UTILIZATION_IDLE
+    )
+
+
 def through_first_warm(targets: list[RegisteredTarget], now_s: float) -> list[RegisteredTarget]:
     """Return the targets up to and including the first warm one, or all if every one is cold."""
     for index, target in enumerate(targets):
--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from statistics import median
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from wagtailbay.logs import log_event
@@ -12,19 +12,15 @@
 from wagtailbay.placement.const import (
     IDLE_UTILIZATION,
     LATENCY_GOAL_SHARE,
-    MAX_EJECTED_SHARE,
     MAX_RETRY_AFTER_MS,
     MAX_UTILIZATION,
     MIN_RETRY_AFTER_MS,
     MIN_TARGETS_PER_ZONE,
     MIN_UTILIZATION,
-    REMOTE_UTILIZATION_BUSY,
-    REMOTE_UTILIZATION_IDLE,
     SLOW_TARGET_LATENCY_FACTOR,
     SLOW_TARGET_UTILIZATION,
-    SPILLOVER_STEP_FRACTION_PER_S,
 )
-from wagtailbay.placement.load import TargetLoad
+from wagtailbay.placement.load import TargetLoad, accepting_targets
 from wagtailbay.placement.models import (
     LoadReport,
     Placement,
@@ -35,11 +31,20 @@
 )
 from wagtailbay.placement.ranking import (
     affinity_rank,
-    compute_busy_fraction,
     max_fallback_utilization,
+    max_remote_utilization,
     through_first_warm,
 )
-from wagtailbay.placement.spillover import SpilloverLimiter
+from wagtailbay.placement.regional import (
+    NoRegionPlan,
+    RegionPlan,
+    TargetsByRegion,
+    group_by_region,
+    place_by_plan,
+    record_placed,
+    remote_targets,
+)
+from wagtailbay.placement.spillover import SpilloverLimiters
 from wagtailbay.registry import RegisteredTarget, TargetRegistry
 from wagtailbay.requirements import FleetRequirements
 from wagtailbay.routing import ServiceRule
@@ -54,7 +59,8 @@
         regions: Maps each availability zone to its region.
         services: Returns the service rules of the active routing table, by service name.
         loads: Load and health state by target identity and start time.
-        spillover_limiters: Spillover state by service.
+        region_plan: Decides which requests run in other regions, where regions are uneven.
+        spillover_limiters: Decide the same by this VM's own view, without a plan.
     """
 
     availability_zone: str
@@ -65,7 +71,12 @@
     random: random.Random
     requirements: FleetRequirements = field(factory=FleetRequirements)
     loads: dict[tuple[str, int], TargetLoad] = field(factory=dict)
-    spillover_limiters: dict[str, SpilloverLimiter] = field(factory=dict)
+    region_plan: RegionPlan = field(factory=NoRegionPlan)
+    spillover_limiters: SpilloverLimiters = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the limiters with the requirements of the deployment."""
+        self.spillover_limiters = SpilloverLimiters(self.requirements.max_region_shift)
 
     @property
     def region(self) -> str:
@@ -82,77 +93,86 @@
 
     def select(self, query: PlacementQuery, now_s: float) -> Result[Placement, PlacementFailure]:
         """Select a target and count the request as in flight there."""
+        if not query.allowed_regions and not query.excluded:
+            self.region_plan.record_demand(query.service, query.latency_goal_ms, now_s)
         selected = self._select(query, now_s)
         if isinstance(selected, Ok):
             self.load_of(selected.ok_value.target).start()
+            record_placed(
+                self.region_plan, query, selected.ok_value, self.registry, self.regions, now_s
+            )
         return selected
 
     def _select(self, query: PlacementQuery, now_s: float) -> Result[Placement, PlacementFailure]:
         admissible = self._admissible(query, now_s)
         if not admissible:
             return Err(PlacementFailure("no usable target", MAX_RETRY_AFTER_MS))
-        candidates = self._candidates(admissible, now_s)
+        candidates = accepting_targets(admissible, self.load_of, now_s)
         if not candidates:
             paused_until_s = min(self.load_of(target).paused_until_s for target in admissible)
             pause_ms = max(MIN_RETRY_AFTER_MS, (paused_until_s - now_s) * 1000)
             return Err(PlacementFailure("all targets asked for a pause", pause_ms))
         median_ms = self._median_ms(candidates, now_s)
-        local_targets = [c for c in candidates if self._region_of(c) == self.region]
-        remote_targets = [c for c in candidates if self._region_of(c) != self.region]
-        placed = (
-            self._place_local(query, local_targets, median_ms, now_s) if local_targets else None
-        )
-        if remote_targets and self._should_spill_over(
-            query, placed is None, bool(local_targets), now_s
-        ):
-            placed = (
-                self._place_remote(query, remote_targets, median_ms, bool(local_targets), now_s)
-                or placed
-            )
-        if placed is None and query.affinity is None:
-            placed = self._place_queued(query, local_targets or remote_targets, median_ms, now_s)
+        by_region = group_by_region(candidates, self.regions)
+        planned = None
+        if not query.allowed_regions and not query.excluded:
+            has_local = self.region in by_region
+            planned = self.region_plan.assign(query.service, has_local, now_s)
+        if planned is None:
+            placed = self._place_unplanned(query, by_region, median_ms, now_s)
+        else:
+            placed = self._place_planned(query, by_region, planned, median_ms, now_s)
         if placed is not None:
             return Ok(placed)
         return Err(PlacementFailure("all targets are full", self.retry_after_ms(median_ms)))
 
-    def _should_spill_over(
-        self, query: PlacementQuery, lacks_capacity: bool, has_local: bool, now_s: float
-    ) -> bool:
-        """Return whether to try the other regions for a request.
+    def _place_planned(
+        self,
+        query: PlacementQuery,
+        by_region: TargetsByRegion,
+        planned: str,
+        median_ms: float | None,
+        now_s: float,
+    ) -> Placement | None:
+        """Return a target in the region that the plan gives to a request."""
 
-        Requests restricted to certain regions and retries don't count as spillover demand: the
-        former may be barred from this region, and the latter have lost their preferred target.
-        Neither shows how much capacity this region has.
-        """
-        if query.allowed_regions or query.excluded:
-            return lacks_capacity
-        limiter = self.spillover_limiters.get(query.service)
-        if limiter is None:
-            step_per_s = SPILLOVER_STEP_FRACTION_PER_S * self.requirements.max_region_shift
-            limiter = self.spillover_limiters[query.service] = SpilloverLimiter(step_per_s)
-        limiter.observe(lacks_capacity, not has_local, now_s)
-        return limiter.admit() or (lacks_capacity and not has_local)
+        def place(targets: list[RegisteredTarget]) -> Placement | None:
+            placed = self._place_local(query, targets, median_ms, now_s)
+            if placed is None and query.affinity is None:
+                placed = self._place_queued(query, targets, median_ms, now_s)
+            if placed is not None and placed.region != self.region:
+                return evolve(placed, reason=PlacementReason.SPILLED)
+            return placed
+
+        away_share = self.region_plan.away_share(query.service)
+        self.spillover_limiters.of(query.service).follow(away_share, now_s)
+        return place_by_plan(self.region_plan, planned, query, by_region, place, now_s)
+
+    def _place_unplanned(
+        self,
+        query: PlacementQuery,
+        by_region: TargetsByRegion,
+        median_ms: float | None,
+        now_s: float,
+    ) -> Placement | None:
+        """Return a target of this region or, as this VM's demand requires it, of another one."""
+        local = by_region.get(self.region, [])
+        remote = remote_targets(self.region_plan, query.service, self.region, by_region, now_s)
+        placed = self._place_local(query, local, median_ms, now_s) if local else None
+        if remote and self.spillover_limiters.admit(query, placed is None, bool(local), now_s):
+            placed = self._place_remote(query, remote, median_ms, bool(local), now_s) or placed
+        if placed is None and query.affinity is None:
+            placed = self._place_queued(query, local or remote, median_ms, now_s)
+        return placed
 
     def _admissible(self, query: PlacementQuery, now_s: float) -> list[RegisteredTarget]:
         """Return the targets at which a request may run, whatever their state."""
         return [
             target
             for target in self.registry.usable(query.service, now_s)
-            if target.entry.target not in query.excluded
-            and (query.version is None or query.version.admits(target.entry.version))
-            and (not query.allowed_regions or self._region_of(target) in query.allowed_regions)
+            if query.admits(target, self._region_of(target))
         ]
 
-    def _candidates(
-        self, admissible: list[RegisteredTarget], now_s: float
-    ) -> list[RegisteredTarget]:
-        """Return the targets that accept requests, without ejected ones if most are healthy."""
-        usable = [target for target in admissible if not self.load_of(target).is_paused(now_s)]
-        healthy = [target for target in usable if not self.load_of(target).is_ejected(now_s)]
-        if len(healthy) < (1 - MAX_EJECTED_SHARE) * len(usable):
-            return usable
-        return healthy
-
     def _region_of(self, target: RegisteredTarget) -> str:
         return self.regions.get(target.entry.availability_zone, "")
 
@@ -292,10 +312,7 @@
     ) -> Placement | None:
         """Return a warm target of another region that has spare capacity."""
         if has_local:
-            busy_fraction = compute_busy_fraction(self._mean_utilization(targets, now_s))
-            max_utilization = REMOTE_UTILIZATION_IDLE + busy_fraction * (
-                REMOTE_UTILIZATION_BUSY - REMOTE_UTILIZATION_IDLE
-            )
+            max_utilization = max_remote_utilization(self._mean_utilization(targets, now_s))
         else:
             max_utilization = self._max_utilization(query, median_ms)
         for target in self._ordered(query, targets):
@@ -351,6 +368,9 @@
         target_load = self.load_of(target)
         was_ejected = target_load.is_ejected(now_s)
         target_load.finish(outcome, latency_ms, report, now_s)
+        if outcome is TargetOutcome.ANSWERED:
+            service, region = target.entry.service, placement.region
+            self.region_plan.record_answer(service, region, latency_ms, report)
         if pause_ms is not None:
             target_load.pause(pause_ms, now_s)
             log_event("target_paused", target=target.entry.target, pause_ms=round(pause_ms))
@@ -359,27 +379,6 @@
         if outcome is TargetOutcome.UNREACHABLE:
             self.mark_restarting(target, now_s)
 
-    def in_flight(self) -> dict[str, int]:
-        """Return the number of requests that this VM has in flight at each target."""
-        counts: dict[str, int] = {}
-        for (name, _), target_load in self.loads.items():
-            if target_load.own_in_flight:
-                counts[name] = counts.get(name, 0) + target_load.own_in_flight
-        return counts
-
-    def update_peer_in_flight(self, in_flight: Mapping[str, int], senders: int) -> None:
-        """Store the number of requests that the other VMs have in flight at each target."""
-        for target in self.registry.targets.values():
-            peer_in_flight = in_flight.get(target.entry.target, 0)
-            self.load_of(target).record_peer_in_flight(
-                peer_in_flight, self.random.random(), senders
-            )
-
-    def clear_peer_in_flight(self) -> None:
-        """Discard the counts of the other VMs, so that only load reports of targets are used."""
-        for target_load in self.loads.values():
-            target_load.peer_in_flight = None
-
     def mark_restarting(self, target: RegisteredTarget, now_s: float) -> None:
         """Mark a target that exited as cold, since it may restart before its entry is updated."""
         rule = self.services().get(target.entry.service)
--- a/src/wagtailbay/placement/spillover.py
+++ b/src/wagtailbay/placement/spillover.py
@@ -1,11 +1,13 @@
 """Limit how fast the share of requests sent to other regions changes."""
 
-from attrs import define
+from attrs import define, field
 
 from wagtailbay.placement.const import (
     NO_LOCAL_TARGETS_STEP_PER_S,
     SPILLOVER_DEMAND_HALF_LIFE_S,
+    SPILLOVER_STEP_FRACTION_PER_S,
 )
+from wagtailbay.placement.models import PlacementQuery
 
 
 @define
@@ -46,3 +48,44 @@
             return False
         self.credit -= 1.0
         return True
+
+    def follow(self, share: float, now_s: float) -> None:
+        """Take over a share that was planned, from which this limiter goes on without a plan."""
+        self.share = self.demand = share
+        self.updated_s = now_s
+
+
+@define
+class SpilloverLimiters:
+    """Holds the limiter of each service.
+
+    Attributes:
+        max_region_shift: Share of a region's requests that may change the region in which they run
+            from one window of 2 s to the next.
+    """
+
+    max_region_shift: float
+    by_service: dict[str, SpilloverLimiter] = field(factory=dict)
+
+    def of(self, service: str) -> SpilloverLimiter:
+        """Return the limiter of a service."""
+        limiter = self.by_service.get(service)
+        if limiter is None:
+            step_per_s = SPILLOVER_STEP_FRACTION_PER_S * self.max_region_shift
+            limiter = self.by_service[service] = SpilloverLimiter(step_per_s)
+        return limiter
+
+    def admit(
+        self, query: PlacementQuery, lacks_capacity: bool, has_local: bool, now_s: float
+    ) -> bool:
+        """Return whether to try the other regions for a request.
+
+        Requests restricted to certain regions and retries don't count as spillover demand: the
+        former may be barred from this region, and the latter have lost their preferred target.
+        Neither shows how much capacity this region has.
+        """
+        if query.allowed_regions or query.excluded:
+            return lacks_capacity
+        limiter = self.of(query.service)
+        limiter.observe(lacks_capacity, not has_local, now_s)
+        return limiter.admit() or (lacks_capacity and not has_local)
--- a/tests/placement/test_spillover.py
+++ b/tests/placement/test_spillover.py
@@ -81,7 +81,7 @@
             )
         selected = selector.registry.targets["b0"]
         selector.load_of(selected).own_in_flight = 0
-        selector.spillover_limiters["records"] = SpilloverLimiter(share=1.0, demand=1.0)
+        selector.spillover_limiters.by_service["records"] = SpilloverLimiter(share=1.0, demand=1.0)
         for _ in range(20):
             selector.select(PlacementQuery("records", "7", 600.0), 0.0)
         assert selector.load_of(selected).own_in_flight == expected
