Plan which region serves which share of each region's requests

A region with a tenth of the targets gets a third of the callers; the share that each VM sends elsewhere by its own view follows 4% a second and stops at 0.3 to 0.6 of the slots there.

All VMs publish their demand and work times, compute the same plan from the sums, and follow it by at most 0.7 of max_region_shift between two windows; what is executed is held to 0.8 of it.

--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -34,6 +34,7 @@
     _last_budget_shares: dict[str, int] = field(factory=dict, init=False)
     _move_share: Gauge = field(init=False)
     _confirmed_age_ms: Gauge = field(init=False)
+    _region_share: Gauge = field(init=False)
     _lost_audit_records: Counter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -97,6 +98,11 @@
             unit="ms",
             description="Age of this VM's knowledge of the store",
         )
+        self._region_share = meter.create_gauge(
+            "wagtailbay.region.share",
+            unit="ppm",
+            description="Share of this VM's requests that runs in another region",
+        )
         self._lost_audit_records = meter.create_counter(
             "wagtailbay.audit.lost", description="Audit records that did not reach the store"
         )
@@ -138,6 +144,14 @@
         """Set the share of a service's new version that this VM applies."""
         self._move_share.set(share_ppm, {"service": service})
 
+    def set_region_share(
+        self, service: str, region: str, planned_ppm: int, executed_ppm: int
+    ) -> None:
+        """Set the shares of a service's requests planned for another region, and sent there."""
+        for kind, share_ppm in (("planned", planned_ppm), ("executed", executed_ppm)):
+            labels = {"service": service, "region": region, "kind": kind}
+            self._region_share.set(share_ppm, labels)
+
     def set_confirmed_age(self, age_ms: float) -> None:
         """Set the time since this VM's copy of the store was last confirmed."""
         self._confirmed_age_ms.set(age_ms)
--- /dev/null
+++ b/src/wagtailbay/regions/const.py
@@ -0,0 +1,60 @@
+"""Constants of the regions slice."""
+
+from typing import Final
+
+REGION_COUNTS_KIND: Final = "region_counts"
+EXCHANGE_INTERVAL_S: Final = 1.0
+# A plan may be applied at once only while no window of 2 s has had traffic. So counts are exchanged
+# this soon after the first request, and this often until the start of traffic is over.
+EARLY_INTERVAL_S: Final = 0.2
+START_S: Final = 1.2
+# Counts and plans that are older say nothing about the present.
+MAX_PLAN_AGE_S: Final = 5.0
+# Sums count as complete if they contain this part of the live VMs.
+MIN_COVERAGE: Final = 0.5
+# A region with a smaller demand, 20 requests in 2 s, has no traffic yet.
+MIN_STARTED_PER_S: Final = 10.0
+
+# A region keeps its own demand below this utilization.
+KEPT_UTILIZATION: Final = 0.7
+# A region begins to send requests away only when its utilization exceeds that by this margin, and
+# exceeds that of the emptiest region by the gap. Regions that are equal but for randomness, some 6%
+# of a second's count of 250, therefore keep their requests.
+START_MARGIN: Final = 0.05
+START_GAP: Final = 0.15
+# A plan that differs less from the previous one is not adopted.
+MIN_SHARE_CHANGE: Final = 0.02
+# A difference from this share on is logged.
+LOGGED_SHARE_CHANGE: Final = 0.1
+
+# Weight of the newest demand in the estimate halves the older one within this time.
+DEMAND_HALF_LIFE_S: Final = 0.7
+SLOPE_WEIGHT: Final = 0.2
+# Counts are 1 to 2 s old when a plan uses them, and shares take another second to follow.
+LOOKAHEAD_S: Final = 2.5
+MAX_LOOKAHEAD_CHANGE: Final = 0.3
+# The estimate starts anew when demand grows by this factor within one interval.
+DEMAND_JUMP_FACTOR: Final = 4.0
+
+# Work times come from answers, of which older ones fade with this half-life. Which machines are
+# slow changes every 0.6 s, so it covers several such changes.
+WORK_HALF_LIFE_S: Final = 5.0
+# With fewer answers, the latency goal stands for the work time.
+MIN_ANSWERS: Final = 20.0
+MIN_WORK_S: Final = 0.001
+
+# Windows between which the requirement limits the change of region.
+WINDOW_S: Final = 2.0
+BUCKETS_PER_WINDOW: Final = 8
+# Fraction of the allowed change that is used by what is executed, and by the planned change alone.
+# The difference is left for requests that don't run where the plan puts them.
+EXECUTED_FRACTION: Final = 0.8
+PLANNED_FRACTION: Final = 0.7
+# In a smaller window of one VM, a single request is more than the allowed change.
+MIN_WINDOW_REQUESTS: Final = 5
+# Without a usable target in the own region, a gradual change has no benefit.
+NO_LOCAL_TARGETS_STEP_PER_S: Final = 10.0
+# Below this share, a region that need not send requests away no longer does.
+MIN_SHARE: Final = 0.01
+# Bounds what a malformed count of a peer can add to a sum.
+MAX_COUNT: Final = 1e9
