--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -21,6 +21,7 @@
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.quarantine import CRASH_PREFIX, CrashRecorder, CrashTable
 from wagtailbay.quota import RateOwners, TokenBank, WorkspaceQuota
+from wagtailbay.regions import RegionRouter, RegionTracker
 from wagtailbay.registry import (
     EVACUATION_PREFIX,
     TARGET_PREFIX,
@@ -93,12 +94,15 @@
     settings: GatewaySettings
     rng: random.Random = field(factory=random.Random)
     registry: TargetRegistry = field(init=False)
+    region_router: RegionRouter = field(init=False)
     routing: ActiveRouting = field(factory=ActiveRouting)
     quota: WorkspaceQuota | None = None
 
     def __attrs_post_init__(self) -> None:
-        """Create the registry with the requirements of the deployment."""
-        self.registry = TargetRegistry(requirements=self.settings.requirements)
+        """Create the parts that others refer to, with the requirements of the deployment."""
+        requirements = self.settings.requirements
+        self.registry = TargetRegistry(requirements=requirements)
+        self.region_router = RegionRouter(self.settings.region, requirements.max_region_shift)
 
     def build(self) -> GatewayNode:
         """Build all components."""
@@ -138,6 +142,9 @@
                 boottime_s,
                 self.rng,
             ),
+            region_tracker=self._build_region_tracker(
+                fleet_view, handler.forwarder.selector, exporter
+            ),
             version_splitter=version_splitter,
             rollout_controller=self._build_rollout_controller(fleet_view, store, version_splitter),
             quota=handler.quota,
@@ -263,6 +270,21 @@
             ),
             self.rng,
             settings.requirements,
+            region_plan=self.region_router,
+        )
+
+    def _build_region_tracker(
+        self, fleet_view: GatewayFleetView, selector: TargetSelector, exporter: Exporter
+    ) -> RegionTracker:
+        return RegionTracker(
+            self.region_router,
+            selector,
+            fleet_view.fleet.facts,
+            fleet_view.layout,
+            lambda: len(fleet_view.live_vms()),
+            boottime_s,
+            self.rng,
+            exporter.metrics,
         )
 
     def _lend(self, request: LoanRequest, now_s: float) -> LoanGrant:
--- a/src/wagtailbay/programs/gateway_node.py
+++ b/src/wagtailbay/programs/gateway_node.py
@@ -26,6 +26,7 @@
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.quarantine import CrashRecorder
 from wagtailbay.quota import WorkspaceQuota
+from wagtailbay.regions import RegionTracker
 from wagtailbay.registry import LeavingTracker, TargetRegistry
 from wagtailbay.replica import LostObjectHold
 from wagtailbay.requirements import FleetRequirements
@@ -58,6 +59,7 @@
     leaving_tracker: LeavingTracker
     selector: TargetSelector
     occupancy: OccupancyTracker
+    region_tracker: RegionTracker
     version_splitter: VersionSplitter
     rollout_controller: RolloutController
     quota: WorkspaceQuota
@@ -81,6 +83,7 @@
             "registration": self.registrar.run,
             "loop_lag": self.handler.loop_lag.run,
             "occupancy": self.occupancy.run,
+            "region_plan": self.region_tracker.run,
             "leaving_targets": self.leaving_tracker.run,
         }.items():
             nursery.start_soon(keep_running, task, name)
