Start a plan only by sums that agree, and keep receivers of requests

In a fake fleet of three equal regions with 19 targets each, single sums of the first seconds made regions exchange up to 0.4 of their requests. Regions that receive requests keep them while they can: with waves a third of a period apart, pure levelling moved half of a region's requests between receivers.

--- a/src/wagtailbay/regions/const.py
+++ b/src/wagtailbay/regions/const.py
@@ -17,11 +17,14 @@
 
 # A region keeps its own demand below this utilization.
 KEPT_UTILIZATION: Final = 0.7
-# A region begins to send requests away only when its utilization exceeds that by this margin, and
-# exceeds that of the emptiest region by the gap. Regions that are equal but for randomness, some 6%
-# of a second's count of 250, therefore keep their requests.
+# A region begins to send requests away only when its utilization exceeds the kept one by this
+# margin and that of the emptiest region by this factor. The estimates of equal regions differ by chance,
+# most of all by their counts of the first half second and by work times while caches are cold.
 START_MARGIN: Final = 0.05
-START_GAP: Final = 0.15
+START_RATIO: Final = 1.5
+EARLY_START_RATIO: Final = 3.0
+# Beyond this utilization, no region has free capacity that others could use.
+MAX_FREE_UTILIZATION: Final = 0.9
 # A plan that differs less from the previous one is not adopted.
 MIN_SHARE_CHANGE: Final = 0.02
 # A difference from this share on is logged.
@@ -31,7 +34,7 @@
 DEMAND_HALF_LIFE_S: Final = 0.7
 SLOPE_WEIGHT: Final = 0.2
 # Counts are 1 to 2 s old when a plan uses them, and shares take another second to follow.
-LOOKAHEAD_S: Final = 2.5
+LOOKAHEAD_S: Final = 2.0
 MAX_LOOKAHEAD_CHANGE: Final = 0.3
 # The estimate starts anew when demand grows by this factor within one interval.
 DEMAND_JUMP_FACTOR: Final = 4.0
@@ -40,7 +43,7 @@
 # slow changes every 0.6 s, so it covers several such changes.
 WORK_HALF_LIFE_S: Final = 5.0
 # With fewer answers, the latency goal stands for the work time.
-MIN_ANSWERS: Final = 20.0
+MIN_ANSWERS: Final = 50.0
 MIN_WORK_S: Final = 0.001
 
 # Windows between which the requirement limits the change of region.
@@ -48,7 +51,7 @@
 BUCKETS_PER_WINDOW: Final = 8
 # Fraction of the allowed change that is used by what is executed, and by the planned change alone.
 # The difference is left for requests that don't run where the plan puts them.
-EXECUTED_FRACTION: Final = 0.8
+EXECUTED_FRACTION: Final = 0.75
 PLANNED_FRACTION: Final = 0.7
 # In a smaller window of one VM, a single request is more than the allowed change.
 MIN_WINDOW_REQUESTS: Final = 5
--- a/src/wagtailbay/regions/plan.py
+++ b/src/wagtailbay/regions/plan.py
@@ -6,11 +6,13 @@
 from attrs import frozen
 
 from wagtailbay.regions.const import (
+    EARLY_START_RATIO,
     KEPT_UTILIZATION,
+    MAX_FREE_UTILIZATION,
     MIN_SHARE_CHANGE,
     MIN_WORK_S,
-    START_GAP,
     START_MARGIN,
+    START_RATIO,
 )
 
 Shares = Mapping[str, float]
@@ -54,7 +56,7 @@
         rooms: Capacity of each region that may serve requests of others.
         previous: The plan in force, for hysteresis.
         is_early: Whether the counts are those of the first second of traffic. A region then begins
-            to send requests away only if it is used twice as much as another one.
+            to send requests away only if it is used far more than another one.
     """
     capacity = {region: room.capacity_per_s for region, room in rooms.items()}
     total_capacity = sum(capacity.values())
@@ -64,14 +66,16 @@
     level = max(KEPT_UTILIZATION, sum(demand.values()) / total_capacity)
     used = {region: _utilization(demand[region], capacity.get(region, 0.0)) for region in demand}
     lowest = min(used[region] for region in capacity if capacity[region] > 0)
-    min_gap = max(START_GAP, lowest) if is_early else START_GAP
-    start_from = max(KEPT_UTILIZATION + START_MARGIN, lowest + min_gap)
+    ratio = EARLY_START_RATIO if is_early else START_RATIO
+    start_from = max(KEPT_UTILIZATION + START_MARGIN, ratio * lowest)
+    if lowest > MAX_FREE_UTILIZATION:
+        start_from = inf
     excess = {
         region: demand[region] - level * capacity.get(region, 0.0)
         for region in sorted(demand)
         if used[region] > level and (previous.get(region) or used[region] > start_from)
     }
-    received = _fill(sum(excess.values()), demand, capacity)
+    received = _receive(excess, demand, capacity, previous)
     total = sum(received.values())
     planned = {}
     for region, excess_per_s in excess.items():
@@ -94,6 +98,37 @@
     return demand_per_s / capacity_per_s
 
 
+def _receive(
+    excess: Mapping[str, float],
+    demand: Mapping[str, float],
+    capacity: Mapping[str, float],
+    previous: RegionShares,
+) -> dict[str, float]:
+    """Divide the excess of all regions among those with free capacity.
+
+    Regions that receive requests already keep what they can, since a change of region between two
+    receivers would use up the change that demand requires.
+    """
+    total = sum(excess.values())
+    if total <= 0:
+        return {}
+    free = {region: capacity[region] for region in capacity if region not in excess}
+    filled = _fill(total, demand, free)
+    levels = [(demand[to] + part) / capacity[to] for to, part in filled.items()]
+    ceiling = max([KEPT_UTILIZATION, *levels])
+    kept: dict[str, float] = {}
+    for region, excess_per_s in excess.items():
+        shares = previous.get(region, {})
+        scale = min(demand[region], excess_per_s / max(sum(shares.values()), 1e-9))
+        for to in shares.keys() & free.keys():
+            kept[to] = kept.get(to, 0.0) + scale * shares[to]
+    for to, part in kept.items():
+        kept[to] = min(part, max(0.0, ceiling * free[to] - demand[to]))
+    used = {to: demand[to] + kept.get(to, 0.0) for to in free}
+    rest = _fill(total - sum(kept.values()), used, free)
+    return {to: kept.get(to, 0.0) + rest.get(to, 0.0) for to in kept.keys() | rest.keys()}
+
+
 def _fill(
     excess_per_s: float, demand: Mapping[str, float], capacity: Mapping[str, float]
 ) -> dict[str, float]:
--- a/src/wagtailbay/regions/tracker.py
+++ b/src/wagtailbay/regions/tracker.py
@@ -35,6 +35,7 @@
     Attributes:
         live_vms: Returns the number of live VMs, for which the sums have to stand.
         trends: Demand by service and region.
+        wanted: Regions that the newest sums would relieve, by service.
         saw_no_traffic: Whether this VM knew the fleet before the traffic of its region started;
             None until it knows the fleet.
         started_s: When the traffic of its region started.
@@ -49,6 +50,7 @@
     random: random.Random
     metrics: Metrics = field(factory=Metrics)
     trends: dict[tuple[str, str], DemandTrend] = field(factory=dict)
+    wanted: dict[str, frozenset[str]] = field(factory=dict)
     saw_no_traffic: bool | None = None
     started_s: float | None = None
     aggregator: FleetAggregator = field(init=False)
@@ -108,6 +110,8 @@
                 continue
             previous = self.router.plans.get(service, {})
             plan = plan_shares(demand, rooms, previous, is_early=is_early)
+            plan, wanted = self._confirmed(service, plan, is_early), frozenset(plan)
+            self.wanted[service] = wanted
             self.router.adopt(
                 service,
                 plan,
@@ -116,6 +120,16 @@
                 at_once=is_early and bool(self.saw_no_traffic),
             )
 
+    def _confirmed(
+        self, service: str, plan: dict[str, dict[str, float]], is_early: bool
+    ) -> dict[str, dict[str, float]]:
+        """Return a plan without the regions that it relieves for the first time by one sum only.
+
+        While work times of cold caches fade, single sums made equal regions exchange requests.
+        """
+        wanted = self.wanted.get(service, frozenset()) | self.router.plans.get(service, {}).keys()
+        return {region: shares for region, shares in plan.items() if is_early or region in wanted}
+
     def _expected_demand(self, service: str, total: RegionCounts, now_s: float) -> dict[str, float]:
         demand = total.demand_per_s.get(service, {})
         regions = demand.keys() | {r for name, r in self.trends if name == service}
