--- a/src/wagtailbay/placement/regional.py
+++ b/src/wagtailbay/placement/regional.py
@@ -1,6 +1,6 @@
 """Place requests in the regions that a plan for uneven regions gives them."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
 from attrs import define
@@ -23,8 +23,12 @@
     def alternatives(self, service: str, planned: str) -> list[str]:
         """Return the regions for a request that finds no capacity in the planned one."""
 
-    def allows(self, region: str, now_s: float) -> bool:
-        """Return whether a request may run in a region without too many changing theirs."""
+    def allows(self, region: str, usable: Collection[str], now_s: float) -> bool:
+        """Return whether a request may run in a region without too many changing theirs.
+
+        Args:
+            usable: The regions that have targets.
+        """
 
     def is_sender(self, service: str, region: str, now_s: float) -> bool:
         """Return whether the plan relieves a region, so that it gets no requests of others."""
@@ -62,7 +66,7 @@
         """Return no region."""
         return []
 
-    def allows(self, region: str, now_s: float) -> bool:
+    def allows(self, region: str, usable: Collection[str], now_s: float) -> bool:
         """Return True."""
         return True
 
@@ -97,20 +101,18 @@
 ) -> Placement | None:
     """Return a target in the planned region or, if that has no capacity, in another one.
 
-    What is executed must change as gradually as what is planned. A region without any target is
-    left at once, since a gradual change has no benefit then.
+    What is executed must change as gradually as what is planned.
 
     Args:
         planned: Region that the plan gives to the request.
         place: Returns one of the given targets that has capacity.
     """
     regions = [planned, *plan.alternatives(query.service, planned)]
-    is_bound = bool(targets_by_region.get(planned))
     if not any(targets_by_region.get(region) for region in regions):
         regions = sorted(targets_by_region)
     for region in regions:
         targets = targets_by_region.get(region)
-        if not targets or (is_bound and not plan.allows(region, now_s)):
+        if not targets or not plan.allows(region, targets_by_region, now_s):
             continue
         placed = place(targets)
         if placed is not None:
--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -137,6 +137,8 @@
         """Return a target in the region that the plan gives to a request."""
 
         def place(targets: list[RegisteredTarget]) -> Placement | None:
+            if self.region not in by_region:
+                return self._place_remote(query, targets, median_ms, False, now_s)
             placed = self._place_local(query, targets, median_ms, now_s)
             if placed is None and query.affinity is None:
                 placed = self._place_queued(query, targets, median_ms, now_s)
--- a/src/wagtailbay/regions/const.py
+++ b/src/wagtailbay/regions/const.py
@@ -18,8 +18,8 @@
 # A region keeps its own demand below this utilization.
 KEPT_UTILIZATION: Final = 0.7
 # A region begins to send requests away only when its utilization exceeds the kept one by this
-# margin and that of the emptiest region by this factor. The estimates of equal regions differ by chance,
-# most of all by their counts of the first half second and by work times while caches are cold.
+# margin and that of the emptiest region by this factor. The estimates of equal regions differ by
+# chance, most of all by their counts of the first half second and by work times of cold caches.
 START_MARGIN: Final = 0.05
 START_RATIO: Final = 1.5
 EARLY_START_RATIO: Final = 3.0
--- a/src/wagtailbay/regions/router.py
+++ b/src/wagtailbay/regions/router.py
@@ -1,5 +1,7 @@
 """Apply the plan to this VM's requests."""
 
+from collections.abc import Collection
+
 from attrs import define, field
 
 from wagtailbay.logs import log_event
@@ -91,9 +93,13 @@
         regions = [*sorted(goals, key=lambda to: -goals[to]), self.region]
         return [region for region in regions if region != planned]
 
-    def allows(self, region: str, now_s: float) -> bool:
-        """Return whether a request may run in a region without too many changing theirs."""
-        return self.limiter.allows(region, now_s)
+    def allows(self, region: str, usable: Collection[str], now_s: float) -> bool:
+        """Return whether a request may run in a region without too many changing theirs.
+
+        When all targets of a region are lost, its requests change their region at once, since a
+        gradual change has no benefit then.
+        """
+        return self.limiter.allows(region, now_s) or not self.limiter.used(now_s) <= set(usable)
 
     def is_sender(self, service: str, region: str, now_s: float) -> bool:
         """Return whether the plan relieves a region, so that it gets no requests of others."""
--- a/src/wagtailbay/regions/window.py
+++ b/src/wagtailbay/regions/window.py
@@ -55,6 +55,11 @@
         )
         return moved <= max(self.max_shift, 1 / count)
 
+    def used(self, now_s: float) -> set[str]:
+        """Return the regions in which requests ran in the older window."""
+        self._advance(now_s)
+        return {region for region, count in self.before.items() if count}
+
     def _advance(self, now_s: float) -> None:
         number = int(now_s // BUCKET_S)
         if self.bucket_number == number:
