--- a/src/wagtailbay/regions/models.py
+++ b/src/wagtailbay/regions/models.py
@@ -61,5 +61,6 @@
         if isinstance(value, Mapping):
             total[key] = add_nested(total.get(key, {}), value)
         else:
-            total[key] = total.get(key, 0) + min(MAX_COUNT, max(0, value))
+            # Sums of rounded numbers would have up to 17 digits on the wire.
+            total[key] = round(total.get(key, 0) + min(MAX_COUNT, max(0, value)), 1)
     return total
--- a/src/wagtailbay/regions/traffic.py
+++ b/src/wagtailbay/regions/traffic.py
@@ -105,7 +105,7 @@
         self, counts: RegionCounts, service: str, traffic: RegionTraffic, elapsed_s: float
     ) -> None:
         def per_s(requests: dict[str, int]) -> dict[str, float]:
-            return {region: round(count / elapsed_s, 2) for region, count in requests.items()}
+            return {region: round(count / elapsed_s, 1) for region, count in requests.items()}
 
         if traffic.demand:
             counts.demand_per_s[service] = per_s({self.region: traffic.demand})
@@ -114,8 +114,8 @@
         if traffic.pinned:
             counts.pinned_per_s[service] = per_s(traffic.pinned)
         if traffic.answers:
-            counts.work_s[service] = {r: round(s, 2) for r, s in traffic.work_s.items()}
-            counts.answers[service] = {r: round(n, 2) for r, n in traffic.answers.items()}
+            counts.work_s[service] = {r: round(s, 1) for r, s in traffic.work_s.items()}
+            counts.answers[service] = {r: round(n, 1) for r, n in traffic.answers.items()}
 
 
 @define
