Don't hold requests to where they ran before a VM's first plan

The limit of what is executed compared the requests after the first plan with those before it: 2 s after the start of traffic, a region with a share of 0.1 sent nearly all requests home for 0.2 s and refused many. New VMs also began with the share of their own first requests, which ran at home. The limiter is reset by a first plan, and new VMs take their region's share.

--- a/src/wagtailbay/regions/const.py
+++ b/src/wagtailbay/regions/const.py
@@ -51,8 +51,8 @@
 BUCKETS_PER_WINDOW: Final = 8
 # Fraction of the allowed change that is used by what is executed, and by the planned change alone.
 # The difference is left for requests that don't run where the plan puts them.
-EXECUTED_FRACTION: Final = 0.75
-PLANNED_FRACTION: Final = 0.7
+EXECUTED_FRACTION: Final = 0.7
+PLANNED_FRACTION: Final = 0.65
 # In a smaller window of one VM, a single request is more than the allowed change.
 MIN_WINDOW_REQUESTS: Final = 5
 # Without a usable target in the own region, a gradual change has no benefit.
--- a/src/wagtailbay/regions/router.py
+++ b/src/wagtailbay/regions/router.py
@@ -54,6 +54,7 @@
                 which the shares start unless a plan is in force.
         """
         state = self.services.get(service)
+        is_first = state is None
         if state is None:
             step_per_s = PLANNED_FRACTION * self.max_region_shift / WINDOW_S
             state = self.services[service] = ServiceShares(step_per_s)
@@ -61,6 +62,9 @@
         self.plans[service] = plan
         goals = dict(plan.get(self.region, {}))
         state.adopt(goals, now_s, at_once=at_once)
+        if is_first or (at_once and goals):
+            # Compared with the requests before the first plan, all later ones would be held back.
+            self.limiter.reset()
         if not was_in_force and not at_once:
             state.seed(executed_away, now_s)
         logged = self.logged.get(service, {})
--- a/src/wagtailbay/regions/tracker.py
+++ b/src/wagtailbay/regions/tracker.py
@@ -174,15 +174,12 @@
     def _executed_away(self, service: str, total: RegionCounts) -> float:
         """Return the share of this region's requests that ran in other regions of late.
 
-        This VM's own share is used if it had enough requests.
+        That of the region is used, since a VM that has just started ran its first requests at home.
         """
         region = self.router.region
-        for counts in (self.router.counter.last, total):
-            per_s = counts.demand_per_s.get(service, {}).get(region, 0.0)
-            if per_s >= MIN_STARTED_PER_S:
-                away = counts.away_per_s.get(service, {}).get(region, {})
-                return min(1.0, sum(away.values()) / per_s)
-        return 0.0
+        per_s = total.demand_per_s.get(service, {}).get(region, 0.0)
+        away = total.away_per_s.get(service, {}).get(region, {})
+        return min(1.0, sum(away.values()) / per_s) if per_s > 0 else 0.0
 
     def _record_metrics(self, own: RegionCounts) -> None:
         region = self.router.region
--- a/src/wagtailbay/regions/window.py
+++ b/src/wagtailbay/regions/window.py
@@ -55,6 +55,11 @@
         )
         return moved <= max(self.max_shift, 1 / count)
 
+    def reset(self) -> None:
+        """Forget what ran, so that requests need not keep to the regions of before."""
+        self.buckets.clear()
+        self.current, self.before, self.bucket_number = {}, {}, None
+
     def used(self, now_s: float) -> set[str]:
         """Return the regions in which requests ran in the older window."""
         self._advance(now_s)
--- a/tests/regions/fleet.py
+++ b/tests/regions/fleet.py
@@ -160,6 +160,12 @@
                 if other is not vm:
                     vm.tracker.facts.merge(other.tracker.facts.facts.values())
 
+    def restart_vms(self, zone: str, count: int) -> None:
+        """Replace the first VMs of a zone by new ones that know nothing."""
+        places = [place for place, vm in enumerate(self.vms) if vm.region == REGIONS[zone]]
+        for number, place in enumerate(places[:count]):
+            self.vms[place] = self._build_vm(zone, VMS_PER_REGION + number)
+
     def lose_targets(self, zone: str, now_s: float) -> None:
         """Remove all targets of a zone, as the store does when they are lost."""
         for vm in self.vms:
--- a/tests/regions/test_plan.py
+++ b/tests/regions/test_plan.py
@@ -99,6 +99,17 @@
         assert max(b - a for a, b in zip(shares, shares[1:], strict=False)) < 0.12
         assert shares[-1] > 0.3
 
+    def test_first_plan_is_not_held_back(self) -> None:
+        """Guards against requests sent home 2 s after the first plan, since they began there."""
+        router = RegionRouter("north", 0.15)
+        for tick in range(800):
+            now_s = tick / 200
+            if tick == 60:
+                router.adopt("records", {"north": {"east": 0.9}}, 0.0, now_s, at_once=True)
+            region = "north" if tick < 60 else "east"
+            assert router.allows(region, {"north", "east"}, now_s)
+            router.record_first_attempt("records", region, now_s, is_restricted=False)
+
     def test_old_plan_is_not_in_force(self) -> None:
         """Guards against shares by sums that stand for nothing any more."""
         router = RegionRouter("north", 0.15)
