Placement: tell why no target was selected, and whose turn a selection is

Only a selection that failed for lack of capacity is worth waiting for, so a PlacementFailure has a kind. A request that waits for the targets of its region selects several times: SelectionTurn keeps these from counting several times as spillover demand, and lets a request behind others go to another region only.

--- a/src/wagtailbay/placement/models.py
+++ b/src/wagtailbay/placement/models.py
@@ -1,6 +1,7 @@
 """Data models for target selection: query, placement, load report and outcome."""
 
 from enum import Enum
+from typing import Self
 
 from attrs import frozen
 
@@ -23,6 +24,20 @@
         return (version == self.version) is self.include
 
 
+class SelectionTurn(Enum):
+    """Turn of a request in the queue for capacity when it selects a target.
+
+    Attributes:
+        FIRST: It selects for the first time, and nobody waits before it.
+        BEHIND: It selects for the first time, but others wait for the targets of this region.
+        AGAIN: It has waited since an earlier selection, which counted it as demand.
+    """
+
+    FIRST = "first"
+    BEHIND = "behind"
+    AGAIN = "again"
+
+
 @frozen
 class PlacementQuery:
     """Describe a request for which a target is selected.
@@ -34,6 +49,7 @@
         allowed_regions: Regions in which the request may run; empty for any region.
         version: Restricts the versions of the target; None for any version.
         is_large: Whether the request and its answer are expected to be large.
+        turn: Turn of the request in the queue for capacity.
     """
 
     service: str
@@ -43,6 +59,7 @@
     allowed_regions: frozenset[str] = frozenset()
     version: VersionFilter | None = None
     is_large: bool = False
+    turn: SelectionTurn = SelectionTurn.FIRST
 
 
 class PlacementReason(Enum):
@@ -68,13 +85,42 @@
     reason: PlacementReason
 
 
+class PlacementFailureKind(Enum):
+    """Kind of a failed selection; only one for lack of capacity is worth waiting for."""
+
+    FULL = "full"
+    UNUSABLE = "unusable"
+    PAUSED = "paused"
+
+
 @frozen
 class PlacementFailure:
     """Why no target could be selected, and when the caller should retry."""
 
+    kind: PlacementFailureKind
     reason: str
     retry_after_ms: float
 
+    @classmethod
+    def full(cls, retry_after_ms: float, reason: str = "all targets are full") -> Self:
+        """Return the failure of a selection that found no capacity."""
+        return cls(PlacementFailureKind.FULL, reason, retry_after_ms)
+
+    @classmethod
+    def unusable(cls, retry_after_ms: float) -> Self:
+        """Return the failure of a selection without a target that may be used."""
+        return cls(PlacementFailureKind.UNUSABLE, "no usable target", retry_after_ms)
+
+    @classmethod
+    def paused(cls, retry_after_ms: float) -> Self:
+        """Return the failure of a selection among targets that want no requests."""
+        return cls(PlacementFailureKind.PAUSED, "all targets asked for a pause", retry_after_ms)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether only capacity is missing."""
+        return self.kind is PlacementFailureKind.FULL
+
 
 @frozen
 class LoadReport:
--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -31,6 +31,7 @@
     PlacementFailure,
     PlacementQuery,
     PlacementReason,
+    SelectionTurn,
     TargetOutcome,
 )
 from wagtailbay.placement.ranking import (
@@ -90,30 +91,33 @@
     def _select(self, query: PlacementQuery, now_s: float) -> Result[Placement, PlacementFailure]:
         admissible = self._admissible(query, now_s)
         if not admissible:
-            return Err(PlacementFailure("no usable target", MAX_RETRY_AFTER_MS))
+            return Err(PlacementFailure.unusable(MAX_RETRY_AFTER_MS))
         candidates = self._candidates(admissible, now_s)
         if not candidates:
             paused_until_s = min(self.load_of(target).paused_until_s for target in admissible)
             pause_ms = max(MIN_RETRY_AFTER_MS, (paused_until_s - now_s) * 1000)
-            return Err(PlacementFailure("all targets asked for a pause", pause_ms))
+            return Err(PlacementFailure.paused(pause_ms))
         median_ms = self._median_ms(candidates, now_s)
         local_targets = [c for c in candidates if self._region_of(c) == self.region]
         remote_targets = [c for c in candidates if self._region_of(c) != self.region]
-        placed = (
-            self._place_local(query, local_targets, median_ms, now_s) if local_targets else None
-        )
-        if remote_targets and self._should_spill_over(
-            query, placed is None, bool(local_targets), now_s
+        is_behind = query.turn is SelectionTurn.BEHIND
+        placed = None
+        if local_targets and not is_behind:
+            placed = self._place_local(query, local_targets, median_ms, now_s)
+        if (
+            remote_targets
+            and self._should_spill_over(query, placed is None, bool(local_targets), now_s)
+            and (local_targets or not is_behind)
         ):
             placed = (
                 self._place_remote(query, remote_targets, median_ms, bool(local_targets), now_s)
                 or placed
             )
-        if placed is None and query.affinity is None:
+        if placed is None and query.affinity is None and not is_behind:
             placed = self._place_queued(query, local_targets or remote_targets, median_ms, now_s)
         if placed is not None:
             return Ok(placed)
-        return Err(PlacementFailure("all targets are full", self.retry_after_ms(median_ms)))
+        return Err(PlacementFailure.full(self.retry_after_ms(median_ms)))
 
     def _should_spill_over(
         self, query: PlacementQuery, lacks_capacity: bool, has_local: bool, now_s: float
@@ -126,6 +130,8 @@
         """
         if query.allowed_regions or query.excluded:
             return lacks_capacity
+        if query.turn is SelectionTurn.AGAIN:
+            return lacks_capacity and not has_local
         limiter = self.spillover_limiters.get(query.service)
         if limiter is None:
             step_per_s = SPILLOVER_STEP_FRACTION_PER_S * self.requirements.max_region_shift
@@ -299,9 +305,8 @@
         else:
             max_utilization = self._max_utilization(query, median_ms)
         for target in self._ordered(query, targets):
-            if self._has_capacity(target, max_utilization, median_ms, now_s) and not target.is_cold(
-                now_s
-            ):
+            has_capacity = self._has_capacity(target, max_utilization, median_ms, now_s)
+            if has_capacity and not target.is_cold(now_s):
                 return self._placement(target, PlacementReason.SPILLED, now_s)
         return None
 
@@ -370,10 +375,8 @@
     def update_peer_in_flight(self, in_flight: Mapping[str, int], senders: int) -> None:
         """Store the number of requests that the other VMs have in flight at each target."""
         for target in self.registry.targets.values():
-            peer_in_flight = in_flight.get(target.entry.target, 0)
-            self.load_of(target).record_peer_in_flight(
-                peer_in_flight, self.random.random(), senders
-            )
+            count = in_flight.get(target.entry.target, 0)
+            self.load_of(target).record_peer_in_flight(count, self.random.random(), senders)
 
     def clear_peer_in_flight(self) -> None:
         """Discard the counts of the other VMs, so that only load reports of targets are used."""
@@ -391,8 +394,7 @@
         known = {
             (name, target.entry.born_unix_ms) for name, target in self.registry.targets.items()
         }
-        for key in [
-            key for key in self.loads if key not in known and not self.loads[key].own_in_flight
-        ]:
-            del self.loads[key]
+        for key in self.loads.keys() - known:
+            if not self.loads[key].own_in_flight:
+                del self.loads[key]
         self.cold_limiter.prune({name for name, _ in known})
