--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -26,6 +26,7 @@
 
     meter: Meter = field(factory=lambda: NoOpMeter(METER_NAME))
     _latency_ms: Histogram = field(init=False)
+    _queue_wait_ms: Histogram = field(init=False)
     _counts: dict[str, dict[tuple[str, ...], int]] = field(factory=dict)
     _store_calls: Counter = field(init=False)
     _store_restores: Counter = field(init=False)
@@ -54,6 +55,17 @@
         self._create_observable_counter(
             "attempts", ("service", "outcome"), "Tries at targets by outcome"
         )
+        self._create_observable_counter(
+            "queue.requests",
+            ("service", "priority", "outcome"),
+            "Requests that found no capacity at once, by what became of them",
+        )
+        self._queue_wait_ms = meter.create_histogram(
+            "wagtailbay.queue.wait",
+            unit="ms",
+            description="Time for which a request waited for capacity",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
         self._create_control_instruments(meter)
 
     def _create_observable_counter(
@@ -116,6 +128,14 @@
         """Count an attempt at a target by the value of its AttemptOutcome."""
         self._increment("attempts", service, outcome)
 
+    def record_queue(self, service: str, priority: int, outcome: str) -> None:
+        """Count a request that found no capacity at once by the value of its QueueOutcome."""
+        self._increment("queue.requests", service, str(priority), outcome)
+
+    def record_queue_wait(self, service: str, wait_ms: float) -> None:
+        """Record how long a request waited for capacity, whether it got any or not."""
+        self._queue_wait_ms.record(wait_ms, {"service": service})
+
     def record_store_call(self, call: str, outcome: str) -> None:
         """Count a call of the object API; outcome is ok, conflict, unavailable or unknown."""
         self._store_calls.add(1, {"call": call, "outcome": outcome})
