Admission: make up for turns that a priority missed

A priority that had no request waiting when its turn came lost the turn, and got 19.3% of the capacity beside a surge of urgent requests instead of a fifth.

--- a/src/wagtailbay/admission/shares.py
+++ b/src/wagtailbay/admission/shares.py
@@ -14,8 +14,8 @@
     """Capacity that the requests of one priority have received.
 
     Attributes:
-        credit: Admissions of any priority since this one last had a turn, at most
-            STARVATION_PERIOD.
+        credit: Admissions of any priority while this one had demand, less a period for each of its
+            own.
         demanded_s: When a request of this priority last arrived or waited.
         admitted: Rate of its admissions.
         workspaces: Rate of the admissions of each workspace with recent demand.
@@ -67,14 +67,15 @@
         return self.priorities.setdefault(priority, PriorityShare())
 
     def record_admitted(self, priority: int, workspace: str, now_s: float) -> None:
-        """Record an admission, which gives every priority with demand a credit."""
+        """Record an admission, which gives each priority with demand a credit."""
         oldest_s = now_s - SHARE_WINDOW_S
         period = self.period(now_s)
         for share in self.priorities.values():
             if share.demanded_s >= oldest_s:
-                share.credit = min(period, share.credit + 1)
+                share.credit = min(2 * period, share.credit + 1)
         share = self.of(priority)
-        share.credit = 0
+        # What exceeds a period makes up for turns that it missed.
+        share.credit = max(0, share.credit - period)
         share.record_admitted(workspace, now_s)
 
     def period(self, now_s: float) -> int:
