Gateway: let requests wait for capacity if the settings say so

WAGTAILBAY_QUEUE_WAIT_FRACTION (default 0, off) and WAGTAILBAY_MAX_QUEUED are checked at start. A request that may have run does not wait; one whose VM stops or whose caller has left is not sent. request_finished tells queued_ms.

--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -5,9 +5,10 @@
 from math import inf
 
 import trio
-from attrs import define, field
+from attrs import Factory, define, field
 from result import Err, Ok, Result
 
+from wagtailbay.admission import AdmissionController, AdmissionRequest
 from wagtailbay.gateway.attempt import TargetAttempt, send_buffered
 from wagtailbay.gateway.const import (
     INITIAL_RETRY_TOKENS,
@@ -32,6 +33,7 @@
     Placement,
     PlacementFailure,
     PlacementQuery,
+    SelectionTurn,
     TargetOutcome,
     TargetSelector,
     VersionFilter,
@@ -60,6 +62,7 @@
         fallback: Error response of a target, delivered if no other target does better.
         last_outcome: Outcome of the last attempt.
         load: Load of the last target when it was selected.
+        queued_ms: Time for which the request waited for capacity.
     """
 
     attempts: list[str] = field(factory=list)
@@ -70,6 +73,7 @@
     fallback: BufferedResponse | None = None
     last_outcome: TargetOutcome | None = None
     load: float = 0.0
+    queued_ms: float = 0.0
 
     def record(self, placement: Placement, result: AttemptResult) -> None:
         """Record an attempt and exclude its target from further attempts."""
@@ -95,6 +99,7 @@
         max_response_bytes: A target's response with a larger body is cut off.
         background_nursery: Runs crash checks, for which the caller does not wait; None disables
             them.
+        admission: Orders requests while capacity is short.
     """
 
     selector: TargetSelector
@@ -112,6 +117,9 @@
     retry_budgets: RetryBudgets = field(init=False)
     has_exited: Callable[[str], Awaitable[bool]] = refuses_connections
     background_nursery: trio.Nursery | None = None
+    admission: AdmissionController = field(
+        default=Factory(lambda self: AdmissionController(self.clock), takes_self=True)
+    )
 
     def __attrs_post_init__(self) -> None:
         """Create the retry budgets with this VM's share of the fleet's retry capacity."""
@@ -141,7 +149,7 @@
                 raise CallerDisconnectedError
             if self.clock() >= self.stops_sending_s:
                 return await self._final_result(request, sink, trace, None)
-            selected = self._select_target(request, trace, version)
+            selected = await self._select_in_order(request, sink, trace, version)
             if isinstance(selected, Err):
                 return await self._final_result(request, sink, trace, selected.err_value)
             result = await self._attempt(request, selected.ok_value, sink, trace)
@@ -150,8 +158,51 @@
             if not self._may_retry(request, trace, result):
                 return await self._final_result(request, sink, trace, None)
 
+    async def _select_in_order(
+        self,
+        request: GatewayRequest,
+        sink: ResponseSink,
+        trace: RequestTrace,
+        version: VersionFilter | None,
+    ) -> Result[Placement, PlacementFailure]:
+        """Select a target, after those ahead in the queue; one that may have run does not wait."""
+        if not self.admission.enabled or trace.may_have_run:
+            return self._select_target(request, trace, version)
+
+        def select(turn: SelectionTurn) -> Result[Placement, PlacementFailure]:
+            if sink.is_disconnected():
+                raise CallerDisconnectedError
+            if self.clock() >= self.stops_sending_s:
+                return Err(PlacementFailure.unusable(STOPPING_RETRY_AFTER_MS))
+            return self._select_target(request, trace, version, turn)
+
+        started_s = self.clock()
+        admission_request = self._admission_request(request, trace)
+        selected = await self.admission.select_in_order(admission_request, select)
+        trace.queued_ms += (self.clock() - started_s) * 1000
+        return selected
+
+    def _admission_request(self, request: GatewayRequest, trace: RequestTrace) -> AdmissionRequest:
+        workspace, route = request.workspace, request.route
+        overrides = workspace is not None and workspace.priority is not None
+        last_send_s = request.deadline_s - MIN_RETRY_TIME_MS / 1000
+        return AdmissionRequest(
+            service=request.service,
+            priority=workspace.priority if overrides else route.priority,
+            workspace=workspace.workspace if workspace else "",
+            fingerprint=request.fingerprint,
+            received_s=request.received_s,
+            latency_goal_ms=route.latency_goal_ms,
+            last_send_s=min(last_send_s, self.stops_sending_s),
+            is_retry=bool(trace.attempts),
+        )
+
     def _select_target(
-        self, request: GatewayRequest, trace: RequestTrace, version: VersionFilter | None
+        self,
+        request: GatewayRequest,
+        trace: RequestTrace,
+        version: VersionFilter | None,
+        turn: SelectionTurn = SelectionTurn.FIRST,
     ) -> Result[Placement, PlacementFailure]:
         query = PlacementQuery(
             service=request.service,
@@ -161,6 +212,7 @@
             allowed_regions=request.allowed_regions,
             version=version,
             is_large=self.exchange_sizes.is_large(request.route.name, len(request.request.body)),
+            turn=turn,
         )
         return self.selector.select(query, self.clock())
 
@@ -218,6 +270,7 @@
             if attempt.metadata.leaving:
                 self.selector.registry.mark_leaving(entry.target, entry.born_unix_ms, now_s)
         self.selector.finish(placement, outcome, latency_ms, load, now_s, pause_ms)
+        self.admission.record_finish(placement, outcome)
         is_warm = not placement.target.is_cold(started_s)
         self.version_splitter.record_finish(
             entry.service, request.route.name, entry.version, outcome, is_warm, now_s
@@ -273,8 +326,14 @@
             message = "this VM is stopping; use another one"
             return Err(not_run(503, "vm_stopping", message, STOPPING_RETRY_AFTER_MS))
         if failure is None:
-            failure = PlacementFailure("the targets turned it away", self.selector.retry_after_ms())
-        return Err(not_run(503, "no_target", failure.reason, round(failure.retry_after_ms)))
+            retry_after_ms = self.selector.retry_after_ms()
+            failure = PlacementFailure.full(retry_after_ms, "the targets turned it away")
+        retry_after_ms = failure.retry_after_ms
+        if self.admission.enabled:
+            admission_request = self._admission_request(request, trace)
+            remaining_ms = request.remaining_ms(self.clock())
+            retry_after_ms = self.admission.refuse(admission_request, failure, remaining_ms)
+        return Err(not_run(503, "no_target", failure.reason, round(retry_after_ms)))
 
 
 def _affinity(request: GatewayRequest) -> str | None:
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -201,6 +201,7 @@
             responses=",".join(map(str, trace.responses)) or "-",
             failures="; ".join(trace.failures)[:MAX_LOGGED_FAILURE_CHARACTERS] or "-",
             load=round(trace.load, 1),
+            queued_ms=round(trace.queued_ms),
             latency_ms=round(latency_ms),
             version=self.routing.table.version if self.routing.table else 0,
         )
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
+from wagtailbay.admission import AdmissionController
 from wagtailbay.clock import boottime_s, unix_time_s
 from wagtailbay.gateway.forward import GatewayForwarder
 from wagtailbay.gateway.handler import GatewayHandler
@@ -176,6 +177,9 @@
             exporter.metrics,
             live_vm_count=lambda: len(fleet_view.serving_vms()),
             requirements=self.settings.requirements,
+            admission=AdmissionController(
+                boottime_s, self.settings.admission, exporter.metrics, self.rng
+            ),
         )
         return GatewayHandler(
             self.routing,
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -5,6 +5,8 @@
 
 from attrs import frozen
 
+from wagtailbay.admission import AdmissionSettings
+from wagtailbay.admission.const import DEFAULT_MAX_QUEUED, MAX_MAX_QUEUED, MAX_WAIT_FRACTION
 from wagtailbay.capacity import VmCapacity
 from wagtailbay.capacity.const import MAX_CAPACITY
 from wagtailbay.platform import parse_duration_ms
@@ -48,6 +50,30 @@
     return number
 
 
+def parse_wait_fraction(text: str) -> float:
+    """Parse a number from 0 to MAX_WAIT_FRACTION; an empty text means 0.
+
+    Raises:
+        ValueError: The text is no such number.
+    """
+    number = float(text or 0)
+    if not 0 <= number <= MAX_WAIT_FRACTION:
+        raise ValueError(f"expected a number from 0 to {MAX_WAIT_FRACTION}, got {text!r}")
+    return number
+
+
+def parse_max_queued(text: str) -> int:
+    """Parse a whole number from 1 to MAX_MAX_QUEUED; an empty text means the default.
+
+    Raises:
+        ValueError: The text is no such number.
+    """
+    number = int(text or DEFAULT_MAX_QUEUED)
+    if not 1 <= number <= MAX_MAX_QUEUED:
+        raise ValueError(f"expected a whole number from 1 to {MAX_MAX_QUEUED:,}, got {text!r}")
+    return number
+
+
 @frozen
 class GatewaySettings:
     """Run a gateway VM that serves callers on the users' platform."""
@@ -109,6 +135,17 @@
         default=False,
         parse=parse_boolean,
     )
+    queue_wait_fraction: float = setting(
+        help_text="part of its latency goal for which a request may wait for capacity, 0 to 0.5; "
+        "0 refuses it at once",
+        default=0.0,
+        parse=parse_wait_fraction,
+    )
+    max_queued: int = setting(
+        help_text="maximum number of requests that wait for capacity on this VM",
+        default=DEFAULT_MAX_QUEUED,
+        parse=parse_max_queued,
+    )
     requirements: FleetRequirements = setting(
         help_text="limits that the deployment requires the fleet to keep, as a JSON object",
         default=FleetRequirements(),
@@ -120,6 +157,11 @@
         """Return what this VM can carry, by its settings."""
         return VmCapacity(self.cpu_share * self.cores, self.link_mbps)
 
+    @property
+    def admission(self) -> AdmissionSettings:
+        """Return the settings of the admission queue."""
+        return AdmissionSettings(self.queue_wait_fraction, self.max_queued)
+
     @property
     def region(self) -> str:
         """Return the region of this VM, empty if its availability zone is unknown."""
