--- /dev/null
+++ b/tests/admission/test_queue.py
@@ -0,0 +1,94 @@
+"""Tests of the order of an admission queue, and of the memory of refused callers."""
+
+import random
+
+import pytest
+
+from wagtailbay.admission import (
+    AdmissionQueue,
+    QueuedRequest,
+    RefusedCallers,
+    RetryPlanner,
+    Standing,
+)
+from wagtailbay.admission.const import MAX_REFUSED_CALLERS
+
+
+def make_request(priority=1, standing=Standing.NEW, goal_s=1.0, workspace="w") -> QueuedRequest:
+    """Return a request that may wait for a second."""
+    return QueuedRequest(priority, workspace, standing, goal_s, 1.0)
+
+
+class TestOrder:
+    """Requests select by priority, then return after a refusal, then latency goal."""
+
+    def test_order(self):
+        """Guards against another sequence of the rules than the documented one."""
+        expected = [
+            make_request(0, goal_s=9.0),
+            make_request(1, Standing.RETURNING, goal_s=5.0),
+            make_request(1, goal_s=2.0),
+            make_request(1, goal_s=3.0),
+            make_request(1, Standing.EARLY, goal_s=1.0),
+            make_request(2, Standing.RETURNING, goal_s=0.5),
+        ]
+        queue = AdmissionQueue()
+        for request in random.Random(1).sample(expected, len(expected)):
+            queue.enter(request, 0.0)
+        assert queue.ordered(0.0) == expected
+
+    def test_request_that_found_nothing_lets_the_next_try_once(self):
+        """Guards against selecting twice for one completion."""
+        queue, requests = AdmissionQueue(), [make_request(goal_s=n) for n in range(2)]
+        for request in requests:
+            queue.enter(request, 0.0)
+        for request in requests:
+            assert queue.next_to_try(0.0) is request
+            queue.record_failed_try(request)
+        assert queue.next_to_try(0.0) is None
+        queue.start_epoch(0.0)
+        assert queue.next_to_try(0.0) is requests[0]
+
+    def test_expected_wait_counts_more_urgent_traffic(self):
+        """Guards against holding a request for capacity that urgent ones take."""
+        queue = AdmissionQueue()
+        for number in range(200):
+            now_s = number * 0.05
+            queue.record_completion(now_s)
+            urgent = make_request(0)
+            queue.enter(urgent, now_s)
+            queue.leave(urgent, True, now_s)
+        urgent, late = make_request(0), make_request(2)
+        queue.enter(late, now_s)
+        assert queue.expected_wait_s(late, now_s) > 0.15
+        queue.enter(urgent, now_s)
+        assert queue.expected_wait_s(urgent, now_s) == pytest.approx(0.05, rel=0.1)
+
+
+class TestRefusedCallers:
+    """Refused callers are recognized when they come back."""
+
+    def test_standing(self):
+        """Guards against a preference for callers that are early, late or were served since."""
+        callers = RefusedCallers()
+        for name in ("on-time", "early", "late"):
+            callers.record(name, 2.0, 0.0)
+        assert callers.recognize("early", 0.5) is Standing.EARLY
+        assert callers.recognize("on-time", 2.0) is Standing.RETURNING
+        assert callers.recognize("on-time", 2.1) is Standing.NEW
+        assert callers.recognize("late", 10.5) is Standing.NEW
+        assert callers.recognize("unknown", 1.0) is Standing.NEW
+
+    def test_memory_is_bounded(self):
+        """Guards against memory that grows with the refused callers."""
+        callers = RefusedCallers()
+        for number in range(MAX_REFUSED_CALLERS + 10):
+            callers.record(str(number), 1.0, 0.0)
+        assert len(callers.callers) == MAX_REFUSED_CALLERS
+        callers.record("new", 21.0, 20.0)
+        assert list(callers.callers) == ["new"]
+
+    def test_unknown_rate_uses_the_default(self):
+        """Guards against a refusal without a time to come back before the first completion."""
+        planner = RetryPlanner(random.Random(1))
+        assert planner.retry_after_ms(3, 0.0, 9_000.0, 500.0, 0.0) == 500
