--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -3,9 +3,11 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from wagtailbay.admission import (
     AdmissionQueue,
+    AdmissionRequest,
     QueuedRequest,
     RefusedCallers,
     RetryPlanner,
@@ -29,10 +31,13 @@
             make_request(1, Standing.RETURNING, goal_s=5.0),
             make_request(1, goal_s=2.0),
             make_request(1, goal_s=3.0),
-            make_request(1, Standing.EARLY, goal_s=1.0),
+            make_request(1, goal_s=0.1, workspace="flood"),
+            make_request(1, Standing.EARLY, goal_s=0.1),
             make_request(2, Standing.RETURNING, goal_s=0.5),
         ]
         queue = AdmissionQueue()
+        for workspace in ("flood",) * 8 + ("w",):
+            queue.shares.record_admitted(1, workspace, 0.0)
         for request in random.Random(1).sample(expected, len(expected)):
             queue.enter(request, 0.0)
         assert queue.ordered(0.0) == expected
@@ -49,6 +54,12 @@
         queue.start_epoch(0.0)
         assert queue.next_to_try(0.0) is requests[0]
 
+    def test_request_gives_up_when_it_is_no_longer_sent(self):
+        """Guards against waiting beyond the caller's deadline or the stop of the VM."""
+        request = AdmissionRequest("records", 1, "w", "f", 10.0, 2_000.0, last_send_s=10.1)
+        assert request.give_up_s(0.5) == 10.1
+        assert evolve(request, last_send_s=20.0).give_up_s(0.5) == 11.0
+
     def test_expected_wait_counts_more_urgent_traffic(self):
         """Guards against holding a request for capacity that urgent ones take."""
         queue = AdmissionQueue()
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -4,14 +4,17 @@
 
 import pytest
 import trio
+from result import Err
 from support.gateway import config_spec
 from support.gateway_harness import WAIT_S, GatewayHarness, get_header
 from support.raw_target import RawExchange, RawTarget
 
 from wagtailbay.admission import AdmissionSettings
 from wagtailbay.gateway import handler as handler_module
+from wagtailbay.placement import PlacementFailure
 
 HOLD_PATH = "/a/hold"
+FAIL_PATH = "/a/hold/fail"
 # A target holds at most 2.5 times its 7 slots.
 HELD = 18
 
@@ -28,7 +31,8 @@
             release = trio.Event()
             self.releases.append(release)
             await release.wait()
-        await exchange.answer()
+        status = "500 Failed" if FAIL_PATH in exchange.head else "200 OK"
+        await exchange.answer(status=status)
 
     @property
     def admission(self):
@@ -55,6 +59,7 @@
             while len(self.releases) < HELD:
                 await trio.sleep(0.01)
         queue = self.admission._service("records").queue
+        assert (queue.completions.per_s > 0) is self.admission.enabled
         queue.completions.record(20, self.admission.clock())
 
     async def wait_for_queued(self, count: int) -> None:
@@ -127,6 +132,26 @@
         assert line["queued_ms"] >= 150
         nursery.cancel_scope.cancel()
 
+    async def test_request_that_may_have_run_does_not_wait(self, nursery, finished, monkeypatch):
+        """Guards against holding a response that is ready while a retry waits for capacity."""
+        full = FullTarget()
+        await full.fill(nursery, AdmissionSettings(0.5))
+        for release in full.releases:
+            release.set()
+        nursery.start_soon(full.harness.send_request, FAIL_PATH)
+        with trio.fail_after(WAIT_S):
+            while len(full.releases) == HELD:
+                await trio.sleep(0.01)
+        selector, failure = full.harness.node.selector, Err(PlacementFailure.full(500.0))
+        monkeypatch.setattr(type(selector), "select", lambda *_: failure)
+        full.releases[-1].set()
+        with trio.fail_after(WAIT_S):
+            while not any(line.get("status") == 500 for line in finished):
+                await trio.sleep(0.01)
+        (line,) = [line for line in finished if line.get("status") == 500]
+        assert line["queued_ms"] < 100
+        nursery.cancel_scope.cancel()
+
     async def test_request_is_refused_at_once_without_the_queue(self, nursery, finished):
         """Guards against waiting at deployments that do not ask for it."""
         full = FullTarget()
