--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -27,6 +27,8 @@
     metrics.record_finished_request("records", "read", 200, "answered", 12.5)
     metrics.record_refusal("rate_exceeded")
     metrics.record_attempt("records", "shed")
+    metrics.record_queue("records", 1, "admitted")
+    metrics.record_queue_wait("records", 40.0)
     metrics.record_store_call("put", "conflict")
     metrics.record_peer_exchange("ok")
     metrics.set_budget_share("rate/records/unam", 250_000)
