Admission: leave the tries of an epoch to waiting requests, and keep their demand

Failed selections of arrivals used up the tries of an epoch, so a burst of them kept a freed slot from the waiting requests. A request that waited for more than 2 s lost its priority's turn. Both have a test.

--- a/src/wagtailbay/admission/const.py
+++ b/src/wagtailbay/admission/const.py
@@ -19,7 +19,7 @@
 RESELECT_INTERVAL_S: Final = 0.05
 # Requests may wait for different targets, since each object has a preferred one. After a completion
 # this many of them select again, which bounds the processor time for each completion.
-MAX_TRIES_PER_EPOCH: Final = 6
+MAX_TRIES_PER_EPOCH: Final = 8
 # Time for which a refused caller is remembered, and how many are.
 REFUSED_TTL_S: Final = 10.0
 MAX_REFUSED_CALLERS: Final = 4_096
--- a/src/wagtailbay/admission/controller.py
+++ b/src/wagtailbay/admission/controller.py
@@ -108,7 +108,7 @@
             return select(SelectionTurn.BEHIND)
         selected = select(SelectionTurn.FIRST)
         if _is_full(selected):
-            queue.record_failed_try(queued)
+            queue.record_failed_try(queued, on_arrival=True)
         return selected
 
     async def _wait(
--- a/src/wagtailbay/admission/queue.py
+++ b/src/wagtailbay/admission/queue.py
@@ -27,7 +27,7 @@
         waiting: The waiting requests, in order of arrival.
         epoch: Number of the current epoch.
         epoch_started_s: When the current epoch began.
-        tries: Requests that found no capacity in this epoch.
+        tries: Waiting requests that selected again and found no capacity in this epoch.
         completions: Rate of the requests of this VM that end at targets of the service.
         shares: Capacity that priorities and workspaces have received.
         timer_owner: The waiting request whose task begins an epoch after RESELECT_INTERVAL_S.
@@ -54,6 +54,8 @@
         if self.timer_owner is request:
             self.timer_owner = None
         if admitted:
+            for other in self.waiting:
+                self.shares.of(other.priority).record_demand(other.workspace, now_s)
             self.shares.record_admitted(request.priority, request.workspace, now_s)
 
     def record_completion(self, now_s: float) -> None:
@@ -66,10 +68,14 @@
         self.epoch_started_s = now_s
         self.tries = 0
 
-    def record_failed_try(self, request: QueuedRequest) -> None:
-        """Record that a request found no capacity, so that the next one may select."""
+    def record_failed_try(self, request: QueuedRequest, on_arrival: bool = False) -> None:
+        """Record that a request found no capacity, so that the next one may select.
+
+        Tries on arrival don't count: a burst of arrivals would use up those of the waiting ones.
+        """
         request.tried_epoch = self.epoch
-        self.tries += 1
+        if not on_arrival:
+            self.tries += 1
 
     def ordered(self, now_s: float) -> list[QueuedRequest]:
         """Return the waiting requests, the first to select first."""
--- a/src/wagtailbay/admission/shares.py
+++ b/src/wagtailbay/admission/shares.py
@@ -19,7 +19,7 @@
         demanded_s: When a request of this priority last arrived or waited.
         admitted: Rate of its admissions.
         workspaces: Rate of the admissions of each workspace with recent demand.
-        demands_s: When a request of each workspace last arrived.
+        demands_s: When a request of each workspace last arrived or waited.
         pruned_s: When workspaces without recent demand were last removed.
     """
 
@@ -31,7 +31,7 @@
     pruned_s: float = -inf
 
     def record_demand(self, workspace: str, now_s: float) -> None:
-        """Record the arrival of a request."""
+        """Record that a request of a workspace arrived or waits."""
         self.demanded_s = self.demands_s[workspace] = now_s
 
     def record_admitted(self, workspace: str, now_s: float) -> None:
--- a/tests/admission/load.py
+++ b/tests/admission/load.py
@@ -104,9 +104,9 @@
                 if not self._try(request, now_s):
                     break
 
-    def _try(self, request: QueuedRequest, now_s: float) -> bool:
+    def _try(self, request: QueuedRequest, now_s: float, on_arrival: bool = False) -> bool:
         if len(self._ends_s) >= self.slots:
-            self.queue.record_failed_try(request)
+            self.queue.record_failed_try(request, on_arrival)
             return False
         heappush(self._ends_s, now_s + self.work_s * self.rng.uniform(0.6, 1.4))
         self.queue.leave(request, True, now_s)
@@ -125,7 +125,7 @@
         self.counts[caller.kind, "arrived"] += 1
         self._callers[request] = (caller, now_s)
         self.queue.enter(request, now_s)
-        if self.queue.may_try_on_arrival(request, now_s) and self._try(request, now_s):
+        if self.queue.may_try_on_arrival(request, now_s) and self._try(request, now_s, True):
             return
         if not self.queue.can_be_in_time(request, now_s):
             self._refuse(request, "refused_at_once", now_s)
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -13,7 +13,7 @@
     RetryPlanner,
     Standing,
 )
-from wagtailbay.admission.const import MAX_REFUSED_CALLERS
+from wagtailbay.admission.const import MAX_REFUSED_CALLERS, MAX_TRIES_PER_EPOCH
 
 
 def make_request(priority=1, standing=Standing.NEW, goal_s=1.0, workspace="w") -> QueuedRequest:
@@ -54,6 +54,26 @@
         queue.start_epoch(0.0)
         assert queue.next_to_try(0.0) is requests[0]
 
+    def test_arrivals_leave_the_tries_to_those_who_wait(self):
+        """Guards against a burst of arrivals after which a freed slot wakes nobody."""
+        queue, waiting = AdmissionQueue(), make_request()
+        queue.enter(waiting, 0.0)
+        for _ in range(2 * MAX_TRIES_PER_EPOCH):
+            queue.record_failed_try(make_request(), on_arrival=True)
+        assert queue.next_to_try(0.0) is waiting
+
+    def test_priority_that_waits_for_long_keeps_its_turn(self):
+        """Guards against starving requests that wait for longer than demand is remembered."""
+        queue, waiting = AdmissionQueue(), make_request(priority=2)
+        queue.enter(waiting, 0.0)
+        for second in range(3, 9):
+            urgent = make_request(priority=0)
+            queue.enter(urgent, second)
+            if queue.next_to_try(second) is waiting:
+                break
+            queue.leave(urgent, True, second)
+        assert second == 7
+
     def test_request_gives_up_when_it_is_no_longer_sent(self):
         """Guards against waiting beyond the caller's deadline or the stop of the VM."""
         request = AdmissionRequest("records", 1, "w", "f", 10.0, 2_000.0, last_send_s=10.1)
