--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -27,6 +27,7 @@
     PlacementFailure,
     PlacementQuery,
     PlacementReason,
+    SelectionTurn,
     TargetOutcome,
 )
 from wagtailbay.placement.ranking import (
@@ -93,7 +94,8 @@
 
     def select(self, query: PlacementQuery, now_s: float) -> Result[Placement, PlacementFailure]:
         """Select a target and count the request as in flight there."""
-        if not query.allowed_regions and not query.excluded:
+        is_counted = query.turn is SelectionTurn.AGAIN
+        if not query.allowed_regions and not query.excluded and not is_counted:
             self.region_plan.record_demand(query.service, query.latency_goal_ms, now_s)
         selected = self._select(query, now_s)
         if isinstance(selected, Ok):
@@ -106,12 +108,12 @@
     def _select(self, query: PlacementQuery, now_s: float) -> Result[Placement, PlacementFailure]:
         admissible = self._admissible(query, now_s)
         if not admissible:
-            return Err(PlacementFailure("no usable target", MAX_RETRY_AFTER_MS))
+            return Err(PlacementFailure.unusable(MAX_RETRY_AFTER_MS))
         candidates = accepting_targets(admissible, self.load_of, now_s)
         if not candidates:
             paused_until_s = min(self.load_of(target).paused_until_s for target in admissible)
             pause_ms = max(MIN_RETRY_AFTER_MS, (paused_until_s - now_s) * 1000)
-            return Err(PlacementFailure("all targets asked for a pause", pause_ms))
+            return Err(PlacementFailure.paused(pause_ms))
         median_ms = self._median_ms(candidates, now_s)
         by_region = group_by_region(candidates, self.regions)
         planned = None
@@ -124,7 +126,7 @@
             placed = self._place_planned(query, by_region, planned, median_ms, now_s)
         if placed is not None:
             return Ok(placed)
-        return Err(PlacementFailure("all targets are full", self.retry_after_ms(median_ms)))
+        return Err(PlacementFailure.full(self.retry_after_ms(median_ms)))
 
     def _place_planned(
         self,
@@ -146,6 +148,8 @@
                 return evolve(placed, reason=PlacementReason.SPILLED)
             return placed
 
+        if query.turn is SelectionTurn.BEHIND and planned == self.region:
+            return None
         away_share = self.region_plan.away_share(query.service)
         self.spillover_limiters.of(query.service).follow(away_share, now_s)
         return place_by_plan(self.region_plan, planned, query, by_region, place, now_s)
@@ -160,10 +164,14 @@
         """Return a target of this region or, as this VM's demand requires it, of another one."""
         local = by_region.get(self.region, [])
         remote = remote_targets(self.region_plan, query.service, self.region, by_region, now_s)
-        placed = self._place_local(query, local, median_ms, now_s) if local else None
-        if remote and self.spillover_limiters.admit(query, placed is None, bool(local), now_s):
+        is_behind = query.turn is SelectionTurn.BEHIND
+        placed = None
+        if local and not is_behind:
+            placed = self._place_local(query, local, median_ms, now_s)
+        spills = remote and self.spillover_limiters.admit(query, placed is None, bool(local), now_s)
+        if spills and (local or not is_behind):
             placed = self._place_remote(query, remote, median_ms, bool(local), now_s) or placed
-        if placed is None and query.affinity is None:
+        if placed is None and query.affinity is None and not is_behind:
             placed = self._place_queued(query, local or remote, median_ms, now_s)
         return placed
 
@@ -318,9 +326,8 @@
         else:
             max_utilization = self._max_utilization(query, median_ms)
         for target in self._ordered(query, targets):
-            if self._has_capacity(target, max_utilization, median_ms, now_s) and not target.is_cold(
-                now_s
-            ):
+            has_capacity = self._has_capacity(target, max_utilization, median_ms, now_s)
+            if has_capacity and not target.is_cold(now_s):
                 return self._placement(target, PlacementReason.SPILLED, now_s)
         return None
 
@@ -392,8 +399,7 @@
         known = {
             (name, target.entry.born_unix_ms) for name, target in self.registry.targets.items()
         }
-        for key in [
-            key for key in self.loads if key not in known and not self.loads[key].own_in_flight
-        ]:
-            del self.loads[key]
+        for key in self.loads.keys() - known:
+            if not self.loads[key].own_in_flight:
+                del self.loads[key]
         self.cold_limiter.prune({name for name, _ in known})
--- a/src/wagtailbay/placement/spillover.py
+++ b/src/wagtailbay/placement/spillover.py
@@ -7,7 +7,7 @@
     SPILLOVER_DEMAND_HALF_LIFE_S,
     SPILLOVER_STEP_FRACTION_PER_S,
 )
-from wagtailbay.placement.models import PlacementQuery
+from wagtailbay.placement.models import PlacementQuery, SelectionTurn
 
 
 @define
@@ -86,6 +86,8 @@
         """
         if query.allowed_regions or query.excluded:
             return lacks_capacity
+        if query.turn is SelectionTurn.AGAIN:
+            return lacks_capacity and not has_local
         limiter = self.of(query.service)
         limiter.observe(lacks_capacity, not has_local, now_s)
         return limiter.admit() or (lacks_capacity and not has_local)
