--- a/tests/gateway/test_pipelined_requests.py
+++ b/tests/gateway/test_pipelined_requests.py
@@ -3,8 +3,8 @@
 import pytest
 import trio
 from support.gateway_harness import WAIT_S, GatewayHarness, start_raw_harness
+from support.pipelining import Caller
 from support.raw_target import RawExchange
-from transport.test_pipelining import Caller
 
 from wagtailbay.settings.checks import split_address
 
