Reset the connection after a cut response with requests behind it

A caller that had sent more got a proper end of the connection after a response without a length whose handler returned before its end, and took the part for the whole. The end of a pipeline lingered whenever input was left. Now it lingers only after a finished response; otherwise the connection is closed at once, which resets it.

--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -211,8 +211,13 @@
                 pipeline.stop()
             await lingering_close(reader)
             return False
+        if not reply.finished:
+            # Without a lingering close, whose proper end would make a cut response look complete.
+            if pipeline is not None:
+                pipeline.stop()
+            return False
         protocol = reply.protocol
-        if not reply.finished or protocol.our_state is not h11.DONE:
+        if protocol.our_state is not h11.DONE:
             return False
         if pipeline is not None and pipeline.waiting:
             return True
