Keep a held response whose handler fails after its end

A caller got a 500 in place of a whole 200 if the handler of a request that ran ahead raised after finish(), since every held response of a failed handler was withdrawn. A complete one is now delivered in its turn; then the error ends the connection, as for other requests.

--- a/src/wagtailbay/transport/pipeline.py
+++ b/src/wagtailbay/transport/pipeline.py
@@ -66,7 +66,8 @@
     Attributes:
         scope: Cancelled if the connection ends before the request's turn.
         done: Set when its handler has ended.
-        error: Why the connection must end in the request's turn, None if it need not.
+        error: Why the connection must end in the request's turn, after its response if that is
+            complete; None if it need not.
     """
 
     request: Request
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -165,7 +165,7 @@
         reusable = await self._serve_request(receiver, pipeline)
         while reusable and pipeline.waiting:
             pipelined = pipeline.take_next()
-            if pipelined.error is None:
+            if pipelined.error is None or pipelined.reply.held_end:
                 await pipelined.reply.release()
                 await pipelined.done.wait()
             if pipelined.error is not None:
@@ -269,7 +269,8 @@
                 try:
                     await self.handler(pipelined.request, pipelined.reply)
                 except Exception as error:
-                    if not pipelined.reply.releasing:
+                    # A complete response is delivered before the error ends the connection.
+                    if not (pipelined.reply.releasing or pipelined.reply.held_end):
                         pipelined.reply.discard()
                     await self._handle_failure(error, pipelined.reply, True)
         except Exception as error:  # Ends the connection after the earlier responses.
--- a/tests/transport/test_pipelining_errors.py
+++ b/tests/transport/test_pipelining_errors.py
@@ -29,3 +29,27 @@
         await caller.send(get("special"), *map(get, behind))
         with pytest.raises(trio.BrokenResourceError):
             await caller.read_rest()
+
+
+class TestErrorAfterResponse:
+    """A handler that fails after its response does not change the response."""
+
+    @pytest.mark.parametrize("paths", [["special"], ["a", "special"]])
+    async def test_complete_response_is_kept(self, service, caller, paths):
+        """Guards against an error response in place of one that is ready."""
+
+        async def handle(request, reply) -> None:
+            await respond_to_rest(service, request, reply)
+            if request.path == "/special":
+                await reply.send_response(200, (), b"whole")
+                raise ValueError("a fault behind the response")
+
+        service.server.handler = handle
+        service.hold("a")
+        await caller.send(*map(get, paths))
+        await trio.sleep(0.1)
+        service.gates["a"].set()
+        responses = [await caller.read() for _ in paths]
+        assert [status for status, _, _ in responses] == [200] * len(paths)
+        assert responses[-1][2] == "whole"
+        assert await caller.read_rest() == b""
