Contain faults of the policy that lets requests run ahead

An error in may_run_ahead ended the task that reads the connection, and with it all requests of the connection; the requests that ran ahead stayed counted, so that the limit of the process shrank with each such connection until nothing ran ahead. The error is now logged and the request runs in its turn; what a pipeline holds is given back however its connection ends.

--- a/src/wagtailbay/transport/pipeline.py
+++ b/src/wagtailbay/transport/pipeline.py
@@ -1,6 +1,7 @@
 """Requests that a caller sends ahead on a connection, run while earlier ones are served."""
 
 import re
+import traceback
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -54,9 +55,24 @@
     running: int = 0
 
     def allows(self, request: Request) -> bool:
-        """Return whether a request may run at the same time as others on its connection."""
-        repeatable = request.method in REPEATABLE_METHODS and not request.body
-        return repeatable and self.policy.may_run_ahead(request)
+        """Return whether a request may run at the same time as others on its connection.
+
+        A fault of the policy must not end the task that reads the connection; the request then
+        runs in its turn.
+        """
+        if request.method not in REPEATABLE_METHODS or request.body:
+            return False
+        try:
+            return self.policy.may_run_ahead(request)
+        except BrokenInvariantError:
+            raise
+        except Exception as error:
+            log_event(
+                "run_ahead_policy_failed",
+                error=f"{type(error).__name__}: {error}",
+                trace="".join(traceback.format_exception(error)),
+            )
+            return False
 
 
 @define(eq=False)
--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -103,31 +103,34 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve the requests of a connection, whose bytes a separate task receives."""
+        pipeline: Pipeline | None = None
         errors: list[Exception] = []
         self.connections += 1
-        async with trio.open_nursery() as nursery:
-            reader = ConnectionReader(stream, nursery.cancel_scope.cancel)
-            pipeline = self._build_pipeline(reader, nursery)
-            self.readers.add(reader)
-            nursery.start_soon(reader.run)
-            try:
-                await self._serve_requests(reader, pipeline)
-            except (
-                CallerDisconnectedError,
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-                OSError,
-            ):
-                pass
-            except Exception as error:  # Raised outside the nursery, which would wrap it.
-                errors.append(error)
-            finally:
-                self.readers.discard(reader)
-                self.connections -= 1
-                nursery.cancel_scope.cancel()
-                await trio.aclose_forcefully(stream)
-        if pipeline is not None:
-            self.aborted_requests += pipeline.close() * reader.aborted
+        try:
+            async with trio.open_nursery() as nursery:
+                reader = ConnectionReader(stream, nursery.cancel_scope.cancel)
+                pipeline = self._build_pipeline(reader, nursery)
+                self.readers.add(reader)
+                nursery.start_soon(reader.run)
+                try:
+                    await self._serve_requests(reader, pipeline)
+                except (
+                    CallerDisconnectedError,
+                    trio.BrokenResourceError,
+                    trio.ClosedResourceError,
+                    OSError,
+                ):
+                    pass
+                except Exception as error:  # Raised outside the nursery, which would wrap it.
+                    errors.append(error)
+                finally:
+                    self.readers.discard(reader)
+                    self.connections -= 1
+                    nursery.cancel_scope.cancel()
+                    await trio.aclose_forcefully(stream)
+        finally:
+            if pipeline is not None:
+                self.aborted_requests += pipeline.close() * reader.aborted
         for error in errors:
             raise error
 
--- a/tests/transport/test_pipelining_errors.py
+++ b/tests/transport/test_pipelining_errors.py
@@ -2,7 +2,9 @@
 
 import pytest
 import trio
-from support.pipelining import get
+from support.pipelining import WAIT_S, get
+
+from wagtailbay.transport import RunAhead
 
 
 async def respond_to_rest(service, request, reply) -> None:
@@ -53,3 +55,46 @@
         assert [status for status, _, _ in responses] == [200] * len(paths)
         assert responses[-1][2] == "whole"
         assert await caller.read_rest() == b""
+
+
+class TestFailingPolicy:
+    """A fault in the decision which requests run ahead leaves them to their turn."""
+
+    async def test_requests_run_in_turn(self, service, caller):
+        """Guards against a connection that ends, and a limit that is used up, by a fault."""
+
+        class FailingPolicy:
+            def may_run_ahead(self, request) -> bool:
+                if request.path == "/b":
+                    raise ValueError("a fault in the policy")
+                return True
+
+        service.server.run_ahead.policy = FailingPolicy()
+        service.hold("a")
+        await caller.send(get("a"))
+        await service.wait_begun("a")
+        await caller.send(get("c"))
+        await service.wait_begun("a", "c")
+        await caller.send(get("b"), get("d"))
+        await trio.sleep(0.05)
+        service.gates["a"].set()
+        assert await caller.read_bodies(4) == ["a", "c", "b", "d"]
+
+    async def test_failed_reader_gives_back_the_limit(self, service, caller, monkeypatch):
+        """Guards against a limit that shrinks with each connection whose reader task fails."""
+        allows = RunAhead.allows
+
+        def fail(run_ahead, request) -> bool:
+            if request.path == "/fault":
+                raise ValueError("a fault in the reader task")
+            return allows(run_ahead, request)
+
+        monkeypatch.setattr(RunAhead, "allows", fail)
+        service.hold("a")
+        await caller.send(get("a"), get("c"))
+        await service.wait_begun("a", "c")
+        await caller.send(get("fault"))
+        with trio.fail_after(WAIT_S):
+            while service.server.connections:
+                await trio.sleep(0.01)
+        assert service.server.run_ahead.running == 0
