Keep a caller's unparsed bytes once, not with each request ahead

Each now gets the bytes of its own head. A streamed response no longer keeps a second copy of its beginning.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -172,7 +172,10 @@
                 head.status, headers, bytes(body), connection.framed, bodiless
             )
             return await self._deliver(response)
-        return await self._stream(connection, head.status, headers, bytes(body))
+        prefix = bytes(body)
+        # The response may wait for its turn; one copy of what has arrived is enough.
+        del body
+        return await self._stream(connection, head.status, headers, prefix)
 
     @staticmethod
     def _reject_response(failure: str) -> AttemptResult:
--- a/src/wagtailbay/transport/pipeline.py
+++ b/src/wagtailbay/transport/pipeline.py
@@ -139,7 +139,8 @@
             or self.is_draining()
             or len(self.waiting) + 1 >= MAX_PIPELINED_PER_CONNECTION
         ):
-            pipelined = self._parse_next() if self._has_next_head() else None
+            end = self._find_next_head()
+            pipelined = self._parse_next(end) if end else None
             if pipelined is None:
                 return
             self.run_ahead.running += 1
@@ -147,31 +148,34 @@
             self.waiting.append(pipelined)
             self.nursery.start_soon(self.run, pipelined)
 
-    def _has_next_head(self) -> bool:
-        """Take over received bytes; return whether they hold a head that may be parsed now."""
+    def _find_next_head(self) -> int:
+        """Take over received bytes; return the end of a head that may be parsed now, else 0."""
         if self.unparsed is None:
             request, protocol = self.first
             if protocol.their_state is not h11.DONE or not self.run_ahead.allows(request):
                 self.blocked = True
-                return False
+                return 0
             self.unparsed = protocol.trailing_data[0]
         if len(self.unparsed) < MAX_HEADER_BYTES:
             self.unparsed += self.reader.take_buffered()
-        if END_OF_HEAD_PATTERN.search(self.unparsed) is None:
-            return False
+        found = END_OF_HEAD_PATTERN.search(self.unparsed)
+        if found is None:
+            return 0
         if self.run_ahead.running >= self.run_ahead.max_requests:
             self.run_ahead.record("limited")
-            return False
-        return True
+            return 0
+        return found.end()
 
-    def _parse_next(self) -> PipelinedRequest | None:
+    def _parse_next(self, end: int) -> PipelinedRequest | None:
+        """Return the request whose head ends at an index, None if it may not run ahead."""
+        # The protocol is kept until the request's turn, and with it what it was given.
         protocol = build_server_protocol()
-        protocol.receive_data(self.unparsed)
+        protocol.receive_data(self.unparsed[:end])
         request = parse_bodiless_request(protocol)
         if request is None or not self.run_ahead.allows(request):
             self.blocked = True
             return None
-        self.unparsed = protocol.trailing_data[0]
+        self.unparsed = self.unparsed[end:]
         # Nothing behind a request with ``Connection: close`` is read.
         self.blocked = protocol.their_state is not h11.DONE
         reply = HeldReply(
--- a/tests/transport/test_pipelining_errors.py
+++ b/tests/transport/test_pipelining_errors.py
@@ -5,6 +5,7 @@
 from support.pipelining import WAIT_S, get
 
 from wagtailbay.transport import RunAhead
+from wagtailbay.transport.const import MAX_PIPELINED_PER_CONNECTION
 
 
 async def respond_to_rest(service, request, reply) -> None:
@@ -98,3 +99,29 @@
             while service.server.connections:
                 await trio.sleep(0.01)
         assert service.server.run_ahead.running == 0
+
+
+class TestUnparsedBytes:
+    """What a caller sends ahead is kept once."""
+
+    async def test_held_replies_keep_no_input(self, service, caller):
+        """Guards against a copy of all unparsed bytes for each request that runs ahead."""
+        replies = []
+
+        async def handle(request, reply) -> None:
+            replies.append(reply)
+            await service.handle(request, reply)
+
+        service.server.handler = handle
+        service.hold("a")
+        await caller.send(get("a"))
+        await service.wait_begun("a")
+        paths = [f"p{number}" for number in range(400)]
+        await caller.send(*map(get, paths))
+        with trio.fail_after(WAIT_S):
+            while len(replies) < MAX_PIPELINED_PER_CONNECTION:
+                await trio.sleep(0.01)
+        kept_bytes = [len(reply.protocol.trailing_data[0]) for reply in replies]
+        assert kept_bytes == [0] * MAX_PIPELINED_PER_CONNECTION
+        service.gates["a"].set()
+        assert await caller.read_bodies(401) == ["a", *paths]
