Stop the pipeline before a request is rejected

A rejection closes with a lingering close of its own, after which the end of the pipeline could linger again if input was left. By the code as it stands none is left at that point (each way out of lingering_close leaves the buffer empty), so callers saw nothing and no test can fail before; the pipeline no longer depends on it.

--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -196,6 +196,8 @@
                 return False
             match received:
                 case Err(bad_request):
+                    if pipeline is not None:
+                        pipeline.stop()  # The rejection has its own lingering close.
                     await self._reject(bad_request, reply, reader)
                     return False
                 case Ok(request):
