Make the test of held responses strict about the budget

The bound was the larger of two responses and the whole budget, so that holding twice the allowed half, or holding 512 KB with a budget of 1 byte, passed. Now the test states how many responses are held, and that these stay below half of the budget. It is stricter than before in each case, and a budget with room for one of two responses is added.

--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -108,8 +108,12 @@
         service.gates["a"].set()
         assert await caller.read_bodies(5) == list("abcde")
 
-    @pytest.mark.parametrize("budget_bytes", [2_000_000, 1])
-    async def test_large_response_waits_for_its_turn(self, service, caller, budget_bytes):
+    @pytest.mark.parametrize(
+        ("budget_bytes", "held_responses"), [(2_000_000, 2), (1_000_000, 1), (1, 0)]
+    )
+    async def test_large_response_waits_for_its_turn(
+        self, service, caller, budget_bytes, held_responses
+    ):
         """Guards against holding a response of any size, or more than the budget allows."""
         service.server.body_budget.max_bytes = budget_bytes
         size = MAX_HELD_RESPONSE_BYTES
@@ -117,7 +121,8 @@
         paths = ["a", f"large-{size}", f"large-{size}", "d"]
         await caller.send(*map(get, paths))
         await service.wait_begun(*paths)
-        assert service.server.body_budget.held_bytes <= max(2 * size, budget_bytes)
+        assert service.server.body_budget.held_bytes == held_responses * size
+        assert service.server.body_budget.held_bytes < budget_bytes / 2
         assert service.server.open_requests == 3
         service.gates["a"].set()
         bodies = await caller.read_bodies(4)
