Deliver a ready response after the deadline, and blame no target for its wait

A caller got 504 for a response of 16 to 256 KB that had arrived in time, if half of the body budget was taken and the responses before it took until the deadline: the deadline of the exchange also covered the wait for the turn. The target was recorded as timed out, with the wait in its latency, and could be ejected. The deadline now covers the exchange alone; the target's connection goes back to the pool before the response is delivered, and SEND_TIMEOUT_S bounds a caller that does not read. A longer response, which can't be held, is withdrawn at the deadline as before, with the code response_late and without an effect on its target. The latency of a target leaves out the time in which the caller's connection accepts what has arrived.

--- a/src/wagtailbay/explain/const.py
+++ b/src/wagtailbay/explain/const.py
@@ -19,6 +19,7 @@
     "crashes_targets": "earlier requests like this one crashed targets",
     "no_target": "no target had the capacity to answer in time",
     "target_timeout": "a target received the request and did not answer in time",
+    "response_late": "a large response waited for earlier ones on the connection for too long",
     "target_failed": "a target received the request and its connection failed",
     "malformed_request": "the request could not be parsed",
 }
--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -50,6 +50,9 @@
         metadata: Metadata of the response to this request, None before its head was received.
         evidence: What each response received, skipped ones included, says about the request.
         response_bytes: Size of the response body received so far.
+        streaming: Whether a response that is too large to buffer is being passed on.
+        delivery_s: Time that the sink took to accept what had arrived, for which the target is not
+            responsible.
     """
 
     pool: ConnectionPool
@@ -63,12 +66,11 @@
     metadata: TargetMetadata | None = None
     evidence: list[ResponseEvidence] = field(factory=list)
     response_bytes: int = 0
+    streaming: bool = False
+    delivery_s: float = 0.0
 
     async def run(self) -> AttemptResult:
-        """Send the request and deliver the response.
-
-        The pool keeps the connection only after a complete exchange.
-        """
+        """Send the request and deliver the response."""
         remaining_ms = self.request.remaining_ms(self.clock())
         entry = self.placement.target.entry
         non_idempotent = not self.request.route.idempotent
@@ -84,14 +86,27 @@
             return AttemptResult(
                 TargetOutcome.UNREACHABLE, None, may_have_run=False, failure=failure
             )
-        connection = opened.ok_value
+        exchanged = await self._exchange_in_time(opened.ok_value)
+        if isinstance(exchanged, BufferedResponse):
+            # A response that is ready is delivered even if its turn comes after the deadline. The
+            # sink bounds the time that a caller takes to read.
+            return await self._deliver(exchanged)
+        return exchanged
+
+    async def _exchange_in_time(
+        self, connection: ClientConnection
+    ) -> BufferedResponse | AttemptResult:
+        """Return the complete response, or the result of an exchange that gave none.
+
+        The pool keeps the connection only after a complete exchange.
+        """
         connection.allow_unframed = True
         try:
             with trio.move_on_after(self.request.remaining_ms(self.clock()) / 1000):
-                result = await self._exchange(connection)
-                if result.closed_without_response:
+                exchanged = await self._exchange(connection)
+                if isinstance(exchanged, AttemptResult) and exchanged.closed_without_response:
                     self.pool.record_reset(connection)
-                return result
+                return exchanged
             return self._handle_timeout()
         finally:
             await self.pool.release(connection)
@@ -100,6 +115,10 @@
         if self.sink.started:
             truncated = ResponseTruncated("deadline exceeded while streaming the response")
             return AttemptResult(TargetOutcome.TIMED_OUT, truncated, may_have_run=True)
+        if self.streaming:
+            # The sink has withdrawn the response, whose turn did not come; the target was in time.
+            message = "the response waited for earlier ones until the deadline"
+            return AttemptResult(TargetOutcome.GIVEN_UP, None, may_have_run=True, failure=message)
         return AttemptResult(
             TargetOutcome.TIMED_OUT, None, may_have_run=True, failure="no answer in time"
         )
@@ -113,7 +132,7 @@
         headers = self.header_codec.target_headers(request, workspace, entry.target, remaining_ms)
         return Request(request.method, request.path, headers, request.body, host=caller.host)
 
-    async def _exchange(self, connection: ClientConnection) -> AttemptResult:
+    async def _exchange(self, connection: ClientConnection) -> BufferedResponse | AttemptResult:
         metadata: TargetMetadata | None = None
 
         def identify(head: ResponseHead) -> ResponseOwner:
@@ -144,8 +163,8 @@
 
     async def _receive_response(
         self, connection: ClientConnection, head: ResponseHead
-    ) -> AttemptResult:
-        """Receive the response and deliver it, buffered if it is small enough, else streamed."""
+    ) -> BufferedResponse | AttemptResult:
+        """Receive the response; return it if it is small enough, else stream it."""
         body = bytearray()
         complete = False
         while not complete and len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
@@ -168,10 +187,7 @@
         headers = end_to_end_headers(head.headers)
         if complete:
             bodiless = self.request.request.method == "HEAD"
-            response = BufferedResponse(
-                head.status, headers, bytes(body), connection.framed, bodiless
-            )
-            return await self._deliver(response)
+            return BufferedResponse(head.status, headers, bytes(body), connection.framed, bodiless)
         prefix = bytes(body)
         # The response may wait for its turn; one copy of what has arrived is enough.
         del body
@@ -189,15 +205,24 @@
             and self.request.route.idempotent
         ):
             return AttemptResult(target_outcome, None, may_have_run=True, fallback=response)
-        await send_buffered(self.sink, response)
+        started_s = self.clock()
+        try:
+            await send_buffered(self.sink, response)
+        finally:
+            self.delivery_s = self.clock() - started_s
         return AttemptResult(target_outcome, ResponseDelivered(response.status), may_have_run=True)
 
     async def _stream(
         self, connection: ClientConnection, status: int, headers: Headers, prefix: bytes
     ) -> AttemptResult:
         """Stream a response that is too large to buffer."""
-        await self.sink.start(status, headers, until_close=not connection.framed)
-        await self.sink.send(prefix)
+        self.streaming, started_s = True, self.clock()
+        try:
+            await self.sink.start(status, headers, until_close=not connection.framed)
+            await self.sink.send(prefix)
+        finally:
+            self.delivery_s = self.clock() - started_s
+        del prefix
         while True:
             match await connection.receive_chunk():
                 case Err(error):
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -211,7 +211,7 @@
     ) -> None:
         now_s = self.clock()
         entry = placement.target.entry
-        latency_ms = (now_s - started_s) * 1000
+        latency_ms = (now_s - started_s - attempt.delivery_s) * 1000
         load, pause_ms = None, None
         if attempt.metadata is not None:
             load, pause_ms = attempt.metadata.load, attempt.metadata.pause_ms
@@ -285,6 +285,9 @@
 
 
 def _unknown_outcome(trace: RequestTrace) -> Refusal:
+    if trace.last_outcome is TargetOutcome.GIVEN_UP:
+        message = "the response waited for earlier ones on the connection"
+        return outcome_unknown(504, "response_late", message)
     if trace.last_outcome is TargetOutcome.TIMED_OUT:
         return outcome_unknown(504, "target_timeout", "no answer in time")
     return outcome_unknown(502, "target_failed", "the target gave no usable answer")
--- a/tests/gateway/test_pipelined_requests.py
+++ b/tests/gateway/test_pipelined_requests.py
@@ -6,19 +6,21 @@
 from support.pipelining import Caller
 from support.raw_target import RawExchange
 
+from wagtailbay.gateway.const import MAX_BUFFERED_RESPONSE_BYTES
+from wagtailbay.placement import TargetOutcome, TargetSelector
 from wagtailbay.settings.checks import split_address
 
 WORK_S = 0.5
 GOAL_S = 0.8
 
 
-def request(path: str, number: int, method: str = "GET") -> bytes:
+def request(path: str, number: int, method: str = "GET", deadline_ms: int = 20_000) -> bytes:
     """Encode a request of workspace unam with the ID ``id-<number>``."""
     lines = [
         f"{method} {path} HTTP/1.1",
         "Host: h.example",
         "Authorization: Token key-1",
-        "Deadline-Ms: 20000",
+        f"Deadline-Ms: {deadline_ms}",
         f"Cookie: Affinity-Key={number}",
         f"Request-Id: id-{number}",
     ]
@@ -87,3 +89,64 @@
                 await trio.sleep(0.01)
         assert trio.current_time() - started_s < WORK_S / 2
         assert not any(harness.node.pool.idle.values())
+
+
+class TestReadyResponses:
+    """A response that no memory holds until its turn is not the fault of its target."""
+
+    @pytest.fixture
+    async def finished(self, monkeypatch):
+        """Return the outcome and the latency of each attempt, in order."""
+        finished, finish = [], TargetSelector.finish
+
+        def record(selector, placement, outcome, latency_ms, *others) -> None:
+            finished.append((outcome, latency_ms))
+            finish(selector, placement, outcome, latency_ms, *others)
+
+        monkeypatch.setattr(TargetSelector, "finish", record)
+        return finished
+
+    async def read_responses(self, nursery, finished, size: int, deadline_ms: int):
+        """Return two responses; the second, of this size, is ready while the first one runs."""
+
+        async def answer(exchange: RawExchange) -> None:
+            if exchange.request_id == "id-0":
+                await answer_after_work(exchange)
+            else:
+                await exchange.answer("x" * size)
+
+        harness = await start_raw_harness(nursery, answer)
+        harness.node.server.body_budget.max_bytes = 1
+        caller = await open_caller(harness)
+        await caller.send(request("/a/0", 0), request("/a/1", 1, deadline_ms=deadline_ms))
+        with trio.fail_after(WAIT_S):
+            responses = [await caller.read() for _ in range(2)]
+            while len(finished) < 2:  # An attempt is recorded after its response is sent.
+                await trio.sleep(0.01)
+        return responses
+
+    async def test_whole_response_is_delivered_late(self, nursery, finished):
+        """Guards against a 504 in place of a response that has arrived, and a blamed target."""
+        size = MAX_BUFFERED_RESPONSE_BYTES // 2
+        responses = await self.read_responses(nursery, finished, size, deadline_ms=250)
+        assert [(status, len(body)) for status, _, body in responses] == [(200, 4), (200, size)]
+        assert [outcome for outcome, _ in finished] == [TargetOutcome.ANSWERED] * 2
+        assert min(latency_ms for _, latency_ms in finished) < 1000 * WORK_S / 2
+
+    async def test_long_response_does_not_slow_its_target(self, nursery, finished):
+        """Guards against a target that counts as slow because its response waits."""
+        size = 2 * MAX_BUFFERED_RESPONSE_BYTES
+        responses = await self.read_responses(nursery, finished, size, deadline_ms=20_000)
+        assert [(status, len(body)) for status, _, body in responses] == [(200, 4), (200, size)]
+        assert min(latency_ms for _, latency_ms in finished) < 1000 * WORK_S / 2
+
+    async def test_long_response_that_is_withdrawn_blames_no_target(self, nursery, finished):
+        """Guards against ejecting targets for the requests that callers sent before."""
+        size = 2 * MAX_BUFFERED_RESPONSE_BYTES
+        responses = await self.read_responses(nursery, finished, size, deadline_ms=250)
+        assert [status for status, _, _ in responses] == [200, 504]
+        assert "response_late" in responses[1][2]
+        assert [outcome for outcome, _ in finished] == [
+            TargetOutcome.GIVEN_UP,
+            TargetOutcome.ANSWERED,
+        ]
