--- a/src/wagtailbay/transport/server.py
+++ b/src/wagtailbay/transport/server.py
@@ -103,31 +103,34 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve the requests of a connection, whose bytes a separate task receives."""
+        pipeline: Pipeline | None = None
         errors: list[Exception] = []
         self.connections += 1
-        async with trio.open_nursery() as nursery:
-            reader = ConnectionReader(stream, nursery.cancel_scope.cancel)
-            pipeline = self._build_pipeline(reader, nursery)
-            self.readers.add(reader)
-            nursery.start_soon(reader.run)
-            try:
-                await self._serve_requests(reader, pipeline)
-            except (
-                CallerDisconnectedError,
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-                OSError,
-            ):
-                pass
-            except Exception as error:  # Raised outside the nursery, which would wrap it.
-                errors.append(error)
-            finally:
-                self.readers.discard(reader)
-                self.connections -= 1
-                nursery.cancel_scope.cancel()
-                await trio.aclose_forcefully(stream)
-        if pipeline is not None:
-            self.aborted_requests += pipeline.close() * reader.aborted
+        try:
+            async with trio.open_nursery() as nursery:
+                reader = ConnectionReader(stream, nursery.cancel_scope.cancel)
+                pipeline = self._build_pipeline(reader, nursery)
+                self.readers.add(reader)
+                nursery.start_soon(reader.run)
+                try:
+                    await self._serve_requests(reader, pipeline)
+                except (
+                    CallerDisconnectedError,
+                    trio.BrokenResourceError,
+                    trio.ClosedResourceError,
+                    OSError,
+                ):
+                    pass
+                except Exception as error:  # Raised outside the nursery, which would wrap it.
+                    errors.append(error)
+                finally:
+                    self.readers.discard(reader)
+                    self.connections -= 1
+                    nursery.cancel_scope.cancel()
+                    await trio.aclose_forcefully(stream)
+        finally:
+            if pipeline is not None:
+                self.aborted_requests += pipeline.close() * reader.aborted
         for error in errors:
             raise error
 
@@ -165,7 +168,7 @@
         reusable = await self._serve_request(receiver, pipeline)
         while reusable and pipeline.waiting:
             pipelined = pipeline.take_next()
-            if pipelined.error is None:
+            if pipelined.error is None or pipelined.reply.held_end:
                 await pipelined.reply.release()
                 await pipelined.done.wait()
             if pipelined.error is not None:
@@ -193,6 +196,8 @@
                 return False
             match received:
                 case Err(bad_request):
+                    if pipeline is not None:
+                        pipeline.stop()  # The rejection has its own lingering close.
                     await self._reject(bad_request, reply, reader)
                     return False
                 case Ok(request):
@@ -211,8 +216,13 @@
                 pipeline.stop()
             await lingering_close(reader)
             return False
+        if not reply.finished:
+            # Without a lingering close, whose proper end would make a cut response look complete.
+            if pipeline is not None:
+                pipeline.stop()
+            return False
         protocol = reply.protocol
-        if not reply.finished or protocol.our_state is not h11.DONE:
+        if protocol.our_state is not h11.DONE:
             return False
         if pipeline is not None and pipeline.waiting:
             return True
@@ -264,7 +274,8 @@
                 try:
                     await self.handler(pipelined.request, pipelined.reply)
                 except Exception as error:
-                    if not pipelined.reply.releasing:
+                    # A complete response is delivered before the error ends the connection.
+                    if not (pipelined.reply.releasing or pipelined.reply.held_end):
                         pipelined.reply.discard()
                     await self._handle_failure(error, pipelined.reply, True)
         except Exception as error:  # Ends the connection after the earlier responses.
