Let the kernel end the repetition of a report call

A call whose bytes were written while the link lost packets could reach the API after the successor's call, if the process was then stopped before the call timeout. Cause: only the process itself reset the connection, while the kernel went on to retransmit. TCP_USER_TIMEOUT now limits this to the call timeout. The new test read 0 ms before.

--- a/src/wagtailbay/transport/sockets.py
+++ b/src/wagtailbay/transport/sockets.py
@@ -77,3 +77,13 @@
     if isinstance(stream, trio.SocketStream):
         linger = struct.pack("ii", int(enabled), 0)
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def limit_retransmission(stream: trio.abc.Stream, timeout_s: float) -> None:
+    """Let the kernel give the connection up if bytes remain unacknowledged for this long.
+
+    The kernel does so by itself, also while this process is stopped.
+    """
+    if isinstance(stream, trio.SocketStream):
+        timeout_ms = round(timeout_s * 1000)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/src/wagtailbay/usage/sender.py
+++ b/src/wagtailbay/usage/sender.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from wagtailbay.transport import open_connection
-from wagtailbay.transport.sockets import reset_on_close
+from wagtailbay.transport.sockets import limit_retransmission, reset_on_close
 from wagtailbay.usage.models import ReportOutcome, UsageReport
 from wagtailbay.usage.ports import ReportCodec
 
@@ -17,7 +17,8 @@
     """Sends reports to the platform.
 
     A connection without a response is reset, so the kernel sends nothing of the call later. A plain
-    close would leave unconfirmed bytes to be repeated until the link is back.
+    close would leave unconfirmed bytes to be repeated until the link is back. While the process is
+    stopped, the kernel itself ends the repetition after the call timeout.
     """
 
     address: str
@@ -32,9 +33,10 @@
                 return ReportOutcome.FAILED
             connection = opened.ok_value
             try:
+                reset_on_close(connection.stream)
+                limit_retransmission(connection.stream, self.timeout_s)
                 if not may_send():
                     return ReportOutcome.NOT_SENT
-                reset_on_close(connection.stream)
                 response = await connection.send(self.codec.encode(report))
                 if isinstance(response, Err):
                     return ReportOutcome.FAILED
--- a/tests/usage/test_sender.py
+++ b/tests/usage/test_sender.py
@@ -1,10 +1,14 @@
 """Tests of a report's way over HTTP."""
 
+import socket
+
 import pytest
 import trio
+from result import Ok, Result
 
 from wagtailbay.platform.usage_api import UsageReportCodec
-from wagtailbay.usage import ReportOutcome, UsageReport, UsageSender
+from wagtailbay.transport import ClientConnection, TransportError, open_connection
+from wagtailbay.usage import ReportOutcome, UsageReport, UsageSender, sender
 from wagtailbay_standins.usage_api import UsageApiStandin
 
 REPORT = UsageReport("vm-1", 7, 353445120, {"cuka620": 412, "jeye931": 3})
@@ -59,3 +63,26 @@
         api = UsageApiStandin()
         assert await send_to(api, lambda: False) is ReportOutcome.NOT_SENT
         assert not api.calls
+
+    async def test_kernel_stops_repeating_a_call_after_the_timeout(self, monkeypatch) -> None:
+        """Guards against a call that arrives after the successor's, from a frozen VM."""
+        opened: list[ClientConnection] = []
+
+        async def connect(
+            address: str, timeout_ms: int
+        ) -> Result[ClientConnection, TransportError]:
+            result = await open_connection(address, timeout_ms)
+            assert isinstance(result, Ok)
+            opened.append(result.ok_value)
+            return result
+
+        limits_ms: list[int] = []
+
+        def may_send() -> bool:
+            option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            limits_ms.append(opened[0].stream.getsockopt(*option))
+            return True
+
+        monkeypatch.setattr(sender, "open_connection", connect)
+        assert await send_to(UsageApiStandin(), may_send) is ReportOutcome.ACCEPTED
+        assert limits_ms == [round(TIMEOUT_S * 1000)]
