Repeat a report that was answered with 421

A report refused with 421, which promises that the call was not run, was dropped for good and its window missed. Cause: all other 4xx statuses but 408 counted as a final rejection. 421 now is a failure like 408. The outcome of a status moves from the platform folder to the sender, since nothing in it is specific to the platform's names.

--- a/src/wagtailbay/platform/usage_api.py
+++ b/src/wagtailbay/platform/usage_api.py
@@ -3,9 +3,7 @@
 import json
 
 from wagtailbay.transport import Request
-from wagtailbay.usage import ReportOutcome, UsageReport
-
-OUTCOMES = {200: "accepted", 429: "busy", 409: "fenced", 412: "fenced", 408: "failed"}
+from wagtailbay.usage import UsageReport
 
 
 class UsageReportCodec:
@@ -16,8 +14,3 @@
         headers = (("Duty-Holder", report.holder), ("Fencing-Token", str(report.token)))
         body = json.dumps({"window": report.window, "counts": report.counts}).encode()
         return Request("POST", "/usage", (*headers, ("Content-Type", "application/json")), body)
-
-    def outcome(self, status: int) -> ReportOutcome:
-        """Return the outcome that the status of a response states."""
-        final = "rejected" if 400 <= status < 500 else "failed"
-        return ReportOutcome(OUTCOMES.get(status, final))
--- a/src/wagtailbay/usage/ports.py
+++ b/src/wagtailbay/usage/ports.py
@@ -13,9 +13,6 @@
     def encode(self, report: UsageReport) -> Request:
         """Return the request that carries a report."""
 
-    def outcome(self, status: int) -> ReportOutcome:
-        """Return the outcome that the status of a response states."""
-
 
 class ReportApi(Protocol):
     """Receiver of the reports."""
--- a/src/wagtailbay/usage/sender.py
+++ b/src/wagtailbay/usage/sender.py
@@ -1,6 +1,7 @@
 """Send one report over a connection of its own."""
 
 from collections.abc import Callable
+from typing import Final
 
 import trio
 from attrs import frozen
@@ -11,6 +12,16 @@
 from wagtailbay.usage.models import ReportOutcome, UsageReport
 from wagtailbay.usage.ports import ReportCodec
 
+# Other statuses from 400 to 499 reject the report for good. With 408 and 421 it was not run.
+OUTCOMES_BY_STATUS: Final = {
+    200: ReportOutcome.ACCEPTED,
+    408: ReportOutcome.FAILED,
+    409: ReportOutcome.FENCED,
+    412: ReportOutcome.FENCED,
+    421: ReportOutcome.FAILED,
+    429: ReportOutcome.BUSY,
+}
+
 
 @frozen
 class UsageSender:
@@ -41,7 +52,13 @@
                 if isinstance(response, Err):
                     return ReportOutcome.FAILED
                 reset_on_close(connection.stream, False)
-                return self.codec.outcome(response.ok_value.status)
+                return _outcome(response.ok_value.status)
             finally:
                 await connection.close()
         return ReportOutcome.FAILED
+
+
+def _outcome(status: int) -> ReportOutcome:
+    """Return the outcome that the status of a response states."""
+    other = ReportOutcome.REJECTED if 400 <= status < 500 else ReportOutcome.FAILED
+    return OUTCOMES_BY_STATUS.get(status, other)
--- a/tests/usage/test_sender.py
+++ b/tests/usage/test_sender.py
@@ -40,6 +40,8 @@
         [
             (429, ReportOutcome.BUSY),
             (503, ReportOutcome.FAILED),
+            (408, ReportOutcome.FAILED),
+            (421, ReportOutcome.FAILED),
             (412, ReportOutcome.FENCED),
             (400, ReportOutcome.REJECTED),
         ],
