Keep a yield that happens during a renewal of the lease

When the platform refused a holder's token while a renewal was under way, the renewal made the VM holder again, and it sent more calls with the refused token. Cause: a confirmed write set the record again without a look at what happened meanwhile. The write now only counts as observed, so the VM waits like any candidate and takes a higher token.

--- a/src/wagtailbay/usage/lease.py
+++ b/src/wagtailbay/usage/lease.py
@@ -191,9 +191,19 @@
         await self._write(evolve(planned, mark=self.new_mark(), era=era), self.version)
 
     async def _write(self, record: DutyRecord, expected_version: int) -> bool:
-        """Write a record; return whether it is certainly stored."""
-        sent_s = self.clock()
-        match await self.store.put(DUTY_KEY, _encode_record(record), expected_version):
+        """Write a record; return whether it is certainly stored and this VM holds the duty.
+
+        If the duty was yielded meanwhile, this VM is a candidate like the others.
+        """
+        sent_s, value, was_holder = self.clock(), _encode_record(record), self.record is not None
+        written = await self.store.put(DUTY_KEY, value, expected_version)
+        has_yielded = was_holder and self.record is None
+        match written:
+            case Ok(version) if has_yielded:
+                self._observe(StoredObject(DUTY_KEY, version, value))
+                return False
+            case Err(_) if has_yielded:
+                return False
             case Ok(version):
                 self._confirm(record, version, sent_s)
                 return True
@@ -222,6 +232,7 @@
         took effect after a return of the store may have replaced the record of another VM, since
         the store gives revisions out again. It then counts only while the lease holds.
         """
+        was_holder = self.record is not None
         match await self.store.get(DUTY_KEY):
             case Err(_):
                 # Unless an earlier record is confirmed, nothing was sent and nothing is held.
@@ -229,6 +240,9 @@
                 return False
             case Ok(stored):
                 found = _parse_record(stored) if stored is not None else None
+        if was_holder and self.record is None:
+            self._observe(stored)
+            return False
         continues = stored is not None and self._continues(stored.version, expected_version)
         if found is not None and found == record and continues:
             self._confirm(record, stored.version, sent_s)
--- a/tests/usage/test_lease.py
+++ b/tests/usage/test_lease.py
@@ -1,7 +1,7 @@
 """Tests of the holder's lease: frozen holders, lost answers and returns of the store."""
 
 import pytest
-from usage.fleet import SETTINGS, UsageFleet, check_whole, holder, start
+from usage.fleet import SETTINGS, EraStore, UsageFleet, check_whole, holder, start
 
 from wagtailbay.store import StorePosition
 from wagtailbay.usage import ReportOutcome
@@ -145,6 +145,37 @@
         assert tokens(fleet) == sorted(tokens(fleet))
 
 
+class TestYieldDuringRenewal:
+    """A holder whose token was refused stays yielded, whatever becomes of its renewal."""
+
+    @pytest.mark.parametrize("fault", ["", "lose_answers", "lose_writes"])
+    @pytest.mark.parametrize("during", ["put", "get"])
+    async def test_renewal_does_not_undo_the_yield(self, fault: str, during: str, monkeypatch):
+        """Guards against more calls with a token that the platform has refused."""
+        fleet, _, send = await start()
+        await fleet.run(13, send)
+        lease = holder(fleet).parts.lease
+        refused = lease.record.token
+        call = getattr(fleet.store, during)
+
+        async def refuse_meanwhile(*arguments):
+            result = await call(*arguments)
+            lease.yield_duty("the platform knows a higher token")
+            return result
+
+        if fault:
+            setattr(fleet.store, fault, 1)
+        with monkeypatch.context() as patch:
+            patch.setattr(EraStore, during, lambda store, *arguments: refuse_meanwhile(*arguments))
+            lease.renew_at_s = fleet.now_s
+            await lease.tick(fleet.now_s)
+        is_called = during == "put" or bool(fault)
+        assert lease.may_send(fleet.now_s) is not is_called
+        await fleet.run(15, send)
+        assert (holder(fleet).parts.lease.record.token > refused) is is_called
+        assert not fleet.standin.violations
+
+
 class TestStoreFaults:
     """The lease is neither doubled nor lost when the store fails."""
 
