Name the runs in the sums of usage counts

Cause: sums named VMs, so the earlier run's own fact overlapped with the cell's sum, which did not contain it. Sums now name runs. The new test failed before.

--- a/src/wagtailbay/usage/const.py
+++ b/src/wagtailbay/usage/const.py
@@ -27,6 +27,8 @@
 LATEST_FRACTION: Final = 0.6
 # Counts are kept for this many windows beyond the time until the report is due.
 KEPT_WINDOWS: Final = 2
+# Characters of a run's id that tell it from the other runs of its VM in the last few windows.
+RUN_NAME_CHARS: Final = 4
 MAX_OPEN_WINDOWS: Final = 12
 MAX_LOGGED_VMS: Final = 8
 
--- a/src/wagtailbay/usage/exchange.py
+++ b/src/wagtailbay/usage/exchange.py
@@ -1,6 +1,7 @@
 """Exchange the counts of windows between VMs and add them up."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from functools import reduce
 from math import inf
 
 import trio
@@ -18,7 +19,7 @@
     USAGE_KIND,
 )
 from wagtailbay.usage.counter import UsageCounter
-from wagtailbay.usage.models import CellUsage, UsageSettings, WindowUsage
+from wagtailbay.usage.models import CellUsage, UsageSettings, WindowUsage, run_name
 from wagtailbay.usage.true_time import TrueTime
 
 
@@ -27,8 +28,8 @@
     """Publishes this VM's counts, and the sum of its cell if it is a delegate.
 
     Facts of each run of a VM have keys of their own, so that the counts of a run that has ended
-    remain. Each sum names the VMs in it. A total never adds two sums that have a VM in common, so
-    changes of delegates and cells count no VM twice.
+    remain. Each sum names the runs in it. A total never adds two sums that have a run in common, so
+    changes of delegates and cells count no run twice.
 
     Attributes:
         run: Identifies this process.
@@ -106,14 +107,13 @@
     def _cell_usage(self, window: int, now_s: float) -> CellUsage | None:
         """Return the sum over this VM's cell, including this VM."""
         cell = self.layout().cell_peers(self.facts.vm) | {self.facts.vm}
-        return _sum_runs(
-            window, [item for item in self._window_usages(window, now_s) if item[0] in cell]
-        )
+        parts = self._run_usages(window, now_s)
+        return reduce(_add, (usage for vm, usage in parts if vm in cell), None)
 
-    def _window_usages(self, window: int, now_s: float) -> list[tuple[str, WindowUsage]]:
-        """Return what each run is known to have counted in a window."""
+    def _run_usages(self, window: int, now_s: float) -> list[tuple[str, CellUsage]]:
+        """Return what each run is known to have counted in a window, with its VM."""
         return [
-            (fact.vm, fact.value)
+            (fact.vm, _as_sum(run_name(fact.vm, fact.key.partition("/")[2]), fact.value))
             for fact in self.facts.of_kind(USAGE_KIND, now_s)
             if fact.value.window == window
         ]
@@ -121,45 +121,39 @@
     def total(self, window: int, now_s: float) -> CellUsage | None:
         """Return the total over the fleet as far as it is known here; None if nothing is.
 
-        Larger sums go first, and among sums over the same VMs those with more closed VMs and the
+        Larger sums go first, and among sums over the same runs those with more closed runs and the
         newest one.
         """
-        usages = self._window_usages(window, now_s)
-        sums: list[tuple[float, CellUsage]] = []
+        sums: list[tuple[float, CellUsage]] = [
+            (0.0, usage) for _, usage in self._run_usages(window, now_s)
+        ]
         own_cell = self._cell_usage(window, now_s)
         if own_cell is not None:
             sums.append((inf, own_cell))
-        for vm in {vm for vm, _ in usages}:
-            sums.append((0.0, _sum_runs(window, [item for item in usages if item[0] == vm])))
         for fact in self.facts.of_kind(USAGE_CELL_KIND, now_s):
             if fact.value.window == window and fact.vm != self.facts.vm:
                 sums.append((fact.expires_s, fact.value))
-        sums.sort(key=lambda item: (len(item[1].vms), len(item[1].closed_vms), item[0]))
+        sums.sort(key=lambda item: (len(item[1].runs), len(item[1].closed_runs), item[0]))
         total: CellUsage | None = None
         for _, usage in reversed(sums):
-            if total is None:
-                total = usage
-            elif not total.vms & usage.vms:
+            if total is None or not total.runs & usage.runs:
                 total = _add(total, usage)
         return total
 
 
-def _sum_runs(window: int, usages: Iterable[tuple[str, WindowUsage]]) -> CellUsage | None:
-    """Add up what several runs have counted; a VM is closed once any of its runs is."""
-    total: CellUsage | None = None
-    for vm, usage in usages:
-        closed, still_open = ((vm,), ()) if usage.closed else ((), (vm,))
-        part = CellUsage(window, usage.since_ms, closed, still_open, usage.counts)
-        total = part if total is None else _add(total, part)
-    return total
+def _as_sum(run: str, usage: WindowUsage) -> CellUsage:
+    closed, still_open = ((run,), ()) if usage.closed else ((), (run,))
+    return CellUsage(usage.window, usage.since_ms, closed, still_open, usage.counts)
 
 
-def _add(some: CellUsage, other: CellUsage) -> CellUsage:
-    closed = set(some.closed_vms) | set(other.closed_vms)
+def _add(some: CellUsage | None, other: CellUsage) -> CellUsage:
+    if some is None:
+        return other
+    closed = set(some.closed_runs) | set(other.closed_runs)
     return CellUsage(
         some.window,
         min(some.since_ms, other.since_ms),
         tuple(sorted(closed)),
-        tuple(sorted((some.vms | other.vms) - closed)),
+        tuple(sorted((some.runs | other.runs) - closed)),
         add_counts(some.counts, other.counts),
     )
--- a/src/wagtailbay/usage/models.py
+++ b/src/wagtailbay/usage/models.py
@@ -9,6 +9,7 @@
     CALL_TIMEOUT_FRACTION,
     LATEST_FRACTION,
     RENEW_FRACTION,
+    RUN_NAME_CHARS,
     SETTLE_FRACTION,
     USAGE_CELL_KIND,
     USAGE_CLOCK_KIND,
@@ -103,24 +104,43 @@
 
 @frozen
 class CellUsage:
-    """Sum over the VMs of a cell in one window.
+    """Sum over the runs of a cell's VMs in one window.
 
     Attributes:
-        closed_vms: VMs in the sum that have closed the window.
-        open_vms: Other VMs in the sum.
+        closed_runs: Runs in the sum that have closed the window, as returned by ``run_name``.
+        open_runs: Other runs in the sum.
         since_ms: Unix time from which on the first of these runs has counted.
     """
 
     window: int = field(validator=_is_count)
     since_ms: int = field(validator=_is_count)
-    closed_vms: tuple[str, ...]
-    open_vms: tuple[str, ...]
+    closed_runs: tuple[str, ...]
+    open_runs: tuple[str, ...]
     counts: dict[str, int] = field(validator=_are_counts)
 
+    @property
+    def runs(self) -> frozenset[str]:
+        """Return all runs in the sum."""
+        return frozenset(self.closed_runs) | frozenset(self.open_runs)
+
     @property
     def vms(self) -> frozenset[str]:
         """Return all VMs in the sum."""
-        return frozenset(self.closed_vms) | frozenset(self.open_vms)
+        return frozenset(map(_vm_of, self.runs))
+
+    @property
+    def closed_vms(self) -> frozenset[str]:
+        """Return the VMs of which a run has closed the window."""
+        return frozenset(map(_vm_of, self.closed_runs))
+
+
+def run_name(vm: str, run_id: str) -> str:
+    """Return a short name for a run of a VM; sums list many of them."""
+    return f"{vm}/{run_id[-RUN_NAME_CHARS:]}"
+
+
+def _vm_of(name: str) -> str:
+    return name.rpartition("/")[0]
 
 
 @frozen
--- a/tests/usage/test_inputs.py
+++ b/tests/usage/test_inputs.py
@@ -65,7 +65,7 @@
             ("usage", b'{"window":-1,"since_ms":1,"closed":true,"counts":{}}', "window"),
             ("usage", b'{"window":1,"closed":true,"counts":{}}', "since_ms"),
             ("usage", b'{"window":1,"since_ms":1,"closed":true,"counts":[]}', "counts"),
-            ("usage_cell", b'{"window":1,"since_ms":1,"open_vms":[],"counts":{}}', "closed_vms"),
+            ("usage_cell", b'{"window":1,"since_ms":1,"open_runs":[],"counts":{}}', "closed_runs"),
             ("usage_clock", b'{"unix_ms":"x"}', "unix_ms"),
             ("usage_lease", b'{"token":-3,"version":1}', "token"),
         ],
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -103,6 +103,19 @@
         # At most the counts of the last second of one of three VMs are lost.
         check_whole(fleet, truth, tolerance=0.07)
 
+    async def test_restarted_delegate_keeps_the_counts_of_its_earlier_run(self) -> None:
+        """Guards against a cell's sum without the delegate's earlier run that displaces it."""
+        cells = {"a": ("vm-1", "vm-2"), "b": ("vm-3", "vm-4", "vm-5")}
+        layout = FleetLayout(cells, {"a": ("vm-1", "vm-2"), "b": ("vm-3",)})
+        names = [f"vm-{number}" for number in range(1, 6)]
+        fleet, truth, send = await start(*names, layout=lambda: layout)
+        await fleet.run(16.5, send)
+        fleet.kill("vm-3")
+        fleet.add("vm-3")
+        await fleet.run(25, send)
+        # At most the counts of the last half second of one of five VMs are lost.
+        check_whole(fleet, truth, tolerance=0.03)
+
 
 class TestPartition:
     """Counts of a VM that is cut off are waited for, but not for too long."""
