Reject usage facts with converted types or out of range

A peer's time of 10**400 was accepted and then ended the exchange task with an OverflowError again and again; a token of 10**300 would have been continued in the stored record for good; a text passed as a tuple of VMs, and 1.7 as the count 1. Cause: integers had no upper bound, and cattrs converts values before the validators see them. Usage facts are now decoded without conversions, and times, windows, tokens, versions and counts have upper bounds, which own values cannot exceed.

--- a/src/wagtailbay/membership/codec.py
+++ b/src/wagtailbay/membership/codec.py
@@ -11,6 +11,7 @@
 
 from wagtailbay.decoding import DECODE_ERRORS
 from wagtailbay.membership.const import MAX_CACHED_FACT_BYTES, MAX_CACHED_FACTS
+from wagtailbay.membership.strict import strict_converter
 
 
 @frozen
@@ -41,15 +42,24 @@
             sent to all neighbours.
         decode_cache: The newest short values, by kind and encoding, since unchanged facts are
             received repeatedly.
+        strict_kinds: Kinds whose values are decoded without conversions between types.
     """
 
     classes: dict[str, type] = field(factory=dict)
     converter: Converter = field(factory=lambda: Converter(forbid_extra_keys=False))
     encode_cache: dict[int, tuple[Any, bytes]] = field(factory=dict)
     decode_cache: dict[tuple[str, bytes], Any] = field(factory=dict)
+    strict_kinds: set[str] = field(factory=set)
+    strict_converter: Converter = field(factory=strict_converter)
 
-    def register_fact(self, kind: str, attrs_class: type) -> None:
-        """Register the class of a kind's values; raises ValueError if the kind has another one."""
+    def register_fact(self, kind: str, attrs_class: type, *, is_strict: bool = False) -> None:
+        """Register the class of a kind's values; raises ValueError if the kind has another one.
+
+        Args:
+            is_strict: Whether to reject values of other JSON types instead of converting them.
+        """
+        if is_strict:
+            self.strict_kinds.add(kind)
         registered = self.classes.setdefault(kind, attrs_class)
         if registered is not attrs_class:
             raise ValueError(f"fact kind {kind!r} is already registered for {registered.__name__}")
@@ -80,7 +90,9 @@
         if cached is not None:
             return Ok(cached)
         try:
-            value = self.converter.structure(json.loads(data, parse_constant=_reject_constant), cls)
+            content = json.loads(data, parse_constant=_reject_constant)
+            converter = self.strict_converter if kind in self.strict_kinds else self.converter
+            value = converter.structure(content, cls)
         except BaseValidationError as error:
             return Err("; ".join(transform_error(error, format_exception=_describe)))
         except DECODE_ERRORS as error:
@@ -112,9 +124,9 @@
 DEFAULT_CODEC = FactCodec()
 
 
-def register_fact(kind: str, attrs_class: type) -> None:
+def register_fact(kind: str, attrs_class: type, *, is_strict: bool = False) -> None:
     """Register the class of a kind's values for all exchanges in this process."""
-    DEFAULT_CODEC.register_fact(kind, attrs_class)
+    DEFAULT_CODEC.register_fact(kind, attrs_class, is_strict=is_strict)
 
 
 register_fact("vm_list", VmListFact)
--- a/src/wagtailbay/usage/const.py
+++ b/src/wagtailbay/usage/const.py
@@ -8,6 +8,15 @@
 USAGE_LEASE_KIND: Final = "usage_lease"
 DUTY_KEY: Final = "usage/duty"
 
+# Larger values in facts and in the record are malformed. The time is in the year 2286.
+MAX_UNIX_MS: Final = 10**13
+MAX_REQUESTS: Final = 10**12
+# JSON readers that use floating-point numbers read integers up to this one exactly.
+MAX_TOKEN: Final = 2**53 - 1
+# Tokens follow true time and rise by 1 with each holder beyond that. One this far ahead of it, in
+# a fact, is a fault and must not be continued in the stored record.
+MAX_TOKEN_LEAD_MS: Final = 86_400_000
+
 # Counts are published this often and sent with the next heartbeat, which is at most a second later.
 # A VM that is killed loses what it counted in that time. The newest fact replaces the one before,
 # so the interval does not change the size of the messages.
--- a/src/wagtailbay/usage/exchange.py
+++ b/src/wagtailbay/usage/exchange.py
@@ -14,13 +14,14 @@
     CLOSE_DELAY_S,
     EXCHANGE_INTERVAL_S,
     KEPT_WINDOWS,
+    MAX_REQUESTS,
     RESUME_GAP_S,
     USAGE_CELL_KIND,
     USAGE_KIND,
 )
 from wagtailbay.usage.counter import UsageCounter
 from wagtailbay.usage.models import CellUsage, UsageSettings, WindowUsage, run_name
-from wagtailbay.usage.true_time import TrueTime
+from wagtailbay.usage.true_time import TrueTime, as_unix_ms
 
 
 @define
@@ -92,7 +93,7 @@
 
     def _own_usage(self, window: int, now_s: float) -> WindowUsage:
         closed_s = self.settings.end_s(window) + CLOSE_DELAY_S
-        since_ms = max(0, round(self.true_time.unix_s(self.started_s) * 1000))
+        since_ms = as_unix_ms(self.true_time.unix_s(self.started_s))
         closed = self.true_time.unix_s(now_s) >= closed_s
         return WindowUsage(window, since_ms, closed, self.counter.counts(window))
 
@@ -113,9 +114,9 @@
     def _run_usages(self, window: int, now_s: float) -> list[tuple[str, CellUsage]]:
         """Return what each run is known to have counted in a window, with its VM."""
         return [
-            (fact.vm, _as_sum(run_name(fact.vm, fact.key.partition("/")[2]), fact.value))
+            (fact.vm, _as_sum(run_name(fact.vm, fact.key.rpartition("/")[2]), fact.value))
             for fact in self.facts.of_kind(USAGE_KIND, now_s)
-            if fact.value.window == window
+            if fact.value.window == window and fact.vm
         ]
 
     def total(self, window: int, now_s: float) -> CellUsage | None:
@@ -155,5 +156,8 @@
         min(some.since_ms, other.since_ms),
         tuple(sorted(closed)),
         tuple(sorted((some.runs | other.runs) - closed)),
-        add_counts(some.counts, other.counts),
+        {
+            workspace: min(count, MAX_REQUESTS)
+            for workspace, count in add_counts(some.counts, other.counts).items()
+        },
     )
--- a/src/wagtailbay/usage/lease.py
+++ b/src/wagtailbay/usage/lease.py
@@ -24,6 +24,7 @@
     DUTY_KEY,
     LEASE_TICK_S,
     MAX_CANDIDATES,
+    MAX_TOKEN_LEAD_MS,
     READ_RETRY_S,
     SILENCE_FRACTION,
     USAGE_LEASE_KIND,
@@ -124,7 +125,8 @@
         """Take note of what the holder announces."""
         for fact in self.facts.of_kind(USAGE_LEASE_KIND, now_s):
             held: HeldLease = fact.value
-            self.known_token = max(self.known_token, held.token)
+            if held.token <= self.unix_s(now_s) * 1000 + MAX_TOKEN_LEAD_MS:
+                self.known_token = max(self.known_token, held.token)
             if fact.vm != self.vm and held.version > self.heard_version:
                 self.heard_version, self.heard_s = held.version, now_s
                 self.heard_vm = fact.vm
--- a/src/wagtailbay/usage/models.py
+++ b/src/wagtailbay/usage/models.py
@@ -1,13 +1,18 @@
 """Data classes of usage reports: settings, counts as facts, and the stored state of the duty."""
 
+from collections.abc import Callable
 from enum import Enum
 
 from attrs import field, frozen, validators
 
+from wagtailbay.decoding import MAX_COUNT
 from wagtailbay.membership.codec import register_fact
 from wagtailbay.usage.const import (
     CALL_TIMEOUT_FRACTION,
     LATEST_FRACTION,
+    MAX_REQUESTS,
+    MAX_TOKEN,
+    MAX_UNIX_MS,
     RENEW_FRACTION,
     RUN_NAME_CHARS,
     SETTLE_FRACTION,
@@ -17,8 +22,18 @@
     USAGE_LEASE_KIND,
 )
 
-_is_count = validators.and_(validators.instance_of(int), validators.ge(0))
-_are_counts = validators.deep_mapping(validators.min_len(1), _is_count)
+
+def _is_whole(maximum: int) -> Callable[..., None]:
+    return validators.and_(validators.instance_of(int), validators.ge(0), validators.le(maximum))
+
+
+_is_time = _is_whole(MAX_UNIX_MS)
+# No window is shorter than 1 ms.
+_is_window = _is_whole(MAX_UNIX_MS)
+_is_token = _is_whole(MAX_TOKEN)
+_is_version = _is_whole(MAX_COUNT)
+_are_counts = validators.deep_mapping(validators.min_len(1), _is_whole(MAX_REQUESTS))
+_are_runs = validators.deep_iterable(validators.matches_re(r"(?s).+/[^/]*"))
 
 
 @frozen
@@ -96,8 +111,8 @@
         closed: Whether the window has ended for the VM.
     """
 
-    window: int = field(validator=_is_count)
-    since_ms: int = field(validator=_is_count)
+    window: int = field(validator=_is_window)
+    since_ms: int = field(validator=_is_time)
     closed: bool
     counts: dict[str, int] = field(validator=_are_counts)
 
@@ -112,10 +127,10 @@
         since_ms: Unix time from which on the first of these runs has counted.
     """
 
-    window: int = field(validator=_is_count)
-    since_ms: int = field(validator=_is_count)
-    closed_runs: tuple[str, ...]
-    open_runs: tuple[str, ...]
+    window: int = field(validator=_is_window)
+    since_ms: int = field(validator=_is_time)
+    closed_runs: tuple[str, ...] = field(validator=_are_runs)
+    open_runs: tuple[str, ...] = field(validator=_are_runs)
     counts: dict[str, int] = field(validator=_are_counts)
 
     @property
@@ -151,16 +166,16 @@
         true_ms: The median over the VMs that a delegate hears; None from other VMs.
     """
 
-    unix_ms: int = field(validator=_is_count)
-    true_ms: int | None = None
+    unix_ms: int = field(validator=_is_time)
+    true_ms: int | None = field(default=None, validator=validators.optional(_is_time))
 
 
 @frozen
 class HeldLease:
     """The newest write of the holder, told to the VMs that may succeed it."""
 
-    token: int = field(validator=_is_count)
-    version: int = field(validator=_is_count)
+    token: int = field(validator=_is_token)
+    version: int = field(validator=_is_version)
 
 
 @frozen
@@ -179,12 +194,12 @@
 
     vm: str
     run: str
-    token: int = field(validator=_is_count)
+    token: int = field(validator=_is_token)
     mark: str
-    era: int
-    floor: int = field(validator=_is_count)
+    era: int = field(validator=_is_version)
+    floor: int = field(validator=_is_window)
     windows: dict[int, dict[str, int]] = field(
-        factory=dict, validator=validators.deep_mapping(_is_count, _are_counts)
+        factory=dict, validator=validators.deep_mapping(_is_window, _are_counts)
     )
 
 
@@ -209,7 +224,7 @@
     NOT_SENT = "not_sent"
 
 
-register_fact(USAGE_KIND, WindowUsage)
-register_fact(USAGE_CELL_KIND, CellUsage)
-register_fact(USAGE_CLOCK_KIND, ClockReading)
-register_fact(USAGE_LEASE_KIND, HeldLease)
+register_fact(USAGE_KIND, WindowUsage, is_strict=True)
+register_fact(USAGE_CELL_KIND, CellUsage, is_strict=True)
+register_fact(USAGE_CLOCK_KIND, ClockReading, is_strict=True)
+register_fact(USAGE_LEASE_KIND, HeldLease, is_strict=True)
--- a/src/wagtailbay/usage/true_time.py
+++ b/src/wagtailbay/usage/true_time.py
@@ -9,6 +9,7 @@
 from wagtailbay.usage.const import (
     CLOCK_TTL_MS,
     MAX_OFFSET_STEP_S,
+    MAX_UNIX_MS,
     OFFSET_CALIBRATION_S,
     STEP_CONFIRMATIONS,
     USAGE_CLOCK_KIND,
@@ -58,8 +59,8 @@
         if self.pending_steps in (0, STEP_CONFIRMATIONS):
             self.offset_s, self.pending_steps = offset_s, 0
         is_delegate = self.layout().is_delegate(self.facts.vm)
-        true_ms = round(self.unix_s(now_s) * 1000) if is_delegate else None
-        reading = ClockReading(max(0, round(own_s * 1000)), true_ms)
+        true_ms = as_unix_ms(self.unix_s(now_s)) if is_delegate else None
+        reading = ClockReading(as_unix_ms(own_s), true_ms)
         self.facts.publish(USAGE_CLOCK_KIND, "", reading, ttl_ms=CLOCK_TTL_MS, now_s=now_s)
 
     def _estimate(self, own_offset_s: float, now_s: float) -> float:
@@ -75,3 +76,8 @@
                 published_s = fact.expires_s - CLOCK_TTL_MS / 1000
                 offsets_s.append(unix_ms / 1000 - published_s)
         return median(offsets_s)
+
+
+def as_unix_ms(unix_s: float) -> int:
+    """Return a time in milliseconds, within the range that facts may have."""
+    return min(max(0, round(unix_s * 1000)), MAX_UNIX_MS)
--- a/tests/usage/test_inputs.py
+++ b/tests/usage/test_inputs.py
@@ -1,11 +1,15 @@
 """Tests of settings and of facts from other VMs."""
 
 import pytest
+from usage.fleet import holder, start
 
 from wagtailbay.membership.codec import DEFAULT_CODEC
+from wagtailbay.membership.facts import Fact
 from wagtailbay.platform import parse_duration_ms
 from wagtailbay.programs.gateway_settings import GatewaySettings
 from wagtailbay.usage import UsageSettings, parse_usage_settings
+from wagtailbay.usage.const import MAX_REQUESTS
+from wagtailbay.usage.models import CellUsage, WindowUsage
 
 
 class TestSettings:
@@ -55,6 +59,15 @@
     )
 
 
+HUGE = 10**400
+
+
+def cell_with(closed_runs: str) -> str:
+    """Return a cell's sum with the given closed runs."""
+    fields = '"window":1,"since_ms":1,"open_runs":[],"counts":{}'
+    return f'{{{fields},"closed_runs":{closed_runs}}}'
+
+
 class TestMalformedFacts:
     """A fact that cannot be counted is rejected with the name of its field."""
 
@@ -68,10 +81,45 @@
             ("usage_cell", b'{"window":1,"since_ms":1,"open_runs":[],"counts":{}}', "closed_runs"),
             ("usage_clock", b'{"unix_ms":"x"}', "unix_ms"),
             ("usage_lease", b'{"token":-3,"version":1}', "token"),
+            ("usage", b'{"window":1,"since_ms":1,"closed":true,"counts":{"a":1.7}}', "counts"),
+            ("usage", b'{"window":1,"since_ms":1,"closed":true,"counts":{"a":"3"}}', "counts"),
+            ("usage", b'{"window":1,"since_ms":1,"closed":"no","counts":{}}', "closed"),
+            ("usage", b'{"window":true,"since_ms":1,"closed":true,"counts":{}}', "window"),
+            (
+                "usage",
+                f'{{"window":1,"since_ms":1,"closed":true,"counts":{{"a":{HUGE}}}}}',
+                "counts",
+            ),
+            ("usage", f'{{"window":{HUGE},"since_ms":1,"closed":true,"counts":{{}}}}', "window"),
+            ("usage_cell", cell_with('"abc"'), "closed_runs"),
+            ("usage_cell", cell_with('["a"]'), "closed_runs"),
+            ("usage_cell", cell_with("[1]"), "closed_runs"),
+            ("usage_clock", f'{{"unix_ms":{HUGE}}}', "unix_ms"),
+            ("usage_clock", f'{{"unix_ms":1,"true_ms":{HUGE}}}', "true_ms"),
+            ("usage_clock", b'{"unix_ms":1,"true_ms":-5}', "true_ms"),
+            ("usage_lease", f'{{"token":{HUGE},"version":1}}', "token"),
+            ("usage_lease", f'{{"token":1,"version":{HUGE}}}', "version"),
         ],
     )
-    def test_field_is_named(self, kind: str, data: bytes, field: str) -> None:
-        """Guards against negative or missing counts of a peer in the fleet's total."""
-        decoded = DEFAULT_CODEC.decode(kind, data)
+    def test_field_is_named(self, kind: str, data: bytes | str, field: str) -> None:
+        """Guards against wrong counts in the fleet's total, and times too large to calculate."""
+        decoded = DEFAULT_CODEC.decode(kind, data.encode() if isinstance(data, str) else data)
         assert decoded.is_err()
         assert field in decoded.err_value
+
+    @pytest.mark.parametrize(
+        ("vm", "key"), [("vm-9", ""), ("vm-9", "9"), ("vm-9", "9/a/b"), ("a/\n", "/"), ("", "1/a")]
+    )
+    async def test_odd_owner_or_key_stops_no_report(self, vm: str, key: str) -> None:
+        """Guards against a task that fails again and again on one fact of a peer."""
+        fleet, _, _ = await start()
+        facts = holder(fleet).facts
+        for window in range(fleet.window() - 2, fleet.window() + 3):
+            usage = WindowUsage(window, 0, True, {"odd": MAX_REQUESTS})
+            facts.merge([Fact(vm, 1, "usage", f"{window}{key}", 1, usage, fleet.now_s + 60)])
+            cell = CellUsage(window, 0, (f"{vm}/x",), (), usage.counts) if vm else None
+            if cell is not None:
+                facts.merge([Fact("vm-8", 1, "usage_cell", f"{window}", 1, cell, fleet.now_s + 60)])
+        first = fleet.window() + 1
+        await fleet.run(25)
+        assert first in fleet.standin.reports
--- a/tests/usage/test_lease.py
+++ b/tests/usage/test_lease.py
@@ -5,7 +5,8 @@
 
 from wagtailbay.store import StorePosition
 from wagtailbay.usage import ReportOutcome
-from wagtailbay.usage.const import DUTY_KEY
+from wagtailbay.usage.const import DUTY_KEY, MAX_TOKEN, USAGE_LEASE_KIND
+from wagtailbay.usage.models import HeldLease
 
 
 def tokens(fleet: UsageFleet) -> list[int]:
@@ -299,3 +300,21 @@
         await fleet.run(25, send)
         assert not fleet.standin.violations
         assert len(fleet.holders()) == 1
+
+
+class TestTokens:
+    """Tokens stay within the range that the platform can read."""
+
+    async def test_token_far_ahead_of_time_is_not_continued(self) -> None:
+        """Guards against a peer's fault that raises the stored token for good."""
+        fleet, _, send = await start()
+        await fleet.run(13, send)
+        first = holder(fleet)
+        held = HeldLease(MAX_TOKEN, first.parts.lease.version)
+        vm = next(vm for vm in fleet.vms.values() if vm is not first)
+        vm.facts.publish(USAGE_LEASE_KIND, "", held, ttl_ms=60_000, now_s=fleet.now_s)
+        await fleet.run(1, send)
+        fleet.kill(first.name)
+        await fleet.run(20, send)
+        assert holder(fleet).parts.lease.record.token < MAX_TOKEN / 2
+        assert not fleet.standin.violations
