Send usage facts to a peer that becomes a delegate

A VM that became a delegate lacked the counts that the others had published before, so its sums were low. Cause: a peer acknowledges positions, and facts for delegates that were left out in its messages counted as acknowledged. The sender now gives its own facts for delegates new positions when a peer's role changes. Setting the acknowledged position back would not do: an acknowledgement on its way sets it forward again, as the new test shows.

--- a/src/wagtailbay/membership/exchange.py
+++ b/src/wagtailbay/membership/exchange.py
@@ -8,13 +8,14 @@
 from wagtailbay.logs import log_event
 from wagtailbay.membership.const import (
     CONTACTS_INTERVAL_S,
+    DELEGATE_FACT_KINDS,
     DIGESTS_BEFORE_SNAPSHOT,
     INDIRECT_CONTACT_TIMEOUT_S,
     MEMBER_RETENTION_S,
     NON_URGENT_PREFIXES,
     RENUMBER_WINDOW_S,
 )
-from wagtailbay.membership.facts import FactTable
+from wagtailbay.membership.facts import FactBatch, FactTable
 from wagtailbay.membership.isolation import IsolationCheck
 from wagtailbay.membership.layout import FleetLayout
 from wagtailbay.membership.messages import Contact, EntryBatch, ExchangeMessage
@@ -68,12 +69,7 @@
             confirmed_age_ms=self.freshness.age_ms(now_s),
             store_reachable=not self.reader.contact.is_failing,
             batch=batch,
-            facts=self.facts.batch_after(
-                peer.facts_acked,
-                now_s,
-                same_region=self.is_same_region(vm),
-                to_delegate=not self.layout.is_divided or self.layout.is_delegate(vm),
-            ),
+            facts=self._facts_for(vm, peer, now_s),
             facts_seen=peer.facts_received,
             facts_seen_incarnation=peer.incarnation,
             members=self._members_for(vm, peer, now_s),
@@ -87,6 +83,19 @@
             echo=None if is_answer else peer.build_echo(now_s),
         )
 
+    def _facts_for(self, vm: str, peer: PeerSyncState, now_s: float) -> FactBatch:
+        """Return the facts that a peer lacks; one that becomes a delegate gets more kinds."""
+        to_delegate = not self.layout.is_divided or self.layout.is_delegate(vm)
+        if to_delegate and peer.gets_delegate_facts is False:
+            self.facts.send_again(DELEGATE_FACT_KINDS)
+        peer.gets_delegate_facts = to_delegate
+        return self.facts.batch_after(
+            peer.facts_acked,
+            now_s,
+            same_region=self.is_same_region(vm),
+            to_delegate=to_delegate,
+        )
+
     def _batch_for(self, peer: PeerSyncState, is_answer: bool) -> EntryBatch:
         """Return the objects that a peer lacks, without those that it has acknowledged."""
         own, revision = self.replica.revision, peer.revision
--- a/src/wagtailbay/membership/facts.py
+++ b/src/wagtailbay/membership/facts.py
@@ -1,6 +1,6 @@
 """Table of facts: small records, each owned by the VM that published it."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from typing import Any
 
 from attrs import define, evolve, field, frozen
@@ -91,6 +91,16 @@
         for fact in own:
             self._store(evolve(fact, incarnation=incarnation))
 
+    def send_again(self, kinds: Collection[str]) -> None:
+        """Send this VM's facts of some kinds again to the peers that get such facts.
+
+        The facts get new positions, since what a peer has acknowledged includes those that were not
+        meant for it, and an acknowledgement on its way may repeat that.
+        """
+        for fact in tuple(self.facts.values()):
+            if fact.vm == self.vm and fact.kind in kinds:
+                self._store(fact)
+
     def merge(self, facts: Iterable[Fact]) -> tuple[Fact, ...]:
         """Store newer facts of other VMs and return them; those to be relayed are sent at once."""
         fresh = []
--- a/src/wagtailbay/membership/peer_sync.py
+++ b/src/wagtailbay/membership/peer_sync.py
@@ -18,6 +18,8 @@
         revision: The revision that the peer's replica has at least.
         facts_received: This VM has the peer's facts up to this position.
         facts_acked: The peer has this VM's facts up to this position.
+        gets_delegate_facts: Whether the last message to the peer included the facts for delegates,
+            None before the first message.
         replica_acked: The peer has this VM's objects up to this position.
         replica_digest: Digest of the keys and versions that the peer's last message stated.
         digest_position: This VM's replica position after that message was applied.
@@ -40,6 +42,7 @@
     revision: int = 0
     facts_received: int = 0
     facts_acked: int = 0
+    gets_delegate_facts: bool | None = None
     replica_acked: int = 0
     replica_received: int = 0
     replica_digest: int | None = None
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -5,7 +5,7 @@
 from membership.factories import CODEC, VALUE, call, exchanger
 from result import Err
 
-from wagtailbay.membership import VmState
+from wagtailbay.membership import FleetLayout, VmState
 from wagtailbay.membership.generated import peer_pb2
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
 from wagtailbay.store import StoredObject
@@ -236,3 +236,24 @@
             call(a, peer, 1.0)
             assert {fact.kind for fact in peer.facts.facts.values()} == kinds
         del CODEC.classes["occupancy"]
+
+
+class TestDelegateFacts:
+    """Facts for delegates reach a VM that becomes one."""
+
+    def test_new_delegate_gets_the_facts_that_it_was_not_sent_before(self) -> None:
+        """Guards against facts that count as acknowledged although they were not sent."""
+        a, b = exchanger("a"), exchanger("b")
+        cells = {"x": ("a", "b"), "y": ("c",)}
+        a.layout = FleetLayout(cells, {"x": ("a",), "y": ("c",)})
+        a.facts.publish("usage", "7/run", VALUE, ttl_ms=60_000, now_s=0.0)
+        assert call(a, b, 1.0)
+        assert call(b, a, 1.5)
+        assert not list(b.facts.of_kind("usage", 1.5))
+        on_its_way = b.build_message("a", 1.6)
+        a.layout = FleetLayout(cells, {"x": ("a", "b"), "y": ("c",)})
+        lost = a.build_message("b", 2.0)
+        assert [fact.kind for fact in lost.facts.facts] == ["usage"]
+        a.apply_message(on_its_way, 2.1)
+        b.apply_message(a.build_message("b", 2.2), 2.2)
+        assert list(b.facts.of_kind("usage", 2.2))
