Do not count an attempt that was cancelled before it was sent

A request whose caller left while the connection to the target was being opened stayed in the counts, although no target began to run it. Cause: only attempts with a result were removed again. The attempt now states whether any of the request was sent. The new test failed before.

--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -50,6 +50,7 @@
         metadata: Metadata of the response to this request, None before its head was received.
         evidence: What each response received, skipped ones included, says about the request.
         response_bytes: Size of the response body received so far.
+        request_sent: Whether any of the request may have been sent, once ``run`` has ended.
     """
 
     pool: ConnectionPool
@@ -63,6 +64,7 @@
     metadata: TargetMetadata | None = None
     evidence: list[ResponseEvidence] = field(factory=list)
     response_bytes: int = 0
+    request_sent: bool = False
 
     async def run(self) -> AttemptResult:
         """Send the request and deliver the response.
@@ -94,6 +96,7 @@
                 return result
             return self._handle_timeout()
         finally:
+            self.request_sent = connection.request_sent
             await self.pool.release(connection)
 
     def _handle_timeout(self) -> AttemptResult:
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -188,9 +188,9 @@
         retract = self._record_begun(request, started_s)
         try:
             result = await attempt.run()
-            if not result.may_have_run:
-                retract()
         finally:
+            if not attempt.request_sent or (result and not result.may_have_run):
+                retract()
             outcome = result.outcome if result else TargetOutcome.GIVEN_UP
             if result is None:
                 log_event(
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -1,9 +1,11 @@
 """Tests of what the gateway counts as begun by a target."""
 
 import pytest
+import trio
 from support.gateway_harness import start_raw_harness
 from support.raw_target import RawExchange, Script
 
+from wagtailbay.transport import ConnectionPool
 from wagtailbay.usage.counter import UsageCounter
 from wagtailbay.usage.models import UsageSettings
 
@@ -23,6 +25,30 @@
         self.counter.retract(workspace, window)
 
 
+class StuckPool(ConnectionPool):
+    """Waits for ever in one of its methods."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__()
+        self.waiting = trio.Event()
+        self.method = method
+
+    async def acquire(self, *arguments, **options):
+        """Return a connection, or wait."""
+        await self._wait_in("acquire")
+        return await super().acquire(*arguments, **options)
+
+    async def release(self, connection) -> None:
+        """Release a connection, or wait."""
+        await self._wait_in("release")
+        await super().release(connection)
+
+    async def _wait_in(self, method: str) -> None:
+        if method == self.method:
+            self.waiting.set()
+            await trio.sleep_forever()
+
+
 async def answer(exchange: RawExchange) -> None:
     """Answer with a success."""
     await exchange.answer()
@@ -67,6 +93,24 @@
         """Guards against uncounted retries, and against counting what was turned away."""
         assert await count(nursery, path, script, script) == counts
 
+    @pytest.mark.parametrize(("method", "counts"), [("acquire", {}), ("release", {"unam": 1})])
+    async def test_cancelled_attempt_counts_once_sent(self, nursery, method, counts) -> None:
+        """Guards against counting a request whose caller left before it was sent."""
+        harness = await start_raw_harness(nursery, answer)
+        forwarder = harness.node.handler.forwarder
+        meter = forwarder.meter = FixedMeter()
+        pool = forwarder.pool = StuckPool(method)
+        async with trio.open_nursery() as callers:
+            callers.start_soon(harness.send_request)
+            with trio.fail_after(10):
+                await pool.waiting.wait()
+            assert meter.counter.counts(0) == {"unam": 1}
+            callers.cancel_scope.cancel()
+        with trio.move_on_after(1):
+            while meter.counter.counts(0) != {}:
+                await trio.sleep(0.01)
+        assert meter.counter.counts(0) == counts
+
     async def test_reports_are_off_by_default(self, nursery) -> None:
         """Guards against tasks and store calls in deployments without usage reports."""
         harness = await start_raw_harness(nursery, answer)
