Follow one of two clocks instead of their mean

In a fleet of two VMs, or in a VM that hears one delegate only, a clock stepped by 3 s moved true time by 1.5 s, so counts went to wrong windows. Cause: the median of two readings is their mean. The reading nearer to the present estimate is used instead.

--- a/src/wagtailbay/usage/true_time.py
+++ b/src/wagtailbay/usage/true_time.py
@@ -24,7 +24,8 @@
     Each VM publishes its time of day. Facts travel with the time that they have left, so a receiver
     knows when one was published on its own steady clock, up to the transit time. In a divided
     fleet, a delegate uses the VMs that it hears, and the other VMs use the medians of their two
-    delegates and their own clock. A clock that is stepped is outvoted at once on every VM.
+    delegates and their own clock. A clock that is stepped is outvoted at once on every VM. Of two
+    clocks, the one nearer to the present estimate is used.
 
     Attributes:
         started_s: When the process started, on the steady clock.
@@ -75,6 +76,9 @@
             if unix_ms is not None:
                 published_s = fact.expires_s - CLOCK_TTL_MS / 1000
                 offsets_s.append(unix_ms / 1000 - published_s)
+        if len(offsets_s) < 3:
+            # The median of two would be their mean, which follows a stepped clock by half.
+            return min(offsets_s, key=lambda offset_s: abs(offset_s - self.offset_s))
         return median(offsets_s)
 
 
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -60,6 +60,15 @@
         await fleet.run(25, send)
         check_whole(fleet, truth)
 
+    @pytest.mark.parametrize("step_s", [3.0, -3.0])
+    async def test_one_of_two_clocks_is_stepped(self, step_s: float) -> None:
+        """Guards against true time that moves by half of the step."""
+        fleet, truth, send = await start("vm-1", "vm-2")
+        await fleet.run(12, send)
+        holder(fleet).unix_step_s = step_s
+        await fleet.run(25, send)
+        check_whole(fleet, truth)
+
     async def test_vm_that_starts_with_a_wrong_clock_is_outvoted(self) -> None:
         """Guards against windows that end seconds too early at a VM with a wrong clock."""
         fleet = UsageFleet()
