--- a/src/wagtailbay/gateway/attempt.py
+++ b/src/wagtailbay/gateway/attempt.py
@@ -53,6 +53,7 @@
         streaming: Whether a response that is too large to buffer is being passed on.
         delivery_s: Time that the sink took to accept what had arrived, for which the target is not
             responsible.
+        request_sent: Whether any of the request may have been sent, once ``run`` has ended.
     """
 
     pool: ConnectionPool
@@ -68,6 +69,7 @@
     response_bytes: int = 0
     streaming: bool = False
     delivery_s: float = 0.0
+    request_sent: bool = False
 
     async def run(self) -> AttemptResult:
         """Send the request and deliver the response."""
@@ -109,6 +111,7 @@
                 return exchanged
             return self._handle_timeout()
         finally:
+            self.request_sent = connection.request_sent
             await self.pool.release(connection)
 
     def _handle_timeout(self) -> AttemptResult:
--- a/src/wagtailbay/usage/true_time.py
+++ b/src/wagtailbay/usage/true_time.py
@@ -9,6 +9,7 @@
 from wagtailbay.usage.const import (
     CLOCK_TTL_MS,
     MAX_OFFSET_STEP_S,
+    MAX_UNIX_MS,
     OFFSET_CALIBRATION_S,
     STEP_CONFIRMATIONS,
     USAGE_CLOCK_KIND,
@@ -23,7 +24,8 @@
     Each VM publishes its time of day. Facts travel with the time that they have left, so a receiver
     knows when one was published on its own steady clock, up to the transit time. In a divided
     fleet, a delegate uses the VMs that it hears, and the other VMs use the medians of their two
-    delegates and their own clock. A clock that is stepped is outvoted at once on every VM.
+    delegates and their own clock. A clock that is stepped is outvoted at once on every VM. Of two
+    clocks, the one nearer to the present estimate is used.
 
     Attributes:
         started_s: When the process started, on the steady clock.
@@ -58,8 +60,8 @@
         if self.pending_steps in (0, STEP_CONFIRMATIONS):
             self.offset_s, self.pending_steps = offset_s, 0
         is_delegate = self.layout().is_delegate(self.facts.vm)
-        true_ms = round(self.unix_s(now_s) * 1000) if is_delegate else None
-        reading = ClockReading(max(0, round(own_s * 1000)), true_ms)
+        true_ms = as_unix_ms(self.unix_s(now_s)) if is_delegate else None
+        reading = ClockReading(as_unix_ms(own_s), true_ms)
         self.facts.publish(USAGE_CLOCK_KIND, "", reading, ttl_ms=CLOCK_TTL_MS, now_s=now_s)
 
     def _estimate(self, own_offset_s: float, now_s: float) -> float:
@@ -74,4 +76,12 @@
             if unix_ms is not None:
                 published_s = fact.expires_s - CLOCK_TTL_MS / 1000
                 offsets_s.append(unix_ms / 1000 - published_s)
+        if len(offsets_s) < 3:
+            # The median of two would be their mean, which follows a stepped clock by half.
+            return min(offsets_s, key=lambda offset_s: abs(offset_s - self.offset_s))
         return median(offsets_s)
+
+
+def as_unix_ms(unix_s: float) -> int:
+    """Return a time in milliseconds, within the range that facts may have."""
+    return min(max(0, round(unix_s * 1000)), MAX_UNIX_MS)
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -60,6 +60,15 @@
         await fleet.run(25, send)
         check_whole(fleet, truth)
 
+    @pytest.mark.parametrize("step_s", [3.0, -3.0])
+    async def test_one_of_two_clocks_is_stepped(self, step_s: float) -> None:
+        """Guards against true time that moves by half of the step."""
+        fleet, truth, send = await start("vm-1", "vm-2")
+        await fleet.run(12, send)
+        holder(fleet).unix_step_s = step_s
+        await fleet.run(25, send)
+        check_whole(fleet, truth)
+
     async def test_vm_that_starts_with_a_wrong_clock_is_outvoted(self) -> None:
         """Guards against windows that end seconds too early at a VM with a wrong clock."""
         fleet = UsageFleet()
@@ -103,6 +112,19 @@
         # At most the counts of the last second of one of three VMs are lost.
         check_whole(fleet, truth, tolerance=0.07)
 
+    async def test_restarted_delegate_keeps_the_counts_of_its_earlier_run(self) -> None:
+        """Guards against a cell's sum without the delegate's earlier run that displaces it."""
+        cells = {"a": ("vm-1", "vm-2"), "b": ("vm-3", "vm-4", "vm-5")}
+        layout = FleetLayout(cells, {"a": ("vm-1", "vm-2"), "b": ("vm-3",)})
+        names = [f"vm-{number}" for number in range(1, 6)]
+        fleet, truth, send = await start(*names, layout=lambda: layout)
+        await fleet.run(16.5, send)
+        fleet.kill("vm-3")
+        fleet.add("vm-3")
+        await fleet.run(25, send)
+        # At most the counts of the last half second of one of five VMs are lost.
+        check_whole(fleet, truth, tolerance=0.03)
+
 
 class TestPartition:
     """Counts of a VM that is cut off are waited for, but not for too long."""
