Lower the bucket by unspent tokens at each grant

Bound broken: (rate x 5 s + burst) x 1.1 + 20. With tokens in the hands of VMs, a flood at the owner was admitted 722 (25 VMs) and 742 times (60 VMs) in 5 s at rate 60 and burst 300, where 680 are allowed; a flood at one VM 794 times at rate 100 and burst 200, where 790 are allowed.

Cause: grants to the owner's own requests and single loans did not lower the bucket by unspent tokens. The tokens of a calling VM were replaced by what it reported before the bucket was lowered, and those that expired between two grants were not taken off at all. Tokens for waiting requests were never counted, also not while their answer was under way.

Fix: each grant lowers the bucket, with the tokens of the VM's last call and at the times of expiry.

Counting them longer had one answer late by 350 ms refuse 3 of 2,487 requests instead of 2, so unspent tokens now use 0.6 of the allowed excess instead of 0.5.

--- a/src/wagtailbay/quota/bank.py
+++ b/src/wagtailbay/quota/bank.py
@@ -10,6 +10,7 @@
 from wagtailbay.quota.const import (
     ASKING_WINDOW_S,
     INITIAL_SLACK_FRACTION,
+    LATE_ANSWER_S,
     MAX_CLOCK_RATE,
     MAX_RETRY_AFTER_MS,
     QUOTA_OVERAGE,
@@ -39,6 +40,8 @@
         fraction: Part of each rate that may be granted.
         asked_s: When each VM last asked for tokens of a workspace.
         unspent: Tokens of a workspace that each VM may not have spent yet.
+        under_way: Tokens for requests that wait at each VM, which are spent when the answer arrives
+            or expire after LATE_ANSWER_S.
     """
 
     requirements: FleetRequirements = field(factory=FleetRequirements)
@@ -46,6 +49,7 @@
     fraction: float = 0.0
     asked_s: dict[str, dict[str, float]] = field(factory=dict)
     unspent: dict[str, dict[str, Unspent]] = field(factory=dict)
+    under_way: dict[str, dict[str, Unspent]] = field(factory=dict)
 
     def own(self, workspaces: Mapping[str, Workspace], fraction: float, now_s: float) -> None:
         """Own the rates of exactly these workspaces.
@@ -58,6 +62,7 @@
         for name in self.buckets.keys() - workspaces.keys():
             del self.buckets[name]
             self.unspent.pop(name, None)
+            self.under_way.pop(name, None)
             self.asked_s.pop(name, None)
         for name, workspace in workspaces.items():
             rate_per_s, burst = workspace.rate_per_s * fraction, workspace.burst * fraction
@@ -74,9 +79,9 @@
         bucket = self.buckets.get(workspace)
         if bucket is None or bucket.capacity <= 0:
             return NOT_THE_OWNER
+        self._settle(workspace, bucket, now_s)
         askers = self.asked_s.setdefault(workspace, {})
         askers[vm] = now_s
-        bucket.refill(now_s)
         # Many small refills may leave the level slightly below a whole token.
         tokens = max(0, min(wanted, int(bucket.level + 1e-6)))
         bucket.charge(tokens, now_s)
@@ -94,14 +99,13 @@
         bucket = self.buckets.get(demand.workspace)
         if bucket is None or bucket.capacity <= 0:
             return NOT_THE_OWNER
-        unspent = self.unspent.setdefault(demand.workspace, {})
+        self._settle(demand.workspace, bucket, now_s)
+        unspent = self.unspent[demand.workspace]
         expires_s = now_s + TOKEN_TTL_S * MAX_CLOCK_RATE
-        unspent[vm] = Unspent(demand.held, expires_s)
-        for name in [name for name, kept in unspent.items() if kept.expires_s <= now_s]:
-            del unspent[name]
-        bucket.refill(now_s)
-        held = sum(kept.tokens for kept in unspent.values())
-        bucket.level = min(bucket.level, max(0.0, self._max_unspent(bucket) - held))
+        # What the VM had after its last call counts once more: it may have spent it just now.
+        spent = self.under_way[demand.workspace].pop(vm, Unspent(0, now_s))
+        before = spent.tokens + (unspent[vm].tokens if vm in unspent else 0)
+        unspent[vm] = Unspent(max(demand.held, before), expires_s)
         grant = self.grant(demand.workspace, vm, demand.tokens, now_s)
         spare = 0
         if grant.tokens == demand.tokens:
@@ -110,8 +114,35 @@
         bucket.charge(grant.spare, now_s)
         ahead = max(0, grant.tokens - demand.waiting)
         unspent[vm] = Unspent(demand.held + ahead + grant.spare, expires_s)
+        until_s = now_s + LATE_ANSWER_S * MAX_CLOCK_RATE
+        self.under_way[demand.workspace][vm] = Unspent(grant.tokens - ahead, until_s)
         return grant
 
+    def _settle(self, workspace: str, bucket: TokenBucket, now_s: float) -> None:
+        """Refill a bucket, and lower it by the tokens that VMs may hold beside it.
+
+        Tokens that have expired since the last grant are taken off at the time of their expiry, as
+        they may have been spent until then.
+        """
+        groups = (
+            self.unspent.setdefault(workspace, {}),
+            self.under_way.setdefault(workspace, {}),
+        )
+        held = sum(kept.tokens for group in groups for kept in group.values())
+        max_unspent = self._max_unspent(bucket)
+        expired = [
+            (kept.expires_s, vm, group)
+            for group in groups
+            for vm, kept in group.items()
+            if kept.expires_s <= now_s
+        ]
+        for expires_s, vm, group in sorted(expired, key=lambda entry: entry[0]):
+            bucket.refill(expires_s)
+            bucket.level = min(bucket.level, max(0.0, max_unspent - held))
+            held -= group.pop(vm).tokens
+        bucket.refill(now_s)
+        bucket.level = min(bucket.level, max(0.0, max_unspent - held))
+
     def _max_unspent(self, bucket: TokenBucket) -> float:
         """Return how many tokens the bucket and the VMs together may hold."""
         in_window = bucket.capacity + bucket.rate_per_s * QUOTA_WINDOW_S
--- a/src/wagtailbay/quota/const.py
+++ b/src/wagtailbay/quota/const.py
@@ -27,6 +27,9 @@
 LOST_ROUND_TRIPS: Final = 2.0
 MIN_LOST_S: Final = 1.0
 MAX_LOST_S: Final = 3.0
+# Until the first answer of an owner, a request may wait for this many times as long as otherwise,
+# and for at most DEFAULT_MAX_WAIT_S: the call opens a connection.
+FIRST_WAIT_FACTOR: Final = 2.0
 INITIAL_ROUND_TRIP_S: Final = 0.1
 # Weight of a new round trip in their mean. With an eighth, as in TCP, the mean took 10 s to follow
 # an owner that became slow.
@@ -54,10 +57,11 @@
 UNTRACKED_TOKEN_TTL_S: Final = 1.4
 # In any QUOTA_WINDOW_S, a workspace may exceed its rate and burst by this part of them and by
 # FleetRequirements.quota_slack. Unspent tokens use this fraction of the excess; the rest is for
-# changes of owners and the fallback.
+# changes of owners and the fallback. With 0.5, one answer late by 350 ms from an owner refused 3
+# of 2,487 requests, as tokens count until the next call although they may have been spent.
 QUOTA_WINDOW_S: Final = 5.0
 QUOTA_OVERAGE: Final = 0.1
-UNSPENT_FRACTION: Final = 0.5
+UNSPENT_FRACTION: Final = 0.6
 DEMAND_WINDOW_S: Final = 2.0
 GRANT_WINDOW_S: Final = 3.0
 LONG_GRANT_WINDOW_S: Final = 10.0
@@ -81,3 +85,5 @@
 # A workspace far above its rate would otherwise cause a call for each token.
 MIN_REFUSAL_S: Final = 0.25
 MAX_REFUSAL_S: Final = 2.0
+# With tokens in hand and an empty bucket, calls were repeated as fast as they were answered.
+MIN_REFILL_PAUSE_S: Final = 0.05
