Drop tokens of ended requests and of a higher rate

Bound broken: a VM kept 50 tokens for 3 s whose requests had ended at 70 ms and which the owner counted as spent: 200 admitted in 5 s at rate 20 and burst 50, where 185 are allowed. After a rate was lowered from 60 to 5, tokens in hand were still spent: 154 admitted, where 53 are allowed.

Cause: tokens for waiting requests were dropped only if the answer took over 400 ms, and then after other requests had used them. A new configuration did not change the tokens in hand.

Fix: after each answer, a VM keeps only tokens that the owner counts as unspent; a late answer brings no others. A lower rate or burst clears the tokens in hand, and an answer to an earlier call adds none. A wallet also pauses calls for refills after an answer that had too few tokens.

--- a/src/wagtailbay/quota/quota.py
+++ b/src/wagtailbay/quota/quota.py
@@ -99,6 +99,8 @@
         self.bank.own(owned, fraction, now_s)
         for name in self.wallets.keys() - workspaces.keys():
             del self.wallets[name]
+        for name, wallet in self.wallets.items():
+            wallet.update_limits(workspaces[name].rate_per_s, workspaces[name].burst, now_s)
         self._move_wallets(now_s)
 
     def _move_wallets(self, now_s: float) -> None:
--- a/src/wagtailbay/quota/wallet.py
+++ b/src/wagtailbay/quota/wallet.py
@@ -18,6 +18,7 @@
     LATE_ANSWER_S,
     LONG_GRANT_WINDOW_S,
     MAX_REFUSAL_S,
+    MIN_REFILL_PAUSE_S,
     MIN_REFUSAL_S,
     REFILL_AHEAD_S,
     ROUND_TRIPS_AHEAD,
@@ -50,6 +51,9 @@
         ask_after_s: Earliest time of the next request to a VM that denied to be the owner.
         fallback: Bucket used without an owner; None while an owner answers.
         owner_lost_s: When the owner stopped answering.
+        refill_after_s: Until when tokens are requested for waiting requests only.
+        limits: Rate and burst for which tokens in hand were granted.
+        cleared_s: When the tokens in hand were dropped; those requested before are not used.
     """
 
     tokens: int = 0
@@ -64,6 +68,16 @@
     ask_after_s: float = float("-inf")
     fallback: TokenBucket | None = None
     owner_lost_s: float = float("-inf")
+    refill_after_s: float = float("-inf")
+    limits: tuple[float, float] = (0.0, 0.0)
+    cleared_s: float = float("-inf")
+
+    def update_limits(self, rate_per_s: float, burst: float, now_s: float) -> None:
+        """Drop the tokens in hand if the rate or the burst has become lower."""
+        if rate_per_s < self.limits[0] or burst < self.limits[1]:
+            self.tokens = self.spare = 0
+            self.cleared_s = now_s
+        self.limits = (rate_per_s, burst)
 
     def held(self, now_s: float) -> int:
         """Return the number of tokens in hand."""
@@ -101,14 +115,18 @@
         waiting = 0 if is_slow else min(tokens, len(self.waiters))
         return TokenDemand(workspace, tokens, max(0, target - self.spare), held, waiting)
 
+    def asks_after_s(self) -> float:
+        """Return the earliest time of the next request to the owner."""
+        return max(self.refused_until_s, self.ask_after_s)
+
     def needs_call(self, now_s: float, round_trip_s: float) -> bool:
         """Return whether to request tokens at once."""
-        if now_s < max(self.refused_until_s, self.ask_after_s):
+        if now_s < self.asks_after_s():
             return False
         if self.waiters or self.fallback is not None:
             return True
         expected_per_s = self.demand.at(now_s)
-        if expected_per_s * BATCH_S < 1:
+        if now_s < self.refill_after_s or expected_per_s * BATCH_S < 1:
             return False
         return self.held(now_s) <= expected_per_s * max(REFILL_AHEAD_S, round_trip_s)
 
@@ -122,24 +140,30 @@
     ) -> None:
         """Add granted tokens; refuse requests for a while if there were too few.
 
-        The owner does not count tokens for waiting requests as unspent. If these requests have
-        ended before a late answer, their tokens expire.
+        The owner counts tokens for waiting requests as unspent for LATE_ANSWER_S only. Those that
+        no request waits for any more therefore expire at once, and all of them in a late answer.
         """
         self.fallback = None
+        if asked_s <= self.cleared_s:
+            return
         self.held(now_s)
         self.record_spent(grant.tokens + grant.spare, now_s)
         self.expires_s = max(self.expires_s, asked_s + ttl_s)
-        self.tokens += grant.tokens
+        counted = self.tokens + max(0, grant.tokens - demand.waiting)
+        is_late = now_s - asked_s > LATE_ANSWER_S
+        self.tokens = counted if is_late else self.tokens + grant.tokens
         self.spare += grant.spare
         while self.waiters and self.take(now_s):
             waiter = self.waiters.popleft()
             waiter.is_admitted = True
             waiter.done.set()
-        if demand.waiting and now_s - asked_s > LATE_ANSWER_S:
-            self.tokens = min(self.tokens, max(0, grant.tokens - demand.waiting))
+        self.tokens = min(self.tokens, counted)
         # Requests that came after the call may need more than was asked for.
         if grant.wait_ms > 0 and not self.held(now_s):
             self.record_refusal(grant, now_s)
+        elif grant.wait_ms > 0:
+            pause_s = min(MAX_REFUSAL_S, max(MIN_REFILL_PAUSE_S, grant.wait_ms / 1000))
+            self.refill_after_s = now_s + pause_s
 
     def record_refusal(self, grant: TokenGrant, now_s: float) -> None:
         """Refuse requests until the owner may have more tokens."""
--- a/tests/quota/test_token_bounds.py
+++ b/tests/quota/test_token_bounds.py
@@ -4,7 +4,7 @@
 from attrs import define, field
 from quota.fleet import QUOTA_OVERAGE, QUOTA_SLACK, WINDOW_S
 
-from wagtailbay.membership import TokenDemand
+from wagtailbay.membership import TokenDemand, TokenGrant
 from wagtailbay.quota import TokenBank
 from wagtailbay.quota.const import SPARE_INTERVAL_S
 from wagtailbay.quota.wallet import Waiter, Wallet
@@ -100,3 +100,45 @@
         admitted = in_hand + hands.flood(start_s + 0.5, is_owner_flooded=True)
         assert in_hand > 50
         assert admitted <= hands.max_allowed()
+
+
+class TestTokensOfWaitingRequests:
+    """Tokens that the owner counts for a short time are spent on arrival or expire."""
+
+    @pytest.mark.parametrize(
+        ("answer_s", "waiting_still", "admitted"),
+        [(0.07, 50, 50), (0.07, 20, 20), (0.07, 0, 0), (0.5, 50, 0), (2.5, 50, 0)],
+    )
+    def test_tokens_without_their_requests_expire(self, answer_s, waiting_still, admitted):
+        """Guards against unspent tokens beside a bucket that has filled up, also after a freeze."""
+        bank, wallet = TokenBank(), Wallet(tokens=0, spare=3, expires_s=3.0)
+        bank.own({"w": Workspace("w", frozenset(), rate_per_s=20.0, burst=50.0)}, 1.0, -60.0)
+        wallet.waiters.extend(Waiter() for _ in range(50))
+        demand = wallet.demand_at("w", 0.0, 0.07, 0.77)
+        grant = bank.grant_demand(demand, "vm-0", 0.0)
+        waiters = list(wallet.waiters)[:waiting_still]
+        wallet.waiters.clear()
+        wallet.waiters.extend(waiters)
+        wallet.record_grant(demand, grant, 0.0, answer_s)
+        assert (grant.tokens, grant.spare) == (50, 0)
+        spent = min(3, waiting_still - admitted)
+        assert sum(waiter.is_admitted for waiter in waiters) == admitted + spent
+        assert wallet.held(answer_s) == 3 - spent <= bank.unspent["w"]["vm-0"].tokens
+
+
+class TestLowerRate:
+    """Tokens granted for a higher rate or burst are not spent after it was lowered."""
+
+    @pytest.mark.parametrize(("rate_per_s", "burst"), [(5.0, 300.0), (60.0, 5.0)])
+    def test_tokens_in_hand_are_dropped(self, rate_per_s, burst):
+        """Guards against 125 tokens in hand that are admitted at a rate of 5 requests/s."""
+        wallet = Wallet(tokens=7, spare=3, expires_s=10.0)
+        wallet.update_limits(60.0, 300.0, 1.0)
+        assert wallet.held(1.0) == 10
+        wallet.update_limits(rate_per_s, burst, 2.0)
+        assert wallet.held(2.0) == 0
+        demand, grant = TokenDemand("w", 4, spare=2), TokenGrant(4, 0.0, spare=2)
+        wallet.record_grant(demand, grant, 1.95, 2.02)
+        assert wallet.held(2.02) == 0
+        wallet.record_grant(demand, grant, 2.03, 2.1)
+        assert wallet.held(2.1) == 6
