Keep calls to owners few, cheap and apart from former owners

Callers saw 429 for workspaces with a live owner: a call to a former owner that failed up to 4 s later, or was denied, put wallets that had moved into the fallback. A first request was refused after 200 ms although a call that opens a connection takes about 280 ms. An owner without tokens was called 847 times a second by a VM with tokens in hand. An admission built the demands of all workspaces of the link (3.7 ms with 1,000 and 5.5 ms with 3,000), and a call could exceed the 2,000 demands that owners accept.

Fix: failures and denials concern wallets still at that owner only, and a refusal by a former owner is ignored; what it grants late is still used. Until an owner's first answer, requests may wait twice as long, for at most 400 ms, so that a short deadline is kept. An admission looks at its own workspace first. Peers with single loans get no calls for spare tokens, and their list is pruned.

--- a/src/wagtailbay/membership/tokens.py
+++ b/src/wagtailbay/membership/tokens.py
@@ -20,6 +20,10 @@
     held: int = 0
     waiting: int = 0
 
+    def is_needed(self) -> bool:
+        """Return whether any tokens are requested."""
+        return self.tokens > 0 or self.spare > 0
+
 
 @frozen
 class TokenRequests:
--- a/src/wagtailbay/quota/calls.py
+++ b/src/wagtailbay/quota/calls.py
@@ -56,7 +56,11 @@
             answer = await self.client.request_tokens(owner, requests, timeout_ms)
             if isinstance(answer, Ok) or answer.err_value.kind is not PeerFailure.UNIMPLEMENTED:
                 return answer
-            self.single_until_s[owner] = self.clock() + SINGLE_CALLS_S
+            now_s = self.clock()
+            self.single_until_s = {
+                vm: until_s for vm, until_s in self.single_until_s.items() if until_s > now_s
+            }
+            self.single_until_s[owner] = now_s + SINGLE_CALLS_S
         return await self._request_singly(owner, requests, timeout_ms)
 
     async def _request_singly(
@@ -75,13 +79,22 @@
             )
             answers[demand.workspace] = await self.client.borrow(owner, request, timeout_ms)
 
+        # Such a peer grants no spare tokens. One call is made in any case, to hear from it.
+        asked = [demand for demand in requests.demands if demand.tokens] or requests.demands[:1]
         async with trio.open_nursery() as nursery:
-            for demand in requests.demands:
+            for demand in asked:
                 nursery.start_soon(borrow, demand)
         errors = [answer for answer in answers.values() if isinstance(answer, Err)]
         if errors and len(errors) == len(answers):
             return errors[0]
-        grants = (_from_loan(demand, answers[demand.workspace]) for demand in requests.demands)
+        grants = (
+            (
+                _from_loan(demand, answers[demand.workspace])
+                if demand.workspace in answers
+                else TokenGrant(0, 0.0)
+            )
+            for demand in requests.demands
+        )
         return Ok(TokenGrants(tuple(grants), is_tracked=False))
 
 
--- a/src/wagtailbay/quota/quota.py
+++ b/src/wagtailbay/quota/quota.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from wagtailbay.logs import log_event
@@ -28,7 +28,6 @@
     MIN_RETRY_AFTER_MS,
     OWNERSHIP_INTERVAL_S,
     OWNERSHIP_TERM_S,
-    SPARE_INTERVAL_S,
     TOKEN_SHARE_PPM,
     TOKEN_TTL_S,
     UNTRACKED_TOKEN_TTL_S,
@@ -114,7 +113,7 @@
                 if name not in self.wallets or owner in (None, self.own().vm):
                     wallet.release_waiters()
                 elif wallet.waiters:
-                    self._start_calls(self._get_link(owner, name, wallet, now_s), now_s)
+                    self._start_calls(self._get_link(owner, name, wallet, now_s), name, now_s)
             if not link.wallets and not link.is_running:
                 del self.links[link.owner]
 
@@ -142,7 +141,8 @@
         """Admit a request if its workspace has a token left; may wait for the owner's answer.
 
         Args:
-            max_wait_s: Longest time for which the request may wait.
+            max_wait_s: Longest time for which the request may wait; up to twice as long while the
+                owner has not answered any call.
         """
         if workspace.rate_per_s <= 0:
             return Ok(None)
@@ -153,14 +153,15 @@
             return self._admit_as_owner(workspace, wallet, now_s)
         link = self._get_link(owner, workspace.workspace, wallet, now_s)
         if wallet.held(now_s) > len(wallet.waiters) and self._take(wallet, now_s):
-            self._start_calls(link, now_s)
+            self._start_calls(link, workspace.workspace, now_s)
             return Ok(None)
         if link is not None and now_s >= wallet.refused_until_s and wallet.fallback is None:
-            if await self._wait_for_token(wallet, link, max_wait_s):
+            max_wait_s = link.max_wait_s(max_wait_s)
+            if await self._wait_for_token(workspace.workspace, wallet, link, max_wait_s):
                 return Ok(None)
             now_s = self.clock()
             self._check_lost(link, wallet, now_s)
-        self._start_calls(link, now_s)
+        self._start_calls(link, workspace.workspace, now_s)
         if wallet.take_fallback(now_s):
             return Ok(None)
         return self._refuse(workspace, wallet, now_s)
@@ -194,11 +195,13 @@
         if unanswered_since_s is not None:
             wallet.record_failure(unanswered_since_s, now_s)
 
-    async def _wait_for_token(self, wallet: Wallet, link: OwnerLink, max_wait_s: float) -> bool:
+    async def _wait_for_token(
+        self, workspace: str, wallet: Wallet, link: OwnerLink, max_wait_s: float
+    ) -> bool:
         """Wait for a token of the owner; return whether the request got one."""
         waiter, started_s = Waiter(), self.clock()
         wallet.waiters.append(waiter)
-        self._start_calls(link, started_s)
+        self._start_calls(link, workspace, started_s)
         try:
             with trio.move_on_after(max_wait_s):
                 await waiter.done.wait()
@@ -233,11 +236,11 @@
         owner_answers = wallet.fallback is None and now_s < wallet.refused_until_s
         return Err(RateExceeded(workspace.rate_per_s, retry_after_ms, owner_answers))
 
-    def _start_calls(self, link: OwnerLink | None, now_s: float) -> None:
-        """Start to call an owner if tokens are needed and no call is in flight."""
+    def _start_calls(self, link: OwnerLink | None, workspace: str, now_s: float) -> None:
+        """Start to call an owner if a workspace needs tokens and no call is in flight."""
         if self.background_nursery is None or link is None or link.is_running:
             return
-        if not self._demands(link, now_s):
+        if not link.may_need_call(workspace, now_s):
             return
 
         async def run_calls() -> None:
@@ -249,30 +252,11 @@
     async def _run_calls(self, link: OwnerLink) -> None:
         """Call an owner, one call after another, while tokens are needed."""
         try:
-            while demands := self._demands(link, self.clock()):
+            while demands := link.demands(self.clock()):
                 await self._call_owner(link, demands)
         finally:
             link.is_running, link.asked_s = False, None
 
-    def _demands(self, link: OwnerLink, now_s: float) -> tuple[TokenDemand, ...]:
-        """Return the demands of the next call to an owner, empty if none is due."""
-        if now_s < link.ask_after_s:
-            return ()
-        round_trip_s, horizon_s = link.round_trip.mean_s, link.horizon_s()
-        demands = tuple(
-            demand
-            for name, wallet in link.wallets.items()
-            if now_s >= max(wallet.refused_until_s, wallet.ask_after_s)
-            and (demand := wallet.demand_at(name, now_s, round_trip_s, horizon_s))
-            and (demand.tokens or demand.spare)
-        )
-        is_due = now_s >= link.called_s + SPARE_INTERVAL_S
-        if is_due or any(
-            link.wallets[demand.workspace].needs_call(now_s, round_trip_s) for demand in demands
-        ):
-            return demands
-        return ()
-
     async def _call_owner(self, link: OwnerLink, demands: tuple[TokenDemand, ...]) -> None:
         """Request tokens of an owner and record its answer, also a late one."""
         wallets = [link.wallets[demand.workspace] for demand in demands]
@@ -286,8 +270,10 @@
             log_event("rate_owner_lost", owner=link.owner, reason=str(answer.err_value))
             self.metrics.record_token_call("failed", tokens)
             link.record_failure(now_s)
-            for wallet in wallets:
-                wallet.record_failure(link.lost_since_s, now_s)
+            # Wallets that have moved to another owner meanwhile are not concerned.
+            for demand, wallet in zip(demands, wallets, strict=True):
+                if link.wallets.get(demand.workspace) is wallet:
+                    wallet.record_failure(link.lost_since_s, now_s)
             for wallet in link.wallets.values():
                 wallet.release_waiters()
             return
@@ -299,9 +285,13 @@
         link.record_answer(now_s)
         ttl_s = TOKEN_TTL_S if answer.ok_value.is_tracked else UNTRACKED_TOKEN_TTL_S
         for wallet, demand, grant in zip(wallets, demands, answer.ok_value.grants, strict=True):
+            has_moved = link.wallets.get(demand.workspace) is not wallet
             if grant.is_owner:
+                grant = evolve(grant, wait_ms=0.0) if has_moved else grant
                 wallet.record_grant(demand, grant, asked_s, now_s, ttl_s)
                 continue
+            if has_moved:
+                continue
             log_event("rate_owner_differs", workspace=demand.workspace, owner=link.owner)
             wallet.ask_after_s = now_s + ASK_RETRY_S
             wallet.record_failure(asked_s, now_s)
