Check the number of demands before their names

A call with far too many demands had the set of its names built before it was rejected. The count is now checked first; the new test failed before, as the call was rejected for its names.

--- a/src/wagtailbay/membership/token_wire.py
+++ b/src/wagtailbay/membership/token_wire.py
@@ -33,11 +33,11 @@
         encoded.ParseFromString(data)
     except DecodeError as error:
         return Err(str(error))
+    if len(encoded.demands) > MAX_TOKEN_DEMANDS:
+        return Err(f"more than {MAX_TOKEN_DEMANDS} workspaces")
     names = {demand.workspace for demand in encoded.demands}
     if not encoded.borrower or "" in names or len(names) != len(encoded.demands):
         return Err("token requests need a borrower, and each demand its own workspace")
-    if len(names) > MAX_TOKEN_DEMANDS:
-        return Err(f"more than {MAX_TOKEN_DEMANDS} workspaces")
     demands = tuple(
         TokenDemand(
             demand.workspace,
--- a/tests/membership/test_token_calls.py
+++ b/tests/membership/test_token_calls.py
@@ -156,6 +156,12 @@
         data = encode_token_requests(TokenRequests("a", 1, demands))
         assert decode_token_requests(data).is_err()
 
+    def test_number_of_demands_is_checked_first(self) -> None:
+        """Guards against building a set of the names of a call that is far too large."""
+        demands = (TokenDemand("a", 1),) * (MAX_TOKEN_DEMANDS + 1)
+        data = encode_token_requests(TokenRequests("vm-0", 1, demands))
+        assert "more than" in decode_token_requests(data).err_value
+
     @pytest.mark.parametrize(
         "grants",
         [(), (TokenGrant(4, 0), TokenGrant(0, 0)), (TokenGrant(3, 0, spare=3), TokenGrant(0, 0))],
