Race two attempts for a request and wire hedging into the gateway

A repeatable request whose first target takes unusually long goes to a second one; the first response to begin is sent and the other attempt is cancelled, which closes its connection. Off by default (WAGTAILBAY_HEDGE_SHARE=0), where a request takes the path it took before.

--- a/src/wagtailbay/admission/controller.py
+++ b/src/wagtailbay/admission/controller.py
@@ -64,6 +64,10 @@
         """Return whether requests may wait."""
         return self.settings.wait_fraction > 0
 
+    def has_queue(self, service: str) -> bool:
+        """Return whether requests of a service wait for capacity."""
+        return service in self.services and bool(self.services[service].queue.waiting)
+
     def _service(self, name: str) -> ServiceAdmission:
         service = self.services.get(name)
         if service is None:
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -20,13 +20,14 @@
 from wagtailbay.gateway.models import (
     AttemptMeter,
     AttemptResult,
-    BufferedResponse,
     ForwardResult,
     GatewayRequest,
     HeaderCodec,
     ResponseDelivered,
-    ResponseEvidence,
 )
+from wagtailbay.gateway.race import AttemptRace
+from wagtailbay.gateway.trace import RequestTrace
+from wagtailbay.hedging import HedgeConditions, HedgeDenial, HedgeOutcome, HedgePlanner
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
 from wagtailbay.placement import (
@@ -39,8 +40,9 @@
     TargetSelector,
     VersionFilter,
 )
+from wagtailbay.placement.utilization import service_utilization
 from wagtailbay.quarantine import CrashTable, refuses_connections
-from wagtailbay.refusals import Refusal, not_run, outcome_unknown
+from wagtailbay.refusals import not_run
 from wagtailbay.requirements import FleetRequirements
 from wagtailbay.retries import RetryBudget, RetryBudgets
 from wagtailbay.rollout import VersionSplitter
@@ -49,46 +51,6 @@
 from wagtailbay.transport.const import MAX_RESPONSE_BODY_BYTES
 
 
-@define
-class RequestTrace:
-    """Attempts made for one request, for retry decisions and the request's log line.
-
-    Attributes:
-        attempts: Target, placement reason and outcome of each attempt without a delivered
-            response, in order.
-        responses: What the responses received in these attempts say about the request.
-        failures: Why attempts gave no usable response, in order.
-        excluded: Targets that must not be selected again.
-        may_have_run: Whether any target may have run the request.
-        fallback: Error response of a target, delivered if no other target does better.
-        last_outcome: Outcome of the last attempt.
-        load: Load of the last target when it was selected.
-        queued_ms: Time for which the request waited for capacity.
-    """
-
-    attempts: list[str] = field(factory=list)
-    responses: list[ResponseEvidence] = field(factory=list)
-    failures: list[str] = field(factory=list)
-    excluded: frozenset[str] = frozenset()
-    may_have_run: bool = False
-    fallback: BufferedResponse | None = None
-    last_outcome: TargetOutcome | None = None
-    load: float = 0.0
-    queued_ms: float = 0.0
-
-    def record(self, placement: Placement, result: AttemptResult) -> None:
-        """Record an attempt and exclude its target from further attempts."""
-        target = placement.target.entry.target
-        self.attempts.append(f"{target}:{placement.reason.value}:{result.outcome.value}")
-        if result.failure:
-            self.failures.append(result.failure)
-        self.excluded |= {target}
-        self.may_have_run = self.may_have_run or result.may_have_run
-        self.fallback = result.fallback or self.fallback
-        self.last_outcome = result.outcome
-        self.load = placement.load
-
-
 @define
 class GatewayForwarder:
     """Forwards requests, with retries within the deadline, the route's limit and the retry budget.
@@ -102,6 +64,7 @@
             them.
         meter: Counts the attempts that targets began to run; None if nobody wants to know.
         admission: Orders requests while capacity is short.
+        hedges: Decides about second attempts beside first ones that take long.
     """
 
     selector: TargetSelector
@@ -123,6 +86,7 @@
     admission: AdmissionController = field(
         default=Factory(lambda self: AdmissionController(self.clock), takes_self=True)
     )
+    hedges: HedgePlanner = field(factory=HedgePlanner)
 
     def __attrs_post_init__(self) -> None:
         """Create the retry budgets with this VM's share of the fleet's retry capacity."""
@@ -143,6 +107,8 @@
     ) -> ForwardResult:
         """Forward a request and deliver a response; an error is the refusal left to send."""
         self.retry_budgets.for_service(request.service).record_first_attempt()
+        if self.hedges.enabled:
+            self.hedges.record_request(request.service)
         version = self.version_splitter.pick_version(request.service, self.clock())
         while True:
             if sink.is_disconnected():
@@ -155,7 +121,7 @@
             selected = await self._select_in_order(request, sink, trace, version)
             if isinstance(selected, Err):
                 return await self._final_result(request, sink, trace, selected.err_value)
-            result = await self._attempt(request, selected.ok_value, sink, trace)
+            result = await self._attempt_hedged(request, selected.ok_value, sink, trace, version)
             if result.delivery is not None:
                 return Ok(result.delivery)
             if not self._may_retry(request, trace, result):
@@ -187,11 +153,10 @@
 
     def _admission_request(self, request: GatewayRequest, trace: RequestTrace) -> AdmissionRequest:
         workspace, route = request.workspace, request.route
-        overrides = workspace is not None and workspace.priority is not None
         last_send_s = request.deadline_s - MIN_RETRY_TIME_MS / 1000
         return AdmissionRequest(
             service=request.service,
-            priority=workspace.priority if overrides else route.priority,
+            priority=request.priority,
             workspace=workspace.workspace if workspace else "",
             fingerprint=request.fingerprint,
             received_s=request.received_s,
@@ -209,7 +174,7 @@
     ) -> Result[Placement, PlacementFailure]:
         query = PlacementQuery(
             service=request.service,
-            affinity=_affinity(request),
+            affinity=request.affinity,
             latency_goal_ms=request.route.latency_goal_ms,
             excluded=trace.excluded,
             allowed_regions=request.allowed_regions,
@@ -219,6 +184,67 @@
         )
         return self.selector.select(query, self.clock())
 
+    async def _attempt_hedged(
+        self,
+        request: GatewayRequest,
+        placement: Placement,
+        sink: ResponseSink,
+        trace: RequestTrace,
+        version: VersionFilter | None,
+    ) -> AttemptResult:
+        """Send the request to a target, and to a second one if the first takes unusually long."""
+        route, started_s, delay_ms = request.route, self.clock(), None
+        may_hedge = route.idempotent and route.max_targets > 1 and not trace.attempts
+        if self.hedges.enabled and may_hedge:
+            delay_ms = self.hedges.delay_ms(route.name, route.latency_goal_ms, started_s)
+        if delay_ms is None:
+            return await self._attempt(request, placement, sink, trace)
+
+        def select_second() -> Placement | None:
+            trace.excluded |= {placement.target.entry.target}
+            return self._select_second(request, sink, trace, version)
+
+        async def attempt(placement: Placement, sink: ResponseSink) -> AttemptResult:
+            return await self._attempt(request, placement, sink, trace)
+
+        race = AttemptRace(sink)
+        result = await race.run(placement, attempt, delay_ms / 1000, select_second)
+        if race.first.was_cancelled:
+            # It would have taken longer; without it, the quantile would fall.
+            now_s = self.clock()
+            self.hedges.record_latency(route.name, (now_s - started_s) * 1000, now_s)
+        if race.second.placement is not None:
+            trace.record_race(race)
+            self.metrics.record_hedge(request.service, trace.hedge.value)
+        return result
+
+    def _select_second(
+        self,
+        request: GatewayRequest,
+        sink: ResponseSink,
+        trace: RequestTrace,
+        version: VersionFilter | None,
+    ) -> Placement | None:
+        """Return the target of a second attempt beside the first, None if it must not be sent."""
+        service, now_s = request.service, self.clock()
+        conditions = HedgeConditions(
+            priority=request.priority,
+            may_send=not sink.is_disconnected()
+            and now_s < self.stops_sending_s
+            and request.remaining_ms(now_s) >= MIN_RETRY_TIME_MS
+            and not self.crashes.is_refused(request.fingerprint, now_s),
+            has_queue=self.admission.has_queue(service),
+            utilization=service_utilization(self.selector, service, now_s),
+        )
+        budget = self.retry_budgets.for_service(service)
+        denial = self.hedges.admit(service, conditions, budget, now_s)
+        selected = self._select_target(request, trace, version) if denial is None else None
+        if isinstance(selected, Ok):
+            self.metrics.record_hedge(service, HedgeOutcome.SENT.value)
+            return selected.ok_value
+        self.metrics.record_hedge_denial(service, (denial or HedgeDenial.NO_TARGET).value)
+        return None
+
     async def _attempt(
         self, request: GatewayRequest, placement: Placement, sink: ResponseSink, trace: RequestTrace
     ) -> AttemptResult:
@@ -289,6 +315,8 @@
             entry.service, request.route.name, entry.version, outcome, is_warm, now_s
         )
         self.metrics.record_attempt(entry.service, outcome.value)
+        if self.hedges.enabled and outcome in (TargetOutcome.ANSWERED, TargetOutcome.TIMED_OUT):
+            self.hedges.record_latency(request.route.name, latency_ms, now_s)
         if outcome is TargetOutcome.ANSWERED:
             size_bytes = len(request.request.body) + attempt.response_bytes
             self.exchange_sizes.record(request.route.name, size_bytes)
@@ -334,32 +362,18 @@
             await send_buffered(sink, trace.fallback)
             return Ok(ResponseDelivered(trace.fallback.status))
         if trace.may_have_run:
-            return Err(_unknown_outcome(trace))
+            return Err(trace.unknown_outcome())
         if self.clock() >= self.stops_sending_s:
             message = "this VM is stopping; use another one"
             return Err(not_run(503, "vm_stopping", message, STOPPING_RETRY_AFTER_MS))
         if failure is None:
             retry_after_ms = self.selector.retry_after_ms()
             failure = PlacementFailure.full(retry_after_ms, "the targets turned it away")
+        if self.hedges.enabled and failure.is_full:
+            self.hedges.record_refusal(request.service, self.clock())
         retry_after_ms = failure.retry_after_ms
         if self.admission.enabled:
             admission_request = self._admission_request(request, trace)
             remaining_ms = request.remaining_ms(self.clock())
             retry_after_ms = self.admission.refuse(admission_request, failure, remaining_ms)
         return Err(not_run(503, "no_target", failure.reason, round(retry_after_ms)))
-
-
-def _affinity(request: GatewayRequest) -> str | None:
-    """Return the affinity key of a request, unique in its service, or None."""
-    if not request.route.sticky or request.caller.affinity is None:
-        return None
-    return f"{request.route.host}{request.route.path_prefix}{request.caller.affinity}"
-
-
-def _unknown_outcome(trace: RequestTrace) -> Refusal:
-    if trace.last_outcome is TargetOutcome.GIVEN_UP:
-        message = "the response waited for earlier ones on the connection"
-        return outcome_unknown(504, "response_late", message)
-    if trace.last_outcome is TargetOutcome.TIMED_OUT:
-        return outcome_unknown(504, "target_timeout", "no answer in time")
-    return outcome_unknown(502, "target_failed", "the target gave no usable answer")
--- a/src/wagtailbay/gateway/handler.py
+++ b/src/wagtailbay/gateway/handler.py
@@ -20,9 +20,10 @@
     STALE_CONFIG_RETRY_AFTER_MS,
     TOKEN_WAIT_FRACTION,
 )
-from wagtailbay.gateway.forward import GatewayForwarder, RequestTrace
+from wagtailbay.gateway.forward import GatewayForwarder
 from wagtailbay.gateway.lag import LoopLag
 from wagtailbay.gateway.models import CallerMetadata, GatewayRequest, HeaderCodec, ResponseTruncated
+from wagtailbay.gateway.trace import RequestTrace
 from wagtailbay.logs import log_event
 from wagtailbay.metrics import Metrics
 from wagtailbay.quarantine import request_fingerprint
@@ -230,6 +231,7 @@
             failures="; ".join(trace.failures)[:MAX_LOGGED_FAILURE_CHARACTERS] or "-",
             load=round(trace.load, 1),
             queued_ms=round(trace.queued_ms),
+            hedged=trace.hedge.value if trace.hedge else "-",
             latency_ms=round(latency_ms),
             version=self.routing.table.version if self.routing.table else 0,
         )
--- a/src/wagtailbay/gateway/models.py
+++ b/src/wagtailbay/gateway/models.py
@@ -107,6 +107,19 @@
     received_s: float
     deadline_s: float
 
+    @property
+    def priority(self) -> int:
+        """Return the priority; that of the workspace overrides the route's. 0 is most urgent."""
+        overrides = self.workspace is not None and self.workspace.priority is not None
+        return self.workspace.priority if overrides else self.route.priority
+
+    @property
+    def affinity(self) -> str | None:
+        """Return the affinity key, unique in the service, or None."""
+        if not self.route.sticky or self.caller.affinity is None:
+            return None
+        return f"{self.route.host}{self.route.path_prefix}{self.caller.affinity}"
+
     def remaining_ms(self, now_s: float) -> float:
         """Return the time until the deadline, at least 0."""
         return max(0.0, (self.deadline_s - now_s) * 1000)
--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -64,6 +64,12 @@
         )
         self._create_token_instruments()
         self._create_queue_instruments()
+        self._create_observable_counter(
+            "hedges", ("service", "outcome"), "Second attempts beside first ones, by outcome"
+        )
+        self._create_observable_counter(
+            "hedges.denied", ("service", "reason"), "Second attempts that the limits did not allow"
+        )
         self._create_control_instruments(meter)
 
     def _create_observable_counter(
@@ -192,6 +198,14 @@
         """Record how long a request waited for capacity, whether it got any or not."""
         self._queue_wait_ms.record(wait_ms, {"service": service})
 
+    def record_hedge(self, service: str, outcome: str) -> None:
+        """Count a second attempt by the value of its HedgeOutcome."""
+        self._increment("hedges", service, outcome)
+
+    def record_hedge_denial(self, service: str, reason: str) -> None:
+        """Count a second attempt that was due and not sent by the value of its HedgeDenial."""
+        self._increment("hedges.denied", service, reason)
+
     def record_store_call(self, call: str, outcome: str) -> None:
         """Count a call of the object API; outcome is ok, conflict, unavailable or unknown."""
         self._store_calls.add(1, {"call": call, "outcome": outcome})
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -10,6 +10,7 @@
 from wagtailbay.clock import boottime_s, unix_time_s
 from wagtailbay.gateway.forward import GatewayForwarder
 from wagtailbay.gateway.handler import GatewayHandler
+from wagtailbay.hedging import HedgePlanner
 from wagtailbay.membership import (
     LoanGrant,
     LoanRequest,
@@ -201,6 +202,7 @@
             admission=AdmissionController(
                 boottime_s, self.settings.admission, exporter.metrics, self.rng
             ),
+            hedges=HedgePlanner(self.settings.hedging),
         )
         return GatewayHandler(
             self.routing,
--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -9,6 +9,13 @@
 from wagtailbay.admission.const import DEFAULT_MAX_QUEUED, MAX_MAX_QUEUED, MAX_WAIT_FRACTION
 from wagtailbay.capacity import VmCapacity
 from wagtailbay.capacity.const import MAX_CAPACITY
+from wagtailbay.hedging import HedgeSettings
+from wagtailbay.hedging.const import (
+    DEFAULT_QUANTILE,
+    MAX_HEDGE_SHARE,
+    MAX_QUANTILE,
+    MIN_QUANTILE,
+)
 from wagtailbay.platform import parse_duration_ms
 from wagtailbay.requirements import FleetRequirements, parse_requirements
 from wagtailbay.settings import setting
@@ -83,6 +90,35 @@
     return number
 
 
+def parse_hedge_share(text: str) -> float:
+    """Parse a number from 0 to MAX_HEDGE_SHARE; an empty text means 0.
+
+    Raises:
+        ValueError: The text is no such number.
+    """
+    return _parse_number(text or "0", 0.0, MAX_HEDGE_SHARE)
+
+
+def parse_hedge_quantile(text: str) -> float:
+    """Parse a number from MIN_QUANTILE to MAX_QUANTILE; an empty text means the default.
+
+    Raises:
+        ValueError: The text is no such number.
+    """
+    return _parse_number(text or str(DEFAULT_QUANTILE), MIN_QUANTILE, MAX_QUANTILE)
+
+
+def _parse_number(text: str, low: float, high: float) -> float:
+    message = f"expected a number from {low:g} to {high:g}, got {text!r}"
+    try:
+        number = float(text)
+    except ValueError:
+        raise ValueError(message) from None
+    if not low <= number <= high:
+        raise ValueError(message)
+    return number
+
+
 @frozen
 class GatewaySettings:
     """Run a gateway VM that serves callers on the users' platform."""
@@ -155,6 +191,18 @@
         default=DEFAULT_MAX_QUEUED,
         parse=parse_max_queued,
     )
+    hedge_share: float = setting(
+        help_text="part of a service's requests that may get a second attempt beside a slow first "
+        "one, 0 to 0.2; 0 disables these",
+        default=0.0,
+        parse=parse_hedge_share,
+    )
+    hedge_quantile: float = setting(
+        help_text="quantile of a route's recent latencies after which a second attempt is sent, "
+        "0.5 to 0.999",
+        default=DEFAULT_QUANTILE,
+        parse=parse_hedge_quantile,
+    )
     requirements: FleetRequirements = setting(
         help_text="limits that the deployment requires the fleet to keep, as a JSON object",
         default=FleetRequirements(),
@@ -187,6 +235,11 @@
         """Return the settings of the admission queue."""
         return AdmissionSettings(self.queue_wait_fraction, self.max_queued)
 
+    @property
+    def hedging(self) -> HedgeSettings:
+        """Return the settings of second attempts."""
+        return HedgeSettings(self.hedge_share, self.hedge_quantile)
+
     @property
     def region(self) -> str:
         """Return the region of this VM, empty if its availability zone is unknown."""
