--- a/tests/gateway/test_hedged_requests.py
+++ b/tests/gateway/test_hedged_requests.py
@@ -8,6 +8,7 @@
 
 from wagtailbay.gateway import forward as forward_module
 from wagtailbay.gateway import handler as handler_module
+from wagtailbay.gateway.const import MAX_BUFFERED_RESPONSE_BYTES
 from wagtailbay.hedging import HedgeSettings
 
 
@@ -29,9 +30,16 @@
 
 @define
 class SlowFirst:
-    """Two targets; the first request is held for a time, the others are answered at once."""
+    """Two targets; the first request is held for a time, the others are answered at once.
+
+    Attributes:
+        answers: Bodies of the answers to the first and the others.
+        status: Status of all answers.
+    """
 
     hold_s: float
+    answers: tuple[str, str] = ("slow", "fast")
+    status: str = "200 OK"
     exchanges: list[RawExchange] = field(factory=list)
     closed: trio.Event = field(factory=trio.Event)
     harness: GatewayHarness = field(init=False)
@@ -39,13 +47,13 @@
     async def _answer(self, exchange: RawExchange) -> None:
         self.exchanges.append(exchange)
         if len(self.exchanges) > 1:
-            await exchange.answer("fast")
+            await exchange.answer(self.answers[1], status=self.status)
             return
         with trio.move_on_after(self.hold_s):
             if not await exchange.stream.receive_some(1):
                 self.closed.set()
                 return
-        await exchange.answer("slow")
+        await exchange.answer(self.answers[0], status=self.status)
 
     async def start(self, nursery: trio.Nursery, share: float) -> None:
         """Start a gateway to which the route's latencies are known."""
@@ -101,6 +109,44 @@
         assert counts == {("records", "sent"): 1, ("records", "won"): 1}
         nursery.cancel_scope.cancel()
 
+    async def test_large_response_wins_with_its_head(self, nursery, finished):
+        """Guards against two responses on the caller's connection where one is streamed."""
+        body = "x" * (2 * MAX_BUFFERED_RESPONSE_BYTES)
+        slow = SlowFirst(WAIT_S, ("slow", body))
+        await slow.start(nursery, 0.2)
+        response = await slow.harness.send_request()
+        assert response.body == body.encode()
+        with trio.fail_after(WAIT_S):
+            await slow.closed.wait()
+        nursery.cancel_scope.cancel()
+
+    async def test_both_fail(self, nursery, finished):
+        """Guards against an error that is sent while the other target may succeed, or twice."""
+        slow = SlowFirst(1.0, status="500 Failed")
+        await slow.start(nursery, 0.2)
+        response = await slow.harness.send_request()
+        assert (response.status, response.body) == (500, b"slow")
+        assert len(slow.exchanges) == 2
+        assert slow.in_flight() == [0, 0]
+        with trio.fail_after(WAIT_S):
+            while not finished:
+                await trio.sleep(0.01)
+        assert finished[0]["hedged"] == "failed"
+        nursery.cancel_scope.cancel()
+
+    async def test_busy_targets(self, nursery, finished):
+        """Guards against second attempts that delay first ones once targets are busy."""
+        slow = SlowFirst(0.8)
+        await slow.start(nursery, 0.2)
+        selector = slow.forwarder.selector
+        for target in selector.registry.targets.values():
+            selector.load_of(target).own_in_flight = 5  # Of 7 slots.
+        response = await slow.harness.send_request()
+        assert response.body == b"slow"
+        denied = slow.forwarder.metrics._counts["hedges.denied"]
+        assert denied == {("records", "utilization"): 1}
+        nursery.cancel_scope.cancel()
+
     async def test_route_that_must_not_be_repeated(self, nursery, finished):
         """Guards against running a request twice that must run once."""
         slow = SlowFirst(0.8)
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -33,6 +33,8 @@
     metrics.record_spare_token()
     metrics.record_queue("records", 1, "admitted")
     metrics.record_queue_wait("records", 40.0)
+    metrics.record_hedge("records", "won")
+    metrics.record_hedge_denial("records", "share")
     metrics.record_store_call("put", "conflict")
     metrics.record_peer_exchange("ok")
     metrics.set_budget_share("rate/records/unam", 250_000)
