Don't put a caller last because another one was refused the same lookup

The fingerprint consists of workspace, method, path and body, so lookups of one object look the same whoever sends them. After one refusal the next caller of the object counted as early and went behind all others of its priority. Early returns are now only those of routes that are not idempotent; an early lookup counts as new, and leaves the memory of the refused caller.

--- a/src/wagtailbay/admission/controller.py
+++ b/src/wagtailbay/admission/controller.py
@@ -75,13 +75,10 @@
         """Select a target when it is this request's turn, waiting for capacity if need be."""
         queue = self._service(request.service).queue
         now_s = self.clock()
-        standing = (
-            Standing.NEW if request.is_retry else self.refused.recognize(request.fingerprint, now_s)
-        )
         queued = QueuedRequest(
             request.priority,
             request.workspace,
-            standing,
+            self._standing(request, now_s),
             request.goal_s,
             request.give_up_s(self.settings.wait_fraction),
         )
@@ -96,6 +93,13 @@
             queue.leave(queued, _took_capacity(selected), self.clock())
             self._wake_next(queue)
 
+    def _standing(self, request: AdmissionRequest, now_s: float) -> Standing:
+        if request.is_retry:
+            return Standing.NEW
+        return self.refused.recognize(
+            request.fingerprint, now_s, is_idempotent=request.is_idempotent
+        )
+
     def _select_on_arrival(
         self,
         queue: AdmissionQueue,
--- a/src/wagtailbay/admission/models.py
+++ b/src/wagtailbay/admission/models.py
@@ -52,6 +52,7 @@
         received_s: When this VM received it.
         latency_goal_ms: Latency within which it should be answered.
         last_send_s: Time after which it is no longer sent to a target.
+        is_idempotent: Whether the request may be repeated.
         is_retry: Whether a target has turned it away before; the queue does not delay it again
             before it has selected another target.
     """
@@ -63,6 +64,7 @@
     received_s: float
     latency_goal_ms: float
     last_send_s: float
+    is_idempotent: bool = False
     is_retry: bool = False
 
     @property
--- a/src/wagtailbay/admission/refused.py
+++ b/src/wagtailbay/admission/refused.py
@@ -43,14 +43,23 @@
         self._forget(now_s)
         return known is None or known.due_s <= now_s
 
-    def recognize(self, fingerprint: str, now_s: float) -> Standing:
-        """Return the standing of an arriving request, and note that its caller has returned."""
+    def recognize(self, fingerprint: str, now_s: float, *, is_idempotent: bool = False) -> Standing:
+        """Return the standing of an arriving request, and note that its caller has returned.
+
+        Args:
+            is_idempotent: Whether the request may be repeated. Such requests of different callers,
+                for example lookups of one object, have the same fingerprint, so that an early one
+                need not be of the caller that was refused.
+        """
         caller = self.callers.get(fingerprint)
         if caller is None or caller.returned or now_s - caller.refused_s > REFUSED_TTL_S:
             return Standing.NEW
-        caller.returned = True
         earliest_s = caller.refused_s + EARLY_RETURN_FRACTION * (caller.due_s - caller.refused_s)
-        return Standing.EARLY if now_s < earliest_s else Standing.RETURNING
+        is_early = now_s < earliest_s
+        if is_early and is_idempotent:
+            return Standing.NEW
+        caller.returned = True
+        return Standing.EARLY if is_early else Standing.RETURNING
 
     def _forget(self, now_s: float) -> None:
         while self.callers:
--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -197,6 +197,7 @@
             received_s=request.received_s,
             latency_goal_ms=route.latency_goal_ms,
             last_send_s=min(last_send_s, self.stops_sending_s),
+            is_idempotent=route.idempotent,
             is_retry=bool(trace.attempts),
         )
 
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -60,6 +60,9 @@
 # Without a usable target in the local region, a gradual change has no benefit.
 NO_LOCAL_TARGETS_STEP_PER_S: Final = 10.0
 SPILLOVER_DEMAND_HALF_LIFE_S: Final = 0.7
+# Requests are not observed while no other region may receive them. What the share may change in a
+# longer time would be a sudden change when they are again.
+MAX_OBSERVED_GAP_S: Final = 1.0
 # Minimum number of VMs assumed for a region when the rate of a cold target is divided, since the
 # fleet may not be known yet.
 ASSUMED_MIN_REGION_VMS: Final = 3
--- a/src/wagtailbay/placement/spillover.py
+++ b/src/wagtailbay/placement/spillover.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from wagtailbay.placement.const import (
+    MAX_OBSERVED_GAP_S,
     NO_LOCAL_TARGETS_STEP_PER_S,
     SPILLOVER_DEMAND_HALF_LIFE_S,
     SPILLOVER_STEP_FRACTION_PER_S,
@@ -33,7 +34,8 @@
 
     def observe(self, lacks_capacity: bool, no_local_targets: bool, now_s: float) -> None:
         """Record whether a request found no local capacity, and adjust the share."""
-        elapsed_s = 0.0 if self.updated_s is None else max(0.0, now_s - self.updated_s)
+        gap_s = 0.0 if self.updated_s is None else max(0.0, now_s - self.updated_s)
+        elapsed_s = min(MAX_OBSERVED_GAP_S, gap_s)
         self.updated_s = now_s
         weight = 1 - 0.5 ** (max(elapsed_s, 0.001) / SPILLOVER_DEMAND_HALF_LIFE_S)
         self.demand += weight * ((1.0 if lacks_capacity else 0.0) - self.demand)
--- a/src/wagtailbay/programs/gateway_builder.py
+++ b/src/wagtailbay/programs/gateway_builder.py
@@ -300,7 +300,7 @@
             selector,
             fleet_view.fleet.facts,
             fleet_view.layout,
-            lambda: len(fleet_view.live_vms()),
+            fleet_view.live_by_region,
             boottime_s,
             self.rng,
             exporter.metrics,
--- a/src/wagtailbay/programs/gateway_fleet_view.py
+++ b/src/wagtailbay/programs/gateway_fleet_view.py
@@ -1,5 +1,6 @@
 """View of the fleet for the components of a gateway."""
 
+from collections import Counter
 from math import inf
 
 from attrs import define, field
@@ -42,6 +43,10 @@
         """Return the names of the live VMs, including this one."""
         return list(self.live_zones())
 
+    def live_by_region(self) -> Counter[str]:
+        """Return the number of live VMs by region, including this one."""
+        return Counter(self.settings.zones.get(zone, "") for zone in self.live_zones().values())
+
     def serving_vms(self) -> frozenset[str]:
         """Return the live VMs that lookups name: in a fleet of unequal VMs, the strong ones."""
         return self.live_view.refresh(self.fleet.clock()).high_capacity
--- a/src/wagtailbay/regions/const.py
+++ b/src/wagtailbay/regions/const.py
@@ -39,6 +39,9 @@
 # The estimate starts anew when demand grows by this factor within one interval.
 DEMAND_JUMP_FACTOR: Final = 4.0
 
+# The demand of a service without requests has faded to less after about ten seconds.
+FORGOTTEN_PER_S: Final = 0.1
+
 # Work times come from answers, of which older ones fade with this half-life. Which machines are
 # slow changes every 0.6 s, so it covers several such changes.
 WORK_HALF_LIFE_S: Final = 5.0
--- a/src/wagtailbay/regions/router.py
+++ b/src/wagtailbay/regions/router.py
@@ -87,6 +87,11 @@
                 at_once=at_once,
             )
 
+    def forget(self, service: str) -> None:
+        """Remove the state of a service that has had no demand for a while."""
+        for state in (self.services, self.limiters, self.plans, self.logged):
+            state.pop(service, None)
+
     def assign(self, service: str, has_local: bool, now_s: float) -> str | None:
         """Return the region in which the next request runs; None if no plan is in force."""
         state = self.services.get(service)
--- a/src/wagtailbay/regions/shares.py
+++ b/src/wagtailbay/regions/shares.py
@@ -42,10 +42,14 @@
             self.shares, self.updated_s = dict(goals), now_s
 
     def seed(self, away: float, now_s: float) -> None:
-        """Begin with the share that ran in other regions so far, divided as the plan does."""
-        total = sum(self.goals.values())
-        if total > 0:
-            self.shares = {to: away * goal / total for to, goal in self.goals.items()}
+        """Begin with the share that ran in other regions so far, divided as the plan does.
+
+        A plan without goals keeps no more of the shares of an earlier plan than still runs there.
+        """
+        basis = self.goals or self.shares
+        total = sum(basis.values())
+        kept = min(away, total) if not self.goals else away
+        self.shares = {to: kept * share / total for to, share in basis.items()} if total else {}
         self.updated_s = now_s
 
     def follow(self, has_local: bool, now_s: float) -> None:
--- a/src/wagtailbay/regions/tracker.py
+++ b/src/wagtailbay/regions/tracker.py
@@ -13,6 +13,7 @@
 from wagtailbay.regions.const import (
     EARLY_INTERVAL_S,
     EXCHANGE_INTERVAL_S,
+    FORGOTTEN_PER_S,
     MAX_PLAN_AGE_S,
     MIN_ANSWERS,
     MIN_COVERAGE,
@@ -33,7 +34,7 @@
     """Computes the same plan as all other VMs, from the sums of what all publish.
 
     Attributes:
-        live_vms: Returns the number of live VMs, for which the sums have to stand.
+        live_vms: Returns the number of live VMs by region, for which the sums have to stand.
         trends: Demand by service and region.
         wanted: Regions that the newest sums would relieve, by service.
         saw_no_traffic: Whether this VM knew the fleet before the traffic of its region started;
@@ -45,7 +46,7 @@
     selector: TargetSelector
     facts: FactTable
     layout: Callable[[], FleetLayout]
-    live_vms: Callable[[], int]
+    live_vms: Callable[[], Mapping[str, int]]
     clock: Callable[[], float]
     random: random.Random
     metrics: Metrics = field(factory=Metrics)
@@ -88,9 +89,16 @@
         """Publish this VM's counts and plan by the sums, if these stand for the fleet."""
         own = self.router.counter.end_interval(now_s)
         total = self.aggregator.publish_and_merge("all", own, now_s, urgent=self.is_early(now_s))
-        if sum(total.vms.values()) >= MIN_COVERAGE * self.live_vms():
+        total = total.within(set(self.selector.regions.values()))
+        live = self.live_vms()
+        if sum(total.vms.values()) >= MIN_COVERAGE * sum(live.values()):
+            # The VMs that are not in the sums have about the demand of the others.
+            total = total.scaled(
+                {region: max(1.0, live.get(region, 0) / n) for region, n in total.vms.items() if n}
+            )
             self._record_start(total, now_s)
             self._plan(total, now_s)
+            self._prune(total)
         self._record_metrics(own)
 
     def _record_start(self, total: RegionCounts, now_s: float) -> None:
@@ -120,6 +128,18 @@
                 at_once=is_early and bool(self.saw_no_traffic),
             )
 
+    def _prune(self, total: RegionCounts) -> None:
+        """Forget the services that have had no demand for a while."""
+        services = {service for service, _ in self.trends} | self.router.plans.keys()
+        for service in services - total.demand_per_s.keys():
+            regions = [region for name, region in self.trends if name == service]
+            expected = [self.trends[(service, region)].expected_per_s() for region in regions]
+            if sum(expected) < FORGOTTEN_PER_S:
+                self.router.forget(service)
+                self.wanted.pop(service, None)
+                for region in regions:
+                    del self.trends[(service, region)]
+
     def _confirmed(
         self, service: str, plan: dict[str, dict[str, float]], is_early: bool
     ) -> dict[str, dict[str, float]]:
@@ -163,11 +183,11 @@
 
     def _work_s(self, service: str, region: str, total: RegionCounts) -> float | None:
         """Return the mean work time in a region, or else in all, or else the latency goal."""
-        answers, work_s = total.answers.get(service, {}), total.work_s.get(service, {})
+        answers, work_ms = total.answers.get(service, {}), total.work_ms.get(service, {})
         if answers.get(region, 0.0) >= MIN_ANSWERS:
-            return work_s.get(region, 0.0) / answers[region]
+            return work_ms.get(region, 0.0) / answers[region] / 1000
         if sum(answers.values()) >= MIN_ANSWERS:
-            return sum(work_s.values()) / sum(answers.values())
+            return sum(work_ms.values()) / sum(answers.values()) / 1000
         latency_goal_ms = self.router.counter.of(service).latency_goal_ms
         return latency_goal_ms / 1000 if latency_goal_ms > 0 else None
 
--- a/src/wagtailbay/regions/traffic.py
+++ b/src/wagtailbay/regions/traffic.py
@@ -114,7 +114,7 @@
         if traffic.pinned:
             counts.pinned_per_s[service] = per_s(traffic.pinned)
         if traffic.answers:
-            counts.work_s[service] = {r: round(s, 1) for r, s in traffic.work_s.items()}
+            counts.work_ms[service] = {r: round(1000 * s) for r, s in traffic.work_s.items()}
             counts.answers[service] = {r: round(n, 1) for r, n in traffic.answers.items()}
 
 
--- a/tests/admission/test_request_order.py
+++ b/tests/admission/test_request_order.py
@@ -110,6 +110,14 @@
         assert callers.recognize("late", 10.5) is Standing.NEW
         assert callers.recognize("unknown", 1.0) is Standing.NEW
 
+    def test_lookups_of_one_object_are_not_early(self):
+        """Guards against putting a caller last because another one was refused the same lookup."""
+        callers = RefusedCallers()
+        callers.record("lookup", 2.0, 0.0)
+        assert callers.recognize("lookup", 0.5, is_idempotent=True) is Standing.NEW
+        # The caller that was refused is still known.
+        assert callers.recognize("lookup", 2.0, is_idempotent=True) is Standing.RETURNING
+
     def test_memory_is_bounded(self):
         """Guards against memory that grows with the refused callers."""
         callers = RefusedCallers()
--- a/tests/placement/test_spillover.py
+++ b/tests/placement/test_spillover.py
@@ -31,6 +31,14 @@
         assert max(abs(b - a) for a, b in zip(shares, shares[1:], strict=False)) <= 0.1
         assert max(shares) > 0.1
 
+    def test_share_does_not_jump_after_a_gap(self):
+        """Guards against a third of the requests moved at once after 12 s without spillover."""
+        limiter = SpilloverLimiter()
+        for tick in range(100):
+            limiter.observe(lacks_capacity=False, no_local_targets=False, now_s=tick / 100)
+        limiter.observe(lacks_capacity=True, no_local_targets=False, now_s=13.0)
+        assert limiter.share <= limiter.step_per_s
+
     def test_spillover_is_immediate_without_local_targets(self):
         """Guards against refusals while other regions have capacity."""
         limiter = SpilloverLimiter()
--- a/tests/regions/fleet.py
+++ b/tests/regions/fleet.py
@@ -141,7 +141,7 @@
             selector,
             FactTable(f"{zone}-vm-{number}", 1),
             lambda: FleetLayout({}, {}),
-            lambda: len(self.vms),
+            lambda: dict.fromkeys(REGIONS.values(), VMS_PER_REGION),
             lambda: 0.0,
             random.Random(number),
         )
--- a/tests/regions/test_plan.py
+++ b/tests/regions/test_plan.py
@@ -124,6 +124,16 @@
         assert router.is_sender("records", "north", 4.9)
         assert not router.is_sender("records", "north", 5.1)
 
+    def test_shares_of_an_expired_plan_are_not_resumed(self) -> None:
+        """Guards against half of the requests sent away by a plan that sends none away."""
+        router = RegionRouter("north", 0.15)
+        router.adopt("records", {"north": {"east": 0.5}}, 0.0, 0.0, at_once=True)
+        router.adopt("records", {}, 0.0, 60.0, at_once=False)
+        assert router.away_share("records") == 0.0
+        router.adopt("records", {"north": {"east": 0.5}}, 0.0, 61.0, at_once=True)
+        router.adopt("records", {}, 0.2, 120.0, at_once=False)
+        assert router.away_share("records") == pytest.approx(0.2)
+
     def test_changed_mix_of_services_is_no_change_of_region(self) -> None:
         """Guards against requests held back because another service got fewer requests."""
         router = RegionRouter("north", 0.15)
--- a/tests/regions/test_traffic.py
+++ b/tests/regions/test_traffic.py
@@ -46,6 +46,24 @@
         total = own.merge(RegionCounts({"records": {"north": -9.0, "east": 1e300}}))
         assert total.demand_per_s["records"] == {"north": 5.0, "east": 1e9}
 
+    def test_malformed_counts_in_either_sum_are_limited(self) -> None:
+        """Guards against the value of a peer that is merged first and so never checked."""
+        data = b'{"own":{"demand_per_s":{"records":{"north":1e999,"east":7,"x":2},"u":{"x":1}}}}'
+        peer = DEFAULT_CODEC.decode(REGION_COUNTS_KIND, data).ok_value.own
+        total = peer.merge(RegionCounts({"records": {"west": -1.0}}))
+        assert total.demand_per_s["records"] == {"east": 7.0, "x": 2.0, "west": 0.0}
+        known = peer.within({"north", "east"})
+        assert known.demand_per_s == {"records": {"east": 7.0}}
+        away = RegionCounts(away_per_s={"records": {"north": {"east": 1.0, "x": 1.0}, "x": {}}})
+        assert away.within({"north", "east"}).away_per_s == {"records": {"north": {"east": 1.0}}}
+
+    def test_short_work_is_not_rounded_away(self) -> None:
+        """Guards against a capacity without limit where requests take a few milliseconds."""
+        counter = TrafficCounter("north")
+        for _ in range(10):
+            counter.of("records").record_answer("north", 4.0, None)
+        assert counter.end_interval(1.0).work_ms["records"]["north"] == pytest.approx(40.0)
+
     def test_malformed_fact_is_rejected(self) -> None:
         """Guards against text in place of a count that breaks the sums of all VMs."""
         data = b'{"own":{"demand_per_s":{"records":{"north":"many"}}}}'
@@ -60,6 +78,36 @@
         assert len(encoded.ok_value) < 400
 
 
+class TestRegionTracker:
+    """The sums stand for the whole fleet."""
+
+    def test_sums_of_some_vms_are_scaled(self) -> None:
+        """Guards against a plan for half of the demand while half of the VMs are not heard."""
+        fleet = Fleet(UNEVEN)
+        fleet.run(lambda region, now_s: 250.0, 0, 6)
+        tracker = fleet.vms[0].tracker
+        before = tracker.trends[("records", "north")].level_per_s
+        tracker.live_vms = lambda: {"north": 8, "east": 4, "west": 4}
+        for now_s in (6.0, 7.0):
+            fleet.exchange(now_s)
+            fleet.run(lambda region, now_s: 250.0, now_s, now_s + 1)
+        assert before == pytest.approx(250.0, rel=0.1)
+        assert tracker.trends[("records", "north")].level_per_s > 1.6 * before
+        assert tracker.trends[("records", "east")].level_per_s < 1.2 * before
+
+    def test_services_without_demand_are_forgotten(self) -> None:
+        """Guards against memory that grows with the service names that a peer makes up."""
+        fleet = Fleet(UNEVEN)
+        fleet.run(lambda region, now_s: 250.0, 0, 3)
+        tracker = fleet.vms[0].tracker
+        assert ("records", "north") in tracker.trends
+        assert "records" in tracker.router.plans
+        fleet.run(lambda region, now_s: 0.0, 3, 30)
+        assert not tracker.trends
+        assert not tracker.router.plans
+        assert not tracker.router.services
+
+
 class TestDemandTrend:
     """Demand is expected for the time when a plan has taken effect."""
 
