--- a/src/wagtailbay/placement/regional.py
+++ b/src/wagtailbay/placement/regional.py
@@ -5,6 +5,7 @@
 
 from attrs import define, evolve
 
+from wagtailbay.placement.const import BUSY_UTILIZATION
 from wagtailbay.placement.load import TargetLoad
 from wagtailbay.placement.models import (
     LoadReport,
@@ -16,6 +17,7 @@
 from wagtailbay.registry import RegisteredTarget, TargetRegistry
 
 TargetsByRegion = Mapping[str, list[RegisteredTarget]]
+LoadOf = Callable[[RegisteredTarget], TargetLoad]
 
 
 class RegionPlan(Protocol):
@@ -30,11 +32,20 @@
     def alternatives(self, service: str, planned: str) -> list[str]:
         """Return the regions for a request that finds no capacity in the planned one."""
 
-    def allows(self, service: str, region: str, usable: Collection[str], now_s: float) -> bool:
+    def allows(
+        self,
+        service: str,
+        region: str,
+        usable: Collection[str],
+        now_s: float,
+        *,
+        is_last: bool = False,
+    ) -> bool:
         """Return whether a request may run in a region without too many changing theirs.
 
         Args:
             usable: The regions that have targets on which requests can run now.
+            is_last: Whether the request is refused otherwise, so that the wider limit applies.
         """
 
     def is_sender(self, service: str, region: str, now_s: float) -> bool:
@@ -73,7 +84,15 @@
         """Return no region."""
         return []
 
-    def allows(self, service: str, region: str, usable: Collection[str], now_s: float) -> bool:
+    def allows(
+        self,
+        service: str,
+        region: str,
+        usable: Collection[str],
+        now_s: float,
+        *,
+        is_last: bool = False,
+    ) -> bool:
         """Return True."""
         return True
 
@@ -119,19 +138,19 @@
     home: str,
     query: PlacementQuery,
     targets_by_region: TargetsByRegion,
-    usable: Collection[str],
+    load_of: LoadOf,
     place: Callable[[list[RegisteredTarget]], Placement | None],
     now_s: float,
 ) -> Placement | None:
     """Return a target in the planned region or, if that has no capacity, in another one.
 
     What is executed must change as gradually as what is planned, but no request is refused for
-    that while the planned region or the own one has capacity.
+    that while the own region is free. Otherwise the planned and the own region are used up to the
+    wider limit: without any limit, 0.15 of a region's requests changed their region in waves.
 
     Args:
         planned: Region that the plan gives to the request.
         home: Region of this VM, for whose targets a request that is BEHIND does not ask.
-        usable: Regions with a target that can run requests now, unless it is full.
         place: Returns one of the given targets that has capacity.
     """
     is_behind = query.turn is SelectionTurn.BEHIND
@@ -140,6 +159,7 @@
     regions = [planned, *plan.alternatives(query.service, planned)]
     if not any(targets_by_region.get(region) for region in regions):
         regions = sorted(targets_by_region)
+    usable = usable_regions(targets_by_region, load_of, now_s)
     denied = []
     for region in regions:
         targets = targets_by_region.get(region)
@@ -152,15 +172,25 @@
         if placed is not None:
             return _marked(placed, home)
     for region in denied:
-        placed = place(targets_by_region[region]) if region in (planned, home) else None
-        if placed is not None:
-            return _marked(placed, home)
+        if region not in (planned, home):
+            continue
+        targets = targets_by_region[region]
+        is_free = region == home and _mean_utilization(targets, load_of, now_s) < BUSY_UTILIZATION
+        if is_free or plan.allows(query.service, region, usable, now_s, is_last=True):
+            placed = place(targets)
+            if placed is not None:
+                return _marked(placed, home)
     return None
 
 
+def _mean_utilization(targets: list[RegisteredTarget], load_of: LoadOf, now_s: float) -> float:
+    slots = sum(max(1, target.entry.slots) for target in targets)
+    return sum(load_of(target).load(now_s) for target in targets) / slots
+
+
 def usable_regions(
     targets_by_region: TargetsByRegion,
-    load_of: Callable[[RegisteredTarget], TargetLoad],
+    load_of: LoadOf,
     now_s: float,
 ) -> set[str]:
     """Return the regions with a target that is warm, not ejected and not shedding."""
--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -46,7 +46,6 @@
     record_demand,
     record_placed,
     remote_targets,
-    usable_regions,
 )
 from wagtailbay.placement.spillover import SpilloverLimiters
 from wagtailbay.registry import RegisteredTarget, TargetRegistry
@@ -146,9 +145,8 @@
 
         away_share = self.region_plan.away_share(query.service)
         self.spillover_limiters.of(query.service).follow(away_share, now_s)
-        usable = usable_regions(by_region, self.load_of, now_s)
         return place_by_plan(
-            self.region_plan, planned, self.region, query, by_region, usable, place, now_s
+            self.region_plan, planned, self.region, query, by_region, self.load_of, place, now_s
         )
 
     def _place_unplanned(
--- a/src/wagtailbay/regions/const.py
+++ b/src/wagtailbay/regions/const.py
@@ -56,6 +56,8 @@
 # The difference is left for requests that don't run where the plan puts them.
 EXECUTED_FRACTION: Final = 0.7
 PLANNED_FRACTION: Final = 0.65
+# Of requests that are refused otherwise, this much may change its region.
+LAST_FRACTION: Final = 0.8
 # In a smaller window of one VM, the shares of an unchanged split differ by more than the allowed
 # change by chance: with 5, a VM with 9 requests/s refused callers while every target was free.
 MIN_WINDOW_REQUESTS: Final = 40
--- a/src/wagtailbay/regions/router.py
+++ b/src/wagtailbay/regions/router.py
@@ -8,6 +8,7 @@
 from wagtailbay.placement import LoadReport
 from wagtailbay.regions.const import (
     EXECUTED_FRACTION,
+    LAST_FRACTION,
     LOGGED_SHARE_CHANGE,
     MAX_PLAN_AGE_S,
     PLANNED_FRACTION,
@@ -113,9 +114,18 @@
         regions = [*sorted(shares, key=lambda to: (-shares[to], to)), self.region]
         return [region for region in regions if region != planned]
 
-    def allows(self, service: str, region: str, usable: Collection[str], now_s: float) -> bool:
+    def allows(
+        self,
+        service: str,
+        region: str,
+        usable: Collection[str],
+        now_s: float,
+        *,
+        is_last: bool = False,
+    ) -> bool:
         """Return whether a request may run in a region without too many changing theirs."""
-        return self.limiter_of(service).allows(region, usable, now_s)
+        extra = (LAST_FRACTION - EXECUTED_FRACTION) * self.max_region_shift if is_last else 0.0
+        return self.limiter_of(service).allows(region, usable, now_s, extra)
 
     def is_sender(self, service: str, region: str, now_s: float) -> bool:
         """Return whether the plan relieves a region, so that it gets no requests of others."""
--- a/src/wagtailbay/regions/window.py
+++ b/src/wagtailbay/regions/window.py
@@ -36,11 +36,16 @@
         newest[region] = newest.get(region, 0) + count
         self.current[region] = max(0, self.current.get(region, 0) + count)
 
-    def allows(self, region: str, usable: Collection[str], now_s: float) -> bool:
+    def allows(
+        self, region: str, usable: Collection[str], now_s: float, extra: float = 0.0
+    ) -> bool:
         """Return whether one more request may run in a region.
 
         One that makes the windows more alike always may. What ran in regions that can't be used now
         changes its region at once, since a gradual change has no benefit then.
+
+        Args:
+            extra: What may change in addition to the largest share.
         """
         self._advance(now_s)
         before_count, count = sum(self.before.values()), sum(self.current.values()) + 1
@@ -56,7 +61,7 @@
             for name in added
         )
         lost = sum(ran for name, ran in self.before.items() if name not in usable) / before_count
-        return moved <= max(self.max_shift, 1 / count) + lost
+        return moved <= max(self.max_shift + extra, 1 / count) + lost
 
     def reset(self) -> None:
         """Forget what ran, so that requests need not keep to the regions of before."""
--- a/tests/regions/test_plan.py
+++ b/tests/regions/test_plan.py
@@ -3,7 +3,7 @@
 import pytest
 from support.gateway import make_entry, make_registry
 
-from wagtailbay.placement import Placement, PlacementQuery, SelectionTurn
+from wagtailbay.placement import Placement, PlacementQuery, PlacementReason, SelectionTurn
 from wagtailbay.placement.load import TargetLoad
 from wagtailbay.placement.regional import place_by_plan, usable_regions
 from wagtailbay.regions import RegionRoom, RegionRouter, plan_shares
@@ -11,6 +11,7 @@
 from wagtailbay.regions.window import ShiftLimiter
 from wagtailbay.registry import RegisteredTarget
 
+PREFERRED = PlacementReason.PREFERRED
 ROOMS = {
     "north": RegionRoom(72, 0.4),
     "east": RegionRoom(306, 0.4),
@@ -150,29 +151,36 @@
 class TestPlaceByPlan:
     """A request that the planned region can't run goes elsewhere, gradually if that helps."""
 
-    def place(self, router: RegionRouter, full: set[str], **query) -> str | None:
+    def place(self, router: RegionRouter, full: set[str], running: int = 0, **query) -> str | None:
         """Return the region of a request planned for the east; some regions are full."""
-        targets = {name: [name] for name in ("north", "east", "west")}
+        names = ("north", "east", "west")
+        registry = make_registry(*(make_entry(name, slots=10) for name in names))
+        load = TargetLoad(own_in_flight=running)
+
+        def place(targets: list[RegisteredTarget]) -> Placement | None:
+            name = targets[0].entry.target
+            return None if name in full else Placement(targets[0], name, 0.0, PREFERRED)
+
         placed = place_by_plan(
             router,
             "east",
             "north",
             PlacementQuery("records", None, 1_000.0, **query),
-            targets,
-            {"north", "east", "west"},
-            lambda names: None if names[0] in full else Placement(*names, names[0], 0.0, None),
+            {name: [registry.targets[name]] for name in names},
+            lambda target: load,
+            place,
             4.0,
         )
         return placed.region if placed else None
 
-    def router(self) -> RegionRouter:
+    def router(self, away: int = 80) -> RegionRouter:
         """Return a router whose requests all ran in the east so far."""
         router = RegionRouter("north", 0.15)
         router.adopt("records", {"north": {"east": 0.9}}, 0.0, 0.0, at_once=True)
         for tick in range(800):
             router.record_first_attempt("records", "east", tick / 200, is_restricted=False)
         # What may change its region has done so.
-        for _ in range(50):
+        for _ in range(away):
             router.record_first_attempt("records", "north", 3.99, is_restricted=False)
         assert not router.allows("records", "north", {"north", "east"}, 4.0)
         return router
@@ -182,6 +190,11 @@
         assert self.place(self.router(), {"east"}) == "north"
         assert self.place(self.router(), {"east", "north"}) is None
 
+    def test_busy_home_is_used_up_to_the_wider_limit(self) -> None:
+        """Guards against a change of more than the allowed share while the home is near full."""
+        assert self.place(self.router(), {"east"}, running=8) is None
+        assert self.place(self.router(away=45), {"east"}, running=8) == "north"
+
     def test_request_behind_others_leaves_the_own_region_to_them(self) -> None:
         """Guards against a newcomer that overtakes those who wait for targets of this region."""
         turn = SelectionTurn.BEHIND
