--- a/src/wagtailbay/placement/regional.py
+++ b/src/wagtailbay/placement/regional.py
@@ -145,8 +145,9 @@
     """Return a target in the planned region or, if that has no capacity, in another one.
 
     What is executed must change as gradually as what is planned, but no request is refused for
-    that while the own region is free. Otherwise the planned and the own region are used up to the
-    wider limit: without any limit, 0.15 of a region's requests changed their region in waves.
+    that while the own region is free or can't run requests at all. Otherwise the planned and the
+    own region are used up to the wider limit: without any limit, 0.144 of a region's requests
+    changed their region in waves.
 
     Args:
         planned: Region that the plan gives to the request.
@@ -175,8 +176,10 @@
         if region not in (planned, home):
             continue
         targets = targets_by_region[region]
-        is_free = region == home and _mean_utilization(targets, load_of, now_s) < BUSY_UTILIZATION
-        if is_free or plan.allows(query.service, region, usable, now_s, is_last=True):
+        is_unlimited = home not in usable or (
+            region == home and _mean_utilization(targets, load_of, now_s) < BUSY_UTILIZATION
+        )
+        if is_unlimited or plan.allows(query.service, region, usable, now_s, is_last=True):
             placed = place(targets)
             if placed is not None:
                 return _marked(placed, home)
