Let a request that can't wait select in its own region once

A request that arrived while others had not selected in the epoch asked for targets of other regions only, and was then refused if capacity was not expected in time, also beside a free target of its own. It now selects once more before it is refused, after the task of a request that has just been woken. The turn is AGAIN, since FIRST would count the request as demand twice.

--- a/src/wagtailbay/admission/controller.py
+++ b/src/wagtailbay/admission/controller.py
@@ -126,8 +126,10 @@
         """Wait for capacity, if it is expected in time and the VM may hold one more request."""
         joined_s = self.clock()
         if not queue.can_be_in_time(queued, joined_s) or not self._make_room(queue, queued):
-            self._record(request, QueueOutcome.REFUSED_AT_ONCE)
-            return full
+            selected = await self._select_before_refusal(queued, select, full)
+            if _is_full(selected):
+                self._record(request, QueueOutcome.REFUSED_AT_ONCE)
+            return selected
         self._record(request, QueueOutcome.QUEUED)
         self.queued += 1
         outcome = QueueOutcome.LEFT
@@ -143,6 +145,21 @@
             self._record(request, outcome)
             self.metrics.record_queue_wait(request.service, (self.clock() - joined_s) * 1000)
 
+    async def _select_before_refusal(
+        self, queued: QueuedRequest, select: Select, full: Selection
+    ) -> Selection:
+        """Select a target of this region for a request that can't wait, unless it has done so.
+
+        Those ahead of it may wait for other targets. The first of them, which may have been woken
+        just now, selects before.
+        """
+        if queued.tried_epoch >= 0:
+            return full
+        # The task of a woken request may run after this one in the next pass of the scheduler.
+        for _ in range(2):
+            await trio.lowlevel.checkpoint()
+        return select(SelectionTurn.AGAIN)
+
     async def _select_when_woken(
         self, queue: AdmissionQueue, queued: QueuedRequest, select: Select
     ) -> Selection | None:
--- a/tests/admission/test_admission_controller.py
+++ b/tests/admission/test_admission_controller.py
@@ -9,6 +9,8 @@
 from support.gateway import make_entry, make_registry
 
 from wagtailbay.admission import AdmissionController, AdmissionRequest, AdmissionSettings
+from wagtailbay.admission.const import COMPLETIONS_WINDOW_S
+from wagtailbay.limits.decay import DecayingRate
 from wagtailbay.placement import (
     Placement,
     PlacementFailure,
@@ -29,6 +31,7 @@
     Attributes:
         admitted: Names of the requests that got a slot, in order.
         turns: Name and turn of each selection.
+        only: Name of the request for whose target the slots are; empty if they are for all.
     """
 
     controller: AdmissionController
@@ -36,6 +39,7 @@
     failure: Err = FULL
     admitted: list[str] = field(factory=list)
     turns: list[tuple[str, SelectionTurn]] = field(factory=list)
+    only: str = ""
 
     async def request(self, name: str, priority: int = 1, goal_ms: float = 8_000.0, **fields):
         """Ask for a slot and return the selection."""
@@ -46,7 +50,8 @@
 
         def select(turn: SelectionTurn):
             self.turns.append((name, turn))
-            if turn is SelectionTurn.BEHIND or not self.free:
+            is_other = self.only not in ("", name)
+            if turn is SelectionTurn.BEHIND or not self.free or is_other:
                 return self.failure
             self.free -= 1
             self.admitted.append(name)
@@ -108,6 +113,33 @@
         await bench.request("second")
         assert bench.admitted == ["second"]
 
+    async def test_request_that_can_not_wait_tries_its_own_target(
+        self, bench, nursery, autojump_clock
+    ):
+        """Guards against refusing a request beside its free target, as others have not tried."""
+        bench.controller.settings = AdmissionSettings(0.125, 20)
+        await start(bench, nursery, *((f"w{number}", 0) for number in range(10)))
+        queue = bench.controller.services["records"].queue
+        queue.start_epoch(trio.current_time())
+        queue.completions = DecayingRate(COMPLETIONS_WINDOW_S)
+        bench.only = "other"
+        bench.free = 1
+        assert (await bench.request("other")).is_ok()
+        assert trio.current_time() == 0
+        turns = [turn for name, turn in bench.turns if name == "other"]
+        # The second one must not count as demand again.
+        assert turns == [SelectionTurn.BEHIND, SelectionTurn.AGAIN]
+
+    async def test_request_that_can_not_wait_lets_the_first_go_ahead(
+        self, bench, nursery, autojump_clock
+    ):
+        """Guards against a newcomer that takes the slot for which another one was just woken."""
+        await start(bench, nursery, ("first", 0))
+        bench.finish()
+        bench.controller.services["records"].queue.completions = DecayingRate(COMPLETIONS_WINDOW_S)
+        assert (await bench.request("second", 2)).is_err()
+        assert bench.admitted == ["first"]
+
     async def test_timer_selects_again_at_its_interval(self, bench, nursery, autojump_clock):
         """Guards against missing capacity that other VMs free, and against polling."""
         await start(bench, nursery, ("first", 1), ("second", 1))
