Give half of the tries of an epoch to requests that have not tried for longest

Eight requests at the head of the queue that waited for one full object used up the tries of each epoch, so that none behind them found its free target. The first four tries remain those in order, so that a freed slot still goes to the most urgent; the other four go on where earlier ones ended.

--- a/src/wagtailbay/admission/const.py
+++ b/src/wagtailbay/admission/const.py
@@ -20,6 +20,9 @@
 # Requests may wait for different targets, since each object has a preferred one. After a completion
 # this many of them select again, which bounds the processor time for each completion.
 MAX_TRIES_PER_EPOCH: Final = 8
+# The other tries are of the requests that have not tried for longest. Without these, eight requests
+# for one full object kept all others from free targets.
+MAX_TRIES_IN_ORDER: Final = 4
 # Time for which a refused caller is remembered, and how many are.
 REFUSED_TTL_S: Final = 10.0
 MAX_REFUSED_CALLERS: Final = 4_096
--- a/src/wagtailbay/admission/queue.py
+++ b/src/wagtailbay/admission/queue.py
@@ -7,6 +7,7 @@
 from wagtailbay.admission.const import (
     COMPLETIONS_DEVIATION,
     COMPLETIONS_WINDOW_S,
+    MAX_TRIES_IN_ORDER,
     MAX_TRIES_PER_EPOCH,
     RESELECT_INTERVAL_S,
 )
@@ -21,7 +22,7 @@
 
     An epoch begins whenever capacity may have become free. Within an epoch the requests select in
     order, each at most once: one that finds its targets full lets the next one try, which may use
-    other targets.
+    other targets. The later tries of an epoch are of those that have not tried for longest.
 
     Attributes:
         waiting: The waiting requests, in order of arrival.
@@ -106,7 +107,10 @@
         """Return the request that may select now; None if none may before the next epoch."""
         if self.tries >= MAX_TRIES_PER_EPOCH:
             return None
-        return next((r for r in self.ordered(now_s) if r.tried_epoch != self.epoch), None)
+        untried = [r for r in self.ordered(now_s) if r.tried_epoch != self.epoch]
+        if self.tries < MAX_TRIES_IN_ORDER:
+            return next(iter(untried), None)
+        return min(untried, key=lambda request: request.tried_epoch, default=None)
 
     def may_try_on_arrival(self, request: QueuedRequest, now_s: float) -> bool:
         """Return whether a request that has just entered overtakes nobody by selecting now.
--- a/tests/admission/test_request_order.py
+++ b/tests/admission/test_request_order.py
@@ -54,6 +54,22 @@
         queue.start_epoch(0.0)
         assert queue.next_to_try(0.0) is requests[0]
 
+    def test_requests_for_one_full_target_do_not_bar_others(self):
+        """Guards against eight requests for one full object that use up the tries of each epoch."""
+        queue, requests = AdmissionQueue(), [make_request(goal_s=n) for n in range(30)]
+        for request in requests:
+            queue.enter(request, 0.0)
+        tried = set()
+        for _ in range(6):
+            queue.start_epoch(0.0)
+            assert queue.next_to_try(0.0) is requests[0]
+            for _ in range(MAX_TRIES_PER_EPOCH):
+                request = queue.next_to_try(0.0)
+                tried.add(requests.index(request))
+                queue.record_failed_try(request)
+            assert queue.next_to_try(0.0) is None
+        assert len(tried) >= 25
+
     def test_arrivals_leave_the_tries_to_those_who_wait(self):
         """Guards against a burst of arrivals after which a freed slot wakes nobody."""
         queue, waiting = AdmissionQueue(), make_request()
