Let requests wait for targets of other regions where the own one has none

All placements of a VM whose region has no targets are spilled, and their ends were skipped: the queue saw no completions, refused all waiting requests and woke nobody. A placement now states whether the region of the VM has targets. A request behind others leaves the remote targets to them then, as without a plan.

--- a/src/wagtailbay/admission/controller.py
+++ b/src/wagtailbay/admission/controller.py
@@ -21,7 +21,6 @@
 from wagtailbay.placement import (
     Placement,
     PlacementFailure,
-    PlacementReason,
     SelectionTurn,
     TargetOutcome,
 )
@@ -204,9 +203,10 @@
     def record_finish(self, placement: Placement, outcome: TargetOutcome) -> None:
         """Record that a request ended at a target, and wake the first one in order.
 
-        Requests wait for targets of their own region, so one that ended elsewhere frees nothing.
+        Requests wait for targets of their own region, so one that ended elsewhere frees nothing
+        unless the own region has no targets.
         """
-        if not self.enabled or placement.reason is PlacementReason.SPILLED:
+        if not self.enabled or placement.is_beyond_local:
             return
         queue, now_s = self._service(placement.target.entry.service).queue, self.clock()
         if outcome not in NOT_TAKEN:
@@ -242,8 +242,8 @@
 
 
 def _took_capacity(selected: Selection | None) -> bool:
-    """Return whether a selection used capacity of this VM's region."""
-    return isinstance(selected, Ok) and selected.ok_value.reason is not PlacementReason.SPILLED
+    """Return whether a selection used capacity for which requests wait."""
+    return isinstance(selected, Ok) and not selected.ok_value.is_beyond_local
 
 
 def _is_full(selected: Selection) -> bool:
--- a/src/wagtailbay/placement/models.py
+++ b/src/wagtailbay/placement/models.py
@@ -85,12 +85,19 @@
 
     Attributes:
         load: Estimated number of requests at the target at the time of the selection.
+        has_local: Whether the region of this VM has targets; True if the request may not use all.
     """
 
     target: RegisteredTarget
     region: str
     load: float
     reason: PlacementReason
+    has_local: bool = True
+
+    @property
+    def is_beyond_local(self) -> bool:
+        """Return whether the request runs elsewhere, though the region of this VM has targets."""
+        return self.reason is PlacementReason.SPILLED and self.has_local
 
 
 class PlacementFailureKind(Enum):
--- a/src/wagtailbay/placement/regional.py
+++ b/src/wagtailbay/placement/regional.py
@@ -155,7 +155,7 @@
         place: Returns one of the given targets that has capacity.
     """
     is_behind = query.turn is SelectionTurn.BEHIND
-    if is_behind and planned == home:
+    if is_behind and (planned == home or home not in targets_by_region):
         return None
     regions = [planned, *plan.alternatives(query.service, planned)]
     if not any(targets_by_region.get(region) for region in regions):
--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from statistics import median
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from wagtailbay.logs import log_event
@@ -319,7 +319,9 @@
         for target in self._ordered(query, targets):
             has_capacity = self._has_capacity(target, max_utilization, median_ms, now_s)
             if has_capacity and not target.is_cold(now_s):
-                return self._placement(target, PlacementReason.SPILLED, now_s)
+                placed = self._placement(target, PlacementReason.SPILLED, now_s)
+                is_partial = bool(query.allowed_regions or query.excluded)
+                return evolve(placed, has_local=has_local or is_partial)
         return None
 
     def _place_queued(
--- a/tests/admission/test_admission_controller.py
+++ b/tests/admission/test_admission_controller.py
@@ -4,7 +4,7 @@
 
 import pytest
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok
 from support.gateway import make_entry, make_registry
 
@@ -96,6 +96,18 @@
         assert bench.admitted == ["urgent", "late"]
         assert bench.controller.queued == 0
 
+    @pytest.mark.parametrize(("has_local", "expected"), [(True, []), (False, ["first"])])
+    async def test_end_elsewhere_wakes_only_without_own_targets(
+        self, bench, nursery, autojump_clock, has_local, expected
+    ):
+        """Guards against a VM without targets in its region that lets nobody wait."""
+        await start(bench, nursery, ("first", 1))
+        bench.free = 1
+        placement = evolve(PLACEMENT, reason=PlacementReason.SPILLED, has_local=has_local)
+        bench.controller.record_finish(placement, TargetOutcome.ANSWERED)
+        await trio.testing.wait_all_tasks_blocked()
+        assert bench.admitted == expected
+
     async def test_new_request_does_not_overtake(self, bench, nursery, autojump_clock):
         """Guards against a slot freed elsewhere that goes to a newcomer instead of a waiter."""
         await start(bench, nursery, ("first", 1))
--- a/tests/placement/test_spillover.py
+++ b/tests/placement/test_spillover.py
@@ -17,6 +17,33 @@
 REGIONS = {"z1": "north", "z3": "south"}
 
 
+class TestPlacementElsewhere:
+    """A placement in another region tells whether the own one has targets."""
+
+    @pytest.mark.parametrize("has_local", [True, False])
+    def test_has_local(self, has_local):
+        """Guards against completions that wake nobody where all targets are in other regions."""
+        entries = [make_entry("south", availability_zone="z3")]
+        if has_local:
+            entries.append(make_entry("north", availability_zone="z1"))
+        selector = TargetSelector(
+            "z1",
+            REGIONS,
+            make_registry(*entries),
+            dict,
+            ColdStartLimiter("vm", lambda: ["vm"]),
+            random.Random(1),
+        )
+        if has_local:
+            load = selector.load_of(selector.registry.targets["north"])
+            load.shed_until_s = 9.0
+            selector.spillover_limiters.of("records").share = 1.0
+            selector.spillover_limiters.of("records").credit = 1.0
+        placed = selector.select(PlacementQuery("records", None, 1_000.0), 1.0).ok_value
+        assert placed.region == "south"
+        assert placed.is_beyond_local is has_local
+
+
 class TestSpilloverLimiter:
     """The share changes gradually unless the region has no targets."""
 
