--- a/src/wagtailbay/placement/regional.py
+++ b/src/wagtailbay/placement/regional.py
@@ -154,38 +154,63 @@
         home: Region of this VM, for whose targets a request that is BEHIND does not ask.
         place: Returns one of the given targets that has capacity.
     """
-    is_behind = query.turn is SelectionTurn.BEHIND
-    if is_behind and (planned == home or home not in targets_by_region):
-        return None
-    regions = [planned, *plan.alternatives(query.service, planned)]
-    if not any(targets_by_region.get(region) for region in regions):
-        regions = sorted(targets_by_region)
+    regions = _regions_to_try(plan, planned, home, query, targets_by_region)
     usable = usable_regions(targets_by_region, load_of, now_s)
     denied = []
     for region in regions:
-        targets = targets_by_region.get(region)
-        if not targets or (is_behind and region == home):
-            continue
         if not plan.allows(query.service, region, usable, now_s):
             denied.append(region)
-            continue
-        placed = place(targets)
-        if placed is not None:
+        elif (placed := place(targets_by_region[region])) is not None:
             return _marked(placed, home)
+
     for region in denied:
-        if region not in (planned, home):
-            continue
-        targets = targets_by_region[region]
-        is_unlimited = home not in usable or (
-            region == home and _mean_utilization(targets, load_of, now_s) < BUSY_UTILIZATION
-        )
-        if is_unlimited or plan.allows(query.service, region, usable, now_s, is_last=True):
-            placed = place(targets)
+        is_last_resort = region in (planned, home)
+        if is_last_resort and (
+            _is_unlimited(region, home, usable, targets_by_region, load_of, now_s)
+            or plan.allows(query.service, region, usable, now_s, is_last=True)
+        ):
+            placed = place(targets_by_region[region])
             if placed is not None:
                 return _marked(placed, home)
     return None
 
 
+def _regions_to_try(
+    plan: RegionPlan,
+    planned: str,
+    home: str,
+    query: PlacementQuery,
+    targets_by_region: TargetsByRegion,
+) -> list[str]:
+    """Return the regions that have targets, the planned one first."""
+    regions = [planned, *plan.alternatives(query.service, planned)]
+    if not any(targets_by_region.get(region) for region in regions):
+        regions = sorted(targets_by_region)
+    regions = [region for region in regions if targets_by_region.get(region)]
+    if query.turn is not SelectionTurn.BEHIND:
+        return regions
+    if planned == home or home not in targets_by_region:
+        return []
+    return [region for region in regions if region != home]
+
+
+def _is_unlimited(
+    region: str,
+    home: str,
+    usable: Collection[str],
+    targets_by_region: TargetsByRegion,
+    load_of: LoadOf,
+    now_s: float,
+) -> bool:
+    """Return whether the own region is free or can't be used, so that a limit only refuses."""
+    if home not in usable:
+        return True
+    return (
+        region == home
+        and _mean_utilization(targets_by_region[region], load_of, now_s) < BUSY_UTILIZATION
+    )
+
+
 def _mean_utilization(targets: list[RegisteredTarget], load_of: LoadOf, now_s: float) -> float:
     slots = sum(max(1, target.entry.slots) for target in targets)
     return sum(load_of(target).load(now_s) for target in targets) / slots
