--- a/src/wagtailbay/admission/controller.py
+++ b/src/wagtailbay/admission/controller.py
@@ -21,7 +21,6 @@
 from wagtailbay.placement import (
     Placement,
     PlacementFailure,
-    PlacementReason,
     SelectionTurn,
     TargetOutcome,
 )
@@ -79,13 +78,10 @@
         """Select a target when it is this request's turn, waiting for capacity if need be."""
         queue = self._service(request.service).queue
         now_s = self.clock()
-        standing = (
-            Standing.NEW if request.is_retry else self.refused.recognize(request.fingerprint, now_s)
-        )
         queued = QueuedRequest(
             request.priority,
             request.workspace,
-            standing,
+            self._standing(request, now_s),
             request.goal_s,
             request.give_up_s(self.settings.wait_fraction),
         )
@@ -100,6 +96,13 @@
             queue.leave(queued, _took_capacity(selected), self.clock())
             self._wake_next(queue)
 
+    def _standing(self, request: AdmissionRequest, now_s: float) -> Standing:
+        if request.is_retry:
+            return Standing.NEW
+        return self.refused.recognize(
+            request.fingerprint, now_s, is_idempotent=request.is_idempotent
+        )
+
     def _select_on_arrival(
         self,
         queue: AdmissionQueue,
@@ -126,8 +129,10 @@
         """Wait for capacity, if it is expected in time and the VM may hold one more request."""
         joined_s = self.clock()
         if not queue.can_be_in_time(queued, joined_s) or not self._make_room(queue, queued):
-            self._record(request, QueueOutcome.REFUSED_AT_ONCE)
-            return full
+            selected = await self._select_before_refusal(queued, select, full)
+            if _is_full(selected):
+                self._record(request, QueueOutcome.REFUSED_AT_ONCE)
+            return selected
         self._record(request, QueueOutcome.QUEUED)
         self.queued += 1
         outcome = QueueOutcome.LEFT
@@ -143,6 +148,21 @@
             self._record(request, outcome)
             self.metrics.record_queue_wait(request.service, (self.clock() - joined_s) * 1000)
 
+    async def _select_before_refusal(
+        self, queued: QueuedRequest, select: Select, full: Selection
+    ) -> Selection:
+        """Select a target of this region for a request that can't wait, unless it has done so.
+
+        Those ahead of it may wait for other targets. The first of them, which may have been woken
+        just now, selects before.
+        """
+        if queued.tried_epoch >= 0:
+            return full
+        # The task of a woken request may run after this one in the next pass of the scheduler.
+        for _ in range(2):
+            await trio.lowlevel.checkpoint()
+        return select(SelectionTurn.AGAIN)
+
     async def _select_when_woken(
         self, queue: AdmissionQueue, queued: QueuedRequest, select: Select
     ) -> Selection | None:
@@ -187,9 +207,10 @@
     def record_finish(self, placement: Placement, outcome: TargetOutcome) -> None:
         """Record that a request ended at a target, and wake the first one in order.
 
-        Requests wait for targets of their own region, so one that ended elsewhere frees nothing.
+        Requests wait for targets of their own region, so one that ended elsewhere frees nothing
+        unless the own region has no targets.
         """
-        if not self.enabled or placement.reason is PlacementReason.SPILLED:
+        if not self.enabled or placement.is_beyond_local:
             return
         queue, now_s = self._service(placement.target.entry.service).queue, self.clock()
         if outcome not in NOT_TAKEN:
@@ -225,8 +246,8 @@
 
 
 def _took_capacity(selected: Selection | None) -> bool:
-    """Return whether a selection used capacity of this VM's region."""
-    return isinstance(selected, Ok) and selected.ok_value.reason is not PlacementReason.SPILLED
+    """Return whether a selection used capacity for which requests wait."""
+    return isinstance(selected, Ok) and not selected.ok_value.is_beyond_local
 
 
 def _is_full(selected: Selection) -> bool:
--- a/src/wagtailbay/placement/regional.py
+++ b/src/wagtailbay/placement/regional.py
@@ -3,12 +3,21 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
-from attrs import define
-
-from wagtailbay.placement.models import LoadReport, Placement, PlacementQuery
+from attrs import define, evolve
+
+from wagtailbay.placement.const import BUSY_UTILIZATION
+from wagtailbay.placement.load import TargetLoad
+from wagtailbay.placement.models import (
+    LoadReport,
+    Placement,
+    PlacementQuery,
+    PlacementReason,
+    SelectionTurn,
+)
 from wagtailbay.registry import RegisteredTarget, TargetRegistry
 
 TargetsByRegion = Mapping[str, list[RegisteredTarget]]
+LoadOf = Callable[[RegisteredTarget], TargetLoad]
 
 
 class RegionPlan(Protocol):
@@ -23,11 +32,20 @@
     def alternatives(self, service: str, planned: str) -> list[str]:
         """Return the regions for a request that finds no capacity in the planned one."""
 
-    def allows(self, region: str, usable: Collection[str], now_s: float) -> bool:
+    def allows(
+        self,
+        service: str,
+        region: str,
+        usable: Collection[str],
+        now_s: float,
+        *,
+        is_last: bool = False,
+    ) -> bool:
         """Return whether a request may run in a region without too many changing theirs.
 
         Args:
-            usable: The regions that have targets.
+            usable: The regions that have targets on which requests can run now.
+            is_last: Whether the request is refused otherwise, so that the wider limit applies.
         """
 
     def is_sender(self, service: str, region: str, now_s: float) -> bool:
@@ -41,7 +59,7 @@
     ) -> None:
         """Count a request in the region in which it runs."""
 
-    def record_retry(self, before: str, region: str, now_s: float) -> None:
+    def record_retry(self, service: str, before: str, region: str, now_s: float) -> None:
         """Count a request in the region of its second attempt instead of that of the first."""
 
     def record_answer(
@@ -66,7 +84,15 @@
         """Return no region."""
         return []
 
-    def allows(self, region: str, usable: Collection[str], now_s: float) -> bool:
+    def allows(
+        self,
+        service: str,
+        region: str,
+        usable: Collection[str],
+        now_s: float,
+        *,
+        is_last: bool = False,
+    ) -> bool:
         """Return True."""
         return True
 
@@ -82,7 +108,7 @@
     ) -> None:
         """Do nothing."""
 
-    def record_retry(self, before: str, region: str, now_s: float) -> None:
+    def record_retry(self, service: str, before: str, region: str, now_s: float) -> None:
         """Do nothing."""
 
     def record_answer(
@@ -91,33 +117,122 @@
         """Do nothing."""
 
 
+def record_demand(plan: RegionPlan, query: PlacementQuery, now_s: float) -> None:
+    """Count a request that the plan may send to any region, once however often it selects."""
+    if not query.allowed_regions and not query.excluded and query.turn is not SelectionTurn.AGAIN:
+        plan.record_demand(query.service, query.latency_goal_ms, now_s)
+
+
+def planned_region(
+    plan: RegionPlan, query: PlacementQuery, has_local: bool, now_s: float
+) -> str | None:
+    """Return the region in which a request runs; None if no plan concerns it."""
+    if query.allowed_regions or query.excluded:
+        return None
+    return plan.assign(query.service, has_local, now_s)
+
+
 def place_by_plan(
     plan: RegionPlan,
     planned: str,
+    home: str,
     query: PlacementQuery,
     targets_by_region: TargetsByRegion,
+    load_of: LoadOf,
     place: Callable[[list[RegisteredTarget]], Placement | None],
     now_s: float,
 ) -> Placement | None:
     """Return a target in the planned region or, if that has no capacity, in another one.
 
-    What is executed must change as gradually as what is planned.
+    What is executed must change as gradually as what is planned, but no request is refused for
+    that while the own region is free or can't run requests at all. Otherwise the planned and the
+    own region are used up to the wider limit: without any limit, 0.144 of a region's requests
+    changed their region in waves.
 
     Args:
         planned: Region that the plan gives to the request.
+        home: Region of this VM, for whose targets a request that is BEHIND does not ask.
         place: Returns one of the given targets that has capacity.
     """
+    regions = _regions_to_try(plan, planned, home, query, targets_by_region)
+    usable = usable_regions(targets_by_region, load_of, now_s)
+    denied = []
+    for region in regions:
+        if not plan.allows(query.service, region, usable, now_s):
+            denied.append(region)
+        elif (placed := place(targets_by_region[region])) is not None:
+            return _marked(placed, home)
+
+    for region in denied:
+        is_last_resort = region in (planned, home)
+        if is_last_resort and (
+            _is_unlimited(region, home, usable, targets_by_region, load_of, now_s)
+            or plan.allows(query.service, region, usable, now_s, is_last=True)
+        ):
+            placed = place(targets_by_region[region])
+            if placed is not None:
+                return _marked(placed, home)
+    return None
+
+
+def _regions_to_try(
+    plan: RegionPlan,
+    planned: str,
+    home: str,
+    query: PlacementQuery,
+    targets_by_region: TargetsByRegion,
+) -> list[str]:
+    """Return the regions that have targets, the planned one first."""
     regions = [planned, *plan.alternatives(query.service, planned)]
     if not any(targets_by_region.get(region) for region in regions):
         regions = sorted(targets_by_region)
-    for region in regions:
-        targets = targets_by_region.get(region)
-        if not targets or not plan.allows(region, targets_by_region, now_s):
-            continue
-        placed = place(targets)
-        if placed is not None:
-            return placed
-    return None
+    regions = [region for region in regions if targets_by_region.get(region)]
+    if query.turn is not SelectionTurn.BEHIND:
+        return regions
+    if planned == home or home not in targets_by_region:
+        return []
+    return [region for region in regions if region != home]
+
+
+def _is_unlimited(
+    region: str,
+    home: str,
+    usable: Collection[str],
+    targets_by_region: TargetsByRegion,
+    load_of: LoadOf,
+    now_s: float,
+) -> bool:
+    """Return whether the own region is free or can't be used, so that a limit only refuses."""
+    if home not in usable:
+        return True
+    return (
+        region == home
+        and _mean_utilization(targets_by_region[region], load_of, now_s) < BUSY_UTILIZATION
+    )
+
+
+def _mean_utilization(targets: list[RegisteredTarget], load_of: LoadOf, now_s: float) -> float:
+    slots = sum(max(1, target.entry.slots) for target in targets)
+    return sum(load_of(target).load(now_s) for target in targets) / slots
+
+
+def usable_regions(
+    targets_by_region: TargetsByRegion,
+    load_of: LoadOf,
+    now_s: float,
+) -> set[str]:
+    """Return the regions with a target that is warm, not ejected and not shedding."""
+
+    def is_usable(target: RegisteredTarget) -> bool:
+        load = load_of(target)
+        return not (target.is_cold(now_s) or load.is_shedding(now_s) or load.is_ejected(now_s))
+
+    return {region for region, targets in targets_by_region.items() if any(map(is_usable, targets))}
+
+
+def _marked(placed: Placement, home: str) -> Placement:
+    """Return a placement with its reason if it is in another region."""
+    return placed if placed.region == home else evolve(placed, reason=PlacementReason.SPILLED)
 
 
 def group_by_region(
@@ -165,4 +280,4 @@
     first = registry.targets.get(next(iter(query.excluded)))
     if len(query.excluded) == 1 and first is not None and not query.allowed_regions:
         before = regions.get(first.entry.availability_zone, "")
-        plan.record_retry(before, placement.region, now_s)
+        plan.record_retry(query.service, before, placement.region, now_s)
--- a/src/wagtailbay/regions/const.py
+++ b/src/wagtailbay/regions/const.py
@@ -39,6 +39,9 @@
 # The estimate starts anew when demand grows by this factor within one interval.
 DEMAND_JUMP_FACTOR: Final = 4.0
 
+# The demand of a service without requests has faded to less after about ten seconds.
+FORGOTTEN_PER_S: Final = 0.1
+
 # Work times come from answers, of which older ones fade with this half-life. Which machines are
 # slow changes every 0.6 s, so it covers several such changes.
 WORK_HALF_LIFE_S: Final = 5.0
@@ -53,8 +56,11 @@
 # The difference is left for requests that don't run where the plan puts them.
 EXECUTED_FRACTION: Final = 0.7
 PLANNED_FRACTION: Final = 0.65
-# In a smaller window of one VM, a single request is more than the allowed change.
-MIN_WINDOW_REQUESTS: Final = 5
+# Of requests that are refused otherwise, this much may change its region.
+LAST_FRACTION: Final = 0.8
+# In a smaller window of one VM, the shares of an unchanged split differ by more than the allowed
+# change by chance: with 5, a VM with 9 requests/s refused callers while every target was free.
+MIN_WINDOW_REQUESTS: Final = 40
 # Without a usable target in the own region, a gradual change has no benefit.
 NO_LOCAL_TARGETS_STEP_PER_S: Final = 10.0
 # Below this share, a region that need not send requests away no longer does.
--- a/tests/admission/test_request_order.py
+++ b/tests/admission/test_request_order.py
@@ -54,6 +54,22 @@
         queue.start_epoch(0.0)
         assert queue.next_to_try(0.0) is requests[0]
 
+    def test_requests_for_one_full_target_do_not_bar_others(self):
+        """Guards against eight requests for one full object that use up the tries of each epoch."""
+        queue, requests = AdmissionQueue(), [make_request(goal_s=n) for n in range(30)]
+        for request in requests:
+            queue.enter(request, 0.0)
+        tried = set()
+        for _ in range(6):
+            queue.start_epoch(0.0)
+            assert queue.next_to_try(0.0) is requests[0]
+            for _ in range(MAX_TRIES_PER_EPOCH):
+                request = queue.next_to_try(0.0)
+                tried.add(requests.index(request))
+                queue.record_failed_try(request)
+            assert queue.next_to_try(0.0) is None
+        assert len(tried) >= 25
+
     def test_arrivals_leave_the_tries_to_those_who_wait(self):
         """Guards against a burst of arrivals after which a freed slot wakes nobody."""
         queue, waiting = AdmissionQueue(), make_request()
@@ -110,6 +126,14 @@
         assert callers.recognize("late", 10.5) is Standing.NEW
         assert callers.recognize("unknown", 1.0) is Standing.NEW
 
+    def test_lookups_of_one_object_are_not_early(self):
+        """Guards against putting a caller last because another one was refused the same lookup."""
+        callers = RefusedCallers()
+        callers.record("lookup", 2.0, 0.0)
+        assert callers.recognize("lookup", 0.5, is_idempotent=True) is Standing.NEW
+        # The caller that was refused is still known.
+        assert callers.recognize("lookup", 2.0, is_idempotent=True) is Standing.RETURNING
+
     def test_memory_is_bounded(self):
         """Guards against memory that grows with the refused callers."""
         callers = RefusedCallers()
