Parse the pace that targets report as a fourth load figure

Cause: a load report with four figures was dropped whole, so placement lost its estimate of the target's load. Change: three, four and more figures are parsed; a broken fourth one leaves the other three valid (pace 100), a valid one is held to 10..10,000.

--- a/src/wagtailbay/placement/__init__.py
+++ b/src/wagtailbay/placement/__init__.py
@@ -1,6 +1,7 @@
 """Select the target of a request by affinity, load, location and health."""
 
 from wagtailbay.placement.cold_start import ColdStartLimiter
+from wagtailbay.placement.const import USUAL_PACE_PERCENT
 from wagtailbay.placement.load import TargetLoad
 from wagtailbay.placement.models import (
     LoadReport,
@@ -18,6 +19,7 @@
 from wagtailbay.placement.spillover import SpilloverLimiter
 
 __all__ = [
+    "USUAL_PACE_PERCENT",
     "ColdStartLimiter",
     "ExchangeSizes",
     "LoadReport",
--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -5,6 +5,8 @@
 # Requests of other VMs at a target are estimated from its last load report. The weight of the
 # report decays with this half-life in favour of the counts that the VMs exchange.
 REPORT_HALF_LIFE_S: Final = 0.7
+# Pace of a target at which work takes as long as usual.
+USUAL_PACE_PERCENT: Final = 100.0
 # A VM uses up to this many times its equal share of a target's free capacity, since not all VMs
 # use theirs.
 SENDER_SHARE_FACTOR: Final = 8.0
--- a/src/wagtailbay/placement/models.py
+++ b/src/wagtailbay/placement/models.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from wagtailbay.placement.const import USUAL_PACE_PERCENT
 from wagtailbay.registry import RegisteredTarget
 
 
@@ -86,11 +87,17 @@
 
 @frozen
 class LoadReport:
-    """Load that a target reports: running and waiting requests, and its number of slots."""
+    """Load that a target reports: running and waiting requests, and its number of slots.
+
+    Attributes:
+        pace_percent: How long work takes at the target at this moment: 100 as usual, 250 means 2.5
+            times as long.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: float = USUAL_PACE_PERCENT
 
 
 class TargetOutcome(Enum):
--- a/src/wagtailbay/platform/const.py
+++ b/src/wagtailbay/platform/const.py
@@ -37,3 +37,7 @@
 LEAVING_HEADER: Final = "Server-Leaving"
 # A target that asks for a longer pause gets this one.
 MAX_TARGET_PAUSE_MS: Final = 600_000.0
+# Range of the pace that targets report. A target a hundred times slower than usual gets no more
+# requests than one that is slower still.
+MIN_PACE_PERCENT: Final = 10.0
+MAX_PACE_PERCENT: Final = 10_000.0
--- a/src/wagtailbay/platform/headers.py
+++ b/src/wagtailbay/platform/headers.py
@@ -7,7 +7,7 @@
 
 from wagtailbay.gateway import CallerMetadata, TargetMetadata
 from wagtailbay.logs import log_event
-from wagtailbay.placement import LoadReport
+from wagtailbay.placement import USUAL_PACE_PERCENT, LoadReport
 from wagtailbay.platform.const import (
     AFFINITY_COOKIE_NAME,
     AUTHORIZATION_SCHEME,
@@ -15,7 +15,9 @@
     EXPECTED_TARGET_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
+    MAX_PACE_PERCENT,
     MAX_TARGET_PAUSE_MS,
+    MIN_PACE_PERCENT,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
@@ -37,7 +39,8 @@
         "Host",
     )
 )
-LOAD_PATTERN = re.compile(r"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*")
+LOAD_PATTERN = re.compile(r"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*(?:,(.*))?")
+PACE_PATTERN = re.compile(r"\s*([0-9]{1,6}(?:\.[0-9]{1,6})?)\s*")
 SECONDS_PATTERN = re.compile(r"\s*([0-9]{1,12}(?:\.[0-9]{1,12})?)\s*")
 # Statuses with which a target turns a request away and may ask for a pause.
 PAUSE_STATUSES = (429, 503)
@@ -110,11 +113,27 @@
 
 
 def _parse_load(text: str | None) -> LoadReport | None:
-    """Parse ``running,waiting,slots``; return None if the header is missing or malformed."""
-    if text is None:
+    """Parse ``running,waiting,slots[,pace]``; return None if the first three are not valid.
+
+    A fourth figure that is malformed, and figures after it, leave the others valid.
+    """
+    match = LOAD_PATTERN.fullmatch(text) if text is not None else None
+    if match is None:
         return None
-    match = LOAD_PATTERN.fullmatch(text)
-    return LoadReport(*(int(number) for number in match.groups())) if match else None
+    running, waiting, slots = (int(number) for number in match.groups()[:3])
+    return LoadReport(running, waiting, slots, _parse_pace_percent(match[4] or ""))
+
+
+def _parse_pace_percent(text: str) -> float:
+    """Return how long work takes at a target, 100 if it does not say so.
+
+    A figure below the minimum is taken for an error, since it would attract all requests.
+    """
+    match = PACE_PATTERN.fullmatch(text.partition(",")[0])
+    pace_percent = float(match[1]) if match else USUAL_PACE_PERCENT
+    if pace_percent < MIN_PACE_PERCENT:
+        return USUAL_PACE_PERCENT
+    return min(MAX_PACE_PERCENT, pace_percent)
 
 
 def _parse_pause_ms(head: ResponseHead) -> float | None:
