Count placements by reason, and record the paces that targets report

Cause: an operator could not see how requests are placed, nor that targets are slow. Change: wagtailbay_placements_total by service and reason; histogram wagtailbay_target_pace of paces other than 100. The fleet for tests of regions can slow targets down.

--- a/src/wagtailbay/gateway/forward.py
+++ b/src/wagtailbay/gateway/forward.py
@@ -223,6 +223,9 @@
             entry.service, request.route.name, entry.version, outcome, is_warm, now_s
         )
         self.metrics.record_attempt(entry.service, outcome.value)
+        self.metrics.record_placement(entry.service, placement.reason.value)
+        if load is not None:
+            self.metrics.record_target_pace(entry.service, load.pace_percent)
         if outcome is TargetOutcome.ANSWERED:
             size_bytes = len(request.request.body) + attempt.response_bytes
             self.exchange_sizes.record(request.route.name, size_bytes)
--- a/src/wagtailbay/metrics/const.py
+++ b/src/wagtailbay/metrics/const.py
@@ -25,3 +25,6 @@
     30_000.0,
     60_000.0,
 )
+# Pace at which a target works as usual; a histogram costs too much to record it for each request.
+USUAL_PACE_PERCENT: Final = 100.0
+PACE_BUCKETS_PERCENT: Final = (50.0, 90.0, 110.0, 150.0, 200.0, 300.0, 500.0, 1_000.0)
--- a/src/wagtailbay/metrics/instruments.py
+++ b/src/wagtailbay/metrics/instruments.py
@@ -13,7 +13,12 @@
 )
 from opentelemetry.metrics import _Gauge as Gauge
 
-from wagtailbay.metrics.const import LATENCY_BUCKETS_MS, METER_NAME
+from wagtailbay.metrics.const import (
+    LATENCY_BUCKETS_MS,
+    METER_NAME,
+    PACE_BUCKETS_PERCENT,
+    USUAL_PACE_PERCENT,
+)
 
 
 @define
@@ -36,6 +41,7 @@
     _confirmed_age_ms: Gauge = field(init=False)
     _region_share: Gauge = field(init=False)
     _lost_audit_records: Counter = field(init=False)
+    _target_pace: Histogram = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create all instruments."""
@@ -58,6 +64,15 @@
         self._create_observable_counter(
             "run_ahead", ("outcome",), "Pipelined requests that ran ahead, or met the VM's limit"
         )
+        self._create_observable_counter(
+            "placements", ("service", "reason"), "Requests sent to targets by reason of the choice"
+        )
+        self._target_pace = meter.create_histogram(
+            "wagtailbay.target.pace",
+            unit="%",
+            description="Pace other than the usual one that targets reported with answers",
+            explicit_bucket_boundaries_advisory=PACE_BUCKETS_PERCENT,
+        )
         self._create_control_instruments(meter)
 
     def _create_observable_counter(
@@ -125,6 +140,15 @@
         """Count an attempt at a target by the value of its AttemptOutcome."""
         self._increment("attempts", service, outcome)
 
+    def record_placement(self, service: str, reason: str) -> None:
+        """Count a request sent to a target by the value of its PlacementReason."""
+        self._increment("placements", service, reason)
+
+    def record_target_pace(self, service: str, pace_percent: float) -> None:
+        """Record a pace that a target reported, unless it is the usual one."""
+        if pace_percent != USUAL_PACE_PERCENT:
+            self._target_pace.record(pace_percent, {"service": service})
+
     def record_run_ahead(self, outcome: str) -> None:
         """Count a pipelined request that ran ahead (started), or met the VM's limit (limited)."""
         self._increment("run_ahead", outcome)
--- a/tests/regions/fleet.py
+++ b/tests/regions/fleet.py
@@ -35,12 +35,12 @@
     ends_s: list[float] = field(factory=list)
     cached: OrderedDict[str, None] = field(factory=OrderedDict)
 
-    def start(self, affinity: str, now_s: float) -> float | None:
+    def start(self, affinity: str, now_s: float, pace: float = 1.0) -> float | None:
         """Return when a request ends, None if the queue is full."""
         self.ends_s = [end_s for end_s in self.ends_s if end_s > now_s]
         if len(self.ends_s) >= SLOTS + QUEUE:
             return None
-        work_s = WARM_WORK_S if affinity in self.cached else WORK_S
+        work_s = (WARM_WORK_S if affinity in self.cached else WORK_S) * pace
         self.cached[affinity] = None
         self.cached.move_to_end(affinity)
         if len(self.cached) > CACHED:
@@ -50,10 +50,10 @@
         self.ends_s.append(end_s)
         return end_s
 
-    def report(self, now_s: float) -> LoadReport:
+    def report(self, now_s: float, pace: float = 1.0) -> LoadReport:
         """Return the load as the target states it."""
         count = sum(1 for end_s in self.ends_s if end_s > now_s)
-        return LoadReport(min(SLOTS, count), max(0, count - SLOTS), SLOTS)
+        return LoadReport(min(SLOTS, count), max(0, count - SLOTS), SLOTS, 100 * pace)
 
 
 @define
@@ -124,6 +124,18 @@
         self.random = random.Random(5)
         self.outcomes = Outcomes()
         self.connected = True
+        self.slow_share = 0.0
+        self.reports_pace = True
+        self.slow_count = 0
+
+    def pace(self, target: str, now_s: float) -> float:
+        """Return the pace of a target; which ones are slow changes every 0.6 s."""
+        draw = random.Random(f"{target} {now_s // 0.6}").random()
+        return 2.5 if draw < self.slow_share else 1.0
+
+    def _report(self, target: str, now_s: float) -> LoadReport:
+        pace = self.pace(target, now_s) if self.reports_pace else 1.0
+        return self.targets[target].report(now_s, pace)
 
     def _build_vm(self, zone: str, number: int) -> Vm:
         router = RegionRouter(REGIONS[zone], 0.15)
@@ -199,12 +211,14 @@
             if selected.is_err():
                 break
             placement, name = selected.ok_value, selected.ok_value.target.entry.target
-            end_s = self.targets[name].start(affinity, now_s)
+            pace = self.pace(name, now_s)
+            end_s = self.targets[name].start(affinity, now_s, pace)
             if end_s is None:
-                report = self.targets[name].report(now_s)
+                report = self._report(name, now_s)
                 vm.selector.finish(placement, TargetOutcome.SHED, 1.0, report, now_s)
                 excluded |= {name}
                 continue
+            self.slow_count += pace > 1
             end_s += 0.0 if placement.region == vm.region else 0.07
             heapq.heappush(self.running, (end_s, len(self.outcomes.ran), vm, placement, now_s))
             self.outcomes.ran.append((now_s, vm.region, placement.region, end_s - now_s))
@@ -214,6 +228,6 @@
     def _finish(self, now_s: float) -> None:
         while self.running and self.running[0][0] <= now_s:
             end_s, _, vm, placement, at_s = heapq.heappop(self.running)
-            report = self.targets[placement.target.entry.target].report(now_s)
+            report = self._report(placement.target.entry.target, now_s)
             taken_ms = (end_s - at_s) * 1000
             vm.selector.finish(placement, TargetOutcome.ANSWERED, taken_ms, report, now_s)
