--- a/src/wagtailbay/placement/timing.py
+++ b/src/wagtailbay/placement/timing.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from wagtailbay.placement.const import (
+    LATENCY_GOAL_SHARE,
     MAX_WORK_FACTOR,
     MIN_WORK_SAMPLES,
     REGION_ROUND_TRIP_MS,
@@ -105,7 +106,7 @@
         if self.load_of(target).pace(now_s) < SLOW_PACE:
             return False
         expected_ms = self.expected_ms(query.service, target, True, now_s)
-        return expected_ms > query.latency_goal_ms
+        return expected_ms > LATENCY_GOAL_SHARE * query.latency_goal_ms
 
     def best(
         self, query: PlacementQuery, placements: list[Placement], now_s: float
--- a/tests/regions/test_plan.py
+++ b/tests/regions/test_plan.py
@@ -4,6 +4,7 @@
 
 from wagtailbay.regions import RegionRoom, RegionRouter, plan_shares
 from wagtailbay.regions.plan import shift
+from wagtailbay.regions.shares import position_of
 from wagtailbay.regions.window import ShiftLimiter
 
 ROOMS = {
@@ -107,3 +108,30 @@
         assert router.assign("records", True, 5.1) is None
         assert router.is_sender("records", "north", 4.9)
         assert not router.is_sender("records", "north", 5.1)
+
+
+class TestObjects:
+    """The plan divides the requests of regions by object."""
+
+    def test_objects_keep_their_region_while_shares_are_steady(self) -> None:
+        """Guards against objects that are cached in all regions."""
+        router, ran = RegionRouter("north", 0.15), {}
+        router.adopt("records", {"north": {"east": 0.5}}, 0.0, 0.0, at_once=True)
+        for number in range(6_000):
+            affinity = str(number * 7919 % 300)
+            ran.setdefault(affinity, []).append(router.assign("records", True, 1.0, affinity))
+        shares = [regions.count("east") / len(regions) for regions in ran.values()]
+        assert sum(share in (0.0, 1.0) for share in shares) > 0.35 * len(shares)
+        main_shares = [max(share, 1 - share) for share in shares]
+        assert sum(main_shares) / len(main_shares) > 0.8
+        assert sum(shares) / len(shares) == pytest.approx(0.5, abs=0.02)
+
+    def test_vms_assign_objects_far_from_a_border_alike(self) -> None:
+        """Guards against an object that runs in another region at each VM."""
+        routers = [RegionRouter("north", 0.15) for _ in range(2)]
+        for share, router in zip((0.45, 0.5), routers, strict=True):
+            router.adopt("records", {"north": {"east": share}}, 0.0, 0.0, at_once=True)
+        far = [a for a in map(str, range(300)) if not 0.1 < position_of("records", a) < 0.85]
+        assigned = [[r.assign("records", True, 1.0, a) for a in far] for r in routers]
+        assert assigned[0] == assigned[1]
+        assert set(assigned[0]) == {"north", "east"}
