--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -28,6 +28,8 @@
     metrics.record_refusal("rate_exceeded")
     metrics.record_run_ahead("started")
     metrics.record_attempt("records", "shed")
+    metrics.record_placement("records", "cached")
+    metrics.record_target_pace("records", 250.0)
     metrics.record_store_call("put", "conflict")
     metrics.record_peer_exchange("ok")
     metrics.set_budget_share("rate/records/unam", 250_000)
