Use more than one target for an object in high demand

Cause: the preferred target of an object had to serve all of its requests in a region; beyond its queue they were refused or went to targets without the object. Change: rates of the newest 512 objects at a VM, times the VMs that serve callers in the region, tell how many targets an object needs, at most four in rank order; the further ones get requests while the first has no free slot.

--- a/src/wagtailbay/placement/const.py
+++ b/src/wagtailbay/placement/const.py
@@ -101,3 +101,11 @@
 # Where targets report load, a request with a good target in its own region goes to another region
 # only if credit for as many requests has accumulated. Requests that gain by it come first.
 SPARE_SPILLOVER_CREDIT: Final = 3.0
+# An object gets another target when its own requests use more than this part of a target's slots.
+# The margin keeps the noise of small rates from adding one.
+REPLICA_UTILIZATION: Final = 0.7
+REPLICA_MARGIN: Final = 0.2
+MAX_REPLICAS: Final = 4
+# A VM of a large region gets a few requests/s even for an object in high demand.
+OBJECT_RATE_HALF_LIFE_S: Final = 3.0
+MAX_DEMANDED_OBJECTS: Final = 512
--- a/src/wagtailbay/placement/placer.py
+++ b/src/wagtailbay/placement/placer.py
@@ -10,7 +10,9 @@
     IDLE_UTILIZATION,
     MAX_CACHED_UTILIZATION,
     MIN_TARGETS_PER_ZONE,
+    WARM_WORK_FRACTION,
 )
+from wagtailbay.placement.demand import ObjectDemand, compute_replicas
 from wagtailbay.placement.load import TargetLoad
 from wagtailbay.placement.models import Placement, PlacementQuery, PlacementReason, VmLocation
 from wagtailbay.placement.ranking import (
@@ -44,6 +46,7 @@
     room: TargetRoom
     times: ExpectedTimes
     recent: RecentObjects
+    demand: ObjectDemand
 
     def _placement(
         self,
@@ -94,9 +97,12 @@
         placed = self._first_free(
             query, preferred, PlacementReason.PREFERRED, preferred_utilization, median_ms, now_s
         )
+        replicas = self._replicas(query, preferred, fallbacks, now_s)
         if placed is not None and not self.times.is_doubtful(query, placed, now_s):
-            return placed
-        cached = self._place_cached(query, fallbacks, MAX_CACHED_UTILIZATION, median_ms, now_s)
+            is_waiting = placed.load >= placed.target.entry.slots
+            if not replicas or not is_waiting:
+                return placed
+        cached = self._place_cached(query, fallbacks, replicas, median_ms, now_s)
         placements = [found for found in (placed, cached) if found is not None]
         return self.times.best(query, placements, now_s) or self._first_free(
             query, fallbacks, PlacementReason.OTHER, fallback_utilization, median_ms, now_s
@@ -125,22 +131,42 @@
         self,
         query: PlacementQuery,
         fallbacks: list[RegisteredTarget],
-        max_utilization: float,
+        replicas: set[str],
         median_ms: float | None,
         now_s: float,
     ) -> Placement | None:
-        """Return a target that handled the object lately though it is not the preferred one."""
+        """Return a target that holds the object though it is not the preferred one."""
         if not self.times.is_known(query, now_s):
             return None
         placements = [
             self._placement(query, target, PlacementReason.CACHED, True, now_s)
             for target in fallbacks
-            if self.handled_lately(target, query, now_s)
+            if (target.entry.target in replicas or self.handled_lately(target, query, now_s))
             and not target.is_cold(now_s)
-            and self.room.has_capacity(target, max_utilization, median_ms, now_s)
+            and self.room.has_capacity(target, MAX_CACHED_UTILIZATION, median_ms, now_s)
         ]
         return self.times.best(query, placements, now_s)
 
+    def _replicas(
+        self,
+        query: PlacementQuery,
+        preferred: list[RegisteredTarget],
+        fallbacks: list[RegisteredTarget],
+        now_s: float,
+    ) -> set[str]:
+        """Return further targets for an object that is requested more than one can serve.
+
+        All VMs of the region measure about the same rate, and so use the same targets.
+        """
+        if query.affinity is None or not self.times.is_known(query, now_s):
+            return set()
+        vms = max(1, len(self.cold_limiter.region_vms()))
+        rate_per_s = vms * self.demand.per_s(query.service, query.affinity, now_s)
+        work_ms = WARM_WORK_FRACTION * self.times.work[query.service].cold_ms
+        count = compute_replicas(rate_per_s, work_ms, preferred[-1].entry.slots)
+        warm = [target for target in fallbacks if not target.is_cold(now_s)]
+        return {target.entry.target for target in warm[: count - 1]}
+
     def _preferred(
         self, ordered: list[RegisteredTarget], prefers_zone: bool, now_s: float
     ) -> list[RegisteredTarget]:
--- a/src/wagtailbay/placement/selector.py
+++ b/src/wagtailbay/placement/selector.py
@@ -12,6 +12,7 @@
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
 )
+from wagtailbay.placement.demand import ObjectDemand
 from wagtailbay.placement.load import TargetLoad, accepting_targets
 from wagtailbay.placement.models import (
     LoadReport,
@@ -53,6 +54,7 @@
         region_plan: Decides which requests run in other regions, where regions are uneven.
         spillover_limiters: Decide the same by this VM's own view, without a plan.
         times: Expected times of requests at the targets, where these report their load.
+        demand: Rates of the objects at this VM.
         recent: Objects that the targets handled for this VM lately.
     """
 
@@ -71,6 +73,7 @@
     times: ExpectedTimes = field(init=False)
     placer: TargetPlacer = field(init=False)
     recent: RecentObjects = field(factory=RecentObjects)
+    demand: ObjectDemand = field(factory=ObjectDemand)
 
     def __attrs_post_init__(self) -> None:
         """Create the limiters with the requirements of the deployment."""
@@ -87,6 +90,7 @@
             self.room,
             self.times,
             self.recent,
+            self.demand,
         )
 
     @property
@@ -106,6 +110,8 @@
         """Select a target and count the request as in flight there."""
         if not query.allowed_regions and not query.excluded:
             self.region_plan.record_demand(query.service, query.latency_goal_ms, now_s)
+        if query.affinity is not None and not query.excluded:
+            self.demand.record(query.service, query.affinity, now_s)
         selected = self._select(query, now_s)
         if isinstance(selected, Ok):
             self.load_of(selected.ok_value.target).start()
--- a/tests/placement/test_uneven_targets.py
+++ b/tests/placement/test_uneven_targets.py
@@ -16,6 +16,7 @@
     TargetOutcome,
     TargetSelector,
 )
+from wagtailbay.placement.demand import ObjectDemand
 from wagtailbay.placement.load import TargetLoad
 
 REGIONS = {"z1": "north", "z2": "south"}
@@ -153,6 +154,50 @@
         assert selector.select(QUERY, 0.0).ok_value.region == "south"
 
 
+class TestObjectInHighDemand:
+    """One object is requested more than its preferred target can serve."""
+
+    def serve(self, selector: TargetSelector, per_s: float, from_s: float, to_s: float) -> set[str]:
+        """Return the targets of requests for one object, each answered at once."""
+        used: set[str] = set()
+        for number in range(round((to_s - from_s) * per_s)):
+            now_s = from_s + number / per_s
+            placed = selector.select(QUERY, now_s).ok_value
+            used.add(placed.target.entry.target)
+            report = LoadReport(1, 0, SLOTS)
+            selector.finish(placed, TargetOutcome.ANSWERED, WARM_MS, report, now_s)
+        return used
+
+    def test_next_target_gets_what_the_first_cannot_serve(self) -> None:
+        """Guards against a queue at one target while others are idle, or against refusals."""
+        selector = build_selector(south=0)
+        self.serve(selector, 40.0, 0.0, 6.0)
+        first = selector.select(QUERY, 6.0).ok_value
+        assert first.reason is PlacementReason.PREFERRED
+        selector.load_of(first.target).own_in_flight = SLOTS
+        second = selector.select(QUERY, 6.0).ok_value
+        assert second.reason is PlacementReason.CACHED
+        assert selector.select(QUERY, 6.0).ok_value.target is second.target
+
+    def test_object_has_one_target_again_when_demand_falls(self) -> None:
+        """Guards against objects that stay cached at several targets without need."""
+        selector = build_selector(south=0)
+        self.serve(selector, 40.0, 0.0, 6.0)
+        self.serve(selector, 2.0, 6.0, 26.0)
+        first = selector.select(QUERY, 26.0).ok_value
+        selector.load_of(first.target).own_in_flight = SLOTS
+        assert selector.select(QUERY, 26.0).ok_value.target is first.target
+
+    def test_rates_of_few_objects_are_kept(self) -> None:
+        """Guards against memory that grows with the number of objects."""
+        demand = ObjectDemand()
+        for number in range(2_000):
+            demand.record("records", str(number), 0.0)
+            demand.record("records", "busy", 0.0)
+        assert len(demand.rates) == 512
+        assert demand.per_s("records", "busy", 0.0) > 100
+
+
 class TestSlowMachines:
     """At each moment 15% of the targets work 2.5 times slower; which ones changes every 0.6 s."""
 
