--- a/src/wagtailbay/regions/shares.py
+++ b/src/wagtailbay/regions/shares.py
@@ -23,7 +23,7 @@
         step_per_s: Largest change of the shares in total per second.
         goals: Shares by the newest plan.
         shares: Shares in force.
-        credits: Accumulated fraction of a request for each region.
+        credits: Requests that each region is owed; None is the own region.
         planned_s: When the newest plan was made.
         updated_s: When the shares last followed it.
     """
@@ -75,8 +75,8 @@
         """Return the other region in which the next request runs, None for the own one.
 
         Args:
-            position: Position of the request's object from 0 to 1. An object keeps its region as
-                long as the shares are steady. None for a request without an object.
+            position: Position of the request's object from 0 to 1. An object far from the
+                border of a share keeps its region. None for a request without an object.
         """
         self.credits = {
             to: max(-MAX_CREDIT, min(MAX_CREDIT, self.credits.get(to, 0.0) + share))
