--- a/tests/placement/test_uneven_targets.py
+++ b/tests/placement/test_uneven_targets.py
@@ -4,7 +4,7 @@
 
 import pytest
 from regions.fleet import UNEVEN, Fleet
-from regions.test_hard_load import steady
+from regions.test_region_loads import steady
 from support.gateway import make_entry, make_registry
 
 from wagtailbay.placement import (
