--- a/src/wagtailbay/programs/gateway_settings.py
+++ b/src/wagtailbay/programs/gateway_settings.py
@@ -64,14 +64,7 @@
     Raises:
         ValueError: The text is no such number.
     """
-    message = f"expected a number from 0 to {MAX_WAIT_FRACTION}, got {text!r}"
-    try:
-        number = float(text or 0)
-    except ValueError:
-        raise ValueError(message) from None
-    if not 0 <= number <= MAX_WAIT_FRACTION:
-        raise ValueError(message)
-    return number
+    return _parse_number(text or "0", 0.0, MAX_WAIT_FRACTION)
 
 
 def parse_max_queued(text: str) -> int:
