Compute mean utilization and the high-capacity members in one place each

Change: placement.load.mean_utilization and membership.selection.high_capacity_members serve them. Behaviour is the same.

--- a/src/wagtailbay/locate/near.py
+++ b/src/wagtailbay/locate/near.py
@@ -1,10 +1,12 @@
 """Select the entry VMs for clients that pick among them uniformly at random."""
 
-from wagtailbay.capacity import high_capacity_vms
+from operator import attrgetter
+
 from wagtailbay.config import FleetDocument
 from wagtailbay.locate.const import MAX_NEAR_VMS, MIN_NEAR_VMS
 from wagtailbay.locate.groups import RankedVm, group_vms, live_vms
 from wagtailbay.membership import Roster, live_members
+from wagtailbay.membership.selection import high_capacity_members
 
 
 def near_vms(
@@ -33,11 +35,12 @@
     A VM that is no delegate hears of other zones through its delegates only, so contact that they
     report counts as well.
     """
-    live = {member.identity.vm: member.identity for member in live_members(roster, now_s)}
-    strong = high_capacity_vms({vm: identity.capacity for vm, identity in live.items()})
+    live = live_members(roster, now_s)
+    strong = high_capacity_members(live)
     if len(strong) == len(live):
         return ()
-    groups = group_vms(availability_zone, (live[vm] for vm in sorted(strong)), fleet)
+    identities = sorted((m.identity for m in live if m.identity.vm in strong), key=attrgetter("vm"))
+    groups = group_vms(availability_zone, identities, fleet)
     selected = groups.same_zone.vms
     if len(selected) < MIN_NEAR_VMS:
         selected += groups.same_region.vms
--- a/src/wagtailbay/membership/peers.py
+++ b/src/wagtailbay/membership/peers.py
@@ -6,7 +6,6 @@
 from attrs import define, field
 from result import Err, Ok
 
-from wagtailbay.capacity import high_capacity_vms
 from wagtailbay.logs import log_event
 from wagtailbay.membership.client import PeerClient
 from wagtailbay.membership.codec import FactCodec
@@ -19,7 +18,7 @@
 from wagtailbay.membership.layout import build_layout
 from wagtailbay.membership.messages import ExchangeMessage, PeerError, PeerFailure
 from wagtailbay.membership.models import VmState
-from wagtailbay.membership.selection import responsive_members
+from wagtailbay.membership.selection import high_capacity_members, responsive_members
 from wagtailbay.membership.wire import decode_exchange, encode_exchange
 from wagtailbay.replica import ChangeSignal
 from wagtailbay.store import VmList
@@ -175,10 +174,10 @@
 
     def _update_loops(self, nursery: trio.Nursery) -> None:
         roster = self.exchanger.roster
-        live = {m.identity.vm: m.identity for m in responsive_members(roster, self.clock())}
+        live = responsive_members(roster, self.clock())
+        live_vms = {member.identity.vm for member in live}
         zone_by_vm = self.zone_by_vm() | {roster.own.vm: roster.own.availability_zone}
-        capacities = {vm: identity.capacity for vm, identity in live.items()}
-        self.exchanger.layout = build_layout(zone_by_vm, live, high_capacity_vms(capacities))
+        self.exchanger.layout = build_layout(zone_by_vm, live_vms, high_capacity_members(live))
         neighbours = self.exchanger.layout.neighbours(roster.own.vm)
         for vm in self.loops.keys() - neighbours:
             self.cancel_scopes.pop(vm).cancel()
--- a/src/wagtailbay/membership/selection.py
+++ b/src/wagtailbay/membership/selection.py
@@ -94,12 +94,15 @@
             self.refreshed_s = now_s
             members = live_members(self.roster, now_s)
             self.zones = {m.identity.vm: m.identity.availability_zone for m in members}
-            self.high_capacity = high_capacity_vms(
-                {m.identity.vm: m.identity.capacity for m in members}
-            )
+            self.high_capacity = high_capacity_members(members)
         return self
 
 
+def high_capacity_members(members: Iterable[Member]) -> frozenset[str]:
+    """Return the names of the members that carry callers and control duties."""
+    return high_capacity_vms({m.identity.vm: m.identity.capacity for m in members})
+
+
 def choose_watchers(
     members: Iterable[Member],
     region_of: Callable[[str], str | None],
--- a/src/wagtailbay/placement/load.py
+++ b/src/wagtailbay/placement/load.py
@@ -188,3 +188,13 @@
     if len(healthy) < (1 - MAX_EJECTED_SHARE) * len(usable):
         return usable
     return healthy
+
+
+def mean_utilization(
+    targets: list[RegisteredTarget],
+    load_of: Callable[[RegisteredTarget], TargetLoad],
+    now_s: float,
+) -> float:
+    """Return the load of the targets divided by their slots; there must be a target."""
+    slots = sum(max(1, target.entry.slots) for target in targets)
+    return sum(load_of(target).load(now_s) for target in targets) / slots
--- a/src/wagtailbay/placement/regional.py
+++ b/src/wagtailbay/placement/regional.py
@@ -6,7 +6,7 @@
 from attrs import define, evolve
 
 from wagtailbay.placement.const import BUSY_UTILIZATION
-from wagtailbay.placement.load import TargetLoad
+from wagtailbay.placement.load import TargetLoad, mean_utilization
 from wagtailbay.placement.models import (
     LoadReport,
     Placement,
@@ -231,15 +231,10 @@
         return True
     return (
         region == home
-        and _mean_utilization(targets_by_region[region], load_of, now_s) < BUSY_UTILIZATION
+        and mean_utilization(targets_by_region[region], load_of, now_s) < BUSY_UTILIZATION
     )
 
 
-def _mean_utilization(targets: list[RegisteredTarget], load_of: LoadOf, now_s: float) -> float:
-    slots = sum(max(1, target.entry.slots) for target in targets)
-    return sum(load_of(target).load(now_s) for target in targets) / slots
-
-
 def usable_regions(
     targets_by_region: TargetsByRegion,
     load_of: LoadOf,
--- a/src/wagtailbay/placement/room.py
+++ b/src/wagtailbay/placement/room.py
@@ -12,7 +12,7 @@
     SLOW_TARGET_LATENCY_FACTOR,
     SLOW_TARGET_UTILIZATION,
 )
-from wagtailbay.placement.load import TargetLoad
+from wagtailbay.placement.load import TargetLoad, mean_utilization
 from wagtailbay.placement.models import PlacementQuery
 from wagtailbay.registry import RegisteredTarget
 
@@ -41,8 +41,7 @@
 
     def mean_utilization(self, targets: list[RegisteredTarget], now_s: float) -> float:
         """Return the load of the targets divided by their slots."""
-        slots = sum(max(1, target.entry.slots) for target in targets)
-        return sum(self.load_of(target).load(now_s) for target in targets) / slots
+        return mean_utilization(targets, self.load_of, now_s)
 
     def capacity(
         self,
--- a/src/wagtailbay/placement/utilization.py
+++ b/src/wagtailbay/placement/utilization.py
@@ -1,5 +1,6 @@
 """Utilization of a service's targets as seen by one VM."""
 
+from wagtailbay.placement.load import mean_utilization
 from wagtailbay.placement.selector import TargetSelector
 
 
@@ -10,6 +11,4 @@
         t for t in usable if selector.regions.get(t.entry.availability_zone) == selector.region
     ]
     targets = local or usable
-    slots = sum(max(1, target.entry.slots) for target in targets)
-    load = sum(selector.load_of(target).load(now_s) for target in targets)
-    return load / slots if slots else 0.0
+    return mean_utilization(targets, selector.load_of, now_s) if targets else 0.0
