--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -141,6 +141,7 @@
     """The platform's store: objects by kind and name, lists, watches and conditional writes.
 
     While ``is_silent``, calls get no answer, and those that wait get none afterwards either.
+    ``restore`` brings back an older copy and raises the era.
     """
 
     def __init__(self, record: Record) -> None:
@@ -150,6 +151,7 @@
         self.events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self.changed = asyncio.Event()
         self.is_silent = False
+        self.era = 1
         self.on_call: Callable[[str, str], None] = lambda method, target: None
         self.address = ""
         self.server: asyncio.Server | None = None
@@ -177,6 +179,18 @@
         removed = {**removed, "meta": {**removed["meta"], "revision": self.revision}}
         self._notify(kind, True, removed)
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], dict[str, Any]]]:
+        """Return a copy of all objects with the revision."""
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy: tuple[int, dict[tuple[str, str], dict[str, Any]]]) -> None:
+        """Come back from a copy."""
+        self.revision, self.objects = copy[0], dict(copy[1])
+        self.events = []
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _notify(self, kind: str, deleted: bool, item: dict[str, Any]) -> None:
         self.events.append((self.revision, kind, deleted, item))
         self.changed.set()
@@ -185,14 +199,14 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             while (request := await read_request(reader)) is not None:
-                silent = self.is_silent
+                silent, era = self.is_silent, self.era
                 self.on_call(request.first[0], request.first[1])
                 status, value = await self._answer(request)
-                if silent or self.is_silent:
+                if silent or self.is_silent or era != self.era:
                     await reader.read(-1)
                     break
                 body = json.dumps(value).encode()
-                headers = {"Content-Type": "application/json"}
+                headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
                 writer.write(encode_response(status, headers, body))
                 await writer.drain()
         writer.close()
@@ -229,6 +243,8 @@
             names = sorted(n for k, n in self.objects if k == kind and n > after)
             items = [self.objects[kind, name] for name in names[:500]]
             return 200, {"items": items, "has_more": len(names) > 500, "at": self.revision}
+        if int(query["watch"]) > self.revision:
+            return 410, {}
         since, ends_s = int(query["watch"]), time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             found = [e for e in self.events if e[0] > since and e[1] == kind]
@@ -439,7 +455,12 @@
         self.sent = 0
 
     def write_config(
-        self, version: int, routes: list[Route], rate_per_s: float = 0, burst: float = 0
+        self,
+        version: int,
+        routes: list[Route],
+        rate_per_s: float = 0,
+        burst: float = 0,
+        keys: tuple[str, ...] = (KEY,),
     ) -> None:
         """Write the configuration as the operator."""
         services = sorted({route.service for route in routes})
@@ -467,7 +488,7 @@
             "tenants": [
                 {
                     "name": TENANT,
-                    "api_keys": [KEY],
+                    "api_keys": list(keys),
                     "priority": 1,
                     "rate_per_s": rate_per_s,
                     "burst": burst,
@@ -517,10 +538,17 @@
         return request_id, ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
     async def call(
-        self, gateway: Gateway, method: str, path: str, deadline_ms: int = 4000, body: bytes = b""
+        self,
+        gateway: Gateway,
+        method: str,
+        path: str,
+        deadline_ms: int = 4000,
+        body: bytes = b"",
+        key: str = KEY,
     ) -> tuple[str, Message | None]:
         """Send a request on a new connection and return its ID and response."""
         request_id, data = self.request(method, path, deadline_ms, body)
+        data = data.replace(f"Token {KEY}".encode(), f"Token {key}".encode())
         self.record.add(f"client sends {method} {path} id {request_id} to {gateway.name}")
         try:
             reader, writer = await asyncio.open_connection(gateway.ip, gateway.port)
