--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -294,6 +294,12 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
+    async def restart(self) -> None:
+        """Start again at the same address and under the same ID."""
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.born = int(time.time() * 1000)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         with contextlib.suppress(ConnectionError):
@@ -424,6 +430,7 @@
     service: str
     timeout: str = "4000ms"
     attempts: int = 2
+    sticky: bool = False
 
     def spec(self) -> dict[str, Any]:
         """Return the route as the operator writes it."""
@@ -438,7 +445,7 @@
             "service": self.service,
             "max_attempts": self.attempts,
             "public": False,
-            "sticky": False,
+            "sticky": self.sticky,
             "home_regions": [],
         }
 
@@ -545,10 +552,14 @@
         deadline_ms: int = 4000,
         body: bytes = b"",
         key: str = KEY,
+        affinity: str = "",
     ) -> tuple[str, Message | None]:
         """Send a request on a new connection and return its ID and response."""
         request_id, data = self.request(method, path, deadline_ms, body)
         data = data.replace(f"Token {KEY}".encode(), f"Token {key}".encode())
+        if affinity:
+            cookie = f"\r\nCookie: Affinity-Key={affinity}\r\nAuthorization"
+            data = data.replace(b"\r\nAuthorization", cookie.encode(), 1)
         self.record.add(f"client sends {method} {path} id {request_id} to {gateway.name}")
         try:
             reader, writer = await asyncio.open_connection(gateway.ip, gateway.port)
