--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,7 +13,7 @@
 OUTAGE_S = 1.0
 # How long a leaving upstream goes on serving beyond ``drain``.
 EXTRA_S = 0.25
-UPSTREAMS = 8
+UPSTREAMS = 15
 REQUESTS_AT_ONCE = 8
 
 
